--- /dev/null
+++ b/libraries/base/names.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_BASE_NAMES_H_
+#define LIBRARIES_BASE_NAMES_H_
+
+#include <cstdint>
+#include <string>
+
+#include "libraries/base/strong_type.h"
+
+namespace sumac {
+
+// Names that operators, callers and targets use. Docs: docs/GLOSSARY.md.
+using ProcessName = StrongType<std::string, struct ProcessNameTag>;
+using InstanceName = StrongType<std::string, struct InstanceNameTag>;
+using PoolName = StrongType<std::string, struct PoolNameTag>;
+using ServiceName = StrongType<std::string, struct ServiceNameTag>;
+using DataCentre = StrongType<std::string, struct DataCentreTag>;
+using Rack = StrongType<std::string, struct RackTag>;
+using JobId = StrongType<std::string, struct JobIdTag>;
+using OperationId = StrongType<std::string, struct OperationIdTag>;
+using DecisionId = StrongType<std::string, struct DecisionIdTag>;
+using IdempotencyKey = StrongType<std::string, struct IdempotencyKeyTag>;
+using OperatorRequestId = StrongType<std::string, struct OperatorRequestIdTag>;
+using CallerName = StrongType<std::string, struct CallerNameTag>;
+using TeamName = StrongType<std::string, struct TeamNameTag>;
+
+// The number of a declaration; the first accepted one is 1.
+using Revision = StrongType<std::uint64_t, struct RevisionTag>;
+// Grows with every placement of a job; a worker refuses a lower one.
+using FencingToken = StrongType<std::uint64_t, struct FencingTokenTag>;
+// Grows with every start of a target; an older one's reports are ignored.
+using Incarnation = StrongType<std::uint64_t, struct IncarnationTag>;
+
+// Replication: a leader's term and a position in the log (the first is 1).
+using Term = StrongType<std::uint64_t, struct TermTag>;
+using LogIndex = StrongType<std::uint64_t, struct LogIndexTag>;
+
+}  // namespace sumac
+
+#endif  // LIBRARIES_BASE_NAMES_H_
--- /dev/null
+++ b/libraries/base/try.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_BASE_TRY_H_
+#define LIBRARIES_BASE_TRY_H_
+
+#include <utility>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+namespace sumac::internal {
+
+inline absl::Status StatusOf(const absl::Status& status) {
+  return status;
+}
+
+template <typename T>
+absl::Status StatusOf(const absl::StatusOr<T>& result) {
+  return result.status();
+}
+
+inline void ValueOf(absl::Status /*status*/) {}
+
+template <typename T>
+T ValueOf(absl::StatusOr<T>&& result) {
+  return *std::move(result);
+}
+
+}  // namespace sumac::internal
+
+// Evaluates an expression of type absl::Status or absl::StatusOr<T>. On an
+// error the enclosing function returns that error, else the value of the whole
+// is the T (or nothing for a Status).
+#define TRY(...)                                       \
+  ({                                                   \
+    auto try_result = (__VA_ARGS__);                   \
+    if (!try_result.ok()) [[unlikely]] {               \
+      return ::sumac::internal::StatusOf(try_result);  \
+    }                                                  \
+    ::sumac::internal::ValueOf(std::move(try_result)); \
+  })
+
+#endif  // LIBRARIES_BASE_TRY_H_
--- /dev/null
+++ b/libraries/fleet/placement.h
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_FLEET_PLACEMENT_H_
+#define LIBRARIES_FLEET_PLACEMENT_H_
+
+#include <vector>
+
+#include "libraries/fleet/commands.h"
+#include "libraries/fleet/fleet_state.h"
+
+namespace sumac::fleet {
+
+// Chooses workers for queued jobs, urgent before interactive before background
+// and within each the oldest first; at most `most` in one go. A job goes to the
+// worker with the least free room that fits (best fit), which keeps large gaps
+// for large jobs.
+std::vector<Placement> ChoosePlacements(const FleetState& state,
+                                        std::size_t most);
+
+}  // namespace sumac::fleet
+
+#endif  // LIBRARIES_FLEET_PLACEMENT_H_
--- /dev/null
+++ b/libraries/fleet/soft_state.cc
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/fleet/soft_state.h"
+
+#include <algorithm>
+
+#include "libraries/fleet/commands.h"
+
+namespace sumac::fleet {
+
+void SoftState::Reset(SteadyTime now) {
+  *this = SoftState();
+  this->started_at = now;
+}
+
+void SoftState::Hear(const Announcement& announcement, SteadyTime now) {
+  this->heard[announcement.target.name] =
+      Heard{now, announcement.in_flight, announcement.is_leaving};
+}
+
+SteadyTime SoftState::LastHeard(const InstanceName& name) const {
+  const auto found = this->heard.find(name);
+  return found == this->heard.end() ? this->started_at : found->second.at;
+}
+
+bool SoftState::IsIdleSince(const InstanceName& name, SteadyTime since) const {
+  const auto found = this->heard.find(name);
+  return found != this->heard.end() && found->second.at >= since &&
+         found->second.in_flight == 0;
+}
+
+bool SoftState::IsLeaving(const InstanceName& name) const {
+  const auto found = this->heard.find(name);
+  return found != this->heard.end() && found->second.is_leaving;
+}
+
+SteadyTime SoftState::LastRenewed(const InstanceName& worker) const {
+  const auto found = this->renewed.find(worker);
+  return found == this->renewed.end() ? this->started_at : found->second;
+}
+
+void SoftState::NoteRenewed(const InstanceName& worker, SteadyTime now) {
+  this->renewed[worker] = now;
+}
+
+SteadyTime SoftState::DrainingSince(const InstanceName& name, SteadyTime now) {
+  return this->draining_since.try_emplace(name, now).first->second;
+}
+
+void SoftState::ForgetDraining(const InstanceName& name) {
+  this->draining_since.erase(name);
+}
+
+std::vector<RecordTargets> CommandsForTarget(const FleetState& state,
+                                             const Announcement& announcement) {
+  const Instance* known = state.FindInstance(announcement.target.name);
+  const bool tells_something =
+      known == nullptr || known->target != announcement.target ||
+      known->state == InstanceState::kSilent ||
+      known->state == InstanceState::kLeft || known->is_silent_while_planned;
+  const bool is_stale = known != nullptr && announcement.target.incarnation <
+                                                known->target.incarnation;
+  if (!tells_something || is_stale ||
+      (announcement.is_leaving && known == nullptr)) {
+    return {};
+  }
+  // A leaving target that already left is not called back.
+  if (announcement.is_leaving && known->state == InstanceState::kLeft) {
+    return {};
+  }
+  return {RecordTargets{{announcement.target}}};
+}
+
+std::vector<TaskReport> NewTaskReports(const FleetState& state,
+                                       const Announcement& announcement) {
+  std::vector<TaskReport> reports;
+  std::copy_if(
+      announcement.tasks.begin(), announcement.tasks.end(),
+      std::back_inserter(reports), [&](const TaskReport& report) {
+        const Job* job = state.FindJob(report.job);
+        const bool is_current = job != nullptr && job->token == report.token &&
+                                job->worker == announcement.target.name;
+        const bool is_open = is_current && !state.JobHasTag(*job, "ended") &&
+                             job->state != JobState::kQueued;
+        const bool is_known = report.state == TaskState::kRunning && is_open &&
+                              job->state != JobState::kPlaced;
+        return is_open && !is_known;
+      });
+  return reports;
+}
+
+TargetOrders OrdersFor(const FleetState& state, const InstanceName& name) {
+  TargetOrders orders;
+  const Instance* instance = state.FindInstance(name);
+  if (instance == nullptr) {
+    return orders;
+  }
+  orders.is_confirmed = true;
+  orders.is_draining = state.InstanceHasTag(*instance, "planned");
+  orders.lease = state.record().declaration.job_lease;
+  for (const JobId& id : state.JobsOn(name)) {
+    const Job& job = *state.FindJob(id);
+    if (job.state == JobState::kPlaced || job.state == JobState::kRunning) {
+      orders.tasks.push_back(
+          TaskOrder{id, job.token, job.spec.command, job.spec.run_time});
+    }
+  }
+  return orders;
+}
+
+}  // namespace sumac::fleet
--- /dev/null
+++ b/libraries/fleet/view.h
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_FLEET_VIEW_H_
+#define LIBRARIES_FLEET_VIEW_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/codec/describe.h"
+#include "libraries/fleet/declaration.h"
+#include "libraries/fleet/fleet_state.h"
+
+namespace sumac::fleet {
+
+// One minion as entries see it.
+struct RoutedMinion {
+  InstanceName name;
+  std::string address;
+  DataCentre data_centre;
+  Rack rack;
+  Incarnation incarnation;
+  std::set<ServiceName> services;
+  std::uint32_t slots = 0;
+  std::uint32_t connections = 0;
+  // False while it is leaving, silent or set aside: it gets no new requests.
+  bool can_take_work = false;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("name", self.name);
+    visitor.Field("address", self.address);
+    visitor.Field("data_centre", self.data_centre);
+    visitor.Field("rack", self.rack);
+    visitor.Field("incarnation", self.incarnation);
+    visitor.Field("services", self.services);
+    visitor.Field("slots", self.slots);
+    visitor.Field("connections", self.connections);
+    visitor.Field("can_take_work", self.can_take_work);
+  }
+};
+
+// All that entries route by. Versions only grow; an entry never takes an older
+// one.
+struct View {
+  std::uint64_t version = 0;
+  Revision revision;
+  std::vector<Service> services;
+  Milliseconds key_window{0};
+  std::vector<RoutedMinion> minions;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("version", self.version);
+    visitor.Field("revision", self.revision);
+    visitor.Field("services", self.services);
+    visitor.Field("key_window_ms", self.key_window);
+    visitor.Field("minions", self.minions);
+  }
+};
+
+// The view that the state gives now.
+View MakeView(const FleetState& state);
+
+}  // namespace sumac::fleet
+
+#endif  // LIBRARIES_FLEET_VIEW_H_
--- /dev/null
+++ b/libraries/replication/replica.cc
@@ -0,0 +1,707 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/replication/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "libraries/base/error.h"
+#include "libraries/base/verify.h"
+
+namespace sumac::replication {
+namespace {
+
+// The number of voters in which two memberships differ.
+std::size_t CountChangedVoters(const Membership& before,
+                               const Membership& after) {
+  const auto count_missing = [](const std::set<NodeId>& from,
+                                const std::set<NodeId>& other) {
+    return std::count_if(from.begin(), from.end(), [&](const NodeId& node) {
+      return !other.contains(node);
+    });
+  };
+  return count_missing(before.voters, after.voters) +
+         count_missing(after.voters, before.voters);
+}
+
+}  // namespace
+
+Replica::Replica(ReplicationSettings initial_settings,
+                 StartState start,
+                 SteadyTime now)
+    : settings(initial_settings),
+      own_id(std::move(start.self)),
+      hard_state(std::move(start.hard_state)),
+      log(start.snapshot.meta, std::move(start.entries)),
+      snapshot_state(std::move(start.snapshot.state)),
+      committed_index(start.snapshot.meta.index),
+      delivered_index(start.snapshot.meta.index),
+      // NOTE: A voter that restarts has forgotten when it last heard the
+      // leader. It counts as having just heard it, or its vote could break a
+      // lease that the leader still holds.
+      last_leader_contact(now),
+      latest_now(now),
+      random(start.seed) {
+  this->ResetElectionTimer(now);
+}
+
+void Replica::Tick(SteadyTime now) {
+  this->latest_now = now;
+  if (this->current_role == Role::kLeader) {
+    this->TickLeader(now);
+    return;
+  }
+  if (now >= this->election_deadline &&
+      this->membership().is_voter(this->own_id)) {
+    this->StartPreVote(now);
+  }
+}
+
+void Replica::TickLeader(SteadyTime now) {
+  const SteadyTime acknowledged =
+      this->leading->QuorumAcknowledgedAt(this->membership(), now);
+  const SteadyTime alive_since =
+      std::max(acknowledged, this->last_leader_contact);
+  if (now - alive_since > 2 * this->settings.election_timeout) {
+    this->BecomeFollower(this->hard_state.term, std::nullopt);
+    this->ResetElectionTimer(now);
+    return;
+  }
+  if (this->hand_over_to && now >= this->hand_over_deadline) {
+    // NOTE: Once TimeoutNow is out, its receiver may start an election that
+    // passes the lease at any later moment of this term, so this term can't be
+    // resumed.
+    if (this->has_sent_timeout_now) {
+      this->BecomeFollower(this->hard_state.term, std::nullopt);
+      this->ResetElectionTimer(now);
+      return;
+    }
+    this->hand_over_to.reset();
+  }
+  if (now - this->last_heartbeat >= this->settings.heartbeat_interval) {
+    this->last_heartbeat = now;
+    for (auto& [node, progress] : this->leading->members()) {
+      this->SendTo(node, progress, true, now);
+    }
+  }
+}
+
+void Replica::Receive(Message message, SteadyTime now) {
+  this->latest_now = now;
+  if (message.to != this->own_id) {
+    return;
+  }
+  const auto* vote_request = std::get_if<VoteRequest>(&message.body);
+  if (vote_request != nullptr) {
+    this->HandleVoteRequest(message.from, message.term, *vote_request, now);
+    return;
+  }
+  const auto* vote_answer = std::get_if<VoteAnswer>(&message.body);
+  if (message.term > this->hard_state.term) {
+    const bool is_granted_pre_vote = vote_answer != nullptr &&
+                                     vote_answer->is_pre_vote &&
+                                     vote_answer->is_granted;
+    if (!is_granted_pre_vote) {
+      this->BecomeFollower(message.term, std::nullopt);
+    }
+  }
+  if (vote_answer != nullptr) {
+    this->HandleVoteAnswer(message.from, message.term, *vote_answer, now);
+    return;
+  }
+  if (message.term < this->hard_state.term) {
+    // An old leader learns of the newer term from this refusal and steps down.
+    if (std::holds_alternative<AppendRequest>(message.body) ||
+        std::holds_alternative<SnapshotChunk>(message.body)) {
+      this->Send(message.from, AppendAnswer{.is_accepted = false});
+    }
+    return;
+  }
+  if (auto* append = std::get_if<AppendRequest>(&message.body)) {
+    this->HandleAppendRequest(message.from, std::move(*append), now);
+  } else if (auto* chunk = std::get_if<SnapshotChunk>(&message.body)) {
+    this->HandleSnapshotChunk(message.from, std::move(*chunk), now);
+  } else if (std::holds_alternative<TimeoutNow>(message.body)) {
+    this->HandleTimeoutNow(now);
+  } else if (this->current_role == Role::kLeader) {
+    if (const auto* answer = std::get_if<AppendAnswer>(&message.body)) {
+      this->HandleAppendAnswer(message.from, *answer, now);
+    } else if (const auto* installed =
+                   std::get_if<SnapshotAnswer>(&message.body)) {
+      this->HandleSnapshotAnswer(message.from, *installed, now);
+    }
+  }
+}
+
+absl::StatusOr<LogIndex> Replica::Propose(std::string payload, SteadyTime now) {
+  if (this->current_role != Role::kLeader) {
+    return MakeError(ResultCode::kNotLeader, "this controller does not lead");
+  }
+  if (this->hand_over_to) {
+    return MakeError(ResultCode::kNoLeader, "leadership is being handed over");
+  }
+  this->AppendOwnEntry(
+      Entry{.kind = EntryKind::kCommand, .payload = std::move(payload)}, now);
+  return this->log.last_index();
+}
+
+absl::StatusOr<LogIndex> Replica::ProposeMembership(Membership membership,
+                                                    SteadyTime now) {
+  if (this->current_role != Role::kLeader || this->hand_over_to) {
+    return MakeError(ResultCode::kNotLeader, "this controller does not lead");
+  }
+  if (!this->is_membership_committed() || !this->is_ready_to_lead()) {
+    return MakeError(ResultCode::kWrongState,
+                     "the previous change of members is not committed");
+  }
+  if (membership.voters.empty() ||
+      CountChangedVoters(this->membership(), membership) > 1) {
+    return MakeError(ResultCode::kBadArgument,
+                     "one voter at most may change at a time");
+  }
+  this->AppendOwnEntry(
+      Entry{.kind = EntryKind::kMembership, .membership = membership}, now);
+  this->leading->UpdateMembers(membership, this->log.last_index(), now);
+  return this->log.last_index();
+}
+
+absl::Status Replica::HandOver(SteadyTime now) {
+  if (this->current_role != Role::kLeader) {
+    return MakeError(ResultCode::kNotLeader, "this controller does not lead");
+  }
+  std::optional<NodeId> best;
+  LogIndex best_match;
+  for (const auto& [node, progress] : this->leading->members()) {
+    const bool is_alive =
+        now - progress.last_answer_at < this->settings.election_timeout;
+    if (this->membership().is_voter(node) && is_alive &&
+        (!best || progress.match_index > best_match)) {
+      best = node;
+      best_match = progress.match_index;
+    }
+  }
+  if (!best) {
+    return MakeError(ResultCode::kNoLeader,
+                     "no other voter is alive to hand over to");
+  }
+  this->hand_over_to = best;
+  this->hand_over_deadline = now + this->settings.hand_over_timeout;
+  this->has_sent_timeout_now = false;
+  this->MaybeFinishHandOver(now);
+  return absl::OkStatus();
+}
+
+SnapshotMeta Replica::Compact(LogIndex index, std::string state) {
+  VERIFY(index <= this->delivered_index);
+  if (index <= this->log.snapshot().index) {
+    return this->log.snapshot();
+  }
+  const SnapshotMeta meta{index, this->log.TermAt(index),
+                          this->log.MembershipAt(index)};
+  this->log.CompactTo(meta);
+  this->snapshot_state = std::move(state);
+  return meta;
+}
+
+Output Replica::TakeOutput() {
+  if (std::exchange(this->needs_broadcast, false)) {
+    this->Broadcast(this->latest_now);
+  }
+  for (LogIndex index = this->delivered_index.Next();
+       index <= this->committed_index; index = index.Next()) {
+    this->output.committed.push_back(this->log.At(index));
+  }
+  this->delivered_index = this->committed_index;
+  return std::exchange(this->output, Output{});
+}
+
+bool Replica::HoldsLease(SteadyTime now) const {
+  if (this->current_role != Role::kLeader || this->has_sent_timeout_now) {
+    return false;
+  }
+  const SteadyTime acknowledged =
+      this->leading->QuorumAcknowledgedAt(this->membership(), now);
+  return now < acknowledged + this->settings.election_timeout -
+                   this->settings.clock_drift_margin;
+}
+
+bool Replica::is_ready_to_lead() const {
+  return this->current_role == Role::kLeader &&
+         this->committed_index >= this->leader_start_index;
+}
+
+void Replica::BecomeFollower(Term term, std::optional<NodeId> leader) {
+  if (term > this->hard_state.term) {
+    this->hard_state = HardState{term, std::nullopt};
+    this->SaveHardState();
+  }
+  this->current_role = Role::kFollower;
+  this->known_leader = std::move(leader);
+  this->leading.reset();
+  this->hand_over_to.reset();
+  this->has_sent_timeout_now = false;
+  this->votes.clear();
+}
+
+void Replica::ResetElectionTimer(SteadyTime now) {
+  std::uniform_int_distribution<std::int64_t> spread(
+      0, this->settings.election_timeout.count());
+  this->election_deadline = now + this->settings.election_timeout +
+                            Milliseconds(spread(this->random));
+}
+
+void Replica::StartPreVote(SteadyTime now) {
+  this->current_role = Role::kPreCandidate;
+  this->known_leader.reset();
+  this->votes = {this->own_id};
+  this->ResetElectionTimer(now);
+  if (this->HasVoteQuorum()) {
+    this->StartElection(false, now);
+    return;
+  }
+  this->RequestVotes(true, false, this->hard_state.term.Next());
+}
+
+void Replica::StartElection(bool is_hand_over, SteadyTime now) {
+  this->current_role = Role::kCandidate;
+  this->known_leader.reset();
+  this->hard_state = HardState{this->hard_state.term.Next(), this->own_id};
+  this->SaveHardState();
+  this->votes = {this->own_id};
+  this->ResetElectionTimer(now);
+  if (this->HasVoteQuorum()) {
+    this->BecomeLeader(now);
+    return;
+  }
+  this->RequestVotes(false, is_hand_over, this->hard_state.term);
+}
+
+void Replica::RequestVotes(bool is_pre_vote, bool is_hand_over, Term term) {
+  for (const NodeId& voter : this->membership().voters) {
+    if (voter != this->own_id) {
+      this->SendWithTerm(
+          voter, term,
+          VoteRequest{is_pre_vote, is_hand_over, this->log.last_index(),
+                      this->log.last_term()});
+    }
+  }
+}
+
+bool Replica::HasVoteQuorum() const {
+  const auto granted = std::count_if(
+      this->votes.begin(), this->votes.end(), [this](const NodeId& voter) {
+        return this->membership().is_voter(voter);
+      });
+  return static_cast<std::size_t>(granted) >= this->membership().quorum();
+}
+
+void Replica::BecomeLeader(SteadyTime now) {
+  this->current_role = Role::kLeader;
+  this->known_leader = this->own_id;
+  this->last_leader_contact = now;
+  this->last_heartbeat = now;
+  this->leading.emplace(now, this->log.last_index(), this->membership(),
+                        this->own_id);
+  this->AppendOwnEntry(Entry{.kind = EntryKind::kLeaderStart}, now);
+  this->leader_start_index = this->log.last_index();
+}
+
+bool Replica::IsLeaderFresh(SteadyTime now) const {
+  if (this->current_role == Role::kLeader) {
+    return true;
+  }
+  return now - this->last_leader_contact < this->settings.election_timeout;
+}
+
+bool Replica::IsLogUpToDate(LogIndex last_index, Term last_term) const {
+  if (last_term != this->log.last_term()) {
+    return last_term > this->log.last_term();
+  }
+  return last_index >= this->log.last_index();
+}
+
+void Replica::HandleVoteRequest(const NodeId& from,
+                                Term term,
+                                const VoteRequest& request,
+                                SteadyTime now) {
+  // NOTE: While a leader is fresh no vote is given, not even in a newer term:
+  // the leader's lease rests on this. Only a hand-over, for which the leader
+  // gave up its lease, passes.
+  const bool is_member = this->membership().is_voter(this->own_id);
+  if (!is_member || (this->IsLeaderFresh(now) && !request.is_hand_over)) {
+    this->Send(from, VoteAnswer{request.is_pre_vote, false});
+    return;
+  }
+  const bool is_up_to_date =
+      this->IsLogUpToDate(request.last_index, request.last_term);
+  if (request.is_pre_vote) {
+    const bool is_granted = term > this->hard_state.term && is_up_to_date;
+    this->SendWithTerm(from, is_granted ? term : this->hard_state.term,
+                       VoteAnswer{true, is_granted});
+    return;
+  }
+  if (term > this->hard_state.term) {
+    this->BecomeFollower(term, std::nullopt);
+  }
+  const bool can_vote =
+      term == this->hard_state.term &&
+      (!this->hard_state.voted_for || *this->hard_state.voted_for == from);
+  const bool is_granted = can_vote && is_up_to_date;
+  if (is_granted) {
+    this->hard_state.voted_for = from;
+    this->SaveHardState();
+    this->ResetElectionTimer(now);
+  }
+  this->Send(from, VoteAnswer{false, is_granted});
+}
+
+void Replica::HandleVoteAnswer(const NodeId& from,
+                               Term term,
+                               const VoteAnswer& answer,
+                               SteadyTime now) {
+  if (!answer.is_granted) {
+    return;
+  }
+  if (answer.is_pre_vote) {
+    if (this->current_role != Role::kPreCandidate ||
+        term != this->hard_state.term.Next()) {
+      return;
+    }
+    this->votes.insert(from);
+    if (this->HasVoteQuorum()) {
+      this->StartElection(false, now);
+    }
+    return;
+  }
+  if (this->current_role != Role::kCandidate || term != this->hard_state.term) {
+    return;
+  }
+  this->votes.insert(from);
+  if (this->HasVoteQuorum()) {
+    this->BecomeLeader(now);
+  }
+}
+
+void Replica::HandleAppendRequest(const NodeId& from,
+                                  AppendRequest request,
+                                  SteadyTime now) {
+  VERIFY(this->current_role != Role::kLeader);
+  this->BecomeFollower(this->hard_state.term, from);
+  this->last_leader_contact = now;
+  this->ResetElectionTimer(now);
+  AppendAnswer answer{.sent_at = request.sent_at};
+  if (request.previous_index < this->log.snapshot().index) {
+    // All up to the snapshot is committed, so it matches.
+    answer.is_accepted = true;
+    answer.match_index = this->log.snapshot().index;
+    this->Send(from, answer);
+    return;
+  }
+  const bool is_matching =
+      this->log.has_term(request.previous_index) &&
+      this->log.TermAt(request.previous_index) == request.previous_term;
+  if (!is_matching) {
+    answer.match_index = this->ConflictHint(request);
+    this->Send(from, answer);
+    return;
+  }
+  const LogIndex last_new(request.previous_index.value() +
+                          request.entries.size());
+  this->AppendFollowerEntries(std::move(request.entries));
+  this->AdvanceCommit(std::min(request.commit_index, last_new));
+  answer.is_accepted = true;
+  answer.match_index = last_new;
+  this->Send(from, answer);
+}
+
+LogIndex Replica::ConflictHint(const AppendRequest& request) const {
+  if (!this->log.has_term(request.previous_index)) {
+    return this->log.last_index().Next();
+  }
+  // Skips the whole conflicting term at once.
+  const Term conflicting = this->log.TermAt(request.previous_index);
+  LogIndex first = request.previous_index;
+  while (first > this->log.snapshot().index.Next() &&
+         this->log.TermAt(LogIndex(first.value() - 1)) == conflicting) {
+    first = LogIndex(first.value() - 1);
+  }
+  return std::max(first, this->log.snapshot().index.Next());
+}
+
+void Replica::AppendFollowerEntries(std::vector<Entry> entries) {
+  for (Entry& entry : entries) {
+    if (entry.index <= this->log.last_index()) {
+      if (this->log.TermAt(entry.index) == entry.term) {
+        continue;
+      }
+      VERIFY(entry.index > this->committed_index);
+      this->log.TruncateFrom(entry.index);
+      std::erase_if(this->output.entries_to_write, [&](const Entry& waiting) {
+        return waiting.index >= entry.index;
+      });
+    }
+    this->output.entries_to_write.push_back(entry);
+    this->log.Append(std::move(entry));
+  }
+}
+
+void Replica::AppendOwnEntry(Entry entry, SteadyTime now) {
+  entry.term = this->hard_state.term;
+  entry.index = this->log.last_index().Next();
+  this->output.entries_to_write.push_back(entry);
+  this->log.Append(std::move(entry));
+  this->MaybeCommit(now);
+  // Sent with the next output, so that all proposals of one turn share a
+  // message.
+  this->latest_now = now;
+  this->needs_broadcast = true;
+}
+
+void Replica::AdvanceCommit(LogIndex index) {
+  this->committed_index = std::max(this->committed_index, index);
+}
+
+void Replica::MaybeCommit(SteadyTime now) {
+  const LogIndex agreed =
+      this->leading->QuorumIndex(this->membership(), this->log.last_index());
+  // Only entries of the own term are committed by counting (Raft,
+  // section 5.4.2).
+  if (agreed <= this->committed_index ||
+      this->log.TermAt(agreed) != this->hard_state.term) {
+    return;
+  }
+  this->AdvanceCommit(agreed);
+  if (this->is_membership_committed() &&
+      !this->membership().is_voter(this->own_id)) {
+    this->BecomeFollower(this->hard_state.term, std::nullopt);
+    this->ResetElectionTimer(now);
+  }
+}
+
+void Replica::Broadcast(SteadyTime now) {
+  if (this->current_role != Role::kLeader) {
+    return;
+  }
+  for (auto& [node, progress] : this->leading->members()) {
+    this->SendTo(node, progress, false, now);
+  }
+}
+
+void Replica::SendTo(const NodeId& node,
+                     MemberProgress& progress,
+                     bool is_heartbeat,
+                     SteadyTime now) {
+  const bool is_stalled =
+      now - progress.last_answer_at > this->settings.election_timeout;
+  if (is_heartbeat && is_stalled) {
+    // Whatever was under way is lost; look for the matching position again.
+    progress.is_matched = false;
+    progress.messages_in_flight = 0;
+    progress.next_index = std::max(progress.match_index.Next(),
+                                   this->log.snapshot().index.Next());
+    progress.snapshot_offset.reset();
+  }
+  if (progress.next_index <= this->log.snapshot().index ||
+      progress.snapshot_offset) {
+    if (is_heartbeat || !progress.snapshot_offset) {
+      this->SendSnapshot(node, progress, now);
+    }
+    return;
+  }
+  const std::size_t most =
+      progress.is_matched ? this->settings.most_messages_in_flight : 1;
+  const bool has_entries = progress.next_index <= this->log.last_index();
+  if (is_heartbeat || (has_entries && progress.messages_in_flight < most)) {
+    this->SendEntries(node, progress, now);
+  }
+}
+
+void Replica::SendEntries(const NodeId& node,
+                          MemberProgress& progress,
+                          SteadyTime now) {
+  const LogIndex previous(progress.next_index.value() - 1);
+  AppendRequest request{.previous_index = previous,
+                        .previous_term = this->log.TermAt(previous),
+                        .commit_index = this->committed_index,
+                        .sent_at = now};
+  const std::size_t most =
+      progress.is_matched ? this->settings.most_messages_in_flight : 1;
+  if (progress.messages_in_flight < most) {
+    request.entries = this->log.Read(progress.next_index,
+                                     this->settings.most_entries_per_message,
+                                     this->settings.most_bytes_per_message);
+  }
+  if (!request.entries.empty()) {
+    ++progress.messages_in_flight;
+    if (progress.is_matched) {
+      progress.next_index = request.entries.back().index.Next();
+    }
+  }
+  progress.last_sent_at = now;
+  this->Send(node, std::move(request));
+}
+
+void Replica::SendSnapshot(const NodeId& node,
+                           MemberProgress& progress,
+                           SteadyTime now) {
+  const std::uint64_t offset = progress.snapshot_offset.value_or(0);
+  progress.snapshot_offset = offset;
+  SnapshotChunk chunk{
+      .meta = this->log.snapshot(), .offset = offset, .sent_at = now};
+  if (offset < this->snapshot_state.size()) {
+    chunk.data = this->snapshot_state.substr(
+        offset, this->settings.snapshot_chunk_bytes);
+  }
+  chunk.is_last = offset + chunk.data.size() >= this->snapshot_state.size();
+  progress.last_sent_at = now;
+  this->Send(node, std::move(chunk));
+}
+
+void Replica::HandleAppendAnswer(const NodeId& from,
+                                 const AppendAnswer& answer,
+                                 SteadyTime now) {
+  MemberProgress* progress = this->leading->Find(from);
+  if (progress == nullptr) {
+    return;
+  }
+  progress->last_answer_at = now;
+  progress->acknowledged_sent_at =
+      std::max(progress->acknowledged_sent_at, answer.sent_at);
+  if (progress->messages_in_flight > 0) {
+    --progress->messages_in_flight;
+  }
+  if (answer.is_accepted) {
+    progress->is_matched = true;
+    progress->match_index = std::max(progress->match_index, answer.match_index);
+    progress->next_index =
+        std::max(progress->next_index, progress->match_index.Next());
+    this->MaybeCommit(now);
+    if (this->current_role != Role::kLeader) {
+      return;
+    }
+    this->MaybeFinishHandOver(now);
+  } else if (answer.match_index > LogIndex(0)) {
+    progress->is_matched = false;
+    progress->messages_in_flight = 0;
+    progress->next_index =
+        std::max(std::min(answer.match_index, this->log.last_index().Next()),
+                 progress->match_index.Next());
+  }
+  progress = this->leading->Find(from);
+  if (progress != nullptr) {
+    this->SendTo(from, *progress, false, now);
+  }
+}
+
+void Replica::HandleSnapshotChunk(const NodeId& from,
+                                  SnapshotChunk chunk,
+                                  SteadyTime now) {
+  VERIFY(this->current_role != Role::kLeader);
+  this->BecomeFollower(this->hard_state.term, from);
+  this->last_leader_contact = now;
+  this->ResetElectionTimer(now);
+  SnapshotAnswer answer{.index = chunk.meta.index, .sent_at = chunk.sent_at};
+  if (chunk.meta.index <= this->committed_index) {
+    answer.is_installed = true;
+    this->Send(from, answer);
+    return;
+  }
+  if (!this->incoming_snapshot || this->incoming_snapshot->meta != chunk.meta) {
+    this->incoming_snapshot = Snapshot{chunk.meta, ""};
+  }
+  if (chunk.offset == this->incoming_snapshot->state.size()) {
+    this->incoming_snapshot->state += chunk.data;
+    if (chunk.is_last) {
+      this->InstallIncomingSnapshot();
+      answer.is_installed = true;
+      this->Send(from, answer);
+      return;
+    }
+  }
+  answer.next_offset = this->incoming_snapshot->state.size();
+  this->Send(from, answer);
+}
+
+void Replica::InstallIncomingSnapshot() {
+  const SnapshotMeta meta = this->incoming_snapshot->meta;
+  // NOTE: Entries after the snapshot stay when they are of the same history:
+  // they may have been acknowledged, and an acknowledged entry must not be
+  // forgotten (Raft, section 7).
+  const bool is_same_history = this->log.has_term(meta.index) &&
+                               this->log.TermAt(meta.index) == meta.term;
+  this->log.CompactTo(meta);
+  this->committed_index = meta.index;
+  this->delivered_index = meta.index;
+  this->snapshot_state = this->incoming_snapshot->state;
+  std::erase_if(this->output.entries_to_write, [&](const Entry& entry) {
+    return !is_same_history || entry.index <= meta.index;
+  });
+  this->output.committed.clear();
+  this->output.does_snapshot_replace_log = !is_same_history;
+  this->output.snapshot_to_install = std::move(this->incoming_snapshot);
+  this->incoming_snapshot.reset();
+}
+
+void Replica::HandleSnapshotAnswer(const NodeId& from,
+                                   const SnapshotAnswer& answer,
+                                   SteadyTime now) {
+  MemberProgress* progress = this->leading->Find(from);
+  if (progress == nullptr) {
+    return;
+  }
+  progress->last_answer_at = now;
+  progress->acknowledged_sent_at =
+      std::max(progress->acknowledged_sent_at, answer.sent_at);
+  if (!progress->snapshot_offset) {
+    return;
+  }
+  if (answer.is_installed) {
+    progress->snapshot_offset.reset();
+    progress->match_index = std::max(progress->match_index, answer.index);
+    progress->next_index = progress->match_index.Next();
+  } else if (answer.index == this->log.snapshot().index) {
+    progress->snapshot_offset = answer.next_offset;
+    this->SendSnapshot(from, *progress, now);
+    return;
+  } else {
+    progress->snapshot_offset = 0;
+    this->SendSnapshot(from, *progress, now);
+    return;
+  }
+  this->SendTo(from, *progress, false, now);
+}
+
+void Replica::HandleTimeoutNow(SteadyTime now) {
+  if (this->current_role != Role::kLeader &&
+      this->membership().is_voter(this->own_id)) {
+    this->StartElection(true, now);
+  }
+}
+
+void Replica::MaybeFinishHandOver(SteadyTime /*now*/) {
+  if (!this->hand_over_to || this->has_sent_timeout_now) {
+    return;
+  }
+  const MemberProgress* progress = this->leading->Find(*this->hand_over_to);
+  if (progress != nullptr && progress->match_index == this->log.last_index()) {
+    this->has_sent_timeout_now = true;
+    this->Send(*this->hand_over_to, TimeoutNow{});
+  }
+}
+
+void Replica::Send(const NodeId& to, decltype(Message::body) body) {
+  this->SendWithTerm(to, this->hard_state.term, std::move(body));
+}
+
+void Replica::SendWithTerm(const NodeId& to,
+                           Term term,
+                           decltype(Message::body) body) {
+  this->output.messages.push_back(
+      Message{this->own_id, to, term, std::move(body)});
+}
+
+void Replica::SaveHardState() {
+  this->output.hard_state = this->hard_state;
+}
+
+}  // namespace sumac::replication
--- /dev/null
+++ b/libraries/storage/data_folder.h
@@ -0,0 +1,340 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_STORAGE_DATA_FOLDER_H_
+#define LIBRARIES_STORAGE_DATA_FOLDER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "libraries/base/error.h"
+#include "libraries/base/text.h"
+#include "libraries/base/try.h"
+#include "libraries/codec/json_reader.h"
+#include "libraries/codec/json_writer.h"
+#include "libraries/replication/replica.h"
+#include "libraries/replication/types.h"
+#include "libraries/storage/disk.h"
+#include "libraries/storage/folder_layout.h"
+#include "libraries/storage/identity.h"
+#include "libraries/storage/log_segment.h"
+#include "libraries/storage/snapshot_file.h"
+
+namespace sumac::storage {
+
+// Sizes of the data folder.
+struct StorageSettings {
+  // A segment that has grown past this is closed and a new one begun.
+  std::uint64_t segment_bytes = 4U << 20;
+};
+
+// What a data folder was found to hold, for operators.
+struct FolderReport {
+  std::uint64_t segments = 0;
+  std::uint64_t log_bytes = 0;
+  std::uint64_t entries_after_snapshot = 0;
+  LogIndex snapshot_index;
+  LogIndex last_index;
+  // Bytes of an unfinished write that were cut off.
+  std::uint64_t torn_bytes = 0;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("segments", self.segments);
+    visitor.Field("log_bytes", self.log_bytes);
+    visitor.Field("entries_after_snapshot", self.entries_after_snapshot);
+    visitor.Field("snapshot_index", self.snapshot_index);
+    visitor.Field("last_index", self.last_index);
+    visitor.Field("torn_bytes", self.torn_bytes);
+  }
+};
+
+// The durable state of one replica: identity.json, log segments and the last
+// snapshot, in one folder. docs/operate/storage.md describes the files.
+template <Disk DiskType>
+class DataFolder {
+ public:
+  // Makes a new folder for `identity`; an error if it already holds one.
+  static absl::Status Format(DiskType& disk,
+                             const std::string& path,
+                             const Identity& identity) {
+    TRY(disk.MakeFolder(path));
+    const std::vector<std::string> names = TRY(disk.List(path));
+    if (std::find(names.begin(), names.end(), kIdentityFile) != names.end()) {
+      return MakeError(
+          ResultCode::kStorageFailed,
+          StrCat(path, ": already holds the data of a controller"));
+    }
+    return WriteWhole(disk, path, std::string(kIdentityFile),
+                      ToJson(identity).dump(2));
+  }
+
+  // True if the folder was made by Format.
+  static bool HasIdentity(DiskType& disk, const std::string& path) {
+    return disk.Read(StrCat(path, "/", kIdentityFile)).ok();
+  }
+
+  // Opens a folder and reads it whole. With `repair` a torn tail is cut off;
+  // without it nothing is written, for a check from outside.
+  static absl::StatusOr<DataFolder> Open(DiskType& disk,
+                                         const std::string& path,
+                                         StorageSettings settings,
+                                         bool repair = true) {
+    DataFolder folder(disk, path, settings);
+    TRY(folder.LoadIdentity());
+    const std::vector<std::string> names = TRY(disk.List(path));
+    TRY(folder.LoadSnapshot(names));
+    TRY(folder.LoadSegments(names, repair));
+    if (repair) {
+      TRY(folder.StartSegment());
+    }
+    return folder;
+  }
+
+  // What the replica starts from. May be called once.
+  replication::StartState TakeStartState() { return std::move(this->start); }
+
+  const FolderReport& report() const { return this->found; }
+  const Identity& identity() const { return this->owner; }
+
+  // Makes one output of the replica last. On kDiskFull nothing of it counts and
+  // the call may be made again; any other error is final for this process.
+  absl::Status Write(const replication::Output& output) {
+    TRY(this->DropUnfinished());
+    if (output.snapshot_to_install) {
+      TRY(this->SaveSnapshot(*output.snapshot_to_install));
+    }
+    std::string bytes;
+    if (output.does_snapshot_replace_log) {
+      bytes += EncodeRecord(TruncateRecord{LogIndex(0)});
+    }
+    if (output.hard_state) {
+      this->hard_state = *output.hard_state;
+      bytes += EncodeRecord(*output.hard_state);
+    }
+    LogIndex last = this->last_written;
+    for (const replication::Entry& entry : output.entries_to_write) {
+      if (entry.index <= last) {
+        bytes += EncodeRecord(TruncateRecord{entry.index});
+      }
+      bytes += EncodeRecord(entry);
+      last = entry.index;
+    }
+    if (bytes.empty()) {
+      return absl::OkStatus();
+    }
+    TRY(this->AppendAndSync(bytes));
+    this->last_written = last;
+    if (this->segment_length > this->settings.segment_bytes) {
+      TRY(this->StartSegment());
+    }
+    return absl::OkStatus();
+  }
+
+  // Stores a snapshot and removes what it makes needless.
+  absl::Status SaveSnapshot(const replication::Snapshot& snapshot) {
+    TRY(WriteWhole(*this->disk, this->path, SnapshotName(snapshot.meta.index),
+                   EncodeSnapshot(snapshot)));
+    this->snapshot_index = snapshot.meta.index;
+    this->last_written = std::max(this->last_written, snapshot.meta.index);
+    TRY(this->StartSegment());
+    return this->RemoveCovered();
+  }
+
+ private:
+  DataFolder(DiskType& disk, std::string path, StorageSettings settings)
+      : disk(&disk), path(std::move(path)), settings(settings) {}
+
+  std::string PathOf(std::string_view name) const {
+    return StrCat(this->path, "/", name);
+  }
+
+  // Writes a file so that it is there whole or not at all.
+  static absl::Status WriteWhole(DiskType& disk,
+                                 const std::string& folder,
+                                 const std::string& name,
+                                 std::string_view bytes) {
+    const std::string target = StrCat(folder, "/", name);
+    const std::string temporary = StrCat(target, kTemporarySuffix);
+    if (disk.Read(temporary).ok()) {
+      TRY(disk.Remove(temporary));
+    }
+    auto file = TRY(disk.OpenForAppend(temporary));
+    TRY(file.Append(bytes));
+    TRY(file.Sync());
+    TRY(disk.Rename(temporary, target));
+    return disk.SyncFolder(folder);
+  }
+
+  absl::Status LoadIdentity() {
+    const std::string file_path = this->PathOf(kIdentityFile);
+    const std::string text = TRY(this->disk->Read(file_path));
+    const nlohmann::json json =
+        TRY(ParseJson(text, file_path, ResultCode::kStorageDamaged));
+    this->owner =
+        TRY(FromJson<Identity>(json, file_path, UnknownKeys::kIgnore));
+    if (this->owner.format_version > Identity().format_version) {
+      return MakeError(
+          ResultCode::kStorageVersion,
+          StrCat(file_path, ": format version ", this->owner.format_version,
+                 " is newer than this program's"));
+    }
+    this->start.self = this->owner.node;
+    this->start.snapshot.meta.membership.voters = this->owner.first_voters;
+    return absl::OkStatus();
+  }
+
+  absl::Status LoadSnapshot(const std::vector<std::string>& names) {
+    for (const std::string& name : names) {
+      if (ParseSnapshotName(name)) {
+        const std::string bytes = TRY(this->disk->Read(this->PathOf(name)));
+        this->start.snapshot = TRY(DecodeSnapshot(bytes, this->PathOf(name)));
+      }
+    }
+    this->snapshot_index = this->start.snapshot.meta.index;
+    this->found.snapshot_index = this->snapshot_index;
+    return absl::OkStatus();
+  }
+
+  absl::Status LoadSegments(const std::vector<std::string>& names,
+                            bool repair) {
+    std::vector<std::string> segment_names;
+    std::copy_if(names.begin(), names.end(), std::back_inserter(segment_names),
+                 [](const std::string& name) {
+                   return ParseSegmentName(name).has_value();
+                 });
+    LoadedLog log(this->start.snapshot.meta);
+    for (const std::string& name : segment_names) {
+      const bool is_newest = name == segment_names.back();
+      TRY(this->LoadSegment(name, is_newest, repair, log));
+    }
+    this->start.hard_state = log.hard_state();
+    this->start.entries = log.TakeEntries();
+    this->hard_state = this->start.hard_state;
+    this->last_written = this->start.entries.empty()
+                             ? this->snapshot_index
+                             : this->start.entries.back().index;
+    this->found.entries_after_snapshot = this->start.entries.size();
+    this->found.last_index = this->last_written;
+    return absl::OkStatus();
+  }
+
+  absl::Status LoadSegment(const std::string& name,
+                           bool is_newest,
+                           bool repair,
+                           LoadedLog& log) {
+    const std::string file_path = this->PathOf(name);
+    const std::string bytes = TRY(this->disk->Read(file_path));
+    const SegmentContent content =
+        TRY(DecodeSegment(bytes, file_path, is_newest));
+    for (const LogRecord& record : content.records) {
+      TRY(log.Take(record, file_path));
+    }
+    ++this->found.segments;
+    this->found.log_bytes += content.whole_length;
+    this->found.torn_bytes += bytes.size() - content.whole_length;
+    const std::uint64_t sequence = *ParseSegmentName(name);
+    this->next_sequence = sequence + 1;
+    if (content.has_torn_tail && repair) {
+      if (content.whole_length == 0) {
+        return this->disk->Remove(file_path);
+      }
+      TRY(this->disk->Truncate(file_path, content.whole_length));
+    }
+    this->closed_segments[sequence] = log.last_index();
+    return absl::OkStatus();
+  }
+
+  // Begins a new segment. It starts with the hard state, so that older ones can
+  // go.
+  absl::Status StartSegment() {
+    const std::uint64_t sequence = this->next_sequence;
+    const std::string file_path = this->PathOf(SegmentName(sequence));
+    auto file = TRY(this->disk->OpenForAppend(file_path));
+    std::string bytes(kSegmentHeader);
+    bytes += EncodeRecord(this->hard_state);
+    const absl::Status appended = file.Append(bytes);
+    if (!appended.ok()) {
+      // Nothing of the log is in it yet, so it can go and the next try begins
+      // afresh.
+      TRY(this->disk->Remove(file_path));
+      return appended;
+    }
+    TRY(file.Sync());
+    TRY(this->disk->SyncFolder(this->path));
+    if (this->segment_sequence != 0) {
+      this->closed_segments[this->segment_sequence] = this->last_written;
+    }
+    this->segment = std::move(file);
+    this->segment_sequence = sequence;
+    this->segment_length = bytes.size();
+    this->next_sequence = sequence + 1;
+    return absl::OkStatus();
+  }
+
+  // Cuts off what a write that met a full disk left behind.
+  absl::Status DropUnfinished() {
+    if (!this->has_unfinished_write) {
+      return absl::OkStatus();
+    }
+    TRY(this->disk->Truncate(this->PathOf(SegmentName(this->segment_sequence)),
+                             this->segment_length));
+    this->has_unfinished_write = false;
+    return absl::OkStatus();
+  }
+
+  absl::Status AppendAndSync(const std::string& bytes) {
+    const absl::Status appended = this->segment.Append(bytes);
+    if (!appended.ok()) {
+      this->has_unfinished_write = true;
+      return appended;
+    }
+    TRY(this->segment.Sync());
+    this->segment_length += bytes.size();
+    return absl::OkStatus();
+  }
+
+  // Removes the oldest segments and snapshots that the last snapshot covers.
+  absl::Status RemoveCovered() {
+    while (!this->closed_segments.empty() &&
+           this->closed_segments.begin()->second <= this->snapshot_index) {
+      TRY(this->disk->Remove(
+          this->PathOf(SegmentName(this->closed_segments.begin()->first))));
+      this->closed_segments.erase(this->closed_segments.begin());
+    }
+    for (const std::string& name : TRY(this->disk->List(this->path))) {
+      const auto index = ParseSnapshotName(name);
+      if (index && *index < this->snapshot_index) {
+        TRY(this->disk->Remove(this->PathOf(name)));
+      }
+    }
+    return this->disk->SyncFolder(this->path);
+  }
+
+  DiskType* disk;
+  std::string path;
+  StorageSettings settings;
+  Identity owner;
+  FolderReport found;
+  replication::StartState start;
+  replication::HardState hard_state;
+  LogIndex snapshot_index;
+  LogIndex last_written;
+
+  typename DiskType::File segment;
+  std::uint64_t segment_sequence = 0;
+  std::uint64_t segment_length = 0;
+  std::uint64_t next_sequence = 1;
+  bool has_unfinished_write = false;
+  // The last entry's position by the sequence number of each closed segment.
+  std::map<std::uint64_t, LogIndex> closed_segments;
+};
+
+}  // namespace sumac::storage
+
+#endif  // LIBRARIES_STORAGE_DATA_FOLDER_H_
