--- /dev/null
+++ b/libraries/base/version.h
@@ -0,0 +1,14 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_BASE_VERSION_H_
+#define LIBRARIES_BASE_VERSION_H_
+
+#include <string_view>
+
+namespace sumac {
+
+// The version of both programs; the same as in the root CMakeLists.txt.
+inline constexpr std::string_view kVersion = "0.1.0";
+
+}  // namespace sumac
+
+#endif  // LIBRARIES_BASE_VERSION_H_
--- a/libraries/fleet/apply_instances.cc
+++ b/libraries/fleet/apply_instances.cc
@@ -267,6 +267,18 @@
   state.AddDecision(std::move(decision));
 }
 
+// Ends a reboot once the platform says that it is done and the instance has started anew. An
+// earlier start may be a crash before the reboot, which is still to come.
+void MaybeFinishReboot(const FleetState& state, Instance& instance) {
+  const Operation& operation = *instance.operation;
+  const bool is_over = operation.progress == PlatformProgress::kDone &&
+                       instance.target.incarnation > operation.incarnation_before;
+  if (is_over && state.FireInstance(instance, InstanceEvent::kReturned).ok()) {
+    instance.operation.reset();
+    instance.failed_jobs.clear();
+  }
+}
+
 // Takes in a known target's announcement: a new start, a change, or the end of
 // a silence.
 void UpdateInstance(FleetState& state,
@@ -279,14 +291,12 @@
   // NOTE: The pool that a target names counts only the first time; after that
   // it is ours.
   instance.target = target;
-  if (is_new_start || instance.state == InstanceState::kLeft) {
-    const bool was_planned = instance.state == InstanceState::kRebooting;
+  if (instance.state == InstanceState::kRebooting) {
+    MaybeFinishReboot(state, instance);
+  } else if (is_new_start || instance.state == InstanceState::kLeft) {
     if (!state.FireInstance(instance, InstanceEvent::kReturned).ok()) {
       return;
     }
-    if (was_planned) {
-      instance.operation.reset();
-    }
     instance.failed_jobs.clear();
   } else if (instance.state == InstanceState::kSilent) {
     if (!state.FireInstance(instance, InstanceEvent::kHeard).ok()) {
@@ -422,6 +432,9 @@
     state.AddDecision(std::move(decision));
     instance.operation.reset();
   }
+  if (instance.state == InstanceState::kRebooting) {
+    MaybeFinishReboot(state, instance);
+  }
   state.PutInstance(std::move(instance));
   return Answer::Success("recorded");
 }
--- a/libraries/fleet/instance.h
+++ b/libraries/fleet/instance.h
@@ -65,6 +65,8 @@
   std::string granted_by;
   WallTime granted_at;
   PlatformProgress progress = PlatformProgress::kNotTold;
+  // The instance's start when this was granted; a reboot is over once there is a later one.
+  Incarnation incarnation_before;
   // True if the instance counted for the budget when this was granted.
   bool counted_before = false;
   // The wave that this belongs to; empty for an operator's own.
@@ -78,6 +80,7 @@
     visitor.Field("granted_by", self.granted_by);
     visitor.Field("granted_at", self.granted_at);
     visitor.Field("progress", self.progress);
+    visitor.Field("incarnation_before", self.incarnation_before);
     visitor.Field("counted_before", self.counted_before);
     visitor.Field("wave", self.wave);
   }
--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -409,6 +409,11 @@
                           request.entries.size());
   this->AppendFollowerEntries(std::move(request.entries));
   this->AdvanceCommit(std::min(request.commit_index, last_new));
+  // A leader's commit index covers all that went before only once it lies in its own term.
+  if (request.is_under_lease && this->committed_index >= request.commit_index &&
+      this->log.TermAt(this->committed_index) == this->hard_state.term) {
+    this->is_state_verified = true;
+  }
   answer.is_accepted = true;
   answer.match_index = last_new;
   this->Send(from, answer);
@@ -471,6 +476,7 @@
     return;
   }
   this->AdvanceCommit(agreed);
+  this->is_state_verified = true;
   if (this->is_membership_committed() &&
       !this->membership().is_voter(this->own_id)) {
     this->BecomeFollower(this->hard_state.term, std::nullopt);
@@ -523,6 +529,7 @@
   AppendRequest request{.previous_index = previous,
                         .previous_term = this->log.TermAt(previous),
                         .commit_index = this->committed_index,
+                        .is_under_lease = this->HoldsLease(now),
                         .sent_at = now};
   const std::size_t most =
       progress.is_matched ? this->settings.most_messages_in_flight : 1;
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -78,6 +78,10 @@
   // is complete.
   bool is_ready_to_lead() const;
 
+  // True once this replica, since it started, has known all that was committed at some moment since
+  // then. A copy read from disk alone may be older than what is in force.
+  bool has_verified_state() const { return this->is_state_verified; }
+
   Role role() const { return this->current_role; }
   Term term() const { return this->hard_state.term; }
   const std::optional<NodeId>& leader() const { return this->known_leader; }
@@ -157,6 +161,7 @@
   std::string snapshot_state;
   LogIndex committed_index;
   LogIndex delivered_index;
+  bool is_state_verified = false;
 
   Role current_role = Role::kFollower;
   std::optional<NodeId> known_leader;
--- /dev/null
+++ b/libraries/routing/minion_health.cc
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/routing/minion_health.h"
+
+#include <algorithm>
+
+namespace sumac::routing {
+namespace {
+
+bool IsFailure(TryOutcome outcome) {
+  return outcome == TryOutcome::kUnreachable || outcome == TryOutcome::kBroken ||
+         outcome == TryOutcome::kTimedOut;
+}
+
+}  // namespace
+
+void MinionHealth::Note(TryOutcome outcome, const HealthSettings& settings, SteadyTime now) {
+  if (outcome == TryOutcome::kLeaving) {
+    this->has_said_leaving = true;
+    return;
+  }
+  if (outcome == TryOutcome::kDeclined) {
+    this->paused_until = now + settings.pause_after_decline;
+    return;
+  }
+  if (outcome == TryOutcome::kAnswered) {
+    this->failures_in_row = 0;
+    if (this->successes_owed > 0 && --this->successes_owed == 0) {
+      this->times_aside = 0;
+    }
+    return;
+  }
+  if (!IsFailure(outcome)) {
+    return;
+  }
+  ++this->failures_in_row;
+  // One failure is enough on probation.
+  if (this->failures_in_row < settings.failures_until_aside && !this->is_on_probation()) {
+    return;
+  }
+  const std::uint32_t doublings = std::min(this->times_aside, std::uint32_t{10});
+  const Milliseconds wanted = settings.first_time_aside * (1U << doublings);
+  this->aside_until = now + std::min(wanted, settings.longest_time_aside);
+  ++this->times_aside;
+  this->failures_in_row = 0;
+  this->successes_owed = settings.successes_until_trusted;
+}
+
+}  // namespace sumac::routing
--- a/libraries/wire/replication_codec.cc
+++ b/libraries/wire/replication_codec.cc
@@ -66,6 +66,7 @@
     group.setPreviousIndex(body.previous_index.value());
     group.setPreviousTerm(body.previous_term.value());
     group.setCommitIndex(body.commit_index.value());
+    group.setIsUnderLease(body.is_under_lease);
     group.setSentAtMs(ToMs(body.sent_at));
     auto entries = group.initEntries(body.entries.size());
     for (unsigned position = 0; position < body.entries.size(); ++position) {
@@ -104,6 +105,7 @@
   AppendRequest body{.previous_index = LogIndex(group.getPreviousIndex()),
                      .previous_term = Term(group.getPreviousTerm()),
                      .commit_index = LogIndex(group.getCommitIndex()),
+ .is_under_lease = group.getIsUnderLease(),
                      .sent_at = SteadyFromMs(group.getSentAtMs())};
   for (const auto entry : group.getEntries()) {
     body.entries.push_back(ReadEntry(entry));
--- a/schemas/replication.capnp
+++ b/schemas/replication.capnp
@@ -71,6 +71,7 @@
       commitIndex @11 :UInt64;
       entries @12 :List(Entry);
       sentAtMs @13 :Int64;
+      isUnderLease @27 :Bool;
     }
     appendAnswer :group {
       isAccepted @14 :Bool;
--- /dev/null
+++ b/services/sumacd/controller.cc
@@ -0,0 +1,430 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/controller.h"
+
+#include <Poco/Random.h>
+
+#include <cstdlib>
+#include <utility>
+
+#include "libraries/base/error.h"
+#include "libraries/base/text.h"
+#include "libraries/base/try.h"
+#include "libraries/base/verify.h"
+#include "libraries/codec/json_reader.h"
+#include "libraries/codec/json_writer.h"
+#include "libraries/log/json_log.h"
+#include "libraries/wire/generated/peer.capnp.h"
+#include "libraries/wire/replication_codec.h"
+
+namespace sumac::daemon {
+namespace {
+
+constexpr Milliseconds kTickInterval{20};
+// The planner looks at the fleet this often.
+constexpr Milliseconds kPlanInterval{100};
+constexpr Milliseconds kMessageTimeout{1'000};
+constexpr Milliseconds kPlatformTimeout{2'000};
+// Messages to one process that may be under way; further ones are dropped, as by a slow network.
+constexpr std::size_t kMostMessagesInFlight = 64;
+constexpr Milliseconds kFirstRenewal{200};
+
+// The process that a replica runs in; a node is NAME.INCARNATION.
+ProcessName ProcessOf(const replication::NodeId& node) {
+  return ProcessName(node.value().substr(0, node.value().rfind('.')));
+}
+
+replication::ReplicationSettings ToReplicationSettings(const GroupSettings& group) {
+  replication::ReplicationSettings settings;
+  settings.heartbeat_interval = group.heartbeat;
+  settings.election_timeout = group.election_timeout;
+  // Clocks of one data centre drift by far less than a tenth over one election timeout.
+  settings.clock_drift_margin = group.election_timeout / 10;
+  settings.hand_over_timeout = group.election_timeout;
+  return settings;
+}
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<Controller>> Controller::Create(const Settings& settings,
+                                                               const fleet::Charts& charts,
+                                                               Peers& peers, kj::Timer& timer) {
+  auto disk = std::make_unique<storage::PosixDisk>();
+  Folder folder = TRY(Folder::Open(*disk, settings.data_folder, storage::StorageSettings()));
+  std::unique_ptr<Controller> controller(
+      new Controller(settings, charts, peers, timer, std::move(disk), std::move(folder)));
+  replication::StartState start = controller->folder.TakeStartState();
+  if (ProcessOf(start.self) != settings.process) {
+    return MakeError(ResultCode::kSettingsInvalid,
+                     StrCat(settings.data_folder, ": belongs to ", start.self.value(), ", not to ",
+                            settings.process.value()));
+  }
+  if (start.snapshot.meta.index > LogIndex(0)) {
+    TRY(controller->machine.LoadSnapshot(start.snapshot.state));
+    controller->applied_index = start.snapshot.meta.index;
+  }
+  start.seed = Poco::Random().next();
+  controller->replica_core = std::make_unique<replication::Replica>(
+      ToReplicationSettings(settings.group), std::move(start), controller->clock.SteadyNow());
+  return controller;
+}
+
+Controller::Controller(const Settings& settings, const fleet::Charts& charts, Peers& peers,
+                       kj::Timer& timer, std::unique_ptr<storage::PosixDisk> disk, Folder folder)
+    : settings(settings),
+      peers(peers),
+      timer(timer),
+      disk(std::move(disk)),
+      folder(std::move(folder)),
+      machine(charts),
+      tasks(*this) {
+  if (!settings.platform_address.empty()) {
+    const kj::Executor& executor = kj::getCurrentThreadExecutor();
+    this->teller = std::make_unique<PlatformTeller>(
+        http::PlatformClient(settings.platform_address, kPlatformTimeout),
+        [this, &executor](const fleet::RecordPlatformReport& report) {
+          executor.executeSync([this, &report] { this->ProposeInBackground(report); });
+        });
+  }
+}
+
+kj::Promise<void> Controller::Run() {
+  this->SchedulePump();
+  return this->TickLoop();
+}
+
+kj::Promise<void> Controller::TickLoop() {
+  return this->timer.afterDelay(rpc::ToKj(kTickInterval)).then([this]() {
+    this->Tick();
+    return this->TickLoop();
+  });
+}
+
+void Controller::Tick() {
+  const SteadyTime now = this->clock.SteadyNow();
+  if (this->is_disk_full) {
+    this->Pump();
+    return;
+  }
+  this->replica_core->Tick(now);
+  this->Lead(now);
+  this->Pump();
+}
+
+bool Controller::MayAct() const {
+  return !this->is_disk_full && this->replica_core->is_ready_to_lead() &&
+         this->replica_core->HoldsLease(this->clock.SteadyNow());
+}
+
+// What only the leader does: notices, plans, tells the platform.
+void Controller::Lead(SteadyTime now) {
+  if (!this->MayAct()) {
+    return;
+  }
+  if (this->leading_term != this->replica_core->term()) {
+    this->leading_term = this->replica_core->term();
+    this->soft.Reset(now);
+    this->planned_open = 0;
+    LogEvent(LogLevel::kInfo, "leads", {{"term", this->leading_term.value()}});
+  }
+  if (this->planned_open > 0 || now - this->last_plan < kPlanInterval) {
+    return;
+  }
+  this->last_plan = now;
+  const fleet::PlannerSettings planner{.drain_grace = this->settings.drain_grace};
+  for (fleet::Command& command :
+       fleet::Plan(this->state(), this->soft, planner, this->clock.Now(), now)) {
+    this->ProposeInBackground(std::move(command));
+  }
+  if (this->teller) {
+    this->teller->Tell(fleet::PlatformSteps(this->state()), now);
+  }
+}
+
+void Controller::ProposeInBackground(fleet::Command command) {
+  ++this->planned_open;
+  const Term term = this->leading_term;
+  const auto finish = [this, term] {
+    if (term == this->leading_term && this->planned_open > 0) {
+      --this->planned_open;
+    }
+  };
+  this->tasks.add(
+      this->Propose(std::move(command))
+          .then([finish](const fleet::Answer& /*answer*/) { finish(); },
+                [finish](kj::Exception&& /*exception*/) { finish(); }));
+}
+
+kj::Promise<fleet::Answer> Controller::Propose(fleet::Command command) {
+  if (!this->MayAct()) {
+    return this->NotLeaderAnswer();
+  }
+  const SteadyTime now = this->clock.SteadyNow();
+  const absl::StatusOr<LogIndex> index = this->replica_core->Propose(
+      ToCbor(fleet::StampedCommand{this->clock.Now(), std::move(command)}), now);
+  if (!index.ok()) {
+    return fleet::Answer::FromStatus(index.status());
+  }
+  auto paf = kj::newPromiseAndFulfiller<fleet::Answer>();
+  this->proposals[*index] =
+      PendingProposal{this->replica_core->term(), kj::mv(paf.fulfiller)};
+  this->SchedulePump();
+  return kj::mv(paf.promise);
+}
+
+kj::Promise<std::vector<fleet::TargetOrders>> Controller::Announce(
+    std::vector<fleet::Announcement> announcements) {
+  std::vector<fleet::TargetOrders> all_orders;
+  const bool may_act = this->MayAct();
+  const SteadyTime now = this->clock.SteadyNow();
+  for (fleet::Announcement& announcement : announcements) {
+    const InstanceName name = announcement.target.name;
+    if (!may_act) {
+      all_orders.emplace_back();
+      continue;
+    }
+    const fleet::Instance* known = this->state().FindInstance(name);
+    if (known != nullptr && announcement.target.incarnation < known->target.incarnation) {
+      all_orders.emplace_back();
+      continue;
+    }
+    this->soft.Hear(announcement, now);
+    for (fleet::RecordTargets& command : CommandsForTarget(this->state(), announcement)) {
+      this->ProposeInBackground(std::move(command));
+    }
+    std::vector<fleet::TaskReport> reports = NewTaskReports(this->state(), announcement);
+    if (!reports.empty()) {
+      this->ProposeInBackground(fleet::RecordTasks{name, std::move(reports)});
+    }
+    fleet::TargetOrders orders = OrdersFor(this->state(), name);
+    if (orders.is_confirmed) {
+      this->soft.NoteRenewed(name, now);
+    } else {
+      orders.renew_after = kFirstRenewal;
+    }
+    all_orders.push_back(std::move(orders));
+  }
+  return all_orders;
+}
+
+kj::Promise<ServedView> Controller::Follow(std::uint64_t have, Milliseconds wait) {
+  if (this->state().record().view_version > have) {
+    return this->ServeView();
+  }
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  this->view_waiters.push_back(ViewWaiter{have, kj::mv(paf.fulfiller)});
+  return paf.promise.exclusiveJoin(this->timer.afterDelay(rpc::ToKj(wait)))
+      .then([this] { return this->ServeView(); });
+}
+
+ServedView Controller::ServeView() const {
+  const bool is_verified = this->MayAct() || this->replica_core->has_verified_state();
+  return ServedView{fleet::MakeView(this->state()), is_verified};
+}
+
+absl::Status Controller::HandOver() {
+  const absl::Status status = this->replica_core->HandOver(this->clock.SteadyNow());
+  this->SchedulePump();
+  return status;
+}
+
+ProcessName Controller::KnownLeader() const {
+  const auto& leader = this->replica_core->leader();
+  return leader ? ProcessOf(*leader) : ProcessName();
+}
+
+fleet::Answer Controller::NotLeaderAnswer() const {
+  return fleet::Answer{.code = ResultCode::kNotLeader, .message = this->KnownLeader().value()};
+}
+
+void Controller::Receive(replication::Message message) {
+  if (this->is_disk_full) {
+    return;
+  }
+  this->replica_core->Receive(std::move(message), this->clock.SteadyNow());
+  this->SchedulePump();
+}
+
+// Puts the pump after everything else that is due in this turn of the event loop, so that all of a
+// turn's proposals share one write to the disk and one message to each replica.
+void Controller::SchedulePump() {
+  if (this->is_pump_scheduled) {
+    return;
+  }
+  this->is_pump_scheduled = true;
+  this->tasks.add(kj::evalLast([this] {
+    this->is_pump_scheduled = false;
+    this->Pump();
+  }));
+}
+
+void Controller::Pump() {
+  while (this->PumpOnce()) {
+  }
+  this->FailLostProposals();
+  this->NotifyViewWaiters();
+  this->MaybeSnapshot();
+}
+
+// Carries out one output of the replica; false when there is none.
+bool Controller::PumpOnce() {
+  if (!this->unwritten) {
+    if (!this->replica_core->has_output()) {
+      return false;
+    }
+    this->unwritten = this->replica_core->TakeOutput();
+  }
+  if (!this->Persist(*this->unwritten)) {
+    return false;
+  }
+  replication::Output output = *std::exchange(this->unwritten, std::nullopt);
+  if (output.snapshot_to_install) {
+    VERIFY(this->machine.LoadSnapshot(output.snapshot_to_install->state).ok());
+    this->applied_index = output.snapshot_to_install->meta.index;
+  }
+  this->SendMessages(std::move(output.messages));
+  this->ApplyCommitted(output.committed);
+  return true;
+}
+
+bool Controller::Persist(const replication::Output& output) {
+  if (!output.has_writes()) {
+    return true;
+  }
+  const absl::Status status = this->folder.Write(output);
+  if (status.ok()) {
+    if (std::exchange(this->is_disk_full, false)) {
+      LogEvent(LogLevel::kInfo, "disk-has-room-again", nlohmann::json::object());
+    }
+    return true;
+  }
+  if (CodeOf(status) == ResultCode::kDiskFull) {
+    // Nothing was acknowledged and nothing is lost: the same output is written once there is room.
+    if (!std::exchange(this->is_disk_full, true)) {
+      LogEvent(LogLevel::kError, "disk-full", {{"error", std::string(status.message())}});
+    }
+    return false;
+  }
+  // NOTE: After a failed write or sync nobody knows what the disk holds. Whatever this process
+  // would say from now on might be forgotten, so it says nothing more.
+  LogEvent(LogLevel::kError, "storage-failed", {{"error", std::string(status.message())}});
+  std::_Exit(EXIT_FAILURE);
+}
+
+void Controller::SendMessages(std::vector<replication::Message> messages) {
+  for (const replication::Message& message : messages) {
+    const ProcessName process = ProcessOf(message.to);
+    rpc::Channel* channel = this->peers.Find(process);
+    std::size_t& in_flight = this->messages_in_flight[process];
+    if (channel == nullptr || in_flight >= kMostMessagesInFlight) {
+      continue;
+    }
+    ++in_flight;
+    auto request = channel->Get<wire::Peer>().replicateRequest();
+    wire::WriteMessage(message, request.initMessage());
+    this->tasks.add(
+        channel->Guard(kMessageTimeout, request.send().ignoreResult())
+            .then([&in_flight] { --in_flight; },
+                  [&in_flight](kj::Exception&& /*exception*/) { --in_flight; }));
+  }
+}
+
+void Controller::ApplyCommitted(const std::vector<replication::Entry>& entries) {
+  for (const replication::Entry& entry : entries) {
+    VERIFY(entry.index == this->applied_index.Next());
+    this->applied_index = entry.index;
+    ++this->entries_since_snapshot;
+    if (entry.kind != replication::EntryKind::kCommand) {
+      continue;
+    }
+    const std::uint64_t first_decision = this->state().record().next_decision;
+    const auto stamped = FromCbor<fleet::StampedCommand>(entry.payload, "log");
+    fleet::Answer answer = stamped.ok() ? this->machine.Apply(*stamped)
+                                        : fleet::Answer::FromStatus(stamped.status());
+    this->LogNewDecisions(first_decision);
+    this->ResolveProposal(entry, std::move(answer));
+  }
+}
+
+void Controller::ResolveProposal(const replication::Entry& entry, fleet::Answer answer) {
+  const auto found = this->proposals.find(entry.index);
+  if (found == this->proposals.end()) {
+    return;
+  }
+  if (found->second.term == entry.term) {
+    found->second.fulfiller->fulfill(std::move(answer));
+  } else {
+    // Another leader's entry took the place: this command was certainly not committed.
+    found->second.fulfiller->fulfill(this->NotLeaderAnswer());
+  }
+  this->proposals.erase(found);
+}
+
+// Once this controller no longer leads the proposals' term, nobody here learns how they end.
+void Controller::FailLostProposals() {
+  for (auto item = this->proposals.begin(); item != this->proposals.end();) {
+    PendingProposal& proposal = item->second;
+    const bool is_ours = this->replica_core->role() == replication::Role::kLeader &&
+                         this->replica_core->term() == proposal.term;
+    if (is_ours) {
+      ++item;
+      continue;
+    }
+    proposal.fulfiller->fulfill(
+        fleet::Answer{.code = ResultCode::kTimeout,
+                      .message = "leadership was lost before the outcome was known"});
+    item = this->proposals.erase(item);
+  }
+}
+
+// Only the leader logs replicated decisions, or each would be there once per controller.
+void Controller::LogNewDecisions(std::uint64_t first_number) {
+  const fleet::FleetRecord& record = this->state().record();
+  const std::uint64_t count = record.next_decision - first_number;
+  if (count == 0 || this->replica_core->role() != replication::Role::kLeader) {
+    return;
+  }
+  const auto& decisions = record.decisions;
+  for (std::size_t position = decisions.size() - std::min<std::size_t>(count, decisions.size());
+       position < decisions.size(); ++position) {
+    LogEvent(LogLevel::kInfo, "decision", ToJson(decisions[position]));
+  }
+}
+
+void Controller::NotifyViewWaiters() {
+  const std::uint64_t version = this->state().record().view_version;
+  if (version == this->last_applied_view) {
+    return;
+  }
+  this->last_applied_view = version;
+  std::erase_if(this->view_waiters, [version](ViewWaiter& waiter) {
+    const bool is_due = version > waiter.have || !waiter.fulfiller->isWaiting();
+    if (is_due) {
+      waiter.fulfiller->fulfill();
+    }
+    return is_due;
+  });
+}
+
+void Controller::MaybeSnapshot() {
+  if (this->entries_since_snapshot < this->settings.group.snapshot_every ||
+      this->is_disk_full) {
+    return;
+  }
+  this->entries_since_snapshot = 0;
+  std::string state_bytes = this->state().ToSnapshot();
+  const replication::SnapshotMeta meta =
+      this->replica_core->Compact(this->applied_index, state_bytes);
+  const absl::Status status =
+      this->folder.SaveSnapshot(replication::Snapshot{meta, std::move(state_bytes)});
+  LogEvent(status.ok() ? LogLevel::kInfo : LogLevel::kError, "snapshot",
+           {{"index", meta.index.value()}, {"status", status.ToString()}});
+  if (!status.ok() && CodeOf(status) != ResultCode::kDiskFull) {
+    std::_Exit(EXIT_FAILURE);
+  }
+}
+
+void Controller::taskFailed(kj::Exception&& exception) {
+  LogEvent(LogLevel::kError, "task-failed", {{"error", exception.getDescription().cStr()}});
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/daemon.cc
@@ -0,0 +1,239 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/daemon.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <kj/async-unix.h>
+#include <signal.h>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "libraries/base/error.h"
+#include "libraries/base/text.h"
+#include "libraries/base/try.h"
+#include "libraries/fleet/charts.h"
+#include "libraries/http/metrics.h"
+#include "libraries/log/json_log.h"
+#include "services/sumacd/controller.h"
+#include "services/sumacd/core_link.h"
+#include "services/sumacd/doors.h"
+#include "services/sumacd/entry.h"
+#include "services/sumacd/leader_link.h"
+#include "services/sumacd/operator_service.h"
+#include "services/sumacd/peer_service.h"
+#include "services/sumacd/peers.h"
+#include "services/sumacd/view_follower.h"
+
+namespace sumac::daemon {
+namespace {
+
+constexpr std::uint64_t kFirstIncarnation = 1;
+// A hand-over on a planned stop takes at most this.
+constexpr Milliseconds kHandOverWait{1'500};
+constexpr Milliseconds kHandOverPoll{10};
+
+replication::NodeId FirstNodeOf(const ProcessName& process) {
+  return replication::NodeId(StrCat(process.value(), ".", kFirstIncarnation));
+}
+
+// One running process.
+class Daemon {
+ public:
+  Daemon(const Settings& settings, kj::AsyncIoContext& io) : settings(settings), io(io) {}
+
+  // Builds all parts; on an error nothing listens any more.
+  absl::Status Start();
+
+  // Runs until the planned stop is over.
+  void Run();
+
+ private:
+  absl::Status StartController();
+  absl::Status Listen(const std::string& address, capnp::Capability::Client bootstrap);
+  absl::Status OpenDoors();
+  kj::Promise<void> AwaitSignal();
+  void Stop();
+  void HandOverBeforeStop();
+  void AddGauges();
+
+  const Settings& settings;
+  kj::AsyncIoContext& io;
+  std::atomic<bool> is_stopping = false;
+  http::Metrics metrics;
+  std::optional<fleet::Charts> charts;
+  std::unique_ptr<Peers> peers;
+  std::unique_ptr<Controller> controller;
+  std::unique_ptr<LeaderLink> leader;
+  std::unique_ptr<CoreLink> core;
+  std::unique_ptr<Entry> entry;
+  std::unique_ptr<ViewFollower> follower;
+  std::vector<kj::Own<capnp::TwoPartyServer>> servers;
+  std::vector<kj::Own<kj::ConnectionReceiver>> receivers;
+  std::vector<kj::Promise<void>> running;
+  std::unique_ptr<http::HttpServer> caller_door;
+  std::unique_ptr<http::HttpServer> target_door;
+};
+
+absl::Status Daemon::StartController() {
+  if (!this->settings.has_role(ProcessRole::kController)) {
+    return absl::OkStatus();
+  }
+  this->charts = TRY(fleet::Charts::Load(this->settings.charts_folder));
+  this->controller = TRY(Controller::Create(this->settings, *this->charts, *this->peers,
+                                            this->io.provider->getTimer()));
+  this->running.push_back(this->controller->Run().eagerlyEvaluate(nullptr));
+  return absl::OkStatus();
+}
+
+absl::Status Daemon::Listen(const std::string& address, capnp::Capability::Client bootstrap) {
+  try {
+    auto receiver = this->io.provider->getNetwork()
+                        .parseAddress(address)
+                        .wait(this->io.waitScope)
+                        ->listen();
+    auto server = kj::heap<capnp::TwoPartyServer>(kj::mv(bootstrap));
+    this->running.push_back(server->listen(*receiver).eagerlyEvaluate([](kj::Exception&& error) {
+      LogEvent(LogLevel::kError, "listening-failed", {{"error", error.getDescription().cStr()}});
+    }));
+    this->servers.push_back(kj::mv(server));
+    this->receivers.push_back(kj::mv(receiver));
+    return absl::OkStatus();
+  } catch (const kj::Exception& error) {
+    return MakeError(ResultCode::kSettingsInvalid, StrCat("can't listen on ", address, ": ",
+                                                          error.getDescription().cStr()));
+  }
+}
+
+absl::Status Daemon::Start() {
+  kj::Network& network = this->io.provider->getNetwork();
+  kj::Timer& timer = this->io.provider->getTimer();
+  this->peers = std::make_unique<Peers>(network, timer, this->settings);
+  TRY(this->StartController());
+  this->leader = std::make_unique<LeaderLink>(this->settings, *this->peers, timer,
+                                              this->controller.get());
+  this->core = std::make_unique<CoreLink>(kj::getCurrentThreadExecutor(), *this->leader);
+  if (this->settings.has_role(ProcessRole::kEntry)) {
+    this->entry = std::make_unique<Entry>(this->settings, *this->core, this->metrics);
+    this->follower = std::make_unique<ViewFollower>(
+        this->settings, *this->peers, timer, this->controller.get(),
+        [this](const fleet::View& view) { return this->entry->UpdateView(view); });
+    this->running.push_back(this->follower->Run().eagerlyEvaluate(nullptr));
+  }
+  TRY(this->Listen(this->settings.self().peer_address,
+                   kj::heap<PeerService>(this->controller.get(), this->entry.get())));
+  TRY(this->Listen(
+      this->settings.listen.operators,
+      kj::heap<OperatorService>(OperatorParts{this->settings, *this->peers, *this->leader,
+                                              this->controller.get(), this->entry.get(),
+                                              this->follower.get()})));
+  this->AddGauges();
+  return this->OpenDoors();
+}
+
+absl::Status Daemon::OpenDoors() {
+  this->target_door =
+      TRY(OpenTargetDoor(this->settings, *this->core, this->metrics, this->is_stopping));
+  if (this->entry) {
+    this->caller_door = TRY(OpenCallerDoor(this->settings, *this->entry, this->is_stopping));
+  }
+  return absl::OkStatus();
+}
+
+void Daemon::AddGauges() {
+  if (!this->entry) {
+    return;
+  }
+  this->metrics.SetGauge("sumac_requests_open",
+                         [this] { return static_cast<double>(this->entry->CountOpen()); });
+  this->metrics.SetGauge("sumac_view_version", [this] {
+    return static_cast<double>(this->follower->current_version());
+  });
+  this->metrics.SetGauge("sumac_view_age_ms",
+                         [this] { return static_cast<double>(this->follower->Age().count()); });
+}
+
+kj::Promise<void> Daemon::AwaitSignal() {
+  return this->io.unixEventPort.onSignal(SIGTERM)
+      .exclusiveJoin(this->io.unixEventPort.onSignal(SIGINT))
+      .ignoreResult();
+}
+
+void Daemon::Run() {
+  LogEvent(LogLevel::kInfo, "started", {{"callers", this->settings.listen.callers},
+                                        {"targets", this->settings.listen.targets},
+                                        {"operators", this->settings.listen.operators}});
+  this->AwaitSignal().wait(this->io.waitScope);
+  this->Stop();
+}
+
+// A planned stop: the balancer hears of it first, requests in hand are answered, leadership is
+// handed over, and only then the process ends.
+void Daemon::Stop() {
+  LogEvent(LogLevel::kInfo, "stopping", nlohmann::json::object());
+  this->is_stopping = true;
+  this->HandOverBeforeStop();
+  kj::Timer& timer = this->io.provider->getTimer();
+  timer.afterDelay(rpc::ToKj(this->settings.doors.stop_notice)).wait(this->io.waitScope);
+  // The doors' threads need the event loop to finish, so they are waited for on another thread.
+  auto stopped = kj::newPromiseAndFulfiller<void>();
+  const kj::Executor& executor = kj::getCurrentThreadExecutor();
+  std::thread stopper([this, &executor, &stopped] {
+    if (this->caller_door) {
+      this->caller_door->Stop();
+    }
+    this->target_door->Stop();
+    executor.executeSync([&stopped] { stopped.fulfiller->fulfill(); });
+  });
+  stopped.promise.wait(this->io.waitScope);
+  stopper.join();
+  LogEvent(LogLevel::kInfo, "stopped", nlohmann::json::object());
+}
+
+void Daemon::HandOverBeforeStop() {
+  if (!this->controller || !this->controller->MayAct() || !this->controller->HandOver().ok()) {
+    return;
+  }
+  kj::Timer& timer = this->io.provider->getTimer();
+  for (Milliseconds waited{0}; waited < kHandOverWait; waited += kHandOverPoll) {
+    if (this->controller->replica().role() != replication::Role::kLeader) {
+      return;
+    }
+    timer.afterDelay(rpc::ToKj(kHandOverPoll)).wait(this->io.waitScope);
+  }
+}
+
+}  // namespace
+
+absl::Status FormatDataFolder(const Settings& settings) {
+  if (!settings.has_role(ProcessRole::kController)) {
+    return MakeError(ResultCode::kSettingsInvalid,
+                     StrCat(settings.process.value(), " is no controller and keeps no data"));
+  }
+  storage::Identity identity{.node = FirstNodeOf(settings.process)};
+  for (const ProcessSettings& controller : settings.Controllers()) {
+    identity.first_voters.insert(FirstNodeOf(controller.name));
+  }
+  storage::PosixDisk disk;
+  return storage::DataFolder<storage::PosixDisk>::Format(disk, settings.data_folder, identity);
+}
+
+absl::Status RunDaemon(const Settings& settings) {
+  StartLogging(settings.process, settings.log.file, ParseLogLevel(settings.log.level));
+  kj::UnixEventPort::captureSignal(SIGTERM);
+  kj::UnixEventPort::captureSignal(SIGINT);
+  signal(SIGPIPE, SIG_IGN);
+  kj::AsyncIoContext io = kj::setupAsyncIo();
+  Daemon daemon(settings, io);
+  const absl::Status status = daemon.Start();
+  if (!status.ok()) {
+    return status;
+  }
+  daemon.Run();
+  return absl::OkStatus();
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/daemon.h
@@ -0,0 +1,19 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_DAEMON_H_
+#define SERVICES_SUMACD_DAEMON_H_
+
+#include "absl/status/status.h"
+#include "services/sumacd/settings.h"
+
+namespace sumac::daemon {
+
+// Makes the data folder of a controller of a new group. Done once, before the first start.
+absl::Status FormatDataFolder(const Settings& settings);
+
+// Runs the process until SIGTERM or SIGINT has ended it in order. The error says why it could not
+// start.
+absl::Status RunDaemon(const Settings& settings);
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_DAEMON_H_
--- /dev/null
+++ b/services/sumacd/main.cc
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "libraries/base/error.h"
+#include "libraries/base/version.h"
+#include "services/sumacd/daemon.h"
+#include "services/sumacd/settings.h"
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+
+options::options_description DescribeOptions() {
+  options::options_description description(
+      "sumacd: the daemon of sumacstack; takes callers' requests and keeps the fleet's state.\n"
+      "Usage: sumacd --settings FILE [--check | --format]\n"
+      "Exit codes: 0 ended in order, 1 failed while running, 2 wrong usage, 3 wrong settings.\n\n"
+      "Options");
+  auto add = description.add_options();
+  add("settings", options::value<std::string>()->value_name("FILE"), "the settings, in JSON");
+  add("check", "check the settings and end");
+  add("format", "make the data folder of a controller of a new group and end");
+  add("help", "print this");
+  add("version", "print the version");
+  return description;
+}
+
+int Report(const absl::Status& status, int exit_code) {
+  if (status.ok()) {
+    return EXIT_SUCCESS;
+  }
+  std::cerr << "sumacd: error " << static_cast<int>(sumac::CodeOf(status)) << ": "
+            << status.message() << "\n";
+  return exit_code;
+}
+
+int RunProgram(const options::variables_map& arguments) {
+  if (!arguments.contains("settings")) {
+    std::cerr << "sumacd: --settings FILE is required; see --help\n";
+    return kExitUsage;
+  }
+  const auto settings = sumac::daemon::Settings::Load(arguments["settings"].as<std::string>());
+  if (!settings.ok()) {
+    return Report(settings.status(), kExitSettings);
+  }
+  if (arguments.contains("check")) {
+    std::cout << "the settings are good\n";
+    return EXIT_SUCCESS;
+  }
+  if (arguments.contains("format")) {
+    return Report(sumac::daemon::FormatDataFolder(*settings), kExitSettings);
+  }
+  return Report(sumac::daemon::RunDaemon(*settings), EXIT_FAILURE);
+}
+
+}  // namespace
+
+int main(int argument_count, char** argument_values) {
+  const options::options_description description = DescribeOptions();
+  options::variables_map arguments;
+  try {
+    options::store(options::parse_command_line(argument_count, argument_values, description),
+                   arguments);
+  } catch (const options::error& error) {
+    std::cerr << "sumacd: " << error.what() << "; see --help\n";
+    return kExitUsage;
+  }
+  if (arguments.contains("help")) {
+    std::cout << description;
+    return EXIT_SUCCESS;
+  }
+  if (arguments.contains("version")) {
+    std::cout << "sumacd " << sumac::kVersion << "\n";
+    return EXIT_SUCCESS;
+  }
+  return RunProgram(arguments);
+}
--- /dev/null
+++ b/services/sumacd/operator_service.cc
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/operator_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libraries/base/text.h"
+#include "libraries/codec/json_reader.h"
+#include "libraries/codec/json_writer.h"
+#include "libraries/routing/decision_ring.h"
+#include "libraries/rpc/answer_codec.h"
+#include "libraries/wire/generated/peer.capnp.h"
+#include "libraries/wire/replication_codec.h"
+#include "services/sumacd/peer_service.h"
+#include "services/sumacd/queries.h"
+
+namespace sumac::daemon {
+namespace {
+
+// How long an operator's call may take in all.
+constexpr Milliseconds kOperatorLimit{5'000};
+constexpr Milliseconds kPeerLimit{500};
+constexpr std::size_t kLargestDeclaration = 1U << 20;
+constexpr std::size_t kLargestJob = 64U << 10;
+
+constexpr ReaderCodes kJobCodes{ResultCode::kBadArgument, ResultCode::kBadArgument};
+
+template <typename Context>
+kj::Promise<void> Reply(Context context, const fleet::Answer& answer) {
+  rpc::WriteAnswer(answer, context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
+fleet::Answer TooLarge(std::string_view what, std::size_t most) {
+  return fleet::Answer{.code = ResultCode::kBadArgument,
+                       .message = StrCat(what, " is larger than ", most, " bytes")};
+}
+
+// Decisions from several processes in one list, the newest first.
+nlohmann::json MergeDecisions(std::vector<nlohmann::json> lists) {
+  std::vector<nlohmann::json> rows;
+  for (const nlohmann::json& list : lists) {
+    rows.insert(rows.end(), list.begin(), list.end());
+  }
+  std::stable_sort(rows.begin(), rows.end(),
+                   [](const nlohmann::json& left, const nlohmann::json& right) {
+                     return left.value("at", 0LL) > right.value("at", 0LL);
+                   });
+  if (rows.size() > kMostDecisionsShown) {
+    rows.resize(kMostDecisionsShown);
+  }
+  return rows;
+}
+
+}  // namespace
+
+template <typename Context>
+kj::Promise<void> OperatorService::Commit(Context context, fleet::Command command) {
+  return this->parts.leader.Propose(std::move(command), kOperatorLimit)
+      .then([context](const fleet::Answer& answer) mutable {
+        rpc::WriteAnswer(answer, context.getResults().initResult());
+      });
+}
+
+template <typename Context>
+kj::Promise<void> OperatorService::Ask(Context context, const std::string& kind,
+                                       const std::string& name) {
+  return this->parts.leader.Read(kind, name, kOperatorLimit)
+      .then([context](const fleet::Answer& answer) mutable {
+        rpc::WriteAnswer(answer, context.getResults().initResult());
+      });
+}
+
+template <typename Context>
+kj::Promise<void> OperatorService::Operate(Context context, fleet::InstanceRequest request,
+                                           const std::string& pool) {
+  auto params = context.getParams();
+  return this->Commit(context,
+                      fleet::OperateInstance{rpc::ReadIdentity(params.getIdentity()), request,
+                                             InstanceName(wire::ToString(params.getInstance())),
+                                             PoolName(pool)});
+}
+
+kj::Promise<void> OperatorService::apply(ApplyContext context) {
+  auto params = context.getParams();
+  if (params.getDeclaration().size() > kLargestDeclaration) {
+    return Reply(context, TooLarge("the declaration", kLargestDeclaration));
+  }
+  auto declaration =
+      fleet::ParseDeclaration(wire::ToString(params.getDeclaration()), "declaration");
+  if (!declaration.ok()) {
+    return Reply(context, fleet::Answer::FromStatus(declaration.status()));
+  }
+  return this->Commit(
+      context, fleet::ApplyDeclaration{rpc::ReadIdentity(params.getIdentity()),
+                                       Revision(params.getExpectedRevision()),
+                                       *std::move(declaration)});
+}
+
+kj::Promise<void> OperatorService::diff(DiffContext context) {
+  return this->Ask(context, "diff", wire::ToString(context.getParams().getDeclaration()));
+}
+
+kj::Promise<void> OperatorService::get(GetContext context) {
+  const std::string kind = wire::ToString(context.getParams().getKind());
+  return this->Ask(context, kind, wire::ToString(context.getParams().getName()));
+}
+
+kj::Promise<void> OperatorService::drain(DrainContext context) {
+  return this->Operate(context, fleet::InstanceRequest::kDrain, "");
+}
+
+kj::Promise<void> OperatorService::undrain(UndrainContext context) {
+  return this->Operate(context, fleet::InstanceRequest::kUndrain, "");
+}
+
+kj::Promise<void> OperatorService::reboot(RebootContext context) {
+  return this->Operate(context, fleet::InstanceRequest::kReboot, "");
+}
+
+kj::Promise<void> OperatorService::move(MoveContext context) {
+  return this->Operate(context, fleet::InstanceRequest::kMove,
+                       wire::ToString(context.getParams().getPool()));
+}
+
+kj::Promise<void> OperatorService::submitJob(SubmitJobContext context) {
+  auto params = context.getParams();
+  if (params.getJob().size() > kLargestJob) {
+    return Reply(context, TooLarge("the job", kLargestJob));
+  }
+  const auto json = ParseJson(wire::ToString(params.getJob()), "job", ResultCode::kBadArgument);
+  if (!json.ok()) {
+    return Reply(context, fleet::Answer::FromStatus(json.status()));
+  }
+  auto spec = FromJson<fleet::JobSpec>(*json, "job", UnknownKeys::kRefuse, kJobCodes);
+  if (!spec.ok()) {
+    return Reply(context, fleet::Answer::FromStatus(spec.status()));
+  }
+  return this->Commit(context, fleet::SubmitJob{rpc::ReadIdentity(params.getIdentity()),
+                                                *std::move(spec)});
+}
+
+kj::Promise<void> OperatorService::cancelJob(CancelJobContext context) {
+  auto params = context.getParams();
+  return this->Commit(context, fleet::CancelJob{rpc::ReadIdentity(params.getIdentity()),
+                                                JobId(wire::ToString(params.getJob()))});
+}
+
+kj::Promise<fleet::Answer> OperatorService::ExplainAt(const ProcessName& process,
+                                                      const DecisionId& id) {
+  if (process == this->parts.settings.process) {
+    return ExplainLocally(this->parts.entry, id);
+  }
+  rpc::Channel* channel = this->parts.peers.Find(process);
+  if (channel == nullptr) {
+    return fleet::Answer{.code = ResultCode::kUnknownDecision,
+                         .message = StrCat("no process ", process.value())};
+  }
+  auto request = channel->Get<wire::Peer>().explainLocalRequest();
+  request.setDecisionId(id.value());
+  return channel
+      ->Guard(kPeerLimit, request.send().then([](auto&& response) {
+        return rpc::ReadAnswer(response.getResult());
+      }))
+      .catch_([process](kj::Exception&& exception) {
+        return fleet::Answer{.code = ResultCode::kUnreachable,
+                             .message = StrCat("the process ", process.value(),
+                                               " that took this decision does not answer: ",
+                                               exception.getDescription().cStr())};
+      });
+}
+
+kj::Promise<void> OperatorService::explain(ExplainContext context) {
+  const DecisionId id(wire::ToString(context.getParams().getDecisionId()));
+  const auto process = routing::DecisionRing::ProcessOf(id);
+  if (!process) {
+    return this->Ask(context, "decision", id.value());
+  }
+  return this->ExplainAt(*process, id).then([context](const fleet::Answer& answer) mutable {
+    rpc::WriteAnswer(answer, context.getResults().initResult());
+  });
+}
+
+kj::Promise<fleet::Answer> OperatorService::WhyAt(const ProcessName& process,
+                                                  const std::string& kind,
+                                                  const std::string& name) {
+  if (process == this->parts.settings.process) {
+    return WhyLocally(this->parts.entry, kind, name);
+  }
+  rpc::Channel* channel = this->parts.peers.Find(process);
+  auto request = channel->Get<wire::Peer>().whyLocalRequest();
+  request.setKind(kind);
+  request.setName(name);
+  return channel
+      ->Guard(kPeerLimit, request.send().then([](auto&& response) {
+        return rpc::ReadAnswer(response.getResult());
+      }))
+      .catch_([](kj::Exception&& /*exception*/) {
+        return fleet::Answer{.code = ResultCode::kUnreachable};
+      });
+}
+
+kj::Promise<void> OperatorService::why(WhyContext context) {
+  const std::string kind = wire::ToString(context.getParams().getKind());
+  const std::string name = wire::ToString(context.getParams().getName());
+  auto asked = kj::heapArrayBuilder<kj::Promise<fleet::Answer>>(this->parts.peers.all().size() + 1);
+  asked.add(this->parts.leader.Read(StrCat("why-", kind), name, kOperatorLimit));
+  for (const ProcessName& process : this->parts.peers.all()) {
+    asked.add(this->WhyAt(process, kind, name));
+  }
+  return kj::joinPromises(asked.finish())
+      .then([context](kj::Array<fleet::Answer>&& answers) mutable {
+        fleet::Answer answer = answers[0];
+        std::vector<nlohmann::json> lists;
+        std::size_t silent = 0;
+        for (const fleet::Answer& part : answers) {
+          part.is_ok() ? lists.push_back(part.document) : static_cast<void>(++silent);
+        }
+        answer.document = MergeDecisions(std::move(lists));
+        if (silent > 0 && answer.is_ok()) {
+          answer.message = StrCat(silent, " processes did not answer; their decisions are missing");
+        }
+        rpc::WriteAnswer(answer, context.getResults().initResult());
+      });
+}
+
+nlohmann::json OperatorService::DescribeProcess() const {
+  const Settings& settings = this->parts.settings;
+  nlohmann::json document = {{"process", settings.process.value()},
+                             {"data_centre", settings.self().data_centre.value()},
+                             {"leader", this->parts.leader.leader().value()}};
+  if (this->parts.follower != nullptr) {
+    document["view_version"] = this->parts.follower->current_version();
+    document["view_age_ms"] = this->parts.follower->Age().count();
+  }
+  if (this->parts.entry != nullptr) {
+    document["requests_open"] = this->parts.entry->CountOpen();
+  }
+  if (const Controller* controller = this->parts.controller) {
+    const replication::Replica& replica = controller->replica();
+    document["controller"] = {
+        {"node", replica.self().value()},
+        {"role", replica.role() == replication::Role::kLeader ? "leader" : "follower"},
+        {"may_act", controller->MayAct()},
+        {"term", replica.term().value()},
+        {"commit_index", replica.commit_index().value()},
+        {"last_index", replica.last_index().value()},
+        {"snapshot_index", replica.snapshot_index().value()},
+        {"revision", controller->state().record().revision.value()},
+        {"disk_full", controller->is_stalled()}};
+  }
+  return document;
+}
+
+kj::Promise<void> OperatorService::status(StatusContext context) {
+  return Reply(context, fleet::Answer{.document = this->DescribeProcess()});
+}
+
+kj::Promise<void> OperatorService::handOver(HandOverContext context) {
+  const ProcessName leader = this->parts.leader.leader();
+  if (this->parts.controller != nullptr && this->parts.controller->MayAct()) {
+    const absl::Status status = this->parts.controller->HandOver();
+    return Reply(context, status.ok() ? fleet::Answer::Success("handing over")
+                                      : fleet::Answer::FromStatus(status));
+  }
+  rpc::Channel* channel = this->parts.peers.Find(leader);
+  if (channel == nullptr) {
+    return Reply(context, fleet::Answer{.code = ResultCode::kNoLeader,
+                                        .message = "no leader is known here"});
+  }
+  return channel->Guard(kPeerLimit, channel->Get<wire::Peer>().handOverRequest().send().ignoreResult())
+      .then([context]() mutable { return Reply(context, fleet::Answer::Success("handing over")); });
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/operator_service.h
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_OPERATOR_SERVICE_H_
+#define SERVICES_SUMACD_OPERATOR_SERVICE_H_
+
+#include <functional>
+#include <string>
+
+#include "libraries/wire/generated/operator.capnp.h"
+#include "services/sumacd/controller.h"
+#include "services/sumacd/entry.h"
+#include "services/sumacd/leader_link.h"
+#include "services/sumacd/peers.h"
+#include "services/sumacd/view_follower.h"
+
+namespace sumac::daemon {
+
+// What the operators' door needs of the rest of the process. Controller and entry may be nothing.
+struct OperatorParts {
+  const Settings& settings;
+  Peers& peers;
+  LeaderLink& leader;
+  Controller* controller;
+  Entry* entry;
+  const ViewFollower* follower;
+};
+
+// The operators' door (schemas/operator.capnp): an adapter that passes everything on to the leader
+// or to the process that knows.
+class OperatorService final : public wire::Operator::Server {
+ public:
+  explicit OperatorService(OperatorParts parts) : parts(parts) {}
+
+  kj::Promise<void> apply(ApplyContext context) override;
+  kj::Promise<void> diff(DiffContext context) override;
+  kj::Promise<void> get(GetContext context) override;
+  kj::Promise<void> drain(DrainContext context) override;
+  kj::Promise<void> undrain(UndrainContext context) override;
+  kj::Promise<void> reboot(RebootContext context) override;
+  kj::Promise<void> move(MoveContext context) override;
+  kj::Promise<void> submitJob(SubmitJobContext context) override;
+  kj::Promise<void> cancelJob(CancelJobContext context) override;
+  kj::Promise<void> explain(ExplainContext context) override;
+  kj::Promise<void> why(WhyContext context) override;
+  kj::Promise<void> status(StatusContext context) override;
+  kj::Promise<void> handOver(HandOverContext context) override;
+
+ private:
+  template <typename Context>
+  kj::Promise<void> Commit(Context context, fleet::Command command);
+  template <typename Context>
+  kj::Promise<void> Ask(Context context, const std::string& kind, const std::string& name);
+  template <typename Context>
+  kj::Promise<void> Operate(Context context, fleet::InstanceRequest request,
+                            const std::string& pool);
+  kj::Promise<fleet::Answer> ExplainAt(const ProcessName& process, const DecisionId& id);
+  kj::Promise<fleet::Answer> WhyAt(const ProcessName& process, const std::string& kind,
+                                   const std::string& name);
+  nlohmann::json DescribeProcess() const;
+
+  OperatorParts parts;
+};
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_OPERATOR_SERVICE_H_
--- /dev/null
+++ b/services/sumacd/peer_service.cc
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/peer_service.h"
+
+#include <utility>
+
+#include "libraries/base/text.h"
+#include "libraries/codec/json_reader.h"
+#include "libraries/codec/json_writer.h"
+#include "libraries/rpc/answer_codec.h"
+#include "libraries/wire/replication_codec.h"
+#include "services/sumacd/queries.h"
+
+namespace sumac::daemon {
+namespace {
+
+fleet::Answer NoController() {
+  return fleet::Answer{.code = ResultCode::kNotLeader};
+}
+
+}  // namespace
+
+kj::Promise<void> PeerService::replicate(ReplicateContext context) {
+  if (this->controller != nullptr) {
+    this->controller->Receive(wire::ReadMessage(context.getParams().getMessage()));
+  }
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::propose(ProposeContext context) {
+  auto command =
+      FromCbor<fleet::Command>(wire::ToString(context.getParams().getCommand()), "command");
+  if (!command.ok() || this->controller == nullptr) {
+    rpc::WriteAnswer(
+        command.ok() ? NoController() : fleet::Answer::FromStatus(command.status()),
+        context.getResults().initResult());
+    return kj::READY_NOW;
+  }
+  return this->controller->Propose(*std::move(command))
+      .then([context](const fleet::Answer& answer) mutable {
+        rpc::WriteAnswer(answer, context.getResults().initResult());
+      });
+}
+
+kj::Promise<void> PeerService::follow(FollowContext context) {
+  if (this->controller == nullptr) {
+    rpc::WriteAnswer(NoController(), context.getResults().initResult());
+    return kj::READY_NOW;
+  }
+  const std::uint64_t have = context.getParams().getHave();
+  return this->controller->Follow(have, Milliseconds(context.getParams().getWaitMs()))
+      .then([context, have](const ServedView& served) mutable {
+        auto results = context.getResults();
+        results.setIsVerified(served.is_verified);
+        results.setVersion(served.view.version);
+        if (served.view.version > have) {
+          results.setView(wire::ToData(ToCbor(served.view)));
+        }
+      });
+}
+
+kj::Promise<void> PeerService::announce(AnnounceContext context) {
+  auto announcements = FromCbor<std::vector<fleet::Announcement>>(
+      wire::ToString(context.getParams().getAnnouncements()), "announcements");
+  const bool may_act = this->controller != nullptr && this->controller->MayAct();
+  if (!announcements.ok() || !may_act) {
+    fleet::Answer answer =
+        this->controller == nullptr ? NoController() : this->controller->NotLeaderAnswer();
+    rpc::WriteAnswer(
+        announcements.ok() ? answer : fleet::Answer::FromStatus(announcements.status()),
+        context.getResults().initResult());
+    return kj::READY_NOW;
+  }
+  return this->controller->Announce(*std::move(announcements))
+      .then([context](const std::vector<fleet::TargetOrders>& orders) mutable {
+        rpc::WriteAnswer(fleet::Answer{.document = ToJson(orders)},
+                         context.getResults().initResult());
+      });
+}
+
+kj::Promise<void> PeerService::read(ReadContext context) {
+  const bool may_act = this->controller != nullptr && this->controller->MayAct();
+  fleet::Answer answer =
+      this->controller == nullptr ? NoController() : this->controller->NotLeaderAnswer();
+  if (may_act) {
+    answer = Query(*this->controller, wire::ToString(context.getParams().getKind()),
+                   wire::ToString(context.getParams().getName()));
+  }
+  rpc::WriteAnswer(answer, context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::explainLocal(ExplainLocalContext context) {
+  const DecisionId id(wire::ToString(context.getParams().getDecisionId()));
+  rpc::WriteAnswer(ExplainLocally(this->entry, id), context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::whyLocal(WhyLocalContext context) {
+  rpc::WriteAnswer(WhyLocally(this->entry, wire::ToString(context.getParams().getKind()),
+                              wire::ToString(context.getParams().getName())),
+                   context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::leader(LeaderContext context) {
+  if (this->controller != nullptr) {
+    context.getResults().setProcess(this->controller->KnownLeader().value());
+  }
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::handOver(HandOverContext context) {
+  fleet::Answer answer = NoController();
+  if (this->controller != nullptr) {
+    const absl::Status status = this->controller->HandOver();
+    answer = status.ok() ? fleet::Answer::Success("handing over")
+                         : fleet::Answer::FromStatus(status);
+  }
+  rpc::WriteAnswer(answer, context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
+fleet::Answer ExplainLocally(const Entry* entry, const DecisionId& id) {
+  const auto decision = entry == nullptr ? std::nullopt : entry->FindDecision(id);
+  if (!decision) {
+    return fleet::Answer{.code = ResultCode::kUnknownDecision,
+                         .message = StrCat("no decision ", id.value(), " is kept here")};
+  }
+  return fleet::Answer{.document = ToJson(*decision)};
+}
+
+fleet::Answer WhyLocally(const Entry* entry, const std::string& kind, const std::string& name) {
+  nlohmann::json rows = nlohmann::json::array();
+  if (entry != nullptr && kind == NameOf(fleet::SubjectKind::kRequest)) {
+    for (const fleet::Decision& decision : entry->FindDecisionsAbout(name)) {
+      rows.push_back(ToJson(decision));
+    }
+  }
+  return fleet::Answer{.document = rows};
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/view_follower.cc
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/view_follower.h"
+
+#include <utility>
+
+#include "libraries/codec/json_reader.h"
+#include "libraries/log/json_log.h"
+#include "libraries/wire/generated/peer.capnp.h"
+#include "libraries/wire/replication_codec.h"
+
+namespace sumac::daemon {
+namespace {
+
+// A controller answers after this at the latest, also when nothing is new.
+constexpr Milliseconds kLongestWait{2'000};
+constexpr Milliseconds kAnswerMargin{1'000};
+constexpr Milliseconds kPauseAfterFailure{100};
+
+}  // namespace
+
+ViewFollower::ViewFollower(const Settings& settings, Peers& peers, kj::Timer& timer,
+                           Controller* local, OnView on_view)
+    : settings(settings),
+      peers(peers),
+      timer(timer),
+      local(local),
+      on_view(std::move(on_view)),
+      confirmed_at_ms(this->clock.SteadyNow().time_since_epoch().count()) {}
+
+Milliseconds ViewFollower::Age() const {
+  return this->clock.SteadyNow().time_since_epoch() - Milliseconds(this->confirmed_at_ms.load());
+}
+
+kj::Promise<void> ViewFollower::Run() {
+  return this->AskOnce().then([this] { return this->Run(); });
+}
+
+kj::Promise<void> ViewFollower::AskOnce() {
+  const auto& controllers = this->peers.controllers();
+  const bool asks_local = this->local != nullptr;
+  const ProcessName process = asks_local
+                                  ? this->settings.process
+                                  : controllers[this->next_controller % controllers.size()];
+  return this->Ask(process).then(
+      [this](ServedView&& served) -> kj::Promise<void> {
+        const bool is_usable = served.is_verified || this->has_view();
+        if (is_usable) {
+          this->Take(served);
+          return kj::READY_NOW;
+        }
+        ++this->next_controller;
+        return this->timer.afterDelay(rpc::ToKj(kPauseAfterFailure));
+      },
+      [this](kj::Exception&& exception) {
+        LogEvent(LogLevel::kDebug, "follow-failed",
+                 {{"error", exception.getDescription().cStr()}});
+        ++this->next_controller;
+        return this->timer.afterDelay(rpc::ToKj(kPauseAfterFailure));
+      });
+}
+
+kj::Promise<ServedView> ViewFollower::Ask(const ProcessName& process) {
+  const std::uint64_t have = this->version.load();
+  if (this->local != nullptr) {
+    return this->local->Follow(have, kLongestWait);
+  }
+  auto request = this->peers.Find(process)->Get<wire::Peer>().followRequest();
+  request.setProcess(this->settings.process.value());
+  request.setHave(have);
+  request.setWaitMs(static_cast<std::uint32_t>(kLongestWait.count()));
+  return this->peers.Find(process)->Guard(
+      kLongestWait + kAnswerMargin,
+      request.send().then([have](auto&& response) -> ServedView {
+        ServedView served{.is_verified = response.getIsVerified()};
+        served.view.version = response.getVersion();
+        if (response.getVersion() > have) {
+          auto view = FromCbor<fleet::View>(wire::ToString(response.getView()), "view");
+          KJ_REQUIRE(view.ok(), "malformed view");
+          served.view = *std::move(view);
+        }
+        return served;
+      }));
+}
+
+void ViewFollower::Take(const ServedView& served) {
+  const std::uint64_t have = this->version.load();
+  if (served.view.version > have && this->on_view(served.view)) {
+    this->version.store(served.view.version);
+    LogEvent(LogLevel::kInfo, "view-in-force",
+             {{"version", served.view.version}, {"revision", served.view.revision.value()}});
+  }
+  // A controller that lags says nothing about how old this view is.
+  if (served.is_verified && served.view.version >= have) {
+    this->confirmed_at_ms.store(this->clock.SteadyNow().time_since_epoch().count());
+  }
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/tests/stand_ins/worker.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef TESTS_STAND_INS_WORKER_H_
+#define TESTS_STAND_INS_WORKER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "tests/stand_ins/target.h"
+
+namespace sumac::stand_ins {
+
+// A stand-in for a worker: runs the tasks it is ordered to as timers, under leases, and stops what
+// it can't renew.
+class Worker final : public Target {
+ public:
+  explicit Worker(TargetOptions options);
+
+ protected:
+  void Handle(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response) override;
+  void HandleControl(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override;
+  void FillAnnouncement(fleet::Announcement& announcement) override;
+  void TakeOrders(const fleet::TargetOrders& orders, SteadyTime sent_at) override;
+  void Forget() override;
+
+ private:
+  struct Task {
+    FencingToken token;
+    SteadyTime ends_at;
+    fleet::TaskState state = fleet::TaskState::kRunning;
+  };
+
+  void StopWhatLeaseLost(SteadyTime now);
+
+  std::mutex tasks_mutex;
+  std::map<JobId, Task> tasks;
+  SteadyTime lease_until{};
+  // How often each job was begun here, and the highest token seen for it.
+  std::map<std::string, std::uint64_t> begun;
+  std::map<JobId, FencingToken> highest_token;
+  bool fails_everything = false;
+};
+
+}  // namespace sumac::stand_ins
+
+#endif  // TESTS_STAND_INS_WORKER_H_
--- /dev/null
+++ b/utilities/sumacctl/commands.cc
@@ -0,0 +1,365 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "utilities/sumacctl/commands.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "libraries/base/text.h"
+#include "libraries/codec/json_file.h"
+#include "utilities/sumacctl/table.h"
+
+namespace sumac::ctl {
+namespace {
+
+using fleet::Answer;
+using wire::Operator;
+
+// What a command's function gets: its arguments without the words that chose it.
+struct Call {
+  OperatorClient& client;
+  const Invocation& invocation;
+  std::vector<std::string> arguments;
+
+  const std::string& argument(std::size_t position) const { return this->arguments[position]; }
+  std::string optional(std::size_t position) const {
+    return position < this->arguments.size() ? this->arguments[position] : "";
+  }
+};
+
+using Function = std::function<Answer(const Call&)>;
+
+struct Command {
+  CommandInfo info;
+  Function run;
+  // The columns of its answer's table; empty where the answer has another form.
+  std::vector<Column> columns;
+};
+
+template <typename Request>
+void FillIdentity(Request& request, const Invocation& invocation) {
+  auto identity = request.initIdentity();
+  identity.setOperatorName(invocation.operator_name);
+  identity.setRequestId(invocation.request_id);
+}
+
+Answer Get(OperatorClient& client, const std::string& kind, const std::string& name) {
+  return client.Call([&](Operator::Client door) {
+    auto request = door.getRequest();
+    request.setKind(kind);
+    request.setName(name);
+    return request.send();
+  });
+}
+
+// The text of an argument that names a file, or of standard input for "-".
+absl::StatusOr<std::string> ReadArgument(const std::string& path) {
+  return ReadTextFile(path == "-" ? "/dev/stdin" : path);
+}
+
+Answer Apply(const Call& call) {
+  const auto text = ReadArgument(call.argument(0));
+  if (!text.ok()) {
+    return Answer::FromStatus(text.status());
+  }
+  std::uint64_t expected = call.invocation.expected_revision;
+  if (!call.invocation.has_expected_revision) {
+    return Answer{.code = ResultCode::kBadArgument,
+                  .message = "apply needs --revision, the revision the file was made from; see "
+                             "get declaration (0 for the first)"};
+  }
+  return call.client.Call([&](Operator::Client door) {
+    auto request = door.applyRequest();
+    FillIdentity(request, call.invocation);
+    request.setDeclaration(*text);
+    request.setExpectedRevision(expected);
+    return request.send();
+  });
+}
+
+Answer Diff(const Call& call) {
+  const auto text = ReadArgument(call.argument(0));
+  if (!text.ok()) {
+    return Answer::FromStatus(text.status());
+  }
+  return call.client.Call([&](Operator::Client door) {
+    auto request = door.diffRequest();
+    request.setDeclaration(*text);
+    return request.send();
+  });
+}
+
+// A command on one instance; `make` starts the request.
+template <typename MakeRequest>
+Answer Operate(const Call& call, MakeRequest make) {
+  return call.client.Call([&](Operator::Client door) {
+    auto request = make(door);
+    FillIdentity(request, call.invocation);
+    request.setInstance(call.argument(0));
+    return request.send();
+  });
+}
+
+Answer Move(const Call& call) {
+  return call.client.Call([&](Operator::Client door) {
+    auto request = door.moveRequest();
+    FillIdentity(request, call.invocation);
+    request.setInstance(call.argument(0));
+    request.setPool(call.argument(1));
+    return request.send();
+  });
+}
+
+Answer SubmitJob(const Call& call) {
+  const auto text = ReadArgument(call.argument(0));
+  if (!text.ok()) {
+    return Answer::FromStatus(text.status());
+  }
+  return call.client.Call([&](Operator::Client door) {
+    auto request = door.submitJobRequest();
+    FillIdentity(request, call.invocation);
+    request.setJob(*text);
+    return request.send();
+  });
+}
+
+Answer CancelJob(const Call& call) {
+  return call.client.Call([&](Operator::Client door) {
+    auto request = door.cancelJobRequest();
+    FillIdentity(request, call.invocation);
+    request.setJob(call.argument(0));
+    return request.send();
+  });
+}
+
+Answer Explain(const Call& call) {
+  return call.client.Call([&](Operator::Client door) {
+    auto request = door.explainRequest();
+    request.setDecisionId(call.argument(0));
+    return request.send();
+  });
+}
+
+Answer Why(const Call& call) {
+  return call.client.Call([&](Operator::Client door) {
+    auto request = door.whyRequest();
+    request.setKind(call.argument(0));
+    request.setName(call.argument(1));
+    return request.send();
+  });
+}
+
+const std::vector<Column>& ColumnsOf(const std::string& kind) {
+  static const std::map<std::string, std::vector<Column>> kColumns = {
+      {"pools",
+       {{"POOL", "/name"},
+        {"CAPACITY", "/capacity"},
+        {"MEMBERS", "/members"},
+        {"AVAILABLE", "/available"},
+        {"NEEDED", "/needed"},
+        {"SPARE", "/spare"}}},
+      {"instances",
+       {{"INSTANCE", "/target/name"},
+        {"KIND", "/target/kind"},
+        {"POOL", "/pool"},
+        {"STATE", "/state"},
+        {"DATA CENTRE", "/target/data_centre"},
+        {"RACK", "/target/rack"},
+        {"OPERATION", "/operation/id"},
+        {"DOES", "/operation/kind"}}},
+      {"services",
+       {{"SERVICE", "/name"},
+        {"POOL", "/pool"},
+        {"REPEATABLE", "/repeatable"},
+        {"CLASS", "/class"},
+        {"DEADLINE MS", "/deadline_ms"}}},
+      {"jobs",
+       {{"JOB", "/spec/id"},
+        {"POOL", "/spec/pool"},
+        {"PRIORITY", "/spec/priority"},
+        {"STATE", "/state"},
+        {"WORKER", "/worker"},
+        {"TOKEN", "/token"},
+        {"DETAIL", "/detail"}}},
+      {"controllers",
+       {{"NODE", "/node"},
+        {"KIND", "/kind"},
+        {"LEADS", "/leads"},
+        {"HAS UP TO", "/match_index"},
+        {"SILENT MS", "/silent_ms"}}},
+  };
+  static const std::vector<Column> kNone;
+  const auto found = kColumns.find(kind);
+  return found == kColumns.end() ? kNone : found->second;
+}
+
+const std::vector<Command>& Table() {
+  static const std::vector<Command> kTable = {
+      {{"apply", {"FILE"}, "put a declaration in force; needs --revision"}, Apply, {}},
+      {{"diff", {"FILE"}, "what apply would change"},
+       Diff,
+       {{"KEY", "/key"}, {"CHANGE", "/change"}, {"BEFORE", "/before"}, {"AFTER", "/after"}}},
+      {{"get", {"KIND", "[NAME]"},
+        "declaration, pools, instances, services, jobs or controllers"},
+       [](const Call& call) { return Get(call.client, call.argument(0), call.optional(1)); },
+       {}},
+      {{"drain", {"INSTANCE"}, "take an instance's work away, within its pool's budget"},
+       [](const Call& call) {
+         return Operate(call, [](Operator::Client& door) { return door.drainRequest(); });
+       },
+       {}},
+      {{"undrain", {"INSTANCE"}, "give a drained instance back to its pool"},
+       [](const Call& call) {
+         return Operate(call, [](Operator::Client& door) { return door.undrainRequest(); });
+       },
+       {}},
+      {{"reboot", {"INSTANCE"}, "drain an instance and have the platform reboot it"},
+       [](const Call& call) {
+         return Operate(call, [](Operator::Client& door) { return door.rebootRequest(); });
+       },
+       {}},
+      {{"move", {"INSTANCE", "POOL"}, "drain an instance and put it into another pool"}, Move, {}},
+      {{"jobs submit", {"FILE"}, "submit a job (JSON)"}, SubmitJob, {}},
+      {{"jobs cancel", {"JOB"}, "cancel a job"}, CancelJob, {}},
+      {{"jobs show", {"[JOB]"}, "show one job or all"},
+       [](const Call& call) { return Get(call.client, "jobs", call.optional(0)); },
+       ColumnsOf("jobs")},
+      {{"explain", {"DECISION"}, "explain a decision by its id"}, Explain, {}},
+      {{"why", {"KIND", "NAME"}, "the decisions about an instance, pool, job or request"},
+       Why,
+       {}},
+      {{"controllers", {}, "the controllers and how far each is"},
+       [](const Call& call) { return Get(call.client, "controllers", ""); },
+       ColumnsOf("controllers")},
+      {{"hand-over", {}, "hand leadership to another controller"},
+       [](const Call& call) {
+         return call.client.Call([&](Operator::Client door) {
+           auto request = door.handOverRequest();
+           FillIdentity(request, call.invocation);
+           return request.send();
+         });
+       },
+       {}},
+      {{"status", {}, "the process that answers, and how old what it knows is"},
+       [](const Call& call) {
+         return call.client.Call(
+             [](Operator::Client door) { return door.statusRequest().send(); });
+       },
+       {}},
+  };
+  return kTable;
+}
+
+// The command that the words choose, the longer name first, and how many words that took.
+const Command* FindCommand(const std::vector<std::string>& words, std::size_t& words_taken) {
+  for (const std::size_t count : {std::size_t{2}, std::size_t{1}}) {
+    if (words.size() < count) {
+      continue;
+    }
+    const std::string name = count == 1 ? words[0] : StrCat(words[0], " ", words[1]);
+    const auto found =
+        std::find_if(Table().begin(), Table().end(),
+                     [&](const Command& command) { return command.info.name == name; });
+    if (found != Table().end()) {
+      words_taken = count;
+      return &*found;
+    }
+  }
+  return nullptr;
+}
+
+bool DoArgumentsFit(const CommandInfo& info, std::size_t count) {
+  const auto required = static_cast<std::size_t>(
+      std::count_if(info.arguments.begin(), info.arguments.end(),
+                    [](const std::string& argument) { return argument.front() != '['; }));
+  return count >= required && count <= info.arguments.size();
+}
+
+std::string FormatDocument(const Command& command, const Invocation& invocation,
+                           const nlohmann::json& document) {
+  const std::string& name = command.info.name;
+  if (name == "explain") {
+    return FormatDecision(document);
+  }
+  if (name == "why") {
+    std::string text;
+    for (const nlohmann::json& decision : document) {
+      text += FormatDecision(decision);
+    }
+    return text.empty() ? "no decision about it is kept\n" : text;
+  }
+  if (name == "diff") {
+    return FormatTable(document.value("changes", nlohmann::json::array()), command.columns);
+  }
+  const bool is_get = name == "get" && invocation.words.size() > 1;
+  const std::vector<Column>& columns = is_get ? ColumnsOf(invocation.words[1]) : command.columns;
+  if (document.is_array() && !columns.empty()) {
+    return FormatTable(document, columns);
+  }
+  return document.is_null() ? "" : document.dump(2) + "\n";
+}
+
+}  // namespace
+
+const std::vector<CommandInfo>& AllCommands() {
+  static const std::vector<CommandInfo> kInfos = [] {
+    std::vector<CommandInfo> infos;
+    for (const Command& command : Table()) {
+      infos.push_back(command.info);
+    }
+    return infos;
+  }();
+  return kInfos;
+}
+
+Answer RunCommand(OperatorClient& client, const Invocation& invocation) {
+  std::size_t words_taken = 0;
+  const Command* command = FindCommand(invocation.words, words_taken);
+  if (command == nullptr) {
+    return Answer{.code = ResultCode::kBadArgument,
+                  .message = "there is no such command; see --help"};
+  }
+  Call call{client, invocation,
+            std::vector<std::string>(
+                invocation.words.begin() + static_cast<std::ptrdiff_t>(words_taken),
+                invocation.words.end())};
+  if (!DoArgumentsFit(command->info, call.arguments.size())) {
+    std::string usage = command->info.name;
+    for (const std::string& argument : command->info.arguments) {
+      StrAppend(&usage, " ", argument);
+    }
+    return Answer{.code = ResultCode::kBadArgument, .message = StrCat("usage: sumacctl ", usage)};
+  }
+  return command->run(call);
+}
+
+std::string FormatAnswer(const Invocation& invocation, const Answer& answer) {
+  std::string text;
+  if (!answer.is_ok()) {
+    StrAppend(&text, "error ", static_cast<int>(answer.code), " (", InfoFor(answer.code).name,
+              "): ", answer.message, "\n");
+  } else if (!answer.message.empty()) {
+    StrAppend(&text, answer.message, "\n");
+  }
+  if (!answer.decision.value().empty()) {
+    StrAppend(&text, "decision ", answer.decision.value(), "\n");
+  }
+  std::size_t words_taken = 0;
+  const Command* command = FindCommand(invocation.words, words_taken);
+  if (command != nullptr && answer.is_ok() && !answer.document.is_null()) {
+    text += FormatDocument(*command, invocation, answer.document);
+  }
+  return text;
+}
+
+std::string FormatAnswerAsJson(const Answer& answer) {
+  const nlohmann::json json = {{"code", static_cast<int>(answer.code)},
+                               {"name", InfoFor(answer.code).name},
+                               {"message", answer.message},
+                               {"decision", answer.decision.value()},
+                               {"document", answer.document}};
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+}  // namespace sumac::ctl
