Fleet: Measure waits against the clock, not the state's own time

Cause: the planner compared settle times with the time of the last command, which stands still while nothing is committed, so a quiet fleet never settled. Ruled out: the platform's report (it came, told twice). Change: waits are measured against the leader's clock, never behind the state's.

--- a/libraries/fleet/planner.cc
+++ b/libraries/fleet/planner.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/fleet/planner.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "libraries/fleet/idempotency.h"
@@ -23,83 +25,80 @@
   return pool == nullptr ? Pool().settle_time : pool->settle_time;
 }
 
-// True if a draining instance has nothing left to do that a reboot would cut
-// off.
-bool IsDrained(const FleetState& state,
-               const Instance& instance,
-               SoftState& soft,
-               const PlannerSettings& settings,
-               SteadyTime now) {
+// What all parts of one plan look at.
+struct PlanContext {
+  const FleetState& state;
+  SoftState& soft;
+  const PlannerSettings& settings;
+  // NOTE: The state's own time stands still while nothing is committed, so waits are measured
+  // against the clock, but never against one that lies behind the state.
+  WallTime wall_now;
+  SteadyTime now;
+};
+
+// True if a draining instance has nothing left to do that a reboot would cut off.
+bool IsDrained(const PlanContext& context, const Instance& instance) {
   const InstanceName& name = instance.target.name;
   const SteadyTime quiet_from =
-      soft.DrainingSince(name, now) + settings.drain_grace;
-  return now >= quiet_from && state.JobsOn(name).empty() &&
-         soft.IsIdleSince(name, quiet_from);
+      context.soft.DrainingSince(name, context.now) + context.settings.drain_grace;
+  return context.now >= quiet_from && context.state.JobsOn(name).empty() &&
+         context.soft.IsIdleSince(name, quiet_from);
+}
+
+// True if planned work has the instance out already and goes on by itself.
+bool IsUnderPlannedWork(const Instance& instance) {
+  return instance.state == InstanceState::kDraining || instance.state == InstanceState::kDrained ||
+         instance.state == InstanceState::kRebooting;
 }
 
 // The event that one instance is due for, if any.
-std::optional<InstanceEvent> FindDueEvent(const FleetState& state,
-                                          const Instance& instance,
-                                          SoftState& soft,
-                                          const PlannerSettings& settings,
-                                          SteadyTime now) {
+std::optional<InstanceEvent> FindDueEvent(const PlanContext& context, const Instance& instance) {
   const InstanceName& name = instance.target.name;
-  const bool is_silent =
-      now - soft.LastHeard(name) > SilenceTimeOf(state, instance);
-  const bool is_awaited = state.InstanceHasTag(instance, "alive");
-  if (soft.IsLeaving(name) && instance.state != InstanceState::kRebooting &&
-      instance.state != InstanceState::kDraining &&
-      instance.state != InstanceState::kDrained) {
+  if (context.soft.IsLeaving(name) && !IsUnderPlannedWork(instance)) {
     return InstanceEvent::kLeave;
   }
-  if (is_silent && is_awaited && !instance.is_silent_while_planned) {
-    return InstanceEvent::kSilence;
-  }
+  const bool is_silent =
+      context.now - context.soft.LastHeard(name) > SilenceTimeOf(context.state, instance);
   if (is_silent) {
-    return std::nullopt;
+    const bool is_news = context.state.InstanceHasTag(instance, "alive") &&
+                         !instance.is_silent_while_planned;
+    return is_news ? std::optional(InstanceEvent::kSilence) : std::nullopt;
   }
-  const Milliseconds in_state = state.record().now - instance.state_since;
+  const Milliseconds in_state = context.wall_now - instance.state_since;
   if (instance.state == InstanceState::kSettling &&
-      in_state >= SettleTimeOf(state, instance)) {
+      in_state >= SettleTimeOf(context.state, instance)) {
     return InstanceEvent::kSettled;
   }
-  if (instance.state == InstanceState::kDraining &&
-      IsDrained(state, instance, soft, settings, now)) {
-    soft.ForgetDraining(name);
+  if (instance.state == InstanceState::kDraining && IsDrained(context, instance)) {
+    context.soft.ForgetDraining(name);
     return InstanceEvent::kDrained;
   }
   return std::nullopt;
 }
 
-RecordInstanceEvents PlanInstanceEvents(const FleetState& state,
-                                        SoftState& soft,
-                                        const PlannerSettings& settings,
-                                        SteadyTime now) {
+RecordInstanceEvents PlanInstanceEvents(const PlanContext& context) {
   RecordInstanceEvents command;
-  for (const auto& [name, instance] : state.record().instances) {
+  for (const auto& [name, instance] : context.state.record().instances) {
     if (instance.state == InstanceState::kLeft) {
       continue;
     }
-    if (const auto event = FindDueEvent(state, instance, soft, settings, now)) {
-      command.items.push_back(RecordInstanceEvents::Item{
-          name, instance.target.incarnation, *event});
+    if (const auto event = FindDueEvent(context, instance)) {
+      command.items.push_back(
+          RecordInstanceEvents::Item{name, instance.target.incarnation, *event});
     }
   }
   return command;
 }
 
-ExpireLeases PlanLeaseExpiry(const FleetState& state,
-                             const SoftState& soft,
-                             const PlannerSettings& settings,
-                             SteadyTime now) {
+ExpireLeases PlanLeaseExpiry(const PlanContext& context) {
   ExpireLeases command;
   const Milliseconds lease =
-      state.record().declaration.job_lease + settings.lease_margin;
-  for (const JobId& id : state.leased_jobs()) {
-    const Job& job = *state.FindJob(id);
-    const bool is_renewed = now - soft.LastRenewed(job.worker) <= lease;
+      context.state.record().declaration.job_lease + context.settings.lease_margin;
+  for (const JobId& id : context.state.leased_jobs()) {
+    const Job& job = *context.state.FindJob(id);
+    const bool is_renewed = context.now - context.soft.LastRenewed(job.worker) <= lease;
     // A fresh placement has its own lease from the moment it was placed.
-    const bool is_fresh = state.record().now - job.state_since <= lease;
+    const bool is_fresh = context.wall_now - job.state_since <= lease;
     if (!is_renewed && !is_fresh) {
       command.items.push_back(ExpireLeases::Item{id, job.token});
     }
@@ -109,17 +108,15 @@
 
 }  // namespace
 
-std::vector<Command> Plan(const FleetState& state,
-                          SoftState& soft,
-                          const PlannerSettings& settings,
-                          WallTime wall_now,
-                          SteadyTime now) {
+std::vector<Command> Plan(const FleetState& state, SoftState& soft, const PlannerSettings& settings,
+                          WallTime wall_now, SteadyTime now) {
+  const PlanContext context{state, soft, settings, std::max(wall_now, state.record().now), now};
   std::vector<Command> commands;
-  RecordInstanceEvents events = PlanInstanceEvents(state, soft, settings, now);
+  RecordInstanceEvents events = PlanInstanceEvents(context);
   if (!events.items.empty()) {
     commands.emplace_back(std::move(events));
   }
-  ExpireLeases leases = PlanLeaseExpiry(state, soft, settings, now);
+  ExpireLeases leases = PlanLeaseExpiry(context);
   if (!leases.items.empty()) {
     commands.emplace_back(std::move(leases));
   }
