--- a/libraries/fleet/apply_instances.cc
+++ b/libraries/fleet/apply_instances.cc
@@ -267,12 +267,14 @@
   state.AddDecision(std::move(decision));
 }
 
-// Ends a reboot once the platform says that it is done and the instance has started anew. An
-// earlier start may be a crash before the reboot, which is still to come.
+// Ends a reboot once the platform says that it is done and the instance has
+// started anew. An earlier start may be a crash before the reboot, which is
+// still to come.
 void MaybeFinishReboot(const FleetState& state, Instance& instance) {
   const Operation& operation = *instance.operation;
-  const bool is_over = operation.progress == PlatformProgress::kDone &&
-                       instance.target.incarnation > operation.incarnation_before;
+  const bool is_over =
+      operation.progress == PlatformProgress::kDone &&
+      instance.target.incarnation > operation.incarnation_before;
   if (is_over && state.FireInstance(instance, InstanceEvent::kReturned).ok()) {
     instance.operation.reset();
     instance.failed_jobs.clear();
--- a/libraries/fleet/instance.h
+++ b/libraries/fleet/instance.h
@@ -65,7 +65,8 @@
   std::string granted_by;
   WallTime granted_at;
   PlatformProgress progress = PlatformProgress::kNotTold;
-  // The instance's start when this was granted; a reboot is over once there is a later one.
+  // The instance's start when this was granted; a reboot is over once there is
+  // a later one.
   Incarnation incarnation_before;
   // True if the instance counted for the budget when this was granted.
   bool counted_before = false;
--- a/libraries/fleet/planner.cc
+++ b/libraries/fleet/planner.cc
@@ -30,35 +30,39 @@
   const FleetState& state;
   SoftState& soft;
   const PlannerSettings& settings;
-  // NOTE: The state's own time stands still while nothing is committed, so waits are measured
-  // against the clock, but never against one that lies behind the state.
+  // NOTE: The state's own time stands still while nothing is committed, so
+  // waits are measured against the clock, but never against one that lies
+  // behind the state.
   WallTime wall_now;
   SteadyTime now;
 };
 
-// True if a draining instance has nothing left to do that a reboot would cut off.
+// True if a draining instance has nothing left to do that a reboot would cut
+// off.
 bool IsDrained(const PlanContext& context, const Instance& instance) {
   const InstanceName& name = instance.target.name;
-  const SteadyTime quiet_from =
-      context.soft.DrainingSince(name, context.now) + context.settings.drain_grace;
+  const SteadyTime quiet_from = context.soft.DrainingSince(name, context.now) +
+                                context.settings.drain_grace;
   return context.now >= quiet_from && context.state.JobsOn(name).empty() &&
          context.soft.IsIdleSince(name, quiet_from);
 }
 
 // True if planned work has the instance out already and goes on by itself.
 bool IsUnderPlannedWork(const Instance& instance) {
-  return instance.state == InstanceState::kDraining || instance.state == InstanceState::kDrained ||
+  return instance.state == InstanceState::kDraining ||
+         instance.state == InstanceState::kDrained ||
          instance.state == InstanceState::kRebooting;
 }
 
 // The event that one instance is due for, if any.
-std::optional<InstanceEvent> FindDueEvent(const PlanContext& context, const Instance& instance) {
+std::optional<InstanceEvent> FindDueEvent(const PlanContext& context,
+                                          const Instance& instance) {
   const InstanceName& name = instance.target.name;
   if (context.soft.IsLeaving(name) && !IsUnderPlannedWork(instance)) {
     return InstanceEvent::kLeave;
   }
-  const bool is_silent =
-      context.now - context.soft.LastHeard(name) > SilenceTimeOf(context.state, instance);
+  const bool is_silent = context.now - context.soft.LastHeard(name) >
+                         SilenceTimeOf(context.state, instance);
   if (is_silent) {
     const bool is_news = context.state.InstanceHasTag(instance, "alive") &&
                          !instance.is_silent_while_planned;
@@ -69,7 +73,8 @@
       in_state >= SettleTimeOf(context.state, instance)) {
     return InstanceEvent::kSettled;
   }
-  if (instance.state == InstanceState::kDraining && IsDrained(context, instance)) {
+  if (instance.state == InstanceState::kDraining &&
+      IsDrained(context, instance)) {
     context.soft.ForgetDraining(name);
     return InstanceEvent::kDrained;
   }
@@ -83,8 +88,8 @@
       continue;
     }
     if (const auto event = FindDueEvent(context, instance)) {
-      command.items.push_back(
-          RecordInstanceEvents::Item{name, instance.target.incarnation, *event});
+      command.items.push_back(RecordInstanceEvents::Item{
+          name, instance.target.incarnation, *event});
     }
   }
   return command;
@@ -92,11 +97,12 @@
 
 ExpireLeases PlanLeaseExpiry(const PlanContext& context) {
   ExpireLeases command;
-  const Milliseconds lease =
-      context.state.record().declaration.job_lease + context.settings.lease_margin;
+  const Milliseconds lease = context.state.record().declaration.job_lease +
+                             context.settings.lease_margin;
   for (const JobId& id : context.state.leased_jobs()) {
     const Job& job = *context.state.FindJob(id);
-    const bool is_renewed = context.now - context.soft.LastRenewed(job.worker) <= lease;
+    const bool is_renewed =
+        context.now - context.soft.LastRenewed(job.worker) <= lease;
     // A fresh placement has its own lease from the moment it was placed.
     const bool is_fresh = context.wall_now - job.state_since <= lease;
     if (!is_renewed && !is_fresh) {
@@ -108,9 +114,13 @@
 
 }  // namespace
 
-std::vector<Command> Plan(const FleetState& state, SoftState& soft, const PlannerSettings& settings,
-                          WallTime wall_now, SteadyTime now) {
-  const PlanContext context{state, soft, settings, std::max(wall_now, state.record().now), now};
+std::vector<Command> Plan(const FleetState& state,
+                          SoftState& soft,
+                          const PlannerSettings& settings,
+                          WallTime wall_now,
+                          SteadyTime now) {
+  const PlanContext context{state, soft, settings,
+                            std::max(wall_now, state.record().now), now};
   std::vector<Command> commands;
   RecordInstanceEvents events = PlanInstanceEvents(context);
   if (!events.items.empty()) {
--- a/libraries/http/caller_message.cc
+++ b/libraries/http/caller_message.cc
@@ -15,7 +15,9 @@
 
 }  // namespace
 
-CallerAnswer MakeErrorAnswer(ResultCode code, std::string_view message, const DecisionId& decision,
+CallerAnswer MakeErrorAnswer(ResultCode code,
+                             std::string_view message,
+                             const DecisionId& decision,
                              Milliseconds retry_after) {
   const ResultInfo& info = InfoFor(code);
   nlohmann::json body = {{"code", static_cast<int>(code)},
@@ -28,19 +30,23 @@
   if (retry_after > Milliseconds(0)) {
     body["retry_after_ms"] = retry_after.count();
   }
-  const auto status = static_cast<std::uint16_t>(info.http_status == 0 ? 500 : info.http_status);
-  return CallerAnswer{status,
-                      code,
-                      decision,
-                      retry_after,
-                      "application/json",
-                      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"};
+  const auto status = static_cast<std::uint16_t>(
+      info.http_status == 0 ? 500 : info.http_status);
+  return CallerAnswer{
+      status,
+      code,
+      decision,
+      retry_after,
+      "application/json",
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+          "\n"};
 }
 
 absl::StatusOr<ServiceTarget> ParseServiceUri(std::string_view uri) {
   if (!uri.starts_with(kServicePrefix)) {
-    return MakeError(ResultCode::kBadRequest,
-                     StrCat("the path must be ", kServicePrefix, "SERVICE/PATH"));
+    return MakeError(
+        ResultCode::kBadRequest,
+        StrCat("the path must be ", kServicePrefix, "SERVICE/PATH"));
   }
   uri.remove_prefix(kServicePrefix.size());
   const std::size_t end = uri.find_first_of("/?");
@@ -58,7 +64,8 @@
 std::string DigestOf(const CallerRequest& request) {
   Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
   const auto add = [&](const std::string& part) {
-    // Each part goes in with its length, so that parts can't run into each other.
+    // Each part goes in with its length, so that parts can't run into each
+    // other.
     engine.update(StrCat(part.size(), ":"));
     engine.update(part);
   };
--- a/libraries/http/caller_message.h
+++ b/libraries/http/caller_message.h
@@ -45,19 +45,21 @@
 inline constexpr Milliseconds kLongestDeadline{3'600'000};
 
 // An answer that carries an error as JSON.
-CallerAnswer MakeErrorAnswer(ResultCode code, std::string_view message, const DecisionId& decision,
+CallerAnswer MakeErrorAnswer(ResultCode code,
+                             std::string_view message,
+                             const DecisionId& decision,
                              Milliseconds retry_after);
 
-// The service and the path below it of a URI /v1/services/NAME/REST?QUERY. The error is
-// kBadRequest.
+// The service and the path below it of a URI /v1/services/NAME/REST?QUERY. The
+// error is kBadRequest.
 struct ServiceTarget {
   ServiceName service;
   std::string target;
 };
 absl::StatusOr<ServiceTarget> ParseServiceUri(std::string_view uri);
 
-// What tells two requests under one idempotency key apart: a SHA-256 over method, service, target
-// and body.
+// What tells two requests under one idempotency key apart: a SHA-256 over
+// method, service, target and body.
 std::string DigestOf(const CallerRequest& request);
 
 }  // namespace sumac::http
--- a/libraries/http/headers.h
+++ b/libraries/http/headers.h
@@ -4,7 +4,8 @@
 
 namespace sumac::http {
 
-// The headers of the callers' and minions' doors; docs/PROTOCOLS.md describes them.
+// The headers of the callers' and minions' doors; docs/PROTOCOLS.md describes
+// them.
 
 // From callers.
 inline constexpr const char* kIdempotencyKeyHeader = "Idempotency-Key";
@@ -19,7 +20,8 @@
 inline constexpr const char* kRetryAfterHeader = "Retry-After";
 inline constexpr const char* kRetryAfterMsHeader = "Sumac-Retry-After-Ms";
 
-// To minions and back: a minion's answer carries the request's own number again.
+// To minions and back: a minion's answer carries the request's own number
+// again.
 inline constexpr const char* kRequestHeader = "Sumac-Request";
 
 // From minions.
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -34,7 +34,8 @@
 // Passes each request to the door's function.
 class FunctionHandler : public Poco::Net::HTTPRequestHandler {
  public:
-  explicit FunctionHandler(const HttpServer::Handler& handler) : handler(handler) {}
+  explicit FunctionHandler(const HttpServer::Handler& handler)
+      : handler(handler) {}
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
@@ -42,7 +43,8 @@
       this->handler(request, response);
     } catch (const Poco::Exception& error) {
       // The peer is gone; nobody is left to answer.
-      LogEvent(LogLevel::kDebug, "connection-lost", {{"detail", error.displayText()}});
+      LogEvent(LogLevel::kDebug, "connection-lost",
+               {{"detail", error.displayText()}});
       response.setKeepAlive(false);
     }
   }
@@ -53,7 +55,8 @@
 
 class FunctionHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
-  explicit FunctionHandlerFactory(HttpServer::Handler handler) : handler(std::move(handler)) {}
+  explicit FunctionHandlerFactory(HttpServer::Handler handler)
+      : handler(std::move(handler)) {}
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest& /*request*/) override {
@@ -66,18 +69,23 @@
 
 }  // namespace
 
-absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::Create(const ServerSettings& settings,
-                                                               Handler handler) {
+absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::Create(
+    const ServerSettings& settings,
+    Handler handler) {
   try {
-    return std::unique_ptr<HttpServer>(new HttpServer(settings, std::move(handler)));
+    return std::unique_ptr<HttpServer>(
+        new HttpServer(settings, std::move(handler)));
   } catch (const Poco::Exception& error) {
     return MakeError(ResultCode::kSettingsInvalid,
-                     StrCat("can't listen on ", settings.address, ": ", error.displayText()));
+                     StrCat("can't listen on ", settings.address, ": ",
+                            error.displayText()));
   }
 }
 
 HttpServer::HttpServer(const ServerSettings& settings, Handler handler)
-    : threads(std::make_unique<Poco::ThreadPool>(2, settings.most_connections + 1)) {
+    : threads(
+          std::make_unique<Poco::ThreadPool>(2,
+                                             settings.most_connections + 1)) {
   this->threads->setStackSize(kThreadStackBytes);
   Poco::Net::ServerSocket socket;
   socket.bind(Poco::Net::SocketAddress(settings.address), true, false);
@@ -91,8 +99,8 @@
   params->setTimeout(ToTimespan(settings.io_time));
   Poco::Net::HTTPRequestHandlerFactory::Ptr factory =
       new FunctionHandlerFactory(std::move(handler));
-  this->server =
-      std::make_unique<Poco::Net::HTTPServer>(factory, *this->threads, socket, params);
+  this->server = std::make_unique<Poco::Net::HTTPServer>(
+      factory, *this->threads, socket, params);
   this->server->start();
 }
 
@@ -109,36 +117,45 @@
   return this->server->currentConnections();
 }
 
-absl::StatusOr<std::string> ReadRequestBody(Poco::Net::HTTPServerRequest& request,
-                                            std::uint64_t most_bytes) {
+absl::StatusOr<std::string> ReadRequestBody(
+    Poco::Net::HTTPServerRequest& request,
+    std::uint64_t most_bytes) {
   if (!request.hasContentLength()) {
     if (request.getChunkedTransferEncoding()) {
-      return MakeError(ResultCode::kBadRequest, "the body must declare a Content-Length");
+      return MakeError(ResultCode::kBadRequest,
+                       "the body must declare a Content-Length");
     }
     return std::string();
   }
   const auto length = static_cast<std::uint64_t>(request.getContentLength64());
   if (length > most_bytes) {
     return MakeError(ResultCode::kBodyTooLarge,
-                     StrCat("the body has ", length, " bytes; ", most_bytes, " are allowed"));
+                     StrCat("the body has ", length, " bytes; ", most_bytes,
+                            " are allowed"));
   }
   std::string body;
   std::array<char, 16 * 1024> buffer{};
   while (body.size() < length) {
-    request.stream().read(buffer.data(), static_cast<std::streamsize>(std::min<std::uint64_t>(
-                                             buffer.size(), length - body.size())));
+    request.stream().read(buffer.data(),
+                          static_cast<std::streamsize>(std::min<std::uint64_t>(
+                              buffer.size(), length - body.size())));
     if (request.stream().gcount() <= 0) {
-      return MakeError(ResultCode::kBadRequest, StrCat("the body ended after ", body.size(),
-                                                       " of ", length, " bytes"));
+      return MakeError(ResultCode::kBadRequest,
+                       StrCat("the body ended after ", body.size(), " of ",
+                              length, " bytes"));
     }
-    body.append(buffer.data(), static_cast<std::size_t>(request.stream().gcount()));
+    body.append(buffer.data(),
+                static_cast<std::size_t>(request.stream().gcount()));
   }
   return body;
 }
 
-void SendAnswer(Poco::Net::HTTPServerResponse& response, int status,
-                const std::string& content_type, const std::string& body) {
-  response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+void SendAnswer(Poco::Net::HTTPServerResponse& response,
+                int status,
+                const std::string& content_type,
+                const std::string& body) {
+  response.setStatusAndReason(
+      static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
   if (!content_type.empty()) {
     response.setContentType(content_type);
   }
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -34,11 +34,14 @@
 // One door: a POCO HTTP server, with a thread for each open connection.
 class HttpServer {
  public:
-  using Handler = std::function<void(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&)>;
+  using Handler = std::function<void(Poco::Net::HTTPServerRequest&,
+                                     Poco::Net::HTTPServerResponse&)>;
 
-  // Binds and starts; the error is kSettingsInvalid when the address can't be bound.
-  static absl::StatusOr<std::unique_ptr<HttpServer>> Create(const ServerSettings& settings,
-                                                            Handler handler);
+  // Binds and starts; the error is kSettingsInvalid when the address can't be
+  // bound.
+  static absl::StatusOr<std::unique_ptr<HttpServer>> Create(
+      const ServerSettings& settings,
+      Handler handler);
 
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
@@ -57,14 +60,17 @@
   std::unique_ptr<Poco::Net::HTTPServer> server;
 };
 
-// Reads a request's body. The error is kBadRequest when the body is cut short or of unknown length,
-// kBodyTooLarge when it is longer than `most_bytes`.
-absl::StatusOr<std::string> ReadRequestBody(Poco::Net::HTTPServerRequest& request,
-                                            std::uint64_t most_bytes);
+// Reads a request's body. The error is kBadRequest when the body is cut short
+// or of unknown length, kBodyTooLarge when it is longer than `most_bytes`.
+absl::StatusOr<std::string> ReadRequestBody(
+    Poco::Net::HTTPServerRequest& request,
+    std::uint64_t most_bytes);
 
 // Sends a whole answer.
-void SendAnswer(Poco::Net::HTTPServerResponse& response, int status,
-                const std::string& content_type, const std::string& body);
+void SendAnswer(Poco::Net::HTTPServerResponse& response,
+                int status,
+                const std::string& content_type,
+                const std::string& body);
 
 }  // namespace sumac::http
 
--- a/libraries/http/metrics.cc
+++ b/libraries/http/metrics.cc
@@ -44,7 +44,9 @@
   const std::lock_guard lock(this->mutex);
   auto found = this->summaries.find(name);
   if (found == this->summaries.end()) {
-    Summary summary(accumulators::tag::extended_p_square_quantile::probabilities = kQuantiles);
+    Summary summary(
+        accumulators::tag::extended_p_square_quantile::probabilities =
+            kQuantiles);
     found = this->summaries.emplace(name, std::move(summary)).first;
   }
   found->second(value);
@@ -76,12 +78,16 @@
   for (const auto& [name, summary] : this->summaries) {
     add_type(name, "summary");
     for (const double quantile : kQuantiles) {
-      StrAppend(&text, WithLabel(name, StrCat("quantile=\"", quantile, "\"")), " ",
-                accumulators::quantile(summary, accumulators::quantile_probability = quantile),
+      StrAppend(&text, WithLabel(name, StrCat("quantile=\"", quantile, "\"")),
+                " ",
+                accumulators::quantile(
+                    summary, accumulators::quantile_probability = quantile),
                 "\n");
     }
-    StrAppend(&text, WithSuffix(name, "_sum"), " ", accumulators::sum(summary), "\n");
-    StrAppend(&text, WithSuffix(name, "_count"), " ", accumulators::count(summary), "\n");
+    StrAppend(&text, WithSuffix(name, "_sum"), " ", accumulators::sum(summary),
+              "\n");
+    StrAppend(&text, WithSuffix(name, "_count"), " ",
+              accumulators::count(summary), "\n");
   }
   return text;
 }
--- a/libraries/http/metrics.h
+++ b/libraries/http/metrics.h
@@ -20,8 +20,9 @@
 
 namespace sumac::http {
 
-// Counters, gauges and summaries of one process, given out in the Prometheus text format. Names
-// may carry labels: name{label="value"}. Safe to use from many threads.
+// Counters, gauges and summaries of one process, given out in the Prometheus
+// text format. Names may carry labels: name{label="value"}. Safe to use from
+// many threads.
 class Metrics {
  public:
   Metrics() = default;
@@ -41,9 +42,11 @@
  private:
   using Summary = boost::accumulators::accumulator_set<
       double,
-      boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
-                                 boost::accumulators::tag::max,
-                                 boost::accumulators::tag::extended_p_square_quantile>>;
+      boost::accumulators::stats<
+          boost::accumulators::tag::count,
+          boost::accumulators::tag::sum,
+          boost::accumulators::tag::max,
+          boost::accumulators::tag::extended_p_square_quantile>>;
 
   mutable std::mutex mutex;
   std::map<std::string, std::uint64_t> counters;
--- a/libraries/http/minion_client.cc
+++ b/libraries/http/minion_client.cc
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/http/minion_client.h"
 
-
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -25,8 +24,10 @@
 }
 
 // Reads the body, which must have the length that the minion declared.
-absl::StatusOr<std::string> ReadBody(MinionSession& session, std::istream& stream,
-                                     std::uint64_t length, SteadyTime deadline) {
+absl::StatusOr<std::string> ReadBody(MinionSession& session,
+                                     std::istream& stream,
+                                     std::uint64_t length,
+                                     SteadyTime deadline) {
   std::string body;
   std::array<char, 16 * 1024> buffer{};
   while (body.size() < length) {
@@ -35,19 +36,23 @@
       return absl::DeadlineExceededError("the deadline passed within the body");
     }
     session.SetWait(deadline - now);
-    stream.read(buffer.data(), static_cast<std::streamsize>(
-                                   std::min<std::uint64_t>(buffer.size(), length - body.size())));
+    stream.read(buffer.data(),
+                static_cast<std::streamsize>(std::min<std::uint64_t>(
+                    buffer.size(), length - body.size())));
     if (stream.gcount() <= 0) {
-      return absl::DataLossError(StrCat("the body ended after ", body.size(), " of ", length,
-                                        " bytes"));
+      return absl::DataLossError(StrCat("the body ended after ", body.size(),
+                                        " of ", length, " bytes"));
     }
     body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
   }
   return body;
 }
 
-void WriteRequest(MinionSession& session, const MinionRequest& request, SteadyTime deadline) {
-  Poco::Net::HTTPRequest head(request.method, request.target, Poco::Net::HTTPMessage::HTTP_1_1);
+void WriteRequest(MinionSession& session,
+                  const MinionRequest& request,
+                  SteadyTime deadline) {
+  Poco::Net::HTTPRequest head(request.method, request.target,
+                              Poco::Net::HTTPMessage::HTTP_1_1);
   head.setKeepAlive(true);
   head.set(kRequestHeader, request.number);
   head.set("Sumac-Service", request.service);
@@ -57,7 +62,8 @@
   }
   head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
   std::ostream& stream = session.sendRequest(head);
-  stream.write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
+  stream.write(request.body.data(),
+               static_cast<std::streamsize>(request.body.size()));
   stream.flush();
 }
 
@@ -78,7 +84,8 @@
 
 }  // namespace
 
-MinionClient::Connection MinionClient::Connect(const std::string& address, bool fresh,
+MinionClient::Connection MinionClient::Connect(const std::string& address,
+                                               bool fresh,
                                                SteadyTime deadline) {
   if (!fresh) {
     const std::lock_guard lock(this->mutex);
@@ -92,7 +99,8 @@
     }
   }
   try {
-    auto connection = std::make_unique<MinionSession>(Poco::Net::SocketAddress(address));
+    auto connection =
+        std::make_unique<MinionSession>(Poco::Net::SocketAddress(address));
     connection->SetWait(deadline - Now());
     connection->Connect();
     return connection;
@@ -109,8 +117,10 @@
   }
 }
 
-TryResult MinionClient::Exchange(const std::string& address, Connection connection,
-                                 const MinionRequest& request, std::uint32_t most_body_bytes,
+TryResult MinionClient::Exchange(const std::string& address,
+                                 Connection connection,
+                                 const MinionRequest& request,
+                                 std::uint32_t most_body_bytes,
                                  SteadyTime deadline) {
   TryResult result;
   connection->StartRequest();
@@ -124,22 +134,25 @@
       return Broken(std::move(result), "the answer belongs to another request");
     }
     if (head.has(kNotRunHeader)) {
-      result.outcome = result.is_leaving ? TryOutcome::kLeaving : TryOutcome::kDeclined;
+      result.outcome =
+          result.is_leaving ? TryOutcome::kLeaving : TryOutcome::kDeclined;
       result.is_not_run = true;
       result.detail = head.get(kNotRunHeader);
       return result;
     }
-    // A chunked body that is cut off looks like a whole one through the library, so answers must
-    // declare their length.
+    // A chunked body that is cut off looks like a whole one through the
+    // library, so answers must declare their length.
     if (!head.hasContentLength()) {
       return Broken(std::move(result), "the answer declares no length");
     }
     const auto length = static_cast<std::uint64_t>(head.getContentLength64());
     if (length > most_body_bytes) {
-      return Broken(std::move(result), StrCat("the answer has ", length, " bytes of ",
-                                              most_body_bytes, " allowed"));
+      return Broken(std::move(result),
+                    StrCat("the answer has ", length, " bytes of ",
+                           most_body_bytes, " allowed"));
     }
-    absl::StatusOr<std::string> body = ReadBody(*connection, stream, length, deadline);
+    absl::StatusOr<std::string> body =
+        ReadBody(*connection, stream, length, deadline);
     if (!body.ok()) {
       result = Broken(std::move(result), std::string(body.status().message()));
       if (absl::IsDeadlineExceeded(body.status())) {
--- a/libraries/http/minion_client.h
+++ b/libraries/http/minion_client.h
@@ -38,7 +38,8 @@
 // How one try went.
 struct TryResult {
   routing::TryOutcome outcome = routing::TryOutcome::kBroken;
-  // True if the request certainly did not run: nothing was sent, or the minion said so.
+  // True if the request certainly did not run: nothing was sent, or the minion
+  // said so.
   bool is_not_run = false;
   // Set for kAnswered.
   MinionAnswer answer;
@@ -50,21 +51,27 @@
   std::string detail;
 };
 
-// Sends requests to minions over kept connections. One request is in flight on a connection at a
-// time, and a connection on which anything went wrong is closed and never used again. Safe to use
-// from many threads.
+// Sends requests to minions over kept connections. One request is in flight on
+// a connection at a time, and a connection on which anything went wrong is
+// closed and never used again. Safe to use from many threads.
 class MinionClient {
  public:
   // A connection that is open and in nobody else's hands.
   using Connection = std::unique_ptr<MinionSession>;
 
-  // Takes a kept connection that is still good, or opens one; nothing if the minion can't be
-  // reached in time. With `fresh` a kept one is never taken: the minion may be closing it just now.
-  Connection Connect(const std::string& address, bool fresh, SteadyTime deadline);
+  // Takes a kept connection that is still good, or opens one; nothing if the
+  // minion can't be reached in time. With `fresh` a kept one is never taken:
+  // the minion may be closing it just now.
+  Connection Connect(const std::string& address,
+                     bool fresh,
+                     SteadyTime deadline);
 
-  // Sends the request and waits for the whole answer, which may have `most_body_bytes`.
-  TryResult Exchange(const std::string& address, Connection connection,
-                     const MinionRequest& request, std::uint32_t most_body_bytes,
+  // Sends the request and waits for the whole answer, which may have
+  // `most_body_bytes`.
+  TryResult Exchange(const std::string& address,
+                     Connection connection,
+                     const MinionRequest& request,
+                     std::uint32_t most_body_bytes,
                      SteadyTime deadline);
 
  private:
--- a/libraries/http/minion_session.cc
+++ b/libraries/http/minion_session.cc
@@ -12,7 +12,8 @@
 
 Poco::Timespan ToTimespan(Milliseconds wait) {
   constexpr std::int64_t kMicrosecondsPerMillisecond = 1'000;
-  return Poco::Timespan(std::max<std::int64_t>(wait.count(), 1) * kMicrosecondsPerMillisecond);
+  return Poco::Timespan(std::max<std::int64_t>(wait.count(), 1) *
+                        kMicrosecondsPerMillisecond);
 }
 
 }  // namespace
@@ -20,8 +21,8 @@
 MinionSession::MinionSession(const Poco::Net::SocketAddress& address)
     : Poco::Net::HTTPClientSession(address) {
   this->setKeepAlive(true);
-  // NOTE: POCO would close and reopen a connection that was idle this long; IsUsable decides that
-  // here.
+  // NOTE: POCO would close and reopen a connection that was idle this long;
+  // IsUsable decides that here.
   this->setKeepAliveTimeout(Poco::Timespan(365, 0, 0, 0, 0));
 }
 
@@ -54,7 +55,8 @@
 
 int MinionSession::write(const char* buffer, std::streamsize length) {
   if (!this->connected()) {
-    throw Poco::Net::ConnectionResetException("the minion's connection is closed");
+    throw Poco::Net::ConnectionResetException(
+        "the minion's connection is closed");
   }
   this->has_sent = true;
   return HTTPSession::write(buffer, length);
--- a/libraries/http/minion_session.h
+++ b/libraries/http/minion_session.h
@@ -9,9 +9,10 @@
 
 namespace sumac::http {
 
-// One connection to a minion that knows whether any byte of a request has left. POCO's own session
-// connects anew and writes again by itself when a kept connection turns out to be closed; for a
-// request that must not run twice that is wrong, so this one never does.
+// One connection to a minion that knows whether any byte of a request has left.
+// POCO's own session connects anew and writes again by itself when a kept
+// connection turns out to be closed; for a request that must not run twice that
+// is wrong, so this one never does.
 class MinionSession : public Poco::Net::HTTPClientSession {
  public:
   explicit MinionSession(const Poco::Net::SocketAddress& address);
@@ -19,8 +20,8 @@
   // Opens the connection now; throws Poco::Exception.
   void Connect();
 
-  // True if a kept connection can be used: open, and the minion has neither closed it nor sent
-  // anything unasked.
+  // True if a kept connection can be used: open, and the minion has neither
+  // closed it nor sent anything unasked.
   bool IsUsable();
 
   // Forgets what was written before; called before each request.
--- a/libraries/http/platform_client.cc
+++ b/libraries/http/platform_client.cc
@@ -33,16 +33,20 @@
 
 }  // namespace
 
-absl::StatusOr<fleet::RecordPlatformReport> PlatformClient::Tell(const fleet::PlatformStep& step) {
+absl::StatusOr<fleet::RecordPlatformReport> PlatformClient::Tell(
+    const fleet::PlatformStep& step) {
   const nlohmann::json body = {{"operation", step.operation.value()},
                                {"instance", step.instance.value()},
                                {"kind", NameOf(step.kind)}};
   std::string text;
   try {
-    Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(this->address)};
-    const Poco::Timespan wait(this->timeout.count() * kMicrosecondsPerMillisecond);
+    Poco::Net::HTTPClientSession session{
+        Poco::Net::SocketAddress(this->address)};
+    const Poco::Timespan wait(this->timeout.count() *
+                              kMicrosecondsPerMillisecond);
     session.setTimeout(wait, wait, wait);
-    Poco::Net::HTTPRequest request("POST", "/v1/operations", Poco::Net::HTTPMessage::HTTP_1_1);
+    Poco::Net::HTTPRequest request("POST", "/v1/operations",
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
     const std::string sent = body.dump();
     request.setContentType("application/json");
     request.setContentLength64(static_cast<Poco::Int64>(sent.size()));
@@ -51,15 +55,19 @@
     Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
     if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
       return MakeError(ResultCode::kUnreachable,
-                       StrCat("the platform answered ", static_cast<int>(response.getStatus())));
+                       StrCat("the platform answered ",
+                              static_cast<int>(response.getStatus())));
     }
   } catch (const Poco::Exception& error) {
-    return MakeError(ResultCode::kUnreachable, StrCat("platform: ", error.displayText()));
+    return MakeError(ResultCode::kUnreachable,
+                     StrCat("platform: ", error.displayText()));
   }
-  const nlohmann::json json = TRY(ParseJson(text, "platform", ResultCode::kMalformedMessage));
-  const auto answer = TRY(FromJson<PlatformAnswer>(json, "platform", UnknownKeys::kIgnore));
-  return fleet::RecordPlatformReport{step.instance, step.operation, answer.progress,
-                                     answer.detail};
+  const nlohmann::json json =
+      TRY(ParseJson(text, "platform", ResultCode::kMalformedMessage));
+  const auto answer =
+      TRY(FromJson<PlatformAnswer>(json, "platform", UnknownKeys::kIgnore));
+  return fleet::RecordPlatformReport{step.instance, step.operation,
+                                     answer.progress, answer.detail};
 }
 
 }  // namespace sumac::http
--- a/libraries/http/platform_client.h
+++ b/libraries/http/platform_client.h
@@ -11,11 +11,14 @@
 
 namespace sumac::http {
 
-// Something that carries out operations on instances. Telling it the same operation again does
-// nothing twice, since the id is the same; each telling answers how far it is.
+// Something that carries out operations on instances. Telling it the same
+// operation again does nothing twice, since the id is the same; each telling
+// answers how far it is.
 template <typename T>
 concept Platform = requires(T& platform, const fleet::PlatformStep& step) {
-  { platform.Tell(step) } -> std::same_as<absl::StatusOr<fleet::RecordPlatformReport>>;
+  {
+    platform.Tell(step)
+    } -> std::same_as<absl::StatusOr<fleet::RecordPlatformReport>>;
 };
 
 // The platform's HTTP door, as docs/PROTOCOLS.md describes it.
@@ -25,8 +28,10 @@
   PlatformClient(std::string address, Milliseconds timeout)
       : address(std::move(address)), timeout(timeout) {}
 
-  // Tells one operation; blocks. The error is kUnreachable or kMalformedMessage.
-  absl::StatusOr<fleet::RecordPlatformReport> Tell(const fleet::PlatformStep& step);
+  // Tells one operation; blocks. The error is kUnreachable or
+  // kMalformedMessage.
+  absl::StatusOr<fleet::RecordPlatformReport> Tell(
+      const fleet::PlatformStep& step);
 
  private:
   std::string address;
--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -409,7 +409,8 @@
                           request.entries.size());
   this->AppendFollowerEntries(std::move(request.entries));
   this->AdvanceCommit(std::min(request.commit_index, last_new));
-  // A leader's commit index covers all that went before only once it lies in its own term.
+  // A leader's commit index covers all that went before only once it lies in
+  // its own term.
   if (request.is_under_lease && this->committed_index >= request.commit_index &&
       this->log.TermAt(this->committed_index) == this->hard_state.term) {
     this->is_state_verified = true;
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -78,8 +78,9 @@
   // is complete.
   bool is_ready_to_lead() const;
 
-  // True once this replica, since it started, has known all that was committed at some moment since
-  // then. A copy read from disk alone may be older than what is in force.
+  // True once this replica, since it started, has known all that was committed
+  // at some moment since then. A copy read from disk alone may be older than
+  // what is in force.
   bool has_verified_state() const { return this->is_state_verified; }
 
   Role role() const { return this->current_role; }
--- a/libraries/replication/types.h
+++ b/libraries/replication/types.h
@@ -106,7 +106,8 @@
   Term previous_term;
   LogIndex commit_index;
   std::vector<Entry> entries;
-  // True if the sender held its lease when it sent this: commit_index then was the latest.
+  // True if the sender held its lease when it sent this: commit_index then was
+  // the latest.
   bool is_under_lease = false;
   // The leader's own steady time when it sent this; the answer carries it back,
   // and the leader's lease counts from it.
--- a/libraries/routing/decision_ring.cc
+++ b/libraries/routing/decision_ring.cc
@@ -7,12 +7,14 @@
 
 namespace sumac::routing {
 
-DecisionRing::DecisionRing(ProcessName process, std::uint64_t start, std::size_t most)
+DecisionRing::DecisionRing(ProcessName process,
+                           std::uint64_t start,
+                           std::size_t most)
     : process(std::move(process)), start(start), most(most) {}
 
 const fleet::Decision& DecisionRing::Add(fleet::Decision decision) {
-  decision.id =
-      DecisionId(StrCat(this->process.value(), ".", this->start, "-", this->next_number++));
+  decision.id = DecisionId(StrCat(this->process.value(), ".", this->start, "-",
+                                  this->next_number++));
   if (this->decisions.size() >= this->most) {
     this->decisions.pop_front();
   }
--- a/libraries/routing/decision_ring.h
+++ b/libraries/routing/decision_ring.h
@@ -16,8 +16,9 @@
 // The latest routing decisions of one entry, bounded in number.
 class DecisionRing {
  public:
-  // `process` and `start` go into the ids, PROCESS.START-NUMBER, so that any process can tell where
-  // to ask and an id is never used again after a restart.
+  // `process` and `start` go into the ids, PROCESS.START-NUMBER, so that any
+  // process can tell where to ask and an id is never used again after a
+  // restart.
   DecisionRing(ProcessName process, std::uint64_t start, std::size_t most);
 
   // Keeps a decision, gives it its id, and returns it.
@@ -27,10 +28,12 @@
   std::optional<fleet::Decision> Find(const DecisionId& id) const;
 
   // The decisions about a subject, newest first, at most `most`.
-  std::vector<fleet::Decision> FindAbout(fleet::SubjectKind kind, std::string_view subject,
+  std::vector<fleet::Decision> FindAbout(fleet::SubjectKind kind,
+                                         std::string_view subject,
                                          std::size_t most) const;
 
-  // The process named in a routing decision's id, or nothing when it is not one.
+  // The process named in a routing decision's id, or nothing when it is not
+  // one.
   static std::optional<ProcessName> ProcessOf(const DecisionId& id);
 
  private:
--- a/libraries/routing/minion_health.cc
+++ b/libraries/routing/minion_health.cc
@@ -7,13 +7,15 @@
 namespace {
 
 bool IsFailure(TryOutcome outcome) {
-  return outcome == TryOutcome::kUnreachable || outcome == TryOutcome::kBroken ||
-         outcome == TryOutcome::kTimedOut;
+  return outcome == TryOutcome::kUnreachable ||
+         outcome == TryOutcome::kBroken || outcome == TryOutcome::kTimedOut;
 }
 
 }  // namespace
 
-void MinionHealth::Note(TryOutcome outcome, const HealthSettings& settings, SteadyTime now) {
+void MinionHealth::Note(TryOutcome outcome,
+                        const HealthSettings& settings,
+                        SteadyTime now) {
   if (outcome == TryOutcome::kLeaving) {
     this->has_said_leaving = true;
     return;
@@ -34,10 +36,12 @@
   }
   ++this->failures_in_row;
   // One failure is enough on probation.
-  if (this->failures_in_row < settings.failures_until_aside && !this->is_on_probation()) {
+  if (this->failures_in_row < settings.failures_until_aside &&
+      !this->is_on_probation()) {
     return;
   }
-  const std::uint32_t doublings = std::min(this->times_aside, std::uint32_t{10});
+  const std::uint32_t doublings =
+      std::min(this->times_aside, std::uint32_t{10});
   const Milliseconds wanted = settings.first_time_aside * (1U << doublings);
   this->aside_until = now + std::min(wanted, settings.longest_time_aside);
   ++this->times_aside;
--- a/libraries/routing/minion_health.h
+++ b/libraries/routing/minion_health.h
@@ -32,9 +32,11 @@
   // The first time aside; it doubles each time in a row up to the longest.
   Milliseconds first_time_aside{1'000};
   Milliseconds longest_time_aside{30'000};
-  // A minion that declined gets nothing for this long, unless no other can take it.
+  // A minion that declined gets nothing for this long, unless no other can take
+  // it.
   Milliseconds pause_after_decline{5};
-  // After its time aside a minion gets one request at a time until this many went well.
+  // After its time aside a minion gets one request at a time until this many
+  // went well.
   std::uint32_t successes_until_trusted = 5;
 };
 
--- a/libraries/routing/minion_set.cc
+++ b/libraries/routing/minion_set.cc
@@ -16,8 +16,10 @@
 constexpr std::size_t kMostPassedOver = 4;
 
 std::uint32_t ShareOf(std::uint32_t slots, const SharingSettings& settings) {
-  const double even = static_cast<double>(slots) / std::max(settings.entries, 1U);
-  const auto share = static_cast<std::uint32_t>(std::ceil(even * settings.slot_overcommit));
+  const double even =
+      static_cast<double>(slots) / std::max(settings.entries, 1U);
+  const auto share =
+      static_cast<std::uint32_t>(std::ceil(even * settings.slot_overcommit));
   return std::clamp(share, 1U, std::max(slots, 1U));
 }
 
@@ -52,7 +54,8 @@
          !minion.health.IsAside(now);
 }
 
-std::string MinionSet::WhyNot(const Minion& minion, const std::set<InstanceName>& excluded,
+std::string MinionSet::WhyNot(const Minion& minion,
+                              const std::set<InstanceName>& excluded,
                               SteadyTime now) const {
   if (!minion.routed.can_take_work) {
     return "it is leaving, silent or set aside by the controllers";
@@ -69,13 +72,14 @@
   if (minion.health.IsPaused(now)) {
     return "it has just declined a request";
   }
-  const bool is_trial_taken = minion.health.is_on_probation() && minion.in_flight > 0;
+  const bool is_trial_taken =
+      minion.health.is_on_probation() && minion.in_flight > 0;
   if (is_trial_taken) {
     return "it comes back slowly, one request at a time";
   }
   if (minion.in_flight >= minion.most_in_flight) {
-    return StrCat("it has ", minion.in_flight, " requests of ", minion.most_in_flight,
-                  " that this entry may have there");
+    return StrCat("it has ", minion.in_flight, " requests of ",
+                  minion.most_in_flight, " that this entry may have there");
   }
   return "";
 }
@@ -83,28 +87,35 @@
 double MinionSet::LoadOf(const Minion& minion, SteadyTime now) const {
   const bool is_fresh = now - minion.reported_at < kReportedLoadLife;
   const std::uint32_t load =
-      is_fresh ? std::max(minion.in_flight, minion.reported_load) : minion.in_flight;
+      is_fresh ? std::max(minion.in_flight, minion.reported_load)
+               : minion.in_flight;
   return static_cast<double>(load) / std::max(minion.routed.slots, 1U);
 }
 
 std::optional<InstanceName> MinionSet::ChooseFrom(
-    const std::vector<InstanceName>& names, const std::set<InstanceName>& excluded, SteadyTime now,
-    std::mt19937_64& random, std::vector<fleet::Alternative>& passed_over) const {
+    const std::vector<InstanceName>& names,
+    const std::set<InstanceName>& excluded,
+    SteadyTime now,
+    std::mt19937_64& random,
+    std::vector<fleet::Alternative>& passed_over) const {
   if (names.empty()) {
     return std::nullopt;
   }
   const auto note = [&](const Minion& minion, std::string why) {
     if (passed_over.size() < kMostPassedOver) {
-      passed_over.push_back(fleet::Alternative{minion.routed.name.value(), std::move(why)});
+      passed_over.push_back(
+          fleet::Alternative{minion.routed.name.value(), std::move(why)});
     }
   };
   std::uniform_int_distribution<std::size_t> position(0, names.size() - 1);
   const Minion* best = nullptr;
-  // Two random looks first; when neither can take it, the rest in turn from a random place.
+  // Two random looks first; when neither can take it, the rest in turn from a
+  // random place.
   const std::size_t start = position(random);
   const std::size_t second = position(random);
   for (std::size_t step = 0; step <= names.size(); ++step) {
-    const std::size_t index = step == 1 ? second : (start + step) % names.size();
+    const std::size_t index =
+        step == 1 ? second : (start + step) % names.size();
     const Minion& minion = this->minions.at(names[index]);
     if (&minion == best) {
       continue;
@@ -115,10 +126,12 @@
     } else if (best == nullptr) {
       best = &minion;
     } else if (this->LoadOf(minion, now) < this->LoadOf(*best, now)) {
-      note(*best, StrCat("load ", this->LoadOf(*best, now), " of its slots is higher"));
+      note(*best, StrCat("load ", this->LoadOf(*best, now),
+                         " of its slots is higher"));
       best = &minion;
     } else {
-      note(minion, StrCat("load ", this->LoadOf(minion, now), " of its slots is not lower"));
+      note(minion, StrCat("load ", this->LoadOf(minion, now),
+                          " of its slots is not lower"));
     }
     if (best != nullptr && step >= 1) {
       break;
@@ -128,17 +141,20 @@
 }
 
 std::optional<Choice> MinionSet::Choose(const ServiceName& service,
-                                        const std::set<InstanceName>& excluded, SteadyTime now,
+                                        const std::set<InstanceName>& excluded,
+                                        SteadyTime now,
                                         std::mt19937_64& random) {
   const auto candidates = this->services.find(service);
   if (candidates == this->services.end()) {
     return std::nullopt;
   }
   Choice choice{.rule = "least-loaded-of-two-near"};
-  auto name = this->ChooseFrom(candidates->second.near, excluded, now, random, choice.passed_over);
+  auto name = this->ChooseFrom(candidates->second.near, excluded, now, random,
+                               choice.passed_over);
   if (!name) {
     choice.rule = "least-loaded-of-two-far";
-    name = this->ChooseFrom(candidates->second.far, excluded, now, random, choice.passed_over);
+    name = this->ChooseFrom(candidates->second.far, excluded, now, random,
+                            choice.passed_over);
   }
   if (!name) {
     return std::nullopt;
@@ -151,22 +167,27 @@
 }
 
 NoChoice MinionSet::ExplainNoChoice(const ServiceName& service,
-                                    const std::set<InstanceName>& excluded, SteadyTime now) const {
+                                    const std::set<InstanceName>& excluded,
+                                    SteadyTime now) const {
   const auto candidates = this->services.find(service);
   if (candidates == this->services.end()) {
     return NoChoice::kNoneUsable;
   }
   const auto is_usable = [&](const InstanceName& name) {
-    return !excluded.contains(name) && this->IsUsable(this->minions.at(name), now);
+    return !excluded.contains(name) &&
+           this->IsUsable(this->minions.at(name), now);
   };
   const Candidates& all = candidates->second;
-  const bool has_usable = std::any_of(all.near.begin(), all.near.end(), is_usable) ||
-                          std::any_of(all.far.begin(), all.far.end(), is_usable);
+  const bool has_usable =
+      std::any_of(all.near.begin(), all.near.end(), is_usable) ||
+      std::any_of(all.far.begin(), all.far.end(), is_usable);
   return has_usable ? NoChoice::kAllBusy : NoChoice::kNoneUsable;
 }
 
-void MinionSet::Finish(const InstanceName& name, TryOutcome outcome,
-                       std::optional<std::uint32_t> reported_load, SteadyTime now) {
+void MinionSet::Finish(const InstanceName& name,
+                       TryOutcome outcome,
+                       std::optional<std::uint32_t> reported_load,
+                       SteadyTime now) {
   const auto found = this->minions.find(name);
   if (found == this->minions.end()) {
     return;
@@ -200,8 +221,9 @@
 }
 
 std::size_t MinionSet::CountAside(SteadyTime now) const {
-  return std::count_if(this->minions.begin(), this->minions.end(),
-                       [&](const auto& item) { return item.second.health.IsAside(now); });
+  return std::count_if(
+      this->minions.begin(), this->minions.end(),
+      [&](const auto& item) { return item.second.health.IsAside(now); });
 }
 
 }  // namespace sumac::routing
--- a/libraries/routing/minion_set.h
+++ b/libraries/routing/minion_set.h
@@ -24,11 +24,12 @@
   DataCentre data_centre;
   // How many entries there are.
   std::uint32_t entries = 1;
-  // Each entry may fill this many times its even share of a minion's slots. More leaves fewer slots
-  // idle when load is uneven and costs declined tries when it is not.
+  // Each entry may fill this many times its even share of a minion's slots.
+  // More leaves fewer slots idle when load is uneven and costs declined tries
+  // when it is not.
   double slot_overcommit = 2;
-  // At most this share of a service's minions may be set aside at once; beyond it the ones longest
-  // aside are used all the same.
+  // At most this share of a service's minions may be set aside at once; beyond
+  // it the ones longest aside are used all the same.
   double most_aside_share = 0.5;
   HealthSettings health;
 };
@@ -49,27 +50,36 @@
   kAllBusy,
 };
 
-// The minions that an entry routes to, with what it has seen of each itself. Choosing looks at two
-// random minions of a service (Mitzenmacher, "The Power of Two Choices", 2001), whatever the size
-// of the fleet.
+// The minions that an entry routes to, with what it has seen of each itself.
+// Choosing looks at two random minions of a service (Mitzenmacher, "The Power
+// of Two Choices", 2001), whatever the size of the fleet.
 class MinionSet {
  public:
-  explicit MinionSet(SharingSettings settings) : settings(std::move(settings)) {}
+  explicit MinionSet(SharingSettings settings)
+      : settings(std::move(settings)) {}
 
-  // Takes in a newer view. What was seen of a minion stays unless it has started anew.
+  // Takes in a newer view. What was seen of a minion stays unless it has
+  // started anew.
   void Update(const fleet::View& view);
 
-  // Chooses a minion for `service`, not one of `excluded`, and counts the request as in flight there.
-  std::optional<Choice> Choose(const ServiceName& service, const std::set<InstanceName>& excluded,
-                               SteadyTime now, std::mt19937_64& random);
+  // Chooses a minion for `service`, not one of `excluded`, and counts the
+  // request as in flight there.
+  std::optional<Choice> Choose(const ServiceName& service,
+                               const std::set<InstanceName>& excluded,
+                               SteadyTime now,
+                               std::mt19937_64& random);
 
   // Why Choose would give nothing.
-  NoChoice ExplainNoChoice(const ServiceName& service, const std::set<InstanceName>& excluded,
+  NoChoice ExplainNoChoice(const ServiceName& service,
+                           const std::set<InstanceName>& excluded,
                            SteadyTime now) const;
 
-  // The request is no longer in flight at `minion`; `reported_load` is what the minion said.
-  void Finish(const InstanceName& minion, TryOutcome outcome,
-              std::optional<std::uint32_t> reported_load, SteadyTime now);
+  // The request is no longer in flight at `minion`; `reported_load` is what the
+  // minion said.
+  void Finish(const InstanceName& minion,
+              TryOutcome outcome,
+              std::optional<std::uint32_t> reported_load,
+              SteadyTime now);
 
   // Notes the minion's own word, by a probe or an answer, that it is leaving.
   void NoteLeaving(const InstanceName& minion, SteadyTime now);
@@ -99,12 +109,15 @@
   };
 
   bool IsUsable(const Minion& minion, SteadyTime now) const;
-  std::string WhyNot(const Minion& minion, const std::set<InstanceName>& excluded,
+  std::string WhyNot(const Minion& minion,
+                     const std::set<InstanceName>& excluded,
                      SteadyTime now) const;
-  std::optional<InstanceName> ChooseFrom(const std::vector<InstanceName>& names,
-                                         const std::set<InstanceName>& excluded, SteadyTime now,
-                                         std::mt19937_64& random,
-                                         std::vector<fleet::Alternative>& passed_over) const;
+  std::optional<InstanceName> ChooseFrom(
+      const std::vector<InstanceName>& names,
+      const std::set<InstanceName>& excluded,
+      SteadyTime now,
+      std::mt19937_64& random,
+      std::vector<fleet::Alternative>& passed_over) const;
   double LoadOf(const Minion& minion, SteadyTime now) const;
 
   SharingSettings settings;
--- a/libraries/routing/retry_budget.h
+++ b/libraries/routing/retry_budget.h
@@ -4,7 +4,8 @@
 
 namespace sumac::routing {
 
-// Keeps retries to a share of first tries, so that a broken service is not made worse by them.
+// Keeps retries to a share of first tries, so that a broken service is not made
+// worse by them.
 class RetryBudget {
  public:
   // Counts a first try, which earns `share` of a retry.
@@ -16,7 +17,8 @@
  private:
   double saved = kFirstSavings;
 
-  // Lets a service that has just begun retry a few times, and bounds what a quiet one saves up.
+  // Lets a service that has just begun retry a few times, and bounds what a
+  // quiet one saves up.
   static constexpr double kFirstSavings = 10;
   static constexpr double kMostSavings = 100;
 };
--- a/libraries/routing/router.h
+++ b/libraries/routing/router.h
@@ -27,7 +27,8 @@
 // What routing needs to know of a request.
 struct RequestInfo {
   RequestNumber number = 0;
-  // The name under which operators ask about it: the idempotency key, or one that the entry made.
+  // The name under which operators ask about it: the idempotency key, or one
+  // that the entry made.
   std::string label;
   ServiceName service;
   CallerName caller;
@@ -66,13 +67,14 @@
   kFailed,
 };
 
-// The routing core of one entry: who may send what to which minion now. It does no I/O; the caller
-// holds a lock round it.
+// The routing core of one entry: who may send what to which minion now. It does
+// no I/O; the caller holds a lock round it.
 class Router {
  public:
   Router(SharingSettings sharing, DecisionRing ring, std::uint64_t seed);
 
-  // Takes in a view unless it is not newer than the one in force; tells whether it was taken.
+  // Takes in a view unless it is not newer than the one in force; tells whether
+  // it was taken.
   bool Update(const fleet::View& view);
   const fleet::View& view() const { return this->present; }
 
@@ -80,25 +82,35 @@
   const fleet::Service* FindService(const ServiceName& service) const;
 
   // Admits a request: it goes to a minion, waits in line or is refused at once.
-  RouteResult Admit(const RequestInfo& request, SteadyTime now, WallTime wall_now);
-
-  // After a try that did not run, or a failed try of a repeatable request: another minion, or the
-  // end. `tried` holds the minions tried so far. Only a failed try costs retry budget.
-  RouteResult Retry(const RequestInfo& request, const std::set<InstanceName>& tried,
-                    RetryReason reason, SteadyTime now, WallTime wall_now);
+  RouteResult Admit(const RequestInfo& request,
+                    SteadyTime now,
+                    WallTime wall_now);
+
+  // After a try that did not run, or a failed try of a repeatable request:
+  // another minion, or the end. `tried` holds the minions tried so far. Only a
+  // failed try costs retry budget.
+  RouteResult Retry(const RequestInfo& request,
+                    const std::set<InstanceName>& tried,
+                    RetryReason reason,
+                    SteadyTime now,
+                    WallTime wall_now);
 
   // A try is over; frees its slot.
-  void FinishTry(const InstanceName& minion, TryOutcome outcome,
-                 std::optional<std::uint32_t> reported_load, SteadyTime now);
+  void FinishTry(const InstanceName& minion,
+                 TryOutcome outcome,
+                 std::optional<std::uint32_t> reported_load,
+                 SteadyTime now);
 
   // The request is over, however it ended.
   void FinishRequest(const RequestInfo& request);
 
-  // Waiting requests that may go now, each with its minion. Called after slots were freed.
-  std::vector<std::pair<RequestNumber, SendTo>> TakeReady(SteadyTime now, WallTime wall_now);
+  // Waiting requests that may go now, each with its minion. Called after slots
+  // were freed.
+  std::vector<std::pair<RequestNumber, SendTo>> TakeReady(SteadyTime now,
+                                                          WallTime wall_now);
 
-  // A waiting request gives up because its deadline has passed or its caller left; false if it was
-  // not waiting any more.
+  // A waiting request gives up because its deadline has passed or its caller
+  // left; false if it was not waiting any more.
   bool StopWaiting(RequestNumber request);
 
   // The refusal for a request whose deadline passed while it waited.
@@ -108,7 +120,9 @@
   const DecisionRing& decisions() const { return this->ring; }
 
   // Decisions taken since the last call, for the log.
-  std::vector<fleet::Decision> TakeNewDecisions() { return std::exchange(this->unlogged, {}); }
+  std::vector<fleet::Decision> TakeNewDecisions() {
+    return std::exchange(this->unlogged, {});
+  }
 
   std::size_t CountWaiting() const { return this->waiting_requests.size(); }
   std::size_t CountOpen() const { return this->open; }
@@ -125,12 +139,21 @@
     std::set<InstanceName> tried;
   };
 
-  std::optional<SendTo> TrySend(const RequestInfo& request, const std::set<InstanceName>& tried,
-                                SteadyTime now, WallTime wall_now);
-  RouteResult WaitOrRefuse(const RequestInfo& request, const std::set<InstanceName>& tried,
-                           const fleet::Service& service, SteadyTime now, WallTime wall_now);
-  Refuse MakeRefusal(const RequestInfo& request, ResultCode code, std::string rule,
-                     std::string sentence, Milliseconds retry_after, WallTime wall_now);
+  std::optional<SendTo> TrySend(const RequestInfo& request,
+                                const std::set<InstanceName>& tried,
+                                SteadyTime now,
+                                WallTime wall_now);
+  RouteResult WaitOrRefuse(const RequestInfo& request,
+                           const std::set<InstanceName>& tried,
+                           const fleet::Service& service,
+                           SteadyTime now,
+                           WallTime wall_now);
+  Refuse MakeRefusal(const RequestInfo& request,
+                     ResultCode code,
+                     std::string rule,
+                     std::string sentence,
+                     Milliseconds retry_after,
+                     WallTime wall_now);
   fleet::Decision& Keep(fleet::Decision decision);
 
   fleet::View present;
--- a/libraries/routing/waiting_line.cc
+++ b/libraries/routing/waiting_line.cc
@@ -6,10 +6,13 @@
 using fleet::RequestClass;
 
 WaitingLine::Line& WaitingLine::LineOf(RequestClass request_class) {
-  return request_class == RequestClass::kInteractive ? this->interactive : this->background;
+  return request_class == RequestClass::kInteractive ? this->interactive
+                                                     : this->background;
 }
 
-void WaitingLine::Add(RequestNumber request, RequestClass request_class, SteadyTime deadline) {
+void WaitingLine::Add(RequestNumber request,
+                      RequestClass request_class,
+                      SteadyTime deadline) {
   this->places[request] = Place{request_class, deadline};
   this->LineOf(request_class)[{deadline, request}] = true;
 }
@@ -19,15 +22,18 @@
   if (found == this->places.end()) {
     return;
   }
-  this->LineOf(found->second.request_class).erase({found->second.deadline, request});
+  this->LineOf(found->second.request_class)
+      .erase({found->second.deadline, request});
   this->places.erase(found);
 }
 
 std::optional<RequestNumber> WaitingLine::Next() const {
   const bool is_background_due =
-      this->interactive_in_row >= kInteractivePerBackground && !this->background.empty();
-  const Line& line = this->interactive.empty() || is_background_due ? this->background
-                                                                    : this->interactive;
+      this->interactive_in_row >= kInteractivePerBackground &&
+      !this->background.empty();
+  const Line& line = this->interactive.empty() || is_background_due
+                         ? this->background
+                         : this->interactive;
   if (line.empty()) {
     return std::nullopt;
   }
@@ -39,7 +45,8 @@
   if (found == this->places.end()) {
     return;
   }
-  const bool is_interactive = found->second.request_class == RequestClass::kInteractive;
+  const bool is_interactive =
+      found->second.request_class == RequestClass::kInteractive;
   this->interactive_in_row = is_interactive ? this->interactive_in_row + 1 : 0;
   this->Remove(request);
 }
--- a/libraries/routing/waiting_line.h
+++ b/libraries/routing/waiting_line.h
@@ -15,13 +15,16 @@
 // Names one request within an entry.
 using RequestNumber = std::uint64_t;
 
-// The requests of one service that wait for a slot: interactive ones go first, but after
-// kInteractivePerBackground of them in a row one background request goes, so that none starves.
-// Within a class the one with the earliest deadline goes first.
+// The requests of one service that wait for a slot: interactive ones go first,
+// but after kInteractivePerBackground of them in a row one background request
+// goes, so that none starves. Within a class the one with the earliest deadline
+// goes first.
 class WaitingLine {
  public:
   // Puts a request in.
-  void Add(RequestNumber request, fleet::RequestClass request_class, SteadyTime deadline);
+  void Add(RequestNumber request,
+           fleet::RequestClass request_class,
+           SteadyTime deadline);
 
   // Takes a request out that gave up or got its place otherwise.
   void Remove(RequestNumber request);
--- a/libraries/rpc/answer_codec.cc
+++ b/libraries/rpc/answer_codec.cc
@@ -28,21 +28,23 @@
 
 void WriteAnswer(const fleet::Answer& answer, wire::Result::Builder builder) {
   WriteCommon(answer, builder);
-  builder.setDocument(
-      answer.document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  builder.setDocument(answer.document.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 fleet::Answer ReadAnswer(wire::Result::Reader reader) {
   fleet::Answer answer = ReadCommon(reader);
   absl::StatusOr<nlohmann::json> document =
-      ParseJson(wire::ToString(reader.getDocument()), "answer", ResultCode::kMalformedMessage);
+      ParseJson(wire::ToString(reader.getDocument()), "answer",
+                ResultCode::kMalformedMessage);
   if (document.ok()) {
     answer.document = *std::move(document);
   }
   return answer;
 }
 
-void WriteAnswer(const fleet::Answer& answer, wire::PeerResult::Builder builder) {
+void WriteAnswer(const fleet::Answer& answer,
+                 wire::PeerResult::Builder builder) {
   WriteCommon(answer, builder);
   if (!answer.document.is_null()) {
     std::string bytes;
@@ -64,8 +66,9 @@
 }
 
 fleet::OperatorIdentity ReadIdentity(wire::Identity::Reader reader) {
-  return fleet::OperatorIdentity{wire::ToString(reader.getOperatorName()),
-                                 OperatorRequestId(wire::ToString(reader.getRequestId()))};
+  return fleet::OperatorIdentity{
+      wire::ToString(reader.getOperatorName()),
+      OperatorRequestId(wire::ToString(reader.getRequestId()))};
 }
 
 }  // namespace sumac::rpc
--- a/libraries/rpc/answer_codec.h
+++ b/libraries/rpc/answer_codec.h
@@ -9,13 +9,15 @@
 
 namespace sumac::rpc {
 
-// Conversions between answers and their Cap'n Proto forms. Towards operators the document is JSON
-// text; between processes it is CBOR, since it may hold bytes that are no text.
+// Conversions between answers and their Cap'n Proto forms. Towards operators
+// the document is JSON text; between processes it is CBOR, since it may hold
+// bytes that are no text.
 
 void WriteAnswer(const fleet::Answer& answer, wire::Result::Builder builder);
 fleet::Answer ReadAnswer(wire::Result::Reader reader);
 
-void WriteAnswer(const fleet::Answer& answer, wire::PeerResult::Builder builder);
+void WriteAnswer(const fleet::Answer& answer,
+                 wire::PeerResult::Builder builder);
 fleet::Answer ReadAnswer(wire::PeerResult::Reader reader);
 
 // Who sent an operator's command.
--- a/libraries/rpc/channel.cc
+++ b/libraries/rpc/channel.cc
@@ -11,7 +11,7 @@
     : network(network), timer(timer), peer_address(std::move(address)) {}
 
 capnp::Capability::Client Channel::GetBootstrap() {
-  KJ_IF_MAYBE(present, this->bootstrap) {
+  KJ_IF_MAYBE (present, this->bootstrap) {
     return *present;
   }
   ++this->generation;
@@ -37,9 +37,11 @@
   return client;
 }
 
-void Channel::NoteFailure(const kj::Exception& exception, std::uint64_t failed_generation) {
-  const bool is_connection_bad = exception.getType() == kj::Exception::Type::DISCONNECTED ||
-                                 exception.getType() == kj::Exception::Type::OVERLOADED;
+void Channel::NoteFailure(const kj::Exception& exception,
+                          std::uint64_t failed_generation) {
+  const bool is_connection_bad =
+      exception.getType() == kj::Exception::Type::DISCONNECTED ||
+      exception.getType() == kj::Exception::Type::OVERLOADED;
   if (is_connection_bad && failed_generation == this->generation) {
     ++this->generation;
     this->bootstrap = nullptr;
--- a/libraries/wire/replication_codec.cc
+++ b/libraries/wire/replication_codec.cc
@@ -105,7 +105,7 @@
   AppendRequest body{.previous_index = LogIndex(group.getPreviousIndex()),
                      .previous_term = Term(group.getPreviousTerm()),
                      .commit_index = LogIndex(group.getCommitIndex()),
- .is_under_lease = group.getIsUnderLease(),
+                     .is_under_lease = group.getIsUnderLease(),
                      .sent_at = SteadyFromMs(group.getSentAtMs())};
   for (const auto entry : group.getEntries()) {
     body.entries.push_back(ReadEntry(entry));
--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -24,7 +24,8 @@
 constexpr Milliseconds kPlanInterval{100};
 constexpr Milliseconds kMessageTimeout{1'000};
 constexpr Milliseconds kPlatformTimeout{2'000};
-// Messages to one process that may be under way; further ones are dropped, as by a slow network.
+// Messages to one process that may be under way; further ones are dropped, as
+// by a slow network.
 constexpr std::size_t kMostMessagesInFlight = 64;
 constexpr Milliseconds kFirstRenewal{200};
 
@@ -33,11 +34,13 @@
   return ProcessName(node.value().substr(0, node.value().rfind('.')));
 }
 
-replication::ReplicationSettings ToReplicationSettings(const GroupSettings& group) {
+replication::ReplicationSettings ToReplicationSettings(
+    const GroupSettings& group) {
   replication::ReplicationSettings settings;
   settings.heartbeat_interval = group.heartbeat;
   settings.election_timeout = group.election_timeout;
-  // Clocks of one data centre drift by far less than a tenth over one election timeout.
+  // Clocks of one data centre drift by far less than a tenth over one election
+  // timeout.
   settings.clock_drift_margin = group.election_timeout / 10;
   settings.hand_over_timeout = group.election_timeout;
   return settings;
@@ -45,18 +48,22 @@
 
 }  // namespace
 
-absl::StatusOr<std::unique_ptr<Controller>> Controller::Create(const Settings& settings,
-                                                               const fleet::Charts& charts,
-                                                               Peers& peers, kj::Timer& timer) {
+absl::StatusOr<std::unique_ptr<Controller>> Controller::Create(
+    const Settings& settings,
+    const fleet::Charts& charts,
+    Peers& peers,
+    kj::Timer& timer) {
   auto disk = std::make_unique<storage::PosixDisk>();
-  Folder folder = TRY(Folder::Open(*disk, settings.data_folder, storage::StorageSettings()));
-  std::unique_ptr<Controller> controller(
-      new Controller(settings, charts, peers, timer, std::move(disk), std::move(folder)));
+  Folder folder = TRY(
+      Folder::Open(*disk, settings.data_folder, storage::StorageSettings()));
+  std::unique_ptr<Controller> controller(new Controller(
+      settings, charts, peers, timer, std::move(disk), std::move(folder)));
   replication::StartState start = controller->folder.TakeStartState();
   if (ProcessOf(start.self) != settings.process) {
-    return MakeError(ResultCode::kSettingsInvalid,
-                     StrCat(settings.data_folder, ": belongs to ", start.self.value(), ", not to ",
-                            settings.process.value()));
+    return MakeError(
+        ResultCode::kSettingsInvalid,
+        StrCat(settings.data_folder, ": belongs to ", start.self.value(),
+               ", not to ", settings.process.value()));
   }
   if (start.snapshot.meta.index > LogIndex(0)) {
     TRY(controller->machine.LoadSnapshot(start.snapshot.state));
@@ -64,12 +71,17 @@
   }
   start.seed = Poco::Random().next();
   controller->replica_core = std::make_unique<replication::Replica>(
-      ToReplicationSettings(settings.group), std::move(start), controller->clock.SteadyNow());
+      ToReplicationSettings(settings.group), std::move(start),
+      controller->clock.SteadyNow());
   return controller;
 }
 
-Controller::Controller(const Settings& settings, const fleet::Charts& charts, Peers& peers,
-                       kj::Timer& timer, std::unique_ptr<storage::PosixDisk> disk, Folder folder)
+Controller::Controller(const Settings& settings,
+                       const fleet::Charts& charts,
+                       Peers& peers,
+                       kj::Timer& timer,
+                       std::unique_ptr<storage::PosixDisk> disk,
+                       Folder folder)
     : settings(settings),
       peers(peers),
       timer(timer),
@@ -82,7 +94,8 @@
     this->teller = std::make_unique<PlatformTeller>(
         http::PlatformClient(settings.platform_address, kPlatformTimeout),
         [this, &executor](const fleet::RecordPlatformReport& report) {
-          executor.executeSync([this, &report] { this->ProposeInBackground(report); });
+          executor.executeSync(
+              [this, &report] { this->ProposeInBackground(report); });
         });
   }
 }
@@ -130,9 +143,10 @@
     return;
   }
   this->last_plan = now;
-  const fleet::PlannerSettings planner{.drain_grace = this->settings.drain_grace};
-  for (fleet::Command& command :
-       fleet::Plan(this->state(), this->soft, planner, this->clock.Now(), now)) {
+  const fleet::PlannerSettings planner{.drain_grace =
+                                           this->settings.drain_grace};
+  for (fleet::Command& command : fleet::Plan(this->state(), this->soft, planner,
+                                             this->clock.Now(), now)) {
     this->ProposeInBackground(std::move(command));
   }
   if (this->teller) {
@@ -160,7 +174,8 @@
   }
   const SteadyTime now = this->clock.SteadyNow();
   const absl::StatusOr<LogIndex> index = this->replica_core->Propose(
-      ToCbor(fleet::StampedCommand{this->clock.Now(), std::move(command)}), now);
+      ToCbor(fleet::StampedCommand{this->clock.Now(), std::move(command)}),
+      now);
   if (!index.ok()) {
     return fleet::Answer::FromStatus(index.status());
   }
@@ -183,15 +198,18 @@
       continue;
     }
     const fleet::Instance* known = this->state().FindInstance(name);
-    if (known != nullptr && announcement.target.incarnation < known->target.incarnation) {
+    if (known != nullptr &&
+        announcement.target.incarnation < known->target.incarnation) {
       all_orders.emplace_back();
       continue;
     }
     this->soft.Hear(announcement, now);
-    for (fleet::RecordTargets& command : CommandsForTarget(this->state(), announcement)) {
+    for (fleet::RecordTargets& command :
+         CommandsForTarget(this->state(), announcement)) {
       this->ProposeInBackground(std::move(command));
     }
-    std::vector<fleet::TaskReport> reports = NewTaskReports(this->state(), announcement);
+    std::vector<fleet::TaskReport> reports =
+        NewTaskReports(this->state(), announcement);
     if (!reports.empty()) {
       this->ProposeInBackground(fleet::RecordTasks{name, std::move(reports)});
     }
@@ -206,7 +224,8 @@
   return all_orders;
 }
 
-kj::Promise<ServedView> Controller::Follow(std::uint64_t have, Milliseconds wait) {
+kj::Promise<ServedView> Controller::Follow(std::uint64_t have,
+                                           Milliseconds wait) {
   if (this->state().record().view_version > have) {
     return this->ServeView();
   }
@@ -217,12 +236,14 @@
 }
 
 ServedView Controller::ServeView() const {
-  const bool is_verified = this->MayAct() || this->replica_core->has_verified_state();
+  const bool is_verified =
+      this->MayAct() || this->replica_core->has_verified_state();
   return ServedView{fleet::MakeView(this->state()), is_verified};
 }
 
 absl::Status Controller::HandOver() {
-  const absl::Status status = this->replica_core->HandOver(this->clock.SteadyNow());
+  const absl::Status status =
+      this->replica_core->HandOver(this->clock.SteadyNow());
   this->SchedulePump();
   return status;
 }
@@ -233,7 +254,8 @@
 }
 
 fleet::Answer Controller::NotLeaderAnswer() const {
-  return fleet::Answer{.code = ResultCode::kNotLeader, .message = this->KnownLeader().value()};
+  return fleet::Answer{.code = ResultCode::kNotLeader,
+                       .message = this->KnownLeader().value()};
 }
 
 void Controller::Receive(replication::Message message) {
@@ -244,8 +266,9 @@
   this->SchedulePump();
 }
 
-// Puts the pump after everything else that is due in this turn of the event loop, so that all of a
-// turn's proposals share one write to the disk and one message to each replica.
+// Puts the pump after everything else that is due in this turn of the event
+// loop, so that all of a turn's proposals share one write to the disk and one
+// message to each replica.
 void Controller::SchedulePump() {
   if (this->is_pump_scheduled) {
     return;
@@ -293,20 +316,25 @@
   const absl::Status status = this->folder.Write(output);
   if (status.ok()) {
     if (std::exchange(this->is_disk_full, false)) {
-      LogEvent(LogLevel::kInfo, "disk-has-room-again", nlohmann::json::object());
+      LogEvent(LogLevel::kInfo, "disk-has-room-again",
+               nlohmann::json::object());
     }
     return true;
   }
   if (CodeOf(status) == ResultCode::kDiskFull) {
-    // Nothing was acknowledged and nothing is lost: the same output is written once there is room.
+    // Nothing was acknowledged and nothing is lost: the same output is written
+    // once there is room.
     if (!std::exchange(this->is_disk_full, true)) {
-      LogEvent(LogLevel::kError, "disk-full", {{"error", std::string(status.message())}});
+      LogEvent(LogLevel::kError, "disk-full",
+               {{"error", std::string(status.message())}});
     }
     return false;
   }
-  // NOTE: After a failed write or sync nobody knows what the disk holds. Whatever this process
-  // would say from now on might be forgotten, so it says nothing more.
-  LogEvent(LogLevel::kError, "storage-failed", {{"error", std::string(status.message())}});
+  // NOTE: After a failed write or sync nobody knows what the disk holds.
+  // Whatever this process would say from now on might be forgotten, so it says
+  // nothing more.
+  LogEvent(LogLevel::kError, "storage-failed",
+           {{"error", std::string(status.message())}});
   std::_Exit(EXIT_FAILURE);
 }
 
@@ -323,12 +351,14 @@
     wire::WriteMessage(message, request.initMessage());
     this->tasks.add(
         channel->Guard(kMessageTimeout, request.send().ignoreResult())
-            .then([&in_flight] { --in_flight; },
-                  [&in_flight](kj::Exception&& /*exception*/) { --in_flight; }));
+            .then(
+                [&in_flight] { --in_flight; },
+                [&in_flight](kj::Exception&& /*exception*/) { --in_flight; }));
   }
 }
 
-void Controller::ApplyCommitted(const std::vector<replication::Entry>& entries) {
+void Controller::ApplyCommitted(
+    const std::vector<replication::Entry>& entries) {
   for (const replication::Entry& entry : entries) {
     VERIFY(entry.index == this->applied_index.Next());
     this->applied_index = entry.index;
@@ -338,14 +368,16 @@
     }
     const std::uint64_t first_decision = this->state().record().next_decision;
     const auto stamped = FromCbor<fleet::StampedCommand>(entry.payload, "log");
-    fleet::Answer answer = stamped.ok() ? this->machine.Apply(*stamped)
-                                        : fleet::Answer::FromStatus(stamped.status());
+    fleet::Answer answer = stamped.ok()
+                               ? this->machine.Apply(*stamped)
+                               : fleet::Answer::FromStatus(stamped.status());
     this->LogNewDecisions(first_decision);
     this->ResolveProposal(entry, std::move(answer));
   }
 }
 
-void Controller::ResolveProposal(const replication::Entry& entry, fleet::Answer answer) {
+void Controller::ResolveProposal(const replication::Entry& entry,
+                                 fleet::Answer answer) {
   const auto found = this->proposals.find(entry.index);
   if (found == this->proposals.end()) {
     return;
@@ -353,30 +385,34 @@
   if (found->second.term == entry.term) {
     found->second.fulfiller->fulfill(std::move(answer));
   } else {
-    // Another leader's entry took the place: this command was certainly not committed.
+    // Another leader's entry took the place: this command was certainly not
+    // committed.
     found->second.fulfiller->fulfill(this->NotLeaderAnswer());
   }
   this->proposals.erase(found);
 }
 
-// Once this controller no longer leads the proposals' term, nobody here learns how they end.
+// Once this controller no longer leads the proposals' term, nobody here learns
+// how they end.
 void Controller::FailLostProposals() {
   for (auto item = this->proposals.begin(); item != this->proposals.end();) {
     PendingProposal& proposal = item->second;
-    const bool is_ours = this->replica_core->role() == replication::Role::kLeader &&
-                         this->replica_core->term() == proposal.term;
+    const bool is_ours =
+        this->replica_core->role() == replication::Role::kLeader &&
+        this->replica_core->term() == proposal.term;
     if (is_ours) {
       ++item;
       continue;
     }
-    proposal.fulfiller->fulfill(
-        fleet::Answer{.code = ResultCode::kTimeout,
-                      .message = "leadership was lost before the outcome was known"});
+    proposal.fulfiller->fulfill(fleet::Answer{
+        .code = ResultCode::kTimeout,
+        .message = "leadership was lost before the outcome was known"});
     item = this->proposals.erase(item);
   }
 }
 
-// Only the leader logs replicated decisions, or each would be there once per controller.
+// Only the leader logs replicated decisions, or each would be there once per
+// controller.
 void Controller::LogNewDecisions(std::uint64_t first_number) {
   const fleet::FleetRecord& record = this->state().record();
   const std::uint64_t count = record.next_decision - first_number;
@@ -384,7 +420,8 @@
     return;
   }
   const auto& decisions = record.decisions;
-  for (std::size_t position = decisions.size() - std::min<std::size_t>(count, decisions.size());
+  for (std::size_t position =
+           decisions.size() - std::min<std::size_t>(count, decisions.size());
        position < decisions.size(); ++position) {
     LogEvent(LogLevel::kInfo, "decision", ToJson(decisions[position]));
   }
@@ -414,8 +451,8 @@
   std::string state_bytes = this->state().ToSnapshot();
   const replication::SnapshotMeta meta =
       this->replica_core->Compact(this->applied_index, state_bytes);
-  const absl::Status status =
-      this->folder.SaveSnapshot(replication::Snapshot{meta, std::move(state_bytes)});
+  const absl::Status status = this->folder.SaveSnapshot(
+      replication::Snapshot{meta, std::move(state_bytes)});
   LogEvent(status.ok() ? LogLevel::kInfo : LogLevel::kError, "snapshot",
            {{"index", meta.index.value()}, {"status", status.ToString()}});
   if (!status.ok() && CodeOf(status) != ResultCode::kDiskFull) {
@@ -424,7 +461,8 @@
 }
 
 void Controller::taskFailed(kj::Exception&& exception) {
-  LogEvent(LogLevel::kError, "task-failed", {{"error", exception.getDescription().cStr()}});
+  LogEvent(LogLevel::kError, "task-failed",
+           {{"error", exception.getDescription().cStr()}});
 }
 
 }  // namespace sumac::daemon
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -34,18 +34,21 @@
 // A view with what vouches for it.
 struct ServedView {
   fleet::View view;
-  // True if this controller's state was known to be the latest at some moment since it started.
+  // True if this controller's state was known to be the latest at some moment
+  // since it started.
   bool is_verified = false;
 };
 
-// The controller role: one replica on one disk, the state machine above it, and while it leads the
-// planner. Belongs to the core's event loop.
+// The controller role: one replica on one disk, the state machine above it, and
+// while it leads the planner. Belongs to the core's event loop.
 class Controller : private kj::TaskSet::ErrorHandler {
  public:
   // Opens the data folder and starts the replica.
-  static absl::StatusOr<std::unique_ptr<Controller>> Create(const Settings& settings,
-                                                            const fleet::Charts& charts,
-                                                            Peers& peers, kj::Timer& timer);
+  static absl::StatusOr<std::unique_ptr<Controller>> Create(
+      const Settings& settings,
+      const fleet::Charts& charts,
+      Peers& peers,
+      kj::Timer& timer);
 
   // Runs until the process ends.
   kj::Promise<void> Run();
@@ -53,9 +56,10 @@
   // Takes in a message of another replica.
   void Receive(replication::Message message);
 
-  // Commits a command and tells its answer. While this controller does not lead the answer is
-  // kNotLeader, with the leader's name as message if it is known. kTimeout says that leadership was
-  // lost meanwhile: the command may or may not have been committed.
+  // Commits a command and tells its answer. While this controller does not lead
+  // the answer is kNotLeader, with the leader's name as message if it is known.
+  // kTimeout says that leadership was lost meanwhile: the command may or may
+  // not have been committed.
   kj::Promise<fleet::Answer> Propose(fleet::Command command);
 
   // Takes in targets' renewals and answers each with orders, in the same order.
@@ -65,7 +69,8 @@
   // The view, as soon as its version is past `have` or `wait` is over.
   kj::Promise<ServedView> Follow(std::uint64_t have, Milliseconds wait);
 
-  // True while this controller may answer for the committed state and act on it.
+  // True while this controller may answer for the committed state and act on
+  // it.
   bool MayAct() const;
 
   // Starts to hand leadership over.
@@ -77,7 +82,9 @@
   ProcessName KnownLeader() const;
   // The error kNotLeader with the known leader's name.
   fleet::Answer NotLeaderAnswer() const;
-  const storage::FolderReport& storage_report() const { return this->folder.report(); }
+  const storage::FolderReport& storage_report() const {
+    return this->folder.report();
+  }
   bool is_stalled() const { return this->is_disk_full; }
 
  private:
@@ -92,8 +99,12 @@
     kj::Own<kj::PromiseFulfiller<void>> fulfiller;
   };
 
-  Controller(const Settings& settings, const fleet::Charts& charts, Peers& peers, kj::Timer& timer,
-             std::unique_ptr<storage::PosixDisk> disk, Folder folder);
+  Controller(const Settings& settings,
+             const fleet::Charts& charts,
+             Peers& peers,
+             kj::Timer& timer,
+             std::unique_ptr<storage::PosixDisk> disk,
+             Folder folder);
 
   void taskFailed(kj::Exception&& exception) override;
 
@@ -130,7 +141,8 @@
   bool is_pump_scheduled = false;
   bool is_disk_full = false;
   std::optional<replication::Output> unwritten;
-  // Commands of the planner that are not yet applied; it plans on only when there are none.
+  // Commands of the planner that are not yet applied; it plans on only when
+  // there are none.
   std::size_t planned_open = 0;
   std::uint64_t last_applied_view = 0;
   std::uint64_t entries_since_snapshot = 0;
--- a/services/sumacd/core_link.h
+++ b/services/sumacd/core_link.h
@@ -14,7 +14,8 @@
 
 namespace sumac::daemon {
 
-// Lets the HTTP doors' threads call into the core's event loop and wait for the answer.
+// Lets the HTTP doors' threads call into the core's event loop and wait for the
+// answer.
 class CoreLink {
  public:
   CoreLink(const kj::Executor& executor, LeaderLink& leader)
@@ -22,18 +23,21 @@
 
   // Commits a command; blocks until the answer, at most about `limit`.
   fleet::Answer Propose(fleet::Command command, Milliseconds limit) {
-    return this->executor->executeSync(
-        [this, &command, limit] { return this->leader.Propose(std::move(command), limit); });
+    return this->executor->executeSync([this, &command, limit] {
+      return this->leader.Propose(std::move(command), limit);
+    });
   }
 
   // Passes one renewal on and gives the orders; blocks.
-  fleet::TargetOrders Announce(fleet::Announcement announcement, Milliseconds limit) {
+  fleet::TargetOrders Announce(fleet::Announcement announcement,
+                               Milliseconds limit) {
     return this->executor->executeSync([this, &announcement, limit] {
       std::vector<fleet::Announcement> one;
       one.push_back(std::move(announcement));
       return this->leader.Announce(std::move(one), limit)
           .then([](std::vector<fleet::TargetOrders>&& orders) {
-            return orders.empty() ? fleet::TargetOrders{} : std::move(orders.front());
+            return orders.empty() ? fleet::TargetOrders{}
+                                  : std::move(orders.front());
           });
     });
   }
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -43,7 +43,8 @@
 // One running process.
 class Daemon {
  public:
-  Daemon(const Settings& settings, kj::AsyncIoContext& io) : settings(settings), io(io) {}
+  Daemon(const Settings& settings, kj::AsyncIoContext& io)
+      : settings(settings), io(io) {}
 
   // Builds all parts; on an error nothing listens any more.
   absl::Status Start();
@@ -53,7 +54,8 @@
 
  private:
   absl::Status StartController();
-  absl::Status Listen(const std::string& address, capnp::Capability::Client bootstrap);
+  absl::Status Listen(const std::string& address,
+                      capnp::Capability::Client bootstrap);
   absl::Status OpenDoors();
   kj::Promise<void> AwaitSignal();
   void Stop();
@@ -83,28 +85,33 @@
     return absl::OkStatus();
   }
   this->charts = TRY(fleet::Charts::Load(this->settings.charts_folder));
-  this->controller = TRY(Controller::Create(this->settings, *this->charts, *this->peers,
-                                            this->io.provider->getTimer()));
+  this->controller =
+      TRY(Controller::Create(this->settings, *this->charts, *this->peers,
+                             this->io.provider->getTimer()));
   this->running.push_back(this->controller->Run().eagerlyEvaluate(nullptr));
   return absl::OkStatus();
 }
 
-absl::Status Daemon::Listen(const std::string& address, capnp::Capability::Client bootstrap) {
+absl::Status Daemon::Listen(const std::string& address,
+                            capnp::Capability::Client bootstrap) {
   try {
     auto receiver = this->io.provider->getNetwork()
                         .parseAddress(address)
                         .wait(this->io.waitScope)
                         ->listen();
     auto server = kj::heap<capnp::TwoPartyServer>(kj::mv(bootstrap));
-    this->running.push_back(server->listen(*receiver).eagerlyEvaluate([](kj::Exception&& error) {
-      LogEvent(LogLevel::kError, "listening-failed", {{"error", error.getDescription().cStr()}});
-    }));
+    this->running.push_back(
+        server->listen(*receiver).eagerlyEvaluate([](kj::Exception&& error) {
+          LogEvent(LogLevel::kError, "listening-failed",
+                   {{"error", error.getDescription().cStr()}});
+        }));
     this->servers.push_back(kj::mv(server));
     this->receivers.push_back(kj::mv(receiver));
     return absl::OkStatus();
   } catch (const kj::Exception& error) {
-    return MakeError(ResultCode::kSettingsInvalid, StrCat("can't listen on ", address, ": ",
-                                                          error.getDescription().cStr()));
+    return MakeError(ResultCode::kSettingsInvalid,
+                     StrCat("can't listen on ", address, ": ",
+                            error.getDescription().cStr()));
   }
 }
 
@@ -113,32 +120,38 @@
   kj::Timer& timer = this->io.provider->getTimer();
   this->peers = std::make_unique<Peers>(network, timer, this->settings);
   TRY(this->StartController());
-  this->leader = std::make_unique<LeaderLink>(this->settings, *this->peers, timer,
-                                              this->controller.get());
-  this->core = std::make_unique<CoreLink>(kj::getCurrentThreadExecutor(), *this->leader);
+  this->leader = std::make_unique<LeaderLink>(this->settings, *this->peers,
+                                              timer, this->controller.get());
+  this->core =
+      std::make_unique<CoreLink>(kj::getCurrentThreadExecutor(), *this->leader);
   if (this->settings.has_role(ProcessRole::kEntry)) {
-    this->entry = std::make_unique<Entry>(this->settings, *this->core, this->metrics);
+    this->entry =
+        std::make_unique<Entry>(this->settings, *this->core, this->metrics);
     this->follower = std::make_unique<ViewFollower>(
         this->settings, *this->peers, timer, this->controller.get(),
-        [this](const fleet::View& view) { return this->entry->UpdateView(view); });
+        [this](const fleet::View& view) {
+          return this->entry->UpdateView(view);
+        });
     this->running.push_back(this->follower->Run().eagerlyEvaluate(nullptr));
   }
-  TRY(this->Listen(this->settings.self().peer_address,
-                   kj::heap<PeerService>(this->controller.get(), this->entry.get())));
+  TRY(this->Listen(
+      this->settings.self().peer_address,
+      kj::heap<PeerService>(this->controller.get(), this->entry.get())));
   TRY(this->Listen(
       this->settings.listen.operators,
-      kj::heap<OperatorService>(OperatorParts{this->settings, *this->peers, *this->leader,
-                                              this->controller.get(), this->entry.get(),
-                                              this->follower.get()})));
+      kj::heap<OperatorService>(OperatorParts{
+          this->settings, *this->peers, *this->leader, this->controller.get(),
+          this->entry.get(), this->follower.get()})));
   this->AddGauges();
   return this->OpenDoors();
 }
 
 absl::Status Daemon::OpenDoors() {
-  this->target_door =
-      TRY(OpenTargetDoor(this->settings, *this->core, this->metrics, this->is_stopping));
+  this->target_door = TRY(OpenTargetDoor(this->settings, *this->core,
+                                         this->metrics, this->is_stopping));
   if (this->entry) {
-    this->caller_door = TRY(OpenCallerDoor(this->settings, *this->entry, this->is_stopping));
+    this->caller_door =
+        TRY(OpenCallerDoor(this->settings, *this->entry, this->is_stopping));
   }
   return absl::OkStatus();
 }
@@ -147,13 +160,15 @@
   if (!this->entry) {
     return;
   }
-  this->metrics.SetGauge("sumac_requests_open",
-                         [this] { return static_cast<double>(this->entry->CountOpen()); });
+  this->metrics.SetGauge("sumac_requests_open", [this] {
+    return static_cast<double>(this->entry->CountOpen());
+  });
   this->metrics.SetGauge("sumac_view_version", [this] {
     return static_cast<double>(this->follower->current_version());
   });
-  this->metrics.SetGauge("sumac_view_age_ms",
-                         [this] { return static_cast<double>(this->follower->Age().count()); });
+  this->metrics.SetGauge("sumac_view_age_ms", [this] {
+    return static_cast<double>(this->follower->Age().count());
+  });
 }
 
 kj::Promise<void> Daemon::AwaitSignal() {
@@ -163,22 +178,25 @@
 }
 
 void Daemon::Run() {
-  LogEvent(LogLevel::kInfo, "started", {{"callers", this->settings.listen.callers},
-                                        {"targets", this->settings.listen.targets},
-                                        {"operators", this->settings.listen.operators}});
+  LogEvent(LogLevel::kInfo, "started",
+           {{"callers", this->settings.listen.callers},
+            {"targets", this->settings.listen.targets},
+            {"operators", this->settings.listen.operators}});
   this->AwaitSignal().wait(this->io.waitScope);
   this->Stop();
 }
 
-// A planned stop: the balancer hears of it first, requests in hand are answered, leadership is
-// handed over, and only then the process ends.
+// A planned stop: the balancer hears of it first, requests in hand are
+// answered, leadership is handed over, and only then the process ends.
 void Daemon::Stop() {
   LogEvent(LogLevel::kInfo, "stopping", nlohmann::json::object());
   this->is_stopping = true;
   this->HandOverBeforeStop();
   kj::Timer& timer = this->io.provider->getTimer();
-  timer.afterDelay(rpc::ToKj(this->settings.doors.stop_notice)).wait(this->io.waitScope);
-  // The doors' threads need the event loop to finish, so they are waited for on another thread.
+  timer.afterDelay(rpc::ToKj(this->settings.doors.stop_notice))
+      .wait(this->io.waitScope);
+  // The doors' threads need the event loop to finish, so they are waited for on
+  // another thread.
   auto stopped = kj::newPromiseAndFulfiller<void>();
   const kj::Executor& executor = kj::getCurrentThreadExecutor();
   std::thread stopper([this, &executor, &stopped] {
@@ -194,11 +212,13 @@
 }
 
 void Daemon::HandOverBeforeStop() {
-  if (!this->controller || !this->controller->MayAct() || !this->controller->HandOver().ok()) {
+  if (!this->controller || !this->controller->MayAct() ||
+      !this->controller->HandOver().ok()) {
     return;
   }
   kj::Timer& timer = this->io.provider->getTimer();
-  for (Milliseconds waited{0}; waited < kHandOverWait; waited += kHandOverPoll) {
+  for (Milliseconds waited{0}; waited < kHandOverWait;
+       waited += kHandOverPoll) {
     if (this->controller->replica().role() != replication::Role::kLeader) {
       return;
     }
@@ -211,18 +231,21 @@
 absl::Status FormatDataFolder(const Settings& settings) {
   if (!settings.has_role(ProcessRole::kController)) {
     return MakeError(ResultCode::kSettingsInvalid,
-                     StrCat(settings.process.value(), " is no controller and keeps no data"));
+                     StrCat(settings.process.value(),
+                            " is no controller and keeps no data"));
   }
   storage::Identity identity{.node = FirstNodeOf(settings.process)};
   for (const ProcessSettings& controller : settings.Controllers()) {
     identity.first_voters.insert(FirstNodeOf(controller.name));
   }
   storage::PosixDisk disk;
-  return storage::DataFolder<storage::PosixDisk>::Format(disk, settings.data_folder, identity);
+  return storage::DataFolder<storage::PosixDisk>::Format(
+      disk, settings.data_folder, identity);
 }
 
 absl::Status RunDaemon(const Settings& settings) {
-  StartLogging(settings.process, settings.log.file, ParseLogLevel(settings.log.level));
+  StartLogging(settings.process, settings.log.file,
+               ParseLogLevel(settings.log.level));
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGINT);
   signal(SIGPIPE, SIG_IGN);
--- a/services/sumacd/daemon.h
+++ b/services/sumacd/daemon.h
@@ -7,11 +7,12 @@
 
 namespace sumac::daemon {
 
-// Makes the data folder of a controller of a new group. Done once, before the first start.
+// Makes the data folder of a controller of a new group. Done once, before the
+// first start.
 absl::Status FormatDataFolder(const Settings& settings);
 
-// Runs the process until SIGTERM or SIGINT has ended it in order. The error says why it could not
-// start.
+// Runs the process until SIGTERM or SIGINT has ended it in order. The error
+// says why it could not start.
 absl::Status RunDaemon(const Settings& settings);
 
 }  // namespace sumac::daemon
--- a/services/sumacd/doors.cc
+++ b/services/sumacd/doors.cc
@@ -27,31 +27,37 @@
 
 void AnswerHealth(HTTPServerResponse& response, bool is_stopping) {
   const int status = is_stopping ? 503 : 200;
-  http::SendAnswer(response, status, "application/json",
-                   is_stopping ? "{\"status\":\"stopping\"}\n" : "{\"status\":\"ok\"}\n");
+  http::SendAnswer(
+      response, status, "application/json",
+      is_stopping ? "{\"status\":\"stopping\"}\n" : "{\"status\":\"ok\"}\n");
 }
 
-void SendCallerAnswer(HTTPServerResponse& response, const http::CallerAnswer& answer) {
+void SendCallerAnswer(HTTPServerResponse& response,
+                      const http::CallerAnswer& answer) {
   response.set(http::kCodeHeader, StrCat(static_cast<int>(answer.code)));
-  response.set(http::kRunHeader, std::string(NameOf(InfoFor(answer.code).effect)));
+  response.set(http::kRunHeader,
+               std::string(NameOf(InfoFor(answer.code).effect)));
   if (!answer.decision.value().empty()) {
     response.set(http::kDecisionHeader, answer.decision.value());
   }
   if (answer.retry_after > Milliseconds(0)) {
     const std::int64_t seconds =
-        (answer.retry_after.count() + kMillisecondsPerSecond - 1) / kMillisecondsPerSecond;
+        (answer.retry_after.count() + kMillisecondsPerSecond - 1) /
+        kMillisecondsPerSecond;
     response.set(http::kRetryAfterHeader, StrCat(seconds));
     response.set(http::kRetryAfterMsHeader, StrCat(answer.retry_after.count()));
   }
   http::SendAnswer(response, answer.status, answer.content_type, answer.body);
 }
 
-absl::StatusOr<std::optional<Milliseconds>> ReadDeadline(const HTTPServerRequest& request) {
+absl::StatusOr<std::optional<Milliseconds>> ReadDeadline(
+    const HTTPServerRequest& request) {
   if (!request.has(http::kDeadlineHeader)) {
     return std::nullopt;
   }
   std::int64_t milliseconds = 0;
-  if (!ParseNumber(std::string_view(request.get(http::kDeadlineHeader)), &milliseconds) ||
+  if (!ParseNumber(std::string_view(request.get(http::kDeadlineHeader)),
+                   &milliseconds) ||
       milliseconds < 1 || milliseconds > http::kLongestDeadline.count()) {
     return MakeError(ResultCode::kBadRequest,
                      StrCat(http::kDeadlineHeader, " must be 1 to ",
@@ -60,22 +66,27 @@
   return Milliseconds(milliseconds);
 }
 
-absl::StatusOr<std::optional<fleet::RequestClass>> ReadClass(const HTTPServerRequest& request) {
+absl::StatusOr<std::optional<fleet::RequestClass>> ReadClass(
+    const HTTPServerRequest& request) {
   if (!request.has(http::kClassHeader)) {
     return std::nullopt;
   }
-  const auto parsed = ParseEnum<fleet::RequestClass>(request.get(http::kClassHeader));
+  const auto parsed =
+      ParseEnum<fleet::RequestClass>(request.get(http::kClassHeader));
   if (!parsed) {
-    return MakeError(ResultCode::kBadRequest,
-                     StrCat(http::kClassHeader, " must be interactive or background"));
+    return MakeError(
+        ResultCode::kBadRequest,
+        StrCat(http::kClassHeader, " must be interactive or background"));
   }
   return parsed;
 }
 
-absl::StatusOr<http::CallerRequest> ReadCallerRequest(HTTPServerRequest& request,
-                                                      const Entry& entry) {
+absl::StatusOr<http::CallerRequest> ReadCallerRequest(
+    HTTPServerRequest& request,
+    const Entry& entry) {
   http::CallerRequest read;
-  const http::ServiceTarget target = TRY(http::ParseServiceUri(request.getURI()));
+  const http::ServiceTarget target =
+      TRY(http::ParseServiceUri(request.getURI()));
   read.method = request.getMethod();
   read.service = target.service;
   read.target = target.target;
@@ -83,63 +94,83 @@
   read.deadline = TRY(ReadDeadline(request));
   read.request_class = TRY(ReadClass(request));
   read.key = IdempotencyKey(request.get(http::kIdempotencyKeyHeader, ""));
-  read.content_type = request.has("Content-Type") ? request.getContentType() : "";
-  read.body = TRY(http::ReadRequestBody(request, entry.MostBodyBytes(read.service)));
+  read.content_type =
+      request.has("Content-Type") ? request.getContentType() : "";
+  read.body =
+      TRY(http::ReadRequestBody(request, entry.MostBodyBytes(read.service)));
   return read;
 }
 
-void AnswerCaller(HTTPServerRequest& request, HTTPServerResponse& response, Entry& entry) {
-  const absl::StatusOr<http::CallerRequest> read = ReadCallerRequest(request, entry);
+void AnswerCaller(HTTPServerRequest& request,
+                  HTTPServerResponse& response,
+                  Entry& entry) {
+  const absl::StatusOr<http::CallerRequest> read =
+      ReadCallerRequest(request, entry);
   if (!read.ok()) {
     // What is left of the request can't be told from the next one.
     response.setKeepAlive(false);
-    SendCallerAnswer(response, http::MakeErrorAnswer(CodeOf(read.status()),
-                                                     FromAbsl(read.status().message()),
-                                                     DecisionId(), Milliseconds(0)));
+    SendCallerAnswer(response,
+                     http::MakeErrorAnswer(CodeOf(read.status()),
+                                           FromAbsl(read.status().message()),
+                                           DecisionId(), Milliseconds(0)));
     return;
   }
   SendCallerAnswer(response, entry.Run(*read));
 }
 
-absl::StatusOr<fleet::Announcement> ReadAnnouncement(HTTPServerRequest& request) {
-  const std::string body = TRY(http::ReadRequestBody(request, kMostAnnouncementBytes));
-  const nlohmann::json json = TRY(ParseJson(body, "announcement", ResultCode::kBadRequest));
-  return FromJson<fleet::Announcement>(json, "announcement", UnknownKeys::kRefuse,
-                                       {ResultCode::kBadRequest, ResultCode::kBadRequest});
+absl::StatusOr<fleet::Announcement> ReadAnnouncement(
+    HTTPServerRequest& request) {
+  const std::string body =
+      TRY(http::ReadRequestBody(request, kMostAnnouncementBytes));
+  const nlohmann::json json =
+      TRY(ParseJson(body, "announcement", ResultCode::kBadRequest));
+  return FromJson<fleet::Announcement>(
+      json, "announcement", UnknownKeys::kRefuse,
+      {ResultCode::kBadRequest, ResultCode::kBadRequest});
 }
 
-void AnswerAnnouncement(HTTPServerRequest& request, HTTPServerResponse& response, CoreLink& core) {
+void AnswerAnnouncement(HTTPServerRequest& request,
+                        HTTPServerResponse& response,
+                        CoreLink& core) {
   absl::StatusOr<fleet::Announcement> read = ReadAnnouncement(request);
   if (!read.ok()) {
     response.setKeepAlive(false);
-    SendCallerAnswer(response, http::MakeErrorAnswer(CodeOf(read.status()),
-                                                     FromAbsl(read.status().message()),
-                                                     DecisionId(), Milliseconds(0)));
+    SendCallerAnswer(response,
+                     http::MakeErrorAnswer(CodeOf(read.status()),
+                                           FromAbsl(read.status().message()),
+                                           DecisionId(), Milliseconds(0)));
     return;
   }
-  const fleet::TargetOrders orders = core.Announce(*std::move(read), kAnnounceTimeout);
-  http::SendAnswer(response, 200, "application/json", ToJson(orders).dump() + "\n");
+  const fleet::TargetOrders orders =
+      core.Announce(*std::move(read), kAnnounceTimeout);
+  http::SendAnswer(response, 200, "application/json",
+                   ToJson(orders).dump() + "\n");
 }
 
 void AnswerUnknownPath(HTTPServerResponse& response) {
-  SendCallerAnswer(response, http::MakeErrorAnswer(ResultCode::kBadRequest, "unknown path",
-                                                   DecisionId(), Milliseconds(0)));
+  SendCallerAnswer(
+      response, http::MakeErrorAnswer(ResultCode::kBadRequest, "unknown path",
+                                      DecisionId(), Milliseconds(0)));
 }
 
-http::ServerSettings ToServerSettings(const DoorSettings& doors, const std::string& address,
+http::ServerSettings ToServerSettings(const DoorSettings& doors,
+                                      const std::string& address,
                                       std::uint32_t most_connections) {
-  return http::ServerSettings{address, static_cast<int>(most_connections), doors.idle_time,
-                              doors.io_time};
+  return http::ServerSettings{address, static_cast<int>(most_connections),
+                              doors.idle_time, doors.io_time};
 }
 
 }  // namespace
 
 absl::StatusOr<std::unique_ptr<http::HttpServer>> OpenCallerDoor(
-    const Settings& settings, Entry& entry, const std::atomic<bool>& is_stopping) {
+    const Settings& settings,
+    Entry& entry,
+    const std::atomic<bool>& is_stopping) {
   return http::HttpServer::Create(
       ToServerSettings(settings.doors, settings.listen.callers,
                        settings.doors.most_caller_connections),
-      [&entry, &is_stopping](HTTPServerRequest& request, HTTPServerResponse& response) {
+      [&entry, &is_stopping](HTTPServerRequest& request,
+                             HTTPServerResponse& response) {
         if (is_stopping) {
           response.setKeepAlive(false);
         }
@@ -152,20 +183,25 @@
 }
 
 absl::StatusOr<std::unique_ptr<http::HttpServer>> OpenTargetDoor(
-    const Settings& settings, CoreLink& core, const http::Metrics& metrics,
+    const Settings& settings,
+    CoreLink& core,
+    const http::Metrics& metrics,
     const std::atomic<bool>& is_stopping) {
   return http::HttpServer::Create(
       ToServerSettings(settings.doors, settings.listen.targets,
                        settings.doors.most_target_connections),
-      [&core, &metrics, &is_stopping](HTTPServerRequest& request, HTTPServerResponse& response) {
+      [&core, &metrics, &is_stopping](HTTPServerRequest& request,
+                                      HTTPServerResponse& response) {
         if (is_stopping) {
           response.setKeepAlive(false);
         }
         if (request.getURI() == "/health") {
           AnswerHealth(response, is_stopping);
         } else if (request.getURI() == "/metrics") {
-          http::SendAnswer(response, 200, "text/plain; version=0.0.4", metrics.ToText());
-        } else if (request.getURI() == "/v1/announce" && request.getMethod() == "POST") {
+          http::SendAnswer(response, 200, "text/plain; version=0.0.4",
+                           metrics.ToText());
+        } else if (request.getURI() == "/v1/announce" &&
+                   request.getMethod() == "POST") {
           AnswerAnnouncement(request, response, core);
         } else {
           AnswerUnknownPath(response);
--- a/services/sumacd/doors.h
+++ b/services/sumacd/doors.h
@@ -14,14 +14,19 @@
 
 namespace sumac::daemon {
 
-// The callers' door: requests to services, and /health for the balancer. Once `is_stopping` is set
-// the health check fails and answers close their connections, while requests are still served.
+// The callers' door: requests to services, and /health for the balancer. Once
+// `is_stopping` is set the health check fails and answers close their
+// connections, while requests are still served.
 absl::StatusOr<std::unique_ptr<http::HttpServer>> OpenCallerDoor(
-    const Settings& settings, Entry& entry, const std::atomic<bool>& is_stopping);
+    const Settings& settings,
+    Entry& entry,
+    const std::atomic<bool>& is_stopping);
 
 // The targets' door: announcements, /metrics and /health.
 absl::StatusOr<std::unique_ptr<http::HttpServer>> OpenTargetDoor(
-    const Settings& settings, CoreLink& core, const http::Metrics& metrics,
+    const Settings& settings,
+    CoreLink& core,
+    const http::Metrics& metrics,
     const std::atomic<bool>& is_stopping);
 
 }  // namespace sumac::daemon
--- a/services/sumacd/entry.cc
+++ b/services/sumacd/entry.cc
@@ -26,15 +26,19 @@
 using routing::TryOutcome;
 
 constexpr std::size_t kDecisionsKept = 10'000;
-// Answers of non-repeatable requests are kept by the controllers, so they must not be large.
+// Answers of non-repeatable requests are kept by the controllers, so they must
+// not be large.
 constexpr std::uint32_t kMostKeptAnswerBytes = 256 * 1024;
-// A claim that is not committed within this is refused; the request then has not run.
+// A claim that is not committed within this is refused; the request then has
+// not run.
 constexpr Milliseconds kLongestClaim{2'000};
-// Waiting this long for the record of how a claimed request ended holds up its answer at most.
+// Waiting this long for the record of how a claimed request ended holds up its
+// answer at most.
 constexpr Milliseconds kLongestFinish{1'000};
 // How often waiting requests are looked at for minions whose pause is over.
 constexpr Milliseconds kWakeInterval{5};
-// How many starts' worth of requests one start may number before it would run into the next.
+// How many starts' worth of requests one start may number before it would run
+// into the next.
 constexpr unsigned kAttemptBits = 20;
 
 std::uint64_t StartNumber(const SystemClock& clock) {
@@ -49,7 +53,9 @@
   return sharing;
 }
 
-std::string CounterName(std::string_view name, const ServiceName& service, ResultCode code) {
+std::string CounterName(std::string_view name,
+                        const ServiceName& service,
+                        ResultCode code) {
   return StrCat("sumac_", name, "{service=\"", service.value(), "\",code=\"",
                 static_cast<int>(code), "\"}");
 }
@@ -61,9 +67,10 @@
       core(core),
       metrics(metrics),
       start(StartNumber(this->clock)),
-      router(ToSharing(settings),
-             routing::DecisionRing(settings.process, this->start, kDecisionsKept),
-             Poco::Random().next()),
+      router(
+          ToSharing(settings),
+          routing::DecisionRing(settings.process, this->start, kDecisionsKept),
+          Poco::Random().next()),
       wake_thread([this] { this->WakeLoop(); }),
       probe_thread([this] { this->ProbeLoop(); }) {}
 
@@ -88,20 +95,24 @@
     const std::lock_guard lock(this->mutex);
     this->router.FinishRequest(progress.info);
   }
-  this->metrics.Count(CounterName("requests_total", request.service, answer.code));
-  this->metrics.Observe(StrCat("sumac_request_ms{service=\"", request.service.value(), "\"}"),
-                        static_cast<double>((this->clock.SteadyNow() - began).count()));
+  this->metrics.Count(
+      CounterName("requests_total", request.service, answer.code));
+  this->metrics.Observe(
+      StrCat("sumac_request_ms{service=\"", request.service.value(), "\"}"),
+      static_cast<double>((this->clock.SteadyNow() - began).count()));
   return answer;
 }
 
 // What is wrong with the request by itself.
-std::optional<CallerAnswer> Entry::CheckRequest(const CallerRequest& request) const {
+std::optional<CallerAnswer> Entry::CheckRequest(
+    const CallerRequest& request) const {
   const auto fail = [](ResultCode code, std::string_view message) {
     return http::MakeErrorAnswer(code, message, DecisionId(), Milliseconds(0));
   };
   const std::lock_guard lock(this->mutex);
   if (this->router.view().version == 0) {
-    return fail(ResultCode::kNoMinion, "this entry has not heard from the controllers yet");
+    return fail(ResultCode::kNoMinion,
+                "this entry has not heard from the controllers yet");
   }
   const fleet::Service* service = this->router.FindService(request.service);
   if (service == nullptr) {
@@ -116,7 +127,8 @@
   if (!service->repeatable) {
     const auto made_at = fleet::TimeOfKey(request.key);
     if (!made_at.ok()) {
-      return fail(ResultCode::kBadIdempotencyKey, FromAbsl(made_at.status().message()));
+      return fail(ResultCode::kBadIdempotencyKey,
+                  FromAbsl(made_at.status().message()));
     }
   }
   return std::nullopt;
@@ -132,26 +144,29 @@
   Progress progress;
   progress.attempt = (this->start << kAttemptBits) + number;
   progress.info.number = number;
-  progress.info.label = request.key.value().empty()
-                            ? StrCat(this->settings.process.value(), "-", progress.attempt)
-                            : request.key.value();
+  progress.info.label =
+      request.key.value().empty()
+          ? StrCat(this->settings.process.value(), "-", progress.attempt)
+          : request.key.value();
   progress.info.service = request.service;
   progress.info.caller = request.caller;
-  progress.info.request_class = request.request_class.value_or(declared.request_class);
+  progress.info.request_class =
+      request.request_class.value_or(declared.request_class);
   progress.info.is_repeatable = declared.repeatable;
   progress.info.deadline =
       this->clock.SteadyNow() + request.deadline.value_or(declared.deadline);
   return progress;
 }
 
-CallerAnswer Entry::RunAdmitted(const CallerRequest& request, Progress& progress) {
+CallerAnswer Entry::RunAdmitted(const CallerRequest& request,
+                                Progress& progress) {
   std::optional<RetryReason> reason;
   while (true) {
     RouteResult route = [&]() -> RouteResult {
       const std::lock_guard lock(this->mutex);
       const SteadyTime now = this->clock.SteadyNow();
-      return reason ? this->router.Retry(progress.info, progress.tried, *reason, now,
-                                         this->clock.Now())
+      return reason ? this->router.Retry(progress.info, progress.tried, *reason,
+                                         now, this->clock.Now())
                     : this->router.Admit(progress.info, now, this->clock.Now());
     }();
     auto turn = this->AwaitTurn(progress, std::move(route));
@@ -160,16 +175,21 @@
     }
     const SendTo& send = std::get<SendTo>(turn);
     std::optional<CallerAnswer> final_answer;
-    const TryResult result = this->TryOnce(request, progress, send, final_answer);
+    const TryResult result =
+        this->TryOnce(request, progress, send, final_answer);
     if (final_answer) {
       return *std::move(final_answer);
     }
     if (result.outcome == TryOutcome::kAnswered) {
       if (progress.is_claimed) {
-        this->FinishClaim(request, progress, fleet::ClaimState::kAnswered, result.answer);
+        this->FinishClaim(request, progress, fleet::ClaimState::kAnswered,
+                          result.answer);
       }
-      return CallerAnswer{result.answer.status,       ResultCode::kOk,   send.decision,
-                          Milliseconds(0),            result.answer.content_type,
+      return CallerAnswer{result.answer.status,
+                          ResultCode::kOk,
+                          send.decision,
+                          Milliseconds(0),
+                          result.answer.content_type,
                           result.answer.body};
     }
     progress.tried.insert(send.choice.minion);
@@ -186,7 +206,8 @@
 }
 
 // Waits for the request's turn if it has to.
-std::variant<SendTo, Refuse> Entry::AwaitTurn(const Progress& progress, RouteResult result) {
+std::variant<SendTo, Refuse> Entry::AwaitTurn(const Progress& progress,
+                                              RouteResult result) {
   if (auto* send = std::get_if<SendTo>(&result)) {
     std::unique_lock lock(this->mutex);
     this->LogDecisions(this->router.TakeNewDecisions());
@@ -201,9 +222,10 @@
   Waiter waiter;
   this->waiters[progress.info.number] = &waiter;
   this->WakeReady();
-  const Milliseconds left =
-      std::max(progress.info.deadline - this->clock.SteadyNow(), Milliseconds(0));
-  waiter.wake.wait_for(lock, left, [&waiter] { return waiter.send.has_value(); });
+  const Milliseconds left = std::max(
+      progress.info.deadline - this->clock.SteadyNow(), Milliseconds(0));
+  waiter.wake.wait_for(lock, left,
+                       [&waiter] { return waiter.send.has_value(); });
   this->waiters.erase(progress.info.number);
   if (waiter.send) {
     return *std::move(waiter.send);
@@ -227,40 +249,52 @@
   this->LogDecisions(this->router.TakeNewDecisions());
 }
 
-// Commits the claim of a non-repeatable request; gives the final answer when it must not be sent.
-std::optional<CallerAnswer> Entry::Claim(const CallerRequest& request, Progress& progress,
+// Commits the claim of a non-repeatable request; gives the final answer when it
+// must not be sent.
+std::optional<CallerAnswer> Entry::Claim(const CallerRequest& request,
+                                         Progress& progress,
                                          const DecisionId& decision) {
   const Milliseconds left = progress.info.deadline - this->clock.SteadyNow();
   const fleet::Answer answer = this->core.Propose(
-      fleet::ClaimRequest{request.key, http::DigestOf(request), this->settings.process,
-                          progress.attempt, std::max(left, Milliseconds(0))},
+      fleet::ClaimRequest{request.key, http::DigestOf(request),
+                          this->settings.process, progress.attempt,
+                          std::max(left, Milliseconds(0))},
       std::min(left, kLongestClaim));
-  // An answer that came while the deadline passed: the claim is held, but nothing is sent.
+  // An answer that came while the deadline passed: the claim is held, but
+  // nothing is sent.
   if (answer.is_ok() && answer.document.is_null()) {
     progress.is_claimed = true;
     if (this->clock.SteadyNow() < progress.info.deadline) {
       return std::nullopt;
     }
     this->FinishClaim(request, progress, fleet::ClaimState::kNotRun, {});
-    return http::MakeErrorAnswer(ResultCode::kDeadlineBeforeRun,
-                                 "the deadline passed while the claim was committed", decision,
-                                 Milliseconds(0));
+    return http::MakeErrorAnswer(
+        ResultCode::kDeadlineBeforeRun,
+        "the deadline passed while the claim was committed", decision,
+        Milliseconds(0));
   }
   return this->AnswerFromClaim(answer, decision);
 }
 
-CallerAnswer Entry::AnswerFromClaim(const fleet::Answer& answer, const DecisionId& decision) {
+CallerAnswer Entry::AnswerFromClaim(const fleet::Answer& answer,
+                                    const DecisionId& decision) {
   if (answer.is_ok()) {
-    const auto claim = FromJson<fleet::Claim>(answer.document, "claim", UnknownKeys::kIgnore);
+    const auto claim =
+        FromJson<fleet::Claim>(answer.document, "claim", UnknownKeys::kIgnore);
     if (claim.ok()) {
-      return CallerAnswer{claim->answer.http_status, ResultCode::kOk,
-                          decision,                  Milliseconds(0),
-                          claim->answer.content_type, claim->answer.body};
+      return CallerAnswer{claim->answer.http_status,
+                          ResultCode::kOk,
+                          decision,
+                          Milliseconds(0),
+                          claim->answer.content_type,
+                          claim->answer.body};
     }
-    return http::MakeErrorAnswer(ResultCode::kOutcomeUnknown, "the kept answer can't be read",
-                                 decision, Milliseconds(0));
+    return http::MakeErrorAnswer(ResultCode::kOutcomeUnknown,
+                                 "the kept answer can't be read", decision,
+                                 Milliseconds(0));
   }
-  const bool is_about_request = InfoFor(answer.code).effect != RunEffect::kNotARequest;
+  const bool is_about_request =
+      InfoFor(answer.code).effect != RunEffect::kNotARequest;
   if (is_about_request) {
     constexpr Milliseconds kAskAgainAfter{200};
     const bool is_running = answer.code == ResultCode::kStillRunning;
@@ -268,14 +302,18 @@
                                  is_running ? kAskAgainAfter : Milliseconds(0));
   }
   constexpr Milliseconds kRetryAfter{500};
-  return http::MakeErrorAnswer(ResultCode::kClaimRefused, answer.message, decision, kRetryAfter);
+  return http::MakeErrorAnswer(ResultCode::kClaimRefused, answer.message,
+                               decision, kRetryAfter);
 }
 
-void Entry::FinishClaim(const CallerRequest& request, const Progress& progress,
-                        fleet::ClaimState state, const http::MinionAnswer& answer) {
+void Entry::FinishClaim(const CallerRequest& request,
+                        const Progress& progress,
+                        fleet::ClaimState state,
+                        const http::MinionAnswer& answer) {
   const fleet::Answer kept = this->core.Propose(
-      fleet::FinishClaim{request.key, this->settings.process, progress.attempt, state,
-                         fleet::KeptAnswer{answer.status, answer.content_type, answer.body}},
+      fleet::FinishClaim{
+          request.key, this->settings.process, progress.attempt, state,
+          fleet::KeptAnswer{answer.status, answer.content_type, answer.body}},
       kLongestFinish);
   if (!kept.is_ok()) {
     LogEvent(LogLevel::kWarning, "claim-not-finished",
@@ -286,8 +324,11 @@
   }
 }
 
-// One try at one minion. `final_answer` is set when the claim says that nothing is to be sent.
-TryResult Entry::TryOnce(const CallerRequest& request, Progress& progress, const SendTo& send,
+// One try at one minion. `final_answer` is set when the claim says that nothing
+// is to be sent.
+TryResult Entry::TryOnce(const CallerRequest& request,
+                         Progress& progress,
+                         const SendTo& send,
                          std::optional<CallerAnswer>& final_answer) {
   const std::string& address = send.choice.address;
   const bool is_repeatable = progress.info.is_repeatable;
@@ -296,8 +337,9 @@
     most_answer_bytes = std::min(most_answer_bytes, kMostKeptAnswerBytes);
   }
   TryResult result;
-  // The connection stands before the claim is made, so that a claim is seldom made for nothing;
-  // for a request that must not run twice it is a new one, which no minion is about to close.
+  // The connection stands before the claim is made, so that a claim is seldom
+  // made for nothing; for a request that must not run twice it is a new one,
+  // which no minion is about to close.
   http::MinionClient::Connection connection =
       this->client.Connect(address, !is_repeatable, progress.info.deadline);
   if (connection == nullptr) {
@@ -318,11 +360,12 @@
       request.method,
       request.target,
       request.service.value(),
-      StrCat(this->settings.process.value(), "-", progress.attempt, "-", progress.tried.size()),
+      StrCat(this->settings.process.value(), "-", progress.attempt, "-",
+             progress.tried.size()),
       request.content_type,
       request.body};
-  result = this->client.Exchange(address, std::move(connection), sent, most_answer_bytes,
-                                 progress.info.deadline);
+  result = this->client.Exchange(address, std::move(connection), sent,
+                                 most_answer_bytes, progress.info.deadline);
   this->FinishTry(send.choice.minion, result);
   if (result.outcome != TryOutcome::kAnswered) {
     LogEvent(LogLevel::kInfo, "try-failed",
@@ -344,7 +387,8 @@
   this->WakeReady();
 }
 
-CallerAnswer Entry::AnswerRefusal(const CallerRequest& request, const Progress& progress,
+CallerAnswer Entry::AnswerRefusal(const CallerRequest& request,
+                                  const Progress& progress,
                                   const Refuse& refusal) {
   if (progress.is_claimed) {
     this->FinishClaim(request, progress, fleet::ClaimState::kNotRun, {});
@@ -353,12 +397,15 @@
                                refusal.retry_after);
 }
 
-CallerAnswer Entry::AnswerUnknown(const CallerRequest& request, const Progress& progress,
-                                  const TryResult& result, const DecisionId& decision) {
+CallerAnswer Entry::AnswerUnknown(const CallerRequest& request,
+                                  const Progress& progress,
+                                  const TryResult& result,
+                                  const DecisionId& decision) {
   this->FinishClaim(request, progress, fleet::ClaimState::kUnknown, {});
-  return http::MakeErrorAnswer(ResultCode::kOutcomeUnknown,
-                               StrCat("sent, but no whole answer came back: ", result.detail),
-                               decision, Milliseconds(0));
+  return http::MakeErrorAnswer(
+      ResultCode::kOutcomeUnknown,
+      StrCat("sent, but no whole answer came back: ", result.detail), decision,
+      Milliseconds(0));
 }
 
 bool Entry::UpdateView(const fleet::View& view) {
@@ -382,11 +429,12 @@
   return this->router.decisions().Find(id);
 }
 
-std::vector<fleet::Decision> Entry::FindDecisionsAbout(const std::string& request_label) const {
+std::vector<fleet::Decision> Entry::FindDecisionsAbout(
+    const std::string& request_label) const {
   constexpr std::size_t kMostShown = 20;
   const std::lock_guard lock(this->mutex);
-  return this->router.decisions().FindAbout(fleet::SubjectKind::kRequest, request_label,
-                                            kMostShown);
+  return this->router.decisions().FindAbout(fleet::SubjectKind::kRequest,
+                                            request_label, kMostShown);
 }
 
 std::size_t Entry::CountOpen() const {
@@ -397,7 +445,8 @@
 // Looks after waiting requests whose minions' pauses end by time alone.
 void Entry::WakeLoop() {
   std::unique_lock stop_lock(this->stop_mutex);
-  while (!this->stop_wake.wait_for(stop_lock, kWakeInterval, [this] { return this->is_stopping; })) {
+  while (!this->stop_wake.wait_for(stop_lock, kWakeInterval,
+                                   [this] { return this->is_stopping; })) {
     const std::lock_guard lock(this->mutex);
     if (this->router.CountWaiting() > 0) {
       this->WakeReady();
@@ -405,8 +454,8 @@
   }
 }
 
-// Asks each minion now and then how it is: its own word that it leaves reaches an entry that is cut
-// off from the controllers too.
+// Asks each minion now and then how it is: its own word that it leaves reaches
+// an entry that is cut off from the controllers too.
 void Entry::ProbeLoop() {
   const Milliseconds interval = this->settings.routing.probe_interval;
   if (interval == Milliseconds(0)) {
@@ -414,7 +463,8 @@
   }
   const http::MinionRequest probe{.method = "GET", .target = "/sumac/health"};
   std::unique_lock stop_lock(this->stop_mutex);
-  while (!this->stop_wake.wait_for(stop_lock, interval, [this] { return this->is_stopping; })) {
+  while (!this->stop_wake.wait_for(stop_lock, interval,
+                                   [this] { return this->is_stopping; })) {
     stop_lock.unlock();
     const auto addresses = [this] {
       const std::lock_guard lock(this->mutex);
@@ -426,8 +476,8 @@
       if (connection == nullptr) {
         continue;
       }
-      const TryResult result =
-          this->client.Exchange(address, std::move(connection), probe, 1024, deadline);
+      const TryResult result = this->client.Exchange(
+          address, std::move(connection), probe, 1024, deadline);
       if (result.is_leaving) {
         const std::lock_guard lock(this->mutex);
         this->router.minions().NoteLeaving(name, this->clock.SteadyNow());
--- a/services/sumacd/entry.h
+++ b/services/sumacd/entry.h
@@ -26,8 +26,9 @@
 
 namespace sumac::daemon {
 
-// The entry role: takes callers' requests to minions and brings back whole answers. Each request
-// runs on its connection's thread; the routing core is behind one lock.
+// The entry role: takes callers' requests to minions and brings back whole
+// answers. Each request runs on its connection's thread; the routing core is
+// behind one lock.
 class Entry {
  public:
   // `core` must outlive the entry.
@@ -47,7 +48,8 @@
 
   // This entry's own decisions.
   std::optional<fleet::Decision> FindDecision(const DecisionId& id) const;
-  std::vector<fleet::Decision> FindDecisionsAbout(const std::string& request_label) const;
+  std::vector<fleet::Decision> FindDecisionsAbout(
+      const std::string& request_label) const;
 
   // Requests in hand.
   std::size_t CountOpen() const;
@@ -66,22 +68,34 @@
     std::optional<routing::SendTo> send;
   };
 
-  std::optional<http::CallerAnswer> CheckRequest(const http::CallerRequest& request) const;
+  std::optional<http::CallerAnswer> CheckRequest(
+      const http::CallerRequest& request) const;
   Progress MakeProgress(const http::CallerRequest& request);
-  http::CallerAnswer RunAdmitted(const http::CallerRequest& request, Progress& progress);
-  std::variant<routing::SendTo, routing::Refuse> AwaitTurn(const Progress& progress,
-                                                           routing::RouteResult result);
-  std::optional<http::CallerAnswer> Claim(const http::CallerRequest& request, Progress& progress,
+  http::CallerAnswer RunAdmitted(const http::CallerRequest& request,
+                                 Progress& progress);
+  std::variant<routing::SendTo, routing::Refuse> AwaitTurn(
+      const Progress& progress,
+      routing::RouteResult result);
+  std::optional<http::CallerAnswer> Claim(const http::CallerRequest& request,
+                                          Progress& progress,
                                           const DecisionId& decision);
-  http::CallerAnswer AnswerFromClaim(const fleet::Answer& answer, const DecisionId& decision);
-  void FinishClaim(const http::CallerRequest& request, const Progress& progress,
-                   fleet::ClaimState state, const http::MinionAnswer& answer);
-  http::TryResult TryOnce(const http::CallerRequest& request, Progress& progress,
-                          const routing::SendTo& send, std::optional<http::CallerAnswer>& final);
-  http::CallerAnswer AnswerRefusal(const http::CallerRequest& request, const Progress& progress,
+  http::CallerAnswer AnswerFromClaim(const fleet::Answer& answer,
+                                     const DecisionId& decision);
+  void FinishClaim(const http::CallerRequest& request,
+                   const Progress& progress,
+                   fleet::ClaimState state,
+                   const http::MinionAnswer& answer);
+  http::TryResult TryOnce(const http::CallerRequest& request,
+                          Progress& progress,
+                          const routing::SendTo& send,
+                          std::optional<http::CallerAnswer>& final);
+  http::CallerAnswer AnswerRefusal(const http::CallerRequest& request,
+                                   const Progress& progress,
                                    const routing::Refuse& refusal);
-  http::CallerAnswer AnswerUnknown(const http::CallerRequest& request, const Progress& progress,
-                                   const http::TryResult& result, const DecisionId& decision);
+  http::CallerAnswer AnswerUnknown(const http::CallerRequest& request,
+                                   const Progress& progress,
+                                   const http::TryResult& result,
+                                   const DecisionId& decision);
   void FinishTry(const InstanceName& minion, const http::TryResult& result);
   void WakeReady();
   void WakeLoop();
--- a/services/sumacd/leader_link.h
+++ b/services/sumacd/leader_link.h
@@ -20,40 +20,56 @@
 
 namespace sumac::daemon {
 
-// Brings commands and questions from any process to whichever controller leads. It follows hints
-// and tries the controllers in turn until the limit is over. All commands may be sent again after
-// a lost answer: operators' carry a request id, claims the number of their try, and the rest
-// change nothing the second time. Belongs to the core's event loop.
+// Brings commands and questions from any process to whichever controller leads.
+// It follows hints and tries the controllers in turn until the limit is over.
+// All commands may be sent again after a lost answer: operators' carry a
+// request id, claims the number of their try, and the rest change nothing the
+// second time. Belongs to the core's event loop.
 class LeaderLink {
  public:
   // `local` is this process's controller, or nothing.
-  LeaderLink(const Settings& settings, Peers& peers, kj::Timer& timer, Controller* local);
+  LeaderLink(const Settings& settings,
+             Peers& peers,
+             kj::Timer& timer,
+             Controller* local);
 
   // Commits a command. kNoLeader or kTimeout when the limit is over.
-  kj::Promise<fleet::Answer> Propose(fleet::Command command, Milliseconds limit);
+  kj::Promise<fleet::Answer> Propose(fleet::Command command,
+                                     Milliseconds limit);
 
   // Asks the leader one of the questions of Queries.
-  kj::Promise<fleet::Answer> Read(std::string kind, std::string name, Milliseconds limit);
+  kj::Promise<fleet::Answer> Read(std::string kind,
+                                  std::string name,
+                                  Milliseconds limit);
 
-  // Passes renewals on; orders that are not confirmed when no leader was reached.
+  // Passes renewals on; orders that are not confirmed when no leader was
+  // reached.
   kj::Promise<std::vector<fleet::TargetOrders>> Announce(
-      std::vector<fleet::Announcement> announcements, Milliseconds limit);
+      std::vector<fleet::Announcement> announcements,
+      Milliseconds limit);
 
   // The leader as last heard; empty if unknown.
   const ProcessName& leader() const { return this->known_leader; }
 
  private:
   // One try at one controller.
-  using Attempt = std::function<kj::Promise<fleet::Answer>(const ProcessName&, Milliseconds)>;
+  using Attempt = std::function<kj::Promise<fleet::Answer>(const ProcessName&,
+                                                           Milliseconds)>;
 
-  kj::Promise<fleet::Answer> TryUntil(Attempt attempt, SteadyTime deadline, std::string last_error);
-  kj::Promise<fleet::Answer> ProposeAt(const ProcessName& process, const fleet::Command& command,
+  kj::Promise<fleet::Answer> TryUntil(Attempt attempt,
+                                      SteadyTime deadline,
+                                      std::string last_error);
+  kj::Promise<fleet::Answer> ProposeAt(const ProcessName& process,
+                                       const fleet::Command& command,
                                        Milliseconds limit);
-  kj::Promise<fleet::Answer> ReadAt(const ProcessName& process, const std::string& kind,
-                                    const std::string& name, Milliseconds limit);
-  kj::Promise<fleet::Answer> AnnounceAt(const ProcessName& process,
-                                        const std::vector<fleet::Announcement>& announcements,
-                                        Milliseconds limit);
+  kj::Promise<fleet::Answer> ReadAt(const ProcessName& process,
+                                    const std::string& kind,
+                                    const std::string& name,
+                                    Milliseconds limit);
+  kj::Promise<fleet::Answer> AnnounceAt(
+      const ProcessName& process,
+      const std::vector<fleet::Announcement>& announcements,
+      Milliseconds limit);
   ProcessName NextController();
 
   const Settings& settings;
--- a/services/sumacd/main.cc
+++ b/services/sumacd/main.cc
@@ -18,12 +18,15 @@
 
 options::options_description DescribeOptions() {
   options::options_description description(
-      "sumacd: the daemon of sumacstack; takes callers' requests and keeps the fleet's state.\n"
+      "sumacd: the daemon of sumacstack; takes callers' requests and keeps the "
+      "fleet's state.\n"
       "Usage: sumacd --settings FILE [--check | --format]\n"
-      "Exit codes: 0 ended in order, 1 failed while running, 2 wrong usage, 3 wrong settings.\n\n"
+      "Exit codes: 0 ended in order, 1 failed while running, 2 wrong usage, 3 "
+      "wrong settings.\n\n"
       "Options");
   auto add = description.add_options();
-  add("settings", options::value<std::string>()->value_name("FILE"), "the settings, in JSON");
+  add("settings", options::value<std::string>()->value_name("FILE"),
+      "the settings, in JSON");
   add("check", "check the settings and end");
   add("format", "make the data folder of a controller of a new group and end");
   add("help", "print this");
@@ -35,8 +38,8 @@
   if (status.ok()) {
     return EXIT_SUCCESS;
   }
-  std::cerr << "sumacd: error " << static_cast<int>(sumac::CodeOf(status)) << ": "
-            << status.message() << "\n";
+  std::cerr << "sumacd: error " << static_cast<int>(sumac::CodeOf(status))
+            << ": " << status.message() << "\n";
   return exit_code;
 }
 
@@ -45,7 +48,8 @@
     std::cerr << "sumacd: --settings FILE is required; see --help\n";
     return kExitUsage;
   }
-  const auto settings = sumac::daemon::Settings::Load(arguments["settings"].as<std::string>());
+  const auto settings =
+      sumac::daemon::Settings::Load(arguments["settings"].as<std::string>());
   if (!settings.ok()) {
     return Report(settings.status(), kExitSettings);
   }
@@ -65,7 +69,8 @@
   const options::options_description description = DescribeOptions();
   options::variables_map arguments;
   try {
-    options::store(options::parse_command_line(argument_count, argument_values, description),
+    options::store(options::parse_command_line(argument_count, argument_values,
+                                               description),
                    arguments);
   } catch (const options::error& error) {
     std::cerr << "sumacd: " << error.what() << "; see --help\n";
--- a/services/sumacd/operator_service.cc
+++ b/services/sumacd/operator_service.cc
@@ -23,7 +23,8 @@
 constexpr std::size_t kLargestDeclaration = 1U << 20;
 constexpr std::size_t kLargestJob = 64U << 10;
 
-constexpr ReaderCodes kJobCodes{ResultCode::kBadArgument, ResultCode::kBadArgument};
+constexpr ReaderCodes kJobCodes{ResultCode::kBadArgument,
+                                ResultCode::kBadArgument};
 
 template <typename Context>
 kj::Promise<void> Reply(Context context, const fleet::Answer& answer) {
@@ -32,8 +33,9 @@
 }
 
 fleet::Answer TooLarge(std::string_view what, std::size_t most) {
-  return fleet::Answer{.code = ResultCode::kBadArgument,
-                       .message = StrCat(what, " is larger than ", most, " bytes")};
+  return fleet::Answer{
+      .code = ResultCode::kBadArgument,
+      .message = StrCat(what, " is larger than ", most, " bytes")};
 }
 
 // Decisions from several processes in one list, the newest first.
@@ -55,7 +57,8 @@
 }  // namespace
 
 template <typename Context>
-kj::Promise<void> OperatorService::Commit(Context context, fleet::Command command) {
+kj::Promise<void> OperatorService::Commit(Context context,
+                                          fleet::Command command) {
   return this->parts.leader.Propose(std::move(command), kOperatorLimit)
       .then([context](const fleet::Answer& answer) mutable {
         rpc::WriteAnswer(answer, context.getResults().initResult());
@@ -63,7 +66,8 @@
 }
 
 template <typename Context>
-kj::Promise<void> OperatorService::Ask(Context context, const std::string& kind,
+kj::Promise<void> OperatorService::Ask(Context context,
+                                       const std::string& kind,
                                        const std::string& name) {
   return this->parts.leader.Read(kind, name, kOperatorLimit)
       .then([context](const fleet::Answer& answer) mutable {
@@ -72,13 +76,15 @@
 }
 
 template <typename Context>
-kj::Promise<void> OperatorService::Operate(Context context, fleet::InstanceRequest request,
+kj::Promise<void> OperatorService::Operate(Context context,
+                                           fleet::InstanceRequest request,
                                            const std::string& pool) {
   auto params = context.getParams();
-  return this->Commit(context,
-                      fleet::OperateInstance{rpc::ReadIdentity(params.getIdentity()), request,
-                                             InstanceName(wire::ToString(params.getInstance())),
-                                             PoolName(pool)});
+  return this->Commit(
+      context,
+      fleet::OperateInstance{rpc::ReadIdentity(params.getIdentity()), request,
+                             InstanceName(wire::ToString(params.getInstance())),
+                             PoolName(pool)});
 }
 
 kj::Promise<void> OperatorService::apply(ApplyContext context) {
@@ -86,8 +92,8 @@
   if (params.getDeclaration().size() > kLargestDeclaration) {
     return Reply(context, TooLarge("the declaration", kLargestDeclaration));
   }
-  auto declaration =
-      fleet::ParseDeclaration(wire::ToString(params.getDeclaration()), "declaration");
+  auto declaration = fleet::ParseDeclaration(
+      wire::ToString(params.getDeclaration()), "declaration");
   if (!declaration.ok()) {
     return Reply(context, fleet::Answer::FromStatus(declaration.status()));
   }
@@ -98,12 +104,14 @@
 }
 
 kj::Promise<void> OperatorService::diff(DiffContext context) {
-  return this->Ask(context, "diff", wire::ToString(context.getParams().getDeclaration()));
+  return this->Ask(context, "diff",
+                   wire::ToString(context.getParams().getDeclaration()));
 }
 
 kj::Promise<void> OperatorService::get(GetContext context) {
   const std::string kind = wire::ToString(context.getParams().getKind());
-  return this->Ask(context, kind, wire::ToString(context.getParams().getName()));
+  return this->Ask(context, kind,
+                   wire::ToString(context.getParams().getName()));
 }
 
 kj::Promise<void> OperatorService::drain(DrainContext context) {
@@ -128,26 +136,31 @@
   if (params.getJob().size() > kLargestJob) {
     return Reply(context, TooLarge("the job", kLargestJob));
   }
-  const auto json = ParseJson(wire::ToString(params.getJob()), "job", ResultCode::kBadArgument);
+  const auto json = ParseJson(wire::ToString(params.getJob()), "job",
+                              ResultCode::kBadArgument);
   if (!json.ok()) {
     return Reply(context, fleet::Answer::FromStatus(json.status()));
   }
-  auto spec = FromJson<fleet::JobSpec>(*json, "job", UnknownKeys::kRefuse, kJobCodes);
+  auto spec =
+      FromJson<fleet::JobSpec>(*json, "job", UnknownKeys::kRefuse, kJobCodes);
   if (!spec.ok()) {
     return Reply(context, fleet::Answer::FromStatus(spec.status()));
   }
-  return this->Commit(context, fleet::SubmitJob{rpc::ReadIdentity(params.getIdentity()),
-                                                *std::move(spec)});
+  return this->Commit(context,
+                      fleet::SubmitJob{rpc::ReadIdentity(params.getIdentity()),
+                                       *std::move(spec)});
 }
 
 kj::Promise<void> OperatorService::cancelJob(CancelJobContext context) {
   auto params = context.getParams();
-  return this->Commit(context, fleet::CancelJob{rpc::ReadIdentity(params.getIdentity()),
-                                                JobId(wire::ToString(params.getJob()))});
+  return this->Commit(context,
+                      fleet::CancelJob{rpc::ReadIdentity(params.getIdentity()),
+                                       JobId(wire::ToString(params.getJob()))});
 }
 
-kj::Promise<fleet::Answer> OperatorService::ExplainAt(const ProcessName& process,
-                                                      const DecisionId& id) {
+kj::Promise<fleet::Answer> OperatorService::ExplainAt(
+    const ProcessName& process,
+    const DecisionId& id) {
   if (process == this->parts.settings.process) {
     return ExplainLocally(this->parts.entry, id);
   }
@@ -163,10 +176,11 @@
         return rpc::ReadAnswer(response.getResult());
       }))
       .catch_([process](kj::Exception&& exception) {
-        return fleet::Answer{.code = ResultCode::kUnreachable,
-                             .message = StrCat("the process ", process.value(),
-                                               " that took this decision does not answer: ",
-                                               exception.getDescription().cStr())};
+        return fleet::Answer{
+            .code = ResultCode::kUnreachable,
+            .message = StrCat("the process ", process.value(),
+                              " that took this decision does not answer: ",
+                              exception.getDescription().cStr())};
       });
 }
 
@@ -176,9 +190,10 @@
   if (!process) {
     return this->Ask(context, "decision", id.value());
   }
-  return this->ExplainAt(*process, id).then([context](const fleet::Answer& answer) mutable {
-    rpc::WriteAnswer(answer, context.getResults().initResult());
-  });
+  return this->ExplainAt(*process, id)
+      .then([context](const fleet::Answer& answer) mutable {
+        rpc::WriteAnswer(answer, context.getResults().initResult());
+      });
 }
 
 kj::Promise<fleet::Answer> OperatorService::WhyAt(const ProcessName& process,
@@ -203,8 +218,10 @@
 kj::Promise<void> OperatorService::why(WhyContext context) {
   const std::string kind = wire::ToString(context.getParams().getKind());
   const std::string name = wire::ToString(context.getParams().getName());
-  auto asked = kj::heapArrayBuilder<kj::Promise<fleet::Answer>>(this->parts.peers.all().size() + 1);
-  asked.add(this->parts.leader.Read(StrCat("why-", kind), name, kOperatorLimit));
+  auto asked = kj::heapArrayBuilder<kj::Promise<fleet::Answer>>(
+      this->parts.peers.all().size() + 1);
+  asked.add(
+      this->parts.leader.Read(StrCat("why-", kind), name, kOperatorLimit));
   for (const ProcessName& process : this->parts.peers.all()) {
     asked.add(this->WhyAt(process, kind, name));
   }
@@ -214,11 +231,13 @@
         std::vector<nlohmann::json> lists;
         std::size_t silent = 0;
         for (const fleet::Answer& part : answers) {
-          part.is_ok() ? lists.push_back(part.document) : static_cast<void>(++silent);
+          part.is_ok() ? lists.push_back(part.document)
+                       : static_cast<void>(++silent);
         }
         answer.document = MergeDecisions(std::move(lists));
         if (silent > 0 && answer.is_ok()) {
-          answer.message = StrCat(silent, " processes did not answer; their decisions are missing");
+          answer.message = StrCat(
+              silent, " processes did not answer; their decisions are missing");
         }
         rpc::WriteAnswer(answer, context.getResults().initResult());
       });
@@ -226,9 +245,10 @@
 
 nlohmann::json OperatorService::DescribeProcess() const {
   const Settings& settings = this->parts.settings;
-  nlohmann::json document = {{"process", settings.process.value()},
-                             {"data_centre", settings.self().data_centre.value()},
-                             {"leader", this->parts.leader.leader().value()}};
+  nlohmann::json document = {
+      {"process", settings.process.value()},
+      {"data_centre", settings.self().data_centre.value()},
+      {"leader", this->parts.leader.leader().value()}};
   if (this->parts.follower != nullptr) {
     document["view_version"] = this->parts.follower->current_version();
     document["view_age_ms"] = this->parts.follower->Age().count();
@@ -240,7 +260,8 @@
     const replication::Replica& replica = controller->replica();
     document["controller"] = {
         {"node", replica.self().value()},
-        {"role", replica.role() == replication::Role::kLeader ? "leader" : "follower"},
+        {"role",
+         replica.role() == replication::Role::kLeader ? "leader" : "follower"},
         {"may_act", controller->MayAct()},
         {"term", replica.term().value()},
         {"commit_index", replica.commit_index().value()},
@@ -268,8 +289,13 @@
     return Reply(context, fleet::Answer{.code = ResultCode::kNoLeader,
                                         .message = "no leader is known here"});
   }
-  return channel->Guard(kPeerLimit, channel->Get<wire::Peer>().handOverRequest().send().ignoreResult())
-      .then([context]() mutable { return Reply(context, fleet::Answer::Success("handing over")); });
+  return channel
+      ->Guard(
+          kPeerLimit,
+          channel->Get<wire::Peer>().handOverRequest().send().ignoreResult())
+      .then([context]() mutable {
+        return Reply(context, fleet::Answer::Success("handing over"));
+      });
 }
 
 }  // namespace sumac::daemon
--- a/services/sumacd/operator_service.h
+++ b/services/sumacd/operator_service.h
@@ -14,7 +14,8 @@
 
 namespace sumac::daemon {
 
-// What the operators' door needs of the rest of the process. Controller and entry may be nothing.
+// What the operators' door needs of the rest of the process. Controller and
+// entry may be nothing.
 struct OperatorParts {
   const Settings& settings;
   Peers& peers;
@@ -24,8 +25,8 @@
   const ViewFollower* follower;
 };
 
-// The operators' door (schemas/operator.capnp): an adapter that passes everything on to the leader
-// or to the process that knows.
+// The operators' door (schemas/operator.capnp): an adapter that passes
+// everything on to the leader or to the process that knows.
 class OperatorService final : public wire::Operator::Server {
  public:
   explicit OperatorService(OperatorParts parts) : parts(parts) {}
@@ -48,12 +49,17 @@
   template <typename Context>
   kj::Promise<void> Commit(Context context, fleet::Command command);
   template <typename Context>
-  kj::Promise<void> Ask(Context context, const std::string& kind, const std::string& name);
+  kj::Promise<void> Ask(Context context,
+                        const std::string& kind,
+                        const std::string& name);
   template <typename Context>
-  kj::Promise<void> Operate(Context context, fleet::InstanceRequest request,
+  kj::Promise<void> Operate(Context context,
+                            fleet::InstanceRequest request,
                             const std::string& pool);
-  kj::Promise<fleet::Answer> ExplainAt(const ProcessName& process, const DecisionId& id);
-  kj::Promise<fleet::Answer> WhyAt(const ProcessName& process, const std::string& kind,
+  kj::Promise<fleet::Answer> ExplainAt(const ProcessName& process,
+                                       const DecisionId& id);
+  kj::Promise<fleet::Answer> WhyAt(const ProcessName& process,
+                                   const std::string& kind,
                                    const std::string& name);
   nlohmann::json DescribeProcess() const;
 
--- a/services/sumacd/peer_service.cc
+++ b/services/sumacd/peer_service.cc
@@ -21,18 +21,19 @@
 
 kj::Promise<void> PeerService::replicate(ReplicateContext context) {
   if (this->controller != nullptr) {
-    this->controller->Receive(wire::ReadMessage(context.getParams().getMessage()));
+    this->controller->Receive(
+        wire::ReadMessage(context.getParams().getMessage()));
   }
   return kj::READY_NOW;
 }
 
 kj::Promise<void> PeerService::propose(ProposeContext context) {
-  auto command =
-      FromCbor<fleet::Command>(wire::ToString(context.getParams().getCommand()), "command");
+  auto command = FromCbor<fleet::Command>(
+      wire::ToString(context.getParams().getCommand()), "command");
   if (!command.ok() || this->controller == nullptr) {
-    rpc::WriteAnswer(
-        command.ok() ? NoController() : fleet::Answer::FromStatus(command.status()),
-        context.getResults().initResult());
+    rpc::WriteAnswer(command.ok() ? NoController()
+                                  : fleet::Answer::FromStatus(command.status()),
+                     context.getResults().initResult());
     return kj::READY_NOW;
   }
   return this->controller->Propose(*std::move(command))
@@ -47,7 +48,8 @@
     return kj::READY_NOW;
   }
   const std::uint64_t have = context.getParams().getHave();
-  return this->controller->Follow(have, Milliseconds(context.getParams().getWaitMs()))
+  return this->controller
+      ->Follow(have, Milliseconds(context.getParams().getWaitMs()))
       .then([context, have](const ServedView& served) mutable {
         auto results = context.getResults();
         results.setIsVerified(served.is_verified);
@@ -61,13 +63,16 @@
 kj::Promise<void> PeerService::announce(AnnounceContext context) {
   auto announcements = FromCbor<std::vector<fleet::Announcement>>(
       wire::ToString(context.getParams().getAnnouncements()), "announcements");
-  const bool may_act = this->controller != nullptr && this->controller->MayAct();
+  const bool may_act =
+      this->controller != nullptr && this->controller->MayAct();
   if (!announcements.ok() || !may_act) {
-    fleet::Answer answer =
-        this->controller == nullptr ? NoController() : this->controller->NotLeaderAnswer();
-    rpc::WriteAnswer(
-        announcements.ok() ? answer : fleet::Answer::FromStatus(announcements.status()),
-        context.getResults().initResult());
+    fleet::Answer answer = this->controller == nullptr
+                               ? NoController()
+                               : this->controller->NotLeaderAnswer();
+    rpc::WriteAnswer(announcements.ok()
+                         ? answer
+                         : fleet::Answer::FromStatus(announcements.status()),
+                     context.getResults().initResult());
     return kj::READY_NOW;
   }
   return this->controller->Announce(*std::move(announcements))
@@ -78,12 +83,15 @@
 }
 
 kj::Promise<void> PeerService::read(ReadContext context) {
-  const bool may_act = this->controller != nullptr && this->controller->MayAct();
-  fleet::Answer answer =
-      this->controller == nullptr ? NoController() : this->controller->NotLeaderAnswer();
+  const bool may_act =
+      this->controller != nullptr && this->controller->MayAct();
+  fleet::Answer answer = this->controller == nullptr
+                             ? NoController()
+                             : this->controller->NotLeaderAnswer();
   if (may_act) {
-    answer = Query(*this->controller, wire::ToString(context.getParams().getKind()),
-                   wire::ToString(context.getParams().getName()));
+    answer =
+        Query(*this->controller, wire::ToString(context.getParams().getKind()),
+              wire::ToString(context.getParams().getName()));
   }
   rpc::WriteAnswer(answer, context.getResults().initResult());
   return kj::READY_NOW;
@@ -91,14 +99,16 @@
 
 kj::Promise<void> PeerService::explainLocal(ExplainLocalContext context) {
   const DecisionId id(wire::ToString(context.getParams().getDecisionId()));
-  rpc::WriteAnswer(ExplainLocally(this->entry, id), context.getResults().initResult());
+  rpc::WriteAnswer(ExplainLocally(this->entry, id),
+                   context.getResults().initResult());
   return kj::READY_NOW;
 }
 
 kj::Promise<void> PeerService::whyLocal(WhyLocalContext context) {
-  rpc::WriteAnswer(WhyLocally(this->entry, wire::ToString(context.getParams().getKind()),
-                              wire::ToString(context.getParams().getName())),
-                   context.getResults().initResult());
+  rpc::WriteAnswer(
+      WhyLocally(this->entry, wire::ToString(context.getParams().getKind()),
+                 wire::ToString(context.getParams().getName())),
+      context.getResults().initResult());
   return kj::READY_NOW;
 }
 
@@ -121,15 +131,19 @@
 }
 
 fleet::Answer ExplainLocally(const Entry* entry, const DecisionId& id) {
-  const auto decision = entry == nullptr ? std::nullopt : entry->FindDecision(id);
+  const auto decision =
+      entry == nullptr ? std::nullopt : entry->FindDecision(id);
   if (!decision) {
-    return fleet::Answer{.code = ResultCode::kUnknownDecision,
-                         .message = StrCat("no decision ", id.value(), " is kept here")};
+    return fleet::Answer{
+        .code = ResultCode::kUnknownDecision,
+        .message = StrCat("no decision ", id.value(), " is kept here")};
   }
   return fleet::Answer{.document = ToJson(*decision)};
 }
 
-fleet::Answer WhyLocally(const Entry* entry, const std::string& kind, const std::string& name) {
+fleet::Answer WhyLocally(const Entry* entry,
+                         const std::string& kind,
+                         const std::string& name) {
   nlohmann::json rows = nlohmann::json::array();
   if (entry != nullptr && kind == NameOf(fleet::SubjectKind::kRequest)) {
     for (const fleet::Decision& decision : entry->FindDecisionsAbout(name)) {
--- a/services/sumacd/peer_service.h
+++ b/services/sumacd/peer_service.h
@@ -12,7 +12,8 @@
 class PeerService final : public wire::Peer::Server {
  public:
   // Either may be nothing, by the process's roles.
-  PeerService(Controller* controller, Entry* entry) : controller(controller), entry(entry) {}
+  PeerService(Controller* controller, Entry* entry)
+      : controller(controller), entry(entry) {}
 
   kj::Promise<void> replicate(ReplicateContext context) override;
   kj::Promise<void> propose(ProposeContext context) override;
@@ -33,7 +34,9 @@
 fleet::Answer ExplainLocally(const Entry* entry, const DecisionId& id);
 
 // This entry's own decisions about a request, as a list.
-fleet::Answer WhyLocally(const Entry* entry, const std::string& kind, const std::string& name);
+fleet::Answer WhyLocally(const Entry* entry,
+                         const std::string& kind,
+                         const std::string& name);
 
 }  // namespace sumac::daemon
 
--- a/services/sumacd/peers.h
+++ b/services/sumacd/peers.h
@@ -15,7 +15,8 @@
 
 namespace sumac::daemon {
 
-// Connections to the other processes of the system, by name. Belongs to the core's event loop.
+// Connections to the other processes of the system, by name. Belongs to the
+// core's event loop.
 class Peers {
  public:
   Peers(kj::Network& network, kj::Timer& timer, const Settings& settings);
@@ -25,7 +26,9 @@
 
   // The names of all processes and of the controllers, this one included.
   const std::vector<ProcessName>& all() const { return this->names; }
-  const std::vector<ProcessName>& controllers() const { return this->controller_names; }
+  const std::vector<ProcessName>& controllers() const {
+    return this->controller_names;
+  }
 
  private:
   std::vector<ProcessName> names;
--- a/services/sumacd/platform_teller.cc
+++ b/services/sumacd/platform_teller.cc
@@ -14,7 +14,8 @@
 
 }  // namespace
 
-PlatformTeller::PlatformTeller(http::PlatformClient initial_client, OnReport report_function)
+PlatformTeller::PlatformTeller(http::PlatformClient initial_client,
+                               OnReport report_function)
     : client(std::move(initial_client)),
       on_report(std::move(report_function)),
       thread([this] { this->Run(); }) {}
@@ -28,10 +29,12 @@
   this->thread.join();
 }
 
-void PlatformTeller::Tell(const std::vector<fleet::PlatformStep>& steps, SteadyTime now) {
+void PlatformTeller::Tell(const std::vector<fleet::PlatformStep>& steps,
+                          SteadyTime now) {
   const std::lock_guard lock(this->mutex);
-  std::erase_if(this->told_at,
-                [&](const auto& told) { return now - told.second > 10 * kTellAgainAfter; });
+  std::erase_if(this->told_at, [&](const auto& told) {
+    return now - told.second > 10 * kTellAgainAfter;
+  });
   for (const fleet::PlatformStep& step : steps) {
     const auto told = this->told_at.find(step.operation);
     if (told == this->told_at.end() || now - told->second >= kTellAgainAfter) {
@@ -47,7 +50,8 @@
     fleet::PlatformStep step;
     {
       std::unique_lock lock(this->mutex);
-      this->wake.wait(lock, [this] { return this->is_stopping || !this->queue.empty(); });
+      this->wake.wait(
+          lock, [this] { return this->is_stopping || !this->queue.empty(); });
       if (this->is_stopping) {
         return;
       }
--- a/services/sumacd/platform_teller.h
+++ b/services/sumacd/platform_teller.h
@@ -16,9 +16,9 @@
 
 namespace sumac::daemon {
 
-// Tells the platform operations from a thread of its own, so that a slow platform holds up
-// nothing, and passes on what it answers. An operation is told again after a while until the
-// controllers no longer ask for it.
+// Tells the platform operations from a thread of its own, so that a slow
+// platform holds up nothing, and passes on what it answers. An operation is
+// told again after a while until the controllers no longer ask for it.
 class PlatformTeller {
  public:
   using OnReport = std::function<void(const fleet::RecordPlatformReport&)>;
--- a/services/sumacd/queries.cc
+++ b/services/sumacd/queries.cc
@@ -18,7 +18,8 @@
 constexpr std::string_view kWhyPrefix = "why-";
 
 Answer UnknownName(std::string_view kind, const std::string& name) {
-  return Answer{.code = ResultCode::kUnknownName, .message = StrCat("no ", kind, " ", name)};
+  return Answer{.code = ResultCode::kUnknownName,
+                .message = StrCat("no ", kind, " ", name)};
 }
 
 json DescribePool(const fleet::FleetState& state, const fleet::Pool& pool) {
@@ -38,7 +39,8 @@
       rows.push_back(DescribePool(state, pool));
     }
   }
-  return !name.empty() && rows.empty() ? UnknownName("pool", name) : Answer{.document = rows};
+  return !name.empty() && rows.empty() ? UnknownName("pool", name)
+                                       : Answer{.document = rows};
 }
 
 Answer QueryServices(const fleet::FleetState& state, const std::string& name) {
@@ -48,15 +50,19 @@
       rows.push_back(ToJson(service));
     }
   }
-  return !name.empty() && rows.empty() ? UnknownName("service", name) : Answer{.document = rows};
+  return !name.empty() && rows.empty() ? UnknownName("service", name)
+                                       : Answer{.document = rows};
 }
 
 template <typename Map>
-Answer QueryMap(const Map& items, std::string_view kind, const std::string& name) {
+Answer QueryMap(const Map& items,
+                std::string_view kind,
+                const std::string& name) {
   if (!name.empty()) {
     const auto found = items.find(typename Map::key_type(name));
-    return found == items.end() ? UnknownName(kind, name)
-                                : Answer{.document = json::array({ToJson(found->second)})};
+    return found == items.end()
+               ? UnknownName(kind, name)
+               : Answer{.document = json::array({ToJson(found->second)})};
   }
   json rows = json::array();
   for (const auto& [key, item] : items) {
@@ -93,9 +99,10 @@
 
 Answer QueryDecision(const fleet::FleetState& state, const std::string& name) {
   const auto& decisions = state.record().decisions;
-  const auto found =
-      std::find_if(decisions.begin(), decisions.end(),
-                   [&](const fleet::Decision& decision) { return decision.id.value() == name; });
+  const auto found = std::find_if(decisions.begin(), decisions.end(),
+                                  [&](const fleet::Decision& decision) {
+                                    return decision.id.value() == name;
+                                  });
   if (found == decisions.end()) {
     return Answer{.code = ResultCode::kUnknownDecision,
                   .message = StrCat("no decision ", name, " is kept")};
@@ -103,7 +110,8 @@
   return Answer{.document = ToJson(*found)};
 }
 
-// What the record of a request's claim says, as a decision beside the entries' own.
+// What the record of a request's claim says, as a decision beside the entries'
+// own.
 std::optional<fleet::Decision> DescribeClaim(const fleet::FleetState& state,
                                              const std::string& key) {
   const auto found = state.record().claims.find(IdempotencyKey(key));
@@ -118,18 +126,20 @@
                            .outcome = std::string(NameOf(claim.state)),
                            .rule = "at-most-once"};
   decision.inputs = {{"entry", claim.entry.value()}, {"digest", claim.digest}};
-  decision.sentence = StrCat("The key was claimed by ", claim.entry.value(), "; the request is ",
-                             NameOf(claim.state), ".");
+  decision.sentence = StrCat("The key was claimed by ", claim.entry.value(),
+                             "; the request is ", NameOf(claim.state), ".");
   return decision;
 }
 
-Answer QueryWhy(const fleet::FleetState& state, std::string_view kind_name,
+Answer QueryWhy(const fleet::FleetState& state,
+                std::string_view kind_name,
                 const std::string& name) {
   const auto kind = ParseEnum<fleet::SubjectKind>(kind_name);
   if (!kind) {
-    return Answer{.code = ResultCode::kBadArgument,
-                  .message = StrCat("unknown kind ", kind_name,
-                                    "; known: instance pool job request declaration")};
+    return Answer{
+        .code = ResultCode::kBadArgument,
+        .message = StrCat("unknown kind ", kind_name,
+                          "; known: instance pool job request declaration")};
   }
   json rows = json::array();
   if (*kind == fleet::SubjectKind::kRequest) {
@@ -141,7 +151,8 @@
   for (auto item = decisions.rbegin();
        item != decisions.rend() && rows.size() < kMostDecisionsShown; ++item) {
     const bool is_about = item->subject_kind == *kind && item->subject == name;
-    const bool is_in_pool = *kind == fleet::SubjectKind::kPool && item->pool.value() == name;
+    const bool is_in_pool =
+        *kind == fleet::SubjectKind::kPool && item->pool.value() == name;
     if (is_about || is_in_pool) {
       rows.push_back(ToJson(*item));
     }
@@ -151,7 +162,9 @@
 
 }  // namespace
 
-Answer Query(const Controller& controller, const std::string& kind, const std::string& name) {
+Answer Query(const Controller& controller,
+             const std::string& kind,
+             const std::string& name) {
   const fleet::FleetState& state = controller.state();
   const fleet::FleetRecord& record = state.record();
   if (kind == "declaration") {
@@ -182,14 +195,18 @@
     return DiffDeclaration(state, name);
   }
   if (kind.starts_with(kWhyPrefix)) {
-    return QueryWhy(state, std::string_view(kind).substr(kWhyPrefix.size()), name);
-  }
-  return Answer{.code = ResultCode::kBadArgument,
-                .message = StrCat("unknown kind ", kind,
-                                  "; known: declaration pools instances services jobs controllers")};
+    return QueryWhy(state, std::string_view(kind).substr(kWhyPrefix.size()),
+                    name);
+  }
+  return Answer{
+      .code = ResultCode::kBadArgument,
+      .message = StrCat(
+          "unknown kind ", kind,
+          "; known: declaration pools instances services jobs controllers")};
 }
 
-Answer DiffDeclaration(const fleet::FleetState& state, const std::string& text) {
+Answer DiffDeclaration(const fleet::FleetState& state,
+                       const std::string& text) {
   const auto parsed = fleet::ParseDeclaration(text, "declaration");
   if (!parsed.ok()) {
     return Answer::FromStatus(parsed.status());
@@ -211,7 +228,8 @@
   }
   return Answer{.message = lines.empty() ? "nothing would change"
                                          : StrCat(lines.size(), " changes"),
-                .document = {{"revision", state.record().revision.value()}, {"changes", lines}}};
+                .document = {{"revision", state.record().revision.value()},
+                             {"changes", lines}}};
 }
 
 }  // namespace sumac::daemon
--- a/services/sumacd/queries.h
+++ b/services/sumacd/queries.h
@@ -14,14 +14,17 @@
 // How many decisions an answer to "why" holds at most.
 inline constexpr std::size_t kMostDecisionsShown = 20;
 
-// Answers one question about the committed state. Kinds: declaration, pools, instances, services,
-// jobs, controllers, decision (name is an id), why-instance, why-pool, why-job, why-request, diff
-// (name is a declaration's text). An empty name means all.
-fleet::Answer Query(const Controller& controller, const std::string& kind,
+// Answers one question about the committed state. Kinds: declaration, pools,
+// instances, services, jobs, controllers, decision (name is an id),
+// why-instance, why-pool, why-job, why-request, diff (name is a declaration's
+// text). An empty name means all.
+fleet::Answer Query(const Controller& controller,
+                    const std::string& kind,
                     const std::string& name);
 
 // What a declaration would change, line by line.
-fleet::Answer DiffDeclaration(const fleet::FleetState& state, const std::string& text);
+fleet::Answer DiffDeclaration(const fleet::FleetState& state,
+                              const std::string& text);
 
 }  // namespace sumac::daemon
 
--- a/services/sumacd/settings.cc
+++ b/services/sumacd/settings.cc
@@ -19,51 +19,63 @@
 constexpr ReaderCodes kSettingsCodes{ResultCode::kSettingsInvalid,
                                      ResultCode::kSettingsUnknownKey};
 
-absl::Status Invalid(const std::string& path, std::string_view key, std::string_view found,
+absl::Status Invalid(const std::string& path,
+                     std::string_view key,
+                     std::string_view found,
                      std::string_view allowed) {
-  return MakeError(ResultCode::kSettingsInvalid,
-                   StrCat(path, ": ", key, ": found \"", found, "\", allowed: ", allowed));
+  return MakeError(
+      ResultCode::kSettingsInvalid,
+      StrCat(path, ": ", key, ": found \"", found, "\", allowed: ", allowed));
 }
 
-absl::Status CheckAddress(const std::string& path, std::string_view key,
+absl::Status CheckAddress(const std::string& path,
+                          std::string_view key,
                           const std::string& address) {
   const std::size_t colon = address.rfind(':');
   std::uint32_t port = 0;
   Poco::Net::IPAddress ip;
   const bool is_good =
       colon != std::string::npos &&
-      ParseNumber(std::string_view(address).substr(colon + 1), &port) && port >= 1 &&
-      port <= 65'535 && Poco::Net::IPAddress::tryParse(address.substr(0, colon), ip);
-  return is_good ? absl::OkStatus() : Invalid(path, key, address, "IP:PORT by number");
+      ParseNumber(std::string_view(address).substr(colon + 1), &port) &&
+      port >= 1 && port <= 65'535 &&
+      Poco::Net::IPAddress::tryParse(address.substr(0, colon), ip);
+  return is_good ? absl::OkStatus()
+                 : Invalid(path, key, address, "IP:PORT by number");
 }
 
 absl::Status CheckProcesses(const std::string& path, const Settings& settings) {
   std::set<ProcessName> names;
   std::set<std::string> addresses;
-  for (std::size_t position = 0; position < settings.processes.size(); ++position) {
+  for (std::size_t position = 0; position < settings.processes.size();
+       ++position) {
     const ProcessSettings& process = settings.processes[position];
     const std::string key = StrCat("/processes/", position);
     if (process.name.value().empty() ||
         process.name.value().find_first_of("./ ") != std::string::npos) {
-      return Invalid(path, key + "/name", process.name.value(), "letters, digits and dashes");
+      return Invalid(path, key + "/name", process.name.value(),
+                     "letters, digits and dashes");
     }
     if (!names.insert(process.name).second) {
-      return Invalid(path, key + "/name", process.name.value(), "each name once");
+      return Invalid(path, key + "/name", process.name.value(),
+                     "each name once");
     }
     TRY(CheckAddress(path, key + "/peer_address", process.peer_address));
     if (!addresses.insert(process.peer_address).second) {
-      return Invalid(path, key + "/peer_address", process.peer_address, "each address once");
+      return Invalid(path, key + "/peer_address", process.peer_address,
+                     "each address once");
     }
     if (process.roles.empty()) {
       return Invalid(path, key + "/roles", "[]", "entry, controller or both");
     }
   }
   if (!names.contains(settings.process)) {
-    return Invalid(path, "/process", settings.process.value(), "a name listed in /processes");
+    return Invalid(path, "/process", settings.process.value(),
+                   "a name listed in /processes");
   }
   const std::size_t controllers = settings.Controllers().size();
   if (controllers % 2 == 0) {
-    return Invalid(path, "/processes", StrCat(controllers, " controllers"), "an odd number");
+    return Invalid(path, "/processes", StrCat(controllers, " controllers"),
+                   "an odd number");
   }
   return absl::OkStatus();
 }
@@ -76,8 +88,10 @@
   if (!settings.platform_address.empty()) {
     TRY(CheckAddress(path, "/platform_address", settings.platform_address));
   }
-  if (settings.has_role(ProcessRole::kController) && settings.data_folder.empty()) {
-    return Invalid(path, "/data_folder", "", "a folder, since this process is a controller");
+  if (settings.has_role(ProcessRole::kController) &&
+      settings.data_folder.empty()) {
+    return Invalid(path, "/data_folder", "",
+                   "a folder, since this process is a controller");
   }
   if (settings.group.election_timeout < 3 * settings.group.heartbeat) {
     return Invalid(path, "/group/election_timeout_ms",
@@ -86,7 +100,8 @@
   }
   const std::set<std::string> levels = {"debug", "info", "warning", "error"};
   if (!levels.contains(settings.log.level)) {
-    return Invalid(path, "/log/level", settings.log.level, "debug, info, warning or error");
+    return Invalid(path, "/log/level", settings.log.level,
+                   "debug, info, warning or error");
   }
   return absl::OkStatus();
 }
@@ -94,17 +109,18 @@
 }  // namespace
 
 const ProcessSettings& Settings::self() const {
-  const auto row = std::find_if(
-      this->processes.begin(), this->processes.end(),
-      [this](const ProcessSettings& process) { return process.name == this->process; });
+  const auto row = std::find_if(this->processes.begin(), this->processes.end(),
+                                [this](const ProcessSettings& process) {
+                                  return process.name == this->process;
+                                });
   VERIFY(row != this->processes.end());
   return *row;
 }
 
 std::vector<ProcessSettings> Settings::Controllers() const {
   std::vector<ProcessSettings> controllers;
-  std::copy_if(this->processes.begin(), this->processes.end(), std::back_inserter(controllers),
-               [](const ProcessSettings& row) {
+  std::copy_if(this->processes.begin(), this->processes.end(),
+               std::back_inserter(controllers), [](const ProcessSettings& row) {
                  return row.roles.contains(ProcessRole::kController);
                });
   return controllers;
@@ -120,7 +136,8 @@
 
 absl::StatusOr<Settings> Settings::Load(const std::string& path) {
   const nlohmann::json json = TRY(ReadJsonFile(path));
-  Settings settings = TRY(FromJson<Settings>(json, path, UnknownKeys::kRefuse, kSettingsCodes));
+  Settings settings =
+      TRY(FromJson<Settings>(json, path, UnknownKeys::kRefuse, kSettingsCodes));
   TRY(CheckSettings(path, settings));
   return settings;
 }
--- a/services/sumacd/settings.h
+++ b/services/sumacd/settings.h
@@ -59,8 +59,10 @@
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("heartbeat_ms", self.heartbeat, Limits{10, 10'000});
-    visitor.Field("election_timeout_ms", self.election_timeout, Limits{50, 60'000});
-    visitor.Field("snapshot_every", self.snapshot_every, Limits{10, 10'000'000});
+    visitor.Field("election_timeout_ms", self.election_timeout,
+                  Limits{50, 60'000});
+    visitor.Field("snapshot_every", self.snapshot_every,
+                  Limits{10, 10'000'000});
   }
 };
 
@@ -77,8 +79,10 @@
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
-    visitor.Field("most_caller_connections", self.most_caller_connections, Limits{1, 10'000});
-    visitor.Field("most_target_connections", self.most_target_connections, Limits{1, 10'000});
+    visitor.Field("most_caller_connections", self.most_caller_connections,
+                  Limits{1, 10'000});
+    visitor.Field("most_target_connections", self.most_target_connections,
+                  Limits{1, 10'000});
     visitor.Field("most_body_bytes", self.most_body_bytes, Limits{1, 64 << 20});
     visitor.Field("idle_ms", self.idle_time, Limits{100, 3'600'000});
     visitor.Field("io_ms", self.io_time, Limits{100, 3'600'000});
@@ -146,13 +150,16 @@
 
   // This process's own row of `processes`.
   const ProcessSettings& self() const;
-  bool has_role(ProcessRole role) const { return this->self().roles.contains(role); }
+  bool has_role(ProcessRole role) const {
+    return this->self().roles.contains(role);
+  }
   // The controllers, in the order of the file.
   std::vector<ProcessSettings> Controllers() const;
   // How many processes have the entry role.
   std::uint32_t CountEntries() const;
 
-  // Reads and checks a file. Errors name the file, the key, what was found and what is allowed.
+  // Reads and checks a file. Errors name the file, the key, what was found and
+  // what is allowed.
   static absl::StatusOr<Settings> Load(const std::string& path);
 };
 
@@ -164,7 +171,8 @@
 struct EnumNames<daemon::ProcessRole> {
   static constexpr std::array kNames = {
       EnumName<daemon::ProcessRole>{daemon::ProcessRole::kEntry, "entry"},
-      EnumName<daemon::ProcessRole>{daemon::ProcessRole::kController, "controller"},
+      EnumName<daemon::ProcessRole>{daemon::ProcessRole::kController,
+                                    "controller"},
   };
 };
 
--- a/services/sumacd/view_follower.cc
+++ b/services/sumacd/view_follower.cc
@@ -18,8 +18,11 @@
 
 }  // namespace
 
-ViewFollower::ViewFollower(const Settings& settings, Peers& peers, kj::Timer& timer,
-                           Controller* local, OnView on_view)
+ViewFollower::ViewFollower(const Settings& settings,
+                           Peers& peers,
+                           kj::Timer& timer,
+                           Controller* local,
+                           OnView on_view)
     : settings(settings),
       peers(peers),
       timer(timer),
@@ -28,7 +31,8 @@
       confirmed_at_ms(this->clock.SteadyNow().time_since_epoch().count()) {}
 
 Milliseconds ViewFollower::Age() const {
-  return this->clock.SteadyNow().time_since_epoch() - Milliseconds(this->confirmed_at_ms.load());
+  return this->clock.SteadyNow().time_since_epoch() -
+         Milliseconds(this->confirmed_at_ms.load());
 }
 
 kj::Promise<void> ViewFollower::Run() {
@@ -38,9 +42,9 @@
 kj::Promise<void> ViewFollower::AskOnce() {
   const auto& controllers = this->peers.controllers();
   const bool asks_local = this->local != nullptr;
-  const ProcessName process = asks_local
-                                  ? this->settings.process
-                                  : controllers[this->next_controller % controllers.size()];
+  const ProcessName process =
+      asks_local ? this->settings.process
+                 : controllers[this->next_controller % controllers.size()];
   return this->Ask(process).then(
       [this](ServedView&& served) -> kj::Promise<void> {
         const bool is_usable = served.is_verified || this->has_view();
@@ -74,7 +78,8 @@
         ServedView served{.is_verified = response.getIsVerified()};
         served.view.version = response.getVersion();
         if (response.getVersion() > have) {
-          auto view = FromCbor<fleet::View>(wire::ToString(response.getView()), "view");
+          auto view =
+              FromCbor<fleet::View>(wire::ToString(response.getView()), "view");
           KJ_REQUIRE(view.ok(), "malformed view");
           served.view = *std::move(view);
         }
@@ -87,11 +92,13 @@
   if (served.view.version > have && this->on_view(served.view)) {
     this->version.store(served.view.version);
     LogEvent(LogLevel::kInfo, "view-in-force",
-             {{"version", served.view.version}, {"revision", served.view.revision.value()}});
+             {{"version", served.view.version},
+              {"revision", served.view.revision.value()}});
   }
   // A controller that lags says nothing about how old this view is.
   if (served.is_verified && served.view.version >= have) {
-    this->confirmed_at_ms.store(this->clock.SteadyNow().time_since_epoch().count());
+    this->confirmed_at_ms.store(
+        this->clock.SteadyNow().time_since_epoch().count());
   }
 }
 
--- a/services/sumacd/view_follower.h
+++ b/services/sumacd/view_follower.h
@@ -17,23 +17,28 @@
 
 namespace sumac::daemon {
 
-// Keeps an entry's view up to date: asks one controller after the other for anything newer than
-// what the entry has. A fresh entry takes its first view only from a controller that knows its own
-// state to be the latest, so that no restart brings an older revision back; after that it takes
-// any newer one and keeps what it has while no controller answers. Belongs to the core's loop.
+// Keeps an entry's view up to date: asks one controller after the other for
+// anything newer than what the entry has. A fresh entry takes its first view
+// only from a controller that knows its own state to be the latest, so that no
+// restart brings an older revision back; after that it takes any newer one and
+// keeps what it has while no controller answers. Belongs to the core's loop.
 class ViewFollower {
  public:
   // Takes a view in; false if it is not newer.
   using OnView = std::function<bool(const fleet::View&)>;
 
   // `local` is this process's controller, or nothing; it is asked first.
-  ViewFollower(const Settings& settings, Peers& peers, kj::Timer& timer, Controller* local,
+  ViewFollower(const Settings& settings,
+               Peers& peers,
+               kj::Timer& timer,
+               Controller* local,
                OnView on_view);
 
   // Runs until the process ends.
   kj::Promise<void> Run();
 
-  // How long ago a controller last confirmed that the view is its newest; any thread may ask.
+  // How long ago a controller last confirmed that the view is its newest; any
+  // thread may ask.
   Milliseconds Age() const;
   // True once a first view is in force.
   bool has_view() const { return this->version.load() > 0; }
--- /dev/null
+++ b/tests/libraries/replication/replica_test.cc
@@ -0,0 +1,278 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/replication/replica.h"
+
+#include <gtest/gtest.h>
+
+#include "libraries/base/error.h"
+#include "tests/libraries/replication/cluster.h"
+
+namespace sumac::replication {
+namespace {
+
+TEST(ReplicaTest, ElectsALeaderAndCommitsEverywhere) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  ASSERT_TRUE(cluster.Propose(*leader, "a").ok());
+  ASSERT_TRUE(cluster.Propose(*leader, "b").ok());
+  cluster.Run(Milliseconds(400));
+  for (const Cluster::Node& node : cluster.nodes) {
+    EXPECT_EQ(node.applied, (std::vector<std::string>{"a", "b"}));
+  }
+  EXPECT_EQ(cluster.CheckInvariants(), "");
+}
+
+TEST(ReplicaTest, ALeaderThatIsCutOffStopsActingBeforeItsSuccessorStarts) {
+  Cluster cluster(3);
+  const auto old_leader = cluster.ElectLeader();
+  ASSERT_TRUE(old_leader);
+  cluster.SetCut(*old_leader, true);
+  std::optional<std::size_t> successor;
+  for (int step = 0; step < 1'000 && !successor; ++step) {
+    cluster.Run(Milliseconds(10));
+    ASSERT_LE(cluster.LeaseHolders().size(), 1U);
+    for (std::size_t node = 0; node < 3; ++node) {
+      if (node != *old_leader &&
+          cluster.nodes[node].replica->is_ready_to_lead()) {
+        successor = node;
+      }
+    }
+  }
+  ASSERT_TRUE(successor);
+  EXPECT_FALSE(cluster.nodes[*old_leader].replica->HoldsLease(cluster.now));
+}
+
+TEST(ReplicaTest, AFrozenLeaderHoldsNoLeaseWhenItWakes) {
+  Cluster cluster(3);
+  const auto old_leader = cluster.ElectLeader();
+  ASSERT_TRUE(old_leader);
+  cluster.nodes[*old_leader].is_frozen = true;
+  cluster.Run(Milliseconds(30'000));
+  cluster.nodes[*old_leader].is_frozen = false;
+  // Before anything else reaches it.
+  EXPECT_FALSE(cluster.nodes[*old_leader].replica->HoldsLease(cluster.now));
+}
+
+TEST(ReplicaTest, ARestartedVoterDoesNotBreakALease) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  const std::size_t second = (*leader + 1) % 3;
+  const std::size_t third = (*leader + 2) % 3;
+  // The third hears nothing of the leader and wants an election; the second,
+  // which heard the leader a moment ago, restarts and has forgotten it.
+  cluster.SetCut(*leader, true);
+  cluster.Run(Milliseconds(10));
+  cluster.Crash(second);
+  cluster.Restart(second);
+  Message ask{
+      cluster.nodes[third].id, cluster.nodes[second].id, Term(99),
+      VoteRequest{.last_index = LogIndex(1'000), .last_term = Term(99)}};
+  cluster.nodes[second].replica->Receive(ask, cluster.now);
+  const Output output = cluster.nodes[second].replica->TakeOutput();
+  ASSERT_EQ(output.messages.size(), 1U);
+  EXPECT_FALSE(std::get<VoteAnswer>(output.messages[0].body).is_granted);
+}
+
+TEST(ReplicaTest, ARejoiningMinorityDoesNotDisturbTheLeader) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  const Term term = cluster.nodes[*leader].replica->term();
+  const std::size_t other = (*leader + 1) % 3;
+  cluster.SetCut(other, true);
+  cluster.Run(Milliseconds(10'000));
+  cluster.SetCut(other, false);
+  cluster.Run(Milliseconds(2'000));
+  EXPECT_EQ(cluster.nodes[*leader].replica->term(), term);
+  EXPECT_EQ(cluster.nodes[*leader].replica->role(), Role::kLeader);
+}
+
+TEST(ReplicaTest, HandsOverWithoutWaitingForATimeout) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  cluster.Run(Milliseconds(300));
+  ASSERT_TRUE(cluster.nodes[*leader].replica->HandOver(cluster.now).ok());
+  EXPECT_EQ(CodeOf(cluster.Propose(*leader, "late").status()),
+            ResultCode::kNoLeader);
+  cluster.Run(Milliseconds(20));
+  EXPECT_NE(cluster.nodes[*leader].replica->role(), Role::kLeader);
+  const auto successor = cluster.ElectLeader(Milliseconds(100));
+  ASSERT_TRUE(successor);
+  EXPECT_NE(*successor, *leader);
+  EXPECT_EQ(cluster.CheckInvariants(), "");
+}
+
+TEST(ReplicaTest, AHandOverWhoseMessageIsLateNeverLeavesTwoLeases) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  cluster.Run(Milliseconds(300));
+  ASSERT_TRUE(cluster.nodes[*leader].replica->HandOver(cluster.now).ok());
+  cluster.Pump(*leader);
+  std::deque<Message> held;
+  std::erase_if(cluster.network, [&](const Message& message) {
+    const bool is_it = std::holds_alternative<TimeoutNow>(message.body);
+    if (is_it) {
+      held.push_back(message);
+    }
+    return is_it;
+  });
+  ASSERT_EQ(held.size(), 1U);
+  // The leader may not go on with this term, for the message may still arrive.
+  cluster.Run(Milliseconds(700));
+  EXPECT_NE(cluster.nodes[*leader].replica->role(), Role::kLeader);
+  cluster.network.push_back(held.front());
+  for (int step = 0; step < 300; ++step) {
+    cluster.Run(Milliseconds(10));
+    ASSERT_LE(cluster.LeaseHolders().size(), 1U);
+  }
+  EXPECT_TRUE(cluster.ElectLeader());
+}
+
+TEST(ReplicaTest, CatchesUpALaggardBySnapshot) {
+  Cluster cluster(3);
+  cluster.settings.snapshot_chunk_bytes = 64;
+  for (std::size_t node = 0; node < 3; ++node) {
+    cluster.Restart(node);
+  }
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  const std::size_t laggard = (*leader + 1) % 3;
+  cluster.Crash(laggard);
+  for (int number = 0; number < 300; ++number) {
+    ASSERT_TRUE(
+        cluster.Propose(*leader, "command-" + std::to_string(number)).ok());
+    cluster.Settle();
+  }
+  cluster.Compact(*leader);
+  cluster.Restart(laggard);
+  cluster.Run(Milliseconds(20'000));
+  EXPECT_EQ(cluster.nodes[laggard].applied.size(), 300U);
+  EXPECT_EQ(cluster.CheckInvariants(), "");
+}
+
+TEST(ReplicaTest, MembersChangeOneAtATime) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  Replica& replica = *cluster.nodes[*leader].replica;
+  const std::size_t added = cluster.AddNode(NodeId("n9.1"));
+  Membership two_at_once = replica.membership();
+  two_at_once.voters.insert(NodeId("n9.1"));
+  two_at_once.voters.erase(cluster.nodes[(*leader + 1) % 3].id);
+  EXPECT_EQ(
+      CodeOf(replica.ProposeMembership(two_at_once, cluster.now).status()),
+      ResultCode::kBadArgument);
+  Membership with_learner = replica.membership();
+  with_learner.learners.insert(NodeId("n9.1"));
+  ASSERT_TRUE(replica.ProposeMembership(with_learner, cluster.now).ok());
+  EXPECT_EQ(
+      CodeOf(replica.ProposeMembership(with_learner, cluster.now).status()),
+      ResultCode::kWrongState);
+  cluster.Run(Milliseconds(1'000));
+  Membership with_voter = replica.membership();
+  with_voter.learners.erase(NodeId("n9.1"));
+  with_voter.voters.insert(NodeId("n9.1"));
+  ASSERT_TRUE(replica.ProposeMembership(with_voter, cluster.now).ok());
+  cluster.Run(Milliseconds(1'000));
+  EXPECT_EQ(cluster.nodes[added].replica->membership().voters.size(), 4U);
+  EXPECT_EQ(cluster.CheckInvariants(), "");
+}
+
+TEST(ReplicaTest, AnEmptyDiskUnderItsOldNameNeverVotes) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  const std::size_t lost = (*leader + 1) % 3;
+  cluster.Crash(lost);
+  // The same process comes back with a new disk, so under a new incarnation.
+  const std::size_t blank = cluster.AddNode(NodeId("n9.2"));
+  cluster.Run(Milliseconds(30'000));
+  EXPECT_EQ(cluster.nodes[blank].replica->role(), Role::kFollower);
+  EXPECT_EQ(cluster.nodes[blank].replica->term(), Term(0));
+}
+
+TEST(ReplicaTest, ARestartedCopyIsNotVerifiedUntilALeaderVouchesForIt) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  ASSERT_TRUE(cluster.Propose(*leader, "a").ok());
+  cluster.Run(Milliseconds(500));
+  const std::size_t other = (*leader + 1) % 3;
+  EXPECT_TRUE(cluster.nodes[other].replica->has_verified_state());
+  cluster.Crash(other);
+  cluster.SetCut(other, true);
+  cluster.Restart(other);
+  cluster.Run(Milliseconds(2'000));
+  EXPECT_FALSE(cluster.nodes[other].replica->has_verified_state());
+  cluster.SetCut(other, false);
+  cluster.Run(Milliseconds(5'000));
+  EXPECT_TRUE(cluster.nodes[other].replica->has_verified_state());
+}
+
+// A replica of three that has one entry of term 2 and has just won term 4.
+std::unique_ptr<Replica> MakeLeaderWithOldEntry(SteadyTime now) {
+  const Membership membership{{NodeId("n0.1"), NodeId("n1.1"), NodeId("n2.1")},
+                              {}};
+  StartState start{.self = NodeId("n0.1"),
+                   .hard_state = {Term(3), std::nullopt}};
+  start.snapshot.meta.membership = membership;
+  start.entries = {
+      Entry{.term = Term(2), .index = LogIndex(1), .payload = "old"}};
+  auto replica =
+      std::make_unique<Replica>(ReplicationSettings(), start, SteadyTime{});
+  replica->Tick(now);
+  const Message pre_vote{NodeId("n1.1"), NodeId("n0.1"), Term(4),
+                         VoteAnswer{true, true}};
+  replica->Receive(pre_vote, now);
+  const Message vote{NodeId("n1.1"), NodeId("n0.1"), Term(4),
+                     VoteAnswer{false, true}};
+  replica->Receive(vote, now);
+  return replica;
+}
+
+TEST(ReplicaTest, AnEntryOfAnOldTermIsNotCommittedByCounting) {
+  const SteadyTime now{Milliseconds(5'000)};
+  const auto replica = MakeLeaderWithOldEntry(now);
+  ASSERT_EQ(replica->role(), Role::kLeader);
+  const auto acknowledge = [&](std::uint64_t index) {
+    replica->Receive(Message{NodeId("n1.1"), NodeId("n0.1"), Term(4),
+                             AppendAnswer{true, LogIndex(index), now}},
+                     now);
+  };
+  // A majority holds the entry of term 2 now, and yet a later leader could
+  // overwrite it (Raft, figure 8).
+  acknowledge(1);
+  EXPECT_EQ(replica->commit_index(), LogIndex(0));
+  acknowledge(2);
+  EXPECT_EQ(replica->commit_index(), LogIndex(2));
+}
+
+TEST(ReplicaTest, ASnapshotKeepsAcknowledgedEntriesAfterIt) {
+  const SteadyTime now{Milliseconds(5'000)};
+  const Membership membership{{NodeId("n0.1"), NodeId("n1.1"), NodeId("n2.1")},
+                              {}};
+  StartState start{.self = NodeId("n0.1")};
+  start.snapshot.meta.membership = membership;
+  Replica replica(ReplicationSettings(), start, now);
+  AppendRequest append{.sent_at = now};
+  for (std::uint64_t index = 1; index <= 5; ++index) {
+    append.entries.push_back(
+        Entry{.term = Term(1), .index = LogIndex(index), .payload = "x"});
+  }
+  replica.Receive(Message{NodeId("n1.1"), NodeId("n0.1"), Term(1), append},
+                  now);
+  const SnapshotChunk chunk{.meta = {LogIndex(3), Term(1), membership},
+                            .is_last = true};
+  replica.Receive(Message{NodeId("n1.1"), NodeId("n0.1"), Term(1), chunk}, now);
+  const Output output = replica.TakeOutput();
+  EXPECT_FALSE(output.does_snapshot_replace_log);
+  ASSERT_EQ(output.entries_to_write.size(), 2U);
+  EXPECT_EQ(output.entries_to_write.front().index, LogIndex(4));
+  EXPECT_EQ(replica.last_index(), LogIndex(5));
+}
+
+}  // namespace
+}  // namespace sumac::replication
