--- /dev/null
+++ b/tests/libraries/storage/data_folder_test.cc
@@ -0,0 +1,257 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/storage/data_folder.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/libraries/storage/fake_disk.h"
+
+namespace sumac::storage {
+namespace {
+
+using replication::Entry;
+using replication::EntryKind;
+using replication::HardState;
+using replication::NodeId;
+using replication::Output;
+using replication::Snapshot;
+using replication::SnapshotMeta;
+
+constexpr const char* kFolder = "data";
+using Folder = DataFolder<FakeDisk>;
+
+Entry MakeEntry(std::uint64_t index,
+                std::uint64_t term,
+                const std::string& payload) {
+  return Entry{
+      .term = Term(term), .index = LogIndex(index), .payload = payload};
+}
+
+Output MakeOutput(std::vector<Entry> entries,
+                  std::optional<HardState> state = std::nullopt) {
+  Output output;
+  output.entries_to_write = std::move(entries);
+  output.hard_state = std::move(state);
+  return output;
+}
+
+class DataFolderTest : public testing::Test {
+ protected:
+  DataFolderTest() {
+    EXPECT_TRUE(Folder::Format(this->disk, kFolder,
+                               Identity{.node = NodeId("c1.1"),
+                                        .first_voters = {NodeId("c1.1")}})
+                    .ok());
+  }
+
+  Folder Open(StorageSettings settings = {}) {
+    auto folder = Folder::Open(this->disk, kFolder, settings);
+    EXPECT_TRUE(folder.ok()) << folder.status();
+    return *std::move(folder);
+  }
+
+  // The path of the newest segment that holds entries.
+  std::string SegmentWithEntries() const {
+    std::string largest;
+    for (const auto& [path, content] : this->disk.files) {
+      if (path.find("log-") != std::string::npos &&
+          (largest.empty() ||
+           content.bytes.size() > this->disk.files.at(largest).bytes.size())) {
+        largest = path;
+      }
+    }
+    return largest;
+  }
+
+  FakeDisk disk;
+};
+
+TEST_F(DataFolderTest, KeepsWhatWasWrittenOverACrash) {
+  {
+    Folder folder = this->Open();
+    ASSERT_TRUE(
+        folder
+            .Write(MakeOutput({MakeEntry(1, 1, "a"), MakeEntry(2, 1, "b")},
+                              HardState{Term(1), NodeId("c1.1")}))
+            .ok());
+  }
+  this->disk.Crash();
+  const replication::StartState start = this->Open().TakeStartState();
+  EXPECT_EQ(start.self, NodeId("c1.1"));
+  EXPECT_EQ(start.hard_state, (HardState{Term(1), NodeId("c1.1")}));
+  ASSERT_EQ(start.entries.size(), 2U);
+  EXPECT_EQ(start.entries[1].payload, "b");
+}
+
+TEST_F(DataFolderTest, AnOverwrittenTailStaysOverwritten) {
+  Folder folder = this->Open();
+  ASSERT_TRUE(folder
+                  .Write(MakeOutput({MakeEntry(1, 1, "a"), MakeEntry(2, 1, "b"),
+                                     MakeEntry(3, 1, "c")}))
+                  .ok());
+  ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(2, 2, "B")})).ok());
+  this->disk.Crash();
+  const auto entries = this->Open().TakeStartState().entries;
+  ASSERT_EQ(entries.size(), 2U);
+  EXPECT_EQ(entries[1], MakeEntry(2, 2, "B"));
+}
+
+TEST_F(DataFolderTest, EveryCutOfTheLogLosesOnlyWhatWasNotSynced) {
+  Folder folder = this->Open();
+  ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(1, 1, "first")})).ok());
+  const std::string path = this->SegmentWithEntries();
+  const std::size_t synced = this->disk.files[path].bytes.size();
+  ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(2, 1, "second")})).ok());
+  const FakeDisk whole = this->disk;
+  const std::size_t length = whole.files.at(path).bytes.size();
+  for (std::size_t cut = synced; cut < length; ++cut) {
+    this->disk = whole;
+    this->disk.files[path].bytes.resize(cut);
+    const auto entries = this->Open().TakeStartState().entries;
+    ASSERT_EQ(entries.size(), 1U) << cut;
+    EXPECT_EQ(entries[0].payload, "first");
+  }
+}
+
+TEST_F(DataFolderTest, EveryFlippedByteIsFoundAndNamed) {
+  {
+    Folder folder = this->Open();
+    ASSERT_TRUE(
+        folder.Write(MakeOutput({MakeEntry(1, 1, "a"), MakeEntry(2, 1, "b")}))
+            .ok());
+  }
+  const std::string path = this->SegmentWithEntries();
+  // A later segment makes this one closed, so that nothing in it can be a torn
+  // tail.
+  { Folder folder = this->Open(); }
+  const FakeDisk whole = this->disk;
+  const std::size_t length = whole.files.at(path).bytes.size();
+  for (std::size_t place = 0; place < length; ++place) {
+    this->disk = whole;
+    this->disk.files[path].bytes[place] ^= 0x20;
+    const auto opened = Folder::Open(this->disk, kFolder, {});
+    ASSERT_FALSE(opened.ok()) << "byte " << place;
+    EXPECT_NE(opened.status().message().find(path), std::string::npos);
+  }
+}
+
+TEST_F(DataFolderTest, DamageBeforeAWholeRecordIsNoTornTail) {
+  Folder folder = this->Open();
+  ASSERT_TRUE(folder
+                  .Write(MakeOutput(
+                      {MakeEntry(1, 1, "aaaaaaaa"), MakeEntry(2, 1, "b")}))
+                  .ok());
+  const std::string path = this->SegmentWithEntries();
+  std::string& bytes = this->disk.files[path].bytes;
+  bytes[bytes.find("aaaaaaaa")] = 'x';
+  const auto opened = Folder::Open(this->disk, kFolder, {});
+  ASSERT_FALSE(opened.ok());
+  EXPECT_EQ(CodeOf(opened.status()), ResultCode::kStorageDamaged);
+}
+
+TEST_F(DataFolderTest, ANewerFormatIsRefusedAndNotTakenForDamage) {
+  { Folder folder = this->Open(); }
+  const std::string path = this->SegmentWithEntries();
+  this->disk.files[path].bytes[kSegmentHeader.size() - 1] = 2;
+  EXPECT_EQ(CodeOf(Folder::Open(this->disk, kFolder, {}).status()),
+            ResultCode::kStorageVersion);
+}
+
+TEST_F(DataFolderTest, AFullDiskLosesNothingAndTheSameWriteGoesThroughLater) {
+  Folder folder = this->Open();
+  ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(1, 1, "a")})).ok());
+  const Output output = MakeOutput({MakeEntry(2, 1, std::string(100, 'b'))});
+  for (std::size_t room = 0; room < 150; room += 7) {
+    this->disk.room = room;
+    EXPECT_EQ(CodeOf(folder.Write(output)), ResultCode::kDiskFull);
+  }
+  this->disk.room = 1U << 20;
+  ASSERT_TRUE(folder.Write(output).ok());
+  ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(3, 1, "c")})).ok());
+  this->disk.Crash();
+  EXPECT_EQ(this->Open().TakeStartState().entries.size(), 3U);
+}
+
+TEST_F(DataFolderTest, AFailedSyncIsAnErrorOfItsOwn) {
+  Folder folder = this->Open();
+  this->disk.fails_sync = true;
+  EXPECT_EQ(CodeOf(folder.Write(MakeOutput({MakeEntry(1, 1, "a")}))),
+            ResultCode::kStorageFailed);
+}
+
+TEST_F(DataFolderTest, SnapshotsReplaceTheLogBeforeThem) {
+  Folder folder = this->Open(StorageSettings{.segment_bytes = 256});
+  std::vector<Entry> entries;
+  for (std::uint64_t index = 1; index <= 50; ++index) {
+    ASSERT_TRUE(
+        folder.Write(MakeOutput({MakeEntry(index, 1, "payload")})).ok());
+  }
+  const std::size_t files_before = this->disk.files.size();
+  const SnapshotMeta meta{LogIndex(40), Term(1), {{NodeId("c1.1")}, {}}};
+  ASSERT_TRUE(folder.SaveSnapshot(Snapshot{meta, "state"}).ok());
+  EXPECT_LT(this->disk.files.size(), files_before);
+  this->disk.Crash();
+  const auto start = this->Open().TakeStartState();
+  EXPECT_EQ(start.snapshot.meta, meta);
+  EXPECT_EQ(start.snapshot.state, "state");
+  ASSERT_EQ(start.entries.size(), 10U);
+  EXPECT_EQ(start.entries.front().index, LogIndex(41));
+}
+
+TEST_F(DataFolderTest,
+       ASnapshotOfAnotherHistoryIsThereWholeOrNotAtAllWhereverThePowerGoes) {
+  Output output;
+  output.snapshot_to_install =
+      Snapshot{{LogIndex(2), Term(2), {{NodeId("c1.1")}, {}}}, "state"};
+  output.does_snapshot_replace_log = true;
+  output.entries_to_write = {MakeEntry(3, 2, "C")};
+  const FakeDisk formatted = this->disk;
+  bool is_written = false;
+  std::uint64_t crashes_before = 0;
+  std::uint64_t crashes_between = 0;
+  for (std::uint64_t operations = 0; !is_written; ++operations) {
+    this->disk = formatted;
+    Folder folder = this->Open();
+    ASSERT_TRUE(
+        folder
+            .Write(MakeOutput({MakeEntry(1, 1, "a"), MakeEntry(2, 1, "b"),
+                               MakeEntry(3, 1, "c")}))
+            .ok());
+    this->disk.operations_left = operations;
+    is_written = folder.Write(output).ok();
+    this->disk.Crash(operations % 5);
+    const auto start = this->Open().TakeStartState();
+    if (start.snapshot.meta.index == LogIndex(0)) {
+      ++crashes_before;
+      ASSERT_EQ(start.entries.size(), 3U) << operations;
+      EXPECT_EQ(start.entries[2], MakeEntry(3, 1, "c"));
+    } else if (start.entries.empty()) {
+      ++crashes_between;
+    } else {
+      ASSERT_EQ(start.entries.size(), 1U) << operations;
+      EXPECT_EQ(start.entries[0], MakeEntry(3, 2, "C"));
+    }
+  }
+  EXPECT_GT(crashes_before, 0U);
+  EXPECT_GT(crashes_between, 0U);
+}
+
+TEST_F(DataFolderTest, ACrashWhileASegmentBeginsIsHarmless) {
+  { Folder folder = this->Open(); }
+  const FakeDisk whole = this->disk;
+  const std::string path = this->SegmentWithEntries();
+  for (std::size_t length = 0; length < whole.files.at(path).bytes.size();
+       ++length) {
+    this->disk = whole;
+    this->disk.files[path].bytes.resize(length);
+    EXPECT_TRUE(Folder::Open(this->disk, kFolder, {}).ok()) << length;
+  }
+}
+
+TEST_F(DataFolderTest, FormatRefusesAFolderThatHoldsData) {
+  EXPECT_FALSE(
+      Folder::Format(this->disk, kFolder, Identity{.node = NodeId("c1.1")})
+          .ok());
+}
+
+}  // namespace
+}  // namespace sumac::storage
--- /dev/null
+++ b/tests/libraries/storage/fake_disk.h
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef TESTS_LIBRARIES_STORAGE_FAKE_DISK_H_
+#define TESTS_LIBRARIES_STORAGE_FAKE_DISK_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libraries/base/error.h"
+#include "libraries/storage/disk.h"
+
+namespace sumac::storage {
+
+// A disk in memory that forgets at a crash what was not synced, and fails when
+// told to.
+class FakeDisk {
+ public:
+  struct Content {
+    std::string bytes;
+    std::size_t synced = 0;
+  };
+
+  class File {
+   public:
+    File() = default;
+    File(FakeDisk* disk, std::string path)
+        : disk(disk), path(std::move(path)) {}
+
+    absl::Status Append(std::string_view bytes) {
+      if (this->disk->IsPowerGone()) {
+        return MakeError(ResultCode::kStorageFailed, "power lost");
+      }
+      Content& content = this->disk->files[this->path];
+      if (bytes.size() > this->disk->room) {
+        content.bytes += bytes.substr(0, this->disk->room);
+        this->disk->room = 0;
+        return MakeError(ResultCode::kDiskFull, "no room");
+      }
+      this->disk->room -= bytes.size();
+      content.bytes += bytes;
+      return absl::OkStatus();
+    }
+
+    absl::Status Sync() {
+      if (this->disk->fails_sync || this->disk->IsPowerGone()) {
+        return MakeError(ResultCode::kStorageFailed, "sync failed");
+      }
+      Content& content = this->disk->files[this->path];
+      content.synced = content.bytes.size();
+      return absl::OkStatus();
+    }
+
+   private:
+    FakeDisk* disk = nullptr;
+    std::string path;
+  };
+
+  absl::Status MakeFolder(const std::string& /*path*/) {
+    return absl::OkStatus();
+  }
+
+  absl::StatusOr<std::vector<std::string>> List(const std::string& path) {
+    std::vector<std::string> names;
+    for (const auto& [file, content] : this->files) {
+      if (file.starts_with(path + "/")) {
+        names.push_back(file.substr(path.size() + 1));
+      }
+    }
+    return names;
+  }
+
+  absl::StatusOr<std::string> Read(const std::string& path) {
+    const auto found = this->files.find(path);
+    if (found == this->files.end()) {
+      return MakeError(ResultCode::kStorageFailed, path + ": no such file");
+    }
+    return found->second.bytes;
+  }
+
+  absl::StatusOr<File> OpenForAppend(const std::string& path) {
+    this->files.try_emplace(path);
+    return File(this, path);
+  }
+
+  absl::Status Truncate(const std::string& path, std::uint64_t length) {
+    if (this->IsPowerGone()) {
+      return MakeError(ResultCode::kStorageFailed, "power lost");
+    }
+    Content& content = this->files[path];
+    content.bytes.resize(length);
+    content.synced = length;
+    return absl::OkStatus();
+  }
+
+  absl::Status Rename(const std::string& from, const std::string& to) {
+    if (this->IsPowerGone()) {
+      return MakeError(ResultCode::kStorageFailed, "power lost");
+    }
+    this->files[to] = this->files[from];
+    this->files.erase(from);
+    return absl::OkStatus();
+  }
+
+  absl::Status Remove(const std::string& path) {
+    if (this->IsPowerGone()) {
+      return MakeError(ResultCode::kStorageFailed, "power lost");
+    }
+    this->files.erase(path);
+    return absl::OkStatus();
+  }
+
+  absl::Status SyncFolder(const std::string& /*path*/) {
+    if (this->IsPowerGone()) {
+      return MakeError(ResultCode::kStorageFailed, "power lost");
+    }
+    // What is in the folder now, by name, survives a crash.
+    this->lasting_names.clear();
+    for (const auto& [file, content] : this->files) {
+      this->lasting_names.insert(file);
+    }
+    return absl::OkStatus();
+  }
+
+  // The power goes: unsynced bytes and names are lost; `torn` bytes of them
+  // stay per file.
+  void Crash(std::size_t torn = 0) {
+    this->operations_left.reset();
+    std::erase_if(this->files, [this](const auto& item) {
+      return !this->lasting_names.contains(item.first);
+    });
+    for (auto& [file, content] : this->files) {
+      content.bytes.resize(
+          std::min(content.bytes.size(), content.synced + torn));
+    }
+  }
+
+  std::map<std::string, Content> files;
+  std::size_t room = std::size_t{1} << 40;
+  bool fails_sync = false;
+  // Operations that still succeed before the power goes; nothing for no end.
+  std::optional<std::uint64_t> operations_left;
+
+ private:
+  bool IsPowerGone() {
+    if (!this->operations_left) {
+      return false;
+    }
+    if (*this->operations_left == 0) {
+      return true;
+    }
+    --*this->operations_left;
+    return false;
+  }
+
+  std::set<std::string> lasting_names;
+};
+
+static_assert(Disk<FakeDisk>);
+
+}  // namespace sumac::storage
+
+#endif  // TESTS_LIBRARIES_STORAGE_FAKE_DISK_H_
--- a/tests/stand_ins/minion.cc
+++ b/tests/stand_ins/minion.cc
@@ -18,9 +18,12 @@
 
 const std::map<std::string, MinionFault>& FaultNames() {
   static const std::map<std::string, MinionFault> kNames = {
-      {"close_after_run", MinionFault::kCloseAfterRun}, {"truncate", MinionFault::kTruncate},
-      {"mismatch", MinionFault::kMismatch},             {"oversize", MinionFault::kOversize},
-      {"late", MinionFault::kLate},                     {"no_length", MinionFault::kNoLength}};
+      {"close_after_run", MinionFault::kCloseAfterRun},
+      {"truncate", MinionFault::kTruncate},
+      {"mismatch", MinionFault::kMismatch},
+      {"oversize", MinionFault::kOversize},
+      {"late", MinionFault::kLate},
+      {"no_length", MinionFault::kNoLength}};
   return kNames;
 }
 
@@ -81,7 +84,8 @@
   this->Run(request, response, *body);
 }
 
-void Minion::Run(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response,
+void Minion::Run(Poco::Net::HTTPServerRequest& request,
+                 Poco::Net::HTTPServerResponse& response,
                  const std::string& body) {
   std::uint64_t run = 0;
   {
@@ -89,7 +93,10 @@
     run = ++this->runs[body];
   }
   std::this_thread::sleep_for(Milliseconds(this->work_ms));
-  std::string answer = nlohmann::json{{"minion", this->name()}, {"run", run}, {"echo", body}}.dump();
+  std::string answer = nlohmann::json{
+      {"minion", this->name()},
+      {"run", run},
+      {"echo", body}}.dump();
   switch (this->TakeFault()) {
     case MinionFault::kNone:
       break;
@@ -153,7 +160,8 @@
   announcement.in_flight = this->in_flight;
 }
 
-void Minion::TakeOrders(const fleet::TargetOrders& /*orders*/, SteadyTime /*sent_at*/) {}
+void Minion::TakeOrders(const fleet::TargetOrders& /*orders*/,
+                        SteadyTime /*sent_at*/) {}
 
 void Minion::Forget() {
   const std::lock_guard lock(this->counts_mutex);
--- a/tests/stand_ins/minion.h
+++ b/tests/stand_ins/minion.h
@@ -27,8 +27,9 @@
   kNoLength,
 };
 
-// A stand-in for a minion: answers POST /PATH after `work_time` with the body {"minion":...,
-// "run":N,"echo":...}, declines what exceeds its slots, and counts what it ran.
+// A stand-in for a minion: answers POST /PATH after `work_time` with the body
+// {"minion":..., "run":N,"echo":...}, declines what exceeds its slots, and
+// counts what it ran.
 class Minion final : public Target {
  public:
   Minion(TargetOptions options, Milliseconds work_time);
@@ -39,13 +40,15 @@
   void HandleControl(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override;
   void FillAnnouncement(fleet::Announcement& announcement) override;
-  void TakeOrders(const fleet::TargetOrders& orders, SteadyTime sent_at) override;
+  void TakeOrders(const fleet::TargetOrders& orders,
+                  SteadyTime sent_at) override;
   void Forget() override;
 
  private:
   MinionFault TakeFault();
   bool TakeSlot();
-  void Run(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response,
+  void Run(Poco::Net::HTTPServerRequest& request,
+           Poco::Net::HTTPServerResponse& response,
            const std::string& body);
 
   std::atomic<std::int64_t> work_ms;
--- a/tests/stand_ins/platform_main.cc
+++ b/tests/stand_ins/platform_main.cc
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// A stand-in for the platform: takes operations as docs/PROTOCOLS.md describes, reboots the
-// stand-in targets that registered, and says how far each operation is. Ends on SIGTERM.
+// A stand-in for the platform: takes operations as docs/PROTOCOLS.md describes,
+// reboots the stand-in targets that registered, and says how far each operation
+// is. Ends on SIGTERM.
 
 #include <signal.h>
 
@@ -56,7 +57,9 @@
       address = found->second;
     }
     const auto told = sumac::stand_ins::CallHttp(
-        address, "POST", sumac::StrCat("/platform/reboot?operation=", operation), "", kCallTimeout);
+        address, "POST",
+        sumac::StrCat("/platform/reboot?operation=", operation), "",
+        kCallTimeout);
     return {{"progress", told.ok() ? "accepted" : "failed"}};
   }
 
@@ -72,11 +75,12 @@
   std::map<std::string, std::uint64_t> times_told;
 };
 
-void Dispatch(PlatformState& state, HTTPServerRequest& request, HTTPServerResponse& response) {
+void Dispatch(PlatformState& state,
+              HTTPServerRequest& request,
+              HTTPServerResponse& response) {
   const auto body = sumac::http::ReadRequestBody(request, kMostBodyBytes);
-  const auto json =
-      sumac::ParseJson(body.ok() && !body->empty() ? *body : "{}", "body",
-                       sumac::ResultCode::kBadRequest);
+  const auto json = sumac::ParseJson(body.ok() && !body->empty() ? *body : "{}",
+                                     "body", sumac::ResultCode::kBadRequest);
   if (!json.ok()) {
     sumac::http::SendAnswer(response, 400, "text/plain", "not JSON\n");
     return;
@@ -86,12 +90,14 @@
     state.Register(*json);
   } else if (request.getURI() == "/v1/rebooted") {
     state.FinishReboot(*json);
-  } else if (request.getURI() == "/v1/operations" && request.getMethod() == "POST") {
+  } else if (request.getURI() == "/v1/operations" &&
+             request.getMethod() == "POST") {
     answer = state.Operate(*json);
   } else {
     answer = state.Counts();
   }
-  sumac::http::SendAnswer(response, 200, "application/json", answer.dump() + "\n");
+  sumac::http::SendAnswer(response, 200, "application/json",
+                          answer.dump() + "\n");
 }
 
 }  // namespace
--- a/tests/stand_ins/target.cc
+++ b/tests/stand_ins/target.cc
@@ -25,19 +25,23 @@
 constexpr std::int64_t kMicrosecondsPerMillisecond = 1'000;
 
 std::uint64_t WallMilliseconds() {
-  return static_cast<std::uint64_t>(SystemClock().Now().time_since_epoch().count());
+  return static_cast<std::uint64_t>(
+      SystemClock().Now().time_since_epoch().count());
 }
 
 }  // namespace
 
-absl::StatusOr<std::string> CallHttp(const std::string& address, const std::string& method,
-                                     const std::string& path, const std::string& body,
+absl::StatusOr<std::string> CallHttp(const std::string& address,
+                                     const std::string& method,
+                                     const std::string& path,
+                                     const std::string& body,
                                      Milliseconds timeout) {
   try {
     Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
     const Poco::Timespan wait(timeout.count() * kMicrosecondsPerMillisecond);
     session.setTimeout(wait, wait, wait);
-    Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
+    Poco::Net::HTTPRequest request(method, path,
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
     request.setContentType("application/json");
     request.setContentLength64(static_cast<Poco::Int64>(body.size()));
     session.sendRequest(request) << body;
@@ -53,8 +57,10 @@
   }
 }
 
-std::string QueryValue(const Poco::Net::HTTPServerRequest& request, const std::string& name) {
-  for (const auto& [key, value] : Poco::URI(request.getURI()).getQueryParameters()) {
+std::string QueryValue(const Poco::Net::HTTPServerRequest& request,
+                       const std::string& name) {
+  for (const auto& [key, value] :
+       Poco::URI(request.getURI()).getQueryParameters()) {
     if (key == name) {
       return value;
     }
@@ -76,10 +82,12 @@
 
 void Target::Start() {
   auto opened = http::HttpServer::Create(
-      http::ServerSettings{.address = this->options.description.address,
-                           .most_connections =
-                               static_cast<int>(this->options.description.connections) + 4},
-      [this](Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) {
+      http::ServerSettings{
+          .address = this->options.description.address,
+          .most_connections =
+              static_cast<int>(this->options.description.connections) + 4},
+      [this](Poco::Net::HTTPServerRequest& request,
+             Poco::Net::HTTPServerResponse& response) {
         this->Dispatch(request, response);
       });
   if (!opened.ok()) {
@@ -87,10 +95,11 @@
     std::exit(EXIT_FAILURE);
   }
   this->server = *std::move(opened);
-  this->TellPlatform("/v1/register",
-                     nlohmann::json{{"instance", this->name()},
-                                    {"address", this->options.description.address}}
-                         .dump());
+  this->TellPlatform(
+      "/v1/register",
+      nlohmann::json{{"instance", this->name()},
+                     {"address", this->options.description.address}}
+          .dump());
   this->announcer = std::thread([this] { this->AnnounceLoop(); });
 }
 
@@ -118,7 +127,9 @@
   }
   if (this->is_down) {
     // Nobody is there: the connection ends without an answer.
-    dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().shutdown();
+    dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request)
+        .socket()
+        .shutdown();
     response.setKeepAlive(false);
     return;
   }
@@ -139,13 +150,15 @@
     this->draining = false;
     this->is_down = false;
     this->wake.notify_all();
-    this->TellPlatform("/v1/rebooted", nlohmann::json{{"operation", operation}}.dump());
+    this->TellPlatform("/v1/rebooted",
+                       nlohmann::json{{"operation", operation}}.dump());
   });
 }
 
 void Target::TellPlatform(const std::string& path, const std::string& body) {
   if (!this->options.platform.empty()) {
-    const auto told = CallHttp(this->options.platform, "POST", path, body, kCallTimeout);
+    const auto told =
+        CallHttp(this->options.platform, "POST", path, body, kCallTimeout);
     if (!told.ok()) {
       std::cerr << this->name() << ": platform: " << told.status() << "\n";
     }
@@ -173,8 +186,8 @@
   const std::string& entry =
       this->options.entries[this->next_entry % this->options.entries.size()];
   const SteadyTime sent_at = SystemClock().SteadyNow();
-  const auto text =
-      CallHttp(entry, "POST", "/v1/announce", ToJson(announcement).dump(), kCallTimeout);
+  const auto text = CallHttp(entry, "POST", "/v1/announce",
+                             ToJson(announcement).dump(), kCallTimeout);
   if (!text.ok()) {
     return false;
   }
@@ -182,7 +195,8 @@
   if (!json.ok()) {
     return false;
   }
-  const auto orders = FromJson<fleet::TargetOrders>(*json, "orders", UnknownKeys::kIgnore);
+  const auto orders =
+      FromJson<fleet::TargetOrders>(*json, "orders", UnknownKeys::kIgnore);
   if (!orders.ok()) {
     return false;
   }
--- a/tests/stand_ins/target.h
+++ b/tests/stand_ins/target.h
@@ -22,15 +22,16 @@
 // What all stand-in targets have in common.
 struct TargetOptions {
   fleet::TargetDescription description;
-  // The targets' doors of the entries, as IP:PORT; the next is tried when one doesn't answer.
+  // The targets' doors of the entries, as IP:PORT; the next is tried when one
+  // doesn't answer.
   std::vector<std::string> entries;
   // The platform's door; empty for none.
   std::string platform;
   Milliseconds reboot_time{500};
 };
 
-// A stand-in for a target: announces itself to the entries as docs/PROTOCOLS.md says, and can be
-// rebooted through POST /platform/reboot?operation=ID.
+// A stand-in for a target: announces itself to the entries as docs/PROTOCOLS.md
+// says, and can be rebooted through POST /platform/reboot?operation=ID.
 class Target {
  public:
   explicit Target(TargetOptions options);
@@ -42,7 +43,9 @@
   void Start();
   void Stop();
 
-  const std::string& name() const { return this->options.description.name.value(); }
+  const std::string& name() const {
+    return this->options.description.name.value();
+  }
 
  protected:
   // One request that is not for the platform's or the control path.
@@ -54,7 +57,8 @@
   // What goes into the next renewal.
   virtual void FillAnnouncement(fleet::Announcement& announcement) = 0;
   // The answer to a renewal that was sent at `sent_at`.
-  virtual void TakeOrders(const fleet::TargetOrders& orders, SteadyTime sent_at) = 0;
+  virtual void TakeOrders(const fleet::TargetOrders& orders,
+                          SteadyTime sent_at) = 0;
   // All that the instance forgets when it is rebooted.
   virtual void Forget() = 0;
 
@@ -65,7 +69,8 @@
   const TargetOptions& target_options() const { return this->options; }
 
  private:
-  void Dispatch(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response);
+  void Dispatch(Poco::Net::HTTPServerRequest& request,
+                Poco::Net::HTTPServerResponse& response);
   void AnnounceLoop();
   bool AnnounceOnce();
   void Reboot(const std::string& operation);
@@ -90,15 +95,18 @@
 };
 
 // One HTTP call; the body of the answer, or an error for anything but 200.
-absl::StatusOr<std::string> CallHttp(const std::string& address, const std::string& method,
-                                     const std::string& path, const std::string& body,
+absl::StatusOr<std::string> CallHttp(const std::string& address,
+                                     const std::string& method,
+                                     const std::string& path,
+                                     const std::string& body,
                                      Milliseconds timeout);
 
 // Runs until SIGTERM or SIGINT.
 void WaitForStop();
 
 // The value of NAME in a request's query, or "".
-std::string QueryValue(const Poco::Net::HTTPServerRequest& request, const std::string& name);
+std::string QueryValue(const Poco::Net::HTTPServerRequest& request,
+                       const std::string& name);
 
 }  // namespace sumac::stand_ins
 
--- a/tests/stand_ins/worker.cc
+++ b/tests/stand_ins/worker.cc
@@ -26,8 +26,10 @@
   if (!mute_text.empty()) {
     this->SetMute(mute_text == "1");
   }
-  http::SendAnswer(response, 200, "application/json",
-                   nlohmann::json{{"worker", this->name()}, {"begun", this->begun}}.dump() + "\n");
+  http::SendAnswer(
+      response, 200, "application/json",
+      nlohmann::json{{"worker", this->name()}, {"begun", this->begun}}.dump() +
+          "\n");
 }
 
 void Worker::StopWhatLeaseLost(SteadyTime now) {
@@ -47,20 +49,23 @@
   this->StopWhatLeaseLost(now);
   for (auto& [job, task] : this->tasks) {
     if (task.state == TaskState::kRunning && now >= task.ends_at) {
-      task.state = this->fails_everything ? TaskState::kFailed : TaskState::kFinished;
+      task.state =
+          this->fails_everything ? TaskState::kFailed : TaskState::kFinished;
     }
     if (task.state == TaskState::kRunning) {
       ++announcement.in_flight;
     }
     announcement.tasks.push_back(fleet::TaskReport{
-        job, task.token, task.state, task.state == TaskState::kFailed ? "exit code 1" : ""});
+        job, task.token, task.state,
+        task.state == TaskState::kFailed ? "exit code 1" : ""});
   }
 }
 
 void Worker::TakeOrders(const fleet::TargetOrders& orders, SteadyTime sent_at) {
   const SteadyTime now = SystemClock().SteadyNow();
   const std::lock_guard lock(this->tasks_mutex);
-  // The lease counts from when the renewal was sent, not from when the answer came.
+  // The lease counts from when the renewal was sent, not from when the answer
+  // came.
   this->lease_until = std::max(this->lease_until, sent_at + orders.lease);
   std::set<JobId> ordered;
   for (const fleet::TaskOrder& order : orders.tasks) {
--- a/tests/stand_ins/worker.h
+++ b/tests/stand_ins/worker.h
@@ -10,8 +10,8 @@
 
 namespace sumac::stand_ins {
 
-// A stand-in for a worker: runs the tasks it is ordered to as timers, under leases, and stops what
-// it can't renew.
+// A stand-in for a worker: runs the tasks it is ordered to as timers, under
+// leases, and stops what it can't renew.
 class Worker final : public Target {
  public:
   explicit Worker(TargetOptions options);
@@ -22,7 +22,8 @@
   void HandleControl(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override;
   void FillAnnouncement(fleet::Announcement& announcement) override;
-  void TakeOrders(const fleet::TargetOrders& orders, SteadyTime sent_at) override;
+  void TakeOrders(const fleet::TargetOrders& orders,
+                  SteadyTime sent_at) override;
   void Forget() override;
 
  private:
--- a/utilities/sumacctl/commands.cc
+++ b/utilities/sumacctl/commands.cc
@@ -16,13 +16,16 @@
 using fleet::Answer;
 using wire::Operator;
 
-// What a command's function gets: its arguments without the words that chose it.
+// What a command's function gets: its arguments without the words that chose
+// it.
 struct Call {
   OperatorClient& client;
   const Invocation& invocation;
   std::vector<std::string> arguments;
 
-  const std::string& argument(std::size_t position) const { return this->arguments[position]; }
+  const std::string& argument(std::size_t position) const {
+    return this->arguments[position];
+  }
   std::string optional(std::size_t position) const {
     return position < this->arguments.size() ? this->arguments[position] : "";
   }
@@ -44,7 +47,9 @@
   identity.setRequestId(invocation.request_id);
 }
 
-Answer Get(OperatorClient& client, const std::string& kind, const std::string& name) {
+Answer Get(OperatorClient& client,
+           const std::string& kind,
+           const std::string& name) {
   return client.Call([&](Operator::Client door) {
     auto request = door.getRequest();
     request.setKind(kind);
@@ -65,9 +70,11 @@
   }
   std::uint64_t expected = call.invocation.expected_revision;
   if (!call.invocation.has_expected_revision) {
-    return Answer{.code = ResultCode::kBadArgument,
-                  .message = "apply needs --revision, the revision the file was made from; see "
-                             "get declaration (0 for the first)"};
+    return Answer{
+        .code = ResultCode::kBadArgument,
+        .message =
+            "apply needs --revision, the revision the file was made from; see "
+            "get declaration (0 for the first)"};
   }
   return call.client.Call([&](Operator::Client door) {
     auto request = door.applyRequest();
@@ -196,37 +203,61 @@
 
 const std::vector<Command>& Table() {
   static const std::vector<Command> kTable = {
-      {{"apply", {"FILE"}, "put a declaration in force; needs --revision"}, Apply, {}},
+      {{"apply", {"FILE"}, "put a declaration in force; needs --revision"},
+       Apply,
+       {}},
       {{"diff", {"FILE"}, "what apply would change"},
        Diff,
-       {{"KEY", "/key"}, {"CHANGE", "/change"}, {"BEFORE", "/before"}, {"AFTER", "/after"}}},
-      {{"get", {"KIND", "[NAME]"},
+       {{"KEY", "/key"},
+        {"CHANGE", "/change"},
+        {"BEFORE", "/before"},
+        {"AFTER", "/after"}}},
+      {{"get",
+        {"KIND", "[NAME]"},
         "declaration, pools, instances, services, jobs or controllers"},
-       [](const Call& call) { return Get(call.client, call.argument(0), call.optional(1)); },
+       [](const Call& call) {
+         return Get(call.client, call.argument(0), call.optional(1));
+       },
        {}},
-      {{"drain", {"INSTANCE"}, "take an instance's work away, within its pool's budget"},
+      {{"drain",
+        {"INSTANCE"},
+        "take an instance's work away, within its pool's budget"},
        [](const Call& call) {
-         return Operate(call, [](Operator::Client& door) { return door.drainRequest(); });
+         return Operate(
+             call, [](Operator::Client& door) { return door.drainRequest(); });
        },
        {}},
       {{"undrain", {"INSTANCE"}, "give a drained instance back to its pool"},
        [](const Call& call) {
-         return Operate(call, [](Operator::Client& door) { return door.undrainRequest(); });
+         return Operate(call, [](Operator::Client& door) {
+           return door.undrainRequest();
+         });
        },
        {}},
-      {{"reboot", {"INSTANCE"}, "drain an instance and have the platform reboot it"},
+      {{"reboot",
+        {"INSTANCE"},
+        "drain an instance and have the platform reboot it"},
        [](const Call& call) {
-         return Operate(call, [](Operator::Client& door) { return door.rebootRequest(); });
+         return Operate(
+             call, [](Operator::Client& door) { return door.rebootRequest(); });
        },
        {}},
-      {{"move", {"INSTANCE", "POOL"}, "drain an instance and put it into another pool"}, Move, {}},
+      {{"move",
+        {"INSTANCE", "POOL"},
+        "drain an instance and put it into another pool"},
+       Move,
+       {}},
       {{"jobs submit", {"FILE"}, "submit a job (JSON)"}, SubmitJob, {}},
       {{"jobs cancel", {"JOB"}, "cancel a job"}, CancelJob, {}},
       {{"jobs show", {"[JOB]"}, "show one job or all"},
-       [](const Call& call) { return Get(call.client, "jobs", call.optional(0)); },
+       [](const Call& call) {
+         return Get(call.client, "jobs", call.optional(0));
+       },
        ColumnsOf("jobs")},
       {{"explain", {"DECISION"}, "explain a decision by its id"}, Explain, {}},
-      {{"why", {"KIND", "NAME"}, "the decisions about an instance, pool, job or request"},
+      {{"why",
+        {"KIND", "NAME"},
+        "the decisions about an instance, pool, job or request"},
        Why,
        {}},
       {{"controllers", {}, "the controllers and how far each is"},
@@ -251,16 +282,19 @@
   return kTable;
 }
 
-// The command that the words choose, the longer name first, and how many words that took.
-const Command* FindCommand(const std::vector<std::string>& words, std::size_t& words_taken) {
+// The command that the words choose, the longer name first, and how many words
+// that took.
+const Command* FindCommand(const std::vector<std::string>& words,
+                           std::size_t& words_taken) {
   for (const std::size_t count : {std::size_t{2}, std::size_t{1}}) {
     if (words.size() < count) {
       continue;
     }
-    const std::string name = count == 1 ? words[0] : StrCat(words[0], " ", words[1]);
-    const auto found =
-        std::find_if(Table().begin(), Table().end(),
-                     [&](const Command& command) { return command.info.name == name; });
+    const std::string name =
+        count == 1 ? words[0] : StrCat(words[0], " ", words[1]);
+    const auto found = std::find_if(
+        Table().begin(), Table().end(),
+        [&](const Command& command) { return command.info.name == name; });
     if (found != Table().end()) {
       words_taken = count;
       return &*found;
@@ -270,13 +304,14 @@
 }
 
 bool DoArgumentsFit(const CommandInfo& info, std::size_t count) {
-  const auto required = static_cast<std::size_t>(
-      std::count_if(info.arguments.begin(), info.arguments.end(),
-                    [](const std::string& argument) { return argument.front() != '['; }));
+  const auto required = static_cast<std::size_t>(std::count_if(
+      info.arguments.begin(), info.arguments.end(),
+      [](const std::string& argument) { return argument.front() != '['; }));
   return count >= required && count <= info.arguments.size();
 }
 
-std::string FormatDocument(const Command& command, const Invocation& invocation,
+std::string FormatDocument(const Command& command,
+                           const Invocation& invocation,
                            const nlohmann::json& document) {
   const std::string& name = command.info.name;
   if (name == "explain") {
@@ -290,10 +325,12 @@
     return text.empty() ? "no decision about it is kept\n" : text;
   }
   if (name == "diff") {
-    return FormatTable(document.value("changes", nlohmann::json::array()), command.columns);
+    return FormatTable(document.value("changes", nlohmann::json::array()),
+                       command.columns);
   }
   const bool is_get = name == "get" && invocation.words.size() > 1;
-  const std::vector<Column>& columns = is_get ? ColumnsOf(invocation.words[1]) : command.columns;
+  const std::vector<Column>& columns =
+      is_get ? ColumnsOf(invocation.words[1]) : command.columns;
   if (document.is_array() && !columns.empty()) {
     return FormatTable(document, columns);
   }
@@ -320,16 +357,18 @@
     return Answer{.code = ResultCode::kBadArgument,
                   .message = "there is no such command; see --help"};
   }
-  Call call{client, invocation,
-            std::vector<std::string>(
-                invocation.words.begin() + static_cast<std::ptrdiff_t>(words_taken),
-                invocation.words.end())};
+  Call call{
+      client, invocation,
+      std::vector<std::string>(
+          invocation.words.begin() + static_cast<std::ptrdiff_t>(words_taken),
+          invocation.words.end())};
   if (!DoArgumentsFit(command->info, call.arguments.size())) {
     std::string usage = command->info.name;
     for (const std::string& argument : command->info.arguments) {
       StrAppend(&usage, " ", argument);
     }
-    return Answer{.code = ResultCode::kBadArgument, .message = StrCat("usage: sumacctl ", usage)};
+    return Answer{.code = ResultCode::kBadArgument,
+                  .message = StrCat("usage: sumacctl ", usage)};
   }
   return command->run(call);
 }
@@ -337,8 +376,8 @@
 std::string FormatAnswer(const Invocation& invocation, const Answer& answer) {
   std::string text;
   if (!answer.is_ok()) {
-    StrAppend(&text, "error ", static_cast<int>(answer.code), " (", InfoFor(answer.code).name,
-              "): ", answer.message, "\n");
+    StrAppend(&text, "error ", static_cast<int>(answer.code), " (",
+              InfoFor(answer.code).name, "): ", answer.message, "\n");
   } else if (!answer.message.empty()) {
     StrAppend(&text, answer.message, "\n");
   }
@@ -359,7 +398,8 @@
                                {"message", answer.message},
                                {"decision", answer.decision.value()},
                                {"document", answer.document}};
-  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+         "\n";
 }
 
 }  // namespace sumac::ctl
--- a/utilities/sumacctl/commands.h
+++ b/utilities/sumacctl/commands.h
@@ -27,7 +27,8 @@
 struct CommandInfo {
   // The words that choose it, e.g. "jobs cancel".
   std::string name;
-  // What follows them, e.g. "JOB"; each word is one argument, in brackets if it may be left out.
+  // What follows them, e.g. "JOB"; each word is one argument, in brackets if it
+  // may be left out.
   std::vector<std::string> arguments;
   std::string help;
 };
@@ -35,11 +36,13 @@
 // All commands, for --help and shell completion.
 const std::vector<CommandInfo>& AllCommands();
 
-// Runs one command. kBadArgument when there is no such command or its arguments don't fit.
+// Runs one command. kBadArgument when there is no such command or its arguments
+// don't fit.
 fleet::Answer RunCommand(OperatorClient& client, const Invocation& invocation);
 
 // The answer as people read it.
-std::string FormatAnswer(const Invocation& invocation, const fleet::Answer& answer);
+std::string FormatAnswer(const Invocation& invocation,
+                         const fleet::Answer& answer);
 
 // The answer as one JSON object, for scripts.
 std::string FormatAnswerAsJson(const fleet::Answer& answer);
--- a/utilities/sumacctl/main.cc
+++ b/utilities/sumacctl/main.cc
@@ -24,16 +24,20 @@
 options::options_description DescribeOptions() {
   options::options_description description("Options");
   auto add = description.add_options();
-  add("address,a", options::value<std::vector<std::string>>()->value_name("IP:PORT"),
-      "an operators' door; may be given several times, the next is tried when one doesn't answer "
+  add("address,a",
+      options::value<std::vector<std::string>>()->value_name("IP:PORT"),
+      "an operators' door; may be given several times, the next is tried when "
+      "one doesn't answer "
       "(default: SUMAC_OPERATORS, separated by commas)");
   add("operator", options::value<std::string>()->value_name("NAME"),
       "who asks (default: USER)");
   add("request-id", options::value<std::string>()->value_name("ID"),
-      "the id of this command; a resend with the same id gets the first answer again");
+      "the id of this command; a resend with the same id gets the first answer "
+      "again");
   add("revision", options::value<std::uint64_t>()->value_name("N"),
       "for apply: the revision that the file was made from");
-  add("timeout-ms", options::value<std::int64_t>()->default_value(kDefaultTimeoutMs),
+  add("timeout-ms",
+      options::value<std::int64_t>()->default_value(kDefaultTimeoutMs),
       "how long to wait for one process's answer");
   add("json", "print the answer as one JSON object");
   add("help", "print this");
@@ -45,7 +49,8 @@
 void PrintHelp() {
   std::cout << "sumacctl: the operators' command line of sumacstack.\n"
                "Usage: sumacctl [options] COMMAND [ARGUMENT...]\n"
-               "Exit codes: 0 done, 1 refused or failed (the code is in docs/RESULTS.md), 2 wrong "
+               "Exit codes: 0 done, 1 refused or failed (the code is in "
+               "docs/RESULTS.md), 2 wrong "
                "usage, 4 no process answered.\n\nCommands\n";
   for (const auto& info : sumac::ctl::AllCommands()) {
     std::string line = info.name;
@@ -59,7 +64,8 @@
   std::cout << "\n" << DescribeOptions();
 }
 
-std::vector<std::string> ReadAddresses(const options::variables_map& arguments) {
+std::vector<std::string> ReadAddresses(
+    const options::variables_map& arguments) {
   if (arguments.contains("address")) {
     return arguments["address"].as<std::vector<std::string>>();
   }
@@ -79,9 +85,10 @@
   invocation.operator_name = arguments.contains("operator")
                                  ? arguments["operator"].as<std::string>()
                                  : Poco::Environment::get("USER", "operator");
-  invocation.request_id = arguments.contains("request-id")
-                              ? arguments["request-id"].as<std::string>()
-                              : Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+  invocation.request_id =
+      arguments.contains("request-id")
+          ? arguments["request-id"].as<std::string>()
+          : Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
   invocation.has_expected_revision = arguments.contains("revision");
   if (invocation.has_expected_revision) {
     invocation.expected_revision = arguments["revision"].as<std::uint64_t>();
@@ -93,21 +100,26 @@
 int RunProgram(const options::variables_map& arguments) {
   const std::vector<std::string> addresses = ReadAddresses(arguments);
   if (!arguments.contains("command") || addresses.empty()) {
-    std::cerr << "sumacctl: a command and --address (or SUMAC_OPERATORS) are required; see "
+    std::cerr << "sumacctl: a command and --address (or SUMAC_OPERATORS) are "
+                 "required; see "
                  "--help\n";
     return kExitUsage;
   }
   const sumac::ctl::Invocation invocation = ReadInvocation(arguments);
   sumac::ctl::OperatorClient client(
-      addresses, sumac::Milliseconds(arguments["timeout-ms"].as<std::int64_t>()));
-  const sumac::fleet::Answer answer = sumac::ctl::RunCommand(client, invocation);
-  const std::string text = invocation.wants_json ? sumac::ctl::FormatAnswerAsJson(answer)
-                                                 : sumac::ctl::FormatAnswer(invocation, answer);
+      addresses,
+      sumac::Milliseconds(arguments["timeout-ms"].as<std::int64_t>()));
+  const sumac::fleet::Answer answer =
+      sumac::ctl::RunCommand(client, invocation);
+  const std::string text = invocation.wants_json
+                               ? sumac::ctl::FormatAnswerAsJson(answer)
+                               : sumac::ctl::FormatAnswer(invocation, answer);
   (answer.is_ok() || invocation.wants_json ? std::cout : std::cerr) << text;
   if (answer.is_ok()) {
     return EXIT_SUCCESS;
   }
-  return answer.code == sumac::ResultCode::kUnreachable ? kExitUnreachable : EXIT_FAILURE;
+  return answer.code == sumac::ResultCode::kUnreachable ? kExitUnreachable
+                                                        : EXIT_FAILURE;
 }
 
 }  // namespace
--- a/utilities/sumacctl/operator_client.h
+++ b/utilities/sumacctl/operator_client.h
@@ -19,30 +19,37 @@
 
 namespace sumac::ctl {
 
-// Calls the operators' door of one process after the other until one answers. Resends keep their
-// request id, so that a command whose answer was lost is not carried out twice.
+// Calls the operators' door of one process after the other until one answers.
+// Resends keep their request id, so that a command whose answer was lost is not
+// carried out twice.
 class OperatorClient {
  public:
-  // `addresses` are IP:PORT of operators' doors; one call takes at most `timeout` at each.
+  // `addresses` are IP:PORT of operators' doors; one call takes at most
+  // `timeout` at each.
   OperatorClient(std::vector<std::string> addresses, Milliseconds timeout)
-      : addresses(std::move(addresses)), timeout(timeout), io(kj::setupAsyncIo()) {}
+      : addresses(std::move(addresses)),
+        timeout(timeout),
+        io(kj::setupAsyncIo()) {}
 
-  // `make` builds the request and sends it; the answer is the first process's that gives one.
-  // kUnreachable when none did.
+  // `make` builds the request and sends it; the answer is the first process's
+  // that gives one. kUnreachable when none did.
   template <typename MakeCall>
   fleet::Answer Call(MakeCall make) {
     std::string problems;
     for (const std::string& address : this->addresses) {
-      rpc::Channel channel(this->io.provider->getNetwork(), this->io.provider->getTimer(),
-                           address);
+      rpc::Channel channel(this->io.provider->getNetwork(),
+                           this->io.provider->getTimer(), address);
       try {
-        auto call = make(channel.Get<wire::Operator>()).then([](auto&& response) {
-          return rpc::ReadAnswer(response.getResult());
-        });
+        auto call =
+            make(channel.Get<wire::Operator>()).then([](auto&& response) {
+              return rpc::ReadAnswer(response.getResult());
+            });
         fleet::Answer answer =
             channel.Guard(this->timeout, kj::mv(call)).wait(this->io.waitScope);
-        // A process that reaches no leader may be cut off; another one may not be.
-        if (answer.code != ResultCode::kNoLeader || address == this->addresses.back()) {
+        // A process that reaches no leader may be cut off; another one may not
+        // be.
+        if (answer.code != ResultCode::kNoLeader ||
+            address == this->addresses.back()) {
           return answer;
         }
         problems += address + ": " + answer.message + "\n";
--- a/utilities/sumacctl/table.cc
+++ b/utilities/sumacctl/table.cc
@@ -21,14 +21,16 @@
 }
 
 std::string TimeText(const nlohmann::json& milliseconds) {
-  return absl::FormatTime("%Y-%m-%d %H:%M:%E3S UTC",
-                          absl::FromUnixMillis(milliseconds.get<std::int64_t>()),
-                          absl::UTCTimeZone());
+  return absl::FormatTime(
+      "%Y-%m-%d %H:%M:%E3S UTC",
+      absl::FromUnixMillis(milliseconds.get<std::int64_t>()),
+      absl::UTCTimeZone());
 }
 
 }  // namespace
 
-std::string FormatTable(const nlohmann::json& rows, const std::vector<Column>& columns) {
+std::string FormatTable(const nlohmann::json& rows,
+                        const std::vector<Column>& columns) {
   std::vector<std::vector<std::string>> lines(1);
   for (const Column& column : columns) {
     lines.front().push_back(column.heading);
@@ -51,7 +53,8 @@
     for (std::size_t position = 0; position < line.size(); ++position) {
       const bool is_last = position + 1 == line.size();
       text += line[position];
-      text.append(is_last ? 0 : widths[position] - line[position].size() + kGap, ' ');
+      text.append(is_last ? 0 : widths[position] - line[position].size() + kGap,
+                  ' ');
     }
     text += '\n';
   }
@@ -60,19 +63,25 @@
 
 std::string FormatDecision(const nlohmann::json& decision) {
   std::string text =
-      StrCat(decision.value("id", ""), "  ", TimeText(decision.value("at", nlohmann::json(0))),
-             "\n  ", decision.value("sentence", ""), "\n  ", decision.value("subject_kind", ""),
-             " ", decision.value("subject", ""), ": ", decision.value("outcome", ""), " by rule ",
-             decision.value("rule", ""), "\n");
-  for (const nlohmann::json& input : decision.value("inputs", nlohmann::json::array())) {
-    StrAppend(&text, "  because ", input.value("name", ""), " = ", input.value("value", ""));
+      StrCat(decision.value("id", ""), "  ",
+             TimeText(decision.value("at", nlohmann::json(0))), "\n  ",
+             decision.value("sentence", ""), "\n  ",
+             decision.value("subject_kind", ""), " ",
+             decision.value("subject", ""), ": ", decision.value("outcome", ""),
+             " by rule ", decision.value("rule", ""), "\n");
+  for (const nlohmann::json& input :
+       decision.value("inputs", nlohmann::json::array())) {
+    StrAppend(&text, "  because ", input.value("name", ""), " = ",
+              input.value("value", ""));
     if (input.value("age_ms", 0) > 0) {
       StrAppend(&text, " (", input.value("age_ms", 0), " ms old)");
     }
     text += '\n';
   }
-  for (const nlohmann::json& other : decision.value("alternatives", nlohmann::json::array())) {
-    StrAppend(&text, "  not ", other.value("name", ""), ": ", other.value("why_not", ""), "\n");
+  for (const nlohmann::json& other :
+       decision.value("alternatives", nlohmann::json::array())) {
+    StrAppend(&text, "  not ", other.value("name", ""), ": ",
+              other.value("why_not", ""), "\n");
   }
   return text;
 }
--- a/utilities/sumacctl/table.h
+++ b/utilities/sumacctl/table.h
@@ -9,14 +9,16 @@
 
 namespace sumac::ctl {
 
-// One column of a table: its heading and where in a row its value stands, as a JSON pointer.
+// One column of a table: its heading and where in a row its value stands, as a
+// JSON pointer.
 struct Column {
   std::string heading;
   std::string pointer;
 };
 
 // Rows of JSON as a table with aligned columns, for people.
-std::string FormatTable(const nlohmann::json& rows, const std::vector<Column>& columns);
+std::string FormatTable(const nlohmann::json& rows,
+                        const std::vector<Column>& columns);
 
 // One decision in full, for people.
 std::string FormatDecision(const nlohmann::json& decision);
