Routing: Look at every minion before saying that none is free

Cause: the scan after the two random looks began one place too far, so with two minions the second was missed whenever both looks fell on the first; a free slot was refused.

--- a/libraries/base/try.h
+++ b/libraries/base/try.h
@@ -22,7 +22,7 @@
 
 template <typename T>
 T ValueOf(absl::StatusOr<T>&& result) {
-  return *std::move(result);
+  return std::move(result).value();
 }
 
 }  // namespace sumac::internal
--- a/libraries/fleet/budget.cc
+++ b/libraries/fleet/budget.cc
@@ -66,6 +66,7 @@
 
 std::vector<DecisionInput> ToInputs(const std::vector<BudgetLine>& lines) {
   std::vector<DecisionInput> inputs;
+  inputs.reserve(lines.size());
   for (const BudgetLine& line : lines) {
     inputs.push_back(
         DecisionInput{StrCat("budget of ", line.where), ToString(line)});
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -22,6 +22,7 @@
 namespace sumac::http {
 namespace {
 
+constexpr std::size_t kBufferBytes = 16'384;
 constexpr int kListenBacklog = 512;
 // Each connection has a thread; a small stack keeps many idle ones cheap.
 constexpr int kThreadStackBytes = 256 * 1024;
@@ -134,7 +135,7 @@
                             " are allowed"));
   }
   std::string body;
-  std::array<char, 16 * 1024> buffer{};
+  std::array<char, kBufferBytes> buffer{};
   while (body.size() < length) {
     request.stream().read(buffer.data(),
                           static_cast<std::streamsize>(std::min<std::uint64_t>(
--- a/libraries/http/minion_client.cc
+++ b/libraries/http/minion_client.cc
@@ -19,6 +19,8 @@
 
 using routing::TryOutcome;
 
+constexpr std::size_t kBufferBytes = 16'384;
+
 SteadyTime Now() {
   return SystemClock().SteadyNow();
 }
@@ -29,7 +31,7 @@
                                      std::uint64_t length,
                                      SteadyTime deadline) {
   std::string body;
-  std::array<char, 16 * 1024> buffer{};
+  std::array<char, kBufferBytes> buffer{};
   while (body.size() < length) {
     const SteadyTime now = Now();
     if (now >= deadline) {
--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -120,7 +120,7 @@
   if (auto* append = std::get_if<AppendRequest>(&message.body)) {
     this->HandleAppendRequest(message.from, std::move(*append), now);
   } else if (auto* chunk = std::get_if<SnapshotChunk>(&message.body)) {
-    this->HandleSnapshotChunk(message.from, std::move(*chunk), now);
+    this->HandleSnapshotChunk(message.from, *chunk, now);
   } else if (std::holds_alternative<TimeoutNow>(message.body)) {
     this->HandleTimeoutNow(now);
   } else if (this->current_role == Role::kLeader) {
@@ -145,7 +145,7 @@
   return this->log.last_index();
 }
 
-absl::StatusOr<LogIndex> Replica::ProposeMembership(Membership membership,
+absl::StatusOr<LogIndex> Replica::ProposeMembership(const Membership& membership,
                                                     SteadyTime now) {
   if (this->current_role != Role::kLeader || this->hand_over_to) {
     return MakeError(ResultCode::kNotLeader, "this controller does not lead");
@@ -196,7 +196,7 @@
   if (index <= this->log.snapshot().index) {
     return this->log.snapshot();
   }
-  const SnapshotMeta meta{index, this->log.TermAt(index),
+  SnapshotMeta meta{index, this->log.TermAt(index),
                           this->log.MembershipAt(index)};
   this->log.CompactTo(meta);
   this->snapshot_state = std::move(state);
@@ -602,7 +602,7 @@
 }
 
 void Replica::HandleSnapshotChunk(const NodeId& from,
-                                  SnapshotChunk chunk,
+                                  const SnapshotChunk& chunk,
                                   SteadyTime now) {
   VERIFY(this->current_role != Role::kLeader);
   this->BecomeFollower(this->hard_state.term, from);
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -49,7 +49,7 @@
 
   // Proposes other members; they differ from the present ones in one voter at
   // most, and the previous change must be committed.
-  absl::StatusOr<LogIndex> ProposeMembership(Membership membership,
+  absl::StatusOr<LogIndex> ProposeMembership(const Membership& membership,
                                              SteadyTime now);
 
   // Starts handing leadership to the voter that has most of the log.
@@ -123,7 +123,7 @@
                           const AppendAnswer& answer,
                           SteadyTime now);
   void HandleSnapshotChunk(const NodeId& from,
-                           SnapshotChunk chunk,
+                           const SnapshotChunk& chunk,
                            SteadyTime now);
   void InstallIncomingSnapshot();
   void HandleSnapshotAnswer(const NodeId& from,
--- a/libraries/replication/types.h
+++ b/libraries/replication/types.h
@@ -170,10 +170,10 @@
   // How long a hand-over may take before the leader resumes.
   Milliseconds hand_over_timeout{300};
   std::size_t most_entries_per_message = 256;
-  std::size_t most_bytes_per_message = 512 * 1024;
+  std::size_t most_bytes_per_message = 512U << 10;
   // Messages with entries that may be under way to one member before an answer.
   std::size_t most_messages_in_flight = 8;
-  std::size_t snapshot_chunk_bytes = 256 * 1024;
+  std::size_t snapshot_chunk_bytes = 256U << 10;
 };
 
 // What the host has to do, in this order: install the snapshot, write the hard
--- a/libraries/routing/minion_set.cc
+++ b/libraries/routing/minion_set.cc
@@ -114,8 +114,10 @@
   const std::size_t start = position(random);
   const std::size_t second = position(random);
   for (std::size_t step = 0; step <= names.size(); ++step) {
-    const std::size_t index =
-        step == 1 ? second : (start + step) % names.size();
+    // Steps 2 and on go round all others once; the second look may have been at
+    // the first again.
+    const std::size_t in_turn = (start + step - 1) % names.size();
+    const std::size_t index = step == 0 ? start : step == 1 ? second : in_turn;
     const Minion& minion = this->minions.at(names[index]);
     if (&minion == best) {
       continue;
--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -187,11 +187,11 @@
 }
 
 kj::Promise<std::vector<fleet::TargetOrders>> Controller::Announce(
-    std::vector<fleet::Announcement> announcements) {
+    const std::vector<fleet::Announcement>& announcements) {
   std::vector<fleet::TargetOrders> all_orders;
   const bool may_act = this->MayAct();
   const SteadyTime now = this->clock.SteadyNow();
-  for (fleet::Announcement& announcement : announcements) {
+  for (const fleet::Announcement& announcement : announcements) {
     const InstanceName name = announcement.target.name;
     if (!may_act) {
       all_orders.emplace_back();
@@ -248,6 +248,12 @@
   return status;
 }
 
+void Controller::StopTelling() {
+  if (this->teller) {
+    this->teller->Stop();
+  }
+}
+
 ProcessName Controller::KnownLeader() const {
   const auto& leader = this->replica_core->leader();
   return leader ? ProcessOf(*leader) : ProcessName();
@@ -304,7 +310,7 @@
     VERIFY(this->machine.LoadSnapshot(output.snapshot_to_install->state).ok());
     this->applied_index = output.snapshot_to_install->meta.index;
   }
-  this->SendMessages(std::move(output.messages));
+  this->SendMessages(output.messages);
   this->ApplyCommitted(output.committed);
   return true;
 }
@@ -338,7 +344,7 @@
   std::_Exit(EXIT_FAILURE);
 }
 
-void Controller::SendMessages(std::vector<replication::Message> messages) {
+void Controller::SendMessages(const std::vector<replication::Message>& messages) {
   for (const replication::Message& message : messages) {
     const ProcessName process = ProcessOf(message.to);
     rpc::Channel* channel = this->peers.Find(process);
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -64,7 +64,7 @@
 
   // Takes in targets' renewals and answers each with orders, in the same order.
   kj::Promise<std::vector<fleet::TargetOrders>> Announce(
-      std::vector<fleet::Announcement> announcements);
+      const std::vector<fleet::Announcement>& announcements);
 
   // The view, as soon as its version is past `have` or `wait` is over.
   kj::Promise<ServedView> Follow(std::uint64_t have, Milliseconds wait);
@@ -73,6 +73,10 @@
   // it.
   bool MayAct() const;
 
+  // Ends the thread that tells the platform. Called from another thread than the event loop's, which
+  // must go on until this returns.
+  void StopTelling();
+
   // Starts to hand leadership over.
   absl::Status HandOver();
 
@@ -116,7 +120,7 @@
   void Pump();
   bool PumpOnce();
   bool Persist(const replication::Output& output);
-  void SendMessages(std::vector<replication::Message> messages);
+  void SendMessages(const std::vector<replication::Message>& messages);
   void ApplyCommitted(const std::vector<replication::Entry>& entries);
   void ResolveProposal(const replication::Entry& entry, fleet::Answer answer);
   void FailLostProposals();
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -204,6 +204,9 @@
       this->caller_door->Stop();
     }
     this->target_door->Stop();
+    if (this->controller) {
+      this->controller->StopTelling();
+    }
     executor.executeSync([&stopped] { stopped.fulfiller->fulfill(); });
   });
   stopped.promise.wait(this->io.waitScope);
@@ -251,7 +254,7 @@
   signal(SIGPIPE, SIG_IGN);
   kj::AsyncIoContext io = kj::setupAsyncIo();
   Daemon daemon(settings, io);
-  const absl::Status status = daemon.Start();
+  absl::Status status = daemon.Start();
   if (!status.ok()) {
     return status;
   }
--- a/services/sumacd/entry.cc
+++ b/services/sumacd/entry.cc
@@ -162,14 +162,7 @@
                                 Progress& progress) {
   std::optional<RetryReason> reason;
   while (true) {
-    RouteResult route = [&]() -> RouteResult {
-      const std::lock_guard lock(this->mutex);
-      const SteadyTime now = this->clock.SteadyNow();
-      return reason ? this->router.Retry(progress.info, progress.tried, *reason,
-                                         now, this->clock.Now())
-                    : this->router.Admit(progress.info, now, this->clock.Now());
-    }();
-    auto turn = this->AwaitTurn(progress, std::move(route));
+    Turn turn = this->AwaitTurn(progress, reason);
     if (const auto* refusal = std::get_if<Refuse>(&turn)) {
       return this->AnswerRefusal(request, progress, *refusal);
     }
@@ -205,35 +198,33 @@
   }
 }
 
-// Waits for the request's turn if it has to.
-std::variant<SendTo, Refuse> Entry::AwaitTurn(const Progress& progress,
-                                              RouteResult result) {
-  if (auto* send = std::get_if<SendTo>(&result)) {
-    std::unique_lock lock(this->mutex);
-    this->LogDecisions(this->router.TakeNewDecisions());
-    return *std::move(send);
+// Asks where the request may go and waits for its turn if it has to. One lock is held from the
+// question to the wait, or a turn given in between would reach nobody.
+Entry::Turn Entry::AwaitTurn(const Progress& progress, std::optional<RetryReason> reason) {
+  std::unique_lock lock(this->mutex);
+  const SteadyTime now = this->clock.SteadyNow();
+  RouteResult route =
+      reason ? this->router.Retry(progress.info, progress.tried, *reason, now, this->clock.Now())
+             : this->router.Admit(progress.info, now, this->clock.Now());
+  this->LogDecisions(this->router.TakeNewDecisions());
+  if (auto* send = std::get_if<SendTo>(&route)) {
+    return Turn(std::move(*send));
   }
-  if (auto* refusal = std::get_if<Refuse>(&result)) {
-    std::unique_lock lock(this->mutex);
-    this->LogDecisions(this->router.TakeNewDecisions());
-    return *std::move(refusal);
+  if (auto* refusal = std::get_if<Refuse>(&route)) {
+    return Turn(std::move(*refusal));
   }
-  std::unique_lock lock(this->mutex);
   Waiter waiter;
   this->waiters[progress.info.number] = &waiter;
-  this->WakeReady();
-  const Milliseconds left = std::max(
-      progress.info.deadline - this->clock.SteadyNow(), Milliseconds(0));
-  waiter.wake.wait_for(lock, left,
-                       [&waiter] { return waiter.send.has_value(); });
+  const Milliseconds left = std::max(progress.info.deadline - now, Milliseconds(0));
+  waiter.wake.wait_for(lock, left, [&waiter] { return waiter.send.has_value(); });
   this->waiters.erase(progress.info.number);
   if (waiter.send) {
-    return *std::move(waiter.send);
+    return Turn(*std::move(waiter.send));
   }
   this->router.StopWaiting(progress.info.number);
   Refuse refusal = this->router.RefuseLate(progress.info, this->clock.Now());
   this->LogDecisions(this->router.TakeNewDecisions());
-  return refusal;
+  return Turn(std::move(refusal));
 }
 
 // Gives waiting threads their turn. Called with the lock held.
@@ -487,7 +478,7 @@
   }
 }
 
-void Entry::LogDecisions(std::vector<fleet::Decision> decisions) {
+void Entry::LogDecisions(const std::vector<fleet::Decision>& decisions) {
   for (const fleet::Decision& decision : decisions) {
     LogEvent(LogLevel::kInfo, "decision", ToJson(decision));
   }
--- a/services/sumacd/entry.h
+++ b/services/sumacd/entry.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <variant>
 #include <vector>
 
 #include "libraries/base/names.h"
@@ -62,6 +63,9 @@
     std::uint64_t attempt = 0;
     std::set<InstanceName> tried;
   };
+  // Where a request goes now, or its end.
+  using Turn = std::variant<routing::SendTo, routing::Refuse>;
+
   // A thread that waits for its request's turn.
   struct Waiter {
     std::condition_variable wake;
@@ -73,9 +77,7 @@
   Progress MakeProgress(const http::CallerRequest& request);
   http::CallerAnswer RunAdmitted(const http::CallerRequest& request,
                                  Progress& progress);
-  std::variant<routing::SendTo, routing::Refuse> AwaitTurn(
-      const Progress& progress,
-      routing::RouteResult result);
+  Turn AwaitTurn(const Progress& progress, std::optional<routing::RetryReason> reason);
   std::optional<http::CallerAnswer> Claim(const http::CallerRequest& request,
                                           Progress& progress,
                                           const DecisionId& decision);
@@ -100,7 +102,7 @@
   void WakeReady();
   void WakeLoop();
   void ProbeLoop();
-  void LogDecisions(std::vector<fleet::Decision> decisions);
+  void LogDecisions(const std::vector<fleet::Decision>& decisions);
 
   const Settings& settings;
   CoreLink& core;
--- a/services/sumacd/leader_link.cc
+++ b/services/sumacd/leader_link.cc
@@ -77,7 +77,7 @@
 
 kj::Promise<fleet::Answer> LeaderLink::TryUntil(Attempt attempt,
                                                 SteadyTime deadline,
-                                                std::string last_error) {
+                                                const std::string& last_error) {
   const SteadyTime now = this->clock.SteadyNow();
   if (now >= deadline) {
     return fleet::Answer{
@@ -90,7 +90,8 @@
                                   ? this->NextController()
                                   : this->known_leader;
   const Milliseconds left = std::min(deadline - now, kLongestAttempt);
-  return attempt(process, left)
+  kj::Promise<fleet::Answer> answered = attempt(process, left);
+  return answered
       .then(
           [this, process](fleet::Answer&& answer) -> fleet::Answer {
             if (answer.code == ResultCode::kNotLeader) {
@@ -126,7 +127,7 @@
             .then([this, attempt = std::move(attempt), deadline,
                    message = answer.message]() mutable {
               return this->TryUntil(std::move(attempt), deadline,
-                                    std::move(message));
+                                    message);
             });
       });
 }
--- a/services/sumacd/leader_link.h
+++ b/services/sumacd/leader_link.h
@@ -58,7 +58,7 @@
 
   kj::Promise<fleet::Answer> TryUntil(Attempt attempt,
                                       SteadyTime deadline,
-                                      std::string last_error);
+                                      const std::string& last_error);
   kj::Promise<fleet::Answer> ProposeAt(const ProcessName& process,
                                        const fleet::Command& command,
                                        Milliseconds limit);
--- a/services/sumacd/operator_service.cc
+++ b/services/sumacd/operator_service.cc
@@ -39,7 +39,7 @@
 }
 
 // Decisions from several processes in one list, the newest first.
-nlohmann::json MergeDecisions(std::vector<nlohmann::json> lists) {
+nlohmann::json MergeDecisions(const std::vector<nlohmann::json>& lists) {
   std::vector<nlohmann::json> rows;
   for (const nlohmann::json& list : lists) {
     rows.insert(rows.end(), list.begin(), list.end());
@@ -234,7 +234,7 @@
           part.is_ok() ? lists.push_back(part.document)
                        : static_cast<void>(++silent);
         }
-        answer.document = MergeDecisions(std::move(lists));
+        answer.document = MergeDecisions(lists);
         if (silent > 0 && answer.is_ok()) {
           answer.message = StrCat(
               silent, " processes did not answer; their decisions are missing");
--- a/services/sumacd/platform_teller.cc
+++ b/services/sumacd/platform_teller.cc
@@ -21,12 +21,18 @@
       thread([this] { this->Run(); }) {}
 
 PlatformTeller::~PlatformTeller() {
+  this->Stop();
+}
+
+void PlatformTeller::Stop() {
   {
     const std::lock_guard lock(this->mutex);
     this->is_stopping = true;
   }
   this->wake.notify_all();
-  this->thread.join();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
 }
 
 void PlatformTeller::Tell(const std::vector<fleet::PlatformStep>& steps,
--- a/services/sumacd/platform_teller.h
+++ b/services/sumacd/platform_teller.h
@@ -29,6 +29,9 @@
   PlatformTeller(const PlatformTeller&) = delete;
   PlatformTeller& operator=(const PlatformTeller&) = delete;
 
+  // Ends the thread; nothing is told afterwards.
+  void Stop();
+
   // Asks for these steps to be told; ones told a moment ago are passed over.
   void Tell(const std::vector<fleet::PlatformStep>& steps, SteadyTime now);
 
--- a/tests/libraries/replication/cluster.cc
+++ b/tests/libraries/replication/cluster.cc
@@ -252,7 +252,7 @@
                       entry.index.value());
       }
     }
-    if (const std::string problem = this->CheckApplied(node);
+    if (std::string problem = this->CheckApplied(node);
         !problem.empty()) {
       return problem;
     }
--- a/tests/libraries/replication/replica_property_test.cc
+++ b/tests/libraries/replication/replica_property_test.cc
@@ -61,8 +61,10 @@
            std::string& history) {
   const auto node = *rc::gen::inRange<std::size_t>(0, kNodes);
   const auto place = *rc::gen::inRange<std::size_t>(0, 8);
-  history += std::string(kStepNames[static_cast<std::size_t>(step)]) + " " +
-             std::to_string(node) + "/" + std::to_string(place) + "; ";
+  history += kStepNames[static_cast<std::size_t>(step)];
+  history += " " + std::to_string(node);
+  history += "/" + std::to_string(place);
+  history += "; ";
   Cluster::Node& chosen = cluster.nodes[node];
   switch (step) {
     case Step::kTick:
@@ -136,7 +138,7 @@
     Carry(cluster, PickStep(), next_command, history);
     const std::string problem = cluster.CheckInvariants();
     if (!problem.empty()) {
-      RC_FAIL(problem + " after: " + history);
+      RC_FAIL(history + problem);
     }
   }
   // Once the faults end, the work goes on.
--- a/tests/libraries/storage/data_folder_test.cc
+++ b/tests/libraries/storage/data_folder_test.cc
@@ -9,7 +9,6 @@
 namespace {
 
 using replication::Entry;
-using replication::EntryKind;
 using replication::HardState;
 using replication::NodeId;
 using replication::Output;
--- a/utilities/sumacctl/table.cc
+++ b/utilities/sumacctl/table.cc
@@ -37,6 +37,7 @@
   }
   for (const nlohmann::json& row : rows) {
     std::vector<std::string> line;
+    line.reserve(columns.size());
     for (const Column& column : columns) {
       line.push_back(CellText(row, column.pointer));
     }
