--- a/libraries/base/try.h
+++ b/libraries/base/try.h
@@ -18,7 +18,7 @@
   return result.status();
 }
 
-inline void ValueOf(absl::Status /*status*/) {}
+inline void ValueOf(const absl::Status& /*status*/) {}
 
 template <typename T>
 T ValueOf(absl::StatusOr<T>&& result) {
--- a/libraries/http/minion_session.cc
+++ b/libraries/http/minion_session.cc
@@ -59,8 +59,8 @@
         "the minion's connection is closed");
   }
   this->has_sent = true;
-  // Past HTTPClientSession's own write, which would connect anew and send again.
-  // NOLINTNEXTLINE(bugprone-parent-virtual-call)
+  // Past HTTPClientSession's own write, which would connect anew and send
+  // again. NOLINTNEXTLINE(bugprone-parent-virtual-call)
   return HTTPSession::write(buffer, length);
 }
 
--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -145,8 +145,9 @@
   return this->log.last_index();
 }
 
-absl::StatusOr<LogIndex> Replica::ProposeMembership(const Membership& membership,
-                                                    SteadyTime now) {
+absl::StatusOr<LogIndex> Replica::ProposeMembership(
+    const Membership& membership,
+    SteadyTime now) {
   if (this->current_role != Role::kLeader || this->hand_over_to) {
     return MakeError(ResultCode::kNotLeader, "this controller does not lead");
   }
@@ -197,7 +198,7 @@
     return this->log.snapshot();
   }
   SnapshotMeta meta{index, this->log.TermAt(index),
-                          this->log.MembershipAt(index)};
+                    this->log.MembershipAt(index)};
   this->log.CompactTo(meta);
   this->snapshot_state = std::move(state);
   return meta;
--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -344,7 +344,8 @@
   std::_Exit(EXIT_FAILURE);
 }
 
-void Controller::SendMessages(const std::vector<replication::Message>& messages) {
+void Controller::SendMessages(
+    const std::vector<replication::Message>& messages) {
   for (const replication::Message& message : messages) {
     const ProcessName process = ProcessOf(message.to);
     rpc::Channel* channel = this->peers.Find(process);
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -73,8 +73,8 @@
   // it.
   bool MayAct() const;
 
-  // Ends the thread that tells the platform. Called from another thread than the event loop's, which
-  // must go on until this returns.
+  // Ends the thread that tells the platform. Called from another thread than
+  // the event loop's, which must go on until this returns.
   void StopTelling();
 
   // Starts to hand leadership over.
--- a/services/sumacd/entry.cc
+++ b/services/sumacd/entry.cc
@@ -76,10 +76,11 @@
 
 Entry::~Entry() {
   {
-    const std::lock_guard lock(this->stop_mutex);
+    const std::scoped_lock lock(this->mutex, this->stop_mutex);
     this->is_stopping = true;
   }
   this->stop_wake.notify_all();
+  this->wake_needed.notify_all();
   this->wake_thread.join();
   this->probe_thread.join();
 }
@@ -198,13 +199,16 @@
   }
 }
 
-// Asks where the request may go and waits for its turn if it has to. One lock is held from the
-// question to the wait, or a turn given in between would reach nobody.
-Entry::Turn Entry::AwaitTurn(const Progress& progress, std::optional<RetryReason> reason) {
+// Asks where the request may go and waits for its turn if it has to. One lock
+// is held from the question to the wait, or a turn given in between would reach
+// nobody.
+Entry::Turn Entry::AwaitTurn(const Progress& progress,
+                             std::optional<RetryReason> reason) {
   std::unique_lock lock(this->mutex);
   const SteadyTime now = this->clock.SteadyNow();
   RouteResult route =
-      reason ? this->router.Retry(progress.info, progress.tried, *reason, now, this->clock.Now())
+      reason ? this->router.Retry(progress.info, progress.tried, *reason, now,
+                                  this->clock.Now())
              : this->router.Admit(progress.info, now, this->clock.Now());
   this->LogDecisions(this->router.TakeNewDecisions());
   if (auto* send = std::get_if<SendTo>(&route)) {
@@ -215,8 +219,11 @@
   }
   Waiter waiter;
   this->waiters[progress.info.number] = &waiter;
-  const Milliseconds left = std::max(progress.info.deadline - now, Milliseconds(0));
-  waiter.wake.wait_for(lock, left, [&waiter] { return waiter.send.has_value(); });
+  this->wake_needed.notify_one();
+  const Milliseconds left =
+      std::max(progress.info.deadline - now, Milliseconds(0));
+  waiter.wake.wait_for(lock, left,
+                       [&waiter] { return waiter.send.has_value(); });
   this->waiters.erase(progress.info.number);
   if (waiter.send) {
     return Turn(*std::move(waiter.send));
@@ -433,13 +440,15 @@
   return this->router.CountOpen();
 }
 
-// Looks after waiting requests whose minions' pauses end by time alone.
+// Looks after waiting requests whose minions' pauses end by time alone. While
+// nothing waits it sleeps, so that an idle entry costs nothing.
 void Entry::WakeLoop() {
-  std::unique_lock stop_lock(this->stop_mutex);
-  while (!this->stop_wake.wait_for(stop_lock, kWakeInterval,
-                                   [this] { return this->is_stopping; })) {
-    const std::lock_guard lock(this->mutex);
-    if (this->router.CountWaiting() > 0) {
+  std::unique_lock lock(this->mutex);
+  while (!this->is_stopping) {
+    if (this->router.CountWaiting() == 0) {
+      this->wake_needed.wait(lock);
+    } else {
+      this->wake_needed.wait_for(lock, kWakeInterval);
       this->WakeReady();
     }
   }
--- a/services/sumacd/entry.h
+++ b/services/sumacd/entry.h
@@ -77,7 +77,8 @@
   Progress MakeProgress(const http::CallerRequest& request);
   http::CallerAnswer RunAdmitted(const http::CallerRequest& request,
                                  Progress& progress);
-  Turn AwaitTurn(const Progress& progress, std::optional<routing::RetryReason> reason);
+  Turn AwaitTurn(const Progress& progress,
+                 std::optional<routing::RetryReason> reason);
   std::optional<http::CallerAnswer> Claim(const http::CallerRequest& request,
                                           Progress& progress,
                                           const DecisionId& decision);
@@ -116,9 +117,12 @@
   mutable std::mutex mutex;
   routing::Router router;
   std::map<routing::RequestNumber, Waiter*> waiters;
+  // Told when a request begins to wait.
+  std::condition_variable wake_needed;
 
   std::mutex stop_mutex;
   std::condition_variable stop_wake;
+  // Written under both locks, read under either.
   bool is_stopping = false;
   std::thread wake_thread;
   std::thread probe_thread;
--- a/services/sumacd/leader_link.cc
+++ b/services/sumacd/leader_link.cc
@@ -126,8 +126,7 @@
         return this->timer.afterDelay(rpc::ToKj(pause))
             .then([this, attempt = std::move(attempt), deadline,
                    message = answer.message]() mutable {
-              return this->TryUntil(std::move(attempt), deadline,
-                                    message);
+              return this->TryUntil(std::move(attempt), deadline, message);
             });
       });
 }
--- a/tests/libraries/http/minion_client_test.cc
+++ b/tests/libraries/http/minion_client_test.cc
@@ -17,13 +17,17 @@
 
 using routing::TryOutcome;
 
-// A minion that reads one request on each connection and then writes just the bytes it is told to.
+// A minion that reads one request on each connection and then writes just the
+// bytes it is told to.
 class RawMinion {
  public:
-  using Respond = std::function<void(Poco::Net::StreamSocket&, const std::string& number)>;
+  using Respond =
+      std::function<void(Poco::Net::StreamSocket&, const std::string& number)>;
 
-  explicit RawMinion(Respond respond)
+  // With `resets_first` the first connection is reset as soon as it stands.
+  explicit RawMinion(Respond respond, bool resets_first = false)
       : respond(std::move(respond)),
+        resets_first(resets_first),
         socket(Poco::Net::SocketAddress("127.0.0.1", 0)),
         thread([this] { this->Serve(); }) {}
 
@@ -38,16 +42,23 @@
  private:
   void Serve() {
     while (!this->is_stopping) {
-      if (!this->socket.poll(Poco::Timespan(0, 10'000), Poco::Net::Socket::SELECT_READ)) {
+      if (!this->socket.poll(Poco::Timespan(0, 10'000),
+                             Poco::Net::Socket::SELECT_READ)) {
         continue;
       }
       Poco::Net::StreamSocket peer = this->socket.acceptConnection();
       ++this->accepted;
+      if (this->resets_first && this->accepted == 1) {
+        peer.setLinger(true, 0);
+        peer.close();
+        continue;
+      }
       const std::string request = this->ReadHead(peer);
       const std::size_t start = request.find("Sumac-Request: ");
       if (start != std::string::npos) {
         const std::size_t begin = start + 15;
-        this->respond(peer, request.substr(begin, request.find('\r', begin) - begin));
+        this->respond(peer,
+                      request.substr(begin, request.find('\r', begin) - begin));
       }
     }
   }
@@ -56,7 +67,8 @@
     std::string text;
     char byte = 0;
     while (!text.ends_with("\r\n\r\n") && !this->is_stopping) {
-      if (!peer.poll(Poco::Timespan(0, 10'000), Poco::Net::Socket::SELECT_READ)) {
+      if (!peer.poll(Poco::Timespan(0, 10'000),
+                     Poco::Net::Socket::SELECT_READ)) {
         continue;
       }
       if (peer.receiveBytes(&byte, 1) <= 0) {
@@ -68,6 +80,7 @@
   }
 
   Respond respond;
+  bool resets_first;
   Poco::Net::ServerSocket socket;
   std::atomic<bool> is_stopping = false;
   std::atomic<int> accepted = 0;
@@ -79,21 +92,26 @@
 }
 
 std::string Head(const std::string& number, const std::string& more) {
-  return StrCat("HTTP/1.1 200 OK\r\nSumac-Request: ", number, "\r\n", more, "\r\n");
+  return StrCat("HTTP/1.1 200 OK\r\nSumac-Request: ", number, "\r\n", more,
+                "\r\n");
 }
 
-TryResult Try(MinionClient& client, const std::string& address,
+TryResult Try(MinionClient& client,
+              const std::string& address,
               Milliseconds limit = Milliseconds(5'000)) {
   const SteadyTime deadline = SystemClock().SteadyNow() + limit;
   auto connection = client.Connect(address, false, deadline);
   EXPECT_NE(connection, nullptr);
-  return client.Exchange(address, std::move(connection),
-                         MinionRequest{"POST", "/x", "s", "number-1", "", "body"}, 1'000, deadline);
+  return client.Exchange(
+      address, std::move(connection),
+      MinionRequest{"POST", "/x", "s", "number-1", "", "body"}, 1'000,
+      deadline);
 }
 
 TEST(MinionClientTest, AWholeAnswerComesBack) {
   RawMinion minion([](auto& peer, const std::string& number) {
-    Send(peer, Head(number, "Content-Length: 5\r\nSumac-In-Flight: 3\r\n") + "hello");
+    Send(peer,
+         Head(number, "Content-Length: 5\r\nSumac-In-Flight: 3\r\n") + "hello");
   });
   MinionClient client;
   const TryResult result = Try(client, minion.address());
@@ -105,23 +123,35 @@
 TEST(MinionClientTest, AnythingLessIsNeverPassedOn) {
   const std::vector<std::function<std::string(const std::string&)>> broken = {
       // Cut within the body, within the head, before the head.
-      [](const std::string& number) { return Head(number, "Content-Length: 50\r\n") + "half"; },
-      [](const std::string& number) { return "HTTP/1.1 200 OK\r\nSumac-Request: " + number; },
+      [](const std::string& number) {
+        return Head(number, "Content-Length: 50\r\n") + "half";
+      },
+      [](const std::string& number) {
+        return "HTTP/1.1 200 OK\r\nSumac-Request: " + number;
+      },
       [](const std::string&) { return std::string(); },
       // Another request's answer, and one that says nothing about whose it is.
-      [](const std::string&) { return Head("number-0", "Content-Length: 5\r\n") + "hello"; },
+      [](const std::string&) {
+        return Head("number-0", "Content-Length: 5\r\n") + "hello";
+      },
       [](const std::string&) {
         return std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
       },
       // No length, a chunked body cut off, too large, no HTTP at all.
-      [](const std::string& number) { return Head(number, "Connection: close\r\n") + "hello"; },
       [](const std::string& number) {
-        return Head(number, "Transfer-Encoding: chunked\r\n") + "5\r\nhello\r\n";
+        return Head(number, "Connection: close\r\n") + "hello";
+      },
+      [](const std::string& number) {
+        return Head(number, "Transfer-Encoding: chunked\r\n") +
+               "5\r\nhello\r\n";
       },
       [](const std::string& number) {
-        return Head(number, "Content-Length: 1001\r\n") + std::string(1001, 'x');
+        return Head(number, "Content-Length: 1001\r\n") +
+               std::string(1001, 'x');
+      },
+      [](const std::string&) {
+        return std::string("\x01\x02\x03 nonsense\r\n\r\n");
       },
-      [](const std::string&) { return std::string("\x01\x02\x03 nonsense\r\n\r\n"); },
   };
   for (std::size_t kind = 0; kind < broken.size(); ++kind) {
     RawMinion minion([&](auto& peer, const std::string& number) {
@@ -130,7 +160,8 @@
     });
     MinionClient client;
     const TryResult result = Try(client, minion.address());
-    EXPECT_EQ(result.outcome, TryOutcome::kBroken) << kind << ": " << result.detail;
+    EXPECT_EQ(result.outcome, TryOutcome::kBroken)
+        << kind << ": " << result.detail;
     EXPECT_FALSE(result.is_not_run) << kind;
     EXPECT_TRUE(result.answer.body.empty()) << kind;
   }
@@ -150,14 +181,17 @@
     }
   });
   MinionClient client;
-  EXPECT_EQ(Try(client, minion.address(), Milliseconds(100)).outcome, TryOutcome::kTimedOut);
+  EXPECT_EQ(Try(client, minion.address(), Milliseconds(100)).outcome,
+            TryOutcome::kTimedOut);
   EXPECT_EQ(Try(client, minion.address()).outcome, TryOutcome::kAnswered);
   EXPECT_EQ(minion.connections(), 2);
 }
 
 TEST(MinionClientTest, AMinionsOwnWordThatItDidNotRunIsBelieved) {
   RawMinion minion([](auto& peer, const std::string& number) {
-    Send(peer, Head(number, "Content-Length: 0\r\nSumac-Not-Run: leaving\r\nSumac-Leaving: 1\r\n"));
+    Send(peer, Head(number,
+                    "Content-Length: 0\r\nSumac-Not-Run: "
+                    "leaving\r\nSumac-Leaving: 1\r\n"));
   });
   MinionClient client;
   const TryResult result = Try(client, minion.address());
@@ -167,9 +201,14 @@
 
 TEST(MinionClientTest, NobodyListeningMeansNotRun) {
   std::string address;
-  { address = Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)).address().toString(); }
+  {
+    address = Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0))
+                  .address()
+                  .toString();
+  }
   MinionClient client;
-  EXPECT_EQ(client.Connect(address, false, SystemClock().SteadyNow() + Milliseconds(1'000)),
+  EXPECT_EQ(client.Connect(address, false,
+                           SystemClock().SteadyNow() + Milliseconds(1'000)),
             nullptr);
 }
 
@@ -186,7 +225,8 @@
 }
 
 TEST(MinionClientTest, ARequestIsNeverWrittenTwice) {
-  // The minion takes the request and dies; POCO's own session would send it again.
+  // The minion takes the request and dies; POCO's own session would send it
+  // again.
   RawMinion minion([](auto& peer, const std::string&) { peer.close(); });
   MinionClient client;
   const TryResult result = Try(client, minion.address());
@@ -195,5 +235,28 @@
   EXPECT_EQ(minion.connections(), 1);
 }
 
+TEST(MinionClientTest, AResetConnectionIsNotReplacedBehindTheEntrysBack) {
+  // The claim was made for this connection. POCO's own write would open another
+  // and go on.
+  RawMinion minion(
+      [](auto& peer, const std::string& number) {
+        Send(peer, Head(number, "Content-Length: 5\r\n") + "hello");
+      },
+      true);
+  MinionClient client;
+  const SteadyTime deadline = SystemClock().SteadyNow() + Milliseconds(5'000);
+  auto connection = client.Connect(minion.address(), true, deadline);
+  ASSERT_NE(connection, nullptr);
+  while (connection->IsUsable()) {
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  const TryResult result =
+      client.Exchange(minion.address(), std::move(connection),
+                      MinionRequest{"POST", "/x", "s", "number-1", "", "body"},
+                      1'000, deadline);
+  EXPECT_NE(result.outcome, TryOutcome::kAnswered);
+  EXPECT_EQ(minion.connections(), 1);
+}
+
 }  // namespace
 }  // namespace sumac::http
--- a/tests/libraries/replication/cluster.cc
+++ b/tests/libraries/replication/cluster.cc
@@ -252,8 +252,7 @@
                       entry.index.value());
       }
     }
-    if (std::string problem = this->CheckApplied(node);
-        !problem.empty()) {
+    if (std::string problem = this->CheckApplied(node); !problem.empty()) {
       return problem;
     }
   }
--- a/tests/libraries/routing/router_test.cc
+++ b/tests/libraries/routing/router_test.cc
@@ -9,7 +9,8 @@
 constexpr SteadyTime kStart{Milliseconds(1'000'000)};
 constexpr WallTime kWall{Milliseconds(1'790'000'000'000)};
 
-fleet::RoutedMinion MakeMinion(const std::string& name, const std::string& data_centre = "dc-1") {
+fleet::RoutedMinion MakeMinion(const std::string& name,
+                               const std::string& data_centre = "dc-1") {
   return fleet::RoutedMinion{.name = InstanceName(name),
                              .address = "127.0.0.1:1",
                              .data_centre = DataCentre(data_centre),
@@ -21,7 +22,8 @@
                              .can_take_work = true};
 }
 
-fleet::View MakeView(std::uint64_t version, std::vector<fleet::RoutedMinion> minions) {
+fleet::View MakeView(std::uint64_t version,
+                     std::vector<fleet::RoutedMinion> minions) {
   return fleet::View{.version = version,
                      .revision = Revision(version),
                      .services = {fleet::Service{.name = ServiceName("s"),
@@ -35,7 +37,8 @@
  protected:
   RouterTest()
       : router(SharingSettings{.data_centre = DataCentre("dc-1")},
-               DecisionRing(ProcessName("e1"), 7, 100), 1) {}
+               DecisionRing(ProcessName("e1"), 7, 100),
+               1) {}
 
   RequestInfo MakeRequest(const std::string& caller = "c") {
     const RequestNumber number = ++this->last_number;
@@ -75,8 +78,10 @@
   this->router.Update(MakeView(1, {MakeMinion("m1")}));
   EXPECT_EQ(MinionOf(this->Admit(this->MakeRequest())), "m1");
   EXPECT_EQ(MinionOf(this->Admit(this->MakeRequest())), "m1");
-  EXPECT_TRUE(std::holds_alternative<Wait>(this->Admit(this->MakeRequest("d"))));
-  EXPECT_TRUE(std::holds_alternative<Wait>(this->Admit(this->MakeRequest("e"))));
+  EXPECT_TRUE(
+      std::holds_alternative<Wait>(this->Admit(this->MakeRequest("d"))));
+  EXPECT_TRUE(
+      std::holds_alternative<Wait>(this->Admit(this->MakeRequest("e"))));
   const RouteResult refused = this->Admit(this->MakeRequest("f"));
   EXPECT_EQ(CodeOf(refused), ResultCode::kOverloaded);
   EXPECT_GT(std::get<Refuse>(refused).retry_after, Milliseconds(0));
@@ -91,7 +96,8 @@
   soon.deadline = kStart + Milliseconds(100);
   this->Admit(late);
   this->Admit(soon);
-  this->router.FinishTry(InstanceName("m1"), TryOutcome::kAnswered, std::nullopt, kStart);
+  this->router.FinishTry(InstanceName("m1"), TryOutcome::kAnswered,
+                         std::nullopt, kStart);
   const auto ready = this->router.TakeReady(kStart, kWall);
   ASSERT_EQ(ready.size(), 1U);
   EXPECT_EQ(ready[0].first, soon.number);
@@ -102,13 +108,15 @@
   this->Admit(this->MakeRequest());
   this->Admit(this->MakeRequest());
   this->Admit(this->MakeRequest("d"));
-  this->router.FinishTry(InstanceName("m1"), TryOutcome::kAnswered, std::nullopt, kStart);
-  EXPECT_TRUE(std::holds_alternative<Wait>(this->Admit(this->MakeRequest("e"))));
+  this->router.FinishTry(InstanceName("m1"), TryOutcome::kAnswered,
+                         std::nullopt, kStart);
+  EXPECT_TRUE(
+      std::holds_alternative<Wait>(this->Admit(this->MakeRequest("e"))));
 }
 
 TEST_F(RouterTest, CallersHaveLimitsOfTheirOwn) {
-  this->router.Update(MakeView(1, {MakeMinion("m1"), MakeMinion("m2"), MakeMinion("m3"),
-                                   MakeMinion("m4")}));
+  this->router.Update(MakeView(1, {MakeMinion("m1"), MakeMinion("m2"),
+                                   MakeMinion("m3"), MakeMinion("m4")}));
   std::vector<RequestInfo> open;
   for (int number = 0; number < 6; ++number) {
     open.push_back(this->MakeRequest());
@@ -123,7 +131,8 @@
 }
 
 TEST_F(RouterTest, NearMinionsGoFirst) {
-  this->router.Update(MakeView(1, {MakeMinion("far", "dc-2"), MakeMinion("near")}));
+  this->router.Update(
+      MakeView(1, {MakeMinion("far", "dc-2"), MakeMinion("near")}));
   EXPECT_EQ(MinionOf(this->Admit(this->MakeRequest())), "near");
   EXPECT_EQ(MinionOf(this->Admit(this->MakeRequest())), "near");
   EXPECT_EQ(MinionOf(this->Admit(this->MakeRequest())), "far");
@@ -147,7 +156,8 @@
   this->router.Update(MakeView(1, {MakeMinion("m1")}));
   for (int number = 0; number < 3; ++number) {
     this->Admit(this->MakeRequest());
-    this->router.FinishTry(InstanceName("m1"), TryOutcome::kBroken, std::nullopt, kStart);
+    this->router.FinishTry(InstanceName("m1"), TryOutcome::kBroken,
+                           std::nullopt, kStart);
   }
   EXPECT_EQ(this->router.minions().CountAside(kStart), 1U);
   EXPECT_EQ(CodeOf(this->Admit(this->MakeRequest("d"))), ResultCode::kNoMinion);
@@ -159,7 +169,8 @@
   second.deadline = later + Milliseconds(1'000);
   EXPECT_TRUE(std::holds_alternative<Wait>(this->Admit(second, later)));
   // It fails again: aside at once, and for longer.
-  this->router.FinishTry(InstanceName("m1"), TryOutcome::kBroken, std::nullopt, later);
+  this->router.FinishTry(InstanceName("m1"), TryOutcome::kBroken, std::nullopt,
+                         later);
   EXPECT_EQ(this->router.minions().CountAside(later + Milliseconds(1'500)), 1U);
 }
 
@@ -167,20 +178,22 @@
   this->router.Update(MakeView(1, {MakeMinion("m1"), MakeMinion("m2")}));
   const RequestInfo request = this->MakeRequest();
   const std::string first = MinionOf(this->Admit(request));
-  this->router.FinishTry(InstanceName(first), TryOutcome::kBroken, std::nullopt, kStart);
-  const RouteResult retried = this->router.Retry(request, {InstanceName(first)},
-                                                 RetryReason::kFailed, kStart, kWall);
+  this->router.FinishTry(InstanceName(first), TryOutcome::kBroken, std::nullopt,
+                         kStart);
+  const RouteResult retried = this->router.Retry(
+      request, {InstanceName(first)}, RetryReason::kFailed, kStart, kWall);
   EXPECT_NE(MinionOf(retried), first);
   EXPECT_NE(MinionOf(retried), "");
-  this->router.FinishTry(InstanceName(MinionOf(retried)), TryOutcome::kAnswered, std::nullopt,
-                         kStart);
+  this->router.FinishTry(InstanceName(MinionOf(retried)), TryOutcome::kAnswered,
+                         std::nullopt, kStart);
   int allowed = 0;
   for (int number = 0; number < 50; ++number) {
-    const RouteResult next = this->router.Retry(request, {InstanceName("m1")},
-                                                RetryReason::kFailed, kStart, kWall);
+    const RouteResult next = this->router.Retry(
+        request, {InstanceName("m1")}, RetryReason::kFailed, kStart, kWall);
     if (!MinionOf(next).empty()) {
       ++allowed;
-      this->router.FinishTry(InstanceName("m2"), TryOutcome::kAnswered, std::nullopt, kStart);
+      this->router.FinishTry(InstanceName("m2"), TryOutcome::kAnswered,
+                             std::nullopt, kStart);
     }
   }
   EXPECT_LT(allowed, 12);
@@ -191,10 +204,11 @@
   const RequestInfo request = this->MakeRequest();
   this->Admit(request);
   const SteadyTime late = request.deadline;
-  EXPECT_EQ(CodeOf(this->router.Retry(request, {}, RetryReason::kDeclined, late, kWall)),
-            ResultCode::kDeadlineBeforeRun);
-  EXPECT_EQ(CodeOf(this->router.Retry(request, {InstanceName("m1")}, RetryReason::kFailed, late,
+  EXPECT_EQ(CodeOf(this->router.Retry(request, {}, RetryReason::kDeclined, late,
                                       kWall)),
+            ResultCode::kDeadlineBeforeRun);
+  EXPECT_EQ(CodeOf(this->router.Retry(request, {InstanceName("m1")},
+                                      RetryReason::kFailed, late, kWall)),
             ResultCode::kDeadlineDuringRun);
 }
 
@@ -229,7 +243,8 @@
     line.Serve(*line.Next());
     ++served_before;
   }
-  EXPECT_EQ(served_before, static_cast<int>(WaitingLine::kInteractivePerBackground));
+  EXPECT_EQ(served_before,
+            static_cast<int>(WaitingLine::kInteractivePerBackground));
   line.Serve(100);
   EXPECT_NE(*line.Next(), 100U);
 }
--- a/tests/services/sumacd/settings_test.cc
+++ b/tests/services/sumacd/settings_test.cc
@@ -23,7 +23,8 @@
   return kGood;
 }
 
-// The error for the good settings after a JSON patch; empty when they are accepted.
+// The error for the good settings after a JSON patch; empty when they are
+// accepted.
 std::string ErrorAfter(const std::string& patch, ResultCode* code = nullptr) {
   const std::string path = testing::TempDir() + "/settings-test.json";
   std::ofstream(path) << Good().patch(nlohmann::json::parse(patch));
@@ -32,7 +33,9 @@
   if (code != nullptr) {
     *code = settings.ok() ? ResultCode::kOk : CodeOf(settings.status());
   }
-  return settings.ok() ? "" : std::string(settings.status().message()).substr(path.size() + 2);
+  return settings.ok()
+             ? ""
+             : std::string(settings.status().message()).substr(path.size() + 2);
 }
 
 TEST(SettingsTest, GoodOnesAreTaken) {
@@ -48,17 +51,22 @@
       {R"([{"op":"replace","path":"/listen/callers","value":"localhost:80"}])",
        "/listen/callers: found \"localhost:80\", allowed: IP:PORT by number"},
       {R"([{"op":"replace","path":"/listen/callers","value":"127.0.0.1:70000"}])",
-       "/listen/callers: found \"127.0.0.1:70000\", allowed: IP:PORT by number"},
+       "/listen/callers: found \"127.0.0.1:70000\", allowed: IP:PORT by "
+       "number"},
       {R"([{"op":"replace","path":"/processes/0/roles","value":["king"]}])",
-       "/processes/0/roles/0: found \"king\", allowed: one of entry controller"},
+       "/processes/0/roles/0: found \"king\", allowed: one of entry "
+       "controller"},
       {R"([{"op":"replace","path":"/processes/0/roles","value":["entry"]}])",
        "/processes: found \"0 controllers\", allowed: an odd number"},
       {R"([{"op":"remove","path":"/data_folder"}])",
-       "/data_folder: found \"\", allowed: a folder, since this process is a controller"},
+       "/data_folder: found \"\", allowed: a folder, since this process is a "
+       "controller"},
       {R"([{"op":"add","path":"/group","value":{"heartbeat_ms":300}}])",
-       "/group/election_timeout_ms: found \"600\", allowed: at least three times heartbeat_ms"},
+       "/group/election_timeout_ms: found \"600\", allowed: at least three "
+       "times heartbeat_ms"},
       {R"([{"op":"add","path":"/doors","value":{"idle_ms":"5"}}])",
-       "/doors/idle_ms: found \"5\", allowed: a whole number from 100 to 3.6e+06"},
+       "/doors/idle_ms: found \"5\", allowed: a whole number from 100 to "
+       "3.6e+06"},
       {R"([{"op":"add","path":"/log","value":{"level":"loud"}}])",
        "/log/level: found \"loud\", allowed: debug, info, warning or error"},
   };
@@ -69,14 +77,16 @@
 
 TEST(SettingsTest, UnknownKeysHaveACodeOfTheirOwn) {
   ResultCode code = ResultCode::kOk;
-  EXPECT_EQ(ErrorAfter(R"([{"op":"add","path":"/listen/callrs","value":1}])", &code),
-            "/listen/callrs: unknown key");
+  EXPECT_EQ(
+      ErrorAfter(R"([{"op":"add","path":"/listen/callrs","value":1}])", &code),
+      "/listen/callrs: unknown key");
   EXPECT_EQ(code, ResultCode::kSettingsUnknownKey);
 }
 
 TEST(SettingsTest, TheExamplesAreGood) {
   for (const char* name : {"suva-e1.json", "leselicht-e1.json"}) {
-    const auto settings = Settings::Load(std::string(SUMAC_SOURCE_DIR) + "/settings/" + name);
+    const auto settings =
+        Settings::Load(std::string(SUMAC_SOURCE_DIR) + "/settings/" + name);
     EXPECT_TRUE(settings.ok()) << settings.status();
   }
 }
