--- a/meta/bench.sh
+++ b/meta/bench.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 
-bin=$PWD/$1/bin
+bin=$(cd "$1" && pwd)/bin
 shift
 work=$(mktemp -d)
 source meta/cluster.sh
--- a/meta/run.sh
+++ b/meta/run.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 
-bin=$PWD/$1/bin
+bin=$(cd "$1" && pwd)/bin
 stay=${2:-}
 work=$PWD/run
 rm -rf "$work"
--- a/tests/processes/doors.sh
+++ b/tests/processes/doors.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
 
-bin=$1/bin
+bin=$(cd "$1" && pwd)/bin
 work=$(mktemp -d)
 source meta/cluster.sh
 trap 'stop_all; rm -rf "$work"' EXIT
