Control: Take lost disks back as learners, send view deltas, await a revision

Cause: a controller whose disk was lost had no way back, entries got the whole view for each change, and nobody could tell when a declaration is in force.

--- a/libraries/fleet/view.cc
+++ b/libraries/fleet/view.cc
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/fleet/view.h"
 
+#include <map>
+#include <utility>
+
 namespace sumac::fleet {
 
 View MakeView(const FleetState& state) {
@@ -23,4 +26,29 @@
   return view;
 }
 
+View ApplyDelta(const View& before, const View& delta) {
+  std::map<InstanceName, RoutedMinion> minions;
+  for (const RoutedMinion& minion : before.minions) {
+    minions[minion.name] = minion;
+  }
+  for (const InstanceName& name : delta.removed) {
+    minions.erase(name);
+  }
+  for (const RoutedMinion& minion : delta.minions) {
+    minions[minion.name] = minion;
+  }
+  View after = before;
+  after.version = delta.version;
+  after.revision = delta.revision;
+  if (delta.has_services) {
+    after.services = delta.services;
+    after.key_window = delta.key_window;
+  }
+  after.minions.clear();
+  for (auto& [name, minion] : minions) {
+    after.minions.push_back(std::move(minion));
+  }
+  return after;
+}
+
 }  // namespace sumac::fleet
--- a/libraries/fleet/view.h
+++ b/libraries/fleet/view.h
@@ -27,6 +27,8 @@
   // False while it is leaving, silent or set aside: it gets no new requests.
   bool can_take_work = false;
 
+  bool operator==(const RoutedMinion&) const = default;
+
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("name", self.name);
@@ -49,6 +51,9 @@
   std::vector<Service> services;
   Milliseconds key_window{0};
   std::vector<RoutedMinion> minions;
+  // Only in a delta: minions that are gone, and whether `services` and `key_window` are meant.
+  std::set<InstanceName> removed;
+  bool has_services = true;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -57,9 +62,15 @@
     visitor.Field("services", self.services);
     visitor.Field("key_window_ms", self.key_window);
     visitor.Field("minions", self.minions);
+    visitor.Field("removed", self.removed);
+    visitor.Field("has_services", self.has_services);
   }
 };
 
+// The view after a delta: its minions replace or join those of `before`, which stay in order of
+// name.
+View ApplyDelta(const View& before, const View& delta);
+
 // The view that the state gives now.
 View MakeView(const FleetState& state);
 
--- a/schemas/operator.capnp
+++ b/schemas/operator.capnp
@@ -47,4 +47,10 @@
   status @11 () -> (result :Result);
   # Hands leadership to another controller, for a planned stop.
   handOver @12 (identity :Identity) -> (result :Result);
+  # add makes a learner a voter, remove takes a replica out of the group, replace takes out a voter
+  # whose process has come back with another disk. node is NAME.INCARNATION as get controllers shows.
+  changeController @13 (identity :Identity, action :Text, node :Text) -> (result :Result);
+  # Answers once every entry that is alive acts on this version of the view, or after waitMs; the
+  # document names those that do, those that lag and those that are silent.
+  inForce @14 (version :UInt64, waitMs :UInt32) -> (result :Result);
 }
--- a/schemas/peer.capnp
+++ b/schemas/peer.capnp
@@ -19,10 +19,11 @@
   replicate @0 (message :Replication.ReplicaMessage);
   # Commits one command (CBOR, libraries/fleet/commands.h) if this controller leads.
   propose @1 (command :Data) -> (result :PeerResult);
-  # Answers when the view's version is past `have`, or with the same version after waitMs.
+  # Answers when the view's version is past `have`, or with the same version after waitMs. The view
+  # is whole, or with isDelta only what changed since `have` (CBOR, libraries/fleet/view.h).
   # isVerified tells that the state was known to be the latest at some moment since the controller
   # started.
-  follow @2 (process :Text, have :UInt64, waitMs :UInt32) -> (result :PeerResult, version :UInt64, view :Data, isVerified :Bool);
+  follow @2 (process :Text, have :UInt64, waitMs :UInt32) -> (result :PeerResult, version :UInt64, view :Data, isVerified :Bool, isDelta :Bool);
   # Targets' announcements gathered by an entry (CBOR); the answer carries orders for the targets.
   announce @3 (announcements :Data) -> (result :PeerResult, orders :Data);
   # Reads answered by the leader under its lease; same kinds as the operator's get and why.
@@ -33,4 +34,9 @@
   # Which controller this process takes for the leader; empty when unknown.
   leader @7 () -> (process :Text);
   handOver @8 () -> (result :PeerResult);
+  # A controller with a new disk asks the leader to be taken in as a learner.
+  join @9 (node :Text) -> (result :PeerResult);
+  # What this entry acts on; hasView is false for a process without the entry role.
+  viewState @10 () -> (hasView :Bool, version :UInt64, ageMs :UInt64);
+  changeController @11 (action :Text, node :Text) -> (result :PeerResult);
 }
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -22,6 +22,7 @@
 #include "libraries/fleet/planner.h"
 #include "libraries/fleet/soft_state.h"
 #include "libraries/fleet/view.h"
+#include "libraries/fleet/view_history.h"
 #include "libraries/replication/replica.h"
 #include "libraries/storage/data_folder.h"
 #include "libraries/storage/posix_disk.h"
@@ -31,9 +32,11 @@
 
 namespace sumac::daemon {
 
-// A view with what vouches for it.
+// A view, or what changed of it, with what vouches for it.
 struct ServedView {
   fleet::View view;
+  // True if `view` holds only what changed since the version that the follower has.
+  bool is_delta = false;
   // True if this controller's state was known to be the latest at some moment
   // since it started.
   bool is_verified = false;
@@ -77,6 +80,13 @@
   // the event loop's, which must go on until this returns.
   void StopTelling();
 
+  // Takes a replica with a new disk in as a learner. kNotLeader, kUnknownName for a process that the
+  // settings don't list as a controller, or kWrongState while another change is under way.
+  absl::Status Join(const replication::NodeId& node);
+
+  // Carries out add, remove or replace for a member.
+  absl::Status ChangeMember(const std::string& action, const replication::NodeId& node);
+
   // Starts to hand leadership over.
   absl::Status HandOver();
 
@@ -112,7 +122,7 @@
 
   void taskFailed(kj::Exception&& exception) override;
 
-  ServedView ServeView() const;
+  ServedView ServeView(std::uint64_t have) const;
   kj::Promise<void> TickLoop();
   void Tick();
   void Lead(SteadyTime now);
@@ -128,6 +138,11 @@
   void NotifyViewWaiters();
   void MaybeSnapshot();
   void ProposeInBackground(fleet::Command command);
+  void MaintainMembership(SteadyTime now);
+  bool IsSilent(const replication::NodeId& node, SteadyTime now) const;
+  bool IsCaughtUp(const replication::NodeId& node, SteadyTime now) const;
+  absl::Status ProposeMembers(const replication::Membership& membership);
+  void AskToJoin(SteadyTime now);
 
   const Settings& settings;
   Peers& peers;
@@ -142,6 +157,8 @@
 
   Term leading_term;
   SteadyTime last_plan{};
+  SteadyTime last_join{};
+  std::size_t next_to_ask = 0;
   bool is_pump_scheduled = false;
   bool is_disk_full = false;
   std::optional<replication::Output> unwritten;
@@ -149,6 +166,7 @@
   // there are none.
   std::size_t planned_open = 0;
   std::uint64_t last_applied_view = 0;
+  fleet::ViewHistory history;
   std::uint64_t entries_since_snapshot = 0;
   LogIndex applied_index;
   std::map<LogIndex, PendingProposal> proposals;
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -85,6 +85,14 @@
     return absl::OkStatus();
   }
   this->charts = TRY(fleet::Charts::Load(this->settings.charts_folder));
+  storage::PosixDisk disk;
+  if (!storage::DataFolder<storage::PosixDisk>::HasIdentity(disk, this->settings.data_folder)) {
+    // NOTE: This disk is new or was lost. What the process acknowledged or voted before is
+    // forgotten, so it must not speak under its old name: it joins as another replica.
+    LogEvent(LogLevel::kWarning, "joins-with-empty-disk",
+             {{"data_folder", this->settings.data_folder}});
+    TRY(FormatForJoining(this->settings));
+  }
   this->controller =
       TRY(Controller::Create(this->settings, *this->charts, *this->peers,
                              this->io.provider->getTimer()));
@@ -129,18 +137,18 @@
         std::make_unique<Entry>(this->settings, *this->core, this->metrics);
     this->follower = std::make_unique<ViewFollower>(
         this->settings, *this->peers, timer, this->controller.get(),
-        [this](const fleet::View& view) {
-          return this->entry->UpdateView(view);
+        [this](const fleet::View& view, bool is_delta) {
+          return this->entry->UpdateView(view, is_delta);
         });
     this->running.push_back(this->follower->Run().eagerlyEvaluate(nullptr));
   }
   TRY(this->Listen(
       this->settings.self().peer_address,
-      kj::heap<PeerService>(this->controller.get(), this->entry.get())));
+      kj::heap<PeerService>(this->controller.get(), this->entry.get(), this->follower.get())));
   TRY(this->Listen(
       this->settings.listen.operators,
       kj::heap<OperatorService>(OperatorParts{
-          this->settings, *this->peers, *this->leader, this->controller.get(),
+          this->settings, *this->peers, *this->leader, timer, this->controller.get(),
           this->entry.get(), this->follower.get()})));
   this->AddGauges();
   return this->OpenDoors();
@@ -246,6 +254,15 @@
       disk, settings.data_folder, identity);
 }
 
+absl::Status FormatForJoining(const Settings& settings) {
+  // The wall clock is later than any start of this process before.
+  const auto incarnation = SystemClock().Now().time_since_epoch().count();
+  const storage::Identity identity{
+      .node = replication::NodeId(StrCat(settings.process.value(), ".", incarnation))};
+  storage::PosixDisk disk;
+  return storage::DataFolder<storage::PosixDisk>::Format(disk, settings.data_folder, identity);
+}
+
 absl::Status RunDaemon(const Settings& settings) {
   StartLogging(settings.process, settings.log.file,
                ParseLogLevel(settings.log.level));
--- a/services/sumacd/daemon.h
+++ b/services/sumacd/daemon.h
@@ -11,6 +11,10 @@
 // first start.
 absl::Status FormatDataFolder(const Settings& settings);
 
+// Makes an empty data folder for a controller that joins a group that exists,
+// under an incarnation that was never used before.
+absl::Status FormatForJoining(const Settings& settings);
+
 // Runs the process until SIGTERM or SIGINT has ended it in order. The error
 // says why it could not start.
 absl::Status RunDaemon(const Settings& settings);
--- a/services/sumacd/entry.cc
+++ b/services/sumacd/entry.cc
@@ -406,9 +406,10 @@
       Milliseconds(0));
 }
 
-bool Entry::UpdateView(const fleet::View& view) {
+bool Entry::UpdateView(const fleet::View& view, bool is_delta) {
   const std::lock_guard lock(this->mutex);
-  const bool is_taken = this->router.Update(view);
+  const bool is_taken = this->router.Update(
+      is_delta ? fleet::ApplyDelta(this->router.view(), view) : view);
   if (is_taken) {
     this->WakeReady();
   }
--- a/services/sumacd/entry.h
+++ b/services/sumacd/entry.h
@@ -41,8 +41,8 @@
   // Runs one request to its end; blocks.
   http::CallerAnswer Run(const http::CallerRequest& request);
 
-  // Takes in a view unless it is not newer.
-  bool UpdateView(const fleet::View& view);
+  // Takes in a view, or a delta to the one in force, unless it is not newer.
+  bool UpdateView(const fleet::View& view, bool is_delta);
 
   // The largest body a request to this service may have.
   std::uint32_t MostBodyBytes(const ServiceName& service) const;
--- a/services/sumacd/operator_service.cc
+++ b/services/sumacd/operator_service.cc
@@ -20,6 +20,7 @@
 // How long an operator's call may take in all.
 constexpr Milliseconds kOperatorLimit{5'000};
 constexpr Milliseconds kPeerLimit{500};
+constexpr Milliseconds kInForcePoll{20};
 constexpr std::size_t kLargestDeclaration = 1U << 20;
 constexpr std::size_t kLargestJob = 64U << 10;
 
@@ -298,4 +299,95 @@
       });
 }
 
+kj::Promise<fleet::Answer> OperatorService::ChangeControllerAt(const ProcessName& process,
+                                                               const std::string& action,
+                                                               const std::string& node) {
+  rpc::Channel* channel = this->parts.peers.Find(process);
+  auto request = channel->Get<wire::Peer>().changeControllerRequest();
+  request.setAction(action);
+  request.setNode(node);
+  return channel
+      ->Guard(kPeerLimit, request.send().then([](auto&& response) {
+        return rpc::ReadAnswer(response.getResult());
+      }))
+      .catch_([](kj::Exception&& /*exception*/) {
+        return fleet::Answer{.code = ResultCode::kNotLeader};
+      });
+}
+
+// Asks all controllers; only the one that leads carries it out.
+kj::Promise<void> OperatorService::changeController(ChangeControllerContext context) {
+  const std::string action = wire::ToString(context.getParams().getAction());
+  const std::string node = wire::ToString(context.getParams().getNode());
+  const auto& controllers = this->parts.peers.controllers();
+  auto asked = kj::heapArrayBuilder<kj::Promise<fleet::Answer>>(controllers.size());
+  for (const ProcessName& process : controllers) {
+    asked.add(this->ChangeControllerAt(process, action, node));
+  }
+  return kj::joinPromises(asked.finish())
+      .then([context](kj::Array<fleet::Answer>&& answers) mutable {
+        fleet::Answer chosen{.code = ResultCode::kNoLeader, .message = "no controller leads now"};
+        for (const fleet::Answer& answer : answers) {
+          if (answer.code != ResultCode::kNotLeader) {
+            chosen = answer;
+          }
+        }
+        rpc::WriteAnswer(chosen, context.getResults().initResult());
+      });
+}
+
+kj::Promise<OperatorService::EntryView> OperatorService::AskView(const ProcessName& process) {
+  rpc::Channel* channel = this->parts.peers.Find(process);
+  return channel
+      ->Guard(kPeerLimit,
+              channel->Get<wire::Peer>().viewStateRequest().send().then(
+                  [process](auto&& response) {
+                    return EntryView{process, true, response.getVersion()};
+                  }))
+      .catch_([process](kj::Exception&& /*exception*/) { return EntryView{process}; });
+}
+
+// Asks all entries again and again until each that is alive has the version.
+kj::Promise<fleet::Answer> OperatorService::AwaitInForce(std::uint64_t version,
+                                                         SteadyTime deadline) {
+  auto asked = kj::Vector<kj::Promise<EntryView>>();
+  for (const ProcessSettings& process : this->parts.settings.processes) {
+    if (process.roles.contains(ProcessRole::kEntry)) {
+      asked.add(this->AskView(process.name));
+    }
+  }
+  return kj::joinPromises(asked.releaseAsArray())
+      .then([this, version,
+             deadline](kj::Array<EntryView>&& views) -> kj::Promise<fleet::Answer> {
+        nlohmann::json document = {{"in_force", nlohmann::json::array()},
+                                   {"behind", nlohmann::json::array()},
+                                   {"silent", nlohmann::json::array()}};
+        for (const EntryView& view : views) {
+          const char* list = !view.has_answered          ? "silent"
+                             : view.version >= version ? "in_force"
+                                                       : "behind";
+          document[list].push_back(view.process.value());
+        }
+        const bool is_done = document["behind"].empty();
+        if (is_done || SystemClock().SteadyNow() >= deadline) {
+          return fleet::Answer{
+              .code = is_done ? ResultCode::kOk : ResultCode::kTimeout,
+              .message = StrCat("in force at ", document["in_force"].size(), " entries, behind: ",
+                                document["behind"].dump(), ", silent: ", document["silent"].dump()),
+              .document = document};
+        }
+        return this->parts.timer.afterDelay(rpc::ToKj(kInForcePoll))
+            .then([this, version, deadline] { return this->AwaitInForce(version, deadline); });
+      });
+}
+
+kj::Promise<void> OperatorService::inForce(InForceContext context) {
+  const SteadyTime deadline =
+      SystemClock().SteadyNow() + Milliseconds(context.getParams().getWaitMs());
+  return this->AwaitInForce(context.getParams().getVersion(), deadline)
+      .then([context](const fleet::Answer& answer) mutable {
+        rpc::WriteAnswer(answer, context.getResults().initResult());
+      });
+}
+
 }  // namespace sumac::daemon
--- a/services/sumacd/operator_service.h
+++ b/services/sumacd/operator_service.h
@@ -20,6 +20,7 @@
   const Settings& settings;
   Peers& peers;
   LeaderLink& leader;
+  kj::Timer& timer;
   Controller* controller;
   Entry* entry;
   const ViewFollower* follower;
@@ -44,8 +45,17 @@
   kj::Promise<void> why(WhyContext context) override;
   kj::Promise<void> status(StatusContext context) override;
   kj::Promise<void> handOver(HandOverContext context) override;
+  kj::Promise<void> changeController(ChangeControllerContext context) override;
+  kj::Promise<void> inForce(InForceContext context) override;
 
  private:
+  // What one entry acts on, as it says.
+  struct EntryView {
+    ProcessName process;
+    bool has_answered = false;
+    std::uint64_t version = 0;
+  };
+
   template <typename Context>
   kj::Promise<void> Commit(Context context, fleet::Command command);
   template <typename Context>
@@ -62,6 +72,11 @@
                                    const std::string& kind,
                                    const std::string& name);
   nlohmann::json DescribeProcess() const;
+  kj::Promise<fleet::Answer> ChangeControllerAt(const ProcessName& process,
+                                                const std::string& action,
+                                                const std::string& node);
+  kj::Promise<EntryView> AskView(const ProcessName& process);
+  kj::Promise<fleet::Answer> AwaitInForce(std::uint64_t version, SteadyTime deadline);
 
   OperatorParts parts;
 };
--- a/services/sumacd/peer_service.cc
+++ b/services/sumacd/peer_service.cc
@@ -17,6 +17,10 @@
   return fleet::Answer{.code = ResultCode::kNotLeader};
 }
 
+fleet::Answer AnswerFrom(const absl::Status& status) {
+  return status.ok() ? fleet::Answer::Success("accepted") : fleet::Answer::FromStatus(status);
+}
+
 }  // namespace
 
 kj::Promise<void> PeerService::replicate(ReplicateContext context) {
@@ -53,6 +57,7 @@
       .then([context, have](const ServedView& served) mutable {
         auto results = context.getResults();
         results.setIsVerified(served.is_verified);
+        results.setIsDelta(served.is_delta);
         results.setVersion(served.view.version);
         if (served.view.version > have) {
           results.setView(wire::ToData(ToCbor(served.view)));
@@ -130,6 +135,36 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> PeerService::join(JoinContext context) {
+  fleet::Answer answer = NoController();
+  if (this->controller != nullptr) {
+    const replication::NodeId node(wire::ToString(context.getParams().getNode()));
+    answer = AnswerFrom(this->controller->Join(node));
+  }
+  rpc::WriteAnswer(answer, context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::viewState(ViewStateContext context) {
+  if (this->follower != nullptr) {
+    context.getResults().setHasView(true);
+    context.getResults().setVersion(this->follower->current_version());
+    context.getResults().setAgeMs(static_cast<std::uint64_t>(this->follower->Age().count()));
+  }
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::changeController(ChangeControllerContext context) {
+  fleet::Answer answer = NoController();
+  if (this->controller != nullptr) {
+    auto params = context.getParams();
+    answer = AnswerFrom(this->controller->ChangeMember(
+        wire::ToString(params.getAction()), replication::NodeId(wire::ToString(params.getNode()))));
+  }
+  rpc::WriteAnswer(answer, context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
 fleet::Answer ExplainLocally(const Entry* entry, const DecisionId& id) {
   const auto decision =
       entry == nullptr ? std::nullopt : entry->FindDecision(id);
--- a/services/sumacd/peer_service.h
+++ b/services/sumacd/peer_service.h
@@ -5,6 +5,7 @@
 #include "libraries/wire/generated/peer.capnp.h"
 #include "services/sumacd/controller.h"
 #include "services/sumacd/entry.h"
+#include "services/sumacd/view_follower.h"
 
 namespace sumac::daemon {
 
@@ -12,8 +13,8 @@
 class PeerService final : public wire::Peer::Server {
  public:
   // Either may be nothing, by the process's roles.
-  PeerService(Controller* controller, Entry* entry)
-      : controller(controller), entry(entry) {}
+  PeerService(Controller* controller, Entry* entry, const ViewFollower* follower)
+      : controller(controller), entry(entry), follower(follower) {}
 
   kj::Promise<void> replicate(ReplicateContext context) override;
   kj::Promise<void> propose(ProposeContext context) override;
@@ -24,10 +25,14 @@
   kj::Promise<void> whyLocal(WhyLocalContext context) override;
   kj::Promise<void> leader(LeaderContext context) override;
   kj::Promise<void> handOver(HandOverContext context) override;
+  kj::Promise<void> join(JoinContext context) override;
+  kj::Promise<void> viewState(ViewStateContext context) override;
+  kj::Promise<void> changeController(ChangeControllerContext context) override;
 
  private:
   Controller* controller;
   Entry* entry;
+  const ViewFollower* follower;
 };
 
 // This entry's own decision, or kUnknownDecision.
--- a/services/sumacd/view_follower.cc
+++ b/services/sumacd/view_follower.cc
@@ -82,6 +82,7 @@
               FromCbor<fleet::View>(wire::ToString(response.getView()), "view");
           KJ_REQUIRE(view.ok(), "malformed view");
           served.view = *std::move(view);
+          served.is_delta = response.getIsDelta();
         }
         return served;
       }));
@@ -89,10 +90,11 @@
 
 void ViewFollower::Take(const ServedView& served) {
   const std::uint64_t have = this->version.load();
-  if (served.view.version > have && this->on_view(served.view)) {
+  if (served.view.version > have && this->on_view(served.view, served.is_delta)) {
     this->version.store(served.view.version);
     LogEvent(LogLevel::kInfo, "view-in-force",
              {{"version", served.view.version},
+              {"is_delta", served.is_delta},
               {"revision", served.view.revision.value()}});
   }
   // A controller that lags says nothing about how old this view is.
--- a/tests/libraries/replication/cluster.cc
+++ b/tests/libraries/replication/cluster.cc
@@ -81,7 +81,7 @@
 std::optional<std::size_t> Cluster::ElectLeader(Milliseconds limit) {
   const SteadyTime deadline = this->now + limit;
   while (this->now < deadline) {
-    this->Run(Milliseconds(20));
+    this->PassTime(Milliseconds(20));
     for (std::size_t node = 0; node < this->nodes.size(); ++node) {
       const Node& candidate = this->nodes[node];
       if (candidate.is_up() && !candidate.is_frozen &&
@@ -94,7 +94,7 @@
   return std::nullopt;
 }
 
-void Cluster::Run(Milliseconds time) {
+void Cluster::PassTime(Milliseconds time) {
   constexpr Milliseconds kStep{10};
   for (Milliseconds passed{0}; passed < time; passed += kStep) {
     this->Tick(kStep);
--- a/tests/libraries/replication/cluster.h
+++ b/tests/libraries/replication/cluster.h
@@ -46,7 +46,7 @@
   std::optional<std::size_t> ElectLeader(
       Milliseconds limit = Milliseconds(20'000));
   // Lets `time` pass in small steps, settling after each.
-  void Run(Milliseconds time);
+  void PassTime(Milliseconds time);
 
   // Carries out a replica's outputs: writes, sends, applies.
   void Pump(std::size_t node);
--- a/tests/libraries/replication/replica_property_test.cc
+++ b/tests/libraries/replication/replica_property_test.cc
@@ -157,7 +157,7 @@
     is_proposed = cluster.Propose(*leader, "last").ok();
   }
   RC_ASSERT(is_proposed);
-  cluster.Run(Milliseconds(20'000));
+  cluster.PassTime(Milliseconds(20'000));
   for (const Cluster::Node& node : cluster.nodes) {
     RC_ASSERT(!node.applied.empty());
     RC_ASSERT(node.applied.back() == "last");
--- a/tests/libraries/replication/replica_test.cc
+++ b/tests/libraries/replication/replica_test.cc
@@ -15,7 +15,7 @@
   ASSERT_TRUE(leader);
   ASSERT_TRUE(cluster.Propose(*leader, "a").ok());
   ASSERT_TRUE(cluster.Propose(*leader, "b").ok());
-  cluster.Run(Milliseconds(400));
+  cluster.PassTime(Milliseconds(400));
   for (const Cluster::Node& node : cluster.nodes) {
     EXPECT_EQ(node.applied, (std::vector<std::string>{"a", "b"}));
   }
@@ -29,7 +29,7 @@
   cluster.SetCut(*old_leader, true);
   std::optional<std::size_t> successor;
   for (int step = 0; step < 1'000 && !successor; ++step) {
-    cluster.Run(Milliseconds(10));
+    cluster.PassTime(Milliseconds(10));
     ASSERT_LE(cluster.LeaseHolders().size(), 1U);
     for (std::size_t node = 0; node < 3; ++node) {
       if (node != *old_leader &&
@@ -47,7 +47,7 @@
   const auto old_leader = cluster.ElectLeader();
   ASSERT_TRUE(old_leader);
   cluster.nodes[*old_leader].is_frozen = true;
-  cluster.Run(Milliseconds(30'000));
+  cluster.PassTime(Milliseconds(30'000));
   cluster.nodes[*old_leader].is_frozen = false;
   // Before anything else reaches it.
   EXPECT_FALSE(cluster.nodes[*old_leader].replica->HoldsLease(cluster.now));
@@ -62,7 +62,7 @@
   // The third hears nothing of the leader and wants an election; the second,
   // which heard the leader a moment ago, restarts and has forgotten it.
   cluster.SetCut(*leader, true);
-  cluster.Run(Milliseconds(10));
+  cluster.PassTime(Milliseconds(10));
   cluster.Crash(second);
   cluster.Restart(second);
   Message ask{
@@ -81,9 +81,9 @@
   const Term term = cluster.nodes[*leader].replica->term();
   const std::size_t other = (*leader + 1) % 3;
   cluster.SetCut(other, true);
-  cluster.Run(Milliseconds(10'000));
+  cluster.PassTime(Milliseconds(10'000));
   cluster.SetCut(other, false);
-  cluster.Run(Milliseconds(2'000));
+  cluster.PassTime(Milliseconds(2'000));
   EXPECT_EQ(cluster.nodes[*leader].replica->term(), term);
   EXPECT_EQ(cluster.nodes[*leader].replica->role(), Role::kLeader);
 }
@@ -92,11 +92,11 @@
   Cluster cluster(3);
   const auto leader = cluster.ElectLeader();
   ASSERT_TRUE(leader);
-  cluster.Run(Milliseconds(300));
+  cluster.PassTime(Milliseconds(300));
   ASSERT_TRUE(cluster.nodes[*leader].replica->HandOver(cluster.now).ok());
   EXPECT_EQ(CodeOf(cluster.Propose(*leader, "late").status()),
             ResultCode::kNoLeader);
-  cluster.Run(Milliseconds(20));
+  cluster.PassTime(Milliseconds(20));
   EXPECT_NE(cluster.nodes[*leader].replica->role(), Role::kLeader);
   const auto successor = cluster.ElectLeader(Milliseconds(100));
   ASSERT_TRUE(successor);
@@ -108,7 +108,7 @@
   Cluster cluster(3);
   const auto leader = cluster.ElectLeader();
   ASSERT_TRUE(leader);
-  cluster.Run(Milliseconds(300));
+  cluster.PassTime(Milliseconds(300));
   ASSERT_TRUE(cluster.nodes[*leader].replica->HandOver(cluster.now).ok());
   cluster.Pump(*leader);
   std::deque<Message> held;
@@ -121,11 +121,11 @@
   });
   ASSERT_EQ(held.size(), 1U);
   // The leader may not go on with this term, for the message may still arrive.
-  cluster.Run(Milliseconds(700));
+  cluster.PassTime(Milliseconds(700));
   EXPECT_NE(cluster.nodes[*leader].replica->role(), Role::kLeader);
   cluster.network.push_back(held.front());
   for (int step = 0; step < 300; ++step) {
-    cluster.Run(Milliseconds(10));
+    cluster.PassTime(Milliseconds(10));
     ASSERT_LE(cluster.LeaseHolders().size(), 1U);
   }
   EXPECT_TRUE(cluster.ElectLeader());
@@ -148,7 +148,7 @@
   }
   cluster.Compact(*leader);
   cluster.Restart(laggard);
-  cluster.Run(Milliseconds(20'000));
+  cluster.PassTime(Milliseconds(20'000));
   EXPECT_EQ(cluster.nodes[laggard].applied.size(), 300U);
   EXPECT_EQ(cluster.CheckInvariants(), "");
 }
@@ -171,12 +171,12 @@
   EXPECT_EQ(
       CodeOf(replica.ProposeMembership(with_learner, cluster.now).status()),
       ResultCode::kWrongState);
-  cluster.Run(Milliseconds(1'000));
+  cluster.PassTime(Milliseconds(1'000));
   Membership with_voter = replica.membership();
   with_voter.learners.erase(NodeId("n9.1"));
   with_voter.voters.insert(NodeId("n9.1"));
   ASSERT_TRUE(replica.ProposeMembership(with_voter, cluster.now).ok());
-  cluster.Run(Milliseconds(1'000));
+  cluster.PassTime(Milliseconds(1'000));
   EXPECT_EQ(cluster.nodes[added].replica->membership().voters.size(), 4U);
   EXPECT_EQ(cluster.CheckInvariants(), "");
 }
@@ -189,26 +189,63 @@
   cluster.Crash(lost);
   // The same process comes back with a new disk, so under a new incarnation.
   const std::size_t blank = cluster.AddNode(NodeId("n9.2"));
-  cluster.Run(Milliseconds(30'000));
+  cluster.PassTime(Milliseconds(30'000));
   EXPECT_EQ(cluster.nodes[blank].replica->role(), Role::kFollower);
   EXPECT_EQ(cluster.nodes[blank].replica->term(), Term(0));
 }
 
+TEST(ReplicaTest, ALostDiskComesBackAsALearnerAndThenVotes) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  ASSERT_TRUE(cluster.Propose(*leader, "a").ok());
+  cluster.PassTime(Milliseconds(500));
+  const std::size_t lost = (*leader + 1) % 3;
+  const NodeId old = cluster.nodes[lost].id;
+  cluster.Crash(lost);
+  const NodeId anew("n9.2");
+  const std::size_t blank = cluster.AddNode(anew);
+  Replica& replica = *cluster.nodes[*leader].replica;
+  const auto change = [&](auto edit) {
+    Membership membership = replica.membership();
+    edit(membership);
+    ASSERT_TRUE(replica.ProposeMembership(membership, cluster.now).ok());
+    cluster.PassTime(Milliseconds(1'000));
+    ASSERT_EQ(cluster.CheckInvariants(), "");
+  };
+  change([&](Membership& membership) { membership.learners.insert(anew); });
+  EXPECT_EQ(cluster.nodes[blank].applied, std::vector<std::string>{"a"});
+  change([&](Membership& membership) { membership.voters.erase(old); });
+  change([&](Membership& membership) {
+    membership.learners.erase(anew);
+    membership.voters.insert(anew);
+  });
+  // The old disk's replica, should it ever wake, is heard by nobody.
+  cluster.Restart(lost);
+  const Term term = replica.term();
+  cluster.PassTime(Milliseconds(10'000));
+  EXPECT_EQ(replica.term(), term);
+  // The new one's vote counts.
+  cluster.Crash(*leader);
+  EXPECT_TRUE(cluster.ElectLeader());
+  EXPECT_EQ(cluster.CheckInvariants(), "");
+}
+
 TEST(ReplicaTest, ARestartedCopyIsNotVerifiedUntilALeaderVouchesForIt) {
   Cluster cluster(3);
   const auto leader = cluster.ElectLeader();
   ASSERT_TRUE(leader);
   ASSERT_TRUE(cluster.Propose(*leader, "a").ok());
-  cluster.Run(Milliseconds(500));
+  cluster.PassTime(Milliseconds(500));
   const std::size_t other = (*leader + 1) % 3;
   EXPECT_TRUE(cluster.nodes[other].replica->has_verified_state());
   cluster.Crash(other);
   cluster.SetCut(other, true);
   cluster.Restart(other);
-  cluster.Run(Milliseconds(2'000));
+  cluster.PassTime(Milliseconds(2'000));
   EXPECT_FALSE(cluster.nodes[other].replica->has_verified_state());
   cluster.SetCut(other, false);
-  cluster.Run(Milliseconds(5'000));
+  cluster.PassTime(Milliseconds(5'000));
   EXPECT_TRUE(cluster.nodes[other].replica->has_verified_state());
 }
 
--- a/utilities/sumacctl/commands.cc
+++ b/utilities/sumacctl/commands.cc
@@ -8,6 +8,9 @@
 
 #include "libraries/base/text.h"
 #include "libraries/codec/json_file.h"
+#include "libraries/codec/json_writer.h"
+#include "libraries/storage/data_folder.h"
+#include "libraries/storage/posix_disk.h"
 #include "utilities/sumacctl/table.h"
 
 namespace sumac::ctl {
@@ -85,6 +88,48 @@
   });
 }
 
+// Waits until all entries that are alive act on a version of the view.
+Answer AwaitInForce(const Call& call, std::uint64_t version) {
+  constexpr std::uint32_t kWaitMs = 5'000;
+  return call.client.Call([&](Operator::Client door) {
+    auto request = door.inForceRequest();
+    request.setVersion(version);
+    request.setWaitMs(kWaitMs);
+    return request.send();
+  });
+}
+
+Answer ApplyAndMaybeWait(const Call& call) {
+  const Answer applied = Apply(call);
+  if (!applied.is_ok() || !call.invocation.wants_wait) {
+    return applied;
+  }
+  return AwaitInForce(call, applied.document.value("view_version", std::uint64_t{0}));
+}
+
+Answer ChangeController(const Call& call, const std::string& action) {
+  return call.client.Call([&](Operator::Client door) {
+    auto request = door.changeControllerRequest();
+    FillIdentity(request, call.invocation);
+    request.setAction(action);
+    request.setNode(call.argument(0));
+    return request.send();
+  });
+}
+
+// Checks a controller's data folder without any process; writes nothing.
+Answer VerifyStorage(const Call& call) {
+  storage::PosixDisk disk;
+  const auto folder = storage::DataFolder<storage::PosixDisk>::Open(
+      disk, call.argument(0), storage::StorageSettings(), false);
+  if (!folder.ok()) {
+    return Answer::FromStatus(folder.status());
+  }
+  nlohmann::json document = ToJson(folder->report());
+  document["node"] = folder->identity().node.value();
+  return Answer{.message = "the folder is whole", .document = document};
+}
+
 Answer Diff(const Call& call) {
   const auto text = ReadArgument(call.argument(0));
   if (!text.ok()) {
@@ -203,8 +248,7 @@
 
 const std::vector<Command>& Table() {
   static const std::vector<Command> kTable = {
-      {{"apply", {"FILE"}, "put a declaration in force; needs --revision"},
-       Apply,
+      {{"apply", {"FILE"}, "put a declaration in force; needs --revision; --wait until all act on it"}, ApplyAndMaybeWait,
        {}},
       {{"diff", {"FILE"}, "what apply would change"},
        Diff,
@@ -263,6 +307,19 @@
       {{"controllers", {}, "the controllers and how far each is"},
        [](const Call& call) { return Get(call.client, "controllers", ""); },
        ColumnsOf("controllers")},
+      {{"controllers add", {"NODE"}, "make a learner that has caught up a voter"},
+       [](const Call& call) { return ChangeController(call, "add"); },
+       {}},
+      {{"controllers remove", {"NODE"}, "take a replica out of the group"},
+       [](const Call& call) { return ChangeController(call, "remove"); },
+       {}},
+      {{"controllers replace", {"NODE"},
+        "take out a voter whose process is back with another disk"},
+       [](const Call& call) { return ChangeController(call, "replace"); },
+       {}},
+      {{"storage verify", {"FOLDER"}, "check a controller's data folder; needs no process"},
+       VerifyStorage,
+       {}},
       {{"hand-over", {}, "hand leadership to another controller"},
        [](const Call& call) {
          return call.client.Call([&](Operator::Client door) {
--- a/utilities/sumacctl/commands.h
+++ b/utilities/sumacctl/commands.h
@@ -21,6 +21,8 @@
   std::uint64_t expected_revision = 0;
   bool has_expected_revision = false;
   bool wants_json = false;
+  // For apply: answer only once every entry that is alive acts on it.
+  bool wants_wait = false;
 };
 
 // One command of sumacctl.
--- a/utilities/sumacctl/main.cc
+++ b/utilities/sumacctl/main.cc
@@ -39,6 +39,7 @@
   add("timeout-ms",
       options::value<std::int64_t>()->default_value(kDefaultTimeoutMs),
       "how long to wait for one process's answer");
+  add("wait", "for apply: return once every entry that is alive acts on it");
   add("json", "print the answer as one JSON object");
   add("help", "print this");
   add("version", "print the version");
@@ -94,12 +95,15 @@
     invocation.expected_revision = arguments["revision"].as<std::uint64_t>();
   }
   invocation.wants_json = arguments.contains("json");
+  invocation.wants_wait = arguments.contains("wait");
   return invocation;
 }
 
 int RunProgram(const options::variables_map& arguments) {
   const std::vector<std::string> addresses = ReadAddresses(arguments);
-  if (!arguments.contains("command") || addresses.empty()) {
+  const bool is_offline = arguments.contains("command") &&
+                          arguments["command"].as<std::vector<std::string>>().front() == "storage";
+  if (!arguments.contains("command") || (addresses.empty() && !is_offline)) {
     std::cerr << "sumacctl: a command and --address (or SUMAC_OPERATORS) are "
                  "required; see "
                  "--help\n";
