--- a/libraries/fleet/view.h
+++ b/libraries/fleet/view.h
@@ -51,7 +51,8 @@
   std::vector<Service> services;
   Milliseconds key_window{0};
   std::vector<RoutedMinion> minions;
-  // Only in a delta: minions that are gone, and whether `services` and `key_window` are meant.
+  // Only in a delta: minions that are gone, and whether `services` and
+  // `key_window` are meant.
   std::set<InstanceName> removed;
   bool has_services = true;
 
@@ -67,8 +68,8 @@
   }
 };
 
-// The view after a delta: its minions replace or join those of `before`, which stay in order of
-// name.
+// The view after a delta: its minions replace or join those of `before`, which
+// stay in order of name.
 View ApplyDelta(const View& before, const View& delta);
 
 // The view that the state gives now.
--- a/libraries/fleet/view_history.cc
+++ b/libraries/fleet/view_history.cc
@@ -37,8 +37,9 @@
 }
 
 void ViewHistory::NoteServices(const View& next) {
-  const bool has_changed = ToJson(this->present.services) != ToJson(next.services) ||
-                           this->present.key_window != next.key_window;
+  const bool has_changed =
+      ToJson(this->present.services) != ToJson(next.services) ||
+      this->present.key_window != next.key_window;
   if (has_changed) {
     this->services_changed_at = next.version;
   }
@@ -46,19 +47,23 @@
 
 void ViewHistory::ForgetOldRemovals() {
   while (this->removed_at.size() > kMostRemoved) {
-    const auto oldest = std::min_element(
-        this->removed_at.begin(), this->removed_at.end(),
-        [](const auto& left, const auto& right) { return left.second < right.second; });
+    const auto oldest =
+        std::min_element(this->removed_at.begin(), this->removed_at.end(),
+                         [](const auto& left, const auto& right) {
+                           return left.second < right.second;
+                         });
     this->remembered_from = std::max(this->remembered_from, oldest->second);
     this->removed_at.erase(oldest);
   }
 }
 
 std::optional<View> ViewHistory::DeltaSince(std::uint64_t have) const {
-  if (have < this->remembered_from || have == 0 || have > this->present.version) {
+  if (have < this->remembered_from || have == 0 ||
+      have > this->present.version) {
     return std::nullopt;
   }
-  View delta{.version = this->present.version, .revision = this->present.revision};
+  View delta{.version = this->present.version,
+             .revision = this->present.revision};
   delta.has_services = this->services_changed_at > have;
   if (delta.has_services) {
     delta.services = this->present.services;
--- a/libraries/fleet/view_history.h
+++ b/libraries/fleet/view_history.h
@@ -11,8 +11,9 @@
 
 namespace sumac::fleet {
 
-// The latest view and, per minion, the version in which it last changed, so that a follower gets
-// what it missed and no more: a change of one minion costs the same whatever the size of the fleet.
+// The latest view and, per minion, the version in which it last changed, so
+// that a follower gets what it missed and no more: a change of one minion costs
+// the same whatever the size of the fleet.
 class ViewHistory {
  public:
   // Takes in the next view.
@@ -20,11 +21,12 @@
 
   const View& latest() const { return this->present; }
 
-  // What changed after version `have`; nothing when that lies before what is remembered, and the
-  // follower needs the whole view.
+  // What changed after version `have`; nothing when that lies before what is
+  // remembered, and the follower needs the whole view.
   std::optional<View> DeltaSince(std::uint64_t have) const;
 
-  // Removed minions are remembered up to this many; with more, older followers get the whole view.
+  // Removed minions are remembered up to this many; with more, older followers
+  // get the whole view.
   static constexpr std::size_t kMostRemoved = 1'024;
 
  private:
--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -29,7 +29,8 @@
 // by a slow network.
 constexpr std::size_t kMostMessagesInFlight = 64;
 constexpr Milliseconds kFirstRenewal{200};
-// A replica that has not answered for this long may be replaced by its process's new one.
+// A replica that has not answered for this long may be replaced by its
+// process's new one.
 constexpr Milliseconds kSilentControllerTime{3'000};
 constexpr Milliseconds kJoinInterval{500};
 
@@ -243,7 +244,8 @@
 
 ServedView Controller::ServeView(std::uint64_t have) const {
   ServedView served;
-  served.is_verified = this->MayAct() || this->replica_core->has_verified_state();
+  served.is_verified =
+      this->MayAct() || this->replica_core->has_verified_state();
   std::optional<fleet::View> delta = this->history.DeltaSince(have);
   served.is_delta = delta.has_value();
   served.view = delta ? *std::move(delta) : this->history.latest();
@@ -255,15 +257,18 @@
     return MakeError(ResultCode::kNotLeader, this->KnownLeader().value());
   }
   const auto& controllers = this->peers.controllers();
-  if (std::find(controllers.begin(), controllers.end(), ProcessOf(node)) == controllers.end()) {
-    return MakeError(ResultCode::kUnknownName,
-                     StrCat(node.value(), " is not listed as a controller in the settings"));
+  if (std::find(controllers.begin(), controllers.end(), ProcessOf(node)) ==
+      controllers.end()) {
+    return MakeError(
+        ResultCode::kUnknownName,
+        StrCat(node.value(), " is not listed as a controller in the settings"));
   }
   if (this->replica_core->membership().is_member(node)) {
     return absl::OkStatus();
   }
   replication::Membership membership = this->replica_core->membership();
-  // A learner of the same process under an earlier incarnation is gone for good.
+  // A learner of the same process under an earlier incarnation is gone for
+  // good.
   std::erase_if(membership.learners, [&](const replication::NodeId& learner) {
     return ProcessOf(learner) == ProcessOf(node);
   });
@@ -272,58 +277,70 @@
   return this->ProposeMembers(membership);
 }
 
-absl::Status Controller::ChangeMember(const std::string& action, const replication::NodeId& node) {
+absl::Status Controller::ChangeMember(const std::string& action,
+                                      const replication::NodeId& node) {
   if (!this->MayAct()) {
     return MakeError(ResultCode::kNotLeader, this->KnownLeader().value());
   }
   replication::Membership membership = this->replica_core->membership();
   if (!membership.is_member(node)) {
-    return MakeError(ResultCode::kUnknownName, StrCat("no controller ", node.value()));
+    return MakeError(ResultCode::kUnknownName,
+                     StrCat("no controller ", node.value()));
   }
   if (action == "add") {
     if (!this->IsCaughtUp(node, this->clock.SteadyNow())) {
-      return MakeError(ResultCode::kWrongState, StrCat(node.value(), " has not caught up yet"));
+      return MakeError(ResultCode::kWrongState,
+                       StrCat(node.value(), " has not caught up yet"));
     }
     membership.learners.erase(node);
     membership.voters.insert(node);
   } else if (action == "remove" || action == "replace") {
     const bool has_successor =
         std::any_of(membership.learners.begin(), membership.learners.end(),
-                    [&](const auto& learner) { return ProcessOf(learner) == ProcessOf(node); });
+                    [&](const auto& learner) {
+                      return ProcessOf(learner) == ProcessOf(node);
+                    });
     if (action == "replace" && !has_successor) {
       return MakeError(ResultCode::kWrongState,
-                       StrCat(ProcessOf(node).value(), " has not come back with another disk"));
+                       StrCat(ProcessOf(node).value(),
+                              " has not come back with another disk"));
     }
     membership.voters.erase(node);
     membership.learners.erase(node);
   } else {
-    return MakeError(ResultCode::kBadArgument, "the action must be add, remove or replace");
+    return MakeError(ResultCode::kBadArgument,
+                     "the action must be add, remove or replace");
   }
   return this->ProposeMembers(membership);
 }
 
-absl::Status Controller::ProposeMembers(const replication::Membership& membership) {
-  const absl::StatusOr<LogIndex> index =
-      this->replica_core->ProposeMembership(membership, this->clock.SteadyNow());
+absl::Status Controller::ProposeMembers(
+    const replication::Membership& membership) {
+  const absl::StatusOr<LogIndex> index = this->replica_core->ProposeMembership(
+      membership, this->clock.SteadyNow());
   this->SchedulePump();
   return index.status();
 }
 
-bool Controller::IsSilent(const replication::NodeId& node, SteadyTime now) const {
+bool Controller::IsSilent(const replication::NodeId& node,
+                          SteadyTime now) const {
   const auto& members = this->replica_core->leadership()->members();
   const auto found = members.find(node);
-  return found != members.end() && now - found->second.last_answer_at > kSilentControllerTime;
+  return found != members.end() &&
+         now - found->second.last_answer_at > kSilentControllerTime;
 }
 
-bool Controller::IsCaughtUp(const replication::NodeId& node, SteadyTime now) const {
+bool Controller::IsCaughtUp(const replication::NodeId& node,
+                            SteadyTime now) const {
   const auto& members = this->replica_core->leadership()->members();
   const auto found = members.find(node);
   return found != members.end() && !this->IsSilent(node, now) &&
          found->second.match_index >= this->replica_core->commit_index();
 }
 
-// Brings a process that lost its disk back to voting, one step a call: its new replica learns first;
-// once it has caught up and the old one is silent, the old one goes; then the new one votes.
+// Brings a process that lost its disk back to voting, one step a call: its new
+// replica learns first; once it has caught up and the old one is silent, the
+// old one goes; then the new one votes.
 void Controller::MaintainMembership(SteadyTime now) {
   const replication::Membership membership = this->replica_core->membership();
   if (!this->replica_core->is_membership_committed()) {
@@ -335,7 +352,9 @@
     }
     const auto old =
         std::find_if(membership.voters.begin(), membership.voters.end(),
-                     [&](const auto& voter) { return ProcessOf(voter) == ProcessOf(learner); });
+                     [&](const auto& voter) {
+                       return ProcessOf(voter) == ProcessOf(learner);
+                     });
     replication::Membership next = membership;
     if (old == membership.voters.end()) {
       next.learners.erase(learner);
@@ -352,7 +371,8 @@
   }
 }
 
-// A replica that belongs to no group asks one controller after the other to be taken in.
+// A replica that belongs to no group asks one controller after the other to be
+// taken in.
 void Controller::AskToJoin(SteadyTime now) {
   const bool is_blank = this->replica_core->membership().voters.empty();
   if (!is_blank || now - this->last_join < kJoinInterval) {
@@ -360,7 +380,8 @@
   }
   this->last_join = now;
   const auto& controllers = this->peers.controllers();
-  const ProcessName& process = controllers[this->next_to_ask++ % controllers.size()];
+  const ProcessName& process =
+      controllers[this->next_to_ask++ % controllers.size()];
   if (process == this->settings.process) {
     return;
   }
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -35,7 +35,8 @@
 // A view, or what changed of it, with what vouches for it.
 struct ServedView {
   fleet::View view;
-  // True if `view` holds only what changed since the version that the follower has.
+  // True if `view` holds only what changed since the version that the follower
+  // has.
   bool is_delta = false;
   // True if this controller's state was known to be the latest at some moment
   // since it started.
@@ -80,12 +81,14 @@
   // the event loop's, which must go on until this returns.
   void StopTelling();
 
-  // Takes a replica with a new disk in as a learner. kNotLeader, kUnknownName for a process that the
-  // settings don't list as a controller, or kWrongState while another change is under way.
+  // Takes a replica with a new disk in as a learner. kNotLeader, kUnknownName
+  // for a process that the settings don't list as a controller, or kWrongState
+  // while another change is under way.
   absl::Status Join(const replication::NodeId& node);
 
   // Carries out add, remove or replace for a member.
-  absl::Status ChangeMember(const std::string& action, const replication::NodeId& node);
+  absl::Status ChangeMember(const std::string& action,
+                            const replication::NodeId& node);
 
   // Starts to hand leadership over.
   absl::Status HandOver();
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -86,9 +86,11 @@
   }
   this->charts = TRY(fleet::Charts::Load(this->settings.charts_folder));
   storage::PosixDisk disk;
-  if (!storage::DataFolder<storage::PosixDisk>::HasIdentity(disk, this->settings.data_folder)) {
-    // NOTE: This disk is new or was lost. What the process acknowledged or voted before is
-    // forgotten, so it must not speak under its old name: it joins as another replica.
+  if (!storage::DataFolder<storage::PosixDisk>::HasIdentity(
+          disk, this->settings.data_folder)) {
+    // NOTE: This disk is new or was lost. What the process acknowledged or
+    // voted before is forgotten, so it must not speak under its old name: it
+    // joins as another replica.
     LogEvent(LogLevel::kWarning, "joins-with-empty-disk",
              {{"data_folder", this->settings.data_folder}});
     TRY(FormatForJoining(this->settings));
@@ -144,12 +146,13 @@
   }
   TRY(this->Listen(
       this->settings.self().peer_address,
-      kj::heap<PeerService>(this->controller.get(), this->entry.get(), this->follower.get())));
+      kj::heap<PeerService>(this->controller.get(), this->entry.get(),
+                            this->follower.get())));
   TRY(this->Listen(
       this->settings.listen.operators,
       kj::heap<OperatorService>(OperatorParts{
-          this->settings, *this->peers, *this->leader, timer, this->controller.get(),
-          this->entry.get(), this->follower.get()})));
+          this->settings, *this->peers, *this->leader, timer,
+          this->controller.get(), this->entry.get(), this->follower.get()})));
   this->AddGauges();
   return this->OpenDoors();
 }
@@ -258,9 +261,11 @@
   // The wall clock is later than any start of this process before.
   const auto incarnation = SystemClock().Now().time_since_epoch().count();
   const storage::Identity identity{
-      .node = replication::NodeId(StrCat(settings.process.value(), ".", incarnation))};
+      .node = replication::NodeId(
+          StrCat(settings.process.value(), ".", incarnation))};
   storage::PosixDisk disk;
-  return storage::DataFolder<storage::PosixDisk>::Format(disk, settings.data_folder, identity);
+  return storage::DataFolder<storage::PosixDisk>::Format(
+      disk, settings.data_folder, identity);
 }
 
 absl::Status RunDaemon(const Settings& settings) {
--- a/services/sumacd/operator_service.cc
+++ b/services/sumacd/operator_service.cc
@@ -299,9 +299,10 @@
       });
 }
 
-kj::Promise<fleet::Answer> OperatorService::ChangeControllerAt(const ProcessName& process,
-                                                               const std::string& action,
-                                                               const std::string& node) {
+kj::Promise<fleet::Answer> OperatorService::ChangeControllerAt(
+    const ProcessName& process,
+    const std::string& action,
+    const std::string& node) {
   rpc::Channel* channel = this->parts.peers.Find(process);
   auto request = channel->Get<wire::Peer>().changeControllerRequest();
   request.setAction(action);
@@ -316,17 +317,20 @@
 }
 
 // Asks all controllers; only the one that leads carries it out.
-kj::Promise<void> OperatorService::changeController(ChangeControllerContext context) {
+kj::Promise<void> OperatorService::changeController(
+    ChangeControllerContext context) {
   const std::string action = wire::ToString(context.getParams().getAction());
   const std::string node = wire::ToString(context.getParams().getNode());
   const auto& controllers = this->parts.peers.controllers();
-  auto asked = kj::heapArrayBuilder<kj::Promise<fleet::Answer>>(controllers.size());
+  auto asked =
+      kj::heapArrayBuilder<kj::Promise<fleet::Answer>>(controllers.size());
   for (const ProcessName& process : controllers) {
     asked.add(this->ChangeControllerAt(process, action, node));
   }
   return kj::joinPromises(asked.finish())
       .then([context](kj::Array<fleet::Answer>&& answers) mutable {
-        fleet::Answer chosen{.code = ResultCode::kNoLeader, .message = "no controller leads now"};
+        fleet::Answer chosen{.code = ResultCode::kNoLeader,
+                             .message = "no controller leads now"};
         for (const fleet::Answer& answer : answers) {
           if (answer.code != ResultCode::kNotLeader) {
             chosen = answer;
@@ -336,7 +340,8 @@
       });
 }
 
-kj::Promise<OperatorService::EntryView> OperatorService::AskView(const ProcessName& process) {
+kj::Promise<OperatorService::EntryView> OperatorService::AskView(
+    const ProcessName& process) {
   rpc::Channel* channel = this->parts.peers.Find(process);
   return channel
       ->Guard(kPeerLimit,
@@ -344,7 +349,9 @@
                   [process](auto&& response) {
                     return EntryView{process, true, response.getVersion()};
                   }))
-      .catch_([process](kj::Exception&& /*exception*/) { return EntryView{process}; });
+      .catch_([process](kj::Exception&& /*exception*/) {
+        return EntryView{process};
+      });
 }
 
 // Asks all entries again and again until each that is alive has the version.
@@ -357,13 +364,13 @@
     }
   }
   return kj::joinPromises(asked.releaseAsArray())
-      .then([this, version,
-             deadline](kj::Array<EntryView>&& views) -> kj::Promise<fleet::Answer> {
+      .then([this, version, deadline](
+                kj::Array<EntryView>&& views) -> kj::Promise<fleet::Answer> {
         nlohmann::json document = {{"in_force", nlohmann::json::array()},
                                    {"behind", nlohmann::json::array()},
                                    {"silent", nlohmann::json::array()}};
         for (const EntryView& view : views) {
-          const char* list = !view.has_answered          ? "silent"
+          const char* list = !view.has_answered        ? "silent"
                              : view.version >= version ? "in_force"
                                                        : "behind";
           document[list].push_back(view.process.value());
@@ -372,12 +379,15 @@
         if (is_done || SystemClock().SteadyNow() >= deadline) {
           return fleet::Answer{
               .code = is_done ? ResultCode::kOk : ResultCode::kTimeout,
-              .message = StrCat("in force at ", document["in_force"].size(), " entries, behind: ",
-                                document["behind"].dump(), ", silent: ", document["silent"].dump()),
+              .message = StrCat("in force at ", document["in_force"].size(),
+                                " entries, behind: ", document["behind"].dump(),
+                                ", silent: ", document["silent"].dump()),
               .document = document};
         }
         return this->parts.timer.afterDelay(rpc::ToKj(kInForcePoll))
-            .then([this, version, deadline] { return this->AwaitInForce(version, deadline); });
+            .then([this, version, deadline] {
+              return this->AwaitInForce(version, deadline);
+            });
       });
 }
 
--- a/services/sumacd/operator_service.h
+++ b/services/sumacd/operator_service.h
@@ -76,7 +76,8 @@
                                                 const std::string& action,
                                                 const std::string& node);
   kj::Promise<EntryView> AskView(const ProcessName& process);
-  kj::Promise<fleet::Answer> AwaitInForce(std::uint64_t version, SteadyTime deadline);
+  kj::Promise<fleet::Answer> AwaitInForce(std::uint64_t version,
+                                          SteadyTime deadline);
 
   OperatorParts parts;
 };
--- a/services/sumacd/peer_service.cc
+++ b/services/sumacd/peer_service.cc
@@ -18,7 +18,8 @@
 }
 
 fleet::Answer AnswerFrom(const absl::Status& status) {
-  return status.ok() ? fleet::Answer::Success("accepted") : fleet::Answer::FromStatus(status);
+  return status.ok() ? fleet::Answer::Success("accepted")
+                     : fleet::Answer::FromStatus(status);
 }
 
 }  // namespace
@@ -138,7 +139,8 @@
 kj::Promise<void> PeerService::join(JoinContext context) {
   fleet::Answer answer = NoController();
   if (this->controller != nullptr) {
-    const replication::NodeId node(wire::ToString(context.getParams().getNode()));
+    const replication::NodeId node(
+        wire::ToString(context.getParams().getNode()));
     answer = AnswerFrom(this->controller->Join(node));
   }
   rpc::WriteAnswer(answer, context.getResults().initResult());
@@ -149,17 +151,20 @@
   if (this->follower != nullptr) {
     context.getResults().setHasView(true);
     context.getResults().setVersion(this->follower->current_version());
-    context.getResults().setAgeMs(static_cast<std::uint64_t>(this->follower->Age().count()));
+    context.getResults().setAgeMs(
+        static_cast<std::uint64_t>(this->follower->Age().count()));
   }
   return kj::READY_NOW;
 }
 
-kj::Promise<void> PeerService::changeController(ChangeControllerContext context) {
+kj::Promise<void> PeerService::changeController(
+    ChangeControllerContext context) {
   fleet::Answer answer = NoController();
   if (this->controller != nullptr) {
     auto params = context.getParams();
     answer = AnswerFrom(this->controller->ChangeMember(
-        wire::ToString(params.getAction()), replication::NodeId(wire::ToString(params.getNode()))));
+        wire::ToString(params.getAction()),
+        replication::NodeId(wire::ToString(params.getNode()))));
   }
   rpc::WriteAnswer(answer, context.getResults().initResult());
   return kj::READY_NOW;
--- a/services/sumacd/peer_service.h
+++ b/services/sumacd/peer_service.h
@@ -13,7 +13,9 @@
 class PeerService final : public wire::Peer::Server {
  public:
   // Either may be nothing, by the process's roles.
-  PeerService(Controller* controller, Entry* entry, const ViewFollower* follower)
+  PeerService(Controller* controller,
+              Entry* entry,
+              const ViewFollower* follower)
       : controller(controller), entry(entry), follower(follower) {}
 
   kj::Promise<void> replicate(ReplicateContext context) override;
--- a/services/sumacd/view_follower.cc
+++ b/services/sumacd/view_follower.cc
@@ -90,7 +90,8 @@
 
 void ViewFollower::Take(const ServedView& served) {
   const std::uint64_t have = this->version.load();
-  if (served.view.version > have && this->on_view(served.view, served.is_delta)) {
+  if (served.view.version > have &&
+      this->on_view(served.view, served.is_delta)) {
     this->version.store(served.view.version);
     LogEvent(LogLevel::kInfo, "view-in-force",
              {{"version", served.view.version},
--- a/services/sumacd/view_follower.h
+++ b/services/sumacd/view_follower.h
@@ -24,7 +24,8 @@
 // keeps what it has while no controller answers. Belongs to the core's loop.
 class ViewFollower {
  public:
-  // Takes a view in, whole or as a delta to the one in force; false if it is not newer.
+  // Takes a view in, whole or as a delta to the one in force; false if it is
+  // not newer.
   using OnView = std::function<bool(const fleet::View&, bool is_delta)>;
 
   // `local` is this process's controller, or nothing; it is asked first.
--- a/tests/libraries/fleet/view_history_test.cc
+++ b/tests/libraries/fleet/view_history_test.cc
@@ -14,10 +14,12 @@
                       .can_take_work = can_take_work};
 }
 
-View MakeView(std::uint64_t version, const std::map<int, bool>& minions,
+View MakeView(std::uint64_t version,
+              const std::map<int, bool>& minions,
               std::uint32_t most_queued = 1) {
   View view{.version = version,
-            .services = {Service{.name = ServiceName("s"), .most_queued = most_queued}}};
+            .services = {
+                Service{.name = ServiceName("s"), .most_queued = most_queued}}};
   for (const auto& [number, can_take_work] : minions) {
     view.minions.push_back(MakeMinion(number, can_take_work));
   }
@@ -27,7 +29,9 @@
 // Order of minions in a view does not matter.
 std::string Canonical(View view) {
   std::sort(view.minions.begin(), view.minions.end(),
-            [](const auto& left, const auto& right) { return left.name < right.name; });
+            [](const auto& left, const auto& right) {
+              return left.name < right.name;
+            });
   return ToJson(view).dump();
 }
 
@@ -56,7 +60,8 @@
   for (const View& follower : followers) {
     const auto delta = history.DeltaSince(follower.version);
     RC_ASSERT(delta.has_value());
-    RC_ASSERT(Canonical(ApplyDelta(follower, *delta)) == Canonical(history.latest()));
+    RC_ASSERT(Canonical(ApplyDelta(follower, *delta)) ==
+              Canonical(history.latest()));
   }
 }
 
@@ -84,7 +89,8 @@
   // A follower that claims to be ahead is not believed.
   EXPECT_FALSE(history.DeltaSince(6));
   std::map<int, bool> minions;
-  for (std::uint64_t version = 6; version < 6 + 2 * ViewHistory::kMostRemoved + 10; ++version) {
+  for (std::uint64_t version = 6;
+       version < 6 + 2 * ViewHistory::kMostRemoved + 10; ++version) {
     minions = {{static_cast<int>(version), true}};
     history.Take(MakeView(version, minions));
   }
--- a/utilities/sumacctl/commands.cc
+++ b/utilities/sumacctl/commands.cc
@@ -104,7 +104,8 @@
   if (!applied.is_ok() || !call.invocation.wants_wait) {
     return applied;
   }
-  return AwaitInForce(call, applied.document.value("view_version", std::uint64_t{0}));
+  return AwaitInForce(call,
+                      applied.document.value("view_version", std::uint64_t{0}));
 }
 
 Answer ChangeController(const Call& call, const std::string& action) {
@@ -248,7 +249,11 @@
 
 const std::vector<Command>& Table() {
   static const std::vector<Command> kTable = {
-      {{"apply", {"FILE"}, "put a declaration in force; needs --revision; --wait until all act on it"}, ApplyAndMaybeWait,
+      {{"apply",
+        {"FILE"},
+        "put a declaration in force; needs --revision; --wait until all act on "
+        "it"},
+       ApplyAndMaybeWait,
        {}},
       {{"diff", {"FILE"}, "what apply would change"},
        Diff,
@@ -307,17 +312,22 @@
       {{"controllers", {}, "the controllers and how far each is"},
        [](const Call& call) { return Get(call.client, "controllers", ""); },
        ColumnsOf("controllers")},
-      {{"controllers add", {"NODE"}, "make a learner that has caught up a voter"},
+      {{"controllers add",
+        {"NODE"},
+        "make a learner that has caught up a voter"},
        [](const Call& call) { return ChangeController(call, "add"); },
        {}},
       {{"controllers remove", {"NODE"}, "take a replica out of the group"},
        [](const Call& call) { return ChangeController(call, "remove"); },
        {}},
-      {{"controllers replace", {"NODE"},
+      {{"controllers replace",
+        {"NODE"},
         "take out a voter whose process is back with another disk"},
        [](const Call& call) { return ChangeController(call, "replace"); },
        {}},
-      {{"storage verify", {"FOLDER"}, "check a controller's data folder; needs no process"},
+      {{"storage verify",
+        {"FOLDER"},
+        "check a controller's data folder; needs no process"},
        VerifyStorage,
        {}},
       {{"hand-over", {}, "hand leadership to another controller"},
--- a/utilities/sumacctl/main.cc
+++ b/utilities/sumacctl/main.cc
@@ -101,8 +101,9 @@
 
 int RunProgram(const options::variables_map& arguments) {
   const std::vector<std::string> addresses = ReadAddresses(arguments);
-  const bool is_offline = arguments.contains("command") &&
-                          arguments["command"].as<std::vector<std::string>>().front() == "storage";
+  const bool is_offline =
+      arguments.contains("command") &&
+      arguments["command"].as<std::vector<std::string>>().front() == "storage";
   if (!arguments.contains("command") || (addresses.empty() && !is_offline)) {
     std::cerr << "sumacctl: a command and --address (or SUMAC_OPERATORS) are "
                  "required; see "
