Daemon: Send a leader's entries while its own disk writes them

Cause: a commit waited for the leader's disk, then for the link and the followers' disks. Change: what a leader sends without a vote or new term in it goes out before its write; no answer is taken in before the write is done.

--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -453,6 +453,9 @@
     }
     this->unwritten = this->replica_core->TakeOutput();
   }
+  if (this->MaySendBeforeWriting(*this->unwritten)) {
+    this->SendMessages(std::exchange(this->unwritten->messages, {}));
+  }
   if (!this->Persist(*this->unwritten)) {
     return false;
   }
@@ -466,6 +469,14 @@
   return true;
 }
 
+// A leader's entries may go out while its own disk still writes them (Ongaro's thesis, section
+// 10.2.1): no answer is taken in before the write is done, so it never counts itself too early. A
+// vote or a new term must be on the disk first.
+bool Controller::MaySendBeforeWriting(const replication::Output& output) const {
+  return this->replica_core->role() == replication::Role::kLeader && !output.hard_state &&
+         !output.snapshot_to_install;
+}
+
 bool Controller::Persist(const replication::Output& output) {
   if (!output.has_writes()) {
     return true;
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -132,6 +132,7 @@
   void SchedulePump();
   void Pump();
   bool PumpOnce();
+  bool MaySendBeforeWriting(const replication::Output& output) const;
   bool Persist(const replication::Output& output);
   void SendMessages(const std::vector<replication::Message>& messages);
   void ApplyCommitted(const std::vector<replication::Entry>& entries);
