--- a/benchmarks/replication_bench.cc
+++ b/benchmarks/replication_bench.cc
@@ -153,12 +153,15 @@
     const Microseconds done =
         output.has_writes() ? this->now + this->disk : this->now;
     this->busy_until[node] = done;
-    // As the controller does it: a leader's entries go out before its own disk is done.
-    const bool is_early = this->replicas[node].role() == replication::Role::kLeader &&
-                          !output.hard_state;
+    // As the controller does it: a leader's entries go out before its own disk
+    // is done.
+    const bool is_early =
+        this->replicas[node].role() == replication::Role::kLeader &&
+        !output.hard_state;
     for (Message& message : output.messages) {
       const std::size_t to = this->places.at(message.to);
-      this->Push((is_early ? this->now : done) + this->one_way, to, std::move(message));
+      this->Push((is_early ? this->now : done) + this->one_way, to,
+                 std::move(message));
     }
     for (const replication::Entry& entry : output.committed) {
       this->committed_at[{node, entry.index}] = done;
--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -94,8 +94,14 @@
       folder(std::move(folder)),
       machine(charts),
       tasks(*this) {
+  const kj::Executor& executor = kj::getCurrentThreadExecutor();
+  this->snapshot_writer = std::make_unique<SnapshotWriter>(
+      [this, &executor](LogIndex index, std::string bytes) {
+        executor.executeSync([this, index, &bytes] {
+          this->FinishSnapshot(index, std::move(bytes));
+        });
+      });
   if (!settings.platform_address.empty()) {
-    const kj::Executor& executor = kj::getCurrentThreadExecutor();
     this->teller = std::make_unique<PlatformTeller>(
         http::PlatformClient(settings.platform_address, kPlatformTimeout),
         [this, &executor](const fleet::RecordPlatformReport& report) {
@@ -399,7 +405,8 @@
   return status;
 }
 
-void Controller::StopTelling() {
+void Controller::StopThreads() {
+  this->snapshot_writer->Stop();
   if (this->teller) {
     this->teller->Stop();
   }
@@ -469,12 +476,13 @@
   return true;
 }
 
-// A leader's entries may go out while its own disk still writes them (Ongaro's thesis, section
-// 10.2.1): no answer is taken in before the write is done, so it never counts itself too early. A
-// vote or a new term must be on the disk first.
+// A leader's entries may go out while its own disk still writes them (Ongaro's
+// thesis, section 10.2.1): no answer is taken in before the write is done, so
+// it never counts itself too early. A vote or a new term must be on the disk
+// first.
 bool Controller::MaySendBeforeWriting(const replication::Output& output) const {
-  return this->replica_core->role() == replication::Role::kLeader && !output.hard_state &&
-         !output.snapshot_to_install;
+  return this->replica_core->role() == replication::Role::kLeader &&
+         !output.hard_state && !output.snapshot_to_install;
 }
 
 bool Controller::Persist(const replication::Output& output) {
@@ -614,15 +622,25 @@
 
 void Controller::MaybeSnapshot() {
   if (this->entries_since_snapshot < this->settings.group.snapshot_every ||
-      this->is_disk_full) {
+      this->is_snapshot_under_way || this->is_disk_full) {
     return;
   }
   this->entries_since_snapshot = 0;
-  std::string state_bytes = this->state().ToSnapshot();
+  this->is_snapshot_under_way = true;
+  this->snapshot_writer->Begin(this->applied_index, this->state().record());
+}
+
+// Stores a snapshot whose bytes are ready, and lets the log before it go.
+void Controller::FinishSnapshot(LogIndex index, std::string bytes) {
+  this->is_snapshot_under_way = false;
+  if (index <= this->replica_core->snapshot_index()) {
+    // A leader's later snapshot was installed meanwhile.
+    return;
+  }
   const replication::SnapshotMeta meta =
-      this->replica_core->Compact(this->applied_index, state_bytes);
-  const absl::Status status = this->folder.SaveSnapshot(
-      replication::Snapshot{meta, std::move(state_bytes)});
+      this->replica_core->Compact(index, bytes);
+  const absl::Status status =
+      this->folder.SaveSnapshot(replication::Snapshot{meta, std::move(bytes)});
   LogEvent(status.ok() ? LogLevel::kInfo : LogLevel::kError, "snapshot",
            {{"index", meta.index.value()}, {"status", status.ToString()}});
   if (!status.ok() && CodeOf(status) != ResultCode::kDiskFull) {
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -29,6 +29,7 @@
 #include "services/sumacd/peers.h"
 #include "services/sumacd/platform_teller.h"
 #include "services/sumacd/settings.h"
+#include "services/sumacd/snapshot_writer.h"
 
 namespace sumac::daemon {
 
@@ -77,9 +78,9 @@
   // it.
   bool MayAct() const;
 
-  // Ends the thread that tells the platform. Called from another thread than
-  // the event loop's, which must go on until this returns.
-  void StopTelling();
+  // Ends the threads that tell the platform and make snapshots. Called from
+  // another thread than the event loop's, which must go on until this returns.
+  void StopThreads();
 
   // Takes a replica with a new disk in as a learner. kNotLeader, kUnknownName
   // for a process that the settings don't list as a controller, or kWrongState
@@ -141,6 +142,7 @@
   void LogNewDecisions(std::uint64_t first_number);
   void NotifyViewWaiters();
   void MaybeSnapshot();
+  void FinishSnapshot(LogIndex index, std::string bytes);
   void ProposeInBackground(fleet::Command command);
   void MaintainMembership(SteadyTime now);
   bool IsSilent(const replication::NodeId& node, SteadyTime now) const;
@@ -158,6 +160,8 @@
   std::unique_ptr<replication::Replica> replica_core;
   fleet::SoftState soft;
   std::unique_ptr<PlatformTeller> teller;
+  std::unique_ptr<SnapshotWriter> snapshot_writer;
+  bool is_snapshot_under_way = false;
 
   Term leading_term;
   SteadyTime last_plan{};
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -216,7 +216,7 @@
     }
     this->target_door->Stop();
     if (this->controller) {
-      this->controller->StopTelling();
+      this->controller->StopThreads();
     }
     executor.executeSync([&stopped] { stopped.fulfiller->fulfill(); });
   });
--- /dev/null
+++ b/services/sumacd/snapshot_writer.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_SNAPSHOT_WRITER_H_
+#define SERVICES_SUMACD_SNAPSHOT_WRITER_H_
+
+#include <functional>
+#include <thread>
+
+#include "libraries/base/names.h"
+#include "libraries/fleet/fleet_state.h"
+
+namespace sumac::daemon {
+
+// Turns a copy of the state into a snapshot's bytes on a thread of its own, so
+// that a large state does not hold up the event loop. One snapshot is made at a
+// time.
+class SnapshotWriter {
+ public:
+  // Called on the writer's thread when the bytes are ready.
+  using OnReady = std::function<void(LogIndex index, std::string bytes)>;
+
+  explicit SnapshotWriter(OnReady on_ready) : on_ready(std::move(on_ready)) {}
+  ~SnapshotWriter() { this->Stop(); }
+  SnapshotWriter(const SnapshotWriter&) = delete;
+  SnapshotWriter& operator=(const SnapshotWriter&) = delete;
+
+  // Begins a snapshot of the state as it was after `index`. Must not be called
+  // before the last one is ready.
+  void Begin(LogIndex index, fleet::FleetRecord record);
+
+  // Waits for a snapshot that is being made.
+  void Stop();
+
+ private:
+  OnReady on_ready;
+  std::thread thread;
+};
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_SNAPSHOT_WRITER_H_
