Daemon: Answer replica messages in the call that brought them

Cause: each heartbeat cost two calls, one each way, with their own returns. Change: the reply goes back in the answer, messages are packed.

--- a/libraries/wire/replication_codec.cc
+++ b/libraries/wire/replication_codec.cc
@@ -1,6 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/wire/replication_codec.h"
 
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
 #include <string>
 #include <utility>
 #include <variant>
@@ -221,6 +225,21 @@
                               Term(reader.getTerm()), ReadBody(reader)};
 }
 
+std::string PackMessage(const replication::Message& message) {
+  capnp::MallocMessageBuilder builder;
+  WriteMessage(message, builder.initRoot<ReplicaMessage>());
+  kj::VectorOutputStream stream;
+  capnp::writePackedMessage(stream, builder);
+  const auto bytes = stream.getArray().asChars();
+  return std::string(bytes.begin(), bytes.size());
+}
+
+replication::Message UnpackMessage(capnp::Data::Reader bytes) {
+  kj::ArrayInputStream stream(bytes);
+  capnp::PackedMessageReader reader(stream);
+  return ReadMessage(reader.getRoot<ReplicaMessage>());
+}
+
 std::string ToString(capnp::Text::Reader text) {
   return std::string(text.begin(), text.size());
 }
--- a/libraries/wire/replication_codec.h
+++ b/libraries/wire/replication_codec.h
@@ -26,6 +26,10 @@
                   ReplicaMessage::Builder builder);
 replication::Message ReadMessage(ReplicaMessage::Reader reader);
 
+// A message as packed bytes and back; reading throws kj::Exception for malformed bytes.
+std::string PackMessage(const replication::Message& message);
+replication::Message UnpackMessage(capnp::Data::Reader bytes);
+
 // The text of a Cap'n Proto Text or the bytes of a Data field.
 std::string ToString(capnp::Text::Reader text);
 std::string ToString(capnp::Data::Reader data);
--- a/schemas/peer.capnp
+++ b/schemas/peer.capnp
@@ -3,7 +3,6 @@
 @0xe3a4c55d17f08b63;
 
 using Cxx = import "/capnp/c++.capnp";
-using Replication = import "replication.capnp";
 $Cxx.namespace("sumac::wire");
 
 # An answer between processes; document is CBOR, since it may hold bytes that are no text.
@@ -15,8 +14,9 @@
 }
 
 interface Peer {
-  # Delivers one replica message; delivery is not acknowledged beyond the call itself.
-  replicate @0 (message :Replication.ReplicaMessage);
+  # Delivers one replica message (a packed Replication.ReplicaMessage); the messages that it leads to
+  # for the sender come back in the answer.
+  replicate @0 (message :Data) -> (replies :List(Data));
   # Commits one command (CBOR, libraries/fleet/commands.h) if this controller leads.
   propose @1 (command :Data) -> (result :PeerResult);
   # Answers when the view's version is past `have`, or with the same version after waitMs. The view
--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -422,7 +422,18 @@
                        .message = this->KnownLeader().value()};
 }
 
-void Controller::Receive(replication::Message message) {
+kj::Promise<std::vector<replication::Message>> Controller::Receive(replication::Message message) {
+  if (this->is_disk_full) {
+    return std::vector<replication::Message>();
+  }
+  const ProcessName sender = ProcessOf(message.from);
+  this->TakeIn(std::move(message));
+  auto paf = kj::newPromiseAndFulfiller<std::vector<replication::Message>>();
+  this->waiting_senders.push_back(WaitingSender{sender, {}, kj::mv(paf.fulfiller)});
+  return kj::mv(paf.promise);
+}
+
+void Controller::TakeIn(replication::Message message) {
   if (this->is_disk_full) {
     return;
   }
@@ -430,6 +441,14 @@
   this->SchedulePump();
 }
 
+// Answers the calls that brought messages in since the last pump, with what there is for their
+// senders.
+void Controller::AnswerSenders() {
+  for (WaitingSender& waiting : std::exchange(this->waiting_senders, {})) {
+    waiting.fulfiller->fulfill(std::move(waiting.replies));
+  }
+}
+
 // Puts the pump after everything else that is due in this turn of the event
 // loop, so that all of a turn's proposals share one write to the disk and one
 // message to each replica.
@@ -447,6 +466,7 @@
 void Controller::Pump() {
   while (this->PumpOnce()) {
   }
+  this->AnswerSenders();
   this->FailLostProposals();
   this->NotifyViewWaiters();
   this->MaybeSnapshot();
@@ -514,26 +534,47 @@
   std::_Exit(EXIT_FAILURE);
 }
 
-void Controller::SendMessages(
-    const std::vector<replication::Message>& messages) {
+void Controller::SendMessages(const std::vector<replication::Message>& messages) {
   for (const replication::Message& message : messages) {
     const ProcessName process = ProcessOf(message.to);
-    rpc::Channel* channel = this->peers.Find(process);
-    std::size_t& in_flight = this->messages_in_flight[process];
-    if (channel == nullptr || in_flight >= kMostMessagesInFlight) {
-      continue;
+    const auto waiting = std::find_if(
+        this->waiting_senders.begin(), this->waiting_senders.end(),
+        [&](const WaitingSender& sender) { return sender.process == process; });
+    if (waiting != this->waiting_senders.end()) {
+      waiting->replies.push_back(message);
+    } else {
+      this->CallReplicate(process, message);
     }
-    ++in_flight;
-    auto request = channel->Get<wire::Peer>().replicateRequest();
-    wire::WriteMessage(message, request.initMessage());
-    this->tasks.add(
-        channel->Guard(kMessageTimeout, request.send().ignoreResult())
-            .then(
-                [&in_flight] { --in_flight; },
-                [&in_flight](kj::Exception&& /*exception*/) { --in_flight; }));
   }
 }
 
+void Controller::CallReplicate(const ProcessName& process, const replication::Message& message) {
+  rpc::Channel* channel = this->peers.Find(process);
+  std::size_t& in_flight = this->messages_in_flight[process];
+  if (channel == nullptr || in_flight >= kMostMessagesInFlight) {
+    return;
+  }
+  ++in_flight;
+  auto request = channel->Get<wire::Peer>().replicateRequest();
+  request.setMessage(wire::ToData(wire::PackMessage(message)));
+  auto answered = request.send().then([](auto&& response) {
+    std::vector<replication::Message> replies;
+    for (const auto reply : response.getReplies()) {
+      replies.push_back(wire::UnpackMessage(reply));
+    }
+    return replies;
+  });
+  this->tasks.add(channel->Guard(kMessageTimeout, kj::mv(answered))
+                      .then(
+                          [this, &in_flight](std::vector<replication::Message>&& replies) {
+                            --in_flight;
+                            for (replication::Message& reply : replies) {
+                              this->TakeIn(std::move(reply));
+                            }
+                          },
+                          [&in_flight](kj::Exception&& /*exception*/) { --in_flight; }));
+}
+
 void Controller::ApplyCommitted(
     const std::vector<replication::Entry>& entries) {
   for (const replication::Entry& entry : entries) {
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -58,8 +58,9 @@
   // Runs until the process ends.
   kj::Promise<void> Run();
 
-  // Takes in a message of another replica.
-  void Receive(replication::Message message);
+  // Takes in a message of another replica; the promise holds what there is for its sender once all
+  // that it led to is on the disk.
+  kj::Promise<std::vector<replication::Message>> Receive(replication::Message message);
 
   // Commits a command and tells its answer. While this controller does not lead
   // the answer is kNotLeader, with the leader's name as message if it is known.
@@ -112,6 +113,12 @@
     Term term;
     kj::Own<kj::PromiseFulfiller<fleet::Answer>> fulfiller;
   };
+  // A call that brought a message in and takes the replies back.
+  struct WaitingSender {
+    ProcessName process;
+    std::vector<replication::Message> replies;
+    kj::Own<kj::PromiseFulfiller<std::vector<replication::Message>>> fulfiller;
+  };
   struct ViewWaiter {
     std::uint64_t have = 0;
     kj::Own<kj::PromiseFulfiller<void>> fulfiller;
@@ -136,6 +143,9 @@
   bool MaySendBeforeWriting(const replication::Output& output) const;
   bool Persist(const replication::Output& output);
   void SendMessages(const std::vector<replication::Message>& messages);
+  void CallReplicate(const ProcessName& process, const replication::Message& message);
+  void TakeIn(replication::Message message);
+  void AnswerSenders();
   void ApplyCommitted(const std::vector<replication::Entry>& entries);
   void ResolveProposal(const replication::Entry& entry, fleet::Answer answer);
   void FailLostProposals();
@@ -179,6 +189,7 @@
   LogIndex applied_index;
   std::map<LogIndex, PendingProposal> proposals;
   std::vector<ViewWaiter> view_waiters;
+  std::vector<WaitingSender> waiting_senders;
   std::map<ProcessName, std::size_t> messages_in_flight;
   kj::TaskSet tasks;
 };
--- a/services/sumacd/peer_service.cc
+++ b/services/sumacd/peer_service.cc
@@ -25,11 +25,16 @@
 }  // namespace
 
 kj::Promise<void> PeerService::replicate(ReplicateContext context) {
-  if (this->controller != nullptr) {
-    this->controller->Receive(
-        wire::ReadMessage(context.getParams().getMessage()));
+  if (this->controller == nullptr) {
+    return kj::READY_NOW;
   }
-  return kj::READY_NOW;
+  return this->controller->Receive(wire::UnpackMessage(context.getParams().getMessage()))
+      .then([context](const std::vector<replication::Message>& replies) mutable {
+        auto list = context.getResults().initReplies(replies.size());
+        for (unsigned position = 0; position < replies.size(); ++position) {
+          list.set(position, wire::ToData(wire::PackMessage(replies[position])));
+        }
+      });
 }
 
 kj::Promise<void> PeerService::propose(ProposeContext context) {
