--- a/libraries/routing/minion_health.cc
+++ b/libraries/routing/minion_health.cc
@@ -15,7 +15,8 @@
 
 void MinionHealth::Note(TryOutcome outcome,
                         const HealthSettings& settings,
-                        SteadyTime now) {
+                        SteadyTime now,
+                        bool may_set_aside) {
   if (outcome == TryOutcome::kLeaving) {
     this->has_said_leaving = true;
     return;
@@ -36,8 +37,10 @@
   }
   ++this->failures_in_row;
   // One failure is enough on probation.
-  if (this->failures_in_row < settings.failures_until_aside &&
-      !this->is_on_probation()) {
+  const bool has_failed_enough =
+      this->failures_in_row >= settings.failures_until_aside ||
+      this->is_on_probation();
+  if (!has_failed_enough || !may_set_aside) {
     return;
   }
   const std::uint32_t doublings =
--- a/libraries/routing/minion_health.h
+++ b/libraries/routing/minion_health.h
@@ -43,8 +43,12 @@
 // What an entry has seen of one minion.
 class MinionHealth {
  public:
-  // Takes in how a try ended.
-  void Note(TryOutcome outcome, const HealthSettings& settings, SteadyTime now);
+  // Takes in how a try ended. With `may_set_aside` false too many others are
+  // aside already, and this one goes on whatever it does.
+  void Note(TryOutcome outcome,
+            const HealthSettings& settings,
+            SteadyTime now,
+            bool may_set_aside = true);
 
   // True while the minion is set aside.
   bool IsAside(SteadyTime now) const { return now < this->aside_until; }
--- a/libraries/routing/minion_set.cc
+++ b/libraries/routing/minion_set.cc
@@ -202,7 +202,29 @@
     minion.reported_load = *reported_load;
     minion.reported_at = now;
   }
-  minion.health.Note(outcome, this->settings.health, now);
+  minion.health.Note(outcome, this->settings.health, now,
+                     this->MaySetAside(minion, now));
+}
+
+// When many fail at once it is seldom their fault, and with all of them aside
+// nobody would be served.
+bool MinionSet::MaySetAside(const Minion& minion, SteadyTime now) const {
+  return std::all_of(
+      minion.routed.services.begin(), minion.routed.services.end(),
+      [&](const auto& service) {
+        const Candidates& all = this->services.at(service);
+        const auto is_aside = [&](const InstanceName& name) {
+          return name != minion.routed.name &&
+                 this->minions.at(name).health.IsAside(now);
+        };
+        const auto aside =
+            std::count_if(all.near.begin(), all.near.end(), is_aside) +
+            std::count_if(all.far.begin(), all.far.end(), is_aside);
+        const auto total =
+            static_cast<double>(all.near.size() + all.far.size());
+        return static_cast<double>(aside + 1) <=
+               total * this->settings.most_aside_share;
+      });
 }
 
 void MinionSet::NoteLeaving(const InstanceName& name, SteadyTime now) {
--- a/libraries/routing/minion_set.h
+++ b/libraries/routing/minion_set.h
@@ -109,6 +109,7 @@
   };
 
   bool IsUsable(const Minion& minion, SteadyTime now) const;
+  bool MaySetAside(const Minion& minion, SteadyTime now) const;
   std::string WhyNot(const Minion& minion,
                      const std::set<InstanceName>& excluded,
                      SteadyTime now) const;
