--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -14,12 +14,15 @@
 #include "libraries/codec/json_reader.h"
 #include "libraries/codec/json_writer.h"
 #include "libraries/log/json_log.h"
+#include "libraries/replication/membership_plan.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
 
 namespace sumac::daemon {
 namespace {
 
+using replication::ProcessOf;
+
 constexpr Milliseconds kTickInterval{20};
 // The planner looks at the fleet this often.
 constexpr Milliseconds kPlanInterval{100};
@@ -34,11 +37,6 @@
 constexpr Milliseconds kSilentControllerTime{3'000};
 constexpr Milliseconds kJoinInterval{500};
 
-// The process that a replica runs in; a node is NAME.INCARNATION.
-ProcessName ProcessOf(const replication::NodeId& node) {
-  return ProcessName(node.value().substr(0, node.value().rfind('.')));
-}
-
 replication::ReplicationSettings ToReplicationSettings(
     const GroupSettings& group) {
   replication::ReplicationSettings settings;
@@ -272,15 +270,9 @@
   if (this->replica_core->membership().is_member(node)) {
     return absl::OkStatus();
   }
-  replication::Membership membership = this->replica_core->membership();
-  // A learner of the same process under an earlier incarnation is gone for
-  // good.
-  std::erase_if(membership.learners, [&](const replication::NodeId& learner) {
-    return ProcessOf(learner) == ProcessOf(node);
-  });
-  membership.learners.insert(node);
   LogEvent(LogLevel::kWarning, "controller-joins", {{"node", node.value()}});
-  return this->ProposeMembers(membership);
+  return this->ProposeMembers(
+      replication::WithLearner(this->replica_core->membership(), node));
 }
 
 absl::Status Controller::ChangeMember(const std::string& action,
@@ -344,36 +336,24 @@
          found->second.match_index >= this->replica_core->commit_index();
 }
 
-// Brings a process that lost its disk back to voting, one step a call: its new
-// replica learns first; once it has caught up and the old one is silent, the
-// old one goes; then the new one votes.
 void Controller::MaintainMembership(SteadyTime now) {
-  const replication::Membership membership = this->replica_core->membership();
   if (!this->replica_core->is_membership_committed()) {
     return;
   }
-  for (const replication::NodeId& learner : membership.learners) {
-    if (!this->IsCaughtUp(learner, now)) {
-      continue;
-    }
-    const auto old =
-        std::find_if(membership.voters.begin(), membership.voters.end(),
-                     [&](const auto& voter) {
-                       return ProcessOf(voter) == ProcessOf(learner);
-                     });
-    replication::Membership next = membership;
-    if (old == membership.voters.end()) {
-      next.learners.erase(learner);
-      next.voters.insert(learner);
-    } else if (this->IsSilent(*old, now)) {
-      next.voters.erase(*old);
-    } else {
-      continue;
-    }
-    const absl::Status status = this->ProposeMembers(next);
+  std::map<replication::NodeId, replication::MemberHealth> health;
+  for (const auto& [node, progress] :
+       this->replica_core->leadership()->members()) {
+    health[node] = replication::MemberHealth{this->IsCaughtUp(node, now),
+                                             this->IsSilent(node, now)};
+  }
+  const auto next =
+      replication::PlanNextMembers(this->replica_core->membership(), health);
+  if (next) {
+    const absl::Status status = this->ProposeMembers(*next);
     LogEvent(LogLevel::kWarning, "controllers-change",
-             {{"learner", learner.value()}, {"status", status.ToString()}});
-    return;
+             {{"voters", ToJson(next->voters)},
+              {"learners", ToJson(next->learners)},
+              {"status", status.ToString()}});
   }
 }
 
--- a/tests/processes/at_most_once.sh
+++ b/tests/processes/at_most_once.sh
@@ -5,24 +5,7 @@
 # to have not run did not, and whatever was answered ran.
 # usage: at_most_once.sh BUILD_FOLDER
 set -euo pipefail
-cd "$(dirname "${BASH_SOURCE[0]}")/../.."
-
-bin=$(cd "$1" && pwd)/bin
-work=$(mktemp -d)
-source meta/cluster.sh
-trap 'stop_all; rm -rf "$work"' EXIT
-
-failures=0
-check() {
-  local text=$1
-  shift
-  if "$@"; then
-    echo "ok      $text"
-  else
-    echo "FAILED  $text"
-    failures=$((failures + 1))
-  fi
-}
+source "$(dirname "${BASH_SOURCE[0]}")/harness.sh"
 
 process_names=(e1 e2 e3 e4 e5)
 roles=([e1]='"entry","controller"' [e2]='"entry","controller"' [e3]='"entry","controller"' [e4]='"entry"' [e5]='"entry"')
@@ -101,4 +84,4 @@
 check "no answer was cut or another's" [ "$(jq .foreign_or_cut "$work/line")" = 0 ]
 check "most requests were answered all the same" [ "$(jq '.answered * 10 > .requests * 7' "$work/verdict")" = true ]
 check "the faults showed: some outcomes are unknown" [ "$(jq '.unknown > 0' "$work/verdict")" = true ]
-[ "$failures" = 0 ]
+finish
--- a/tests/processes/controllers.sh
+++ b/tests/processes/controllers.sh
@@ -3,24 +3,7 @@
 # Three real controllers through kill -9, SIGSTOP, lost disks, a planned stop and raced operators.
 # usage: controllers.sh BUILD_FOLDER
 set -euo pipefail
-cd "$(dirname "${BASH_SOURCE[0]}")/../.."
-
-bin=$(cd "$1" && pwd)/bin
-work=$(mktemp -d)
-source meta/cluster.sh
-trap 'stop_all; rm -rf "$work"' EXIT
-
-failures=0
-check() {
-  local text=$1
-  shift
-  if "$@"; then
-    echo "ok      $text"
-  else
-    echo "FAILED  $text"
-    failures=$((failures + 1))
-  fi
-}
+source "$(dirname "${BASH_SOURCE[0]}")/harness.sh"
 
 process_names=(e1 e2 e3 e4)
 roles=([e1]='"entry","controller"' [e2]='"entry","controller"' [e3]='"entry","controller"' [e4]='"entry"')
@@ -136,4 +119,4 @@
   bash -c "'$bin/sumacctl' storage verify '$work/$leader/data' 2>&1 | grep -q 'log-.*offset'"
 check "a controller with a damaged disk does not start" \
   bash -c "! '$bin/sumacd' --settings '$work/$leader/settings.json' 2>/dev/null"
-[ "$failures" = 0 ]
+finish
--- a/tests/processes/doors.sh
+++ b/tests/processes/doors.sh
@@ -3,22 +3,7 @@
 # Bad input at every door of one real process: a clear numbered error, and nothing changed.
 # usage: doors.sh BUILD_FOLDER
 set -euo pipefail
-cd "$(dirname "${BASH_SOURCE[0]}")/../.."
-
-bin=$(cd "$1" && pwd)/bin
-work=$(mktemp -d)
-source meta/cluster.sh
-trap 'stop_all; rm -rf "$work"' EXIT
-
-failures=0
-expect() {
-  if [ "$2" = "$3" ]; then
-    echo "ok      $1"
-  else
-    echo "FAILED  $1: found $2, wanted $3"
-    failures=$((failures + 1))
-  fi
-}
+source "$(dirname "${BASH_SOURCE[0]}")/harness.sh"
 
 process_names=(e1)
 roles=([e1]='"entry","controller"')
@@ -86,4 +71,4 @@
 expect "sumacctl's exit code when nobody answers" "$(operators=127.0.0.99:9090 ctl status >/dev/null 2>&1; echo $?)" 4
 expect "sumacctl tries the next address" "$(operators=127.0.0.99:9090,127.0.0.11:9090 ctl --json status | jq -r .document.process)" e1
 expect "sumacd's exit code for wrong settings" "$("$bin/sumacd" --settings /nonexistent >/dev/null 2>&1; echo $?)" 3
-[ "$failures" = 0 ]
+finish
