--- a/benchmarks/control_bench.cc
+++ b/benchmarks/control_bench.cc
@@ -158,7 +158,8 @@
         {"voters", this->peers.size()},
         {"in_flight", loops},
         {"commits", latencies.size()},
-        {"commits_per_second", std::lround(latencies.size() / seconds)}};
+        {"commits_per_second",
+         std::lround(static_cast<double>(latencies.size()) / seconds)}};
     AddPercentiles(line, "commit", latencies);
     std::cout << line.dump() << std::endl;
   }
@@ -250,6 +251,7 @@
   const auto door = this->Open(this->arguments["operators"].as<std::string>());
   std::vector<std::unique_ptr<rpc::Channel>> channels;
   const int count = this->Number("followers");
+  channels.reserve(count);
   for (int number = 0; number < count; ++number) {
     channels.push_back(
         this->Open(this->peers[number % this->peers.size()]->address()));
--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -379,8 +379,7 @@
 }
 
 absl::Status Controller::HandOver() {
-  const absl::Status status =
-      this->replica_core->HandOver(this->clock.SteadyNow());
+  absl::Status status = this->replica_core->HandOver(this->clock.SteadyNow());
   this->SchedulePump();
   return status;
 }
--- a/services/sumacd/view_follower.cc
+++ b/services/sumacd/view_follower.cc
@@ -80,7 +80,9 @@
         if (response.getVersion() > have) {
           auto view =
               FromCbor<fleet::View>(wire::ToString(response.getView()), "view");
-          KJ_REQUIRE(view.ok(), "malformed view");
+          if (!view.ok()) {
+            kj::throwFatalException(KJ_EXCEPTION(FAILED, "malformed view"));
+          }
           served.view = *std::move(view);
           served.is_delta = response.getIsDelta();
         }
--- a/utilities/sumacctl/commands.cc
+++ b/utilities/sumacctl/commands.cc
@@ -100,7 +100,7 @@
 }
 
 Answer ApplyAndMaybeWait(const Call& call) {
-  const Answer applied = Apply(call);
+  Answer applied = Apply(call);
   if (!applied.is_ok() || !call.invocation.wants_wait) {
     return applied;
   }
