Tests: Serve without controllers, take replicas out and back

Entries spread over the controllers by name, and a controller takes 256 followers at most. The process tests kill all controllers under an entry (repeatable requests go on, a stamp is refused as not run and did not run, the view's age is told) and take a replica out by command.

--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -36,6 +36,9 @@
 // process's new one.
 constexpr Milliseconds kSilentControllerTime{3'000};
 constexpr Milliseconds kJoinInterval{500};
+// Followers of the view that wait here at once; further ones go to another
+// controller.
+constexpr std::size_t kMostFollowers = 256;
 
 replication::ReplicationSettings ToReplicationSettings(
     const GroupSettings& group) {
@@ -240,6 +243,14 @@
   if (this->history.latest().version > have) {
     return this->ServeView(have);
   }
+  // Those that gave up waiting no longer count.
+  std::erase_if(this->view_waiters, [](ViewWaiter& waiter) {
+    return !waiter.fulfiller->isWaiting();
+  });
+  if (this->view_waiters.size() >= kMostFollowers) {
+    return KJ_EXCEPTION(OVERLOADED,
+                        "this controller has as many followers as it may have");
+  }
   auto paf = kj::newPromiseAndFulfiller<void>();
   this->view_waiters.push_back(ViewWaiter{have, kj::mv(paf.fulfiller)});
   return paf.promise.exclusiveJoin(this->timer.afterDelay(rpc::ToKj(wait)))
--- a/services/sumacd/view_follower.cc
+++ b/services/sumacd/view_follower.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/view_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libraries/codec/json_reader.h"
@@ -28,7 +29,13 @@
       timer(timer),
       local(local),
       on_view(std::move(on_view)),
-      confirmed_at_ms(this->clock.SteadyNow().time_since_epoch().count()) {}
+      confirmed_at_ms(this->clock.SteadyNow().time_since_epoch().count()) {
+  // Each entry begins with another controller, so that each serves its share of
+  // them.
+  const auto& all = peers.all();
+  this->next_controller = static_cast<std::size_t>(
+      std::find(all.begin(), all.end(), settings.process) - all.begin());
+}
 
 Milliseconds ViewFollower::Age() const {
   return this->clock.SteadyNow().time_since_epoch() -
--- a/tests/processes/at_most_once.sh
+++ b/tests/processes/at_most_once.sh
@@ -84,4 +84,20 @@
 check "no answer was cut or another's" [ "$(jq .foreign_or_cut "$work/line")" = 0 ]
 check "most requests were answered all the same" [ "$(jq '.answered * 10 > .requests * 7' "$work/verdict")" = true ]
 check "the faults showed: some outcomes are unknown" [ "$(jq '.unknown > 0' "$work/verdict")" = true ]
+
+# All controllers are gone: the entries go on with what they have.
+start_other previews "$bin/targets_stand_in" --kind minion --prefix preview --count 1 --ip 127.0.0.30 \
+  --first-port 7001 --entries "$(target_addresses)" --pool previews --service previews --work-ms 5
+ask() { curl -s --max-time 8 "http://$(ip_of e4):$callers_port/v1/services/$1/x" -d "$2" "${@:3}"; }
+serves() { [ "$(ask previews hello | jq -r .echo)" = hello ]; }
+check "the new minion is routed to" until_true 10 serves
+for name in e1 e2 e3; do signal_process "$name" KILL; done
+sleep 3
+check "a cut-off entry serves repeatable requests" serves
+check "and refuses a stamp as not run" \
+  [ "$(ask stamps cut-off -H "Idempotency-Key: $(new_key)" | jq -r '"\(.code) \(.run)"')" = "1105 not-run" ]
+ran_cut_off() { for port in 7001 7002 7003 7004; do curl -s "http://127.0.0.31:$port/control"; done | jq -s '[.[].runs["cut-off"] // 0] | add'; }
+check "and it did not run" [ "$(ran_cut_off)" = 0 ]
+view_age=$(curl -s "http://$(ip_of e4):$targets_port/metrics" | awk '/^sumac_view_age_ms/ {print int($2)}')
+check "and says how old its view is" [ "$view_age" -ge 2000 ]
 finish
--- a/tests/processes/controllers.sh
+++ b/tests/processes/controllers.sh
@@ -106,6 +106,21 @@
 at_least() { [ "$(view_of e4)" -ge "$entry_view" ]; }
 check "a restarted entry is back at its view or a later one" until_true 10 at_least
 
+# An operator takes a replica out, and its process comes back with an empty folder.
+until_true 10 leader_name
+out=$(first_controller_but "$(leader_name)")
+node_of() { ctl --json get controllers | jq -r --arg name "$1" '[.document[] | select(.node | startswith($name + "."))][0].node'; }
+count_voters() { ctl --json get controllers | jq '[.document[] | select(.kind == "voter")] | length'; }
+has_voters() { [ "$(count_voters)" = "$1" ]; }
+check "controllers remove takes a replica out" ctl controllers remove "$(node_of "$out")"
+check "and two voters are left" until_true 5 has_voters 2
+check "an unknown replica is a numbered error" \
+  [ "$(ctl --json controllers remove nobody.1 | jq .code)" = 2003 ]
+signal_process "$out" KILL
+rm -rf "${work:?}/$out/data"
+start "$out"
+check "its process votes again with another disk" until_true 30 has_voters 3
+
 # A planned stop hands over.
 leader=$(leader_name)
 signal_process "$leader" TERM
