--- a/libraries/routing/minion_health.cc
+++ b/libraries/routing/minion_health.cc
@@ -4,15 +4,11 @@
 #include <algorithm>
 
 namespace sumac::routing {
-namespace {
-
 bool IsFailure(TryOutcome outcome) {
   return outcome == TryOutcome::kUnreachable ||
          outcome == TryOutcome::kBroken || outcome == TryOutcome::kTimedOut;
 }
 
-}  // namespace
-
 void MinionHealth::Note(TryOutcome outcome,
                         const HealthSettings& settings,
                         SteadyTime now,
--- a/libraries/routing/minion_health.h
+++ b/libraries/routing/minion_health.h
@@ -25,6 +25,9 @@
   kAbandoned,
 };
 
+// True for the outcomes that speak against the minion.
+bool IsFailure(TryOutcome outcome);
+
 // Times and counts of setting minions aside.
 struct HealthSettings {
   // Failures in a row after which a minion is set aside.
--- a/libraries/routing/minion_set.cc
+++ b/libraries/routing/minion_set.cc
@@ -202,8 +202,11 @@
     minion.reported_load = *reported_load;
     minion.reported_at = now;
   }
-  minion.health.Note(outcome, this->settings.health, now,
-                     this->MaySetAside(minion, now));
+  // Only a failure asks how many others are aside, which looks at all of the
+  // service.
+  const bool may_set_aside =
+      !IsFailure(outcome) || this->MaySetAside(minion, now);
+  minion.health.Note(outcome, this->settings.health, now, may_set_aside);
 }
 
 // When many fail at once it is seldom their fault, and with all of them aside
--- a/meta/bench.sh
+++ b/meta/bench.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # SPDX-License-Identifier: Apache-2.0
 # Measurements as JSON lines on standard output, one figure set a line.
-# usage: meta/bench.sh BUILD_FOLDER [NAME...]   names: idle commit leader changes restart entry (default: all)
+# usage: meta/bench.sh BUILD_FOLDER [NAME...]   names: idle commit leader changes restart entry decisions (default: all)
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 
@@ -197,10 +197,13 @@
   stop_group
 }
 
+# What one decision costs at 50, 500 and 6,400 targets.
+bench_decisions() { "$bin/decision_bench" charts; }
+
 label_line() { jq -c --arg bench "$1" '{bench: $bench} + .'; }
 
 names=("$@")
-[ ${#names[@]} -gt 0 ] || names=(idle commit leader changes restart entry)
+[ ${#names[@]} -gt 0 ] || names=(idle commit leader changes restart entry decisions)
 for name in "${names[@]}"; do
   "bench_$name"
 done
--- a/services/sumacd/entry.cc
+++ b/services/sumacd/entry.cc
@@ -199,18 +199,24 @@
   }
 }
 
+Entry::Turn Entry::AwaitTurn(const Progress& progress,
+                             std::optional<RetryReason> reason) {
+  Turn turn = this->AwaitTurnLocked(progress, reason);
+  this->LogNewDecisions();
+  return turn;
+}
+
 // Asks where the request may go and waits for its turn if it has to. One lock
 // is held from the question to the wait, or a turn given in between would reach
 // nobody.
-Entry::Turn Entry::AwaitTurn(const Progress& progress,
-                             std::optional<RetryReason> reason) {
+Entry::Turn Entry::AwaitTurnLocked(const Progress& progress,
+                                   std::optional<RetryReason> reason) {
   std::unique_lock lock(this->mutex);
   const SteadyTime now = this->clock.SteadyNow();
   RouteResult route =
       reason ? this->router.Retry(progress.info, progress.tried, *reason, now,
                                   this->clock.Now())
              : this->router.Admit(progress.info, now, this->clock.Now());
-  this->LogDecisions(this->router.TakeNewDecisions());
   if (auto* send = std::get_if<SendTo>(&route)) {
     return Turn(std::move(*send));
   }
@@ -230,7 +236,6 @@
   }
   this->router.StopWaiting(progress.info.number);
   Refuse refusal = this->router.RefuseLate(progress.info, this->clock.Now());
-  this->LogDecisions(this->router.TakeNewDecisions());
   return Turn(std::move(refusal));
 }
 
@@ -244,7 +249,6 @@
       waiter->second->wake.notify_one();
     }
   }
-  this->LogDecisions(this->router.TakeNewDecisions());
 }
 
 // Commits the claim of a non-repeatable request; gives the final answer when it
@@ -488,7 +492,14 @@
   }
 }
 
-void Entry::LogDecisions(const std::vector<fleet::Decision>& decisions) {
+// Writes the lines of decisions taken since the last call. The lock is held
+// only to take them, not while the log is written.
+void Entry::LogNewDecisions() {
+  std::vector<fleet::Decision> decisions;
+  {
+    const std::lock_guard lock(this->mutex);
+    decisions = this->router.TakeNewDecisions();
+  }
   for (const fleet::Decision& decision : decisions) {
     LogEvent(LogLevel::kInfo, "decision", ToJson(decision));
   }
--- a/services/sumacd/entry.h
+++ b/services/sumacd/entry.h
@@ -79,6 +79,8 @@
                                  Progress& progress);
   Turn AwaitTurn(const Progress& progress,
                  std::optional<routing::RetryReason> reason);
+  Turn AwaitTurnLocked(const Progress& progress,
+                       std::optional<routing::RetryReason> reason);
   std::optional<http::CallerAnswer> Claim(const http::CallerRequest& request,
                                           Progress& progress,
                                           const DecisionId& decision);
@@ -103,7 +105,7 @@
   void WakeReady();
   void WakeLoop();
   void ProbeLoop();
-  void LogDecisions(const std::vector<fleet::Decision>& decisions);
+  void LogNewDecisions();
 
   const Settings& settings;
   CoreLink& core;
