--- a/libraries/fleet/apply_instances.cc
+++ b/libraries/fleet/apply_instances.cc
@@ -252,6 +252,7 @@
   }
   state.PutInstance(std::move(instance));
   state.AddDecision(std::move(decision));
+  RefuseImpossibleJobs(state, from);
 }
 
 void AddNewInstance(FleetState& state, const TargetDescription& target) {
@@ -364,6 +365,9 @@
       item.event == InstanceEvent::kLeave) {
     RestoreMargin(state, pool);
   }
+  if (item.event == InstanceEvent::kLeave) {
+    RefuseImpossibleJobs(state, pool);
+  }
 }
 
 }  // namespace
--- a/tests/libraries/fleet/jobs_test.cc
+++ b/tests/libraries/fleet/jobs_test.cc
@@ -99,6 +99,23 @@
   EXPECT_EQ(this->state().FindJob(JobId("j")), nullptr);
 }
 
+TEST_F(JobsTest, AQueuedJobIsRefusedWhenTheLastWorkerThatCouldRunItGoes) {
+  ASSERT_TRUE(this->Operate(InstanceRequest::kDrain, "w3").is_ok());
+  JobSpec spec = MakeJob("j");
+  spec.accelerators = 8;
+  ASSERT_TRUE(this->Submit(spec).is_ok());
+  ASSERT_TRUE(this->Submit(MakeJob("small")).is_ok());
+  this->PassTime(Milliseconds(500));
+  EXPECT_EQ(this->JobOf("j").state, JobState::kQueued);
+  this->Silence("w3");
+  this->Apply(RecordInstanceEvents{
+      {{InstanceName("w3"), Incarnation(1), InstanceEvent::kLeave}}});
+  EXPECT_EQ(this->JobOf("j").state, JobState::kRefused);
+  EXPECT_NE(this->JobOf("j").detail.find("needs 8 accelerators"),
+            std::string::npos);
+  EXPECT_NE(this->JobOf("small").state, JobState::kRefused);
+}
+
 TEST_F(JobsTest, UrgentGoesFirstAndTheTightestWorkerIsTaken) {
   for (int number = 0; number < 12; ++number) {
     ASSERT_TRUE(this->Submit(MakeJob("fill" + std::to_string(number))).is_ok());
