Fleet: Plan a bounded part of the fleet each turn

Cause: each turn looked at every instance; 2.6 ms at 6,400 workers, ten times a second, is 2.6 % of a core where 1.6 % is allowed. Change: a turn looks at 1,000 instances at most and the next goes on from there; a smaller fleet is looked at whole as before. Price: up to 0.7 s later at 6,400.

--- a/libraries/fleet/planner.cc
+++ b/libraries/fleet/planner.cc
@@ -81,13 +81,24 @@
   return std::nullopt;
 }
 
+// Looks at the next part of the fleet, so that a turn costs the same however
+// large it is. A fleet within one part is looked at whole each turn.
 RecordInstanceEvents PlanInstanceEvents(const PlanContext& context) {
   RecordInstanceEvents command;
-  for (const auto& [name, instance] : context.state.record().instances) {
-    if (instance.state == InstanceState::kLeft) {
-      continue;
+  const auto& instances = context.state.record().instances;
+  const std::size_t part =
+      std::min(instances.size(), context.settings.most_instances_per_turn);
+  auto position = instances.upper_bound(context.soft.scanned_up_to());
+  for (std::size_t looked_at = 0; looked_at < part; ++looked_at, ++position) {
+    if (position == instances.end()) {
+      position = instances.begin();
     }
-    if (const auto event = FindDueEvent(context, instance)) {
+    const auto& [name, instance] = *position;
+    context.soft.NoteScanned(name);
+    const auto event = instance.state == InstanceState::kLeft
+                           ? std::nullopt
+                           : FindDueEvent(context, instance);
+    if (event) {
       command.items.push_back(RecordInstanceEvents::Item{
           name, instance.target.incarnation, *event});
     }
--- a/libraries/fleet/soft_state.h
+++ b/libraries/fleet/soft_state.h
@@ -106,6 +106,10 @@
   SteadyTime LastRenewed(const InstanceName& worker) const;
   void NoteRenewed(const InstanceName& worker, SteadyTime now);
 
+  // How far the planner has come on its way round the fleet.
+  const InstanceName& scanned_up_to() const { return this->last_scanned; }
+  void NoteScanned(const InstanceName& name) { this->last_scanned = name; }
+
   // Notes when this leader first saw an instance draining, and tells that time.
   SteadyTime DrainingSince(const InstanceName& name, SteadyTime now);
   void ForgetDraining(const InstanceName& name);
@@ -118,6 +122,7 @@
   };
 
   SteadyTime started_at{};
+  InstanceName last_scanned;
   std::map<InstanceName, Heard> heard;
   std::map<InstanceName, SteadyTime> renewed;
   std::map<InstanceName, SteadyTime> draining_since;
--- a/tests/libraries/fleet/instances_test.cc
+++ b/tests/libraries/fleet/instances_test.cc
@@ -36,6 +36,18 @@
   EXPECT_EQ(this->StateOf("m6"), InstanceState::kAvailable);
 }
 
+TEST_F(InstancesTest, AFleetLargerThanOneTurnIsGoneRoundInParts) {
+  this->planner.most_instances_per_turn = 2;
+  for (const char* name : {"m1", "m3", "m5"}) {
+    this->Silence(name);
+  }
+  this->PassTime(Milliseconds(1'400));
+  for (const char* name : {"m1", "m3", "m5"}) {
+    EXPECT_EQ(this->StateOf(name), InstanceState::kSilent) << name;
+  }
+  EXPECT_EQ(this->StateOf("m2"), InstanceState::kAvailable);
+}
+
 TEST_F(InstancesTest, GrantsStopAtTheBudget) {
   EXPECT_TRUE(this->Operate(InstanceRequest::kDrain, "m1").is_ok());
   EXPECT_TRUE(this->Operate(InstanceRequest::kDrain, "m2").is_ok());
