Daemon: Make one piece of code serve where the same call stood six times

Found on reading the change as a whole: the guarded call for an answer stood in six places (rpc::CallForAnswer now), the reply with a promised answer in four (ReplyWith), the refusal of an unread request in two (RefuseUnread). Taken out: a member's last send time and a storage report that nobody read, and a 'smoothed' service time that was never updated; the retry-after that followed from it is the constant 40 ms that it always was.

--- a/libraries/replication/leadership.h
+++ b/libraries/replication/leadership.h
@@ -17,7 +17,6 @@
   // message at a time.
   bool is_matched = false;
   std::size_t messages_in_flight = 0;
-  SteadyTime last_sent_at{};
   // When the last answered message was sent; the leader's lease counts from
   // here.
   SteadyTime acknowledged_sent_at{};
--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -564,7 +564,6 @@
       progress.next_index = request.entries.back().index.Next();
     }
   }
-  progress.last_sent_at = now;
   this->Send(node, std::move(request));
 }
 
@@ -580,7 +579,6 @@
         offset, this->settings.snapshot_chunk_bytes);
   }
   chunk.is_last = offset + chunk.data.size() >= this->snapshot_state.size();
-  progress.last_sent_at = now;
   this->Send(node, std::move(chunk));
 }
 
--- a/libraries/routing/router.cc
+++ b/libraries/routing/router.cc
@@ -11,8 +11,8 @@
 
 // When nothing better is known, callers are asked to come back after this.
 constexpr Milliseconds kDefaultRetryAfter{250};
-constexpr Milliseconds kShortestRetryAfter{20};
-constexpr Milliseconds kLongestRetryAfter{5'000};
+// A full line moves on within a few requests' time.
+constexpr Milliseconds kRetryAfterFullLine{40};
 
 fleet::Decision DecisionAbout(const RequestInfo& request, WallTime wall_now) {
   return fleet::Decision{
@@ -169,14 +169,11 @@
   }
   PerService& state = this->per_service[request.service];
   if (state.line.size() >= service.most_queued) {
-    const auto wait =
-        Milliseconds(static_cast<std::int64_t>(state.mean_service_ms));
     return this->MakeRefusal(
         request, ResultCode::kOverloaded, "line-full",
         StrCat(state.line.size(), " requests of ", request.service.value(),
                " wait already, as many as may wait at one entry."),
-        std::clamp(wait * 2, kShortestRetryAfter, kLongestRetryAfter),
-        wall_now);
+        kRetryAfterFullLine, wall_now);
   }
   state.line.Add(request.number, request.request_class, request.deadline);
   this->waiting_requests[request.number] = WaitingRequest{request, tried};
--- a/libraries/routing/router.h
+++ b/libraries/routing/router.h
@@ -131,8 +131,6 @@
   struct PerService {
     WaitingLine line;
     RetryBudget retries;
-    // How long requests take, smoothed, for telling callers when to come back.
-    double mean_service_ms = 20;
   };
   struct WaitingRequest {
     RequestInfo info;
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -102,9 +102,6 @@
   ProcessName KnownLeader() const;
   // The error kNotLeader with the known leader's name.
   fleet::Answer NotLeaderAnswer() const;
-  const storage::FolderReport& storage_report() const {
-    return this->folder.report();
-  }
   bool is_stalled() const { return this->is_disk_full; }
 
  private:
--- a/services/sumacd/doors.cc
+++ b/services/sumacd/doors.cc
@@ -50,6 +50,15 @@
   http::SendAnswer(response, answer.status, answer.content_type, answer.body);
 }
 
+// Refuses a request that could not be read whole. What is left of it can't be
+// told from the next one, so the connection ends.
+void RefuseUnread(HTTPServerResponse& response, const absl::Status& status) {
+  response.setKeepAlive(false);
+  SendCallerAnswer(response, http::MakeErrorAnswer(
+                                 CodeOf(status), FromAbsl(status.message()),
+                                 DecisionId(), Milliseconds(0)));
+}
+
 absl::StatusOr<std::optional<Milliseconds>> ReadDeadline(
     const HTTPServerRequest& request) {
   if (!request.has(http::kDeadlineHeader)) {
@@ -107,12 +116,7 @@
   const absl::StatusOr<http::CallerRequest> read =
       ReadCallerRequest(request, entry);
   if (!read.ok()) {
-    // What is left of the request can't be told from the next one.
-    response.setKeepAlive(false);
-    SendCallerAnswer(response,
-                     http::MakeErrorAnswer(CodeOf(read.status()),
-                                           FromAbsl(read.status().message()),
-                                           DecisionId(), Milliseconds(0)));
+    RefuseUnread(response, read.status());
     return;
   }
   SendCallerAnswer(response, entry.Run(*read));
@@ -134,11 +138,7 @@
                         CoreLink& core) {
   absl::StatusOr<fleet::Announcement> read = ReadAnnouncement(request);
   if (!read.ok()) {
-    response.setKeepAlive(false);
-    SendCallerAnswer(response,
-                     http::MakeErrorAnswer(CodeOf(read.status()),
-                                           FromAbsl(read.status().message()),
-                                           DecisionId(), Milliseconds(0)));
+    RefuseUnread(response, read.status());
     return;
   }
   const fleet::TargetOrders orders =
--- a/services/sumacd/leader_link.cc
+++ b/services/sumacd/leader_link.cc
@@ -7,7 +7,7 @@
 #include "libraries/base/text.h"
 #include "libraries/codec/json_reader.h"
 #include "libraries/codec/json_writer.h"
-#include "libraries/rpc/answer_codec.h"
+#include "libraries/rpc/call.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
 #include "services/sumacd/queries.h"
@@ -143,9 +143,7 @@
   }
   auto request = channel->Get<wire::Peer>().proposeRequest();
   request.setCommand(wire::ToData(ToCbor(command)));
-  return channel->Guard(limit, request.send().then([](auto&& response) {
-    return rpc::ReadAnswer(response.getResult());
-  }));
+  return rpc::CallForAnswer(*channel, limit, request);
 }
 
 kj::Promise<fleet::Answer> LeaderLink::ReadAt(const ProcessName& process,
@@ -163,9 +161,7 @@
   auto request = channel->Get<wire::Peer>().readRequest();
   request.setKind(kind);
   request.setName(name);
-  return channel->Guard(limit, request.send().then([](auto&& response) {
-    return rpc::ReadAnswer(response.getResult());
-  }));
+  return rpc::CallForAnswer(*channel, limit, request);
 }
 
 kj::Promise<fleet::Answer> LeaderLink::AnnounceAt(
@@ -186,9 +182,7 @@
   }
   auto request = channel->Get<wire::Peer>().announceRequest();
   request.setAnnouncements(wire::ToData(ToCbor(announcements)));
-  return channel->Guard(limit, request.send().then([](auto&& response) {
-    return rpc::ReadAnswer(response.getResult());
-  }));
+  return rpc::CallForAnswer(*channel, limit, request);
 }
 
 }  // namespace sumac::daemon
--- a/services/sumacd/operator_service.cc
+++ b/services/sumacd/operator_service.cc
@@ -9,6 +9,7 @@
 #include "libraries/codec/json_writer.h"
 #include "libraries/routing/decision_ring.h"
 #include "libraries/rpc/answer_codec.h"
+#include "libraries/rpc/call.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
 #include "services/sumacd/peer_service.h"
@@ -33,6 +34,15 @@
   return kj::READY_NOW;
 }
 
+// Replies with an answer once it is there.
+template <typename Context>
+kj::Promise<void> ReplyWith(Context context,
+                            kj::Promise<fleet::Answer> promise) {
+  return promise.then([context](const fleet::Answer& answer) mutable {
+    rpc::WriteAnswer(answer, context.getResults().initResult());
+  });
+}
+
 fleet::Answer TooLarge(std::string_view what, std::size_t most) {
   return fleet::Answer{
       .code = ResultCode::kBadArgument,
@@ -60,20 +70,16 @@
 template <typename Context>
 kj::Promise<void> OperatorService::Commit(Context context,
                                           fleet::Command command) {
-  return this->parts.leader.Propose(std::move(command), kOperatorLimit)
-      .then([context](const fleet::Answer& answer) mutable {
-        rpc::WriteAnswer(answer, context.getResults().initResult());
-      });
+  return ReplyWith(
+      context, this->parts.leader.Propose(std::move(command), kOperatorLimit));
 }
 
 template <typename Context>
 kj::Promise<void> OperatorService::Ask(Context context,
                                        const std::string& kind,
                                        const std::string& name) {
-  return this->parts.leader.Read(kind, name, kOperatorLimit)
-      .then([context](const fleet::Answer& answer) mutable {
-        rpc::WriteAnswer(answer, context.getResults().initResult());
-      });
+  return ReplyWith(context,
+                   this->parts.leader.Read(kind, name, kOperatorLimit));
 }
 
 template <typename Context>
@@ -172,10 +178,7 @@
   }
   auto request = channel->Get<wire::Peer>().explainLocalRequest();
   request.setDecisionId(id.value());
-  return channel
-      ->Guard(kPeerLimit, request.send().then([](auto&& response) {
-        return rpc::ReadAnswer(response.getResult());
-      }))
+  return rpc::CallForAnswer(*channel, kPeerLimit, request)
       .catch_([process](kj::Exception&& exception) {
         return fleet::Answer{
             .code = ResultCode::kUnreachable,
@@ -191,10 +194,7 @@
   if (!process) {
     return this->Ask(context, "decision", id.value());
   }
-  return this->ExplainAt(*process, id)
-      .then([context](const fleet::Answer& answer) mutable {
-        rpc::WriteAnswer(answer, context.getResults().initResult());
-      });
+  return ReplyWith(context, this->ExplainAt(*process, id));
 }
 
 kj::Promise<fleet::Answer> OperatorService::WhyAt(const ProcessName& process,
@@ -207,10 +207,7 @@
   auto request = channel->Get<wire::Peer>().whyLocalRequest();
   request.setKind(kind);
   request.setName(name);
-  return channel
-      ->Guard(kPeerLimit, request.send().then([](auto&& response) {
-        return rpc::ReadAnswer(response.getResult());
-      }))
+  return rpc::CallForAnswer(*channel, kPeerLimit, request)
       .catch_([](kj::Exception&& /*exception*/) {
         return fleet::Answer{.code = ResultCode::kUnreachable};
       });
@@ -307,10 +304,7 @@
   auto request = channel->Get<wire::Peer>().changeControllerRequest();
   request.setAction(action);
   request.setNode(node);
-  return channel
-      ->Guard(kPeerLimit, request.send().then([](auto&& response) {
-        return rpc::ReadAnswer(response.getResult());
-      }))
+  return rpc::CallForAnswer(*channel, kPeerLimit, request)
       .catch_([](kj::Exception&& /*exception*/) {
         return fleet::Answer{.code = ResultCode::kNotLeader};
       });
@@ -394,10 +388,8 @@
 kj::Promise<void> OperatorService::inForce(InForceContext context) {
   const SteadyTime deadline =
       SystemClock().SteadyNow() + Milliseconds(context.getParams().getWaitMs());
-  return this->AwaitInForce(context.getParams().getVersion(), deadline)
-      .then([context](const fleet::Answer& answer) mutable {
-        rpc::WriteAnswer(answer, context.getResults().initResult());
-      });
+  return ReplyWith(
+      context, this->AwaitInForce(context.getParams().getVersion(), deadline));
 }
 
 }  // namespace sumac::daemon
