--- a/libraries/base/names.h
+++ b/libraries/base/names.h
@@ -16,6 +16,10 @@
 using ServiceName = StrongType<std::string, struct ServiceNameTag>;
 using DataCentre = StrongType<std::string, struct DataCentreTag>;
 using Rack = StrongType<std::string, struct RackTag>;
+using QueueName = StrongType<std::string, struct QueueNameTag>;
+// One life of a worker's process on an instance; never used again.
+using WorkerId = StrongType<std::string, struct WorkerIdTag>;
+using WaveId = StrongType<std::string, struct WaveIdTag>;
 using JobId = StrongType<std::string, struct JobIdTag>;
 using OperationId = StrongType<std::string, struct OperationIdTag>;
 using DecisionId = StrongType<std::string, struct DecisionIdTag>;
@@ -26,6 +30,10 @@
 
 // The number of a declaration; the first accepted one is 1.
 using Revision = StrongType<std::uint64_t, struct RevisionTag>;
+// Counts the starts of one task; rises, also over changes of leader.
+using RunNumber = StrongType<std::uint64_t, struct RunNumberTag>;
+// Counts leaderships; the fencing token of all orders of one leadership.
+using LeaderEpoch = StrongType<std::uint64_t, struct LeaderEpochTag>;
 // Grows with every placement of a job; a worker refuses a lower one.
 using FencingToken = StrongType<std::uint64_t, struct FencingTokenTag>;
 // Grows with every start of a target; an older one's reports are ignored.
--- a/libraries/codec/json_reader.h
+++ b/libraries/codec/json_reader.h
@@ -173,6 +173,25 @@
   }
 }
 
+// The number inside a map's key that is one, bare or as a strong type.
+template <typename Key>
+struct KeyNumber {
+  using Type = void;
+};
+template <std::integral Key>
+struct KeyNumber<Key> {
+  using Type = Key;
+};
+template <IsStrongType Key>
+requires std::integral<typename Key::ValueType>
+struct KeyNumber<Key> {
+  using Type = typename Key::ValueType;
+};
+template <typename Key>
+using NumberOf = typename KeyNumber<Key>::Type;
+template <typename Key>
+inline constexpr bool kHasNumberKey = !std::is_void_v<NumberOf<Key>>;
+
 template <typename T>
 void ReadMap(const nlohmann::json& json,
              T& map,
@@ -188,8 +207,8 @@
     typename T::key_type key{};
     if constexpr (std::is_same_v<typename T::key_type, std::string>) {
       key = text;
-    } else if constexpr (std::integral<typename T::key_type::ValueType>) {
-      typename T::key_type::ValueType number{};
+    } else if constexpr (kHasNumberKey<typename T::key_type>) {
+      NumberOf<typename T::key_type> number{};
       if (!ParseNumber(text, &number)) {
         context.Fail(path, text, "a whole number as key");
         return;
--- /dev/null
+++ b/libraries/http/async_connection.cc
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/http/async_connection.h"
+
+#include <memory>
+
+namespace sumac::http {
+namespace {
+
+// Bytes of an answer's body that are read at most.
+constexpr std::uint64_t kMostAnswerBytes = 8ULL << 20;
+
+kj::Duration ToKjTime(Milliseconds time) {
+  return time.count() * kj::MILLISECONDS;
+}
+
+bool IsDisconnect(const kj::Exception& exception) {
+  return exception.getType() == kj::Exception::Type::DISCONNECTED;
+}
+
+// NOTE: kj gives no error number, only its text.
+bool IsRefusal(const kj::Exception& exception) {
+  return IsDisconnect(exception) &&
+         std::string_view(exception.getDescription().cStr())
+                 .find("refused") != std::string_view::npos;
+}
+
+}  // namespace
+
+AsyncConnection::AsyncConnection(kj::Network& network,
+                                 kj::Timer& timer,
+                                 const kj::HttpHeaderTable& headers,
+                                 std::string address)
+    : network(network),
+      timer(timer),
+      headers(headers),
+      remote_address(std::move(address)) {}
+
+kj::Promise<CallReply> AsyncConnection::Call(CallRequest request,
+                                             Milliseconds limit) {
+  auto kept = kj::heap<CallRequest>(std::move(request));
+  const CallRequest& sent = *kept;
+  return this->Try(sent, limit, false).attach(kj::mv(kept));
+}
+
+kj::Promise<CallReply> AsyncConnection::Try(const CallRequest& request,
+                                            Milliseconds limit,
+                                            bool is_second) {
+  auto attempt = std::make_shared<Attempt>();
+  auto called = this->Connect().then(
+      [this, attempt, &request](kj::Own<Open>&& open) {
+        attempt->has_connected = true;
+        attempt->was_used = open->is_used;
+        attempt->generation = this->generation;
+        open->is_used = true;
+        return this->Send(kj::mv(open), request);
+      });
+  return this->timer.timeoutAfter(ToKjTime(limit), kj::mv(called))
+      .catch_([this, attempt, &request, limit, is_second](
+                  kj::Exception&& exception) -> kj::Promise<CallReply> {
+        this->Drop(attempt->has_connected ? attempt->generation
+                                          : this->generation);
+        const bool may_repeat = request.is_idempotent && attempt->was_used &&
+                                IsDisconnect(exception) && !is_second;
+        if (may_repeat) {
+          return this->Try(request, limit, true);
+        }
+        const bool is_refused =
+            !attempt->has_connected && IsRefusal(exception);
+        return CallReply{.outcome = is_refused ? CallOutcome::kRefused
+                                               : CallOutcome::kNoAnswer,
+                         .error = exception.getDescription().cStr()};
+      });
+}
+
+kj::Promise<kj::Own<AsyncConnection::Open>> AsyncConnection::Connect() {
+  KJ_IF_MAYBE (open, this->current) { return kj::addRef(**open); }
+  KJ_IF_MAYBE (pending, this->connecting) {
+    return pending->addBranch().then(
+        [](kj::Own<Open>&& open) { return kj::mv(open); });
+  }
+  const std::uint64_t own_generation = ++this->generation;
+  auto opening =
+      this->network.parseAddress(this->remote_address)
+          .then([](kj::Own<kj::NetworkAddress>&& address) {
+            auto connected = address->connect();
+            return connected.attach(kj::mv(address));
+          })
+          .then([this, own_generation](kj::Own<kj::AsyncIoStream>&& stream) {
+            auto open = kj::refcounted<Open>();
+            open->client = kj::newHttpClient(this->headers, *stream);
+            open->stream = kj::mv(stream);
+            if (own_generation == this->generation) {
+              this->current = kj::addRef(*open);
+            }
+            return kj::Own<Open>(kj::mv(open));
+          });
+  auto forked = opening.fork();
+  auto branch = forked.addBranch();
+  this->connecting = kj::mv(forked);
+  return kj::mv(branch);
+}
+
+kj::Promise<CallReply> AsyncConnection::Send(kj::Own<Open> open,
+                                             const CallRequest& request) {
+  kj::HttpHeaders sent_headers(this->headers);
+  sent_headers.set(kj::HttpHeaderId::HOST, kj::str(this->remote_address));
+  if (!request.body.empty()) {
+    sent_headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
+  }
+  for (const auto& [name, value] : request.headers) {
+    sent_headers.add(kj::str(name), kj::str(value));
+  }
+  auto call = open->client->request(request.method, request.path, sent_headers,
+                                    request.body.size());
+  auto written =
+      request.body.empty()
+          ? kj::Promise<void>(kj::READY_NOW)
+          : call.body->write(request.body.data(), request.body.size());
+  return written.attach(kj::mv(call.body))
+      .then([response = kj::mv(call.response)]() mutable {
+        return kj::mv(response);
+      })
+      .then([](kj::HttpClient::Response&& response) {
+        const std::uint32_t status = response.statusCode;
+        auto read = response.body->readAllText(kMostAnswerBytes);
+        return read.attach(kj::mv(response.body))
+            .then([status](kj::String&& body) {
+              return CallReply{.outcome = CallOutcome::kAnswered,
+                               .status = status,
+                               .body = std::string(body.begin(), body.end())};
+            });
+      })
+      .attach(kj::mv(open));
+}
+
+void AsyncConnection::Drop(std::uint64_t failed_generation) {
+  if (failed_generation == this->generation) {
+    ++this->generation;
+    this->current = nullptr;
+    this->connecting = nullptr;
+  }
+}
+
+}  // namespace sumac::http
--- /dev/null
+++ b/libraries/http/async_connection.h
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_HTTP_ASYNC_CONNECTION_H_
+#define LIBRARIES_HTTP_ASYNC_CONNECTION_H_
+
+#include <kj/async-io.h>
+#include <kj/async.h>
+#include <kj/compat/http.h>
+#include <kj/timer.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "libraries/base/time.h"
+
+namespace sumac::http {
+
+// How a call over an AsyncConnection went.
+enum class CallOutcome {
+  // A whole answer came.
+  kAnswered,
+  // Nobody listens at the address; nothing was sent.
+  kRefused,
+  // No whole answer came: the other side may or may not have the request.
+  kNoAnswer,
+};
+
+// The answer to one call.
+struct CallReply {
+  CallOutcome outcome = CallOutcome::kNoAnswer;
+  std::uint32_t status = 0;
+  std::string body;
+  // What went wrong, for the log; empty for an answer.
+  std::string error;
+};
+
+// One request.
+struct CallRequest {
+  kj::HttpMethod method = kj::HttpMethod::POST;
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  // Sending it twice has the same effect as once: a connection that turns out
+  // to have been closed while it was idle is replaced and the request sent
+  // again.
+  bool is_idempotent = false;
+};
+
+// A kept HTTP/1.1 connection to one address on the event loop. Requests go out
+// at once, one behind the other, and answers come in the same order. The
+// connection is opened when first needed and anew after a failure.
+class AsyncConnection {
+ public:
+  AsyncConnection(kj::Network& network,
+                  kj::Timer& timer,
+                  const kj::HttpHeaderTable& headers,
+                  std::string address);
+
+  // Sends a request and waits for its answer for up to `limit`, the time to
+  // connect included. The promise never fails.
+  kj::Promise<CallReply> Call(CallRequest request, Milliseconds limit);
+
+  const std::string& address() const { return this->remote_address; }
+
+ private:
+  // An open connection; requests under way keep it alive.
+  struct Open : kj::Refcounted {
+    kj::Own<kj::AsyncIoStream> stream;
+    kj::Own<kj::HttpClient> client;
+    bool is_used = false;
+
+    // Lets kj hand the connection to several waiters.
+    kj::Own<Open> addRef() { return kj::addRef(*this); }
+  };
+  struct Attempt {
+    bool has_connected = false;
+    // The connection had served an earlier request.
+    bool was_used = false;
+    std::uint64_t generation = 0;
+  };
+
+  kj::Promise<CallReply> Try(const CallRequest& request,
+                             Milliseconds limit,
+                             bool is_second);
+  kj::Promise<kj::Own<Open>> Connect();
+  kj::Promise<CallReply> Send(kj::Own<Open> open, const CallRequest& request);
+  void Drop(std::uint64_t failed_generation);
+
+  kj::Network& network;
+  kj::Timer& timer;
+  const kj::HttpHeaderTable& headers;
+  std::string remote_address;
+  // Counts connections, so that a late failure of an old one does not drop a
+  // new one.
+  std::uint64_t generation = 0;
+  kj::Maybe<kj::Own<Open>> current;
+  kj::Maybe<kj::ForkedPromise<kj::Own<Open>>> connecting;
+};
+
+}  // namespace sumac::http
+
+#endif  // LIBRARIES_HTTP_ASYNC_CONNECTION_H_
--- /dev/null
+++ b/libraries/http/async_door.h
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_HTTP_ASYNC_DOOR_H_
+#define LIBRARIES_HTTP_ASYNC_DOOR_H_
+
+#include <kj/async-io.h>
+#include <kj/async.h>
+#include <kj/compat/http.h>
+#include <kj/timer.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libraries/base/time.h"
+
+namespace sumac::http {
+
+// A request that a door has read whole.
+struct DoorRequest {
+  kj::HttpMethod method = kj::HttpMethod::GET;
+  // The path with its query, as sent.
+  std::string path;
+  std::string host;
+  // The headers that the door was told to look out for, where present.
+  std::map<std::string, std::string> headers;
+  std::string body;
+};
+
+// The answer to one request.
+struct DoorReply {
+  std::uint32_t status = 200;
+  // JSON; empty for none.
+  std::string body;
+  std::vector<std::pair<std::string, std::string>> headers;
+};
+
+// What a door is made from.
+struct DoorSettings {
+  // Where it listens, as IP:PORT.
+  std::string address;
+  // A longer body gets 413 and its connection is closed.
+  std::uint64_t most_body_bytes = 1U << 20;
+  // A request's headers must be there this long after its first byte.
+  Milliseconds header_time{3'000};
+  // A connection without a request is closed after this.
+  Milliseconds idle_time{15'000};
+  // Names of headers that requests are read for.
+  std::vector<std::string> headers;
+};
+
+// An HTTP/1.1 server on the event loop: one handler for all requests, many
+// connections, no thread of its own.
+class AsyncDoor : private kj::HttpService, private kj::HttpServerCallbacks {
+ public:
+  using Handler = std::function<kj::Promise<DoorReply>(DoorRequest)>;
+
+  AsyncDoor(kj::Timer& timer, DoorSettings settings, Handler handler);
+
+  // Starts to listen; the promise fails with kj::Exception if it can't.
+  kj::Promise<void> Listen(kj::Network& network);
+
+  // From now on every answer asks its connection to close.
+  void CloseAfterAnswers() { this->is_closing = true; }
+
+  // Stops listening and ends once all requests in hand are answered.
+  kj::Promise<void> Drain();
+
+  std::uint64_t open_requests() const { return this->open_count; }
+
+ private:
+  kj::Promise<void> request(kj::HttpMethod method,
+                            kj::StringPtr url,
+                            const kj::HttpHeaders& headers,
+                            kj::AsyncInputStream& request_body,
+                            Response& response) override;
+  bool shouldClose() override { return this->is_closing; }
+  kj::Promise<void> Reply(Response& response, const DoorReply& reply);
+
+  kj::Timer& timer;
+  DoorSettings settings;
+  Handler handler;
+  std::map<std::string, kj::HttpHeaderId> header_ids;
+  kj::Own<kj::HttpHeaderTable> header_table;
+  kj::Own<kj::HttpServer> server;
+  kj::Own<kj::ConnectionReceiver> receiver;
+  kj::Maybe<kj::Promise<void>> listening;
+  bool is_closing = false;
+  std::uint64_t open_count = 0;
+};
+
+}  // namespace sumac::http
+
+#endif  // LIBRARIES_HTTP_ASYNC_DOOR_H_
--- /dev/null
+++ b/libraries/jobs/job.cc
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/jobs/job.h"
+
+#include <algorithm>
+
+namespace sumac::jobs {
+
+TaskProgress Job::ProgressOf(const TaskId& task) const {
+  const auto found = this->occurrences.find(task.step.occurrence);
+  if (found == this->occurrences.end()) {
+    return {};
+  }
+  return found->second.steps.at(task.step.step).tasks.at(task.index);
+}
+
+bool Job::IsStepDone(std::uint32_t occurrence, std::uint32_t step) const {
+  const auto found = this->occurrences.find(occurrence);
+  return found != this->occurrences.end() &&
+         found->second.steps.at(step).is_done();
+}
+
+bool Job::IsStepReady(std::uint32_t occurrence, std::uint32_t step) const {
+  const auto& after = this->spec.steps.at(step).after;
+  return std::all_of(after.begin(), after.end(),
+                     [&](std::uint32_t earlier) {
+                       return this->IsStepDone(occurrence, earlier);
+                     });
+}
+
+bool Job::HasTask(const TaskId& task) const {
+  return task.step.job == this->id &&
+         task.step.occurrence < this->spec.occurrences() &&
+         task.step.step < this->spec.steps.size() &&
+         task.index < this->spec.steps[task.step.step].count;
+}
+
+}  // namespace sumac::jobs
--- /dev/null
+++ b/libraries/jobs/jobs_state.cc
@@ -0,0 +1,274 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/jobs/jobs_state.h"
+
+#include <utility>
+
+#include "libraries/base/error.h"
+#include "libraries/base/text.h"
+#include "libraries/base/try.h"
+#include "libraries/codec/json_reader.h"
+
+namespace sumac::jobs {
+namespace {
+
+// A finished job can be asked about for this long. The longest time that users
+// ask for is 120 s; the rest is room for clocks that differ.
+constexpr Milliseconds kKeepFinished{180'000};
+
+// Progress with nothing done for one occurrence of `spec`.
+OccurrenceProgress NewProgress(const JobSpec& spec) {
+  OccurrenceProgress progress;
+  for (const StepSpec& step : spec.steps) {
+    progress.steps.push_back(
+        StepProgress{.tasks = std::vector<TaskProgress>(step.count)});
+  }
+  return progress;
+}
+
+}  // namespace
+
+JobsState::JobsState(DeclarationDecoder decoder)
+    : decoder(std::move(decoder)) {}
+
+fleet::Answer JobsState::Apply(const StampedCommand& command) {
+  this->DropOldJobs(command.at);
+  return std::visit(
+      [&](const auto& body) { return this->Take(body, command.at); },
+      command.command);
+}
+
+absl::Status JobsState::Load(const std::string& bytes) {
+  JobsRecord record = TRY(FromCbor<JobsRecord>(bytes, "snapshot"));
+  JobsDeclaration loaded;
+  if (record.declaration_version > 0) {
+    loaded = TRY(this->decoder(record.declaration_document));
+  }
+  this->own_record = std::move(record);
+  this->declared = std::move(loaded);
+  this->Reindex();
+  return absl::OkStatus();
+}
+
+void JobsState::Reindex() {
+  this->active.clear();
+  this->finished.clear();
+  for (const auto& [id, job] : this->own_record.jobs) {
+    if (job.is_active()) {
+      this->active[job.sequence] = &job;
+    } else {
+      this->finished.emplace(job.finished_at, id);
+    }
+  }
+}
+
+const Job* JobsState::FindJob(const JobId& id) const {
+  const auto found = this->own_record.jobs.find(id);
+  return found == this->own_record.jobs.end() ? nullptr : &found->second;
+}
+
+const Worker* JobsState::FindWorker(const WorkerId& id) const {
+  const auto found = this->own_record.workers.find(id);
+  return found == this->own_record.workers.end() ? nullptr : &found->second;
+}
+
+fleet::Answer JobsState::Take(const BeginEpoch& /*command*/, WallTime /*at*/) {
+  this->own_record.epoch = this->own_record.epoch.Next();
+  return fleet::Answer{
+      .document = {{"epoch", this->own_record.epoch.value()}}};
+}
+
+fleet::Answer JobsState::Take(const Declare& command, WallTime /*at*/) {
+  absl::StatusOr<JobsDeclaration> read = this->decoder(command.document);
+  if (!read.ok()) {
+    return fleet::Answer::FromStatus(read.status());
+  }
+  if (command.version <= this->own_record.declaration_version) {
+    return fleet::Answer::Success("a version as high is already in force");
+  }
+  this->own_record.declaration_version = command.version;
+  this->own_record.declaration_document = command.document;
+  this->declared = *std::move(read);
+  for (const auto& [sequence, job] : this->active) {
+    this->FollowDeclaration(this->own_record.jobs.at(job->id));
+  }
+  return fleet::Answer::Success("in force");
+}
+
+// Jobs go where their queue is declared now; those of a queue that was dropped
+// stay where they were.
+void JobsState::FollowDeclaration(Job& job) const {
+  const QueueDeclaration* queue = this->declared.FindQueue(job.queue);
+  if (queue != nullptr) {
+    job.service = queue->service;
+    job.most_attempts = queue->most_attempts;
+  }
+}
+
+fleet::Answer JobsState::Take(const RecordWorker& command, WallTime /*at*/) {
+  Worker& worker = this->own_record.workers[command.worker.id];
+  if (command.worker.sequence < worker.sequence) {
+    return fleet::Answer::Success("an older announcement changes nothing");
+  }
+  // A worker that said it leaves never takes that back.
+  const bool was_draining = worker.is_draining;
+  worker = command.worker;
+  worker.is_draining = worker.is_draining || was_draining;
+  return fleet::Answer::Success("recorded");
+}
+
+fleet::Answer JobsState::Take(const ForgetWorker& command, WallTime /*at*/) {
+  this->own_record.workers.erase(command.worker);
+  return fleet::Answer::Success("forgotten");
+}
+
+fleet::Answer JobsState::Take(const SubmitJob& command, WallTime at) {
+  if (this->own_record.jobs.contains(command.job)) {
+    return fleet::Answer::Success("accepted before");
+  }
+  const QueueDeclaration* queue = this->declared.FindQueue(command.queue);
+  if (queue == nullptr) {
+    return fleet::Answer{
+        .code = ResultCode::kUnknownName,
+        .message = StrCat("no queue ", command.queue.value(), " is declared")};
+  }
+  Job& job = this->own_record.jobs[command.job];
+  job.id = command.job;
+  job.queue = command.queue;
+  job.service = queue->service;
+  job.most_attempts = queue->most_attempts;
+  job.spec = command.spec;
+  job.sequence = this->own_record.next_sequence++;
+  job.accepted_at = at;
+  this->active[job.sequence] = &job;
+  return fleet::Answer::Success("accepted");
+}
+
+fleet::Answer JobsState::Take(const CancelJob& command, WallTime at) {
+  const auto found = this->own_record.jobs.find(command.job);
+  if (found == this->own_record.jobs.end()) {
+    return fleet::Answer{
+        .code = ResultCode::kUnknownName,
+        .message = StrCat("no job ", command.job.value(), " is known")};
+  }
+  if (found->second.is_active()) {
+    this->Finish(found->second, JobState::kCancelled, "cancelled", at);
+  }
+  return fleet::Answer::Success("cancelled");
+}
+
+fleet::Answer JobsState::Take(const RecordEnds& command, WallTime at) {
+  for (const RunEnd& end : command.ends) {
+    this->TakeEnd(end, at);
+  }
+  return fleet::Answer::Success("recorded");
+}
+
+void JobsState::TakeEnd(const RunEnd& end, WallTime at) {
+  const auto found = this->own_record.jobs.find(end.task.step.job);
+  if (found == this->own_record.jobs.end()) {
+    return;
+  }
+  Job& job = found->second;
+  if (!job.is_active() || !job.HasTask(end.task)) {
+    return;
+  }
+  auto [occurrence, is_new] =
+      job.occurrences.try_emplace(end.task.step.occurrence);
+  if (is_new) {
+    occurrence->second = NewProgress(job.spec);
+  }
+  StepProgress& step = occurrence->second.steps[end.task.step.step];
+  TaskProgress& task = step.tasks[end.task.index];
+  const bool is_repeated = end.run <= task.last_ended_run;
+  task.last_ended_run = std::max(task.last_ended_run, end.run);
+  const bool is_long_running =
+      job.spec.steps[end.task.step.step].is_long_running;
+  if (task.is_done || is_long_running) {
+    return;
+  }
+  if (end.outcome == RunOutcome::kDone) {
+    task.is_done = true;
+    ++step.done_count;
+    this->CountDone(job, end.task, at);
+    return;
+  }
+  if (is_repeated) {
+    return;
+  }
+  ++task.failures;
+  if (task.failures >= job.most_attempts) {
+    this->Finish(job, JobState::kFailed,
+                 StrCat("task ", end.task.ToText(), " failed ", task.failures,
+                        " times"),
+                 at);
+  }
+}
+
+void JobsState::CountDone(Job& job, const TaskId& task, WallTime at) {
+  if (!job.occurrences.at(task.step.occurrence).is_done()) {
+    return;
+  }
+  std::uint32_t done = 0;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    done += static_cast<std::uint32_t>(occurrence.is_done());
+  }
+  job.occurrences_done = done;
+  if (done == job.spec.occurrences()) {
+    this->Finish(job, JobState::kDone, "", at);
+  }
+}
+
+void JobsState::Finish(Job& job,
+                       JobState state,
+                       std::string reason,
+                       WallTime at) {
+  job.state = state;
+  job.reason = std::move(reason);
+  job.finished_at = at;
+  this->active.erase(job.sequence);
+  this->finished.emplace(at, job.id);
+}
+
+void JobsState::DropOldJobs(WallTime now) {
+  while (!this->finished.empty() &&
+         this->finished.begin()->first + kKeepFinished < now) {
+    this->own_record.jobs.erase(this->finished.begin()->second);
+    this->finished.erase(this->finished.begin());
+  }
+}
+
+fleet::Answer JobsState::Take(const StartWave& command, WallTime at) {
+  if (this->own_record.waves.contains(command.wave)) {
+    return fleet::Answer::Success("started before");
+  }
+  Wave& wave = this->own_record.waves[command.wave];
+  wave.id = command.wave;
+  wave.started_at = at;
+  wave.ramp = command.ramp;
+  wave.most_at_once = std::max(command.most_at_once, 1U);
+  for (const InstanceName& instance : command.instances) {
+    wave.instances[instance] = MaintenanceState::kWaiting;
+  }
+  return fleet::Answer::Success("started");
+}
+
+fleet::Answer JobsState::Take(const RecordMaintenance& command,
+                              WallTime /*at*/) {
+  const auto wave = this->own_record.waves.find(command.wave);
+  if (wave == this->own_record.waves.end() ||
+      !wave->second.instances.contains(command.instance)) {
+    return fleet::Answer{.code = ResultCode::kUnknownName,
+                         .message = "no such wave or instance"};
+  }
+  MaintenanceState& state = wave->second.instances[command.instance];
+  // An answer that comes late never takes a step back, except that an order
+  // that certainly was not carried out may be given again.
+  const bool is_withdrawn = state == MaintenanceState::kOrdered &&
+                            command.state == MaintenanceState::kWaiting;
+  if (command.state > state || is_withdrawn) {
+    state = command.state;
+  }
+  return fleet::Answer::Success("recorded");
+}
+
+}  // namespace sumac::jobs
--- /dev/null
+++ b/libraries/jobs/jobs_state.h
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_JOBS_JOBS_STATE_H_
+#define LIBRARIES_JOBS_JOBS_STATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "libraries/base/names.h"
+#include "libraries/fleet/answer.h"
+#include "libraries/jobs/commands.h"
+#include "libraries/jobs/declaration.h"
+#include "libraries/jobs/job.h"
+#include "libraries/jobs/wave.h"
+#include "libraries/jobs/worker.h"
+
+namespace sumac::jobs {
+
+// Reads the operators' document; kInvalidDeclaration for one that must not come
+// into force.
+using DeclarationDecoder =
+    std::function<absl::StatusOr<JobsDeclaration>(std::string_view document)>;
+
+// All that is replicated about jobs, as a snapshot holds it.
+struct JobsRecord {
+  LeaderEpoch epoch;
+  std::uint64_t declaration_version = 0;
+  std::string declaration_document;
+  std::uint64_t next_sequence = 1;
+  std::map<JobId, Job> jobs;
+  std::map<WorkerId, Worker> workers;
+  std::map<WaveId, Wave> waves;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("epoch", self.epoch);
+    visitor.Field("declaration_version", self.declaration_version);
+    visitor.Field("declaration_document", self.declaration_document);
+    visitor.Field("next_sequence", self.next_sequence);
+    visitor.Field("jobs", self.jobs);
+    visitor.Field("workers", self.workers);
+    visitor.Field("waves", self.waves);
+  }
+};
+
+// The replicated state of jobs: which were accepted, what of them has ended,
+// which workers there are, what is declared. Where tasks run now is not part of
+// it; a leader learns that from the workers. Pure and deterministic: the same
+// commands give the same state everywhere.
+class JobsState {
+ public:
+  explicit JobsState(DeclarationDecoder decoder);
+
+  // Applies one committed command.
+  fleet::Answer Apply(const StampedCommand& command);
+
+  // Replaces the whole state with a snapshot's bytes.
+  absl::Status Load(const std::string& bytes);
+  // The whole state as a snapshot holds it.
+  const JobsRecord& record() const { return this->own_record; }
+
+  LeaderEpoch epoch() const { return this->own_record.epoch; }
+  const JobsDeclaration& declaration() const { return this->declared; }
+  const std::map<WorkerId, Worker>& workers() const {
+    return this->own_record.workers;
+  }
+  const std::map<WaveId, Wave>& waves() const { return this->own_record.waves; }
+  const Job* FindJob(const JobId& id) const;
+  const Worker* FindWorker(const WorkerId& id) const;
+  // The jobs that are active, in the order in which they were accepted.
+  const std::map<std::uint64_t, const Job*>& active_jobs() const {
+    return this->active;
+  }
+
+ private:
+  fleet::Answer Take(const BeginEpoch& command, WallTime at);
+  fleet::Answer Take(const Declare& command, WallTime at);
+  fleet::Answer Take(const RecordWorker& command, WallTime at);
+  fleet::Answer Take(const ForgetWorker& command, WallTime at);
+  fleet::Answer Take(const SubmitJob& command, WallTime at);
+  fleet::Answer Take(const CancelJob& command, WallTime at);
+  fleet::Answer Take(const RecordEnds& command, WallTime at);
+  fleet::Answer Take(const StartWave& command, WallTime at);
+  fleet::Answer Take(const RecordMaintenance& command, WallTime at);
+
+  void TakeEnd(const RunEnd& end, WallTime at);
+  void CountDone(Job& job, const TaskId& task, WallTime at);
+  void Finish(Job& job, JobState state, std::string reason, WallTime at);
+  void FollowDeclaration(Job& job) const;
+  void DropOldJobs(WallTime now);
+  void Reindex();
+
+  DeclarationDecoder decoder;
+  JobsRecord own_record;
+  JobsDeclaration declared;
+  std::map<std::uint64_t, const Job*> active;
+  // Finished jobs by the time of their end, to be dropped in that order.
+  std::set<std::pair<WallTime, JobId>> finished;
+};
+
+}  // namespace sumac::jobs
+
+#endif  // LIBRARIES_JOBS_JOBS_STATE_H_
--- /dev/null
+++ b/libraries/jobs/resources.h
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_JOBS_RESOURCES_H_
+#define LIBRARIES_JOBS_RESOURCES_H_
+
+#include <cstdint>
+
+namespace sumac::jobs {
+
+// An amount of what instances have and tasks need.
+struct Resources {
+  // Thousandths of a core.
+  std::int64_t millicores = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  bool operator==(const Resources&) const = default;
+
+  // True if `need` fits into this.
+  bool Holds(const Resources& need) const {
+    return need.millicores <= this->millicores &&
+           need.memory_mb <= this->memory_mb &&
+           need.accelerators <= this->accelerators;
+  }
+  void Add(const Resources& other) {
+    this->millicores += other.millicores;
+    this->memory_mb += other.memory_mb;
+    this->accelerators += other.accelerators;
+  }
+  void Subtract(const Resources& other) {
+    this->millicores -= other.millicores;
+    this->memory_mb -= other.memory_mb;
+    this->accelerators -= other.accelerators;
+  }
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("millicores", self.millicores);
+    visitor.Field("memory_mb", self.memory_mb);
+    visitor.Field("accelerators", self.accelerators);
+  }
+};
+
+}  // namespace sumac::jobs
+
+#endif  // LIBRARIES_JOBS_RESOURCES_H_
--- /dev/null
+++ b/libraries/jobs/wave.h
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_JOBS_WAVE_H_
+#define LIBRARIES_JOBS_WAVE_H_
+
+#include <cstdint>
+#include <map>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/jobs/commands.h"
+
+namespace sumac::jobs {
+
+// A maintenance wave over some instances.
+struct Wave {
+  WaveId id;
+  WallTime started_at{};
+  Milliseconds ramp{0};
+  std::uint32_t most_at_once = 1;
+  std::map<InstanceName, MaintenanceState> instances;
+
+  // True once every instance has had its maintenance or is gone.
+  bool is_done() const {
+    for (const auto& [instance, state] : this->instances) {
+      if (state != MaintenanceState::kOver) {
+        return false;
+      }
+    }
+    return true;
+  }
+  // How many instances may be down for this wave now.
+  std::uint32_t CountDown() const {
+    std::uint32_t down = 0;
+    for (const auto& [instance, state] : this->instances) {
+      down += static_cast<std::uint32_t>(state == MaintenanceState::kOrdered ||
+                                         state == MaintenanceState::kBegun);
+    }
+    return down;
+  }
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("id", self.id);
+    visitor.Field("started_at", self.started_at);
+    visitor.Field("ramp_ms", self.ramp);
+    visitor.Field("most_at_once", self.most_at_once);
+    visitor.Field("instances", self.instances);
+  }
+};
+
+}  // namespace sumac::jobs
+
+#endif  // LIBRARIES_JOBS_WAVE_H_
--- /dev/null
+++ b/libraries/jobs/worker.h
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_JOBS_WORKER_H_
+#define LIBRARIES_JOBS_WORKER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/jobs/resources.h"
+
+namespace sumac::jobs {
+
+// One life of a worker's process, as it announced itself. Kept as long as
+// anything may run there.
+struct Worker {
+  WorkerId id;
+  // The instance that it runs on; the instance outlives it.
+  InstanceName instance;
+  ServiceName service;
+  DataCentre data_centre;
+  // Where it takes orders, as IP:PORT.
+  std::string address;
+  Resources capacity;
+  // Its kind, its rack and whatever else tasks may require.
+  std::vector<std::string> labels;
+  // It will leave: nothing is started there any more.
+  bool is_draining = false;
+  // Grows with each announcement of this life, so that a late one is known.
+  std::uint64_t sequence = 0;
+
+  bool has_label(std::string_view label) const {
+    return std::find(this->labels.begin(), this->labels.end(), label) !=
+           this->labels.end();
+  }
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Required("id", self.id);
+    visitor.Field("instance", self.instance);
+    visitor.Field("service", self.service);
+    visitor.Field("data_centre", self.data_centre);
+    visitor.Field("address", self.address);
+    visitor.Field("capacity", self.capacity);
+    visitor.Field("labels", self.labels);
+    visitor.Field("is_draining", self.is_draining);
+    visitor.Field("sequence", self.sequence);
+  }
+};
+
+}  // namespace sumac::jobs
+
+#endif  // LIBRARIES_JOBS_WORKER_H_
--- a/libraries/replication/membership_plan.h
+++ b/libraries/replication/membership_plan.h
@@ -16,6 +16,8 @@
   bool is_caught_up = false;
   // It has not answered for so long that it may be replaced.
   bool is_silent = false;
+  // It has not answered for so long that it is taken for lost.
+  bool is_lost = false;
 };
 
 // The process that a replica runs in; a node is NAME.INCARNATION.
@@ -25,12 +27,18 @@
 // same process.
 Membership WithLearner(Membership members, const NodeId& node);
 
-// The next step, if any, that brings a process with a new disk back to voting:
-// its new replica learns; once it has caught up and the old one is silent, the
-// old one goes; then the new one votes. Each step changes one voter at most.
+// The next step, if any, towards a group of voters that are alive. A process
+// that came back with a new disk is brought back to voting: its new replica
+// learns; once it has caught up and the old one is silent, the old one goes;
+// then the new one votes. With `wanted_voters` above 0 the group also looks
+// after its own size: other learners that have caught up are promoted up to
+// that number, take the place of voters that are lost, and lost learners go.
+// With 0, every learner that has caught up is promoted. Each step changes one
+// voter at most.
 std::optional<Membership> PlanNextMembers(
     const Membership& members,
-    const std::map<NodeId, MemberHealth>& health);
+    const std::map<NodeId, MemberHealth>& health,
+    std::size_t wanted_voters = 0);
 
 }  // namespace sumac::replication
 
--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -36,6 +36,7 @@
       snapshot_state(std::move(start.snapshot.state)),
       committed_index(start.snapshot.meta.index),
       delivered_index(start.snapshot.meta.index),
+      written_index(this->log.last_index()),
       // NOTE: A voter that restarts has forgotten when it last heard the
       // leader. It counts as having just heard it, or its vote could break a
       // lease that the leader still holds.
@@ -219,6 +220,14 @@
   return std::exchange(this->output, Output{});
 }
 
+void Replica::NoteWritten(LogIndex index, SteadyTime now) {
+  this->latest_now = now;
+  this->written_index = std::min(index, this->log.last_index());
+  if (this->current_role == Role::kLeader) {
+    this->MaybeCommit(now);
+  }
+}
+
 bool Replica::HoldsLease(SteadyTime now) const {
   if (this->current_role != Role::kLeader || this->has_sent_timeout_now) {
     return false;
@@ -446,6 +455,8 @@
       }
       VERIFY(entry.index > this->committed_index);
       this->log.TruncateFrom(entry.index);
+      this->written_index =
+          std::min(this->written_index, this->log.last_index());
       std::erase_if(this->output.entries_to_write, [&](const Entry& waiting) {
         return waiting.index >= entry.index;
       });
@@ -473,7 +484,7 @@
 
 void Replica::MaybeCommit(SteadyTime now) {
   const LogIndex agreed =
-      this->leading->QuorumIndex(this->membership(), this->log.last_index());
+      this->leading->QuorumIndex(this->membership(), this->written_index);
   // Only entries of the own term are committed by counting (Raft,
   // section 5.4.2).
   if (agreed <= this->committed_index ||
@@ -657,6 +668,7 @@
   this->log.CompactTo(meta);
   this->committed_index = meta.index;
   this->delivered_index = meta.index;
+  this->written_index = this->log.last_index();
   this->snapshot_state = this->incoming_snapshot->state;
   std::erase_if(this->output.entries_to_write, [&](const Entry& entry) {
     return !is_same_history || entry.index <= meta.index;
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -59,10 +59,14 @@
   // log before it may go.
   SnapshotMeta Compact(LogIndex index, std::string state);
 
-  // What is to be done since the last call. The host carries it out before the
-  // next event.
+  // What is to be done since the last call. The host carries outputs out in
+  // order; while it writes one, this replica may go on with further events.
   Output TakeOutput();
 
+  // Tells that the host's disk holds the log up to `index`, the last entry of
+  // the output just written. A leader counts its own copy only from here on.
+  void NoteWritten(LogIndex index, SteadyTime now);
+
   // True if anything is waiting in TakeOutput.
   bool has_output() const {
     return this->needs_broadcast ||
@@ -83,6 +87,11 @@
   // what is in force.
   bool has_verified_state() const { return this->is_state_verified; }
 
+  // When this replica last heard a leader; its start if it never did.
+  SteadyTime last_leader_contact_at() const {
+    return this->last_leader_contact;
+  }
+
   Role role() const { return this->current_role; }
   Term term() const { return this->hard_state.term; }
   const std::optional<NodeId>& leader() const { return this->known_leader; }
@@ -163,6 +172,7 @@
   std::string snapshot_state;
   LogIndex committed_index;
   LogIndex delivered_index;
+  LogIndex written_index;
   bool is_state_verified = false;
 
   Role current_role = Role::kFollower;
--- /dev/null
+++ b/libraries/scheduler/scheduler.cc
@@ -0,0 +1,678 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "libraries/base/text.h"
+#include "libraries/base/verify.h"
+
+namespace sumac::scheduler {
+namespace {
+
+// Runs of one leadership are numbered from epoch * 2^20, so that they rise over
+// changes of leader without anything being committed for a start.
+constexpr int kRunBitsOfEpoch = 20;
+// Another life at a worker's address is reported by its next announcement; runs
+// that nobody confirms nor denies are stopped after this.
+constexpr Milliseconds kUnconfirmedTime{1'500};
+
+// The first epoch of a group is 1 and its runs count from 1.
+RunNumber FirstRunOf(LeaderEpoch epoch) {
+  const std::uint64_t earlier = epoch.value() > 0 ? epoch.value() - 1 : 0;
+  return RunNumber((earlier << kRunBitsOfEpoch) + 1);
+}
+
+}  // namespace
+
+Scheduler::Scheduler(const jobs::JobsState& state,
+                     SchedulerSettings settings,
+                     SteadyTime now)
+    : state(state),
+      settings(settings),
+      epoch(state.epoch()),
+      first_own_sequence(state.record().next_sequence) {
+  this->SyncWorkers(now);
+}
+
+std::vector<WorkerId> Scheduler::SyncWorkers(SteadyTime now) {
+  std::vector<WorkerId> added;
+  std::map<InstanceName, WorkerId> newest;
+  for (const auto& [id, worker] : this->state.workers()) {
+    const auto found = this->workers.find(id);
+    if (found != this->workers.end()) {
+      found->second.Update(worker);
+      continue;
+    }
+    this->workers.emplace(id,
+                          WorkerSession(worker, this->settings.lease, now));
+    added.push_back(id);
+  }
+  std::vector<WorkerId> removed;
+  for (const auto& [id, session] : this->workers) {
+    if (this->state.FindWorker(id) == nullptr) {
+      removed.push_back(id);
+    }
+  }
+  for (const WorkerId& id : removed) {
+    this->EndWorker(id, "its life is over");
+  }
+  this->needs_plan = true;
+  return added;
+}
+
+std::optional<RenewOrder> Scheduler::NextRenewal(const WorkerId& worker,
+                                                 SteadyTime now) {
+  const auto found = this->workers.find(worker);
+  if (found == this->workers.end()) {
+    return std::nullopt;
+  }
+  return found->second.NextRenewal(this->epoch, now);
+}
+
+EndsToRecord Scheduler::TakeReport(const WorkerId& worker,
+                                   const RenewReport& report,
+                                   SteadyTime now) {
+  const auto found = this->workers.find(worker);
+  if (found == this->workers.end()) {
+    return {};
+  }
+  WorkerSession& session = found->second;
+  const bool is_adopting = !session.is_adopted();
+  session.NoteClock(report.clock, now);
+  session.NoteAnswer(now);
+  EndsToRecord ends = this->TakeEnds(session, report);
+  this->TakeRunning(session, report, is_adopting, now);
+  this->TakeMissing(session, report, now);
+  this->needs_plan = this->needs_plan || is_adopting || ends.up_to > 0;
+  return ends;
+}
+
+// Ends come again until they are acknowledged; each is looked at once.
+EndsToRecord Scheduler::TakeEnds(WorkerSession& session,
+                                 const RenewReport& report) {
+  EndsToRecord result;
+  for (const EndReport& end : report.ended) {
+    if (end.number <= session.seen_ends) {
+      continue;
+    }
+    session.seen_ends = end.number;
+    result.up_to = end.number;
+    const bool was_known = session.FindRun(end.task, end.run) != nullptr;
+    const bool is_final =
+        end.cause == EndCause::kDone || end.cause == EndCause::kFailed;
+    const jobs::StepSpec* step = this->FindStep(end.task);
+    TaskMemory& memory = this->tasks[end.task];
+    memory.last_run = std::max(memory.last_run, end.run);
+    if (!end.checkpoint.empty()) {
+      memory.checkpoint = end.checkpoint;
+    }
+    if (end.cause == EndCause::kFailed) {
+      memory.failed_on.insert(session.worker().id);
+    }
+    if (is_final && step != nullptr && !step->is_long_running) {
+      result.ends.push_back(jobs::RunEnd{
+          end.task, end.run,
+          end.cause == EndCause::kDone ? jobs::RunOutcome::kDone
+                                       : jobs::RunOutcome::kFailed});
+      memory.is_ending = true;
+    }
+    if (was_known) {
+      this->ReleaseRun(session, end.task, end.run, "");
+    }
+    this->Note("run-ended", end.task, end.run, session.worker().id,
+               end.cause == EndCause::kDone      ? "done"
+               : end.cause == EndCause::kFailed  ? "failed"
+               : end.cause == EndCause::kStopped ? "stopped"
+               : end.cause == EndCause::kLapsed  ? "lapsed"
+               : end.cause == EndCause::kBroken  ? "gang broken"
+                                                 : "gang incomplete");
+  }
+  return result;
+}
+
+void Scheduler::TakeRunning(WorkerSession& session,
+                            const RenewReport& report,
+                            bool is_adopting,
+                            SteadyTime now) {
+  for (const RunningReport& running : report.running) {
+    Run* run = session.FindRun(running.task, running.run);
+    if (run == nullptr) {
+      this->AdoptRun(session, running, report, is_adopting, now);
+      continue;
+    }
+    run->percent = running.percent;
+    run->load = running.load;
+    if (run->phase == RunPhase::kOrdered) {
+      run->phase = RunPhase::kRunning;
+      run->confirmed_clock = report.clock;
+    }
+    if (!running.checkpoint.empty()) {
+      this->tasks[running.task].checkpoint = running.checkpoint;
+    }
+  }
+}
+
+// A run that this leader did not order: one of an earlier leader that goes on,
+// or one that has to go.
+void Scheduler::AdoptRun(WorkerSession& session,
+                         const RunningReport& running,
+                         const RenewReport& report,
+                         bool is_adopting,
+                         SteadyTime now) {
+  const jobs::Job* job = this->state.FindJob(running.task.step.job);
+  TaskMemory& memory = this->tasks[running.task];
+  const bool is_wanted = job != nullptr && job->is_active() &&
+                         job->HasTask(running.task) && !memory.placed &&
+                         !memory.is_ending &&
+                         !job->ProgressOf(running.task).is_done && is_adopting;
+  Run run{.task = running.task,
+          .number = running.run,
+          .phase = is_wanted ? RunPhase::kRunning : RunPhase::kStopping,
+          .need = this->CountedNeed(running.task),
+          .ordered_at = now,
+          .confirmed_clock = report.clock,
+          .confirmed_at = now,
+          .percent = running.percent,
+          .load = running.load,
+          .stop_due = now};
+  session.AddRun(std::move(run));
+  memory.last_run = std::max(memory.last_run, running.run);
+  if (is_wanted) {
+    memory.placed = {session.worker().id, running.run};
+    this->begun.insert(running.task.step.job);
+  }
+  this->needs_plan = true;
+  this->Note(is_wanted ? "run-adopted" : "run-unwanted", running.task,
+             running.run, session.worker().id,
+             is_wanted ? "it went on over a change of leader"
+                       : "its task is not wanted there");
+}
+
+// Runs that the worker neither runs nor lists as ended.
+void Scheduler::TakeMissing(WorkerSession& session,
+                            const RenewReport& report,
+                            SteadyTime now) {
+  std::set<std::pair<jobs::TaskId, RunNumber>> present;
+  for (const RunningReport& running : report.running) {
+    present.emplace(running.task, running.run);
+  }
+  std::vector<std::pair<jobs::TaskId, RunNumber>> gone;
+  for (const auto& [key, run] : session.runs()) {
+    if (present.contains(key)) {
+      continue;
+    }
+    const bool has_vanished =
+        run.confirmed_clock && *run.confirmed_clock < report.clock;
+    const bool never_starts = report.clock >= run.start_expires &&
+                              run.phase != RunPhase::kRunning &&
+                              run.start_expires > WorkerTime(0);
+    const bool is_stopped =
+        run.stopped_clock && *run.stopped_clock < report.clock;
+    if (has_vanished || never_starts || is_stopped) {
+      gone.push_back(key);
+    }
+  }
+  for (const auto& [task, number] : gone) {
+    this->ReleaseRun(session, task, number, "the worker does not have it");
+  }
+  (void)now;
+}
+
+void Scheduler::TakeRenewalFailure(const WorkerId& worker,
+                                   OrderResult result,
+                                   SteadyTime now) {
+  const auto found = this->workers.find(worker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  found->second.NoteFailure(result == OrderResult::kUnreachable, now);
+  if (result == OrderResult::kOtherLife) {
+    this->EndWorker(worker, "another life is at its address");
+  }
+  this->needs_plan = true;
+}
+
+void Scheduler::NoteRecorded(const WorkerId& worker,
+                             const EndsToRecord& recorded) {
+  for (const jobs::RunEnd& end : recorded.ends) {
+    this->tasks[end.task].is_ending = false;
+  }
+  const auto found = this->workers.find(worker);
+  if (found != this->workers.end()) {
+    found->second.acknowledged_ends =
+        std::max(found->second.acknowledged_ends, recorded.up_to);
+  }
+  this->needs_plan = true;
+}
+
+void Scheduler::TakeAnswer(const Order& order,
+                           const OrderAnswer& answer,
+                           SteadyTime now) {
+  if (const auto* start = std::get_if<StartOrder>(&order)) {
+    this->TakeStartAnswer(*start, answer, now);
+  } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
+    this->TakeStopAnswer(*stop, answer, now);
+  }
+}
+
+void Scheduler::TakeStartAnswer(const StartOrder& order,
+                                const OrderAnswer& answer,
+                                SteadyTime now) {
+  const auto found = this->workers.find(order.worker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  WorkerSession& session = found->second;
+  if (answer.clock) {
+    session.NoteClock(*answer.clock, now);
+  }
+  Run* run = session.FindRun(order.task, order.run);
+  if (run == nullptr) {
+    return;
+  }
+  switch (answer.result) {
+    case OrderResult::kDone:
+      run->confirmed_clock = answer.clock;
+      run->confirmed_at = now;
+      if (run->phase == RunPhase::kOrdered) {
+        run->phase = RunPhase::kRunning;
+      }
+      this->begun.insert(order.task.step.job);
+      break;
+    case OrderResult::kNoRoom:
+      session.full_until = now + this->settings.full_pause;
+      this->ReleaseRun(session, order.task, order.run, "the worker is full");
+      break;
+    case OrderResult::kOldRun:
+    case OrderResult::kTooLate:
+    case OrderResult::kRefused:
+      session.full_until = now + this->settings.full_pause;
+      this->ReleaseRun(session, order.task, order.run,
+                       "the worker refused the start");
+      break;
+    case OrderResult::kFenced:
+      // Another leader gives orders there; this one finds out by its lease.
+      this->ReleaseRun(session, order.task, order.run, "fenced off");
+      break;
+    case OrderResult::kOtherLife:
+      this->EndWorker(order.worker, "another life is at its address");
+      break;
+    case OrderResult::kUnreachable:
+      session.NoteFailure(true, now);
+      this->ReleaseRun(session, order.task, order.run, "nobody listens there");
+      break;
+    case OrderResult::kUnknown:
+      // It may run, or may begin later. A stop settles it either way.
+      run->phase = RunPhase::kStopping;
+      run->stop_due = now;
+      this->Note("start-unanswered", order.task, order.run, order.worker,
+                 "stopped before the task goes elsewhere");
+      break;
+  }
+  this->needs_plan = true;
+}
+
+void Scheduler::TakeStopAnswer(const StopOrder& order,
+                               const OrderAnswer& answer,
+                               SteadyTime now) {
+  const auto found = this->workers.find(order.worker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  if (answer.result == OrderResult::kOtherLife) {
+    this->EndWorker(order.worker, "another life is at its address");
+    return;
+  }
+  Run* run = found->second.FindRun(order.task, order.run);
+  if (run != nullptr && answer.result == OrderResult::kDone) {
+    run->stopped_clock = answer.clock;
+    run->stopped_at = now;
+  }
+}
+
+void Scheduler::EndWorker(const WorkerId& worker, const std::string& reason) {
+  const auto found = this->workers.find(worker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  this->ReleaseAll(found->second, reason);
+  this->workers.erase(found);
+  this->needs_plan = true;
+}
+
+void Scheduler::ReleaseRun(WorkerSession& session,
+                           const jobs::TaskId& task,
+                           RunNumber run,
+                           const std::string& reason) {
+  session.RemoveRun(task, run);
+  const auto memory = this->tasks.find(task);
+  if (memory != this->tasks.end() &&
+      memory->second.placed == std::pair(session.worker().id, run)) {
+    memory->second.placed.reset();
+  }
+  if (!reason.empty()) {
+    this->Note("run-gone", task, run, session.worker().id, reason);
+  }
+  this->needs_plan = true;
+}
+
+void Scheduler::ReleaseAll(WorkerSession& session, const std::string& reason) {
+  std::vector<std::pair<jobs::TaskId, RunNumber>> all;
+  for (const auto& [key, run] : session.runs()) {
+    all.push_back(key);
+  }
+  for (const auto& [task, number] : all) {
+    this->ReleaseRun(session, task, number, reason);
+  }
+}
+
+SchedulerOutput Scheduler::Plan(SteadyTime now, WallTime wall_now) {
+  this->needs_plan = false;
+  SchedulerOutput output;
+  this->LapseSilentWorkers(now);
+  this->ForgetGoneWorkers(now, output);
+  this->StopUnwanted(now, output);
+  this->StartDue(now, wall_now, output);
+  output.events = std::exchange(this->events, {});
+  return output;
+}
+
+void Scheduler::LapseSilentWorkers(SteadyTime now) {
+  this->uncertain.clear();
+  for (auto& [id, session] : this->workers) {
+    const bool is_lapsed = session.IsLapsed(now);
+    if (is_lapsed && session.is_adopted()) {
+      this->ReleaseAll(session, "its lease is over");
+      session.Reset();
+    }
+    if (!is_lapsed && !session.is_adopted()) {
+      this->uncertain.insert(session.worker().service);
+    }
+  }
+}
+
+void Scheduler::ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output) {
+  for (auto& [id, session] : this->workers) {
+    const bool is_gone =
+        session.IsLapsed(now) && !session.is_adopted() &&
+        now - session.last_answer > this->settings.forget_after;
+    if (is_gone) {
+      // Asked for again only after as long, should the command be lost.
+      session.last_answer = now;
+      output.commands.emplace_back(jobs::ForgetWorker{id});
+    }
+  }
+}
+
+void Scheduler::StopUnwanted(SteadyTime now, SchedulerOutput& output) {
+  for (auto& [id, session] : this->workers) {
+    std::vector<std::pair<jobs::TaskId, RunNumber>> gone;
+    for (auto& [key, run] : session.runs()) {
+      const jobs::Job* job = this->state.FindJob(run.task.step.job);
+      const bool is_wanted = job != nullptr && job->is_active() &&
+                             !job->ProgressOf(run.task).is_done;
+      if (!is_wanted && run.phase != RunPhase::kStopping) {
+        run.phase = RunPhase::kStopping;
+        run.stop_due = now;
+      }
+      if (run.phase == RunPhase::kOrdered &&
+          now - run.ordered_at > kUnconfirmedTime) {
+        run.phase = RunPhase::kStopping;
+        run.stop_due = now;
+      }
+      if (run.phase != RunPhase::kStopping) {
+        continue;
+      }
+      const bool must_be_over =
+          run.stopped_clock &&
+          now - run.stopped_at >
+              this->settings.stop_time + this->settings.lease.margin;
+      if (must_be_over) {
+        gone.push_back(key);
+      } else if (now >= run.stop_due) {
+        this->StopRun(session, run, now, output);
+      }
+    }
+    for (const auto& [task, number] : gone) {
+      this->ReleaseRun(session, task, number, "it was stopped");
+    }
+  }
+}
+
+void Scheduler::StopRun(WorkerSession& session,
+                        Run& run,
+                        SteadyTime now,
+                        SchedulerOutput& output) {
+  run.stop_due = now + this->settings.stop_retry;
+  output.orders.emplace_back(StopOrder{session.worker().id,
+                                       session.worker().address,
+                                       this->epoch, run.task,
+                                       run.number});
+}
+
+void Scheduler::StartDue(SteadyTime now,
+                         WallTime wall_now,
+                         SchedulerOutput& output) {
+  std::vector<std::tuple<std::uint32_t, std::uint64_t, const jobs::Job*>> order;
+  for (const auto& [sequence, job] : this->state.active_jobs()) {
+    const jobs::QueueDeclaration* queue =
+        this->state.declaration().FindQueue(job->queue);
+    order.emplace_back(queue == nullptr ? 0 : queue->priority, sequence, job);
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& left, const auto& right) {
+                     return std::get<0>(left) < std::get<0>(right);
+                   });
+  for (const auto& [priority, sequence, job] : order) {
+    for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences();
+         ++occurrence) {
+      if (job->DueAt(occurrence) > wall_now) {
+        break;
+      }
+      for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
+        const Candidate candidate{job, occurrence, step};
+        if (job->IsStepDone(occurrence, step) ||
+            !job->IsStepReady(occurrence, step)) {
+          continue;
+        }
+        if (job->spec.steps[step].is_gang) {
+          this->StartGang(candidate, now, output);
+        } else {
+          this->StartStep(candidate, now, output);
+        }
+      }
+    }
+  }
+}
+
+bool Scheduler::MayStart(const jobs::Job& job, const jobs::TaskId& task) const {
+  const auto memory = this->tasks.find(task);
+  if (memory != this->tasks.end() &&
+      (memory->second.placed || memory->second.is_ending)) {
+    return false;
+  }
+  // A task of an older job may still run on a worker that has not answered this
+  // leader yet.
+  const bool may_run_unseen = job.sequence < this->first_own_sequence &&
+                              this->IsServiceUncertain(job.service);
+  return !may_run_unseen && !job.ProgressOf(task).is_done;
+}
+
+void Scheduler::StartStep(const Candidate& candidate,
+                          SteadyTime now,
+                          SchedulerOutput& output) {
+  const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
+  for (std::uint32_t index = 0; index < step.count; ++index) {
+    const jobs::TaskId task{
+        {candidate.job->id, candidate.occurrence, candidate.step}, index};
+    if (!this->MayStart(*candidate.job, task)) {
+      continue;
+    }
+    WorkerSession* session = this->ChooseWorker(candidate, task, now);
+    if (session == nullptr) {
+      // Tasks of one step are alike: if one finds no room, none does.
+      break;
+    }
+    this->StartOn(*session, candidate, task,
+                  this->NextRun(*candidate.job, task), now, output);
+  }
+}
+
+// A gang starts whole or not at all, all members with one run number.
+void Scheduler::StartGang(const Candidate& candidate,
+                          SteadyTime now,
+                          SchedulerOutput& output) {
+  const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
+  std::vector<std::pair<jobs::TaskId, WorkerSession*>> places;
+  RunNumber run;
+  for (std::uint32_t index = 0; index < step.count; ++index) {
+    const jobs::TaskId task{
+        {candidate.job->id, candidate.occurrence, candidate.step}, index};
+    if (!this->MayStart(*candidate.job, task)) {
+      break;
+    }
+    WorkerSession* session = this->ChooseWorker(candidate, task, now);
+    if (session == nullptr) {
+      break;
+    }
+    run = std::max(run, this->NextRun(*candidate.job, task));
+    // Holds the room while the others are placed.
+    session->AddRun(
+        Run{.task = task, .need = this->CountedNeed(task), .ordered_at = now});
+    places.emplace_back(task, session);
+  }
+  for (const auto& [task, session] : places) {
+    session->RemoveRun(task, RunNumber());
+  }
+  if (places.size() < step.count) {
+    return;
+  }
+  for (const auto& [task, session] : places) {
+    this->StartOn(*session, candidate, task, run, now, output);
+  }
+}
+
+WorkerSession* Scheduler::ChooseWorker(const Candidate& candidate,
+                                       const jobs::TaskId& task,
+                                       SteadyTime now) {
+  const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
+  const jobs::Resources need = this->CountedNeed(task);
+  const auto memory = this->tasks.find(task);
+  WorkerSession* best = nullptr;
+  std::tuple<bool, bool, std::int64_t> best_rank;
+  for (auto& [id, session] : this->workers) {
+    const jobs::Worker& worker = session.worker();
+    if (worker.service != candidate.job->service || !session.IsUsable(now)) {
+      continue;
+    }
+    if (!step.required_label.empty() &&
+        !worker.has_label(step.required_label)) {
+      continue;
+    }
+    const jobs::Resources room = session.Room();
+    if (!room.Holds(need) ||
+        (step.most_per_worker > 0 &&
+         session.CountOf(task.step) >= step.most_per_worker)) {
+      continue;
+    }
+    const bool has_failed_there = memory != this->tasks.end() &&
+                                  memory->second.failed_on.contains(id);
+    const bool is_far = !step.data_rack.value().empty() &&
+                        !worker.has_label(step.data_rack.value());
+    // The smaller the better: not where it failed, near its data, tight fit.
+    const std::tuple rank(has_failed_there, is_far,
+                          room.millicores - need.millicores);
+    if (best == nullptr || rank < best_rank) {
+      best = &session;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+void Scheduler::StartOn(WorkerSession& session,
+                        const Candidate& candidate,
+                        const jobs::TaskId& task,
+                        RunNumber run,
+                        SteadyTime now,
+                        SchedulerOutput& output) {
+  const WorkerTime lease_end = session.GrantLease(now);
+  session.AddRun(Run{.task = task,
+                     .number = run,
+                     .need = this->CountedNeed(task),
+                     .ordered_at = now,
+                     .start_expires = lease_end});
+  TaskMemory& memory = this->tasks[task];
+  memory.placed = {session.worker().id, run};
+  memory.last_run = run;
+  output.orders.emplace_back(StartOrder{
+      .worker = session.worker().id,
+      .address = session.worker().address,
+      .epoch = this->epoch,
+      .task = task,
+      .run = run,
+      .text = candidate.job->spec.text,
+      .lease_end = lease_end,
+      .checkpoint = memory.checkpoint});
+  this->Note("run-ordered", task, run, session.worker().id, "");
+}
+
+RunNumber Scheduler::NextRun(const jobs::Job& job,
+                             const jobs::TaskId& task) const {
+  const auto memory = this->tasks.find(task);
+  RunNumber last = job.ProgressOf(task).last_ended_run;
+  if (memory != this->tasks.end()) {
+    last = std::max(last, memory->second.last_run);
+  }
+  return std::max(last.Next(), FirstRunOf(this->epoch));
+}
+
+bool Scheduler::IsServiceUncertain(const ServiceName& service) const {
+  return this->uncertain.contains(service);
+}
+
+const jobs::StepSpec* Scheduler::FindStep(const jobs::TaskId& task) const {
+  const jobs::Job* job = this->state.FindJob(task.step.job);
+  return job == nullptr || !job->HasTask(task)
+             ? nullptr
+             : &job->spec.steps[task.step.step];
+}
+
+jobs::Resources Scheduler::CountedNeed(const jobs::TaskId& task) const {
+  const jobs::StepSpec* step = this->FindStep(task);
+  if (step == nullptr) {
+    return {};
+  }
+  jobs::Resources need = step->need;
+  if (step->is_filler) {
+    need.millicores = 0;
+  }
+  return need;
+}
+
+bool Scheduler::HasBegun(const jobs::Job& job) const {
+  return !job.occurrences.empty() || this->begun.contains(job.id);
+}
+
+std::uint64_t Scheduler::CountPending(const QueueName& queue) const {
+  std::uint64_t pending = 0;
+  for (const auto& [sequence, job] : this->state.active_jobs()) {
+    pending += static_cast<std::uint64_t>(job->queue == queue &&
+                                          !this->HasBegun(*job));
+  }
+  return pending;
+}
+
+void Scheduler::Note(std::string what,
+                     const jobs::TaskId& task,
+                     RunNumber run,
+                     const WorkerId& worker,
+                     std::string reason) {
+  this->events.push_back(SchedulerEvent{std::move(what), task.ToText(),
+                                        run.value(), worker.value(),
+                                        std::move(reason)});
+}
+
+}  // namespace sumac::scheduler
--- /dev/null
+++ b/libraries/scheduler/scheduler.h
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_SCHEDULER_SCHEDULER_H_
+#define LIBRARIES_SCHEDULER_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/jobs/commands.h"
+#include "libraries/jobs/jobs_state.h"
+#include "libraries/jobs/task_id.h"
+#include "libraries/scheduler/worker_messages.h"
+#include "libraries/scheduler/worker_session.h"
+
+namespace sumac::scheduler {
+
+struct SchedulerSettings {
+  LeaseSettings lease;
+  // How long a worker takes at most to stop a run.
+  Milliseconds stop_time{400};
+  // Before a stop that had no effect yet is sent again.
+  Milliseconds stop_retry{700};
+  // A worker that said it is full gets no starts for this long.
+  Milliseconds full_pause{200};
+  // A worker that leaves keeps its runs only if they end within this.
+  Milliseconds drain_time{2'000};
+  // A worker that has been silent for this long after its lease is forgotten.
+  Milliseconds forget_after{10'000};
+};
+
+using Order = std::variant<StartOrder, StopOrder, PaceOrder>;
+
+// One thing that the scheduler decided or noticed, for the log.
+struct SchedulerEvent {
+  std::string what;
+  std::string task;
+  std::uint64_t run = 0;
+  std::string worker;
+  std::string reason;
+};
+
+// What a call of the scheduler leads to. Orders go out in this order, each only
+// while the leader holds its lease.
+struct SchedulerOutput {
+  std::vector<Order> orders;
+  // Commands to commit.
+  std::vector<jobs::Command> commands;
+  std::vector<SchedulerEvent> events;
+};
+
+// Ends that a worker reported and that must be on record before the worker is
+// told so.
+struct EndsToRecord {
+  std::vector<jobs::RunEnd> ends;
+  std::uint64_t up_to = 0;
+};
+
+// Decides, for the leader, which task runs on which worker: it adopts what runs
+// already, starts what is due, stops what must go, and starts again what ended
+// too early. It holds what the leader believes about workers; all that must
+// last is in the jobs state. Pure: time comes in as an argument, and what is to
+// be done comes out.
+class Scheduler {
+ public:
+  // Begins a leadership at `now`. Tasks of jobs that are active now may run
+  // somewhere already.
+  Scheduler(const jobs::JobsState& state,
+            SchedulerSettings settings,
+            SteadyTime now);
+
+  // Takes in that the workers of the state changed; gives those that are new.
+  std::vector<WorkerId> SyncWorkers(SteadyTime now);
+
+  // The next renewal for a worker, or nothing if the worker is not known any
+  // more.
+  std::optional<RenewOrder> NextRenewal(const WorkerId& worker, SteadyTime now);
+  // Takes in the answer to a renewal and gives the ends that must be recorded.
+  EndsToRecord TakeReport(const WorkerId& worker,
+                          const RenewReport& report,
+                          SteadyTime now);
+  // Takes in that a renewal failed.
+  void TakeRenewalFailure(const WorkerId& worker,
+                          OrderResult result,
+                          SteadyTime now);
+  // Takes in that a worker's ends up to this number are on record.
+  void NoteRecorded(const WorkerId& worker, const EndsToRecord& recorded);
+
+  // Takes in what became of an order.
+  void TakeAnswer(const Order& order,
+                  const OrderAnswer& answer,
+                  SteadyTime now);
+
+  // Takes in that a worker's life is over.
+  void EndWorker(const WorkerId& worker, const std::string& reason);
+
+  // Decides what is to be done now.
+  SchedulerOutput Plan(SteadyTime now, WallTime wall_now);
+
+  // True if something came in since the last Plan that it should look at.
+  bool is_dirty() const { return this->needs_plan; }
+  // Makes Plan look at the jobs anew, after a commit.
+  void Wake() { this->needs_plan = true; }
+
+  // True if a task of the job has begun, as far as this leader knows.
+  bool HasBegun(const jobs::Job& job) const;
+  // How many accepted jobs of a queue have not begun.
+  std::uint64_t CountPending(const QueueName& queue) const;
+
+  const std::map<WorkerId, WorkerSession>& sessions() const {
+    return this->workers;
+  }
+
+ private:
+  // Where a task runs, or what is known of its earlier runs.
+  struct TaskMemory {
+    // Set while a run of the task may exist.
+    std::optional<std::pair<WorkerId, RunNumber>> placed;
+    // A run ended done or failed, and its record is not committed yet.
+    bool is_ending = false;
+    RunNumber last_run;
+    std::string checkpoint;
+    // Workers on which it failed; others are tried first.
+    std::set<WorkerId> failed_on;
+  };
+
+  struct Candidate {
+    const jobs::Job* job = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+  };
+
+  using Sessions = std::map<WorkerId, WorkerSession>;
+
+  void TakeRunning(WorkerSession& session,
+                   const RenewReport& report,
+                   bool is_adopting,
+                   SteadyTime now);
+  void TakeMissing(WorkerSession& session,
+                   const RenewReport& report,
+                   SteadyTime now);
+  EndsToRecord TakeEnds(WorkerSession& session, const RenewReport& report);
+  void AdoptRun(WorkerSession& session,
+                const RunningReport& running,
+                const RenewReport& report,
+                bool is_adopting,
+                SteadyTime now);
+  void TakeStartAnswer(const StartOrder& order,
+                       const OrderAnswer& answer,
+                       SteadyTime now);
+  void TakeStopAnswer(const StopOrder& order,
+                      const OrderAnswer& answer,
+                      SteadyTime now);
+  void ReleaseRun(WorkerSession& session,
+                  const jobs::TaskId& task,
+                  RunNumber run,
+                  const std::string& reason);
+  void ReleaseAll(WorkerSession& session, const std::string& reason);
+  void LapseSilentWorkers(SteadyTime now);
+  void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
+  void StopUnwanted(SteadyTime now, SchedulerOutput& output);
+  void StopRun(WorkerSession& session,
+               Run& run,
+               SteadyTime now,
+               SchedulerOutput& output);
+  void StartDue(SteadyTime now, WallTime wall_now, SchedulerOutput& output);
+  void StartStep(const Candidate& candidate,
+                 SteadyTime now,
+                 SchedulerOutput& output);
+  void StartGang(const Candidate& candidate,
+                 SteadyTime now,
+                 SchedulerOutput& output);
+  bool MayStart(const jobs::Job& job, const jobs::TaskId& task) const;
+  WorkerSession* ChooseWorker(const Candidate& candidate,
+                              const jobs::TaskId& task,
+                              SteadyTime now);
+  void StartOn(WorkerSession& session,
+               const Candidate& candidate,
+               const jobs::TaskId& task,
+               RunNumber run,
+               SteadyTime now,
+               SchedulerOutput& output);
+  RunNumber NextRun(const jobs::Job& job, const jobs::TaskId& task) const;
+  bool IsServiceUncertain(const ServiceName& service) const;
+  const jobs::StepSpec* FindStep(const jobs::TaskId& task) const;
+  jobs::Resources CountedNeed(const jobs::TaskId& task) const;
+  void Note(std::string what,
+            const jobs::TaskId& task,
+            RunNumber run,
+            const WorkerId& worker,
+            std::string reason);
+
+  const jobs::JobsState& state;
+  SchedulerSettings settings;
+  // Of this leadership, also once a later one is on record.
+  LeaderEpoch epoch;
+  // Jobs numbered from here on were accepted under this leader: nothing of them
+  // ran before.
+  std::uint64_t first_own_sequence;
+  Sessions workers;
+  std::map<jobs::TaskId, TaskMemory> tasks;
+  std::set<JobId> begun;
+  // Services of which some worker has not told yet what runs there.
+  std::set<ServiceName> uncertain;
+  bool needs_plan = true;
+  std::vector<SchedulerEvent> events;
+};
+
+}  // namespace sumac::scheduler
+
+#endif  // LIBRARIES_SCHEDULER_SCHEDULER_H_
--- /dev/null
+++ b/libraries/scheduler/worker_calls.h
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_SCHEDULER_WORKER_CALLS_H_
+#define LIBRARIES_SCHEDULER_WORKER_CALLS_H_
+
+#include <kj/async.h>
+
+#include <functional>
+
+#include "libraries/base/names.h"
+#include "libraries/scheduler/scheduler.h"
+#include "libraries/scheduler/worker_messages.h"
+
+namespace sumac::scheduler {
+
+// The answer to a renewal: a report, or why there is none.
+struct RenewAnswer {
+  OrderResult result = OrderResult::kUnknown;
+  RenewReport report;
+};
+
+// How a leader reaches workers; an adapter provides it.
+struct WorkerCalls {
+  std::function<kj::Promise<RenewAnswer>(RenewOrder)> renew;
+  std::function<kj::Promise<OrderAnswer>(Order)> send;
+  // The worker's life is over.
+  std::function<void(const WorkerId&)> forget;
+};
+
+}  // namespace sumac::scheduler
+
+#endif  // LIBRARIES_SCHEDULER_WORKER_CALLS_H_
--- /dev/null
+++ b/libraries/scheduler/worker_session.cc
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/worker_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sumac::scheduler {
+namespace {
+
+constexpr std::int64_t kPermille = 1'000;
+// A worker that nobody listens for is taken for dead only when this many tries
+// in a row were refused.
+constexpr int kRefusalsOfTheDead = 2;
+
+}  // namespace
+
+WorkerSession::WorkerSession(const jobs::Worker& worker,
+                             LeaseSettings settings,
+                             SteadyTime now)
+    : last_answer(now), description(worker), settings(settings) {
+  // Whatever an earlier leader granted ends within one lease from now.
+  const Milliseconds stretched = settings.length * kPermille /
+                                 (kPermille - settings.slow_clock_permille);
+  this->bound = now + stretched + settings.margin;
+}
+
+RenewOrder WorkerSession::NextRenewal(LeaderEpoch epoch, SteadyTime now) {
+  RenewOrder order{.worker = this->description.id,
+                   .address = this->description.address,
+                   .epoch = epoch,
+                   .acknowledged_ends = this->acknowledged_ends};
+  // The first one only raises the fence and learns the clock.
+  if (this->clock && this->has_answered) {
+    order.lease_end = this->GrantLease(now);
+    order.wait = this->settings.renewal_wait;
+  }
+  return order;
+}
+
+WorkerTime WorkerSession::GrantLease(SteadyTime now) {
+  const auto [reading, read_at] = *this->clock;
+  const std::int64_t passed = (now - read_at).count() *
+                              (kPermille - this->settings.slow_clock_permille) /
+                              kPermille;
+  const WorkerTime lease_end(reading.value() + passed +
+                             this->settings.length.count());
+  // The worker's clock was at `reading` at `read_at` at the latest, and may run
+  // slow from then on.
+  const Milliseconds longest((lease_end.value() - reading.value()) * kPermille /
+                             (kPermille - this->settings.slow_clock_permille));
+  this->bound =
+      std::max(this->bound, read_at + longest + this->settings.margin);
+  return lease_end;
+}
+
+void WorkerSession::NoteClock(WorkerTime reading, SteadyTime now) {
+  if (!this->clock || reading >= this->clock->first) {
+    this->clock = {reading, now};
+  }
+}
+
+void WorkerSession::NoteAnswer(SteadyTime now) {
+  this->has_answered = true;
+  this->refusals = 0;
+  this->failures = 0;
+  this->last_answer = now;
+}
+
+void WorkerSession::NoteFailure(bool is_refused, SteadyTime /*now*/) {
+  ++this->failures;
+  this->refusals = is_refused ? this->refusals + 1 : 0;
+}
+
+bool WorkerSession::IsLapsed(SteadyTime now) const {
+  return this->refusals >= kRefusalsOfTheDead || now >= this->bound;
+}
+
+bool WorkerSession::IsUsable(SteadyTime now) const {
+  return this->has_answered && this->failures == 0 &&
+         !this->description.is_draining && this->clock.has_value() &&
+         now >= this->full_until && !this->IsLapsed(now);
+}
+
+void WorkerSession::Reset() {
+  this->has_answered = false;
+  this->known_runs.clear();
+  this->step_counts.clear();
+  this->used = {};
+}
+
+Run* WorkerSession::FindRun(const jobs::TaskId& task, RunNumber number) {
+  const auto found = this->known_runs.find({task, number});
+  return found == this->known_runs.end() ? nullptr : &found->second;
+}
+
+Run& WorkerSession::AddRun(Run run) {
+  const std::pair key(run.task, run.number);
+  auto [place, is_new] = this->known_runs.try_emplace(key, std::move(run));
+  if (is_new) {
+    this->used.Add(place->second.need);
+    ++this->step_counts[key.first.step];
+  }
+  return place->second;
+}
+
+void WorkerSession::RemoveRun(const jobs::TaskId& task, RunNumber number) {
+  const auto found = this->known_runs.find({task, number});
+  if (found == this->known_runs.end()) {
+    return;
+  }
+  this->used.Subtract(found->second.need);
+  const auto count = this->step_counts.find(task.step);
+  if (--count->second == 0) {
+    this->step_counts.erase(count);
+  }
+  this->known_runs.erase(found);
+}
+
+jobs::Resources WorkerSession::Room() const {
+  jobs::Resources room = this->description.capacity;
+  room.Subtract(this->used);
+  return room;
+}
+
+std::uint32_t WorkerSession::CountOf(const jobs::StepId& step) const {
+  const auto found = this->step_counts.find(step);
+  return found == this->step_counts.end() ? 0 : found->second;
+}
+
+}  // namespace sumac::scheduler
--- /dev/null
+++ b/libraries/scheduler/worker_session.h
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_SCHEDULER_WORKER_SESSION_H_
+#define LIBRARIES_SCHEDULER_WORKER_SESSION_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/jobs/resources.h"
+#include "libraries/jobs/task_id.h"
+#include "libraries/jobs/worker.h"
+#include "libraries/scheduler/worker_messages.h"
+
+namespace sumac::scheduler {
+
+// The leases that a leader gives to workers.
+struct LeaseSettings {
+  // How long a worker may go on without a renewal. It must outlast the loss of
+  // a leader, the next election and its first round of renewals; the platform
+  // bounds it from above.
+  Milliseconds length{6'000};
+  // How long a worker may keep a renewal's answer back. Bounds how late a
+  // silent worker is noticed.
+  Milliseconds renewal_wait{1'000};
+  // Workers' clocks may run slow by this many thousandths.
+  std::int64_t slow_clock_permille = 20;
+  // Added to every bound for timers that fire late.
+  Milliseconds margin{150};
+};
+
+enum class RunPhase {
+  // The start was sent and not answered yet.
+  kOrdered,
+  // The worker said that it runs.
+  kRunning,
+  // It has to go: a stop was or will be sent.
+  kStopping,
+};
+
+// One run as this leader knows it.
+struct Run {
+  jobs::TaskId task;
+  RunNumber number;
+  RunPhase phase = RunPhase::kOrdered;
+  jobs::Resources need;
+  SteadyTime ordered_at{};
+  // The end of the lease that the start carried: a start that is carried out
+  // late does nothing from then on.
+  WorkerTime start_expires;
+  // The worker's clock when it confirmed the start.
+  std::optional<WorkerTime> confirmed_clock;
+  SteadyTime confirmed_at{};
+  std::uint32_t percent = 0;
+  std::int64_t load = 0;
+  // Stopping: when to send the stop (again), and what was answered.
+  SteadyTime stop_due{};
+  std::optional<WorkerTime> stopped_clock;
+  SteadyTime stopped_at{};
+};
+
+// What a leader knows about one life of a worker. Belongs to the scheduler.
+class WorkerSession {
+ public:
+  WorkerSession(const jobs::Worker& worker,
+                LeaseSettings settings,
+                SteadyTime now);
+
+  const jobs::Worker& worker() const { return this->description; }
+  // Takes in a change that the worker announced.
+  void Update(const jobs::Worker& worker) { this->description = worker; }
+
+  // The next renewal; it also extends the bound on what may run there.
+  RenewOrder NextRenewal(LeaderEpoch epoch, SteadyTime now);
+
+  // The lease end that an order sent now may carry, and extends the bound. Only
+  // after the clock is known.
+  WorkerTime GrantLease(SteadyTime now);
+
+  // Takes in the clock of an answer.
+  void NoteClock(WorkerTime clock, SteadyTime now);
+  // Takes in that the worker answered.
+  void NoteAnswer(SteadyTime now);
+  // Takes in that a renewal failed; `is_refused` if nobody listens there.
+  void NoteFailure(bool is_refused, SteadyTime now);
+
+  // True once the worker answered this leader and its lease has not lapsed
+  // since: all that runs there is known.
+  bool is_adopted() const { return this->has_answered; }
+  // True if nothing can run there: nobody listens, or the lease is over.
+  bool IsLapsed(SteadyTime now) const;
+  // Until when something unknown may run there.
+  SteadyTime lease_bound() const { return this->bound; }
+  // True if the worker answers and takes work.
+  bool IsUsable(SteadyTime now) const;
+  bool is_clock_known() const { return this->clock.has_value(); }
+
+  // Forgets all about runs, after everything there has ended; it must answer
+  // again before it is used.
+  void Reset();
+
+  // The runs that this leader knows of there, by task and number.
+  std::map<std::pair<jobs::TaskId, RunNumber>, Run>& runs() {
+    return this->known_runs;
+  }
+  const std::map<std::pair<jobs::TaskId, RunNumber>, Run>& runs() const {
+    return this->known_runs;
+  }
+  Run* FindRun(const jobs::TaskId& task, RunNumber number);
+  Run& AddRun(Run run);
+  void RemoveRun(const jobs::TaskId& task, RunNumber number);
+
+  // What is left for further tasks.
+  jobs::Resources Room() const;
+  // How many tasks of a step run there.
+  std::uint32_t CountOf(const jobs::StepId& step) const;
+
+  std::uint64_t seen_ends = 0;
+  std::uint64_t acknowledged_ends = 0;
+  // No starts before this, after the worker said it had no room.
+  SteadyTime full_until{};
+  SteadyTime last_answer{};
+
+ private:
+  jobs::Worker description;
+  LeaseSettings settings;
+  bool has_answered = false;
+  int refusals = 0;
+  int failures = 0;
+  SteadyTime bound;
+  // The latest reading of the worker's clock and when it came.
+  std::optional<std::pair<WorkerTime, SteadyTime>> clock;
+  std::map<std::pair<jobs::TaskId, RunNumber>, Run> known_runs;
+  std::map<jobs::StepId, std::uint32_t> step_counts;
+  jobs::Resources used;
+};
+
+}  // namespace sumac::scheduler
+
+#endif  // LIBRARIES_SCHEDULER_WORKER_SESSION_H_
--- a/schemas/peer.capnp
+++ b/schemas/peer.capnp
@@ -39,4 +39,7 @@
   # What this entry acts on; hasView is false for a process without the entry role.
   viewState @10 () -> (hasView :Bool, version :UInt64, ageMs :UInt64);
   changeController @11 (action :Text, node :Text) -> (result :PeerResult);
+  # One request about jobs, workers or waves (CBOR, libraries/jobs/requests.h), answered by the
+  # controller that leads; others answer notLeader with the leader's address as message.
+  ask @12 (request :Data) -> (result :PeerResult);
 }
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -24,10 +24,9 @@
 #include "libraries/fleet/view.h"
 #include "libraries/fleet/view_history.h"
 #include "libraries/replication/replica.h"
-#include "libraries/storage/data_folder.h"
-#include "libraries/storage/posix_disk.h"
 #include "services/sumacd/peers.h"
 #include "services/sumacd/platform_teller.h"
+#include "services/sumacd/replica_host.h"
 #include "services/sumacd/settings.h"
 #include "services/sumacd/snapshot_writer.h"
 
@@ -97,26 +96,16 @@
   absl::Status HandOver();
 
   const fleet::FleetState& state() const { return this->machine.state(); }
-  const replication::Replica& replica() const { return *this->replica_core; }
+  const replication::Replica& replica() const { return this->host->replica(); }
   // The process that leads, as far as this one knows.
-  ProcessName KnownLeader() const;
+  ProcessName KnownLeader() const { return this->host->KnownLeader(); }
   // The error kNotLeader with the known leader's name.
-  fleet::Answer NotLeaderAnswer() const;
-  bool is_stalled() const { return this->is_disk_full; }
+  fleet::Answer NotLeaderAnswer() const {
+    return this->host->NotLeaderAnswer();
+  }
+  bool is_stalled() const { return this->host->is_disk_full(); }
 
  private:
-  using Folder = storage::DataFolder<storage::PosixDisk>;
-
-  struct PendingProposal {
-    Term term;
-    kj::Own<kj::PromiseFulfiller<fleet::Answer>> fulfiller;
-  };
-  // A call that brought a message in and takes the replies back.
-  struct WaitingSender {
-    ProcessName process;
-    std::vector<replication::Message> replies;
-    kj::Own<kj::PromiseFulfiller<std::vector<replication::Message>>> fulfiller;
-  };
   struct ViewWaiter {
     std::uint64_t have = 0;
     kj::Own<kj::PromiseFulfiller<void>> fulfiller;
@@ -125,9 +114,7 @@
   Controller(const Settings& settings,
              const fleet::Charts& charts,
              Peers& peers,
-             kj::Timer& timer,
-             std::unique_ptr<storage::PosixDisk> disk,
-             Folder folder);
+             kj::Timer& timer);
 
   void taskFailed(kj::Exception&& exception) override;
 
@@ -135,61 +122,29 @@
   kj::Promise<void> TickLoop();
   void Tick();
   void Lead(SteadyTime now);
-  void SchedulePump();
-  void Pump();
-  bool PumpOnce();
-  bool MaySendBeforeWriting(const replication::Output& output) const;
-  bool Persist(const replication::Output& output);
-  void SendMessages(const std::vector<replication::Message>& messages);
-  void CallReplicate(const ProcessName& process,
-                     const replication::Message& message);
-  void TakeIn(replication::Message message);
-  void AnswerSenders();
-  void ApplyCommitted(const std::vector<replication::Entry>& entries);
-  void ResolveProposal(const replication::Entry& entry, fleet::Answer answer);
-  void FailLostProposals();
+  fleet::Answer Apply(const std::string& payload);
   void LogNewDecisions(std::uint64_t first_number);
   void NotifyViewWaiters();
-  void MaybeSnapshot();
-  void FinishSnapshot(LogIndex index, std::string bytes);
   void ProposeInBackground(fleet::Command command);
-  void MaintainMembership(SteadyTime now);
-  bool IsSilent(const replication::NodeId& node, SteadyTime now) const;
-  bool IsCaughtUp(const replication::NodeId& node, SteadyTime now) const;
-  absl::Status ProposeMembers(const replication::Membership& membership);
-  void AskToJoin(SteadyTime now);
 
   const Settings& settings;
   Peers& peers;
   kj::Timer& timer;
   SystemClock clock;
-  std::unique_ptr<storage::PosixDisk> disk;
-  Folder folder;
   fleet::FleetMachine machine;
-  std::unique_ptr<replication::Replica> replica_core;
+  std::unique_ptr<ReplicaHost> host;
   fleet::SoftState soft;
   std::unique_ptr<PlatformTeller> teller;
   std::unique_ptr<SnapshotWriter> snapshot_writer;
-  bool is_snapshot_under_way = false;
 
   Term leading_term;
   SteadyTime last_plan{};
-  SteadyTime last_join{};
-  std::size_t next_to_ask = 0;
-  bool is_pump_scheduled = false;
-  bool is_disk_full = false;
-  std::optional<replication::Output> unwritten;
   // Commands of the planner that are not yet applied; it plans on only when
   // there are none.
   std::size_t planned_open = 0;
   std::uint64_t last_applied_view = 0;
   fleet::ViewHistory history;
-  std::uint64_t entries_since_snapshot = 0;
-  LogIndex applied_index;
-  std::map<LogIndex, PendingProposal> proposals;
   std::vector<ViewWaiter> view_waiters;
-  std::vector<WaitingSender> waiting_senders;
-  std::map<ProcessName, std::size_t> messages_in_flight;
   kj::TaskSet tasks;
 };
 
--- /dev/null
+++ b/services/sumacd/job_controller.cc
@@ -0,0 +1,520 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/job_controller.h"
+
+#include <utility>
+#include <variant>
+
+#include "libraries/base/error.h"
+#include "libraries/base/text.h"
+#include "libraries/base/try.h"
+#include "libraries/codec/json_reader.h"
+#include "libraries/codec/json_writer.h"
+#include "libraries/log/json_log.h"
+
+namespace sumac::daemon {
+namespace {
+
+constexpr Milliseconds kTickInterval{20};
+// The group's members are looked after this often.
+constexpr Milliseconds kMaintenanceInterval{100};
+// Without news the scheduler looks at its timers this often.
+constexpr Milliseconds kIdlePlanInterval{100};
+// News is gathered for this long before the scheduler looks at it.
+constexpr Milliseconds kPlanPause{4};
+// After a renewal that got no answer, before the next.
+constexpr Milliseconds kRenewalPause{150};
+
+// Where a job is, in a request's path: its queue and its id.
+struct JobAddress {
+  const jobs::QueueDeclaration* queue = nullptr;
+  JobId job;
+};
+
+absl::StatusOr<JobAddress> Resolve(const jobs::JobsDeclaration& declaration,
+                                   const std::string& host,
+                                   const std::string& path) {
+  if (declaration.version() == 0) {
+    return MakeError(ResultCode::kNothingDeclared,
+                     "no declaration is in force yet");
+  }
+  const jobs::QueueDeclaration* queue = declaration.FindByAddress(host, path);
+  if (queue == nullptr) {
+    return MakeError(ResultCode::kUnknownQueue,
+                     StrCat("no queue at ", host, path, " in version ",
+                            declaration.version()));
+  }
+  return JobAddress{queue, JobId(path.substr(queue->path_prefix.size()))};
+}
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<JobController>> JobController::Create(
+    const NodeSettings& settings,
+    Peers& peers,
+    kj::Timer& timer,
+    jobs::DeclarationDecoder decoder,
+    scheduler::WorkerCalls calls) {
+  std::unique_ptr<JobController> controller(new JobController(
+      settings, timer, std::move(decoder), std::move(calls)));
+  JobController* self = controller.get();
+  const ReplicaHostSettings host{.process = settings.process(),
+                                 .data_folder = settings.data_folder,
+                                 .group = settings.group,
+                                 .wanted_voters = settings.wanted_voters()};
+  ReplicaCallbacks callbacks;
+  callbacks.load_snapshot = [self](const std::string& state) {
+    self->have_workers_changed = true;
+    self->has_applied = true;
+    return self->jobs_state.Load(state);
+  };
+  callbacks.apply = [self](const std::string& payload) {
+    return self->Apply(payload);
+  };
+  callbacks.after_pass = [self] { self->AfterPass(); };
+  callbacks.begin_snapshot = [self](LogIndex index) {
+    self->snapshot_writer->Begin(index, self->jobs_state.record());
+  };
+  controller->host =
+      TRY(ReplicaHost::Create(host, peers, timer, std::move(callbacks)));
+  return controller;
+}
+
+JobController::JobController(const NodeSettings& settings,
+                             kj::Timer& timer,
+                             jobs::DeclarationDecoder decoder,
+                             scheduler::WorkerCalls calls)
+    : settings(settings),
+      timer(timer),
+      calls(std::move(calls)),
+      jobs_state(std::move(decoder)),
+      tasks(*this) {
+  const kj::Executor& executor = kj::getCurrentThreadExecutor();
+  this->snapshot_writer = std::make_unique<SnapshotWriter>(
+      [this, &executor](LogIndex index, std::string bytes) {
+        executor.executeSync([this, index, &bytes] {
+          this->host->FinishSnapshot(index, std::move(bytes));
+        });
+      });
+}
+
+kj::Promise<void> JobController::Run() {
+  this->host->SchedulePump();
+  return this->TickLoop();
+}
+
+kj::Promise<void> JobController::TickLoop() {
+  return this->timer.afterDelay(rpc::ToKj(kTickInterval)).then([this]() {
+    this->Tick();
+    return this->TickLoop();
+  });
+}
+
+void JobController::Tick() {
+  const SteadyTime now = this->clock.SteadyNow();
+  this->host->Tick(now);
+  this->FollowLeadership(now);
+  if (this->scheduler && now - this->last_plan >= kIdlePlanInterval) {
+    this->Plan();
+  }
+}
+
+void JobController::FollowLeadership(SteadyTime now) {
+  const bool is_leader =
+      this->host->replica().role() == replication::Role::kLeader;
+  const Term term = this->host->replica().term();
+  if (this->leading_term != Term(0) &&
+      (!is_leader || term != this->leading_term)) {
+    this->EndLeadership();
+  }
+  if (!this->host->MayAct()) {
+    return;
+  }
+  if (this->leading_term == Term(0)) {
+    this->BeginLeadership();
+  }
+  if (now - this->last_maintenance >= kMaintenanceInterval) {
+    this->last_maintenance = now;
+    this->host->MaintainMembership(now);
+  }
+}
+
+// The epoch is committed first: its number is the fencing token of all orders
+// of this leadership.
+void JobController::BeginLeadership() {
+  const Term term = this->host->replica().term();
+  this->leading_term = term;
+  this->tasks.add(
+      this->Propose(jobs::BeginEpoch{})
+          .then([this, term](const fleet::Answer& answer) {
+            if (!answer.is_ok() || this->leading_term != term) {
+              return;
+            }
+            const SteadyTime now = this->clock.SteadyNow();
+            scheduler::SchedulerSettings chosen;
+            chosen.stop_time = this->settings.platform_times.stop_time;
+            chosen.drain_time = this->settings.platform_times.drain_time;
+            chosen.lease.length =
+                std::min(chosen.lease.length,
+                         this->settings.platform_times.longest_lease);
+            this->scheduler.emplace(this->jobs_state, chosen, now);
+            this->have_workers_changed = true;
+            LogEvent(LogLevel::kInfo, "leads",
+                     {{"term", term.value()},
+                      {"epoch", this->jobs_state.epoch().value()},
+                      {"workers", this->jobs_state.workers().size()},
+                      {"jobs", this->jobs_state.active_jobs().size()}});
+            this->AfterPass();
+          }));
+}
+
+void JobController::EndLeadership() {
+  LogEvent(LogLevel::kWarning, "leads-no-more",
+           {{"term", this->leading_term.value()}});
+  this->leading_term = Term(0);
+  this->renewals.clear();
+  this->scheduler.reset();
+  this->waiting_ends.clear();
+  this->is_ends_commit_open = false;
+}
+
+fleet::Answer JobController::Apply(const std::string& payload) {
+  const auto stamped = FromCbor<jobs::StampedCommand>(payload, "log");
+  if (!stamped.ok()) {
+    LogEvent(LogLevel::kError, "log-entry-malformed",
+             {{"error", std::string(stamped.status().message())}});
+    return fleet::Answer::FromStatus(stamped.status());
+  }
+  this->has_applied = true;
+  this->have_workers_changed =
+      this->have_workers_changed ||
+      std::holds_alternative<jobs::RecordWorker>(stamped->command) ||
+      std::holds_alternative<jobs::ForgetWorker>(stamped->command);
+  return this->jobs_state.Apply(*stamped);
+}
+
+void JobController::AfterPass() {
+  if (!this->scheduler) {
+    return;
+  }
+  if (std::exchange(this->have_workers_changed, false)) {
+    this->SyncWorkers();
+  }
+  if (std::exchange(this->has_applied, false)) {
+    this->scheduler->Wake();
+    this->SchedulePlan();
+  }
+}
+
+kj::Promise<fleet::Answer> JobController::Propose(jobs::Command command) {
+  return this->host->Propose(
+      ToCbor(jobs::StampedCommand{this->clock.Now(), std::move(command)}));
+}
+
+void JobController::ProposeInBackground(jobs::Command command) {
+  this->tasks.add(this->Propose(std::move(command)).ignoreResult());
+}
+
+kj::Promise<fleet::Answer> JobController::Ask(const jobs::Request& request) {
+  if (!this->host->MayAct() || !this->scheduler) {
+    return this->host->NotLeaderAnswer();
+  }
+  return std::visit([this](const auto& body) { return this->Serve(body); },
+                    request);
+}
+
+kj::Promise<fleet::Answer> JobController::Serve(
+    const jobs::SubmitAt& request) {
+  const auto address = Resolve(this->jobs_state.declaration(), request.host,
+                               request.path);
+  if (!address.ok()) {
+    return fleet::Answer::FromStatus(address.status());
+  }
+  if (address->job.value().empty()) {
+    return fleet::Answer{.code = ResultCode::kBadRequest,
+                         .message = "the path holds no job id"};
+  }
+  return this->Propose(
+      jobs::SubmitJob{address->job, address->queue->name, request.spec});
+}
+
+kj::Promise<fleet::Answer> JobController::Serve(const jobs::ShowAt& request) {
+  const auto address = Resolve(this->jobs_state.declaration(), request.host,
+                               request.path);
+  if (!address.ok()) {
+    return fleet::Answer::FromStatus(address.status());
+  }
+  if (address->job.value().empty()) {
+    return fleet::Answer{
+        .document = {{"pending", this->scheduler->CountPending(
+                                     address->queue->name)}}};
+  }
+  const jobs::Job* job = this->jobs_state.FindJob(address->job);
+  if (job == nullptr) {
+    return fleet::Answer{.code = ResultCode::kUnknownJob,
+                         .message = "no job with this id is known"};
+  }
+  const std::string_view state = !job->is_active() ? NameOf(job->state)
+                                 : this->scheduler->HasBegun(*job) ? "running"
+                                                                   : "queued";
+  return fleet::Answer{.document = {{"state", state}}};
+}
+
+kj::Promise<fleet::Answer> JobController::Serve(
+    const jobs::CancelAt& request) {
+  const auto address = Resolve(this->jobs_state.declaration(), request.host,
+                               request.path);
+  if (!address.ok()) {
+    return fleet::Answer::FromStatus(address.status());
+  }
+  if (this->jobs_state.FindJob(address->job) == nullptr) {
+    return fleet::Answer{.code = ResultCode::kUnknownJob,
+                         .message = "no job with this id is known"};
+  }
+  return this->Propose(jobs::CancelJob{address->job});
+}
+
+kj::Promise<fleet::Answer> JobController::Serve(const jobs::Commit& request) {
+  const bool is_group_small =
+      this->host->replica().membership().voters.size() <
+      this->settings.wanted_voters();
+  const bool is_first_declaration =
+      std::holds_alternative<jobs::Declare>(request.command) &&
+      this->jobs_state.declaration().version() == 0;
+  if (is_group_small && is_first_declaration) {
+    // NOTE: Until the group has grown to its full size, it could not bear the
+    // losses that it is declared to bear. Nothing else is accepted before the
+    // first declaration.
+    return fleet::Answer{.code = ResultCode::kNothingDeclared,
+                         .message = "the group of controllers still grows"};
+  }
+  return this->Propose(request.command);
+}
+
+kj::Promise<fleet::Answer> JobController::Serve(
+    const jobs::ReadDeclaration& /*request*/) {
+  const jobs::JobsRecord& record = this->jobs_state.record();
+  if (record.declaration_version == 0) {
+    return fleet::Answer{.code = ResultCode::kNothingDeclared,
+                         .message = "no declaration is in force yet"};
+  }
+  return fleet::Answer{.document = {{"version", record.declaration_version},
+                                    {"document", record.declaration_document}}};
+}
+
+kj::Promise<fleet::Answer> JobController::Serve(
+    const jobs::ShowWave& request) {
+  const auto wave = this->jobs_state.waves().find(request.wave);
+  if (wave == this->jobs_state.waves().end()) {
+    return fleet::Answer{.code = ResultCode::kUnknownName,
+                         .message = "no such wave"};
+  }
+  return fleet::Answer{.document = {{"is_done", wave->second.is_done()}}};
+}
+
+// Starts to renew workers that are new and stops it for those that are gone.
+void JobController::SyncWorkers() {
+  this->scheduler->SyncWorkers(this->clock.SteadyNow());
+  for (auto item = this->renewals.begin(); item != this->renewals.end();) {
+    if (this->scheduler->sessions().contains(item->first)) {
+      ++item;
+      continue;
+    }
+    this->calls.forget(item->first);
+    item = this->renewals.erase(item);
+  }
+  for (const auto& [worker, session] : this->scheduler->sessions()) {
+    if (!this->renewals.contains(worker)) {
+      this->renewals.emplace(
+          worker,
+          this->RenewLoop(worker, this->leading_term).eagerlyEvaluate(nullptr));
+    }
+  }
+}
+
+kj::Promise<void> JobController::RenewLoop(WorkerId worker, Term term) {
+  if (!this->scheduler || this->leading_term != term) {
+    return kj::READY_NOW;
+  }
+  if (!this->host->MayAct()) {
+    // Without a lease nothing may be sent; it may come back in a moment.
+    return this->timer.afterDelay(rpc::ToKj(kRenewalPause))
+        .then([this, worker, term] { return this->RenewLoop(worker, term); });
+  }
+  auto order =
+      this->scheduler->NextRenewal(worker, this->clock.SteadyNow());
+  if (!order) {
+    return kj::READY_NOW;
+  }
+  return this->calls.renew(*std::move(order))
+      .then([this, worker, term](const scheduler::RenewAnswer& answer) {
+        return this->TakeRenewal(worker, term, answer);
+      })
+      .then([this, worker, term] { return this->RenewLoop(worker, term); });
+}
+
+kj::Promise<void> JobController::TakeRenewal(
+    const WorkerId& worker,
+    Term term,
+    const scheduler::RenewAnswer& answer) {
+  if (!this->scheduler || this->leading_term != term) {
+    return kj::READY_NOW;
+  }
+  const SteadyTime now = this->clock.SteadyNow();
+  if (answer.result != scheduler::OrderResult::kDone) {
+    this->scheduler->TakeRenewalFailure(worker, answer.result, now);
+    this->SchedulePlan();
+    return this->timer.afterDelay(rpc::ToKj(kRenewalPause));
+  }
+  scheduler::EndsToRecord ends =
+      this->scheduler->TakeReport(worker, answer.report, now);
+  if (this->scheduler->is_dirty()) {
+    this->SchedulePlan();
+  }
+  if (ends.up_to == 0) {
+    return kj::READY_NOW;
+  }
+  return this->RecordEnds(worker, std::move(ends));
+}
+
+// The worker is told that its ends are known only with the next renewal, after
+// they are committed.
+kj::Promise<void> JobController::RecordEnds(const WorkerId& worker,
+                                            scheduler::EndsToRecord ends) {
+  if (ends.ends.empty()) {
+    this->scheduler->NoteRecorded(worker, ends);
+    return kj::READY_NOW;
+  }
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  this->waiting_ends.push_back(
+      WaitingEnds{worker, std::move(ends), kj::mv(paf.fulfiller)});
+  this->ScheduleEnds();
+  return kj::mv(paf.promise);
+}
+
+void JobController::ScheduleEnds() {
+  if (this->are_ends_scheduled || this->is_ends_commit_open ||
+      this->waiting_ends.empty()) {
+    return;
+  }
+  this->are_ends_scheduled = true;
+  this->tasks.add(kj::evalLast([this] {
+    this->are_ends_scheduled = false;
+    this->CommitEnds();
+  }));
+}
+
+// All ends that came while the last commit was under way share the next one.
+void JobController::CommitEnds() {
+  if (!this->scheduler || this->waiting_ends.empty()) {
+    return;
+  }
+  std::vector<WaitingEnds> batch = std::exchange(this->waiting_ends, {});
+  jobs::RecordEnds command;
+  for (const WaitingEnds& waiting : batch) {
+    command.ends.insert(command.ends.end(), waiting.ends.ends.begin(),
+                        waiting.ends.ends.end());
+  }
+  this->is_ends_commit_open = true;
+  const Term term = this->leading_term;
+  this->tasks.add(
+      this->Propose(std::move(command))
+          .then([this, term, batch = std::move(batch)](
+                    const fleet::Answer& answer) mutable {
+            if (!this->scheduler || this->leading_term != term) {
+              return;
+            }
+            this->is_ends_commit_open = false;
+            if (!answer.is_ok()) {
+              // Leadership is in doubt; the same ends are tried again, and
+              // counted once.
+              LogEvent(LogLevel::kWarning, "ends-not-recorded",
+                       {{"code", static_cast<int>(answer.code)}});
+              std::move(batch.begin(), batch.end(),
+                        std::back_inserter(this->waiting_ends));
+              this->tasks.add(
+                  this->timer.afterDelay(rpc::ToKj(kRenewalPause))
+                      .then([this] { this->ScheduleEnds(); }));
+              return;
+            }
+            for (WaitingEnds& waiting : batch) {
+              this->scheduler->NoteRecorded(waiting.worker, waiting.ends);
+              waiting.fulfiller->fulfill();
+            }
+            this->SchedulePlan();
+            this->ScheduleEnds();
+          }));
+}
+
+void JobController::SchedulePlan() {
+  if (this->is_plan_scheduled || !this->scheduler) {
+    return;
+  }
+  this->is_plan_scheduled = true;
+  this->tasks.add(this->timer.afterDelay(rpc::ToKj(kPlanPause)).then([this] {
+    this->is_plan_scheduled = false;
+    if (this->scheduler) {
+      this->Plan();
+    }
+  }));
+}
+
+void JobController::Plan() {
+  if (!this->host->MayAct()) {
+    return;
+  }
+  this->last_plan = this->clock.SteadyNow();
+  scheduler::SchedulerOutput output =
+      this->scheduler->Plan(this->last_plan, this->clock.Now());
+  this->LogEvents(output.events);
+  for (scheduler::Order& order : output.orders) {
+    this->SendOrder(std::move(order));
+  }
+  for (jobs::Command& command : output.commands) {
+    this->ProposeInBackground(std::move(command));
+  }
+}
+
+void JobController::SendOrder(scheduler::Order order) {
+  // NOTE: The lease is checked for each order, right before it leaves: a
+  // process that was frozen must send nothing when it goes on.
+  if (!this->host->MayAct()) {
+    this->scheduler->TakeAnswer(
+        order, {.result = scheduler::OrderResult::kUnreachable},
+        this->clock.SteadyNow());
+    return;
+  }
+  const Term term = this->leading_term;
+  scheduler::Order sent = order;
+  this->tasks.add(
+      this->calls.send(std::move(sent))
+          .then([this, term, order = std::move(order)](
+                    const scheduler::OrderAnswer& answer) {
+            if (!this->scheduler || this->leading_term != term) {
+              return;
+            }
+            this->scheduler->TakeAnswer(order, answer,
+                                        this->clock.SteadyNow());
+            if (this->scheduler->is_dirty()) {
+              this->SchedulePlan();
+            }
+          }));
+}
+
+void JobController::LogEvents(
+    const std::vector<scheduler::SchedulerEvent>& events) const {
+  for (const scheduler::SchedulerEvent& event : events) {
+    LogEvent(LogLevel::kInfo, event.what,
+             {{"task", event.task},
+              {"run", event.run},
+              {"worker", event.worker},
+              {"reason", event.reason},
+              {"epoch", this->jobs_state.epoch().value()}});
+  }
+}
+
+void JobController::taskFailed(kj::Exception&& exception) {
+  LogEvent(LogLevel::kError, "task-failed",
+           {{"error", exception.getDescription().cStr()}});
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/job_controller.h
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_JOB_CONTROLLER_H_
+#define SERVICES_SUMACD_JOB_CONTROLLER_H_
+
+#include <kj/async-io.h>
+#include <kj/async.h>
+#include <kj/timer.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/fleet/answer.h"
+#include "libraries/jobs/jobs_state.h"
+#include "libraries/jobs/requests.h"
+#include "libraries/scheduler/scheduler.h"
+#include "libraries/scheduler/worker_calls.h"
+#include "services/sumacd/node_settings.h"
+#include "services/sumacd/peers.h"
+#include "services/sumacd/replica_host.h"
+#include "services/sumacd/snapshot_writer.h"
+
+namespace sumac::daemon {
+
+// A controller of jobs: a replica of the jobs state and, while it leads, the
+// scheduler above it with its calls to the workers. Belongs to the core's event
+// loop.
+class JobController : private kj::TaskSet::ErrorHandler {
+ public:
+  // Opens the data folder and starts the replica.
+  static absl::StatusOr<std::unique_ptr<JobController>> Create(
+      const NodeSettings& settings,
+      Peers& peers,
+      kj::Timer& timer,
+      jobs::DeclarationDecoder decoder,
+      scheduler::WorkerCalls calls);
+
+  // Runs until the process ends.
+  kj::Promise<void> Run();
+
+  // Answers a request if this controller leads, else kNotLeader.
+  kj::Promise<fleet::Answer> Ask(const jobs::Request& request);
+
+  // Takes in a message of another replica; see ReplicaHost.
+  kj::Promise<std::vector<replication::Message>> Receive(
+      replication::Message message) {
+    return this->host->Receive(std::move(message));
+  }
+  absl::Status Join(const replication::NodeId& node) {
+    return this->host->Join(node);
+  }
+  absl::Status HandOver() { return this->host->HandOver(); }
+  bool is_leading() const { return this->scheduler.has_value(); }
+  const jobs::JobsState& state() const { return this->jobs_state; }
+  const ReplicaHost& replica_host() const { return *this->host; }
+
+ private:
+  // Ends that wait to be committed together.
+  struct WaitingEnds {
+    WorkerId worker;
+    scheduler::EndsToRecord ends;
+    kj::Own<kj::PromiseFulfiller<void>> fulfiller;
+  };
+
+  JobController(const NodeSettings& settings,
+                kj::Timer& timer,
+                jobs::DeclarationDecoder decoder,
+                scheduler::WorkerCalls calls);
+
+  void taskFailed(kj::Exception&& exception) override;
+
+  kj::Promise<void> TickLoop();
+  void Tick();
+  void FollowLeadership(SteadyTime now);
+  void BeginLeadership();
+  void EndLeadership();
+  fleet::Answer Apply(const std::string& payload);
+  void AfterPass();
+  kj::Promise<fleet::Answer> Propose(jobs::Command command);
+  void ProposeInBackground(jobs::Command command);
+
+  kj::Promise<fleet::Answer> Serve(const jobs::SubmitAt& request);
+  kj::Promise<fleet::Answer> Serve(const jobs::ShowAt& request);
+  kj::Promise<fleet::Answer> Serve(const jobs::CancelAt& request);
+  kj::Promise<fleet::Answer> Serve(const jobs::Commit& request);
+  kj::Promise<fleet::Answer> Serve(const jobs::ReadDeclaration& request);
+  kj::Promise<fleet::Answer> Serve(const jobs::ShowWave& request);
+
+  void SyncWorkers();
+  kj::Promise<void> RenewLoop(WorkerId worker, Term term);
+  kj::Promise<void> TakeRenewal(const WorkerId& worker,
+                                Term term,
+                                const scheduler::RenewAnswer& answer);
+  kj::Promise<void> RecordEnds(const WorkerId& worker,
+                               scheduler::EndsToRecord ends);
+  void ScheduleEnds();
+  void CommitEnds();
+  void SchedulePlan();
+  void Plan();
+  void SendOrder(scheduler::Order order);
+  void LogEvents(const std::vector<scheduler::SchedulerEvent>& events) const;
+
+  const NodeSettings& settings;
+  kj::Timer& timer;
+  SystemClock clock;
+  scheduler::WorkerCalls calls;
+  jobs::JobsState jobs_state;
+  std::unique_ptr<ReplicaHost> host;
+  std::unique_ptr<SnapshotWriter> snapshot_writer;
+
+  // The term that this controller leads in, or began to.
+  Term leading_term;
+  // Present once the epoch of this leadership is committed.
+  std::optional<scheduler::Scheduler> scheduler;
+  std::map<WorkerId, kj::Promise<void>> renewals;
+  SteadyTime last_maintenance{};
+  SteadyTime last_plan{};
+  bool have_workers_changed = false;
+  bool has_applied = false;
+  bool is_plan_scheduled = false;
+  std::vector<WaitingEnds> waiting_ends;
+  bool are_ends_scheduled = false;
+  bool is_ends_commit_open = false;
+  kj::TaskSet tasks;
+};
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_JOB_CONTROLLER_H_
--- /dev/null
+++ b/services/sumacd/jobs_link.h
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_JOBS_LINK_H_
+#define SERVICES_SUMACD_JOBS_LINK_H_
+
+#include <kj/async.h>
+#include <kj/timer.h>
+
+#include <string>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/fleet/answer.h"
+#include "libraries/jobs/requests.h"
+#include "services/sumacd/job_controller.h"
+#include "services/sumacd/leader_search.h"
+#include "services/sumacd/peers.h"
+
+namespace sumac::daemon {
+
+// Brings requests about jobs from any process to whichever controller leads.
+// Belongs to the core's event loop.
+class JobsLink {
+ public:
+  // `local` is this process's controller, or nothing.
+  JobsLink(ProcessName self,
+           Peers& peers,
+           kj::Timer& timer,
+           JobController* local);
+
+  // The leader's answer. When the limit is over, kNoControllerInTime if the
+  // request was certainly not taken, else kSubmissionUnknown.
+  kj::Promise<fleet::Answer> Ask(jobs::Request request, Milliseconds limit);
+
+  // When a leader last answered; the epoch if none did.
+  SteadyTime last_answer() const { return this->answered_at; }
+
+ private:
+  kj::Promise<fleet::Answer> AskAt(const ProcessName& process,
+                                   const jobs::Request& request,
+                                   const std::string& bytes,
+                                   Milliseconds limit);
+
+  ProcessName self;
+  Peers& peers;
+  JobController* local;
+  LeaderSearch search;
+  SystemClock clock;
+  SteadyTime answered_at{};
+};
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_JOBS_LINK_H_
--- a/services/sumacd/leader_link.h
+++ b/services/sumacd/leader_link.h
@@ -16,6 +16,7 @@
 #include "libraries/fleet/commands.h"
 #include "libraries/fleet/soft_state.h"
 #include "services/sumacd/controller.h"
+#include "services/sumacd/leader_search.h"
 #include "services/sumacd/peers.h"
 
 namespace sumac::daemon {
@@ -33,7 +34,8 @@
              kj::Timer& timer,
              Controller* local);
 
-  // Commits a command. kNoLeader or kTimeout when the limit is over.
+  // Commits a command. When the limit is over, kNoLeader if it was certainly
+  // not committed, else kTimeout.
   kj::Promise<fleet::Answer> Propose(fleet::Command command,
                                      Milliseconds limit);
 
@@ -49,16 +51,9 @@
       Milliseconds limit);
 
   // The leader as last heard; empty if unknown.
-  const ProcessName& leader() const { return this->known_leader; }
+  const ProcessName& leader() const { return this->search.leader(); }
 
  private:
-  // One try at one controller.
-  using Attempt = std::function<kj::Promise<fleet::Answer>(const ProcessName&,
-                                                           Milliseconds)>;
-
-  kj::Promise<fleet::Answer> TryUntil(Attempt attempt,
-                                      SteadyTime deadline,
-                                      const std::string& last_error);
   kj::Promise<fleet::Answer> ProposeAt(const ProcessName& process,
                                        const fleet::Command& command,
                                        Milliseconds limit);
@@ -70,15 +65,11 @@
       const ProcessName& process,
       const std::vector<fleet::Announcement>& announcements,
       Milliseconds limit);
-  ProcessName NextController();
 
   const Settings& settings;
   Peers& peers;
-  kj::Timer& timer;
   Controller* local;
-  SystemClock clock;
-  ProcessName known_leader;
-  std::size_t next_controller = 0;
+  LeaderSearch search;
 };
 
 }  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/leader_search.cc
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/leader_search.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libraries/base/text.h"
+
+namespace sumac::daemon {
+namespace {
+
+// One try at one controller takes at most this, so that a silent one does not
+// use up the limit.
+constexpr Milliseconds kLongestAttempt{700};
+// Between two rounds without a leader.
+constexpr Milliseconds kPause{50};
+// Before asking a controller that another one named.
+constexpr Milliseconds kHintPause{1};
+
+bool IsFinal(const fleet::Answer& answer) {
+  return answer.code != ResultCode::kNotLeader &&
+         answer.code != ResultCode::kUnreachable &&
+         answer.code != ResultCode::kTimeout &&
+         answer.code != ResultCode::kNoLeader;
+}
+
+}  // namespace
+
+kj::Promise<fleet::Answer> LeaderSearch::Run(Attempt attempt,
+                                             Milliseconds limit) {
+  return this->TryUntil(std::move(attempt),
+                        Progress{.deadline = this->clock.SteadyNow() + limit});
+}
+
+ProcessName LeaderSearch::NextController() {
+  const auto& controllers = this->peers.controllers();
+  return controllers[this->next_controller++ % controllers.size()];
+}
+
+kj::Promise<fleet::Answer> LeaderSearch::TryUntil(Attempt attempt,
+                                                  Progress progress) {
+  const SteadyTime now = this->clock.SteadyNow();
+  if (now >= progress.deadline) {
+    return fleet::Answer{
+        .code = progress.is_open ? ResultCode::kTimeout : ResultCode::kNoLeader,
+        .message = StrCat(
+            "no controller that leads was reached in time",
+            progress.last_error.empty() ? "" : "; the last said: ",
+            progress.last_error)};
+  }
+  const ProcessName process = this->known_leader.value().empty()
+                                  ? this->NextController()
+                                  : this->known_leader;
+  const Milliseconds left = std::min(progress.deadline - now, kLongestAttempt);
+  kj::Promise<fleet::Answer> answered = attempt(process, left);
+  return answered
+      .catch_([](kj::Exception&& exception) {
+        return fleet::Answer{.code = ResultCode::kUnreachable,
+                             .message = exception.getDescription().cStr()};
+      })
+      .then([this, process, attempt = std::move(attempt),
+             progress = std::move(progress)](
+                fleet::Answer&& answer) mutable -> kj::Promise<fleet::Answer> {
+        this->NoteAnswer(process, answer);
+        if (IsFinal(answer)) {
+          return kj::mv(answer);
+        }
+        progress.is_open = progress.is_open ||
+                           answer.code == ResultCode::kUnreachable ||
+                           answer.code == ResultCode::kTimeout;
+        progress.last_error = answer.message;
+        const bool has_hint = !this->known_leader.value().empty();
+        return this->timer.afterDelay(rpc::ToKj(has_hint ? kHintPause : kPause))
+            .then([this, attempt = std::move(attempt),
+                   progress = std::move(progress)]() mutable {
+              return this->TryUntil(std::move(attempt), std::move(progress));
+            });
+      });
+}
+
+void LeaderSearch::NoteAnswer(const ProcessName& process,
+                              const fleet::Answer& answer) {
+  if (answer.code == ResultCode::kNotLeader) {
+    // The message names the leader; a controller that names itself has no lease
+    // yet.
+    const bool is_hint = answer.message != process.value();
+    this->known_leader = ProcessName(is_hint ? answer.message : "");
+  } else if (IsFinal(answer)) {
+    this->known_leader = process;
+  } else {
+    this->known_leader = ProcessName();
+  }
+}
+
+}  // namespace sumac::daemon
--- a/services/sumacd/main.cc
+++ b/services/sumacd/main.cc
@@ -9,6 +9,8 @@
 #include "libraries/base/error.h"
 #include "libraries/base/version.h"
 #include "services/sumacd/daemon.h"
+#include "services/sumacd/node_daemon.h"
+#include "services/sumacd/node_settings.h"
 #include "services/sumacd/settings.h"
 
 namespace {
@@ -46,13 +48,30 @@
   return exit_code;
 }
 
+// Runs a process that finds the others from seeds.
+int RunNode(const std::string& path, bool is_check) {
+  const auto settings = sumac::daemon::NodeSettings::Load(path);
+  if (!settings.ok()) {
+    return Report(settings.status(), kExitSettings);
+  }
+  if (is_check) {
+    std::cout << "the settings are good\n";
+    return EXIT_SUCCESS;
+  }
+  return Report(sumac::daemon::RunNodeDaemon(*settings, path), EXIT_FAILURE);
+}
+
 int RunProgram(const options::variables_map& arguments) {
   if (!arguments.contains("settings")) {
     std::cerr << "sumacd: --settings FILE is required; see --help\n";
     return kExitUsage;
   }
+  const auto& path = arguments["settings"].as<std::string>();
+  if (sumac::daemon::IsNodeSettingsFile(path)) {
+    return RunNode(path, arguments.contains("check"));
+  }
   const auto settings =
-      sumac::daemon::Settings::Load(arguments["settings"].as<std::string>());
+      sumac::daemon::Settings::Load(path);
   if (!settings.ok()) {
     return Report(settings.status(), kExitSettings);
   }
--- /dev/null
+++ b/services/sumacd/node_daemon.cc
@@ -0,0 +1,382 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/node_daemon.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <kj/async-unix.h>
+#include <signal.h>
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "libraries/base/error.h"
+#include "libraries/base/text.h"
+#include "libraries/base/try.h"
+#include "libraries/codec/json_writer.h"
+#include "libraries/http/async_door.h"
+#include "libraries/log/json_log.h"
+#include "libraries/storage/data_folder.h"
+#include "libraries/storage/posix_disk.h"
+#include "platform/doors.h"
+#include "platform/wire_codec.h"
+#include "platform/worker_client.h"
+#include "services/sumacd/job_controller.h"
+#include "services/sumacd/jobs_link.h"
+#include "services/sumacd/node_peer_service.h"
+#include "services/sumacd/peers.h"
+
+namespace sumac::daemon {
+namespace {
+
+constexpr std::uint64_t kFirstIncarnation = 1;
+// The settings file is looked at this often.
+constexpr Milliseconds kFileCheckInterval{500};
+// An entry that has not reached a leader for this long is not ready.
+constexpr Milliseconds kOutOfTouchTime{3'000};
+// An entry asks for a sign of a leader this often.
+constexpr Milliseconds kProbeInterval{1'000};
+constexpr Milliseconds kProbeLimit{900};
+// The balancer drops an entry that fails two checks, a second apart.
+constexpr Milliseconds kStopNotice{2'300};
+// A hand-over on a planned stop takes at most this.
+constexpr Milliseconds kHandOverWait{600};
+constexpr Milliseconds kHandOverPoll{10};
+// A controller answers what it has in hand within this before it stops.
+constexpr Milliseconds kControllerDrain{1'000};
+// What is left of the time to stop when requests in hand are given up.
+constexpr Milliseconds kStopReserve{500};
+constexpr std::uint64_t kMostCallerBody = 256U << 10;
+constexpr std::uint64_t kMostControlBody = 4U << 20;
+
+replication::NodeId NodeOf(const ProcessName& process,
+                           std::uint64_t incarnation) {
+  return replication::NodeId(StrCat(process.value(), ".", incarnation));
+}
+
+// Makes the data folder of a controller that has none: of a new group at the
+// first start of a seed, else of one that joins under a new name.
+absl::Status FormatNodeFolder(const NodeSettings& settings) {
+  const std::vector<ProcessName> seeds = settings.SeedProcesses();
+  const bool is_seed =
+      std::find(seeds.begin(), seeds.end(), settings.process()) != seeds.end();
+  storage::Identity identity;
+  if (settings.is_first_start && is_seed) {
+    identity.node = NodeOf(settings.process(), kFirstIncarnation);
+    for (const ProcessName& seed : seeds) {
+      identity.first_voters.insert(NodeOf(seed, kFirstIncarnation));
+    }
+  } else {
+    // NOTE: This disk is new or was lost. What the process acknowledged or
+    // voted before is forgotten, so it must not speak under its old name. The
+    // wall clock is later than any start of this process before.
+    const auto incarnation = SystemClock().Now().time_since_epoch().count();
+    identity.node = NodeOf(settings.process(),
+                           static_cast<std::uint64_t>(incarnation));
+  }
+  LogEvent(LogLevel::kWarning, "starts-with-empty-disk",
+           {{"node", identity.node.value()},
+            {"is_first_voter", !identity.first_voters.empty()}});
+  storage::PosixDisk disk;
+  return storage::DataFolder<storage::PosixDisk>::Format(
+      disk, settings.data_folder, identity);
+}
+
+// One running process.
+class NodeDaemon {
+ public:
+  NodeDaemon(NodeSettings initial, std::string path, kj::AsyncIoContext& io)
+      : settings(std::move(initial)),
+        path(std::move(path)),
+        io(io),
+        timer(io.provider->getTimer()),
+        peers(io.provider->getNetwork(),
+              this->timer,
+              this->settings.SeedProcesses()),
+        workers(io.provider->getNetwork(), this->timer) {}
+
+  // Builds all parts; on an error nothing listens any more.
+  absl::Status Start();
+
+  // Runs until the planned stop is over.
+  void Run();
+
+ private:
+  absl::Status StartController();
+  absl::Status StartEntry();
+  absl::Status OpenDoor(std::unique_ptr<http::AsyncDoor>& door,
+                        http::DoorSettings door_settings,
+                        http::AsyncDoor::Handler handler);
+  absl::Status ListenToPeers();
+  platform::AskLeader AskLeader();
+  http::DoorReply ReplyToHealthCheck() const;
+  bool IsReady() const;
+  kj::Promise<void> ProbeLoop();
+  kj::Promise<void> ReloadLoop();
+  kj::Promise<void> SignalLoop();
+  void Reload(const char* cause);
+  void StopController();
+  void StopEntry();
+  void WaitUpTo(kj::Promise<void> done, Milliseconds limit);
+
+  NodeSettings settings;
+  std::string path;
+  kj::AsyncIoContext& io;
+  kj::Timer& timer;
+  SystemClock clock;
+  Peers peers;
+  platform::WorkerClient workers;
+  std::unique_ptr<JobController> controller;
+  std::unique_ptr<JobsLink> link;
+  std::optional<platform::CallerDoor> caller_adapter;
+  std::optional<platform::ControlDoor> control_adapter;
+  std::unique_ptr<http::AsyncDoor> control_door;
+  std::unique_ptr<http::AsyncDoor> caller_door;
+  std::unique_ptr<http::AsyncDoor> health_door;
+  kj::Own<capnp::TwoPartyServer> peer_server;
+  kj::Own<kj::ConnectionReceiver> peer_receiver;
+  bool is_stopping = false;
+  std::int64_t file_changed_at = 0;
+  std::vector<kj::Promise<void>> running;
+};
+
+platform::AskLeader NodeDaemon::AskLeader() {
+  return [this](jobs::Request request, Milliseconds limit) {
+    return this->link->Ask(std::move(request), limit);
+  };
+}
+
+absl::Status NodeDaemon::Start() {
+  if (this->settings.is_controller()) {
+    TRY(this->StartController());
+  } else {
+    TRY(this->StartEntry());
+  }
+  this->running.push_back(this->ReloadLoop().eagerlyEvaluate(nullptr));
+  this->running.push_back(this->SignalLoop().eagerlyEvaluate(nullptr));
+  return absl::OkStatus();
+}
+
+absl::Status NodeDaemon::StartController() {
+  storage::PosixDisk disk;
+  if (!storage::DataFolder<storage::PosixDisk>::HasIdentity(
+          disk, this->settings.data_folder)) {
+    TRY(FormatNodeFolder(this->settings));
+  }
+  this->controller =
+      TRY(JobController::Create(this->settings, this->peers, this->timer,
+                                platform::ReadDeclaration,
+                                this->workers.Calls()));
+  this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
+                                          this->timer, this->controller.get());
+  TRY(this->ListenToPeers());
+  this->running.push_back(this->controller->Run().eagerlyEvaluate(nullptr));
+  this->control_adapter.emplace(this->AskLeader(), this->controller->state());
+  return this->OpenDoor(
+      this->control_door,
+      http::DoorSettings{.address = this->settings.control_door,
+                         .most_body_bytes = kMostControlBody},
+      [this](http::DoorRequest request) {
+        return this->control_adapter->Handle(std::move(request));
+      });
+}
+
+absl::Status NodeDaemon::StartEntry() {
+  this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
+                                          this->timer, nullptr);
+  this->caller_adapter.emplace(this->AskLeader());
+  this->running.push_back(this->ProbeLoop().eagerlyEvaluate(nullptr));
+  TRY(this->OpenDoor(
+      this->caller_door,
+      http::DoorSettings{.address = this->settings.caller_door,
+                         .most_body_bytes = kMostCallerBody,
+                         .headers = platform::CallerDoor::Headers()},
+      [this](http::DoorRequest request) {
+        return this->caller_adapter->Handle(std::move(request));
+      }));
+  return this->OpenDoor(
+      this->health_door,
+      http::DoorSettings{.address = this->settings.health_door},
+      [this](http::DoorRequest /*request*/) -> kj::Promise<http::DoorReply> {
+        return this->ReplyToHealthCheck();
+      });
+}
+
+absl::Status NodeDaemon::OpenDoor(std::unique_ptr<http::AsyncDoor>& door,
+                                  http::DoorSettings door_settings,
+                                  http::AsyncDoor::Handler handler) {
+  const std::string address = door_settings.address;
+  door = std::make_unique<http::AsyncDoor>(
+      this->timer, std::move(door_settings), std::move(handler));
+  try {
+    door->Listen(this->io.provider->getNetwork()).wait(this->io.waitScope);
+    return absl::OkStatus();
+  } catch (const kj::Exception& error) {
+    return MakeError(ResultCode::kSettingsInvalid,
+                     StrCat("can't listen on ", address, ": ",
+                            error.getDescription().cStr()));
+  }
+}
+
+absl::Status NodeDaemon::ListenToPeers() {
+  const std::string address = this->settings.process().value();
+  try {
+    this->peer_receiver = this->io.provider->getNetwork()
+                              .parseAddress(address)
+                              .wait(this->io.waitScope)
+                              ->listen();
+  } catch (const kj::Exception& error) {
+    return MakeError(ResultCode::kSettingsInvalid,
+                     StrCat("can't listen on ", address, ": ",
+                            error.getDescription().cStr()));
+  }
+  this->peer_server = kj::heap<capnp::TwoPartyServer>(
+      kj::heap<NodePeerService>(*this->controller));
+  this->running.push_back(
+      this->peer_server->listen(*this->peer_receiver)
+          .eagerlyEvaluate([](kj::Exception&& error) {
+            LogEvent(LogLevel::kError, "listening-failed",
+                     {{"error", error.getDescription().cStr()}});
+          }));
+  return absl::OkStatus();
+}
+
+bool NodeDaemon::IsReady() const {
+  return !this->is_stopping &&
+         this->clock.SteadyNow() - this->link->last_answer() < kOutOfTouchTime;
+}
+
+http::DoorReply NodeDaemon::ReplyToHealthCheck() const {
+  constexpr std::uint32_t kOk = 200;
+  constexpr std::uint32_t kUnavailable = 503;
+  return http::DoorReply{.status = this->IsReady() ? kOk : kUnavailable};
+}
+
+// Asks for a sign of a leader now and then, so that an entry without traffic
+// knows whether it is of use.
+kj::Promise<void> NodeDaemon::ProbeLoop() {
+  const bool is_fresh =
+      this->clock.SteadyNow() - this->link->last_answer() < kProbeInterval;
+  kj::Promise<void> probed = kj::READY_NOW;
+  if (!is_fresh) {
+    probed =
+        this->link->Ask(jobs::ShowWave{}, kProbeLimit).ignoreResult();
+  }
+  return probed
+      .then([this] { return this->timer.afterDelay(rpc::ToKj(kProbeInterval)); })
+      .then([this] { return this->ProbeLoop(); });
+}
+
+kj::Promise<void> NodeDaemon::ReloadLoop() {
+  struct stat info {};
+  if (::stat(this->path.c_str(), &info) == 0) {
+    constexpr std::int64_t kNanoseconds = 1'000'000'000;
+    const std::int64_t changed_at =
+        info.st_mtim.tv_sec * kNanoseconds + info.st_mtim.tv_nsec;
+    const bool is_first = this->file_changed_at == 0;
+    if (changed_at != std::exchange(this->file_changed_at, changed_at) &&
+        !is_first) {
+      this->Reload("file changed");
+    }
+  }
+  return this->timer.afterDelay(rpc::ToKj(kFileCheckInterval)).then([this] {
+    return this->ReloadLoop();
+  });
+}
+
+kj::Promise<void> NodeDaemon::SignalLoop() {
+  return this->io.unixEventPort.onSignal(SIGHUP).then([this](siginfo_t&&) {
+    this->Reload("SIGHUP");
+    return this->SignalLoop();
+  });
+}
+
+// Only the seeds may change while a process runs.
+void NodeDaemon::Reload(const char* cause) {
+  const absl::StatusOr<NodeSettings> read = NodeSettings::Load(this->path);
+  if (!read.ok()) {
+    LogEvent(LogLevel::kError, "settings-not-reloaded",
+             {{"cause", cause}, {"error", std::string(read.status().message())}});
+    return;
+  }
+  this->settings.seeds = read->seeds;
+  this->peers.SetSeeds(this->settings.SeedProcesses());
+  LogEvent(LogLevel::kInfo, "settings-reloaded",
+           {{"cause", cause}, {"seeds", ToJson(this->settings.seeds)}});
+}
+
+void NodeDaemon::Run() {
+  LogEvent(LogLevel::kInfo, "started",
+           {{"process", this->settings.process().value()},
+            {"role", NameOf(this->settings.role)},
+            {"seeds", ToJson(this->settings.seeds)}});
+  this->io.unixEventPort.onSignal(SIGTERM)
+      .exclusiveJoin(this->io.unixEventPort.onSignal(SIGINT))
+      .ignoreResult()
+      .wait(this->io.waitScope);
+  LogEvent(LogLevel::kInfo, "stopping", nlohmann::json::object());
+  this->is_stopping = true;
+  if (this->settings.is_controller()) {
+    this->StopController();
+  } else {
+    this->StopEntry();
+  }
+  LogEvent(LogLevel::kInfo, "stopped", nlohmann::json::object());
+}
+
+void NodeDaemon::WaitUpTo(kj::Promise<void> done, Milliseconds limit) {
+  done.exclusiveJoin(this->timer.afterDelay(rpc::ToKj(limit)))
+      .wait(this->io.waitScope);
+}
+
+// Leadership goes to another controller first; then what is in hand is
+// answered.
+void NodeDaemon::StopController() {
+  const ReplicaHost& host = this->controller->replica_host();
+  if (host.replica().role() == replication::Role::kLeader &&
+      this->controller->HandOver().ok()) {
+    for (Milliseconds waited{0};
+         waited < kHandOverWait &&
+         host.replica().role() == replication::Role::kLeader;
+         waited += kHandOverPoll) {
+      this->timer.afterDelay(rpc::ToKj(kHandOverPoll))
+          .wait(this->io.waitScope);
+    }
+  }
+  this->WaitUpTo(this->control_door->Drain(), kControllerDrain);
+}
+
+// The balancer hears of it first; clients that stay on open connections are
+// served until the door drains.
+void NodeDaemon::StopEntry() {
+  this->caller_door->CloseAfterAnswers();
+  this->timer.afterDelay(rpc::ToKj(kStopNotice)).wait(this->io.waitScope);
+  const Milliseconds left =
+      this->settings.platform_times.stop_grace - kStopNotice - kStopReserve;
+  this->WaitUpTo(this->caller_door->Drain(), std::max(left, Milliseconds(0)));
+}
+
+}  // namespace
+
+absl::Status RunNodeDaemon(const NodeSettings& settings,
+                           const std::string& path) {
+  StartLogging(ProcessName(settings.label), settings.log.file,
+               ParseLogLevel(settings.log.level));
+  for (const int signal_number : {SIGTERM, SIGINT, SIGHUP}) {
+    kj::UnixEventPort::captureSignal(signal_number);
+  }
+  signal(SIGPIPE, SIG_IGN);
+  kj::AsyncIoContext io = kj::setupAsyncIo();
+  NodeDaemon daemon(settings, path, io);
+  absl::Status status = daemon.Start();
+  if (!status.ok()) {
+    return status;
+  }
+  daemon.Run();
+  return absl::OkStatus();
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/node_daemon.h
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_NODE_DAEMON_H_
+#define SERVICES_SUMACD_NODE_DAEMON_H_
+
+#include <string>
+
+#include "absl/status/status.h"
+#include "services/sumacd/node_settings.h"
+
+namespace sumac::daemon {
+
+// Runs a process that finds the others from seeds, until SIGTERM or SIGINT has
+// ended it in order. `path` is the settings file, which is read again on SIGHUP
+// and when it changes. The error says why the process could not start.
+absl::Status RunNodeDaemon(const NodeSettings& settings,
+                           const std::string& path);
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_NODE_DAEMON_H_
--- /dev/null
+++ b/services/sumacd/node_peer_service.cc
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/node_peer_service.h"
+
+#include "libraries/codec/json_reader.h"
+#include "libraries/rpc/answer_codec.h"
+#include "libraries/wire/replication_codec.h"
+#include "services/sumacd/serve_replicate.h"
+
+namespace sumac::daemon {
+namespace {
+
+fleet::Answer AnswerFrom(const absl::Status& status) {
+  return status.ok() ? fleet::Answer::Success("accepted")
+                     : fleet::Answer::FromStatus(status);
+}
+
+}  // namespace
+
+kj::Promise<void> NodePeerService::replicate(ReplicateContext context) {
+  return ServeReplicate(this->controller, context);
+}
+
+kj::Promise<void> NodePeerService::join(JoinContext context) {
+  const replication::NodeId node(
+      wire::ToString(context.getParams().getNode()));
+  rpc::WriteAnswer(AnswerFrom(this->controller.Join(node)),
+                   context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> NodePeerService::handOver(HandOverContext context) {
+  rpc::WriteAnswer(AnswerFrom(this->controller.HandOver()),
+                   context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
+kj::Promise<void> NodePeerService::ask(AskContext context) {
+  const auto request = FromCbor<jobs::Request>(
+      wire::ToString(context.getParams().getRequest()), "request");
+  if (!request.ok()) {
+    rpc::WriteAnswer(fleet::Answer::FromStatus(request.status()),
+                     context.getResults().initResult());
+    return kj::READY_NOW;
+  }
+  return this->controller.Ask(*request).then(
+      [context](const fleet::Answer& answer) mutable {
+        rpc::WriteAnswer(answer, context.getResults().initResult());
+      });
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/node_settings.h
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_NODE_SETTINGS_H_
+#define SERVICES_SUMACD_NODE_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/codec/describe.h"
+#include "services/sumacd/settings.h"
+
+namespace sumac::daemon {
+
+// Times that the platform promises or asks for.
+struct PlatformTimes {
+  // A worker's lease is at most this long.
+  Milliseconds longest_lease{6'000};
+  // A worker stops a run within this.
+  Milliseconds stop_time{400};
+  // A worker that leaves goes on at least this long.
+  Milliseconds drain_time{2'000};
+  // A process that was told to stop is killed after this.
+  Milliseconds stop_grace{6'000};
+  // Two leaders' orders about one instance keep this apart.
+  Milliseconds instance_lease{3'000};
+  // Maintenance and a move of an instance take this long.
+  Milliseconds maintenance_time{2'000};
+  Milliseconds move_time{1'500};
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("longest_lease_ms", self.longest_lease, Limits{100, 600'000});
+    visitor.Field("stop_time_ms", self.stop_time, Limits{0, 600'000});
+    visitor.Field("drain_time_ms", self.drain_time, Limits{0, 600'000});
+    visitor.Field("stop_grace_ms", self.stop_grace, Limits{100, 600'000});
+    visitor.Field("instance_lease_ms", self.instance_lease, Limits{0, 600'000});
+    visitor.Field("maintenance_time_ms", self.maintenance_time,
+                  Limits{0, 600'000});
+    visitor.Field("move_time_ms", self.move_time, Limits{0, 600'000});
+  }
+};
+
+// The settings of a process that has no list of the others and finds them from
+// seeds. docs/SETTINGS.md describes each key.
+struct NodeSettings {
+  // For logs.
+  std::string label;
+  DataCentre data_centre;
+  ProcessRole role = ProcessRole::kEntry;
+  // This process's own address without a port.
+  std::string ip;
+  // The port at which processes reach each other; the same everywhere.
+  std::uint16_t peer_port = 0;
+  // Addresses of some controllers; their ports are not used.
+  std::vector<std::string> seeds;
+  // True only at the first start of the whole system, on empty disks.
+  bool is_first_start = false;
+  // Controllers that may be lost at once, with their disks.
+  std::uint32_t tolerated_losses = 1;
+  // Controllers only.
+  std::string data_folder;
+  std::string control_door;
+  // Entries only.
+  std::string caller_door;
+  std::string health_door;
+  // The platform's door for instances, as IP:PORT; empty if there is none.
+  std::string instances_door;
+  PlatformTimes platform_times;
+  GroupSettings group;
+  LogSettings log;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Required("label", self.label);
+    visitor.Required("data_centre", self.data_centre);
+    visitor.Required("role", self.role);
+    visitor.Required("ip", self.ip);
+    visitor.Required("peer_port", self.peer_port, Limits{1, 65'535});
+    visitor.Required("seeds", self.seeds);
+    visitor.Field("is_first_start", self.is_first_start);
+    visitor.Field("tolerated_losses", self.tolerated_losses, Limits{0, 100});
+    visitor.Field("data_folder", self.data_folder);
+    visitor.Field("control_door", self.control_door);
+    visitor.Field("caller_door", self.caller_door);
+    visitor.Field("health_door", self.health_door);
+    visitor.Field("instances_door", self.instances_door);
+    visitor.Field("platform_times", self.platform_times);
+    visitor.Field("group", self.group);
+    visitor.Field("log", self.log);
+  }
+
+  bool is_controller() const { return this->role == ProcessRole::kController; }
+  // The name of this process among the others: where they reach it.
+  ProcessName process() const;
+  // The seeds by the same kind of name.
+  std::vector<ProcessName> SeedProcesses() const;
+  // Voters that the group should have.
+  std::size_t wanted_voters() const { return 2 * this->tolerated_losses + 1; }
+
+  // Reads and checks a file. Errors name the file, the key, what was found and
+  // what is allowed.
+  static absl::StatusOr<NodeSettings> Load(const std::string& path);
+};
+
+// True if the file at `path` holds settings of this kind: it names seeds.
+bool IsNodeSettingsFile(const std::string& path);
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_NODE_SETTINGS_H_
--- a/services/sumacd/peer_service.cc
+++ b/services/sumacd/peer_service.cc
@@ -9,6 +9,7 @@
 #include "libraries/rpc/answer_codec.h"
 #include "libraries/wire/replication_codec.h"
 #include "services/sumacd/queries.h"
+#include "services/sumacd/serve_replicate.h"
 
 namespace sumac::daemon {
 namespace {
@@ -28,16 +29,7 @@
   if (this->controller == nullptr) {
     return kj::READY_NOW;
   }
-  return this->controller
-      ->Receive(wire::UnpackMessage(context.getParams().getMessage()))
-      .then(
-          [context](const std::vector<replication::Message>& replies) mutable {
-            auto list = context.getResults().initReplies(replies.size());
-            for (unsigned position = 0; position < replies.size(); ++position) {
-              list.set(position,
-                       wire::ToData(wire::PackMessage(replies[position])));
-            }
-          });
+  return ServeReplicate(*this->controller, context);
 }
 
 kj::Promise<void> PeerService::propose(ProposeContext context) {
--- a/services/sumacd/peers.h
+++ b/services/sumacd/peers.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "libraries/base/names.h"
@@ -20,6 +21,15 @@
 class Peers {
  public:
   Peers(kj::Network& network, kj::Timer& timer, const Settings& settings);
+  // Without a list of processes: a process is named by the address where the
+  // others reach it, and any such name can be found. `seeds` are some of the
+  // controllers.
+  Peers(kj::Network& network, kj::Timer& timer, std::vector<ProcessName> seeds);
+
+  // Takes in that the settings name other seeds now.
+  void SetSeeds(std::vector<ProcessName> seeds) {
+    this->controller_names = std::move(seeds);
+  }
 
   // The connection to a process, or nothing for an unknown name.
   rpc::Channel* Find(const ProcessName& name);
@@ -31,6 +41,10 @@
   }
 
  private:
+  kj::Network& network;
+  kj::Timer& timer;
+  // True if names are addresses.
+  bool is_open = false;
   std::vector<ProcessName> names;
   std::vector<ProcessName> controller_names;
   std::map<ProcessName, std::unique_ptr<rpc::Channel>> channels;
--- /dev/null
+++ b/services/sumacd/replica_host.cc
@@ -0,0 +1,589 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/replica_host.h"
+
+#include <Poco/Random.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iterator>
+#include <utility>
+
+#include "libraries/base/error.h"
+#include "libraries/base/text.h"
+#include "libraries/base/try.h"
+#include "libraries/base/verify.h"
+#include "libraries/codec/json_writer.h"
+#include "libraries/log/json_log.h"
+#include "libraries/replication/membership_plan.h"
+#include "libraries/wire/generated/peer.capnp.h"
+#include "libraries/wire/replication_codec.h"
+
+namespace sumac::daemon {
+namespace {
+
+using replication::ProcessOf;
+
+constexpr Milliseconds kMessageTimeout{1'000};
+// Messages to one process that may be under way; further ones are dropped, as
+// by a slow network.
+constexpr std::size_t kMostMessagesInFlight = 64;
+// A replica that has not answered for this long may be replaced by its
+// process's new one.
+constexpr Milliseconds kSilentControllerTime{3'000};
+// A replica that has not answered for this long is taken for lost, and a spare
+// learner may take its place. Longer than a restart or a short cut.
+constexpr Milliseconds kLostControllerTime{8'000};
+constexpr Milliseconds kJoinInterval{500};
+// A replica that has heard no leader for this long asks to be taken in again:
+// it may have been replaced while it was cut off.
+constexpr Milliseconds kForgottenTime{4'000};
+// A leader whose disk has held one write for this long hands over.
+constexpr Milliseconds kStalledDiskTime{1'000};
+
+replication::ReplicationSettings ToReplicationSettings(
+    const GroupSettings& group) {
+  replication::ReplicationSettings settings;
+  settings.heartbeat_interval = group.heartbeat;
+  settings.election_timeout = group.election_timeout;
+  // Clocks of one data centre drift by far less than a tenth over one election
+  // timeout.
+  settings.clock_drift_margin = group.election_timeout / 10;
+  settings.hand_over_timeout = group.election_timeout;
+  return settings;
+}
+
+// Adds the entries of a later output to one that waits to be written.
+void MergeEntries(replication::Output& waiting, replication::Output& later) {
+  waiting.entries_to_write.insert(
+      waiting.entries_to_write.end(),
+      std::make_move_iterator(later.entries_to_write.begin()),
+      std::make_move_iterator(later.entries_to_write.end()));
+}
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<ReplicaHost>> ReplicaHost::Create(
+    const ReplicaHostSettings& settings,
+    Peers& peers,
+    kj::Timer& timer,
+    ReplicaCallbacks callbacks) {
+  auto disk = std::make_unique<storage::PosixDisk>();
+  Folder folder = TRY(
+      Folder::Open(*disk, settings.data_folder, storage::StorageSettings()));
+  std::unique_ptr<ReplicaHost> host(
+      new ReplicaHost(settings, peers, timer, std::move(callbacks),
+                      std::move(disk), std::move(folder)));
+  replication::StartState start = host->folder.TakeStartState();
+  if (ProcessOf(start.self) != settings.process) {
+    return MakeError(
+        ResultCode::kSettingsInvalid,
+        StrCat(settings.data_folder, ": belongs to ", start.self.value(),
+               ", not to ", settings.process.value()));
+  }
+  if (start.snapshot.meta.index > LogIndex(0)) {
+    TRY(host->callbacks.load_snapshot(start.snapshot.state));
+    host->last_applied = start.snapshot.meta.index;
+  }
+  start.seed = Poco::Random().next();
+  host->replica_core = std::make_unique<replication::Replica>(
+      ToReplicationSettings(settings.group), std::move(start),
+      host->clock.SteadyNow());
+  return host;
+}
+
+ReplicaHost::ReplicaHost(const ReplicaHostSettings& settings,
+                         Peers& peers,
+                         kj::Timer& timer,
+                         ReplicaCallbacks callbacks,
+                         std::unique_ptr<storage::PosixDisk> disk,
+                         Folder folder)
+    : settings(settings),
+      peers(peers),
+      timer(timer),
+      callbacks(std::move(callbacks)),
+      disk(std::move(disk)),
+      folder(std::move(folder)),
+      tasks(*this) {}
+
+void ReplicaHost::Tick(SteadyTime now) {
+  if (this->has_full_disk) {
+    this->StartWrite();
+    return;
+  }
+  this->replica_core->Tick(now);
+  this->AskToJoin(now);
+  const bool is_leader =
+      this->replica_core->role() == replication::Role::kLeader;
+  if (is_leader && this->WriteAge(now) > kStalledDiskTime &&
+      this->replica_core->HandOver(now).ok()) {
+    LogEvent(LogLevel::kWarning, "hands-over-with-stalled-disk",
+             {{"write_ms", this->WriteAge(now).count()}});
+  }
+  this->Pump();
+}
+
+bool ReplicaHost::MayAct() const {
+  return !this->has_full_disk && this->replica_core->is_ready_to_lead() &&
+         this->replica_core->HoldsLease(this->clock.SteadyNow());
+}
+
+Milliseconds ReplicaHost::WriteAge(SteadyTime now) const {
+  return this->is_writing ? now - this->write_began : Milliseconds(0);
+}
+
+kj::Promise<fleet::Answer> ReplicaHost::Propose(std::string payload) {
+  if (!this->MayAct()) {
+    return this->NotLeaderAnswer();
+  }
+  const absl::StatusOr<LogIndex> index = this->replica_core->Propose(
+      std::move(payload), this->clock.SteadyNow());
+  if (!index.ok()) {
+    return fleet::Answer::FromStatus(index.status());
+  }
+  auto paf = kj::newPromiseAndFulfiller<fleet::Answer>();
+  this->proposals[*index] =
+      PendingProposal{this->replica_core->term(), kj::mv(paf.fulfiller)};
+  this->SchedulePump();
+  return kj::mv(paf.promise);
+}
+
+absl::Status ReplicaHost::Join(const replication::NodeId& node) {
+  if (!this->MayAct()) {
+    return MakeError(ResultCode::kNotLeader, this->KnownLeader().value());
+  }
+  if (this->replica_core->membership().is_member(node)) {
+    return absl::OkStatus();
+  }
+  LogEvent(LogLevel::kWarning, "controller-joins", {{"node", node.value()}});
+  return this->ProposeMembers(
+      replication::WithLearner(this->replica_core->membership(), node));
+}
+
+absl::Status ReplicaHost::ChangeMember(const std::string& action,
+                                       const replication::NodeId& node) {
+  if (!this->MayAct()) {
+    return MakeError(ResultCode::kNotLeader, this->KnownLeader().value());
+  }
+  replication::Membership membership = this->replica_core->membership();
+  if (!membership.is_member(node)) {
+    return MakeError(ResultCode::kUnknownName,
+                     StrCat("no controller ", node.value()));
+  }
+  if (action == "add") {
+    if (!this->HealthOf(node, this->clock.SteadyNow()).is_caught_up) {
+      return MakeError(ResultCode::kWrongState,
+                       StrCat(node.value(), " has not caught up yet"));
+    }
+    membership.learners.erase(node);
+    membership.voters.insert(node);
+  } else if (action == "remove" || action == "replace") {
+    const bool has_successor =
+        std::any_of(membership.learners.begin(), membership.learners.end(),
+                    [&](const auto& learner) {
+                      return ProcessOf(learner) == ProcessOf(node);
+                    });
+    if (action == "replace" && !has_successor) {
+      return MakeError(ResultCode::kWrongState,
+                       StrCat(ProcessOf(node).value(),
+                              " has not come back with another disk"));
+    }
+    membership.voters.erase(node);
+    membership.learners.erase(node);
+  } else {
+    return MakeError(ResultCode::kBadArgument,
+                     "the action must be add, remove or replace");
+  }
+  return this->ProposeMembers(membership);
+}
+
+absl::Status ReplicaHost::ProposeMembers(
+    const replication::Membership& membership) {
+  const absl::StatusOr<LogIndex> index = this->replica_core->ProposeMembership(
+      membership, this->clock.SteadyNow());
+  this->SchedulePump();
+  return index.status();
+}
+
+replication::MemberHealth ReplicaHost::HealthOf(const replication::NodeId& node,
+                                                SteadyTime now) const {
+  if (node == this->replica_core->self()) {
+    return {.is_caught_up = true};
+  }
+  const auto& members = this->replica_core->leadership()->members();
+  const auto found = members.find(node);
+  if (found == members.end()) {
+    return {};
+  }
+  const Milliseconds silence = now - found->second.last_answer_at;
+  replication::MemberHealth health;
+  health.is_silent = silence > kSilentControllerTime;
+  health.is_lost = silence > kLostControllerTime;
+  health.is_caught_up =
+      !health.is_silent &&
+      found->second.match_index >= this->replica_core->commit_index();
+  return health;
+}
+
+void ReplicaHost::MaintainMembership(SteadyTime now) {
+  if (!this->replica_core->is_membership_committed()) {
+    return;
+  }
+  std::map<replication::NodeId, replication::MemberHealth> health;
+  const replication::Membership& members = this->replica_core->membership();
+  for (const auto& nodes : {members.voters, members.learners}) {
+    for (const replication::NodeId& node : nodes) {
+      health[node] = this->HealthOf(node, now);
+    }
+  }
+  const auto next = replication::PlanNextMembers(members, health,
+                                                 this->settings.wanted_voters);
+  if (next) {
+    const absl::Status status = this->ProposeMembers(*next);
+    LogEvent(LogLevel::kWarning, "controllers-change",
+             {{"voters", ToJson(next->voters)},
+              {"learners", ToJson(next->learners)},
+              {"status", status.ToString()}});
+  }
+}
+
+// A replica that belongs to no group, or was taken out of it while it was cut
+// off, asks one controller after the other to be taken in.
+void ReplicaHost::AskToJoin(SteadyTime now) {
+  const replication::Replica& replica = *this->replica_core;
+  const bool is_blank = replica.membership().voters.empty();
+  const bool is_forgotten =
+      this->settings.wanted_voters > 0 &&
+      now - replica.last_leader_contact_at() > kForgottenTime &&
+      replica.role() != replication::Role::kLeader;
+  if ((!is_blank && !is_forgotten) || now - this->last_join < kJoinInterval) {
+    return;
+  }
+  this->last_join = now;
+  std::vector<ProcessName> controllers = this->peers.controllers();
+  for (const replication::NodeId& voter : replica.membership().voters) {
+    controllers.push_back(ProcessOf(voter));
+  }
+  const ProcessName& process =
+      controllers[this->next_to_ask++ % controllers.size()];
+  rpc::Channel* channel = this->peers.Find(process);
+  if (process == this->settings.process || channel == nullptr) {
+    return;
+  }
+  auto request = channel->Get<wire::Peer>().joinRequest();
+  request.setNode(replica.self().value());
+  this->tasks.add(channel->Guard(kMessageTimeout, request.send().ignoreResult())
+                      .catch_([](kj::Exception&& /*exception*/) {}));
+}
+
+absl::Status ReplicaHost::HandOver() {
+  absl::Status status = this->replica_core->HandOver(this->clock.SteadyNow());
+  this->SchedulePump();
+  return status;
+}
+
+ProcessName ReplicaHost::KnownLeader() const {
+  const auto& leader = this->replica_core->leader();
+  return leader ? ProcessOf(*leader) : ProcessName();
+}
+
+fleet::Answer ReplicaHost::NotLeaderAnswer() const {
+  return fleet::Answer{.code = ResultCode::kNotLeader,
+                       .message = this->KnownLeader().value()};
+}
+
+kj::Promise<std::vector<replication::Message>> ReplicaHost::Receive(
+    replication::Message message) {
+  if (this->has_full_disk) {
+    return std::vector<replication::Message>();
+  }
+  const ProcessName sender = ProcessOf(message.from);
+  this->TakeIn(std::move(message));
+  auto paf = kj::newPromiseAndFulfiller<std::vector<replication::Message>>();
+  this->waiting_senders.push_back(
+      WaitingSender{sender, {}, kj::mv(paf.fulfiller)});
+  return kj::mv(paf.promise);
+}
+
+void ReplicaHost::TakeIn(replication::Message message) {
+  if (this->has_full_disk) {
+    return;
+  }
+  this->replica_core->Receive(std::move(message), this->clock.SteadyNow());
+  this->SchedulePump();
+}
+
+// Answers the calls that brought messages in since the last pump, with what
+// there is for their senders.
+void ReplicaHost::AnswerSenders() {
+  for (WaitingSender& waiting : std::exchange(this->waiting_senders, {})) {
+    waiting.fulfiller->fulfill(std::move(waiting.replies));
+  }
+}
+
+// Puts the pump after everything else that is due in this turn of the event
+// loop, so that all of a turn's proposals share one write to the disk and one
+// message to each replica.
+void ReplicaHost::SchedulePump() {
+  if (this->is_pump_scheduled) {
+    return;
+  }
+  this->is_pump_scheduled = true;
+  this->tasks.add(kj::evalLast([this] {
+    this->is_pump_scheduled = false;
+    this->Pump();
+  }));
+}
+
+void ReplicaHost::Pump() {
+  while (this->PumpOnce()) {
+  }
+  // A follower's answers wait until the disk holds what they speak for.
+  const bool is_leader =
+      this->replica_core->role() == replication::Role::kLeader;
+  if (this->unwritten.empty() || is_leader) {
+    this->AnswerSenders();
+  }
+  this->FailLostProposals();
+  this->callbacks.after_pass();
+  this->MaybeSnapshot();
+}
+
+// Takes one output of the replica; false when there is none that may be taken
+// now.
+bool ReplicaHost::PumpOnce() {
+  const bool is_leader =
+      this->replica_core->role() == replication::Role::kLeader;
+  const bool may_take = this->unwritten.empty() || is_leader;
+  if (!may_take || this->has_full_disk || !this->replica_core->has_output()) {
+    return false;
+  }
+  replication::Output output = this->replica_core->TakeOutput();
+  const bool is_ahead = this->MayRunAheadOfDisk(output);
+  if (is_ahead || (this->unwritten.empty() && !output.has_writes())) {
+    this->Deliver(output);
+  }
+  if (!output.has_writes() && (is_ahead || this->unwritten.empty())) {
+    return true;
+  }
+  // The first one is being written, and the second collects what comes
+  // meanwhile.
+  const bool can_merge = is_ahead && this->unwritten.size() > 1 &&
+                         !this->unwritten.back().hard_state;
+  if (can_merge) {
+    MergeEntries(this->unwritten.back(), output);
+  } else {
+    this->unwritten.push_back(std::move(output));
+  }
+  this->StartWrite();
+  return is_ahead;
+}
+
+// A leader's entries and heartbeats may go out while its own disk still writes
+// (Ongaro's thesis, section 10.2.1): it counts its own copy only once it is
+// written. A vote or a new term must be on the disk first, and a follower
+// answers only for what its disk holds.
+bool ReplicaHost::MayRunAheadOfDisk(const replication::Output& output) const {
+  const bool is_queue_plain = std::none_of(
+      this->unwritten.begin(), this->unwritten.end(),
+      [](const replication::Output& waiting) {
+        return waiting.hard_state || waiting.snapshot_to_install;
+      });
+  return this->replica_core->role() == replication::Role::kLeader &&
+         is_queue_plain && !output.hard_state && !output.snapshot_to_install;
+}
+
+void ReplicaHost::StartWrite() {
+  if (this->is_writing || this->unwritten.empty()) {
+    return;
+  }
+  this->is_writing = true;
+  this->write_began = this->clock.SteadyNow();
+  const replication::Output* output = &this->unwritten.front();
+  // NOTE: The front element stays in place and is not changed until the write
+  // is done; a deque keeps it there when others are added behind it.
+  this->tasks.add(
+      this->disk_thread
+          .Run([this, output] { return this->folder.Write(*output); })
+          .then([this](const absl::Status& status) {
+            this->FinishWrite(status);
+          }));
+}
+
+void ReplicaHost::FinishWrite(const absl::Status& status) {
+  this->is_writing = false;
+  if (CodeOf(status) == ResultCode::kDiskFull) {
+    // Nothing was acknowledged and nothing is lost: the same output is written
+    // once there is room.
+    if (!std::exchange(this->has_full_disk, true)) {
+      LogEvent(LogLevel::kError, "disk-full",
+               {{"error", std::string(status.message())}});
+      this->AnswerSenders();
+    }
+    return;
+  }
+  if (!status.ok()) {
+    // NOTE: After a failed write or sync nobody knows what the disk holds.
+    // Whatever this process would say from now on might be forgotten, so it
+    // says nothing more.
+    LogEvent(LogLevel::kError, "storage-failed",
+             {{"error", std::string(status.message())}});
+    std::_Exit(EXIT_FAILURE);
+  }
+  if (std::exchange(this->has_full_disk, false)) {
+    LogEvent(LogLevel::kInfo, "disk-has-room-again", nlohmann::json::object());
+  }
+  replication::Output output = std::move(this->unwritten.front());
+  this->unwritten.pop_front();
+  if (!output.entries_to_write.empty()) {
+    this->replica_core->NoteWritten(output.entries_to_write.back().index,
+                                    this->clock.SteadyNow());
+  }
+  // What was delivered before the write has nothing left to deliver.
+  this->Deliver(output);
+  this->StartWrite();
+  this->Pump();
+}
+
+// Carries out what an output asks for beside its writes, once.
+void ReplicaHost::Deliver(replication::Output& output) {
+  if (output.snapshot_to_install) {
+    VERIFY(
+        this->callbacks.load_snapshot(output.snapshot_to_install->state).ok());
+    this->last_applied = output.snapshot_to_install->meta.index;
+  }
+  this->SendMessages(std::exchange(output.messages, {}));
+  this->ApplyCommitted(std::exchange(output.committed, {}));
+}
+
+void ReplicaHost::SendMessages(std::vector<replication::Message> messages) {
+  for (replication::Message& message : messages) {
+    const ProcessName process = ProcessOf(message.to);
+    const auto waiting = std::find_if(
+        this->waiting_senders.begin(), this->waiting_senders.end(),
+        [&](const WaitingSender& sender) { return sender.process == process; });
+    if (waiting != this->waiting_senders.end()) {
+      waiting->replies.push_back(std::move(message));
+    } else {
+      this->CallReplicate(process, message);
+    }
+  }
+}
+
+void ReplicaHost::CallReplicate(const ProcessName& process,
+                                const replication::Message& message) {
+  rpc::Channel* channel = this->peers.Find(process);
+  std::size_t& in_flight = this->messages_in_flight[process];
+  if (channel == nullptr || in_flight >= kMostMessagesInFlight) {
+    return;
+  }
+  ++in_flight;
+  auto request = channel->Get<wire::Peer>().replicateRequest();
+  request.setMessage(wire::ToData(wire::PackMessage(message)));
+  auto answered = request.send().then([](auto&& response) {
+    std::vector<replication::Message> replies;
+    for (const auto reply : response.getReplies()) {
+      replies.push_back(wire::UnpackMessage(reply));
+    }
+    return replies;
+  });
+  this->tasks.add(
+      channel->Guard(kMessageTimeout, kj::mv(answered))
+          .then(
+              [this, &in_flight](std::vector<replication::Message>&& replies) {
+                --in_flight;
+                for (replication::Message& reply : replies) {
+                  this->TakeIn(std::move(reply));
+                }
+              },
+              [&in_flight](kj::Exception&& /*exception*/) { --in_flight; }));
+}
+
+void ReplicaHost::ApplyCommitted(
+    const std::vector<replication::Entry>& entries) {
+  for (const replication::Entry& entry : entries) {
+    VERIFY(entry.index == this->last_applied.Next());
+    this->last_applied = entry.index;
+    ++this->entries_since_snapshot;
+    if (entry.kind == replication::EntryKind::kCommand) {
+      this->ResolveProposal(entry, this->callbacks.apply(entry.payload));
+    }
+  }
+}
+
+void ReplicaHost::ResolveProposal(const replication::Entry& entry,
+                                  fleet::Answer answer) {
+  const auto found = this->proposals.find(entry.index);
+  if (found == this->proposals.end()) {
+    return;
+  }
+  if (found->second.term == entry.term) {
+    found->second.fulfiller->fulfill(std::move(answer));
+  } else {
+    // Another leader's entry took the place: this command was certainly not
+    // committed.
+    found->second.fulfiller->fulfill(this->NotLeaderAnswer());
+  }
+  this->proposals.erase(found);
+}
+
+// Once this controller no longer leads the proposals' term, nobody here learns
+// how they end.
+void ReplicaHost::FailLostProposals() {
+  for (auto item = this->proposals.begin(); item != this->proposals.end();) {
+    PendingProposal& proposal = item->second;
+    const bool is_ours =
+        this->replica_core->role() == replication::Role::kLeader &&
+        this->replica_core->term() == proposal.term;
+    if (is_ours) {
+      ++item;
+      continue;
+    }
+    proposal.fulfiller->fulfill(fleet::Answer{
+        .code = ResultCode::kTimeout,
+        .message = "leadership was lost before the outcome was known"});
+    item = this->proposals.erase(item);
+  }
+}
+
+void ReplicaHost::MaybeSnapshot() {
+  if (this->entries_since_snapshot < this->settings.group.snapshot_every ||
+      this->is_snapshot_under_way || !this->unwritten.empty()) {
+    // NOTE: With nothing left to write, the disk holds all that is applied, so
+    // the snapshot never runs ahead of the log on the disk.
+    return;
+  }
+  this->entries_since_snapshot = 0;
+  this->is_snapshot_under_way = true;
+  this->callbacks.begin_snapshot(this->last_applied);
+}
+
+void ReplicaHost::FinishSnapshot(LogIndex index, std::string bytes) {
+  this->is_snapshot_under_way = false;
+  if (index <= this->replica_core->snapshot_index()) {
+    // A leader's later snapshot was installed meanwhile.
+    return;
+  }
+  const replication::SnapshotMeta meta =
+      this->replica_core->Compact(index, bytes);
+  this->tasks.add(
+      this->disk_thread
+          .Run([this, snapshot =
+                          replication::Snapshot{meta, std::move(bytes)}] {
+            return this->folder.SaveSnapshot(snapshot);
+          })
+          .then([meta](const absl::Status& status) {
+            LogEvent(
+                status.ok() ? LogLevel::kInfo : LogLevel::kError, "snapshot",
+                {{"index", meta.index.value()}, {"status", status.ToString()}});
+            if (!status.ok() && CodeOf(status) != ResultCode::kDiskFull) {
+              std::_Exit(EXIT_FAILURE);
+            }
+          }));
+}
+
+void ReplicaHost::taskFailed(kj::Exception&& exception) {
+  LogEvent(LogLevel::kError, "task-failed",
+           {{"error", exception.getDescription().cStr()}});
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/serve_replicate.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_SERVE_REPLICATE_H_
+#define SERVICES_SUMACD_SERVE_REPLICATE_H_
+
+#include <kj/async.h>
+
+#include <vector>
+
+#include "libraries/replication/types.h"
+#include "libraries/wire/generated/peer.capnp.h"
+#include "libraries/wire/replication_codec.h"
+
+namespace sumac::daemon {
+
+// Serves one call of Peer.replicate with a controller's Receive.
+template <typename Receiver, typename Context>
+kj::Promise<void> ServeReplicate(Receiver& receiver, Context context) {
+  return receiver
+      .Receive(wire::UnpackMessage(context.getParams().getMessage()))
+      .then(
+          [context](const std::vector<replication::Message>& replies) mutable {
+            auto list = context.getResults().initReplies(replies.size());
+            for (unsigned position = 0; position < replies.size(); ++position) {
+              list.set(position,
+                       wire::ToData(wire::PackMessage(replies[position])));
+            }
+          });
+}
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_SERVE_REPLICATE_H_
--- a/services/sumacd/snapshot_writer.h
+++ b/services/sumacd/snapshot_writer.h
@@ -3,10 +3,12 @@
 #define SERVICES_SUMACD_SNAPSHOT_WRITER_H_
 
 #include <functional>
+#include <string>
 #include <thread>
+#include <utility>
 
 #include "libraries/base/names.h"
-#include "libraries/fleet/fleet_state.h"
+#include "libraries/codec/json_writer.h"
 
 namespace sumac::daemon {
 
@@ -23,9 +25,15 @@
   SnapshotWriter(const SnapshotWriter&) = delete;
   SnapshotWriter& operator=(const SnapshotWriter&) = delete;
 
-  // Begins a snapshot of the state as it was after `index`. Must not be called
-  // before the last one is ready.
-  void Begin(LogIndex index, fleet::FleetRecord record);
+  // Begins a snapshot of the state as it was after `index`; `record` is a copy
+  // of that state. Must not be called before the last one is ready.
+  template <Described Record>
+  void Begin(LogIndex index, Record record) {
+    this->Stop();
+    this->thread = std::thread([this, index, record = std::move(record)] {
+      this->on_ready(index, ToCbor(record));
+    });
+  }
 
   // Waits for a snapshot that is being made.
   void Stop();
--- a/tests/libraries/replication/cluster.cc
+++ b/tests/libraries/replication/cluster.cc
@@ -118,11 +118,15 @@
     if (output.hard_state) {
       node.hard_state = *output.hard_state;
     }
+    const bool has_entries = !output.entries_to_write.empty();
     for (Entry& entry : output.entries_to_write) {
       std::erase_if(node.stored,
                     [&](const Entry& old) { return old.index >= entry.index; });
       node.stored.push_back(std::move(entry));
     }
+    if (has_entries) {
+      node.replica->NoteWritten(node.stored.back().index, this->now);
+    }
     for (Message& message : output.messages) {
       this->network.push_back(std::move(message));
     }
--- a/tests/libraries/replication/replica_test.cc
+++ b/tests/libraries/replication/replica_test.cc
@@ -284,6 +284,29 @@
   acknowledge(1);
   EXPECT_EQ(replica->commit_index(), LogIndex(0));
   acknowledge(2);
+  replica->NoteWritten(LogIndex(2), now);
+  EXPECT_EQ(replica->commit_index(), LogIndex(2));
+}
+
+TEST(ReplicaTest, ALeaderCountsItsOwnCopyOnlyOnceItIsWritten) {
+  const SteadyTime now{Milliseconds(5'000)};
+  const auto replica = MakeLeaderWithOldEntry(now);
+  replica->Receive(Message{NodeId("n1.1"), NodeId("n0.1"), Term(4),
+                           AppendAnswer{true, LogIndex(2), now}},
+                   now);
+  EXPECT_EQ(replica->commit_index(), LogIndex(0));
+  replica->NoteWritten(LogIndex(2), now);
+  EXPECT_EQ(replica->commit_index(), LogIndex(2));
+}
+
+TEST(ReplicaTest, ALeaderWithAStalledDiskCommitsByTheOthers) {
+  const SteadyTime now{Milliseconds(5'000)};
+  const auto replica = MakeLeaderWithOldEntry(now);
+  for (const char* other : {"n1.1", "n2.1"}) {
+    replica->Receive(Message{NodeId(other), NodeId("n0.1"), Term(4),
+                             AppendAnswer{true, LogIndex(2), now}},
+                     now);
+  }
   EXPECT_EQ(replica->commit_index(), LogIndex(2));
 }
 
