--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -39,7 +39,34 @@
                                              Milliseconds limit) {
   auto kept = kj::heap<CallRequest>(std::move(request));
   const CallRequest& sent = *kept;
-  return this->Try(sent, limit, false).attach(kj::mv(kept));
+  return this->AwaitTurn()
+      .then([this, &sent, limit] {
+        return this->Try(sent, limit, false).attach(kj::defer([this] {
+          this->EndTurn();
+        }));
+      })
+      .attach(kj::mv(kept));
+}
+
+kj::Promise<void> AsyncConnection::AwaitTurn() {
+  if (!std::exchange(this->is_busy, true)) {
+    return kj::READY_NOW;
+  }
+  auto paf = kj::newPromiseAndFulfiller<void>();
+  this->waiting.push_back(kj::mv(paf.fulfiller));
+  return kj::mv(paf.promise);
+}
+
+void AsyncConnection::EndTurn() {
+  while (!this->waiting.empty()) {
+    kj::Own<kj::PromiseFulfiller<void>> next = kj::mv(this->waiting.front());
+    this->waiting.pop_front();
+    if (next->isWaiting()) {
+      next->fulfill();
+      return;
+    }
+  }
+  this->is_busy = false;
 }
 
 kj::Promise<CallReply> AsyncConnection::Try(const CallRequest& request,
--- a/libraries/http/async_connection.h
+++ b/libraries/http/async_connection.h
@@ -8,6 +8,7 @@
 #include <kj/timer.h>
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -48,9 +49,10 @@
   bool is_idempotent = false;
 };
 
-// A kept HTTP/1.1 connection to one address on the event loop. Requests go out
-// at once, one behind the other, and answers come in the same order. The
-// connection is opened when first needed and anew after a failure.
+// A kept HTTP/1.1 connection to one address on the event loop. A request goes
+// out once all earlier ones are answered or given up, so they arrive in the
+// order of the calls. The connection is opened when first needed and anew after
+// a failure.
 class AsyncConnection {
  public:
   AsyncConnection(kj::Network& network,
@@ -58,8 +60,8 @@
                   const kj::HttpHeaderTable& headers,
                   std::string address);
 
-  // Sends a request and waits for its answer for up to `limit`, the time to
-  // connect included. The promise never fails.
+  // Sends a request and waits for its answer for up to `limit` from when its
+  // turn came, the time to connect included. The promise never fails.
   kj::Promise<CallReply> Call(CallRequest request, Milliseconds limit);
 
   const std::string& address() const { return this->remote_address; }
@@ -81,6 +83,8 @@
     std::uint64_t generation = 0;
   };
 
+  kj::Promise<void> AwaitTurn();
+  void EndTurn();
   kj::Promise<CallReply> Try(const CallRequest& request,
                              Milliseconds limit,
                              bool is_second);
@@ -97,6 +101,9 @@
   std::uint64_t generation = 0;
   kj::Maybe<kj::Own<Open>> current;
   kj::Maybe<kj::ForkedPromise<kj::Own<Open>>> connecting;
+  // A call is under way; the others wait for their turn.
+  bool is_busy = false;
+  std::deque<kj::Own<kj::PromiseFulfiller<void>>> waiting;
 };
 
 }  // namespace sumac::http
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -171,6 +171,9 @@
   LogEvent(LogLevel::kWarning, "leads-no-more",
            {{"term", this->leading_term.value()}});
   this->leading_term = Term(0);
+  for (const auto& [worker, renewal] : this->renewals) {
+    this->calls.forget(worker);
+  }
   this->renewals.clear();
   this->scheduler.reset();
   this->waiting_ends.clear();
