Maintenance: Carry out waves within their time and budgets

A pure planner spreads a wave over its time, empties instances first (within the tasks' disruption budgets), puts each step on record and then orders it.

--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -58,10 +58,14 @@
 struct ForgetWorker {
   static constexpr std::string_view kTypeName = "forget-worker";
   WorkerId worker;
+  // The life is known to be over, so that an announcement of it that comes late
+  // changes nothing. A worker that was only silent for long may come back.
+  bool is_over = false;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("worker", self.worker);
+    visitor.Field("is_over", self.is_over);
   }
 };
 
@@ -153,12 +157,15 @@
   WaveId wave;
   InstanceName instance;
   MaintenanceState state = MaintenanceState::kWaiting;
+  // With kOrdered: the worker that runs there and ends with the maintenance.
+  WorkerId worker;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("wave", self.wave);
     visitor.Required("instance", self.instance);
     visitor.Required("state", self.state);
+    visitor.Field("worker", self.worker);
   }
 };
 
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -31,7 +31,7 @@
     : decoder(std::move(decoder)) {}
 
 fleet::Answer JobsState::Apply(const StampedCommand& command) {
-  this->DropOldJobs(command.at);
+  this->DropOldRecords(command.at);
   return std::visit(
       [&](const auto& body) { return this->Take(body, command.at); },
       command.command);
@@ -105,6 +105,9 @@
 }
 
 fleet::Answer JobsState::Take(const RecordWorker& command, WallTime /*at*/) {
+  if (this->own_record.ended_workers.contains(command.worker.id)) {
+    return fleet::Answer::Success("its life is over");
+  }
   Worker& worker = this->own_record.workers[command.worker.id];
   if (command.worker.sequence < worker.sequence) {
     return fleet::Answer::Success("an older announcement changes nothing");
@@ -116,7 +119,10 @@
   return fleet::Answer::Success("recorded");
 }
 
-fleet::Answer JobsState::Take(const ForgetWorker& command, WallTime /*at*/) {
+fleet::Answer JobsState::Take(const ForgetWorker& command, WallTime at) {
+  if (command.is_over) {
+    this->own_record.ended_workers.emplace(command.worker, at);
+  }
   this->own_record.workers.erase(command.worker);
   return fleet::Answer::Success("forgotten");
 }
@@ -229,12 +235,15 @@
   this->finished.emplace(at, job.id);
 }
 
-void JobsState::DropOldJobs(WallTime now) {
+void JobsState::DropOldRecords(WallTime now) {
   while (!this->finished.empty() &&
          this->finished.begin()->first + kKeepFinished < now) {
     this->own_record.jobs.erase(this->finished.begin()->second);
     this->finished.erase(this->finished.begin());
   }
+  std::erase_if(this->own_record.ended_workers, [now](const auto& ended) {
+    return ended.second + kKeepFinished < now;
+  });
 }
 
 fleet::Answer JobsState::Take(const StartWave& command, WallTime at) {
@@ -247,7 +256,7 @@
   wave.ramp = command.ramp;
   wave.most_at_once = std::max(command.most_at_once, 1U);
   for (const InstanceName& instance : command.instances) {
-    wave.instances[instance] = MaintenanceState::kWaiting;
+    wave.instances[instance] = {};
   }
   return fleet::Answer::Success("started");
 }
@@ -260,13 +269,17 @@
     return fleet::Answer{.code = ResultCode::kUnknownName,
                          .message = "no such wave or instance"};
   }
-  MaintenanceState& state = wave->second.instances[command.instance];
+  InstanceMaintenance& maintenance = wave->second.instances[command.instance];
   // An answer that comes late never takes a step back, except that an order
   // that certainly was not carried out may be given again.
-  const bool is_withdrawn = state == MaintenanceState::kOrdered &&
+  const bool is_withdrawn = maintenance.state == MaintenanceState::kOrdered &&
                             command.state == MaintenanceState::kWaiting;
-  if (command.state > state || is_withdrawn) {
-    state = command.state;
+  if (command.state <= maintenance.state && !is_withdrawn) {
+    return fleet::Answer::Success("an older step changes nothing");
+  }
+  maintenance.state = command.state;
+  if (command.state == MaintenanceState::kOrdered) {
+    maintenance.worker = command.worker;
   }
   return fleet::Answer::Success("recorded");
 }
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -35,6 +35,9 @@
   std::uint64_t next_sequence = 1;
   std::map<JobId, Job> jobs;
   std::map<WorkerId, Worker> workers;
+  // Lives that are over, by the time of their end; kept while a late
+  // announcement may still come.
+  std::map<WorkerId, WallTime> ended_workers;
   std::map<WaveId, Wave> waves;
 
   template <typename Self, typename Visitor>
@@ -45,6 +48,7 @@
     visitor.Field("next_sequence", self.next_sequence);
     visitor.Field("jobs", self.jobs);
     visitor.Field("workers", self.workers);
+    visitor.Field("ended_workers", self.ended_workers);
     visitor.Field("waves", self.waves);
   }
 };
@@ -93,7 +97,7 @@
   void CountDone(Job& job, const TaskId& task, WallTime at);
   void Finish(Job& job, JobState state, std::string reason, WallTime at);
   void FollowDeclaration(Job& job) const;
-  void DropOldJobs(WallTime now);
+  void DropOldRecords(WallTime now);
   void Reindex();
 
   DeclarationDecoder decoder;
--- a/libraries/jobs/wave.h
+++ b/libraries/jobs/wave.h
@@ -11,18 +11,31 @@
 
 namespace sumac::jobs {
 
+// How far one instance of a wave is.
+struct InstanceMaintenance {
+  MaintenanceState state = MaintenanceState::kWaiting;
+  // The worker that ended with the maintenance; empty if there was none.
+  WorkerId worker;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("state", self.state);
+    visitor.Field("worker", self.worker);
+  }
+};
+
 // A maintenance wave over some instances.
 struct Wave {
   WaveId id;
   WallTime started_at{};
   Milliseconds ramp{0};
   std::uint32_t most_at_once = 1;
-  std::map<InstanceName, MaintenanceState> instances;
+  std::map<InstanceName, InstanceMaintenance> instances;
 
   // True once every instance has had its maintenance or is gone.
   bool is_done() const {
-    for (const auto& [instance, state] : this->instances) {
-      if (state != MaintenanceState::kOver) {
+    for (const auto& [name, instance] : this->instances) {
+      if (instance.state != MaintenanceState::kOver) {
         return false;
       }
     }
@@ -31,9 +44,10 @@
   // How many instances may be down for this wave now.
   std::uint32_t CountDown() const {
     std::uint32_t down = 0;
-    for (const auto& [instance, state] : this->instances) {
-      down += static_cast<std::uint32_t>(state == MaintenanceState::kOrdered ||
-                                         state == MaintenanceState::kBegun);
+    for (const auto& [name, instance] : this->instances) {
+      const bool is_down = instance.state == MaintenanceState::kOrdered ||
+                           instance.state == MaintenanceState::kBegun;
+      down += static_cast<std::uint32_t>(is_down);
     }
     return down;
   }
--- /dev/null
+++ b/libraries/maintenance/instance_messages.h
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_MAINTENANCE_INSTANCE_MESSAGES_H_
+#define LIBRARIES_MAINTENANCE_INSTANCE_MESSAGES_H_
+
+#include <string>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/jobs/resources.h"
+
+namespace sumac::maintenance {
+
+// What an instance does now, as the platform lists it.
+enum class InstanceState { kUp, kMoving, kInMaintenance, kDown };
+
+// One instance as the platform lists it.
+struct ListedInstance {
+  InstanceName name;
+  // The service whose pool it is in.
+  ServiceName service;
+  InstanceState state = InstanceState::kDown;
+  jobs::Resources capacity;
+  // The worker that runs there; empty if none does.
+  WorkerId worker;
+};
+
+// One page of the platform's list of instances.
+struct InstancePage {
+  std::vector<ListedInstance> instances;
+  // Asks for the next page; empty after the last.
+  std::string next_token;
+};
+
+// Tells the platform to maintain an instance for a wave, or, with `pool` set
+// and `wave` empty, to move it to another pool. Everything that runs there
+// ends.
+struct InstanceOrder {
+  InstanceName instance;
+  WaveId wave;
+  ServiceName pool;
+  // The leader that gives the order, and its fencing token.
+  ProcessName holder;
+  LeaderEpoch epoch;
+};
+
+// What became of an order about an instance.
+enum class InstanceResult {
+  // Done, now or before.
+  kDone,
+  // It is not up, or is leaving.
+  kBusy,
+  // A higher fencing token was used for it.
+  kFenced,
+  // It is not of that wave.
+  kNotOfWave,
+  // There is no such instance, or it can't go to that pool.
+  kUnknownInstance,
+  // The platform takes no more orders now, and did nothing.
+  kRefused,
+  // No answer: it may have been done.
+  kUnknown,
+};
+
+}  // namespace sumac::maintenance
+
+#endif  // LIBRARIES_MAINTENANCE_INSTANCE_MESSAGES_H_
--- /dev/null
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -0,0 +1,231 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/maintenance/maintenance_planner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sumac::maintenance {
+
+using jobs::MaintenanceState;
+
+MaintenancePlanner::MaintenancePlanner(MaintenanceSettings settings,
+                                       ProcessName holder,
+                                       LeaderEpoch epoch,
+                                       SteadyTime now)
+    : settings(settings),
+      holder(std::move(holder)),
+      epoch(epoch),
+      began_at(now) {}
+
+bool MaintenancePlanner::NeedsList(const jobs::JobsState& state) {
+  return std::any_of(
+      state.waves().begin(), state.waves().end(),
+      [](const auto& wave) { return !wave.second.is_done(); });
+}
+
+void MaintenancePlanner::TakeList(std::vector<ListedInstance> instances,
+                                  SteadyTime now) {
+  this->listed.clear();
+  for (ListedInstance& instance : instances) {
+    const InstanceName name = instance.name;
+    this->listed.emplace(name, std::move(instance));
+  }
+  this->listed_at = now;
+}
+
+MaintenanceOutput MaintenancePlanner::Plan(
+    const jobs::JobsState& state,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    WallTime wall_now,
+    SteadyTime now) {
+  MaintenanceOutput output;
+  for (const auto& [id, wave] : state.waves()) {
+    if (!wave.is_done()) {
+      this->PlanWave(wave, facts, wall_now, now, output);
+    }
+  }
+  for (const auto& [name, cordon] : this->cordons) {
+    output.cordoned.insert(name);
+  }
+  return output;
+}
+
+// How many instances should be on their way at once, so that the wave ends
+// somewhat before its time.
+std::uint32_t MaintenancePlanner::WantedAtOnce(const jobs::Wave& wave,
+                                               WallTime wall_now) const {
+  std::int64_t left = 0;
+  for (const auto& [name, instance] : wave.instances) {
+    left += static_cast<std::int64_t>(instance.state != MaintenanceState::kOver);
+  }
+  const Milliseconds each =
+      this->settings.maintenance_time + this->settings.overhead;
+  // A fifth of the ramp is kept as reserve.
+  const Milliseconds time_left =
+      wave.started_at + wave.ramp * 4 / 5 - wall_now;
+  if (time_left <= each) {
+    return wave.most_at_once;
+  }
+  const std::int64_t needed =
+      (left * each.count() + time_left.count() - 1) / time_left.count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      needed + 1, 1, static_cast<std::int64_t>(wave.most_at_once)));
+}
+
+void MaintenancePlanner::PlanWave(
+    const jobs::Wave& wave,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    WallTime wall_now,
+    SteadyTime now,
+    MaintenanceOutput& output) {
+  const bool may_order =
+      !this->has_been_fenced &&
+      now - this->began_at > this->settings.holder_pause;
+  std::uint32_t on_their_way = wave.CountDown();
+  std::vector<std::pair<std::int64_t, InstanceName>> candidates;
+  for (const auto& [name, instance] : wave.instances) {
+    if (instance.state == MaintenanceState::kOrdered && may_order) {
+      this->FollowOrdered(wave, name, now, output);
+    } else if (instance.state == MaintenanceState::kBegun &&
+               this->IsBack(name, instance, facts)) {
+      output.commands.emplace_back(jobs::RecordMaintenance{
+          wave.id, name, MaintenanceState::kOver, {}});
+    } else if (instance.state == MaintenanceState::kWaiting) {
+      const auto known = facts.find(name);
+      const bool is_gone = known == facts.end() && this->listed_at &&
+                           !this->listed.contains(name);
+      if (is_gone) {
+        output.commands.emplace_back(jobs::RecordMaintenance{
+            wave.id, name, MaintenanceState::kOver, {}});
+        this->cordons.erase(name);
+        continue;
+      }
+      if (this->cordons.contains(name)) {
+        ++on_their_way;
+      }
+      // One that carries nothing goes first.
+      const std::int64_t load =
+          known == facts.end() ? 0 : known->second.load_permille;
+      candidates.emplace_back(load, name);
+    }
+  }
+  if (!may_order) {
+    return;
+  }
+  std::sort(candidates.begin(), candidates.end());
+  const std::uint32_t wanted = this->WantedAtOnce(wave, wall_now);
+  for (const auto& [load, name] : candidates) {
+    const auto cordon = this->cordons.find(name);
+    if (cordon == this->cordons.end()) {
+      const auto open = this->open_orders.find(name);
+      const bool is_early =
+          open != this->open_orders.end() && now < open->second.due;
+      if (on_their_way < wanted && !is_early) {
+        ++on_their_way;
+        this->cordons.emplace(name, Cordon{now});
+      }
+      continue;
+    }
+    const auto known = facts.find(name);
+    const bool is_empty =
+        known == facts.end() ||
+        (known->second.budgeted_runs == 0 && known->second.other_runs == 0);
+    const bool has_waited =
+        known != facts.end() && known->second.budgeted_runs == 0 &&
+        now - cordon->second.since > this->settings.longest_wait;
+    if (is_empty || has_waited) {
+      output.commands.emplace_back(jobs::RecordMaintenance{
+          wave.id, name, MaintenanceState::kOrdered,
+          known == facts.end() ? WorkerId() : known->second.worker});
+      // It stays cordoned; the order goes out once the step is on record.
+    }
+  }
+}
+
+// Gives the order, again and again until there is a clear answer.
+void MaintenancePlanner::FollowOrdered(const jobs::Wave& wave,
+                                       const InstanceName& name,
+                                       SteadyTime now,
+                                       MaintenanceOutput& output) {
+  OpenOrder& open = this->open_orders[name];
+  if (open.is_under_way || now < open.due) {
+    return;
+  }
+  open.is_under_way = true;
+  this->cordons.try_emplace(name, Cordon{now});
+  output.orders.push_back(InstanceOrder{.instance = name,
+                                        .wave = wave.id,
+                                        .holder = this->holder,
+                                        .epoch = this->epoch});
+}
+
+// An instance is back once another worker than before runs there, or, where
+// none ran, once the platform lists it as out of its maintenance.
+bool MaintenancePlanner::IsBack(
+    const InstanceName& name,
+    const jobs::InstanceMaintenance& maintenance,
+    const std::map<InstanceName, InstanceFacts>& facts) const {
+  const auto known = facts.find(name);
+  if (known != facts.end() && known->second.worker != maintenance.worker) {
+    return true;
+  }
+  const auto open = this->open_orders.find(name);
+  const bool is_list_newer = this->listed_at &&
+                             (open == this->open_orders.end() ||
+                              *this->listed_at > open->second.due);
+  if (!is_list_newer) {
+    return false;
+  }
+  const auto row = this->listed.find(name);
+  return row == this->listed.end() ||
+         (maintenance.worker.value().empty() &&
+          row->second.state != InstanceState::kInMaintenance);
+}
+
+std::vector<jobs::Command> MaintenancePlanner::TakeResult(
+    const jobs::JobsState& state,
+    const InstanceOrder& order,
+    InstanceResult result,
+    SteadyTime now) {
+  OpenOrder& open = this->open_orders[order.instance];
+  open.is_under_way = false;
+  open.due = now + this->settings.retry;
+  std::vector<jobs::Command> commands;
+  const auto record = [&](MaintenanceState next) {
+    commands.emplace_back(
+        jobs::RecordMaintenance{order.wave, order.instance, next, {}});
+  };
+  switch (result) {
+    case InstanceResult::kDone: {
+      this->cordons.erase(order.instance);
+      record(MaintenanceState::kBegun);
+      const auto wave = state.waves().find(order.wave);
+      if (wave != state.waves().end()) {
+        const WorkerId& ended =
+            wave->second.instances.at(order.instance).worker;
+        if (!ended.value().empty()) {
+          commands.emplace_back(jobs::ForgetWorker{ended, true});
+        }
+      }
+      break;
+    }
+    case InstanceResult::kBusy:
+      this->cordons.erase(order.instance);
+      record(MaintenanceState::kWaiting);
+      break;
+    case InstanceResult::kNotOfWave:
+    case InstanceResult::kUnknownInstance:
+      this->cordons.erase(order.instance);
+      record(MaintenanceState::kOver);
+      break;
+    case InstanceResult::kFenced:
+      this->has_been_fenced = true;
+      break;
+    case InstanceResult::kRefused:
+    case InstanceResult::kUnknown:
+      break;
+  }
+  return commands;
+}
+
+}  // namespace sumac::maintenance
--- /dev/null
+++ b/libraries/maintenance/maintenance_planner.h
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_MAINTENANCE_MAINTENANCE_PLANNER_H_
+#define LIBRARIES_MAINTENANCE_MAINTENANCE_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/jobs/commands.h"
+#include "libraries/jobs/jobs_state.h"
+#include "libraries/maintenance/instance_messages.h"
+
+namespace sumac::maintenance {
+
+struct MaintenanceSettings {
+  // A new leader gives no orders about instances for this long, so that its
+  // orders never take turns with those of the one before.
+  Milliseconds holder_pause{3'000};
+  // How long an instance is down for its maintenance.
+  Milliseconds maintenance_time{2'000};
+  // What it takes beside that to empty an instance and see it back.
+  Milliseconds overhead{2'500};
+  // Runs that did not end by themselves within this are ended with their
+  // instance.
+  Milliseconds longest_wait{6'000};
+  // Before an order that was not answered, or not taken, is given again.
+  Milliseconds retry{400};
+};
+
+// What a leader knows of one instance.
+struct InstanceFacts {
+  // The worker there now.
+  WorkerId worker;
+  ServiceName service;
+  // Long-running tasks whose disruption budget counts, and other runs.
+  std::size_t budgeted_runs = 0;
+  std::size_t other_runs = 0;
+  // The share of its cores that is taken, in thousandths.
+  std::int64_t load_permille = 0;
+};
+
+struct MaintenanceOutput {
+  // Nothing may be started on these any more.
+  std::set<InstanceName> cordoned;
+  std::vector<jobs::Command> commands;
+  std::vector<InstanceOrder> orders;
+};
+
+// Decides, for the leader, which instances of a maintenance wave go next: it
+// spreads a wave over its time, takes instances that carry little first, empties
+// them, has the step on record, and then gives the order. Pure.
+class MaintenancePlanner {
+ public:
+  MaintenancePlanner(MaintenanceSettings settings,
+                     ProcessName holder,
+                     LeaderEpoch epoch,
+                     SteadyTime now);
+
+  MaintenanceOutput Plan(const jobs::JobsState& state,
+                         const std::map<InstanceName, InstanceFacts>& facts,
+                         WallTime wall_now,
+                         SteadyTime now);
+
+  // Takes in a whole list of the platform's instances.
+  void TakeList(std::vector<ListedInstance> instances, SteadyTime now);
+
+  // Takes in what became of an order, and gives what is to be committed.
+  std::vector<jobs::Command> TakeResult(const jobs::JobsState& state,
+                                        const InstanceOrder& order,
+                                        InstanceResult result,
+                                        SteadyTime now);
+
+  // True if a wave is under way, so that a fresh list is of use.
+  static bool NeedsList(const jobs::JobsState& state);
+
+  // True once an order was refused for a higher fencing token: this leader
+  // gives no more.
+  bool is_fenced() const { return this->has_been_fenced; }
+
+ private:
+  struct Cordon {
+    SteadyTime since{};
+  };
+  struct OpenOrder {
+    bool is_under_way = false;
+    SteadyTime due{};
+  };
+
+  void PlanWave(const jobs::Wave& wave,
+                const std::map<InstanceName, InstanceFacts>& facts,
+                WallTime wall_now,
+                SteadyTime now,
+                MaintenanceOutput& output);
+  void FollowOrdered(const jobs::Wave& wave,
+                     const InstanceName& name,
+                     SteadyTime now,
+                     MaintenanceOutput& output);
+  bool IsBack(const InstanceName& name,
+              const jobs::InstanceMaintenance& maintenance,
+              const std::map<InstanceName, InstanceFacts>& facts) const;
+  std::uint32_t WantedAtOnce(const jobs::Wave& wave, WallTime wall_now) const;
+
+  MaintenanceSettings settings;
+  ProcessName holder;
+  LeaderEpoch epoch;
+  SteadyTime began_at;
+  bool has_been_fenced = false;
+  std::map<InstanceName, Cordon> cordons;
+  std::map<InstanceName, OpenOrder> open_orders;
+  std::map<InstanceName, ListedInstance> listed;
+  std::optional<SteadyTime> listed_at;
+};
+
+}  // namespace sumac::maintenance
+
+#endif  // LIBRARIES_MAINTENANCE_MAINTENANCE_PLANNER_H_
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -38,17 +38,20 @@
 
 std::vector<WorkerId> Scheduler::SyncWorkers(SteadyTime now) {
   std::vector<WorkerId> added;
-  std::map<InstanceName, WorkerId> newest;
   for (const auto& [id, worker] : this->state.workers()) {
     const auto found = this->workers.find(id);
     if (found != this->workers.end()) {
       found->second.Update(worker);
       continue;
     }
+    this->NoteSuperseded(worker);
     this->workers.emplace(id,
                           WorkerSession(worker, this->settings.lease, now));
     added.push_back(id);
   }
+  for (const WorkerId& id : this->superseded) {
+    this->EndWorker(id, "another life began on its instance");
+  }
   std::vector<WorkerId> removed;
   for (const auto& [id, session] : this->workers) {
     if (this->state.FindWorker(id) == nullptr) {
@@ -62,6 +65,18 @@
   return added;
 }
 
+// A new life on an instance ends the one before.
+void Scheduler::NoteSuperseded(const jobs::Worker& worker) {
+  if (worker.instance.value().empty()) {
+    return;
+  }
+  for (const auto& [id, session] : this->workers) {
+    if (session.worker().instance == worker.instance) {
+      this->superseded.push_back(id);
+    }
+  }
+}
+
 std::optional<RenewOrder> Scheduler::NextRenewal(const WorkerId& worker,
                                                  SteadyTime now) {
   const auto found = this->workers.find(worker);
@@ -373,6 +388,7 @@
   SchedulerOutput output;
   this->LapseSilentWorkers(now);
   this->ForgetGoneWorkers(now, output);
+  this->EvacuateCordoned(now);
   this->StopUnwanted(now, output);
   this->StartDue(now, wall_now, output);
   output.events = std::exchange(this->events, {});
@@ -394,6 +410,9 @@
 }
 
 void Scheduler::ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output) {
+  for (const WorkerId& id : std::exchange(this->superseded, {})) {
+    output.commands.emplace_back(jobs::ForgetWorker{id, true});
+  }
   for (auto& [id, session] : this->workers) {
     const bool is_gone =
         session.IsLapsed(now) && !session.is_adopted() &&
@@ -401,7 +420,65 @@
     if (is_gone) {
       // Asked for again only after as long, should the command be lost.
       session.last_answer = now;
-      output.commands.emplace_back(jobs::ForgetWorker{id});
+      output.commands.emplace_back(jobs::ForgetWorker{id, false});
+    }
+  }
+}
+
+void Scheduler::SetCordoned(std::set<InstanceName> instances) {
+  if (instances != this->cordoned) {
+    this->cordoned = std::move(instances);
+    this->needs_plan = true;
+  }
+}
+
+bool Scheduler::IsAtWork(const jobs::TaskId& task) const {
+  constexpr std::uint32_t kWholePercent = 100;
+  const auto memory = this->tasks.find(task);
+  if (memory == this->tasks.end() || !memory->second.placed) {
+    return false;
+  }
+  const auto& [worker, number] = *memory->second.placed;
+  const auto session = this->workers.find(worker);
+  if (session == this->workers.end() || !session->second.is_answering()) {
+    return false;
+  }
+  const auto run = session->second.runs().find({task, number});
+  return run != session->second.runs().end() &&
+         run->second.phase == RunPhase::kRunning &&
+         run->second.percent >= kWholePercent;
+}
+
+bool Scheduler::MayTakeAway(const jobs::TaskId& task) const {
+  const jobs::StepSpec* step = this->FindStep(task);
+  if (step == nullptr || !step->has_disruption_budget) {
+    return true;
+  }
+  std::uint32_t away = 0;
+  for (std::uint32_t index = 0; index < step->count; ++index) {
+    const jobs::TaskId other{task.step, index};
+    away += static_cast<std::uint32_t>(index != task.index &&
+                                       !this->IsAtWork(other));
+  }
+  return away < step->disruption_budget;
+}
+
+// Long-running tasks leave instances that are to be taken away; others end by
+// themselves.
+void Scheduler::EvacuateCordoned(SteadyTime now) {
+  for (auto& [id, session] : this->workers) {
+    if (!this->IsCordoned(session)) {
+      continue;
+    }
+    for (auto& [key, run] : session.runs()) {
+      const jobs::StepSpec* step = this->FindStep(run.task);
+      if (step != nullptr && step->is_long_running &&
+          run.phase == RunPhase::kRunning && this->MayTakeAway(run.task)) {
+        run.phase = RunPhase::kStopping;
+        run.stop_due = now;
+        this->Note("run-evacuated", run.task, run.number, id,
+                   "its instance is to be taken away");
+      }
     }
   }
 }
@@ -564,7 +641,8 @@
   std::tuple<bool, bool, std::int64_t> best_rank;
   for (auto& [id, session] : this->workers) {
     const jobs::Worker& worker = session.worker();
-    if (worker.service != candidate.job->service || !session.IsUsable(now)) {
+    if (worker.service != candidate.job->service || !session.IsUsable(now) ||
+        this->IsCordoned(session)) {
       continue;
     }
     if (!step.required_label.empty() &&
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -96,6 +96,14 @@
                   const OrderAnswer& answer,
                   SteadyTime now);
 
+  // From now on nothing is started on these instances, and long-running tasks
+  // leave them as the disruption budgets allow.
+  void SetCordoned(std::set<InstanceName> instances);
+  // True if a task may be taken from its worker by a planned step now: its
+  // step's disruption budget has room, every task that is not surely at work
+  // counting as away.
+  bool MayTakeAway(const jobs::TaskId& task) const;
+
   // Takes in that a worker's life is over.
   void EndWorker(const WorkerId& worker, const std::string& reason);
 
@@ -112,6 +120,9 @@
   // How many accepted jobs of a queue have not begun.
   std::uint64_t CountPending(const QueueName& queue) const;
 
+  // What was declared of a task's step; nothing if the job is not known.
+  const jobs::StepSpec* FindStep(const jobs::TaskId& task) const;
+
   const std::map<WorkerId, WorkerSession>& sessions() const {
     return this->workers;
   }
@@ -161,8 +172,14 @@
                   RunNumber run,
                   const std::string& reason);
   void ReleaseAll(WorkerSession& session, const std::string& reason);
+  void NoteSuperseded(const jobs::Worker& worker);
   void LapseSilentWorkers(SteadyTime now);
   void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
+  void EvacuateCordoned(SteadyTime now);
+  bool IsAtWork(const jobs::TaskId& task) const;
+  bool IsCordoned(const WorkerSession& session) const {
+    return this->cordoned.contains(session.worker().instance);
+  }
   void StopUnwanted(SteadyTime now, SchedulerOutput& output);
   void StopRun(WorkerSession& session,
                Run& run,
@@ -187,7 +204,6 @@
                SchedulerOutput& output);
   RunNumber NextRun(const jobs::Job& job, const jobs::TaskId& task) const;
   bool IsServiceUncertain(const ServiceName& service) const;
-  const jobs::StepSpec* FindStep(const jobs::TaskId& task) const;
   jobs::Resources CountedNeed(const jobs::TaskId& task) const;
   void Note(std::string what,
             const jobs::TaskId& task,
@@ -207,6 +223,9 @@
   std::set<JobId> begun;
   // Services of which some worker has not told yet what runs there.
   std::set<ServiceName> uncertain;
+  std::set<InstanceName> cordoned;
+  // Lives that were followed by another on the same instance.
+  std::vector<WorkerId> superseded;
   bool needs_plan = true;
   std::vector<SchedulerEvent> events;
 };
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -90,6 +90,10 @@
   // True once the worker answered this leader and its lease has not lapsed
   // since: all that runs there is known.
   bool is_adopted() const { return this->has_answered; }
+  // True if it answered the last renewal.
+  bool is_answering() const {
+    return this->has_answered && this->failures == 0;
+  }
   // True if nothing can run there: nobody listens, or the lease is over.
   bool IsLapsed(SteadyTime now) const;
   // Until when something unknown may run there.
--- /dev/null
+++ b/services/sumacd/instance_keeper.h
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_INSTANCE_KEEPER_H_
+#define SERVICES_SUMACD_INSTANCE_KEEPER_H_
+
+#include <kj/async.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/fleet/answer.h"
+#include "libraries/jobs/jobs_state.h"
+#include "libraries/maintenance/instance_calls.h"
+#include "libraries/maintenance/maintenance_planner.h"
+#include "libraries/scheduler/scheduler.h"
+
+namespace sumac::daemon {
+
+// What a leader does about instances: it keeps the platform's list fresh while
+// that is of use, and carries out what the maintenance planner decides. Lives
+// as long as one leadership and belongs to the core's event loop.
+class InstanceKeeper : private kj::TaskSet::ErrorHandler {
+ public:
+  // What the keeper needs of its controller.
+  struct Host {
+    // Commits a command.
+    std::function<kj::Promise<fleet::Answer>(jobs::Command)> propose;
+    // True while this leader's lease holds.
+    std::function<bool()> may_act;
+  };
+
+  InstanceKeeper(const jobs::JobsState& state,
+                 scheduler::Scheduler& scheduler,
+                 maintenance::InstanceCalls calls,
+                 Host host,
+                 maintenance::MaintenanceSettings settings,
+                 ProcessName holder,
+                 SteadyTime now);
+
+  // Looks at waves and instances; called often.
+  void Plan(WallTime wall_now, SteadyTime now);
+
+ private:
+  void taskFailed(kj::Exception&& exception) override;
+
+  std::map<InstanceName, maintenance::InstanceFacts> GatherFacts() const;
+  void Commit(std::vector<jobs::Command> commands);
+  void Send(const maintenance::InstanceOrder& order);
+  void RefreshList(SteadyTime now);
+  kj::Promise<void> FetchPages(std::string token);
+
+  const jobs::JobsState& state;
+  scheduler::Scheduler& scheduler;
+  maintenance::InstanceCalls calls;
+  Host host;
+  SystemClock clock;
+  maintenance::MaintenancePlanner planner;
+  SteadyTime last_plan{};
+  SteadyTime last_list{};
+  bool is_listing = false;
+  std::vector<maintenance::ListedInstance> pages;
+  // Commands that are not committed yet; the next look waits for them.
+  std::size_t open_commands = 0;
+  kj::TaskSet tasks;
+};
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_INSTANCE_KEEPER_H_
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -53,9 +53,11 @@
     Peers& peers,
     kj::Timer& timer,
     jobs::DeclarationDecoder decoder,
-    scheduler::WorkerCalls calls) {
-  std::unique_ptr<JobController> controller(new JobController(
-      settings, timer, std::move(decoder), std::move(calls)));
+    scheduler::WorkerCalls worker_calls,
+    maintenance::InstanceCalls instance_calls) {
+  std::unique_ptr<JobController> controller(
+      new JobController(settings, timer, std::move(decoder),
+                        std::move(worker_calls), std::move(instance_calls)));
   JobController* self = controller.get();
   const ReplicaHostSettings host{.process = settings.process(),
                                  .data_folder = settings.data_folder,
@@ -82,10 +84,12 @@
 JobController::JobController(const NodeSettings& settings,
                              kj::Timer& timer,
                              jobs::DeclarationDecoder decoder,
-                             scheduler::WorkerCalls calls)
+                             scheduler::WorkerCalls worker_calls,
+                             maintenance::InstanceCalls instance_calls)
     : settings(settings),
       timer(timer),
-      calls(std::move(calls)),
+      worker_calls(std::move(worker_calls)),
+      instance_calls(std::move(instance_calls)),
       jobs_state(std::move(decoder)),
       tasks(*this) {
   const kj::Executor& executor = kj::getCurrentThreadExecutor();
@@ -149,32 +153,48 @@
             if (!answer.is_ok() || this->leading_term != term) {
               return;
             }
-            const SteadyTime now = this->clock.SteadyNow();
-            scheduler::SchedulerSettings chosen;
-            chosen.stop_time = this->settings.platform_times.stop_time;
-            chosen.drain_time = this->settings.platform_times.drain_time;
-            chosen.lease.length =
-                std::min(chosen.lease.length,
-                         this->settings.platform_times.longest_lease);
-            this->scheduler.emplace(this->jobs_state, chosen, now);
-            this->have_workers_changed = true;
-            LogEvent(LogLevel::kInfo, "leads",
-                     {{"term", term.value()},
-                      {"epoch", this->jobs_state.epoch().value()},
-                      {"workers", this->jobs_state.workers().size()},
-                      {"jobs", this->jobs_state.active_jobs().size()}});
-            this->AfterPass();
+            this->StartDeciding();
           }));
 }
 
+void JobController::StartDeciding() {
+  const SteadyTime now = this->clock.SteadyNow();
+  const PlatformTimes& times = this->settings.platform_times;
+  scheduler::SchedulerSettings chosen;
+  chosen.stop_time = times.stop_time;
+  chosen.drain_time = times.drain_time;
+  chosen.lease.length = std::min(chosen.lease.length, times.longest_lease);
+  this->scheduler.emplace(this->jobs_state, chosen, now);
+  const maintenance::MaintenanceSettings maintenance{
+      .holder_pause = times.instance_lease,
+      .maintenance_time = times.maintenance_time};
+  this->keeper = std::make_unique<InstanceKeeper>(
+      this->jobs_state, *this->scheduler, this->instance_calls,
+      InstanceKeeper::Host{
+          .propose =
+              [this](jobs::Command command) {
+                return this->Propose(std::move(command));
+              },
+          .may_act = [this] { return this->host->MayAct(); }},
+      maintenance, this->settings.process(), now);
+  this->have_workers_changed = true;
+  LogEvent(LogLevel::kInfo, "leads",
+           {{"term", this->leading_term.value()},
+            {"epoch", this->jobs_state.epoch().value()},
+            {"workers", this->jobs_state.workers().size()},
+            {"jobs", this->jobs_state.active_jobs().size()}});
+  this->AfterPass();
+}
+
 void JobController::EndLeadership() {
   LogEvent(LogLevel::kWarning, "leads-no-more",
            {{"term", this->leading_term.value()}});
   this->leading_term = Term(0);
   for (const auto& [worker, renewal] : this->renewals) {
-    this->calls.forget(worker);
+    this->worker_calls.forget(worker);
   }
   this->renewals.clear();
+  this->keeper.reset();
   this->scheduler.reset();
   this->waiting_ends.clear();
   this->is_ends_commit_open = false;
@@ -322,7 +342,7 @@
       ++item;
       continue;
     }
-    this->calls.forget(item->first);
+    this->worker_calls.forget(item->first);
     item = this->renewals.erase(item);
   }
   for (const auto& [worker, session] : this->scheduler->sessions()) {
@@ -348,7 +368,7 @@
   if (!order) {
     return kj::READY_NOW;
   }
-  return this->calls.renew(*std::move(order))
+  return this->worker_calls.renew(*std::move(order))
       .then([this, worker, term](const scheduler::RenewAnswer& answer) {
         return this->TakeRenewal(worker, term, answer);
       })
@@ -466,6 +486,7 @@
     return;
   }
   this->last_plan = this->clock.SteadyNow();
+  this->keeper->Plan(this->clock.Now(), this->last_plan);
   scheduler::SchedulerOutput output =
       this->scheduler->Plan(this->last_plan, this->clock.Now());
   this->LogEvents(output.events);
@@ -489,7 +510,7 @@
   const Term term = this->leading_term;
   scheduler::Order sent = order;
   this->tasks.add(
-      this->calls.send(std::move(sent))
+      this->worker_calls.send(std::move(sent))
           .then([this, term, order = std::move(order)](
                     const scheduler::OrderAnswer& answer) {
             if (!this->scheduler || this->leading_term != term) {
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -17,8 +17,10 @@
 #include "libraries/fleet/answer.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/requests.h"
+#include "libraries/maintenance/instance_calls.h"
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_calls.h"
+#include "services/sumacd/instance_keeper.h"
 #include "services/sumacd/node_settings.h"
 #include "services/sumacd/peers.h"
 #include "services/sumacd/replica_host.h"
@@ -37,7 +39,8 @@
       Peers& peers,
       kj::Timer& timer,
       jobs::DeclarationDecoder decoder,
-      scheduler::WorkerCalls calls);
+      scheduler::WorkerCalls worker_calls,
+      maintenance::InstanceCalls instance_calls);
 
   // Runs until the process ends.
   kj::Promise<void> Run();
@@ -69,7 +72,8 @@
   JobController(const NodeSettings& settings,
                 kj::Timer& timer,
                 jobs::DeclarationDecoder decoder,
-                scheduler::WorkerCalls calls);
+                scheduler::WorkerCalls worker_calls,
+                maintenance::InstanceCalls instance_calls);
 
   void taskFailed(kj::Exception&& exception) override;
 
@@ -77,6 +81,7 @@
   void Tick();
   void FollowLeadership(SteadyTime now);
   void BeginLeadership();
+  void StartDeciding();
   void EndLeadership();
   fleet::Answer Apply(const std::string& payload);
   void AfterPass();
@@ -107,7 +112,8 @@
   const NodeSettings& settings;
   kj::Timer& timer;
   SystemClock clock;
-  scheduler::WorkerCalls calls;
+  scheduler::WorkerCalls worker_calls;
+  maintenance::InstanceCalls instance_calls;
   jobs::JobsState jobs_state;
   std::unique_ptr<ReplicaHost> host;
   std::unique_ptr<SnapshotWriter> snapshot_writer;
@@ -116,6 +122,7 @@
   Term leading_term;
   // Present once the epoch of this leadership is committed.
   std::optional<scheduler::Scheduler> scheduler;
+  std::unique_ptr<InstanceKeeper> keeper;
   std::map<WorkerId, kj::Promise<void>> renewals;
   SteadyTime last_maintenance{};
   SteadyTime last_plan{};
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -22,6 +22,7 @@
 #include "libraries/storage/data_folder.h"
 #include "libraries/storage/posix_disk.h"
 #include "platform/doors.h"
+#include "platform/instance_client.h"
 #include "platform/wire_codec.h"
 #include "platform/worker_client.h"
 #include "services/sumacd/job_controller.h"
@@ -96,7 +97,10 @@
         peers(io.provider->getNetwork(),
               this->timer,
               this->settings.SeedProcesses()),
-        workers(io.provider->getNetwork(), this->timer) {}
+        workers(io.provider->getNetwork(), this->timer),
+        instances(io.provider->getNetwork(),
+                  this->timer,
+                  this->settings.instances_door) {}
 
   // Builds all parts; on an error nothing listens any more.
   absl::Status Start();
@@ -129,6 +133,7 @@
   SystemClock clock;
   Peers peers;
   platform::WorkerClient workers;
+  platform::InstanceClient instances;
   std::unique_ptr<JobController> controller;
   std::unique_ptr<JobsLink> link;
   std::optional<platform::CallerDoor> caller_adapter;
@@ -169,7 +174,8 @@
   this->controller =
       TRY(JobController::Create(this->settings, this->peers, this->timer,
                                 platform::ReadDeclaration,
-                                this->workers.Calls()));
+                                this->workers.Calls(),
+                                this->instances.Calls()));
   this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
                                           this->timer, this->controller.get());
   TRY(this->ListenToPeers());
