--- a/libraries/maintenance/instance_messages.h
+++ b/libraries/maintenance/instance_messages.h
@@ -2,10 +2,12 @@
 #ifndef LIBRARIES_MAINTENANCE_INSTANCE_MESSAGES_H_
 #define LIBRARIES_MAINTENANCE_INSTANCE_MESSAGES_H_
 
+#include <array>
 #include <string>
 #include <vector>
 
 #include "libraries/base/names.h"
+#include "libraries/codec/describe.h"
 #include "libraries/jobs/resources.h"
 
 namespace sumac::maintenance {
@@ -63,4 +65,19 @@
 
 }  // namespace sumac::maintenance
 
+namespace sumac {
+
+template <>
+struct EnumNames<maintenance::InstanceState> {
+  using enum maintenance::InstanceState;
+  static constexpr std::array kNames = {
+      EnumName<maintenance::InstanceState>{kUp, "up"},
+      EnumName<maintenance::InstanceState>{kMoving, "moving"},
+      EnumName<maintenance::InstanceState>{kInMaintenance, "in-maintenance"},
+      EnumName<maintenance::InstanceState>{kDown, "down"},
+  };
+};
+
+}  // namespace sumac
+
 #endif  // LIBRARIES_MAINTENANCE_INSTANCE_MESSAGES_H_
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "libraries/base/text.h"
 #include "libraries/log/json_log.h"
 
 namespace sumac::daemon {
@@ -150,12 +151,23 @@
           return this->FetchPages(page->next_token);
         }
         this->is_listing = false;
+        this->LogList();
         this->planner.TakeList(std::move(this->pages),
                                this->clock.SteadyNow());
         return kj::READY_NOW;
       });
 }
 
+// One line a list: how many instances of each pool are in which state.
+void InstanceKeeper::LogList() const {
+  std::map<std::string, std::size_t> counts;
+  for (const maintenance::ListedInstance& instance : this->pages) {
+    ++counts[StrCat(instance.service.value(), "/",
+                    NameOf(instance.state))];
+  }
+  LogEvent(LogLevel::kInfo, "instances-listed", {{"counts", counts}});
+}
+
 void InstanceKeeper::taskFailed(kj::Exception&& exception) {
   LogEvent(LogLevel::kError, "task-failed",
            {{"error", exception.getDescription().cStr()}});
--- a/services/sumacd/instance_keeper.h
+++ b/services/sumacd/instance_keeper.h
@@ -50,6 +50,7 @@
   void Commit(std::vector<jobs::Command> commands);
   void Send(const maintenance::InstanceOrder& order);
   void RefreshList(SteadyTime now);
+  void LogList() const;
   kj::Promise<void> FetchPages(std::string token);
 
   const jobs::JobsState& state;
