Maintenance: Let instances follow demand from pool to pool

Cause: queues' demand comes in turns, some twice what a pool holds; in the peaks under half of the jobs were in time, while other pools stood idle.

--- a/libraries/jobs/job.cc
+++ b/libraries/jobs/job.cc
@@ -13,6 +13,14 @@
   return found->second.steps.at(task.step.step).tasks.at(task.index);
 }
 
+std::uint32_t Job::CountDone(std::uint32_t occurrence,
+                             std::uint32_t step) const {
+  const auto found = this->occurrences.find(occurrence);
+  return found == this->occurrences.end()
+             ? 0
+             : found->second.steps.at(step).done_count;
+}
+
 bool Job::IsStepDone(std::uint32_t occurrence, std::uint32_t step) const {
   const auto found = this->occurrences.find(occurrence);
   return found != this->occurrences.end() &&
--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -99,6 +99,8 @@
 
   // A task's progress; the initial one if nothing ended yet.
   TaskProgress ProgressOf(const TaskId& task) const;
+  // How many tasks of a step are done.
+  std::uint32_t CountDone(std::uint32_t occurrence, std::uint32_t step) const;
   // True if all tasks of a step are done.
   bool IsStepDone(std::uint32_t occurrence, std::uint32_t step) const;
   // True if the steps that `step` waits for are done.
--- /dev/null
+++ b/libraries/maintenance/capacity_planner.cc
@@ -0,0 +1,268 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/maintenance/capacity_planner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sumac::maintenance {
+namespace {
+
+constexpr std::int64_t kPermille = 1'000;
+
+bool IsHeadroom(const jobs::JobsState& state, const ServiceName& service) {
+  const jobs::ServiceDeclaration* found =
+      state.declaration().FindService(service);
+  return found != nullptr && found->is_headroom;
+}
+
+}  // namespace
+
+CapacityPlanner::CapacityPlanner(CapacitySettings settings,
+                                 ProcessName holder,
+                                 LeaderEpoch epoch,
+                                 SteadyTime now)
+    : settings(settings),
+      holder(std::move(holder)),
+      epoch(epoch),
+      began_at(now) {}
+
+void CapacityPlanner::TakeList(const std::vector<ListedInstance>& instances,
+                               SteadyTime /*now*/) {
+  this->idle.clear();
+  for (const ListedInstance& instance : instances) {
+    if (instance.state == InstanceState::kUp) {
+      this->idle[instance.name] = instance.service;
+    }
+  }
+}
+
+std::set<InstanceName> CapacityPlanner::Moving() const {
+  std::set<InstanceName> names;
+  for (const auto& [name, move] : this->moves) {
+    names.insert(name);
+  }
+  return names;
+}
+
+CapacityOutput CapacityPlanner::Plan(
+    const jobs::JobsState& state,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    const std::map<ServiceName, ServiceDemand>& demand,
+    const std::set<InstanceName>& busy,
+    SteadyTime now) {
+  CapacityOutput output;
+  if (!this->settings.is_on || this->has_been_fenced ||
+      now - this->began_at <= this->settings.holder_pause) {
+    return output;
+  }
+  std::map<ServiceName, Pool> pools =
+      this->CountPools(state, facts, demand, busy);
+  this->GrowPools(state, pools, facts, now);
+  this->ShrinkPools(state, pools, facts, now);
+  this->FollowMoves(state, facts, now, output);
+  return output;
+}
+
+std::map<ServiceName, CapacityPlanner::Pool> CapacityPlanner::CountPools(
+    const jobs::JobsState& state,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    const std::map<ServiceName, ServiceDemand>& demand,
+    const std::set<InstanceName>& busy) const {
+  std::map<ServiceName, Pool> pools;
+  for (const auto& [name, service] : state.declaration().services()) {
+    pools[name];
+  }
+  for (const auto& [name, instance] : facts) {
+    if (this->moves.contains(name) || instance.is_leaving) {
+      continue;
+    }
+    Pool& pool = pools[instance.service];
+    ++pool.have;
+    pool.instance_millicores =
+        std::max(pool.instance_millicores, instance.millicores);
+    if (instance.budgeted_runs == 0 && !busy.contains(name)) {
+      pool.movable.emplace_back(
+          static_cast<std::int64_t>(instance.other_runs), name);
+    }
+  }
+  for (const auto& [name, service] : this->idle) {
+    const bool is_free = !facts.contains(name) && !busy.contains(name) &&
+                         !this->moves.contains(name) &&
+                         IsHeadroom(state, service);
+    if (is_free) {
+      pools[service].movable.emplace_back(0, name);
+      ++pools[service].have;
+    }
+  }
+  for (const auto& [name, move] : this->moves) {
+    ++pools[move.to].have;
+  }
+  for (auto& [name, pool] : pools) {
+    std::sort(pool.movable.begin(), pool.movable.end());
+    const auto needed = demand.find(name);
+    if (IsHeadroom(state, name) || needed == demand.end() ||
+        pool.instance_millicores == 0) {
+      pool.want = IsHeadroom(state, name) ? 0 : this->settings.fewest_per_pool;
+      continue;
+    }
+    const std::int64_t millicores =
+        needed->second.lasting_millicores +
+        needed->second.short_millicores *
+            (kPermille + this->settings.reserve_permille) / kPermille;
+    pool.want =
+        std::max(this->settings.fewest_per_pool,
+                 (millicores + pool.instance_millicores - 1) /
+                     pool.instance_millicores);
+  }
+  return pools;
+}
+
+// Pools that have too few take instances that are off first, then those of
+// pools that have more than they need.
+void CapacityPlanner::GrowPools(
+    const jobs::JobsState& state,
+    std::map<ServiceName, Pool>& pools,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now) {
+  std::vector<std::pair<std::int64_t, ServiceName>> order;
+  for (const auto& [name, pool] : pools) {
+    if (pool.want > pool.have && !IsHeadroom(state, name)) {
+      order.emplace_back(pool.have - pool.want, name);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  for (const auto& [lack, to] : order) {
+    std::int64_t missing = -lack;
+    for (const bool takes_headroom : {true, false}) {
+      for (auto& [from, pool] : pools) {
+        if (from == to || IsHeadroom(state, from) != takes_headroom) {
+          continue;
+        }
+        while (missing > 0 && pool.have > pool.want && !pool.movable.empty()) {
+          const InstanceName name = pool.movable.front().second;
+          pool.movable.erase(pool.movable.begin());
+          --pool.have;
+          --missing;
+          this->BeginMove(name, from, to, facts, now);
+        }
+      }
+    }
+  }
+}
+
+// Pools that have had too many for a while send empty instances to a pool whose
+// instances are off.
+void CapacityPlanner::ShrinkPools(
+    const jobs::JobsState& state,
+    std::map<ServiceName, Pool>& pools,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now) {
+  const auto headroom =
+      std::find_if(pools.begin(), pools.end(), [&](const auto& pool) {
+        return IsHeadroom(state, pool.first);
+      });
+  if (headroom == pools.end()) {
+    return;
+  }
+  for (auto& [name, pool] : pools) {
+    if (IsHeadroom(state, name) || pool.have <= pool.want) {
+      this->surplus_since.erase(name);
+      continue;
+    }
+    const auto since = this->surplus_since.try_emplace(name, now).first->second;
+    if (now - since < this->settings.surplus_time) {
+      continue;
+    }
+    while (pool.have > pool.want && !pool.movable.empty() &&
+           pool.movable.front().first == 0) {
+      const InstanceName instance = pool.movable.front().second;
+      pool.movable.erase(pool.movable.begin());
+      --pool.have;
+      this->BeginMove(instance, name, headroom->first, facts, now);
+    }
+  }
+}
+
+void CapacityPlanner::BeginMove(
+    const InstanceName& name,
+    const ServiceName& from,
+    const ServiceName& to,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now) {
+  const auto known = facts.find(name);
+  this->moves[name] =
+      Move{.from = from,
+           .to = to,
+           .worker = known == facts.end() ? WorkerId() : known->second.worker,
+           .since = now};
+}
+
+void CapacityPlanner::FollowMoves(
+    const jobs::JobsState& state,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now,
+    CapacityOutput& output) {
+  for (auto item = this->moves.begin(); item != this->moves.end();) {
+    const auto& [name, move] = *item;
+    const auto known = facts.find(name);
+    // Where instances are off no worker appears.
+    const bool has_arrived =
+        (known != facts.end() && known->second.worker != move.worker) ||
+        IsHeadroom(state, move.to);
+    const bool is_overdue = now - move.since > this->settings.longest_move;
+    if ((move.is_taken && has_arrived) ||
+        (is_overdue && !move.is_under_way)) {
+      item = this->moves.erase(item);
+      continue;
+    }
+    output.cordoned.insert(name);
+    const bool is_empty =
+        known == facts.end() ||
+        (known->second.budgeted_runs == 0 && known->second.other_runs == 0);
+    if (!move.is_taken && !move.is_under_way && is_empty && now >= move.due) {
+      item->second.is_under_way = true;
+      output.orders.push_back(InstanceOrder{.instance = name,
+                                            .pool = move.to,
+                                            .holder = this->holder,
+                                            .epoch = this->epoch});
+    }
+    ++item;
+  }
+}
+
+std::vector<jobs::Command> CapacityPlanner::TakeResult(
+    const InstanceOrder& order,
+    InstanceResult result,
+    SteadyTime now) {
+  std::vector<jobs::Command> commands;
+  const auto found = this->moves.find(order.instance);
+  if (found == this->moves.end()) {
+    return commands;
+  }
+  Move& move = found->second;
+  move.is_under_way = false;
+  move.due = now + this->settings.retry;
+  switch (result) {
+    case InstanceResult::kDone:
+      move.is_taken = true;
+      this->idle[order.instance] = move.to;
+      if (!move.worker.value().empty()) {
+        commands.emplace_back(jobs::ForgetWorker{move.worker, true});
+      }
+      break;
+    case InstanceResult::kBusy:
+    case InstanceResult::kNotOfWave:
+    case InstanceResult::kUnknownInstance:
+      this->moves.erase(found);
+      break;
+    case InstanceResult::kFenced:
+      this->has_been_fenced = true;
+      break;
+    case InstanceResult::kRefused:
+    case InstanceResult::kUnknown:
+      break;
+  }
+  return commands;
+}
+
+}  // namespace sumac::maintenance
--- /dev/null
+++ b/libraries/maintenance/capacity_planner.h
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_MAINTENANCE_CAPACITY_PLANNER_H_
+#define LIBRARIES_MAINTENANCE_CAPACITY_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/jobs/commands.h"
+#include "libraries/jobs/jobs_state.h"
+#include "libraries/maintenance/instance_messages.h"
+#include "libraries/maintenance/maintenance_planner.h"
+
+namespace sumac::maintenance {
+
+struct CapacitySettings {
+  // False leaves every instance where it is; the baseline for comparisons.
+  bool is_on = true;
+  // A new leader moves nothing for this long; see MaintenanceSettings.
+  Milliseconds holder_pause{3'000};
+  // Room that a pool should have beyond what it needs now, in thousandths.
+  std::int64_t reserve_permille = 150;
+  // A pool gives instances up only after it had too many for this long: about
+  // what two moves cost over what an idle instance costs a second.
+  Milliseconds surplus_time{2'500};
+  // An instance that did not appear in its new pool by then is looked for
+  // where the platform lists it.
+  Milliseconds longest_move{4'000};
+  // Before an order that was not answered is given again.
+  Milliseconds retry{400};
+  // Instances that a pool keeps whatever its demand.
+  std::int64_t fewest_per_pool = 2;
+};
+
+// What the tasks of one service need now, in thousandths of cores.
+struct ServiceDemand {
+  // Of short tasks that run or could run now.
+  std::int64_t short_millicores = 0;
+  // Of long-running tasks.
+  std::int64_t lasting_millicores = 0;
+};
+
+struct CapacityOutput {
+  std::set<InstanceName> cordoned;
+  std::vector<jobs::Command> commands;
+  std::vector<InstanceOrder> orders;
+};
+
+// Decides, for the leader, which instances change their pool: demand comes in
+// turns, so instances follow it from pools that have too many, and from and to
+// the pools whose instances are off. Instances that carry long-running tasks
+// stay. Pure.
+class CapacityPlanner {
+ public:
+  CapacityPlanner(CapacitySettings settings,
+                  ProcessName holder,
+                  LeaderEpoch epoch,
+                  SteadyTime now);
+
+  // `busy` are instances that a maintenance wave holds.
+  CapacityOutput Plan(const jobs::JobsState& state,
+                      const std::map<InstanceName, InstanceFacts>& facts,
+                      const std::map<ServiceName, ServiceDemand>& demand,
+                      const std::set<InstanceName>& busy,
+                      SteadyTime now);
+
+  // Takes in a whole list of the platform's instances.
+  void TakeList(const std::vector<ListedInstance>& instances, SteadyTime now);
+
+  // Takes in what became of an order, and gives what is to be committed.
+  std::vector<jobs::Command> TakeResult(const InstanceOrder& order,
+                                        InstanceResult result,
+                                        SteadyTime now);
+
+  // Instances that are on their way to another pool.
+  std::set<InstanceName> Moving() const;
+
+ private:
+  // A move from its choice until the instance is seen in its new pool.
+  struct Move {
+    ServiceName from;
+    ServiceName to;
+    // The worker that ends with the move; empty where none ran.
+    WorkerId worker;
+    SteadyTime since{};
+    bool is_under_way = false;
+    bool is_taken = false;
+    SteadyTime due{};
+  };
+  // What is known of one pool in one look.
+  struct Pool {
+    std::int64_t instance_millicores = 0;
+    std::int64_t have = 0;
+    std::int64_t want = 0;
+    // Instances that could go, the emptiest first.
+    std::vector<std::pair<std::int64_t, InstanceName>> movable;
+  };
+
+  void FollowMoves(const jobs::JobsState& state,
+                   const std::map<InstanceName, InstanceFacts>& facts,
+                   SteadyTime now,
+                   CapacityOutput& output);
+  std::map<ServiceName, Pool> CountPools(
+      const jobs::JobsState& state,
+      const std::map<InstanceName, InstanceFacts>& facts,
+      const std::map<ServiceName, ServiceDemand>& demand,
+      const std::set<InstanceName>& busy) const;
+  void GrowPools(const jobs::JobsState& state,
+                 std::map<ServiceName, Pool>& pools,
+                 const std::map<InstanceName, InstanceFacts>& facts,
+                 SteadyTime now);
+  void ShrinkPools(const jobs::JobsState& state,
+                   std::map<ServiceName, Pool>& pools,
+                   const std::map<InstanceName, InstanceFacts>& facts,
+                   SteadyTime now);
+  void BeginMove(const InstanceName& name,
+                 const ServiceName& from,
+                 const ServiceName& to,
+                 const std::map<InstanceName, InstanceFacts>& facts,
+                 SteadyTime now);
+
+  CapacitySettings settings;
+  ProcessName holder;
+  LeaderEpoch epoch;
+  SteadyTime began_at;
+  bool has_been_fenced = false;
+  std::map<InstanceName, Move> moves;
+  // Instances of pools that are off, as listed or moved there since.
+  std::map<InstanceName, ServiceName> idle;
+  std::map<ServiceName, SteadyTime> surplus_since;
+};
+
+}  // namespace sumac::maintenance
+
+#endif  // LIBRARIES_MAINTENANCE_CAPACITY_PLANNER_H_
--- a/libraries/maintenance/maintenance_planner.cc
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -102,6 +102,8 @@
       }
       if (this->cordons.contains(name)) {
         ++on_their_way;
+      } else if (known != facts.end() && known->second.is_moving) {
+        continue;
       }
       // One that carries nothing goes first.
       const std::int64_t load =
--- a/libraries/maintenance/maintenance_planner.h
+++ b/libraries/maintenance/maintenance_planner.h
@@ -43,6 +43,11 @@
   std::size_t other_runs = 0;
   // The share of its cores that is taken, in thousandths.
   std::int64_t load_permille = 0;
+  std::int64_t millicores = 0;
+  // It will leave the fleet soon.
+  bool is_leaving = false;
+  // It is on its way to another pool.
+  bool is_moving = false;
 };
 
 struct MaintenanceOutput {
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -734,6 +734,31 @@
   return !job.occurrences.empty() || this->begun.contains(job.id);
 }
 
+std::map<ServiceName, CoreDemand> Scheduler::Demand(WallTime wall_now) const {
+  std::map<ServiceName, CoreDemand> demand;
+  for (const auto& [sequence, job] : this->state.active_jobs()) {
+    CoreDemand& service = demand[job->service];
+    for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
+                                       job->DueAt(occurrence) <= wall_now;
+         ++occurrence) {
+      for (std::uint32_t number = 0; number < job->spec.steps.size();
+           ++number) {
+        const jobs::StepSpec& step = job->spec.steps[number];
+        if (step.is_filler || job->IsStepDone(occurrence, number) ||
+            !job->IsStepReady(occurrence, number)) {
+          continue;
+        }
+        const std::int64_t left =
+            step.count - job->CountDone(occurrence, number);
+        (step.is_long_running ? service.lasting_millicores
+                              : service.short_millicores) +=
+            left * step.need.millicores;
+      }
+    }
+  }
+  return demand;
+}
+
 std::uint64_t Scheduler::CountPending(const QueueName& queue) const {
   std::uint64_t pending = 0;
   for (const auto& [sequence, job] : this->state.active_jobs()) {
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -61,6 +61,12 @@
   std::uint64_t up_to = 0;
 };
 
+// What the tasks of one service need now, in thousandths of cores.
+struct CoreDemand {
+  std::int64_t short_millicores = 0;
+  std::int64_t lasting_millicores = 0;
+};
+
 // Decides, for the leader, which task runs on which worker: it adopts what runs
 // already, starts what is due, stops what must go, and starts again what ended
 // too early. It holds what the leader believes about workers; all that must
@@ -117,6 +123,9 @@
 
   // True if a task of the job has begun, as far as this leader knows.
   bool HasBegun(const jobs::Job& job) const;
+  // What the tasks of each service need now: those that run and those that
+  // could.
+  std::map<ServiceName, CoreDemand> Demand(WallTime wall_now) const;
   // How many accepted jobs of a queue have not begun.
   std::uint64_t CountPending(const QueueName& queue) const;
 
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -14,6 +14,8 @@
 // The list is fetched this often while a wave is under way. Each fetch has a
 // price, and what changes fast is seen from the workers.
 constexpr Milliseconds kListInterval{4'000};
+// Without a wave it only shows instances that others added or took away.
+constexpr Milliseconds kQuietListInterval{15'000};
 constexpr std::int64_t kPermille = 1'000;
 
 std::string_view NameOfResult(maintenance::InstanceResult result) {
@@ -43,14 +45,17 @@
                                scheduler::Scheduler& scheduler,
                                maintenance::InstanceCalls calls,
                                Host host,
-                               maintenance::MaintenanceSettings settings,
+                               maintenance::MaintenanceSettings
+                                   maintenance_settings,
+                               maintenance::CapacitySettings capacity_settings,
                                ProcessName holder,
                                SteadyTime now)
     : state(state),
       scheduler(scheduler),
       calls(std::move(calls)),
       host(std::move(host)),
-      planner(settings, std::move(holder), state.epoch(), now),
+      waves(maintenance_settings, holder, state.epoch(), now),
+      capacity(capacity_settings, std::move(holder), state.epoch(), now),
       tasks(*this) {}
 
 void InstanceKeeper::Plan(WallTime wall_now, SteadyTime now) {
@@ -59,8 +64,14 @@
   }
   this->last_plan = now;
   this->RefreshList(now);
-  maintenance::MaintenanceOutput output = this->planner.Plan(
-      this->state, this->GatherFacts(), wall_now, now);
+  std::map<InstanceName, maintenance::InstanceFacts> facts =
+      this->GatherFacts();
+  for (const InstanceName& name : this->capacity.Moving()) {
+    facts[name].is_moving = true;
+  }
+  maintenance::MaintenanceOutput output =
+      this->waves.Plan(this->state, facts, wall_now, now);
+  this->PlanCapacity(facts, output, now);
   this->scheduler.SetCordoned(std::move(output.cordoned));
   this->Commit(std::move(output.commands));
   for (const maintenance::InstanceOrder& order : output.orders) {
@@ -68,6 +79,45 @@
   }
 }
 
+// Adds what the capacity planner decides to what the wave planner did.
+void InstanceKeeper::PlanCapacity(
+    std::map<InstanceName, maintenance::InstanceFacts>& facts,
+    maintenance::MaintenanceOutput& wave_output,
+    SteadyTime now) {
+  // An instance that is moving without a worker is nobody's to count.
+  std::erase_if(facts, [](const auto& instance) {
+    return instance.second.is_moving && instance.second.worker.value().empty();
+  });
+  std::map<ServiceName, maintenance::ServiceDemand> demand;
+  for (const auto& [service, cores] : this->scheduler.Demand(this->clock.Now())) {
+    demand[service] = {.short_millicores = cores.short_millicores,
+                       .lasting_millicores = cores.lasting_millicores};
+  }
+  std::set<InstanceName> busy = wave_output.cordoned;
+  for (const auto& [id, wave] : this->state.waves()) {
+    for (const auto& [name, instance] : wave.instances) {
+      if (instance.state == jobs::MaintenanceState::kOrdered ||
+          instance.state == jobs::MaintenanceState::kBegun) {
+        busy.insert(name);
+      }
+    }
+  }
+  maintenance::CapacityOutput output =
+      this->capacity.Plan(this->state, facts, demand, busy, now);
+  wave_output.cordoned.merge(output.cordoned);
+  std::move(output.orders.begin(), output.orders.end(),
+            std::back_inserter(wave_output.orders));
+}
+
+std::vector<jobs::Command> InstanceKeeper::TakeResult(
+    const maintenance::InstanceOrder& order,
+    maintenance::InstanceResult result) {
+  const SteadyTime now = this->clock.SteadyNow();
+  return order.wave.value().empty()
+             ? this->capacity.TakeResult(order, result, now)
+             : this->waves.TakeResult(this->state, order, result, now);
+}
+
 std::map<InstanceName, maintenance::InstanceFacts> InstanceKeeper::GatherFacts()
     const {
   std::map<InstanceName, maintenance::InstanceFacts> facts;
@@ -76,6 +126,8 @@
     maintenance::InstanceFacts& instance = facts[worker.instance];
     instance.worker = id;
     instance.service = worker.service;
+    instance.millicores = worker.capacity.millicores;
+    instance.is_leaving = worker.is_draining;
     for (const auto& [key, run] : session.runs()) {
       const jobs::StepSpec* step = this->scheduler.FindStep(run.task);
       const bool is_budgeted = step != nullptr && step->has_disruption_budget;
@@ -105,9 +157,8 @@
 
 void InstanceKeeper::Send(const maintenance::InstanceOrder& order) {
   if (!this->host.may_act()) {
-    this->Commit(this->planner.TakeResult(this->state, order,
-                                          maintenance::InstanceResult::kRefused,
-                                          this->clock.SteadyNow()));
+    this->Commit(
+        this->TakeResult(order, maintenance::InstanceResult::kRefused));
     return;
   }
   this->tasks.add(
@@ -119,14 +170,17 @@
                       {"pool", order.pool.value()},
                       {"epoch", order.epoch.value()},
                       {"result", NameOfResult(result)}});
-            this->Commit(this->planner.TakeResult(
-                this->state, order, result, this->clock.SteadyNow()));
+            this->Commit(this->TakeResult(order, result));
           }));
 }
 
 void InstanceKeeper::RefreshList(SteadyTime now) {
-  if (this->is_listing || now - this->last_list < kListInterval ||
-      !maintenance::MaintenancePlanner::NeedsList(this->state)) {
+  const Milliseconds interval =
+      maintenance::MaintenancePlanner::NeedsList(this->state)
+          ? kListInterval
+          : kQuietListInterval;
+  const bool is_first = this->last_list == SteadyTime{};
+  if (this->is_listing || (!is_first && now - this->last_list < interval)) {
     return;
   }
   this->is_listing = true;
@@ -152,8 +206,9 @@
         }
         this->is_listing = false;
         this->LogList();
-        this->planner.TakeList(std::move(this->pages),
-                               this->clock.SteadyNow());
+        const SteadyTime now = this->clock.SteadyNow();
+        this->capacity.TakeList(this->pages, now);
+        this->waves.TakeList(std::move(this->pages), now);
         return kj::READY_NOW;
       });
 }
--- a/services/sumacd/instance_keeper.h
+++ b/services/sumacd/instance_keeper.h
@@ -13,6 +13,7 @@
 #include "libraries/base/time.h"
 #include "libraries/fleet/answer.h"
 #include "libraries/jobs/jobs_state.h"
+#include "libraries/maintenance/capacity_planner.h"
 #include "libraries/maintenance/instance_calls.h"
 #include "libraries/maintenance/maintenance_planner.h"
 #include "libraries/scheduler/scheduler.h"
@@ -36,7 +37,8 @@
                  scheduler::Scheduler& scheduler,
                  maintenance::InstanceCalls calls,
                  Host host,
-                 maintenance::MaintenanceSettings settings,
+                 maintenance::MaintenanceSettings maintenance_settings,
+                 maintenance::CapacitySettings capacity_settings,
                  ProcessName holder,
                  SteadyTime now);
 
@@ -47,6 +49,11 @@
   void taskFailed(kj::Exception&& exception) override;
 
   std::map<InstanceName, maintenance::InstanceFacts> GatherFacts() const;
+  void PlanCapacity(std::map<InstanceName, maintenance::InstanceFacts>& facts,
+                    maintenance::MaintenanceOutput& wave_output,
+                    SteadyTime now);
+  std::vector<jobs::Command> TakeResult(const maintenance::InstanceOrder& order,
+                                        maintenance::InstanceResult result);
   void Commit(std::vector<jobs::Command> commands);
   void Send(const maintenance::InstanceOrder& order);
   void RefreshList(SteadyTime now);
@@ -58,7 +65,8 @@
   maintenance::InstanceCalls calls;
   Host host;
   SystemClock clock;
-  maintenance::MaintenancePlanner planner;
+  maintenance::MaintenancePlanner waves;
+  maintenance::CapacityPlanner capacity;
   SteadyTime last_plan{};
   SteadyTime last_list{};
   bool is_listing = false;
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -176,7 +176,10 @@
                 return this->Propose(std::move(command));
               },
           .may_act = [this] { return this->host->MayAct(); }},
-      maintenance, this->settings.process(), now);
+      maintenance,
+      maintenance::CapacitySettings{.is_on = this->settings.policy.moves,
+                                    .holder_pause = times.instance_lease},
+      this->settings.process(), now);
   this->have_workers_changed = true;
   LogEvent(LogLevel::kInfo, "leads",
            {{"term", this->leading_term.value()},
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -43,6 +43,18 @@
   }
 };
 
+// Policies that can be switched off, so that one run compares them with the
+// plain way.
+struct PolicySettings {
+  // Instances follow demand from pool to pool.
+  bool moves = true;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("moves", self.moves);
+  }
+};
+
 // The settings of a process that has no list of the others and finds them from
 // seeds. docs/SETTINGS.md describes each key.
 struct NodeSettings {
@@ -69,6 +81,7 @@
   // The platform's door for instances, as IP:PORT; empty if there is none.
   std::string instances_door;
   PlatformTimes platform_times;
+  PolicySettings policy;
   GroupSettings group;
   LogSettings log;
 
@@ -88,6 +101,7 @@
     visitor.Field("health_door", self.health_door);
     visitor.Field("instances_door", self.instances_door);
     visitor.Field("platform_times", self.platform_times);
+    visitor.Field("policy", self.policy);
     visitor.Field("group", self.group);
     visitor.Field("log", self.log);
   }
