Scheduler: Prove with a fake fleet that nothing runs twice

A fleet of fake workers (own slow clocks, fences, leases, ends listed until acknowledged) behind a network that loses answers and carries orders out up to 4 s late.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -463,6 +463,13 @@
   return away < step->disruption_budget;
 }
 
+bool Scheduler::HasPlaceElsewhere(const jobs::TaskId& task, SteadyTime now) {
+  const jobs::Job* job = this->state.FindJob(task.step.job);
+  return job != nullptr &&
+         this->ChooseWorker({job, task.step.occurrence, task.step.step}, task,
+                            now) != nullptr;
+}
+
 // Long-running tasks leave instances that are to be taken away; others end by
 // themselves.
 void Scheduler::EvacuateCordoned(SteadyTime now) {
@@ -473,7 +480,8 @@
     for (auto& [key, run] : session.runs()) {
       const jobs::StepSpec* step = this->FindStep(run.task);
       if (step != nullptr && step->is_long_running &&
-          run.phase == RunPhase::kRunning && this->MayTakeAway(run.task)) {
+          run.phase == RunPhase::kRunning && this->MayTakeAway(run.task) &&
+          this->HasPlaceElsewhere(run.task, now)) {
         run.phase = RunPhase::kStopping;
         run.stop_due = now;
         this->Note("run-evacuated", run.task, run.number, id,
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -185,6 +185,7 @@
   void LapseSilentWorkers(SteadyTime now);
   void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
   void EvacuateCordoned(SteadyTime now);
+  bool HasPlaceElsewhere(const jobs::TaskId& task, SteadyTime now);
   bool IsAtWork(const jobs::TaskId& task) const;
   bool IsCordoned(const WorkerSession& session) const {
     return this->cordoned.contains(session.worker().instance);
--- /dev/null
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "tests/libraries/scheduler/fake_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libraries/base/text.h"
+
+namespace sumac::scheduler {
+namespace {
+
+constexpr Milliseconds kStep{10};
+constexpr Milliseconds kOneWay{1};
+constexpr Milliseconds kOrderLimit{600};
+constexpr Milliseconds kRenewalPause{150};
+constexpr const char* kService = "previews";
+
+jobs::JobsDeclaration Declared() {
+  return jobs::JobsDeclaration(
+      1,
+      {{.name = QueueName("clips"),
+        .host = "h",
+        .path_prefix = "/q/",
+        .service = ServiceName(kService),
+        .most_attempts = 3}},
+      {{.name = ServiceName(kService)}});
+}
+
+}  // namespace
+
+FakeFleet::FakeFleet(std::size_t count, std::uint64_t seed)
+    : state([](std::string_view) { return Declared(); }), random(seed) {
+  this->Commit(jobs::Declare{1, "document"});
+  for (std::size_t number = 0; number < count; ++number) {
+    this->AddWorker(StrCat("w", number), StrCat("m", number));
+  }
+  this->ChangeLeader();
+}
+
+fleet::Answer FakeFleet::Commit(jobs::Command command) {
+  fleet::Answer answer = this->state.Apply(jobs::StampedCommand{
+      WallTime(this->now.time_since_epoch()), std::move(command)});
+  if (this->scheduler) {
+    this->scheduler->SyncWorkers(this->now);
+    this->scheduler->Wake();
+  }
+  return answer;
+}
+
+FakeWorker& FakeFleet::AddWorker(const std::string& id,
+                                 const std::string& instance) {
+  jobs::Worker worker{.id = WorkerId(id),
+                      .instance = InstanceName(instance),
+                      .service = ServiceName(kService),
+                      .address = id,
+                      .capacity = {.millicores = 8'000, .memory_mb = 8'000},
+                      .labels = {"a", "r1"},
+                      .sequence = 1};
+  std::uniform_int_distribution<std::int64_t> offset(0, 1'000'000);
+  std::uniform_int_distribution<std::int64_t> slow(0, 20);
+  FakeWorker& added =
+      this->workers
+          .emplace(worker.id, FakeWorker(worker, Milliseconds(offset(random)),
+                                         slow(random)))
+          .first->second;
+  this->Commit(jobs::RecordWorker{worker});
+  return added;
+}
+
+void FakeFleet::ChangeLeader() {
+  ++this->generation;
+  this->scheduler.reset();
+  this->renewing.clear();
+  this->Commit(jobs::BeginEpoch{});
+  this->scheduler.emplace(this->state, this->settings, this->now);
+}
+
+void FakeFleet::Submit(const std::string& id, jobs::StepSpec step) {
+  if (step.need.millicores == 0) {
+    step.need = {.millicores = 1'000, .memory_mb = 100};
+  }
+  jobs::JobSpec spec{.text = "text", .steps = {std::move(step)}};
+  this->Commit(jobs::SubmitJob{JobId(id), QueueName("clips"), spec});
+}
+
+void FakeFleet::At(SteadyTime at, std::function<void()> happen) {
+  this->events.push_back(Event{at, std::move(happen)});
+}
+
+void FakeFleet::PassTime(Milliseconds time) {
+  for (Milliseconds passed{0}; passed < time; passed += kStep) {
+    this->Step();
+  }
+}
+
+void FakeFleet::Step() {
+  this->now += kStep;
+  for (auto& [id, worker] : this->workers) {
+    worker.Tick(this->now);
+  }
+  std::vector<Event> due;
+  std::vector<Event> later;
+  for (Event& event : std::exchange(this->events, {})) {
+    (event.at <= this->now ? due : later).push_back(std::move(event));
+  }
+  this->events = std::move(later);
+  for (const Event& event : due) {
+    event.happen();
+  }
+  if (this->scheduler) {
+    this->SendRenewals();
+    this->Plan();
+  }
+  this->CheckRunning();
+}
+
+bool FakeFleet::Reaches(const WorkerId& id) const {
+  const auto found = this->workers.find(id);
+  return found != this->workers.end() && !found->second.is_cut;
+}
+
+void FakeFleet::SendRenewals() {
+  std::vector<WorkerId> ids;
+  for (const auto& [id, session] : this->scheduler->sessions()) {
+    ids.push_back(id);
+  }
+  for (const WorkerId& id : ids) {
+    if (this->renewing.insert(id).second) {
+      this->Renew(id);
+    }
+  }
+}
+
+void FakeFleet::Renew(const WorkerId& id) {
+  auto order = this->scheduler->NextRenewal(id, this->now);
+  const Generation sent_in = this->generation;
+  const auto finish = [this, id, sent_in](Milliseconds pause) {
+    this->At(this->now + pause, [this, id, sent_in] {
+      if (sent_in == this->generation) {
+        this->renewing.erase(id);
+      }
+    });
+  };
+  const auto found = this->workers.find(id);
+  if (!order || found == this->workers.end()) {
+    finish(kRenewalPause);
+    return;
+  }
+  if (!this->Reaches(id) || !found->second.is_up) {
+    const bool is_refused = !found->second.is_cut;
+    this->At(this->now + (is_refused ? kOneWay : kOrderLimit),
+             [this, id, sent_in, is_refused] {
+               if (sent_in == this->generation) {
+                 this->scheduler->TakeRenewalFailure(
+                     id,
+                     is_refused ? OrderResult::kUnreachable
+                                : OrderResult::kUnknown,
+                     this->now);
+               }
+             });
+    finish(kRenewalPause + (is_refused ? kOneWay : kOrderLimit));
+    return;
+  }
+  const auto report = found->second.Renew(*order, this->now);
+  if (report) {
+    const EndsToRecord ends =
+        this->scheduler->TakeReport(id, *report, this->now);
+    if (!ends.ends.empty()) {
+      this->Commit(jobs::RecordEnds{ends.ends});
+    }
+    if (ends.up_to > 0) {
+      this->scheduler->NoteRecorded(id, ends);
+    }
+  }
+  finish(Milliseconds(20));
+}
+
+void FakeFleet::Plan() {
+  SchedulerOutput output = this->scheduler->Plan(
+      this->now, WallTime(this->now.time_since_epoch()));
+  for (const Order& order : output.orders) {
+    this->Send(order);
+  }
+  for (jobs::Command& command : output.commands) {
+    this->Commit(std::move(command));
+  }
+}
+
+void FakeFleet::Send(const Order& order) {
+  std::uniform_int_distribution<std::uint32_t> draw(0, 999);
+  const Generation sent_in = this->generation;
+  if (draw(this->random) >= this->late_permille) {
+    this->At(this->now + kOneWay, [this, order, sent_in] {
+      this->Execute(order, true, sent_in);
+    });
+    return;
+  }
+  std::uniform_int_distribution<int> delay(0, 4'000);
+  this->At(this->now + Milliseconds(delay(this->random)),
+           [this, order, sent_in] { this->Execute(order, false, sent_in); });
+  this->At(this->now + kOrderLimit, [this, order, sent_in] {
+    if (sent_in == this->generation) {
+      this->scheduler->TakeAnswer(order, {.result = OrderResult::kUnknown},
+                                  this->now);
+    }
+  });
+}
+
+void FakeFleet::Execute(const Order& order,
+                        bool is_answered,
+                        Generation sent_in) {
+  const WorkerId id =
+      std::visit([](const auto& body) { return body.worker; }, order);
+  OrderAnswer answer{.result = OrderResult::kUnknown};
+  const auto found = this->workers.find(id);
+  if (found != this->workers.end() && this->Reaches(id)) {
+    if (!found->second.is_up) {
+      answer.result = OrderResult::kUnreachable;
+    } else if (const auto* start = std::get_if<StartOrder>(&order)) {
+      const std::size_t before = found->second.running().size();
+      answer = found->second.Start(*start, this->work, this->fails(*start),
+                                   this->now);
+      if (found->second.running().size() > before) {
+        this->CheckStart(*start);
+      }
+    } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
+      answer = found->second.Stop(*stop, this->now);
+    }
+  }
+  if (is_answered && sent_in == this->generation) {
+    this->scheduler->TakeAnswer(order, answer, this->now);
+  }
+}
+
+void FakeFleet::CheckStart(const StartOrder& order) {
+  ++this->starts;
+  const jobs::Job* job = this->state.FindJob(order.task.step.job);
+  if (job == nullptr) {
+    this->problem = "a task of an unknown job was started";
+  } else if (job->ProgressOf(order.task).is_done) {
+    this->problem = StrCat(order.task.ToText(), " was started after its end");
+  } else if (!job->IsStepReady(order.task.step.occurrence,
+                               order.task.step.step)) {
+    this->problem = StrCat(order.task.ToText(), " was started too early");
+  } else if (!job->spec.steps[order.task.step.step].is_long_running &&
+             job->ProgressOf(order.task).failures >= job->most_attempts) {
+    this->problem = StrCat(order.task.ToText(), " was started too often");
+  }
+}
+
+void FakeFleet::CheckRunning() {
+  std::set<jobs::TaskId> running;
+  for (const auto& [id, worker] : this->workers) {
+    jobs::Resources used;
+    for (const auto& [task, run] : worker.running()) {
+      if (worker.is_up && !running.insert(task).second) {
+        this->problem = StrCat(task.ToText(), " runs twice");
+      }
+    }
+  }
+}
+
+std::vector<std::string> FakeFleet::WorkersOf(const std::string& job) const {
+  std::vector<std::string> names;
+  for (const auto& [id, worker] : this->workers) {
+    for (const auto& [task, run] : worker.running()) {
+      if (worker.is_up && task.step.job == JobId(job)) {
+        names.push_back(id.value());
+      }
+    }
+  }
+  return names;
+}
+
+}  // namespace sumac::scheduler
--- /dev/null
+++ b/tests/libraries/scheduler/fake_worker.cc
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "tests/libraries/scheduler/fake_worker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sumac::scheduler {
+
+WorkerTime FakeWorker::ClockAt(SteadyTime now) const {
+  constexpr std::int64_t kPermille = 1'000;
+  const std::int64_t passed = now.time_since_epoch().count() *
+                              (kPermille - this->slow_permille) / kPermille;
+  return WorkerTime(this->clock_offset.count() + passed);
+}
+
+void FakeWorker::Tick(SteadyTime now) {
+  std::vector<std::pair<jobs::TaskId, EndCause>> over;
+  const bool has_lapsed = this->ClockAt(now) >= this->lease_end;
+  for (const auto& [task, running] : this->tasks) {
+    if (has_lapsed) {
+      over.emplace_back(task, EndCause::kLapsed);
+    } else if (now >= running.ends_at) {
+      over.emplace_back(task,
+                        running.fails ? EndCause::kFailed : EndCause::kDone);
+    }
+  }
+  for (const auto& [task, cause] : over) {
+    this->End(task, cause);
+  }
+}
+
+void FakeWorker::End(const jobs::TaskId& task, EndCause cause) {
+  const auto found = this->tasks.find(task);
+  this->ended.push_back(EndReport{
+      .number = this->next_end++,
+      .task = task,
+      .run = found->second.run,
+      .cause = cause});
+  this->closed[task] = std::max(this->closed[task], found->second.run);
+  this->tasks.erase(found);
+}
+
+OrderAnswer FakeWorker::Start(const StartOrder& order,
+                              Milliseconds work,
+                              bool fails,
+                              SteadyTime now) {
+  OrderAnswer answer{.clock = this->ClockAt(now)};
+  if (order.epoch < this->fence) {
+    answer.result = OrderResult::kFenced;
+    return answer;
+  }
+  this->fence = order.epoch;
+  if (order.lease_end <= this->ClockAt(now)) {
+    answer.result = OrderResult::kTooLate;
+    return answer;
+  }
+  this->lease_end = std::max(this->lease_end, order.lease_end);
+  const auto present = this->tasks.find(order.task);
+  if (present != this->tasks.end()) {
+    answer.result = present->second.run == order.run ? OrderResult::kDone
+                                                     : OrderResult::kOldRun;
+    return answer;
+  }
+  const auto closed_run = this->closed.find(order.task);
+  if (closed_run != this->closed.end() && order.run <= closed_run->second) {
+    answer.result = OrderResult::kOldRun;
+    return answer;
+  }
+  this->tasks[order.task] = Running{order.run, now + work, fails};
+  answer.result = OrderResult::kDone;
+  return answer;
+}
+
+OrderAnswer FakeWorker::Stop(const StopOrder& order, SteadyTime now) {
+  OrderAnswer answer{.clock = this->ClockAt(now)};
+  if (order.epoch < this->fence) {
+    answer.result = OrderResult::kFenced;
+    return answer;
+  }
+  this->fence = order.epoch;
+  const auto present = this->tasks.find(order.task);
+  if (present != this->tasks.end() && present->second.run == order.run) {
+    this->End(order.task, EndCause::kStopped);
+  }
+  this->closed[order.task] = std::max(this->closed[order.task], order.run);
+  answer.result = OrderResult::kDone;
+  return answer;
+}
+
+std::optional<RenewReport> FakeWorker::Renew(const RenewOrder& order,
+                                             SteadyTime now) {
+  if (order.epoch < this->fence) {
+    return std::nullopt;
+  }
+  this->fence = order.epoch;
+  if (order.lease_end) {
+    this->lease_end = std::max(this->lease_end, *order.lease_end);
+  }
+  std::erase_if(this->ended, [&](const EndReport& end) {
+    return end.number <= order.acknowledged_ends;
+  });
+  RenewReport report{.clock = this->ClockAt(now), .ended = this->ended};
+  for (const auto& [task, running] : this->tasks) {
+    report.running.push_back(RunningReport{
+        .task = task, .run = running.run, .percent = 100});
+  }
+  return report;
+}
+
+void FakeWorker::Crash() {
+  this->tasks.clear();
+  this->ended.clear();
+  this->is_up = false;
+}
+
+}  // namespace sumac::scheduler
--- /dev/null
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef TESTS_LIBRARIES_SCHEDULER_FAKE_WORKER_H_
+#define TESTS_LIBRARIES_SCHEDULER_FAKE_WORKER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "libraries/base/time.h"
+#include "libraries/jobs/worker.h"
+#include "libraries/scheduler/scheduler.h"
+#include "libraries/scheduler/worker_messages.h"
+
+namespace sumac::scheduler {
+
+// A worker as the platform describes it, in memory: fencing tokens, leases on
+// its own clock, runs that end, ends that are listed until acknowledged.
+class FakeWorker {
+ public:
+  struct Running {
+    RunNumber run;
+    // When it ends by itself, in true time.
+    SteadyTime ends_at;
+    bool fails = false;
+  };
+
+  // Its clock started at `clock_offset` and loses `slow_permille`.
+  FakeWorker(jobs::Worker description,
+             Milliseconds clock_offset,
+             std::int64_t slow_permille)
+      : description(std::move(description)),
+        clock_offset(clock_offset),
+        slow_permille(slow_permille) {}
+
+  // Lets leases lapse and runs end.
+  void Tick(SteadyTime now);
+
+  OrderAnswer Start(const StartOrder& order,
+                    Milliseconds work,
+                    bool fails,
+                    SteadyTime now);
+  OrderAnswer Stop(const StopOrder& order, SteadyTime now);
+  // The report, or nothing when the fencing token is too low.
+  std::optional<RenewReport> Renew(const RenewOrder& order, SteadyTime now);
+
+  WorkerTime ClockAt(SteadyTime now) const;
+  // All that runs dies, as when the process is killed.
+  void Crash();
+
+  const std::map<jobs::TaskId, Running>& running() const {
+    return this->tasks;
+  }
+
+  jobs::Worker description;
+  bool is_up = true;
+  // Nothing reaches it and nothing comes from it, but it runs on.
+  bool is_cut = false;
+
+ private:
+  void End(const jobs::TaskId& task, EndCause cause);
+
+  Milliseconds clock_offset;
+  std::int64_t slow_permille;
+  LeaderEpoch fence;
+  WorkerTime lease_end;
+  std::map<jobs::TaskId, Running> tasks;
+  // Runs up to this were stopped or ended here.
+  std::map<jobs::TaskId, RunNumber> closed;
+  std::vector<EndReport> ended;
+  std::uint64_t next_end = 1;
+};
+
+}  // namespace sumac::scheduler
+
+#endif  // TESTS_LIBRARIES_SCHEDULER_FAKE_WORKER_H_
--- /dev/null
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -0,0 +1,234 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/scheduler.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/libraries/scheduler/fake_fleet.h"
+
+namespace sumac::scheduler {
+namespace {
+
+using jobs::JobState;
+
+TEST(SchedulerTest, AJobOfTasksIsRunAndDone) {
+  FakeFleet fleet(2);
+  fleet.Submit("job", {.count = 5});
+  fleet.PassTime(Milliseconds(300));
+  EXPECT_EQ(fleet.CountRunning("job"), 5U);
+  fleet.PassTime(Milliseconds(1'000));
+  EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+  EXPECT_EQ(fleet.starts, 5U);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+TEST(SchedulerTest, AStepWaitsForThoseBeforeIt) {
+  FakeFleet fleet(2);
+  jobs::JobSpec spec{.text = "t",
+                     .steps = {{.count = 2, .need = {.millicores = 100}},
+                               {.count = 1,
+                                .need = {.millicores = 100},
+                                .after = {0}}}};
+  fleet.Commit(jobs::SubmitJob{JobId("job"), QueueName("clips"), spec});
+  fleet.PassTime(Milliseconds(500));
+  EXPECT_EQ(fleet.CountRunning("job"), 2U);
+  fleet.PassTime(Milliseconds(800));
+  EXPECT_EQ(fleet.CountRunning("job"), 1U);
+  EXPECT_EQ(fleet.job("job").state, JobState::kActive);
+  fleet.PassTime(Milliseconds(1'000));
+  EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+TEST(SchedulerTest, ACancelledJobIsStoppedAndStartsNothing) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 4});
+  fleet.PassTime(Milliseconds(300));
+  fleet.Commit(jobs::CancelJob{JobId("job")});
+  fleet.PassTime(Milliseconds(300));
+  EXPECT_EQ(fleet.CountRunning("job"), 0U);
+  fleet.PassTime(Milliseconds(5'000));
+  EXPECT_EQ(fleet.starts, 4U);
+}
+
+TEST(SchedulerTest, AnotherLeaderTakesOverWhatRuns) {
+  FakeFleet fleet(3);
+  fleet.work = Milliseconds(3'000);
+  fleet.Submit("job", {.count = 6});
+  fleet.PassTime(Milliseconds(500));
+  fleet.ChangeLeader();
+  fleet.PassTime(Milliseconds(3'500));
+  EXPECT_EQ(fleet.starts, 6U);
+  EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+// What runs on a worker that is cut off while leadership changes is started
+// elsewhere only once its lease is over.
+TEST(SchedulerTest, ATaskOnASilentWorkerWaitsForTheLease) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(500));
+  ASSERT_EQ(fleet.CountRunning("job"), 1U);
+  fleet.worker("w0").is_cut = true;
+  fleet.AddWorker("w1", "m1");
+  fleet.ChangeLeader();
+  fleet.PassTime(fleet.settings.lease.length - Milliseconds(700));
+  EXPECT_EQ(fleet.starts, 1U);
+  fleet.PassTime(Milliseconds(1'500));
+  EXPECT_EQ(fleet.starts, 2U);
+  EXPECT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w1"});
+  EXPECT_EQ(fleet.problem, "");
+}
+
+TEST(SchedulerTest, ACrashedWorkersTasksAreStartedAgainAtOnce) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(5'000);
+  fleet.Submit("job", {.count = 2, .most_per_worker = 1});
+  fleet.PassTime(Milliseconds(300));
+  fleet.worker("w0").Crash();
+  fleet.AddWorker("w9", "m9");
+  fleet.PassTime(Milliseconds(1'000));
+  EXPECT_EQ(fleet.CountRunning("job"), 2U);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+TEST(SchedulerTest, ANewLifeOnAnInstanceEndsTheOneBefore) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(5'000);
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(300));
+  fleet.worker("w0").Crash();
+  fleet.worker("w0").is_cut = true;
+  fleet.AddWorker("w9", "m0");
+  fleet.PassTime(Milliseconds(300));
+  EXPECT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w9"});
+  EXPECT_EQ(fleet.state.FindWorker(WorkerId("w0")), nullptr);
+}
+
+TEST(SchedulerTest, ADrainingWorkerGetsNothingNew) {
+  FakeFleet fleet(2);
+  jobs::Worker leaving = fleet.worker("w0").description;
+  leaving.is_draining = true;
+  leaving.sequence = 2;
+  fleet.Commit(jobs::RecordWorker{leaving});
+  fleet.Submit("job", {.count = 4});
+  fleet.PassTime(Milliseconds(400));
+  EXPECT_EQ(fleet.WorkersOf("job"),
+            (std::vector<std::string>{"w1", "w1", "w1", "w1"}));
+}
+
+TEST(SchedulerTest, ALongRunningTaskIsStartedAgainHoweverItEnds) {
+  FakeFleet fleet(2);
+  fleet.fails = [](const StartOrder&) { return true; };
+  fleet.Submit("job", {.count = 2, .is_long_running = true});
+  fleet.PassTime(Milliseconds(9'000));
+  EXPECT_EQ(fleet.job("job").state, JobState::kActive);
+  EXPECT_GT(fleet.starts, 12U);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+TEST(SchedulerTest, AJobFailsOnceATaskFailedAsOftenAsItMay) {
+  FakeFleet fleet(2);
+  fleet.fails = [](const StartOrder&) { return true; };
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(9'000));
+  EXPECT_EQ(fleet.job("job").state, JobState::kFailed);
+  EXPECT_EQ(fleet.starts, 3U);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+TEST(SchedulerTest, TasksKeepApartAsAsked) {
+  FakeFleet fleet(3);
+  fleet.work = Milliseconds(5'000);
+  fleet.Submit("job", {.count = 4, .most_per_worker = 1});
+  fleet.PassTime(Milliseconds(400));
+  EXPECT_EQ(fleet.WorkersOf("job"),
+            (std::vector<std::string>{"w0", "w1", "w2"}));
+}
+
+TEST(SchedulerTest, AGangStartsWholeOrNotAtAll) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(5'000);
+  fleet.Submit("gang",
+               {.count = 9, .need = {.millicores = 1'000}, .is_gang = true});
+  fleet.PassTime(Milliseconds(400));
+  EXPECT_EQ(fleet.CountRunning("gang"), 0U);
+  fleet.AddWorker("w9", "m9");
+  fleet.PassTime(Milliseconds(400));
+  EXPECT_EQ(fleet.CountRunning("gang"), 9U);
+}
+
+TEST(SchedulerTest, ACordonedInstanceIsLeftWithinTheBudget) {
+  FakeFleet fleet(4);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 2,
+                       .most_per_worker = 1,
+                       .is_long_running = true,
+                       .has_disruption_budget = true,
+                       .disruption_budget = 1});
+  fleet.PassTime(Milliseconds(400));
+  const std::vector<std::string> before = fleet.WorkersOf("job");
+  ASSERT_EQ(before.size(), 2U);
+  // Both would have to go at once; the budget lets one.
+  std::set<InstanceName> instances;
+  for (const std::string& worker : before) {
+    instances.insert(fleet.worker(worker).description.instance);
+  }
+  fleet.scheduler->SetCordoned(instances);
+  fleet.PassTime(Milliseconds(30));
+  EXPECT_EQ(fleet.CountRunning("job"), 1U);
+  fleet.PassTime(Milliseconds(600));
+  EXPECT_EQ(fleet.CountRunning("job"), 2U);
+}
+
+TEST(SchedulerTest, ATaskWithoutAnotherPlaceStaysOnItsCordonedInstance) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job",
+               {.count = 2, .most_per_worker = 1, .is_long_running = true});
+  fleet.PassTime(Milliseconds(400));
+  fleet.scheduler->SetCordoned({InstanceName("m0")});
+  fleet.PassTime(Milliseconds(1'000));
+  EXPECT_EQ(fleet.CountRunning("job"), 2U);
+  EXPECT_EQ(fleet.starts, 2U);
+}
+
+TEST(SchedulerTest, ATaskOutsideItsBudgetMayNotBeTakenAway) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 2,
+                       .is_long_running = true,
+                       .has_disruption_budget = true,
+                       .disruption_budget = 0});
+  fleet.PassTime(Milliseconds(400));
+  EXPECT_FALSE(
+      fleet.scheduler->MayTakeAway(jobs::TaskId{{JobId("job"), 0, 0}, 0}));
+}
+
+TEST(SchedulerTest, APendingJobIsOneOfWhichNothingHasBegun) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(5'000);
+  fleet.Submit("runs", {.count = 8});
+  fleet.Submit("waits", {.count = 8});
+  fleet.PassTime(Milliseconds(400));
+  EXPECT_EQ(fleet.scheduler->CountPending(QueueName("clips")), 1U);
+}
+
+TEST(SchedulerTest, AnUnansweredStartIsStoppedBeforeTheTaskGoesElsewhere) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(2'000);
+  fleet.late_permille = 500;
+  for (int number = 0; number < 20; ++number) {
+    fleet.Submit("job" + std::to_string(number), {.count = 2});
+  }
+  fleet.PassTime(Milliseconds(60'000));
+  EXPECT_EQ(fleet.problem, "");
+  for (int number = 0; number < 20; ++number) {
+    EXPECT_EQ(fleet.job("job" + std::to_string(number)).state, JobState::kDone);
+  }
+}
+
+}  // namespace
+}  // namespace sumac::scheduler
