--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -193,6 +193,7 @@
     return;
   }
   if (end.outcome == RunOutcome::kDone) {
+    ++this->finishes;
     task.is_done = true;
     ++step.done_count;
     this->CountDone(job, end.task, at);
@@ -228,6 +229,7 @@
                        JobState state,
                        std::string reason,
                        WallTime at) {
+  ++this->finishes;
   job.state = state;
   job.reason = std::move(reason);
   job.finished_at = at;
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -75,6 +75,8 @@
     return this->own_record.workers;
   }
   const std::map<WaveId, Wave>& waves() const { return this->own_record.waves; }
+  // Grows whenever a job, or a task before its job, is finished for good.
+  std::uint64_t finish_count() const { return this->finishes; }
   const Job* FindJob(const JobId& id) const;
   const Worker* FindWorker(const WorkerId& id) const;
   // The jobs that are active, in the order in which they were accepted.
@@ -103,6 +105,7 @@
   DeclarationDecoder decoder;
   JobsRecord own_record;
   JobsDeclaration declared;
+  std::uint64_t finishes = 1;
   std::map<std::uint64_t, const Job*> active;
   // Finished jobs by the time of their end, to be dropped in that order.
   std::set<std::pair<WallTime, JobId>> finished;
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -118,20 +118,22 @@
     const bool is_final =
         end.cause == EndCause::kDone || end.cause == EndCause::kFailed;
     const jobs::StepSpec* step = this->FindStep(end.task);
-    TaskMemory& memory = this->tasks[end.task];
-    memory.last_run = std::max(memory.last_run, end.run);
-    if (!end.checkpoint.empty()) {
-      memory.checkpoint = end.checkpoint;
-    }
-    if (end.cause == EndCause::kFailed) {
-      memory.failed_on.insert(session.worker().id);
-    }
-    if (is_final && step != nullptr && !step->is_long_running) {
-      result.ends.push_back(jobs::RunEnd{
-          end.task, end.run,
-          end.cause == EndCause::kDone ? jobs::RunOutcome::kDone
-                                       : jobs::RunOutcome::kFailed});
-      memory.is_ending = true;
+    if (step != nullptr) {
+      TaskMemory& memory = this->tasks.Get(end.task);
+      memory.last_run = std::max(memory.last_run, end.run);
+      if (!end.checkpoint.empty()) {
+        memory.checkpoint = end.checkpoint;
+      }
+      if (end.cause == EndCause::kFailed) {
+        memory.failed_on.insert(session.worker().id);
+      }
+      if (is_final && !step->is_long_running) {
+        result.ends.push_back(jobs::RunEnd{
+            end.task, end.run,
+            end.cause == EndCause::kDone ? jobs::RunOutcome::kDone
+                                         : jobs::RunOutcome::kFailed});
+        memory.is_ending = true;
+      }
     }
     if (was_known) {
       this->ReleaseRun(session, end.task, end.run, "");
@@ -163,8 +165,9 @@
       run->phase = RunPhase::kRunning;
       run->confirmed_clock = report.clock;
     }
-    if (!running.checkpoint.empty()) {
-      this->tasks[running.task].checkpoint = running.checkpoint;
+    if (!running.checkpoint.empty() &&
+        this->FindStep(running.task) != nullptr) {
+      this->tasks.Get(running.task).checkpoint = running.checkpoint;
     }
   }
 }
@@ -177,11 +180,13 @@
                          bool is_adopting,
                          SteadyTime now) {
   const jobs::Job* job = this->state.FindJob(running.task.step.job);
-  TaskMemory& memory = this->tasks[running.task];
-  const bool is_wanted = job != nullptr && job->is_active() &&
-                         job->HasTask(running.task) && !memory.placed &&
-                         !memory.is_ending &&
-                         !job->ProgressOf(running.task).is_done && is_adopting;
+  const bool is_known = job != nullptr && job->HasTask(running.task);
+  const TaskMemory* known = this->tasks.Find(running.task);
+  const bool is_free =
+      known == nullptr || (!known->placed && !known->is_ending);
+  const bool is_wanted = is_adopting && is_known && is_free &&
+                         job->is_active() &&
+                         !job->ProgressOf(running.task).is_done;
   Run run{.task = running.task,
           .number = running.run,
           .phase = is_wanted ? RunPhase::kRunning : RunPhase::kStopping,
@@ -193,9 +198,12 @@
           .load = running.load,
           .stop_due = now};
   session.AddRun(std::move(run));
-  memory.last_run = std::max(memory.last_run, running.run);
+  if (is_known) {
+    TaskMemory& memory = this->tasks.Get(running.task);
+    memory.last_run = std::max(memory.last_run, running.run);
+  }
   if (is_wanted) {
-    memory.placed = {session.worker().id, running.run};
+    this->tasks.Get(running.task).placed = {session.worker().id, running.run};
     this->begun.insert(running.task.step.job);
   }
   this->needs_plan = true;
@@ -252,7 +260,9 @@
 void Scheduler::NoteRecorded(const WorkerId& worker,
                              const EndsToRecord& recorded) {
   for (const jobs::RunEnd& end : recorded.ends) {
-    this->tasks[end.task].is_ending = false;
+    if (TaskMemory* memory = this->tasks.Find(end.task)) {
+      memory->is_ending = false;
+    }
   }
   const auto found = this->workers.find(worker);
   if (found != this->workers.end()) {
@@ -362,10 +372,10 @@
                            RunNumber run,
                            const std::string& reason) {
   session.RemoveRun(task, run);
-  const auto memory = this->tasks.find(task);
-  if (memory != this->tasks.end() &&
-      memory->second.placed == std::pair(session.worker().id, run)) {
-    memory->second.placed.reset();
+  TaskMemory* memory = this->tasks.Find(task);
+  if (memory != nullptr &&
+      memory->placed == std::pair(session.worker().id, run)) {
+    memory->placed.reset();
   }
   if (!reason.empty()) {
     this->Note("run-gone", task, run, session.worker().id, reason);
@@ -391,6 +401,7 @@
   this->EvacuateCordoned(now);
   this->StopUnwanted(now, output);
   this->StartDue(now, wall_now, output);
+  this->tasks.DropFinished(this->state);
   output.events = std::exchange(this->events, {});
   return output;
 }
@@ -434,11 +445,11 @@
 
 bool Scheduler::IsAtWork(const jobs::TaskId& task) const {
   constexpr std::uint32_t kWholePercent = 100;
-  const auto memory = this->tasks.find(task);
-  if (memory == this->tasks.end() || !memory->second.placed) {
+  const TaskMemory* memory = this->tasks.Find(task);
+  if (memory == nullptr || !memory->placed) {
     return false;
   }
-  const auto& [worker, number] = *memory->second.placed;
+  const auto& [worker, number] = *memory->placed;
   const auto session = this->workers.find(worker);
   if (session == this->workers.end() || !session->second.is_answering()) {
     return false;
@@ -491,14 +502,22 @@
   }
 }
 
+bool Scheduler::IsWanted(const Run& run) const {
+  const jobs::Job* job = this->state.FindJob(run.task.step.job);
+  return job != nullptr && job->is_active() &&
+         !job->ProgressOf(run.task).is_done;
+}
+
 void Scheduler::StopUnwanted(SteadyTime now, SchedulerOutput& output) {
+  // Runs become unwanted only when a job or a task of it finishes.
+  const bool must_look =
+      std::exchange(this->seen_finish_count, this->state.finish_count()) !=
+      this->state.finish_count();
   for (auto& [id, session] : this->workers) {
     std::vector<std::pair<jobs::TaskId, RunNumber>> gone;
     for (auto& [key, run] : session.runs()) {
-      const jobs::Job* job = this->state.FindJob(run.task.step.job);
-      const bool is_wanted = job != nullptr && job->is_active() &&
-                             !job->ProgressOf(run.task).is_done;
-      if (!is_wanted && run.phase != RunPhase::kStopping) {
+      if (must_look && run.phase != RunPhase::kStopping &&
+          !this->IsWanted(run)) {
         run.phase = RunPhase::kStopping;
         run.stop_due = now;
       }
@@ -537,9 +556,32 @@
                                        run.number});
 }
 
+// Most tasks that wait find no room anywhere; this tells so without looking at
+// every worker for each.
+void Scheduler::MeasureRooms(SteadyTime now) {
+  this->rooms.clear();
+  for (const auto& [id, session] : this->workers) {
+    if (!session.IsUsable(now) || this->IsCordoned(session)) {
+      continue;
+    }
+    const jobs::Resources room = session.Room();
+    jobs::Resources& most = this->rooms[session.worker().service];
+    most.millicores = std::max(most.millicores, room.millicores);
+    most.memory_mb = std::max(most.memory_mb, room.memory_mb);
+    most.accelerators = std::max(most.accelerators, room.accelerators);
+  }
+}
+
+bool Scheduler::HasRoom(const ServiceName& service,
+                        const jobs::Resources& need) const {
+  const auto room = this->rooms.find(service);
+  return room != this->rooms.end() && room->second.Holds(need);
+}
+
 void Scheduler::StartDue(SteadyTime now,
                          WallTime wall_now,
                          SchedulerOutput& output) {
+  this->MeasureRooms(now);
   std::vector<std::tuple<std::uint32_t, std::uint64_t, const jobs::Job*>> order;
   for (const auto& [sequence, job] : this->state.active_jobs()) {
     const jobs::QueueDeclaration* queue =
@@ -572,10 +614,10 @@
   }
 }
 
-bool Scheduler::MayStart(const jobs::Job& job, const jobs::TaskId& task) const {
-  const auto memory = this->tasks.find(task);
-  if (memory != this->tasks.end() &&
-      (memory->second.placed || memory->second.is_ending)) {
+bool Scheduler::MayStart(const jobs::Job& job,
+                         const jobs::TaskId& task,
+                         const TaskMemory* memory) const {
+  if (memory != nullptr && (memory->placed || memory->is_ending)) {
     return false;
   }
   // A task of an older job may still run on a worker that has not answered this
@@ -589,10 +631,13 @@
                           SteadyTime now,
                           SchedulerOutput& output) {
   const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
-  for (std::uint32_t index = 0; index < step.count; ++index) {
-    const jobs::TaskId task{
-        {candidate.job->id, candidate.occurrence, candidate.step}, index};
-    if (!this->MayStart(*candidate.job, task)) {
+  jobs::TaskId task{{candidate.job->id, candidate.occurrence, candidate.step},
+                    0};
+  if (!this->HasRoom(candidate.job->service, this->CountedNeed(task))) {
+    return;
+  }
+  for (task.index = 0; task.index < step.count; ++task.index) {
+    if (!this->MayStart(*candidate.job, task, this->tasks.Find(task))) {
       continue;
     }
     WorkerSession* session = this->ChooseWorker(candidate, task, now);
@@ -615,7 +660,7 @@
   for (std::uint32_t index = 0; index < step.count; ++index) {
     const jobs::TaskId task{
         {candidate.job->id, candidate.occurrence, candidate.step}, index};
-    if (!this->MayStart(*candidate.job, task)) {
+    if (!this->MayStart(*candidate.job, task, this->tasks.Find(task))) {
       break;
     }
     WorkerSession* session = this->ChooseWorker(candidate, task, now);
@@ -644,7 +689,7 @@
                                        SteadyTime now) {
   const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
   const jobs::Resources need = this->CountedNeed(task);
-  const auto memory = this->tasks.find(task);
+  const TaskMemory* memory = this->tasks.Find(task);
   WorkerSession* best = nullptr;
   std::tuple<bool, bool, std::int64_t> best_rank;
   for (auto& [id, session] : this->workers) {
@@ -663,8 +708,8 @@
          session.CountOf(task.step) >= step.most_per_worker)) {
       continue;
     }
-    const bool has_failed_there = memory != this->tasks.end() &&
-                                  memory->second.failed_on.contains(id);
+    const bool has_failed_there =
+        memory != nullptr && memory->failed_on.contains(id);
     const bool is_far = !step.data_rack.value().empty() &&
                         !worker.has_label(step.data_rack.value());
     // The smaller the better: not where it failed, near its data, tight fit.
@@ -690,7 +735,7 @@
                      .need = this->CountedNeed(task),
                      .ordered_at = now,
                      .start_expires = lease_end});
-  TaskMemory& memory = this->tasks[task];
+  TaskMemory& memory = this->tasks.Get(task);
   memory.placed = {session.worker().id, run};
   memory.last_run = run;
   output.orders.emplace_back(StartOrder{
@@ -707,10 +752,10 @@
 
 RunNumber Scheduler::NextRun(const jobs::Job& job,
                              const jobs::TaskId& task) const {
-  const auto memory = this->tasks.find(task);
+  const TaskMemory* memory = this->tasks.Find(task);
   RunNumber last = job.ProgressOf(task).last_ended_run;
-  if (memory != this->tasks.end()) {
-    last = std::max(last, memory->second.last_run);
+  if (memory != nullptr) {
+    last = std::max(last, memory->last_run);
   }
   return std::max(last.Next(), FirstRunOf(this->epoch));
 }
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -15,6 +15,7 @@
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/task_id.h"
+#include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/worker_messages.h"
 #include "libraries/scheduler/worker_session.h"
 
@@ -137,18 +138,6 @@
   }
 
  private:
-  // Where a task runs, or what is known of its earlier runs.
-  struct TaskMemory {
-    // Set while a run of the task may exist.
-    std::optional<std::pair<WorkerId, RunNumber>> placed;
-    // A run ended done or failed, and its record is not committed yet.
-    bool is_ending = false;
-    RunNumber last_run;
-    std::string checkpoint;
-    // Workers on which it failed; others are tried first.
-    std::set<WorkerId> failed_on;
-  };
-
   struct Candidate {
     const jobs::Job* job = nullptr;
     std::uint32_t occurrence = 0;
@@ -190,6 +179,7 @@
   bool IsCordoned(const WorkerSession& session) const {
     return this->cordoned.contains(session.worker().instance);
   }
+  bool IsWanted(const Run& run) const;
   void StopUnwanted(SteadyTime now, SchedulerOutput& output);
   void StopRun(WorkerSession& session,
                Run& run,
@@ -202,7 +192,11 @@
   void StartGang(const Candidate& candidate,
                  SteadyTime now,
                  SchedulerOutput& output);
-  bool MayStart(const jobs::Job& job, const jobs::TaskId& task) const;
+  bool MayStart(const jobs::Job& job,
+                const jobs::TaskId& task,
+                const TaskMemory* memory) const;
+  void MeasureRooms(SteadyTime now);
+  bool HasRoom(const ServiceName& service, const jobs::Resources& need) const;
   WorkerSession* ChooseWorker(const Candidate& candidate,
                               const jobs::TaskId& task,
                               SteadyTime now);
@@ -229,13 +223,17 @@
   // ran before.
   std::uint64_t first_own_sequence;
   Sessions workers;
-  std::map<jobs::TaskId, TaskMemory> tasks;
+  TaskTable tasks;
   std::set<JobId> begun;
   // Services of which some worker has not told yet what runs there.
   std::set<ServiceName> uncertain;
+  // Per service, the most that one worker has left of each resource. It only
+  // shrinks while starts are planned.
+  std::map<ServiceName, jobs::Resources> rooms;
   std::set<InstanceName> cordoned;
   // Lives that were followed by another on the same instance.
   std::vector<WorkerId> superseded;
+  std::uint64_t seen_finish_count = 0;
   bool needs_plan = true;
   std::vector<SchedulerEvent> events;
 };
