--- /dev/null
+++ b/tests/processes/jobs.sh
@@ -0,0 +1,118 @@
+#!/usr/bin/env bash
+# SPDX-License-Identifier: Apache-2.0
+# Controllers and entries that find each other from seeds, with workers that run jobs of steps: a first
+# group, jobs through any entry, kill -9 of the leader, a wiped disk, all killed at once, planned stops.
+# usage: jobs.sh BUILD_FOLDER
+set -euo pipefail
+source "$(dirname "${BASH_SOURCE[0]}")/harness.sh"
+
+controllers=(c1 c2 c3)
+entries=(n1 n2)
+node_ip() { case "$1" in c*) echo "127.0.1.${1#c}" ;; n*) echo "127.0.1.1${1#n}" ;; esac; }
+seeds='["127.0.1.1:1","127.0.1.2:1","127.0.1.3:1"]'
+controls="127.0.1.1:8623,127.0.1.2:8623,127.0.1.3:8623"
+
+# write_node NAME ROLE IS_FIRST_START
+write_node() {
+  mkdir -p "$work/$1"
+  jq -n --arg name "$1" --arg role "$2" --arg ip "$(node_ip "$1")" --argjson first "$3" --argjson seeds "$seeds" \
+    --arg data "$work/$1/data" '{
+      label: $name, data_centre: "dc-1", role: $role, ip: $ip, peer_port: 7060, seeds: $seeds,
+      is_first_start: $first, tolerated_losses: 1}
+      + (if $role == "controller" then {data_folder: $data, control_door: "\($ip):8623"}
+         else {caller_door: "\($ip):8624", health_door: "\($ip):8622"} end)' >"$work/$1/settings.json"
+}
+start_node() { start_other "$1" "$bin/sumacd" --settings "$work/$1/settings.json"; }
+role_of() { case "$1" in c*) echo controller ;; *) echo entry ;; esac; }
+
+job_url() { echo "http://$(node_ip "$1"):8624/clips/$2"; }
+new_job() { head -c 8 /dev/urandom | od -An -tx1 | tr -d ' \n'; }
+call() { curl -s --max-time 5 -H "Host: desk.example" -o "$work/body" -w '%{http_code}' "$@"; }
+# submit ENTRY ID COUNT: prints the status.
+submit() {
+  call -X POST -H 'Sumacstack-Deadline-Ms: 3000' "$(job_url "$1" "$2")" \
+    -d "{\"spec\":\"x\",\"steps\":[{\"count\":$3,\"cpu\":500,\"mem_mb\":10,\"estimate_ms\":200},{\"count\":1,\"cpu\":500,\"after\":[0]}]}"
+}
+submitted() { [ "$(submit "$@")" = 200 ]; }
+state_is() { call "$(job_url "$1" "$2")" >/dev/null && [ "$(jq -r .state "$work/body")" = "$3" ]; }
+ready() { [ "$(curl -s --max-time 2 -o /dev/null -w '%{http_code}' "http://$(node_ip "$1"):8622/ready")" = 200 ]; }
+declared() { [ "$(curl -s --max-time 2 -o /dev/null -w '%{http_code}' -X PUT "http://127.0.1.${2:-1}:8623/config" -d @"$work/manifest-$1")" = 200 ]; }
+version_at() { curl -s --max-time 2 "http://127.0.1.$1:8623/config" | jq .version; }
+leader() {
+  local name
+  for name in "${controllers[@]}"; do
+    [ -n "${pids[$name]:-}" ] || continue
+    if [ "$(grep -hE '"event":"(leads|leads-no-more|started)"' "$work/$name/out.txt" | tail -1 | jq -r .event)" = leads ]; then
+      echo "$name"
+      return 0
+    fi
+  done
+  return 1
+}
+manifest() {
+  jq -n --argjson version "$1" '{version: $version,
+    routes: [{name: "clips", host: "desk.example", path_prefix: "/clips/", kind: "unsafe", timeout_ms: 3000,
+              target_latency_ms: 600, priority: 0, service: "previews", max_attempts: 3, stretch: 1.6}],
+    services: [{name: "previews", enforces_capacity: true}], limits: {}}' >"$work/manifest-$1"
+}
+
+for name in "${controllers[@]}" "${entries[@]}"; do
+  write_node "$name" "$(role_of "$name")" true
+  check "$name's settings are good" "$bin/sumacd" --settings "$work/$name/settings.json" --check
+  start_node "$name"
+done
+manifest 1
+check "an entry without a declaration refuses jobs with 503" [ "$(submit n1 "$(new_job)" 1)" = 503 ]
+check "the group forms and takes a declaration" until_true 10 declared 1
+check "entries are ready" until_true 5 ready n1
+start_other workers "$bin/task_workers_stand_in" --count 6 --ip 127.0.1.21 --controls "$controls" --work-ms 200
+
+first=$(new_job)
+check "a job is accepted" until_true 5 submitted n1 "$first" 4
+expect "the same job again is accepted" "$(submit n2 "$first" 4)" 200
+check "it is done, seen through the other entry" until_true 10 state_is n2 "$first" done
+expect "a job that nobody submitted is gone" "$(call "$(job_url n1 0000000000000000)")" 410
+expect "another host has no queue" "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: no.example' "$(job_url n1 1)")" 404
+expect "a body that is no job" "$(call -X POST "$(job_url n1 "$(new_job)")" -d '{"spec":1}')" 400
+
+jq '.routes[0].service = "nobody"' "$work/manifest-1" | jq '.version = 9' >"$work/manifest-9"
+expect "an invalid declaration" "$(curl -s -o /dev/null -w '%{http_code}' -X PUT http://127.0.1.2:8623/config -d @"$work/manifest-9")" 400
+manifest 2
+check "a newer declaration through another controller" until_true 5 declared 2 3
+check "an older one is taken again and changes nothing" declared 1 2
+expect "version 2 is in force at every controller" "$(version_at 1)$(version_at 2)$(version_at 3)" 222
+
+jobs=()
+for number in $(seq 1 10); do
+  id=$(new_job)
+  jobs+=("$id")
+  check "job $number is accepted" until_true 3 submitted n$((number % 2 + 1)) "$id" 5
+done
+victim=$(leader)
+signal_process "$victim" KILL
+echo "        killed $victim"
+check "a job is accepted under the next leader" until_true 10 submitted n1 "$(new_job)" 2
+for id in "${jobs[@]}"; do
+  check "job $id is done" until_true 15 state_is n2 "$id" done
+done
+
+rm -rf "$work/$victim/data"
+write_node "$victim" controller false
+start_node "$victim"
+joined() { grep -q '"event":"controllers-change"' "$work"/c*/out.txt && [ "$(version_at "${victim#c}")" = 2 ]; }
+check "$victim comes back with an empty disk and knows the declaration" until_true 20 joined
+
+for name in "${controllers[@]}"; do
+  write_node "$name" controller false
+  signal_process "$name" KILL
+done
+for name in "${controllers[@]}"; do start_node "$name"; done
+check "after all were killed at once the last job is known" until_true 15 state_is n1 "${jobs[9]}" done
+check "and the declaration" [ "$(version_at 1)" = 2 ]
+
+stopped=$(leader)
+signal_process "$stopped" TERM
+check "after a planned stop of the leader jobs go on at once" until_true 2 submitted n2 "$(new_job)" 1
+signal_process n1 TERM
+check "after a planned stop of an entry the other serves" submitted n2 "$(new_job)" 1
+finish
