Scheduler: Order by slack, and see a rush by its arrivals

Cause: in the first two seconds of a queue's turn jobs wait in order of arrival behind those that can no longer be in time, and the pool grows only as the backlog does.

--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -2,6 +2,7 @@
 #ifndef LIBRARIES_JOBS_JOB_H_
 #define LIBRARIES_JOBS_JOB_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
@@ -90,6 +91,12 @@
 
   bool is_active() const { return this->state == JobState::kActive; }
 
+  bool has_long_running_step() const {
+    return std::any_of(
+        this->spec.steps.begin(), this->spec.steps.end(),
+        [](const StepSpec& step) { return step.is_long_running; });
+  }
+
   // When an occurrence may start.
   WallTime DueAt(std::uint32_t occurrence) const {
     return this->spec.repeats == 0
--- /dev/null
+++ b/libraries/scheduler/run_times.cc
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/run_times.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace sumac::scheduler {
+namespace {
+
+// Runs of a queue that must have been seen before their mean counts.
+constexpr std::uint32_t kEnoughSeen = 10;
+// The weight of a new run in the mean, once there are many.
+constexpr double kNewest = 0.05;
+
+}  // namespace
+
+void RunTimes::Note(const QueueName& queue, Milliseconds took) {
+  Seen& seen = this->queues[queue];
+  ++seen.count;
+  const double weight = std::max(kNewest, 1.0 / seen.count);
+  seen.mean_ms += weight * (static_cast<double>(took.count()) - seen.mean_ms);
+}
+
+Milliseconds RunTimes::Expect(const QueueName& queue,
+                              const jobs::StepSpec& step) const {
+  const auto seen = this->queues.find(queue);
+  if (seen == this->queues.end() || seen->second.count < kEnoughSeen) {
+    return step.estimate;
+  }
+  // Half and half: the mean knows the queue, the estimate knows the job.
+  const auto mean =
+      Milliseconds(static_cast<std::int64_t>(seen->second.mean_ms));
+  const Milliseconds bounded =
+      std::clamp(step.estimate, mean / 2, mean * 2);
+  return (mean + bounded) / 2;
+}
+
+template <typename IsDone>
+Milliseconds RunTimes::Chain(const jobs::Job& job, IsDone is_done) const {
+  std::vector<Milliseconds> ends;
+  Milliseconds longest{0};
+  for (std::uint32_t number = 0; number < job.spec.steps.size(); ++number) {
+    const jobs::StepSpec& step = job.spec.steps[number];
+    Milliseconds start{0};
+    for (const std::uint32_t earlier : step.after) {
+      start = std::max(start, ends[earlier]);
+    }
+    const Milliseconds own =
+        is_done(number) ? Milliseconds(0) : this->Expect(job.queue, step);
+    ends.push_back(start + own);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+Milliseconds RunTimes::RemainingChain(const jobs::Job& job,
+                                      std::uint32_t occurrence) const {
+  return this->Chain(job, [&](std::uint32_t step) {
+    return job.IsStepDone(occurrence, step);
+  });
+}
+
+Milliseconds RunTimes::WholeChain(const jobs::Job& job) const {
+  return this->Chain(job, [](std::uint32_t) { return false; });
+}
+
+}  // namespace sumac::scheduler
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -97,16 +97,24 @@
   const bool is_adopting = !session.is_adopted();
   session.NoteClock(report.clock, now);
   session.NoteAnswer(now);
-  EndsToRecord ends = this->TakeEnds(session, report);
+  EndsToRecord ends = this->TakeEnds(session, report, now);
   this->TakeRunning(session, report, is_adopting, now);
   this->TakeMissing(session, report, now);
   this->needs_plan = this->needs_plan || is_adopting || ends.up_to > 0;
   return ends;
 }
 
+void Scheduler::NoteRunTime(const Run& run, SteadyTime now) {
+  const jobs::Job* job = this->state.FindJob(run.task.step.job);
+  if (job != nullptr) {
+    this->run_times.Note(job->queue, now - run.ordered_at);
+  }
+}
+
 // Ends come again until they are acknowledged; each is looked at once.
 EndsToRecord Scheduler::TakeEnds(WorkerSession& session,
-                                 const RenewReport& report) {
+                                 const RenewReport& report,
+                                 SteadyTime now) {
   EndsToRecord result;
   for (const EndReport& end : report.ended) {
     if (end.number <= session.seen_ends) {
@@ -114,7 +122,12 @@
     }
     session.seen_ends = end.number;
     result.up_to = end.number;
-    const bool was_known = session.FindRun(end.task, end.run) != nullptr;
+    const Run* known_run = session.FindRun(end.task, end.run);
+    const bool was_known = known_run != nullptr;
+    if (was_known && end.cause == EndCause::kDone &&
+        known_run->start_expires > WorkerTime(0)) {
+      this->NoteRunTime(*known_run, now);
+    }
     const bool is_final =
         end.cause == EndCause::kDone || end.cause == EndCause::kFailed;
     const jobs::StepSpec* step = this->FindStep(end.task);
@@ -582,38 +595,77 @@
                          WallTime wall_now,
                          SchedulerOutput& output) {
   this->MeasureRooms(now);
-  std::vector<std::tuple<std::uint32_t, std::uint64_t, const jobs::Job*>> order;
-  for (const auto& [sequence, job] : this->state.active_jobs()) {
-    const jobs::QueueDeclaration* queue =
-        this->state.declaration().FindQueue(job->queue);
-    order.emplace_back(queue == nullptr ? 0 : queue->priority, sequence, job);
-  }
-  std::stable_sort(order.begin(), order.end(),
-                   [](const auto& left, const auto& right) {
-                     return std::get<0>(left) < std::get<0>(right);
-                   });
-  for (const auto& [priority, sequence, job] : order) {
-    for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences();
-         ++occurrence) {
-      if (job->DueAt(occurrence) > wall_now) {
-        break;
+  for (const Candidate& due : this->OrderDue(wall_now)) {
+    const jobs::Job& job = *due.job;
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+      if (job.IsStepDone(due.occurrence, step) ||
+          !job.IsStepReady(due.occurrence, step)) {
+        continue;
       }
-      for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
-        const Candidate candidate{job, occurrence, step};
-        if (job->IsStepDone(occurrence, step) ||
-            !job->IsStepReady(occurrence, step)) {
-          continue;
-        }
-        if (job->spec.steps[step].is_gang) {
-          this->StartGang(candidate, now, output);
-        } else {
-          this->StartStep(candidate, now, output);
-        }
+      const Candidate candidate{due.job, due.occurrence, step};
+      if (job.spec.steps[step].is_gang) {
+        this->StartGang(candidate, now, output);
+      } else {
+        this->StartStep(candidate, now, output);
       }
     }
   }
 }
 
+// The occurrences of jobs that are due and not done, the most urgent first.
+std::vector<Scheduler::Candidate> Scheduler::OrderDue(WallTime wall_now) {
+  std::vector<std::pair<Urgency, Candidate>> order;
+  for (const auto& [sequence, job] : this->state.active_jobs()) {
+    for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
+                                       job->DueAt(occurrence) <= wall_now;
+         ++occurrence) {
+      order.emplace_back(this->UrgencyOf(*job, occurrence, wall_now),
+                         Candidate{job, occurrence, 0});
+    }
+  }
+  std::sort(order.begin(), order.end(),
+            [](const auto& left, const auto& right) {
+              return left.first < right.first;
+            });
+  std::vector<Candidate> candidates;
+  candidates.reserve(order.size());
+  for (const auto& [urgency, candidate] : order) {
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+Scheduler::Urgency Scheduler::UrgencyOf(const jobs::Job& job,
+                                        std::uint32_t occurrence,
+                                        WallTime wall_now) const {
+  // A late job earns a little until it has taken three times its time.
+  constexpr int kWorthlessAfter = 3;
+  const jobs::QueueDeclaration* queue =
+      this->state.declaration().FindQueue(job.queue);
+  Urgency urgency{.sequence = job.sequence};
+  if (queue == nullptr) {
+    return urgency;
+  }
+  urgency.priority = queue->priority;
+  if (!this->settings.orders_by_slack || job.has_long_running_step()) {
+    return urgency;
+  }
+  const WallTime due = job.DueAt(occurrence);
+  const auto chain = static_cast<double>(this->run_times.WholeChain(job).count());
+  const Milliseconds objective =
+      Milliseconds(static_cast<std::int64_t>(chain * queue->stretch)) +
+      queue->latency_target;
+  const Milliseconds left = this->run_times.RemainingChain(job, occurrence);
+  const Milliseconds slack = due + objective - left - wall_now;
+  if (slack < Milliseconds(0)) {
+    urgency.lateness =
+        wall_now + left > due + kWorthlessAfter * objective ? 2 : 1;
+    return urgency;
+  }
+  urgency.slack = slack.count();
+  return urgency;
+}
+
 bool Scheduler::MayStart(const jobs::Job& job,
                          const jobs::TaskId& task,
                          const TaskMemory* memory) const {
@@ -787,7 +839,32 @@
   return !job.occurrences.empty() || this->begun.contains(job.id);
 }
 
-std::map<ServiceName, CoreDemand> Scheduler::Demand(WallTime wall_now) const {
+// Counts the jobs that were accepted since the last look.
+void Scheduler::NoteArrivals(SteadyTime now) {
+  const auto& active = this->state.active_jobs();
+  for (auto item = active.lower_bound(this->next_arrival); item != active.end();
+       ++item) {
+    const jobs::Job& job = *item->second;
+    this->next_arrival = item->first + 1;
+    if (job.sequence < this->first_own_sequence || job.spec.repeats > 0) {
+      continue;
+    }
+    std::int64_t millicore_time = 0;
+    for (const jobs::StepSpec& step : job.spec.steps) {
+      if (!step.is_long_running && !step.is_filler) {
+        millicore_time += step.count * step.need.millicores *
+                          this->run_times.Expect(job.queue, step).count();
+      }
+    }
+    if (millicore_time > 0) {
+      this->arrivals[job.service].Add(millicore_time, now);
+    }
+  }
+}
+
+std::map<ServiceName, CoreDemand> Scheduler::Demand(SteadyTime now,
+                                                    WallTime wall_now) {
+  this->NoteArrivals(now);
   std::map<ServiceName, CoreDemand> demand;
   for (const auto& [sequence, job] : this->state.active_jobs()) {
     CoreDemand& service = demand[job->service];
@@ -809,6 +886,11 @@
       }
     }
   }
+  for (auto& [service, rate] : this->arrivals) {
+    CoreDemand& needed = demand[service];
+    needed.short_millicores =
+        std::max(needed.short_millicores, rate.MillicoresBusy(now));
+  }
   return demand;
 }
 
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -15,6 +15,8 @@
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/task_id.h"
+#include "libraries/scheduler/arrival_rate.h"
+#include "libraries/scheduler/run_times.h"
 #include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/worker_messages.h"
 #include "libraries/scheduler/worker_session.h"
@@ -31,6 +33,10 @@
   Milliseconds full_pause{200};
   // A worker that leaves keeps its runs only if they end within this.
   Milliseconds drain_time{2'000};
+  // Among jobs of one priority, those that can still be in time go first and
+  // the most pressing of them before the others; without it jobs go in the
+  // order in which they came.
+  bool orders_by_slack = true;
   // A worker that has been silent for this long after its lease is forgotten.
   Milliseconds forget_after{10'000};
 };
@@ -63,6 +69,8 @@
 
 // What the tasks of one service need now, in thousandths of cores.
 struct CoreDemand {
+  // Of short tasks that run or could run, or what the jobs that arrive now will
+  // keep busy, if that is more.
   std::int64_t short_millicores = 0;
   std::int64_t lasting_millicores = 0;
 };
@@ -125,7 +133,7 @@
   bool HasBegun(const jobs::Job& job) const;
   // What the tasks of each service need now: those that run and those that
   // could.
-  std::map<ServiceName, CoreDemand> Demand(WallTime wall_now) const;
+  std::map<ServiceName, CoreDemand> Demand(SteadyTime now, WallTime wall_now);
   // How many accepted jobs of a queue have not begun.
   std::uint64_t CountPending(const QueueName& queue) const;
 
@@ -142,6 +150,22 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
   };
+  // What decides which job goes first; the smaller the earlier.
+  struct Urgency {
+    std::uint32_t priority = 0;
+    // 0 for a job that can still be in time, 1 for one that is late but still
+    // worth something, 2 for one that is not.
+    std::uint32_t lateness = 0;
+    // How long the job can still wait, in milliseconds.
+    std::int64_t slack = 0;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const Urgency&) const = default;
+  };
+
+  Urgency UrgencyOf(const jobs::Job& job,
+                    std::uint32_t occurrence,
+                    WallTime wall_now) const;
 
   using Sessions = std::map<WorkerId, WorkerSession>;
 
@@ -152,7 +176,10 @@
   void TakeMissing(WorkerSession& session,
                    const RenewReport& report,
                    SteadyTime now);
-  EndsToRecord TakeEnds(WorkerSession& session, const RenewReport& report);
+  EndsToRecord TakeEnds(WorkerSession& session,
+                        const RenewReport& report,
+                        SteadyTime now);
+  void NoteRunTime(const Run& run, SteadyTime now);
   void AdoptRun(WorkerSession& session,
                 const RunningReport& running,
                 const RenewReport& report,
@@ -184,6 +211,8 @@
                Run& run,
                SteadyTime now,
                SchedulerOutput& output);
+  void NoteArrivals(SteadyTime now);
+  std::vector<Candidate> OrderDue(WallTime wall_now);
   void StartDue(SteadyTime now, WallTime wall_now, SchedulerOutput& output);
   void StartStep(const Candidate& candidate,
                  SteadyTime now,
@@ -233,6 +262,10 @@
   // Lives that were followed by another on the same instance.
   std::vector<WorkerId> superseded;
   std::uint64_t seen_finish_count = 0;
+  RunTimes run_times;
+  std::map<ServiceName, ArrivalRate> arrivals;
+  // Jobs numbered below this have been counted as arrivals.
+  std::uint64_t next_arrival = 0;
   bool needs_plan = true;
   std::vector<SchedulerEvent> events;
 };
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -89,7 +89,7 @@
     return instance.second.is_moving && instance.second.worker.value().empty();
   });
   std::map<ServiceName, maintenance::ServiceDemand> demand;
-  for (const auto& [service, cores] : this->scheduler.Demand(this->clock.Now())) {
+  for (const auto& [service, cores] : this->scheduler.Demand(now, this->clock.Now())) {
     demand[service] = {.short_millicores = cores.short_millicores,
                        .lasting_millicores = cores.lasting_millicores};
   }
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -166,6 +166,7 @@
   scheduler::SchedulerSettings chosen;
   chosen.stop_time = times.stop_time;
   chosen.drain_time = times.drain_time;
+  chosen.orders_by_slack = this->settings.policy.order_by_slack;
   chosen.lease.length = std::min(chosen.lease.length, times.longest_lease);
   this->scheduler.emplace(this->jobs_state, chosen, now);
   const maintenance::MaintenanceSettings maintenance{
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -48,10 +48,14 @@
 struct PolicySettings {
   // Instances follow demand from pool to pool.
   bool moves = true;
+  // Jobs that can still be in time go first, the most pressing before the
+  // others.
+  bool order_by_slack = true;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("moves", self.moves);
+    visitor.Field("order_by_slack", self.order_by_slack);
   }
 };
 
