Scheduler: Release a stopped run only by a report

Ruled out: the lease (not over), another leader (none until 10.5 s). Before: the new test starts the task twice. After: once; 400 histories hold with reports lost as well.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -291,7 +291,7 @@
   if (const auto* start = std::get_if<StartOrder>(&order)) {
     this->TakeStartAnswer(*start, answer, now);
   } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
-    this->TakeStopAnswer(*stop, answer, now);
+    this->TakeStopAnswer(*stop, answer);
   }
 }
 
@@ -353,8 +353,7 @@
 }
 
 void Scheduler::TakeStopAnswer(const StopOrder& order,
-                               const OrderAnswer& answer,
-                               SteadyTime now) {
+                               const OrderAnswer& answer) {
   const auto found = this->workers.find(order.worker);
   if (found == this->workers.end()) {
     return;
@@ -366,7 +365,6 @@
   Run* run = found->second.FindRun(order.task, order.run);
   if (run != nullptr && answer.result == OrderResult::kDone) {
     run->stopped_clock = answer.clock;
-    run->stopped_at = now;
   }
 }
 
@@ -526,8 +524,10 @@
   const bool must_look =
       std::exchange(this->seen_finish_count, this->state.finish_count()) !=
       this->state.finish_count();
+  // NOTE: A stopped run is gone only once a later report shows so. The stop is
+  // answered as well when the run had ended as done before, and then the task
+  // must not run again.
   for (auto& [id, session] : this->workers) {
-    std::vector<std::pair<jobs::TaskId, RunNumber>> gone;
     for (auto& [key, run] : session.runs()) {
       if (must_look && run.phase != RunPhase::kStopping &&
           !this->IsWanted(run)) {
@@ -542,19 +542,10 @@
       if (run.phase != RunPhase::kStopping) {
         continue;
       }
-      const bool must_be_over =
-          run.stopped_clock &&
-          now - run.stopped_at >
-              this->settings.stop_time + this->settings.lease.margin;
-      if (must_be_over) {
-        gone.push_back(key);
-      } else if (now >= run.stop_due) {
+      if (now >= run.stop_due) {
         this->StopRun(session, run, now, output);
       }
     }
-    for (const auto& [task, number] : gone) {
-      this->ReleaseRun(session, task, number, "it was stopped");
-    }
   }
 }
 
@@ -880,6 +871,11 @@
         }
         const std::int64_t left =
             step.count - job->CountDone(occurrence, number);
+        if (step.most_per_worker > 0) {
+          service.fewest_workers =
+              std::max(service.fewest_workers,
+                       (left + step.most_per_worker - 1) / step.most_per_worker);
+        }
         (step.is_long_running ? service.lasting_millicores
                               : service.short_millicores) +=
             left * step.need.millicores;
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -25,8 +25,6 @@
 
 struct SchedulerSettings {
   LeaseSettings lease;
-  // How long a worker takes at most to stop a run.
-  Milliseconds stop_time{400};
   // Before a stop that had no effect yet is sent again.
   Milliseconds stop_retry{700};
   // A worker that said it is full gets no starts for this long.
@@ -73,6 +71,8 @@
   // keep busy, if that is more.
   std::int64_t short_millicores = 0;
   std::int64_t lasting_millicores = 0;
+  // Workers over which the tasks of one step must be spread at least.
+  std::int64_t fewest_workers = 0;
 };
 
 // Decides, for the leader, which task runs on which worker: it adopts what runs
@@ -188,9 +188,7 @@
   void TakeStartAnswer(const StartOrder& order,
                        const OrderAnswer& answer,
                        SteadyTime now);
-  void TakeStopAnswer(const StopOrder& order,
-                      const OrderAnswer& answer,
-                      SteadyTime now);
+  void TakeStopAnswer(const StopOrder& order, const OrderAnswer& answer);
   void ReleaseRun(WorkerSession& session,
                   const jobs::TaskId& task,
                   RunNumber run,
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -59,7 +59,6 @@
   // Stopping: when to send the stop (again), and what was answered.
   SteadyTime stop_due{};
   std::optional<WorkerTime> stopped_clock;
-  SteadyTime stopped_at{};
 };
 
 // What a leader knows about one life of a worker. Belongs to the scheduler.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -164,7 +164,6 @@
   const SteadyTime now = this->clock.SteadyNow();
   const PlatformTimes& times = this->settings.platform_times;
   scheduler::SchedulerSettings chosen;
-  chosen.stop_time = times.stop_time;
   chosen.drain_time = times.drain_time;
   chosen.orders_by_slack = this->settings.policy.order_by_slack;
   chosen.lease.length = std::min(chosen.lease.length, times.longest_lease);
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -162,6 +162,17 @@
     return;
   }
   const auto report = found->second.Renew(*order, this->now);
+  std::uniform_int_distribution<std::uint32_t> draw(0, 999);
+  if (draw(this->random) < this->lost_report_permille) {
+    this->At(this->now + kOrderLimit, [this, id, sent_in] {
+      if (sent_in == this->generation) {
+        this->scheduler->TakeRenewalFailure(id, OrderResult::kUnknown,
+                                            this->now);
+      }
+    });
+    finish(kRenewalPause + kOrderLimit);
+    return;
+  }
   if (report) {
     const EndsToRecord ends =
         this->scheduler->TakeReport(id, *report, this->now);
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -58,6 +58,8 @@
   // The share of orders whose answer is lost and that are carried out 0 to 4 s
   // late, in thousandths.
   std::uint32_t late_permille = 0;
+  // The share of renewals that are carried out and whose answer is lost.
+  std::uint32_t lost_report_permille = 0;
   // How long each task works, and whether it fails.
   Milliseconds work{800};
   std::function<bool(const StartOrder&)> fails = [](const StartOrder&) {
--- a/tests/libraries/scheduler/scheduler_property_test.cc
+++ b/tests/libraries/scheduler/scheduler_property_test.cc
@@ -42,6 +42,7 @@
       break;
     case 7:
       fleet.late_permille = *rc::gen::inRange<std::uint32_t>(0, 300);
+      fleet.lost_report_permille = *rc::gen::inRange<std::uint32_t>(0, 500);
       break;
     default:
       if (next_job > 0) {
@@ -65,6 +66,7 @@
   }
   // Once the faults end, everything accepted ends too.
   fleet.late_permille = 0;
+  fleet.lost_report_permille = 0;
   for (std::size_t number = 0; number < kWorkers; ++number) {
     fleet.worker("w" + std::to_string(number)).is_cut = false;
   }
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -216,6 +216,25 @@
   EXPECT_EQ(fleet.scheduler->CountPending(QueueName("clips")), 1U);
 }
 
+// The stop of a run that has ended is answered like any other; only a report
+// tells that the run was done.
+TEST(SchedulerTest, AStoppedRunIsNotStartedAgainBeforeAReportShowsItsEnd) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(400);
+  fleet.PassTime(Milliseconds(300));
+  fleet.late_permille = 1'000;
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(20));
+  fleet.late_permille = 0;
+  fleet.lost_report_permille = 1'000;
+  fleet.PassTime(Milliseconds(4'500));
+  EXPECT_EQ(fleet.starts, 1U);
+  fleet.lost_report_permille = 0;
+  fleet.PassTime(Milliseconds(2'000));
+  EXPECT_EQ(fleet.starts, 1U);
+  EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+}
+
 TEST(SchedulerTest, AnUnansweredStartIsStoppedBeforeTheTaskGoesElsewhere) {
   FakeFleet fleet(2);
   fleet.work = Milliseconds(2'000);
