Replication: Follow the hint to the leader when asking to join

Before: the process test's wiped seed never votes again under a leader that is no seed. A new replica's old one is taken out after 1 s of silence, 3 s before: the platform counts an instance as lost for 4 s after its return.

--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -15,6 +15,7 @@
 #include "libraries/codec/json_writer.h"
 #include "libraries/log/json_log.h"
 #include "libraries/replication/membership_plan.h"
+#include "libraries/rpc/call.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
 
@@ -28,8 +29,8 @@
 // by a slow network.
 constexpr std::size_t kMostMessagesInFlight = 64;
 // A replica that has not answered for this long may be replaced by its
-// process's new one.
-constexpr Milliseconds kSilentControllerTime{3'000};
+// process's new one, which proves that the old one is gone.
+constexpr Milliseconds kSilentControllerTime{1'000};
 // A replica that has not answered for this long is taken for lost, and a spare
 // learner may take its place. Longer than a restart or a short cut.
 constexpr Milliseconds kLostControllerTime{8'000};
@@ -259,20 +260,40 @@
     return;
   }
   this->last_join = now;
-  std::vector<ProcessName> controllers = this->peers.controllers();
-  for (const replication::NodeId& voter : replica.membership().voters) {
-    controllers.push_back(ProcessOf(voter));
-  }
-  const ProcessName& process =
-      controllers[this->next_to_ask++ % controllers.size()];
+  const ProcessName process = this->NextToAsk();
   rpc::Channel* channel = this->peers.Find(process);
   if (process == this->settings.process || channel == nullptr) {
     return;
   }
   auto request = channel->Get<wire::Peer>().joinRequest();
   request.setNode(replica.self().value());
-  this->tasks.add(channel->Guard(kMessageTimeout, request.send().ignoreResult())
-                      .catch_([](kj::Exception&& /*exception*/) {}));
+  this->tasks.add(
+      rpc::CallForAnswer(*channel, kMessageTimeout, request)
+          .then(
+              [this](const fleet::Answer& answer) {
+                const bool is_hint = answer.code == ResultCode::kNotLeader;
+                this->join_hint = ProcessName(is_hint ? answer.message : "");
+                if (is_hint && !answer.message.empty()) {
+                  // The leader is asked with the next tick.
+                  this->last_join = SteadyTime{};
+                }
+              },
+              [](kj::Exception&& /*exception*/) {}));
+}
+
+// The controller to ask for being taken in: the leader if another one named
+// it, else those that are known in turn.
+ProcessName ReplicaHost::NextToAsk() {
+  ProcessName hint = std::exchange(this->join_hint, ProcessName());
+  if (!hint.value().empty()) {
+    return hint;
+  }
+  std::vector<ProcessName> controllers = this->peers.controllers();
+  for (const replication::NodeId& voter :
+       this->replica_core->membership().voters) {
+    controllers.push_back(ProcessOf(voter));
+  }
+  return controllers[this->next_to_ask++ % controllers.size()];
 }
 
 absl::Status ReplicaHost::HandOver() {
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -158,6 +158,7 @@
                                      SteadyTime now) const;
   absl::Status ProposeMembers(const replication::Membership& membership);
   void AskToJoin(SteadyTime now);
+  ProcessName NextToAsk();
 
   ReplicaHostSettings settings;
   Peers& peers;
@@ -170,6 +171,8 @@
 
   SteadyTime last_join{};
   std::size_t next_to_ask = 0;
+  // The leader as the last one asked named it; empty if it did not.
+  ProcessName join_hint;
   bool is_pump_scheduled = false;
   bool has_full_disk = false;
   // Outputs that are not on the disk yet, oldest first; the first is being
--- a/tests/processes/jobs.sh
+++ b/tests/processes/jobs.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 source "$(dirname "${BASH_SOURCE[0]}")/harness.sh"
 
-controllers=(c1 c2 c3)
+controllers=(c1 c2 c3 c4 c5)
 entries=(n1 n2)
 node_ip() { case "$1" in c*) echo "127.0.1.${1#c}" ;; n*) echo "127.0.1.1${1#n}" ;; esac; }
 seeds='["127.0.1.1:1","127.0.1.2:1","127.0.1.3:1"]'
@@ -18,7 +18,7 @@
   jq -n --arg name "$1" --arg role "$2" --arg ip "$(node_ip "$1")" --argjson first "$3" --argjson seeds "$seeds" \
     --arg data "$work/$1/data" '{
       label: $name, data_centre: "dc-1", role: $role, ip: $ip, peer_port: 7060, seeds: $seeds,
-      is_first_start: $first, tolerated_losses: 1}
+      is_first_start: $first, tolerated_losses: 2}
       + (if $role == "controller" then {data_folder: $data, control_door: "\($ip):8623"}
          else {caller_door: "\($ip):8624", health_door: "\($ip):8622"} end)' >"$work/$1/settings.json"
 }
@@ -99,8 +99,32 @@
 rm -rf "$work/$victim/data"
 write_node "$victim" controller false
 start_node "$victim"
-joined() { grep -q '"event":"controllers-change"' "$work"/c*/out.txt && [ "$(version_at "${victim#c}")" = 2 ]; }
-check "$victim comes back with an empty disk and knows the declaration" until_true 20 joined
+# is_voter NAME: the newest replica of NAME is a voter by the last change of members.
+is_voter() {
+  local node
+  node=$(grep -hE '"event":"starts-with-empty-disk"' "$work/$1/out.txt" | tail -1 | jq -r .node)
+  cat "$work"/c*/out.txt | grep -h '"event":"controllers-change"' | jq -r '[.at, (.voters | join(","))] | @tsv' | sort | tail -1 | grep -q "$node"
+}
+check "$victim comes back with an empty disk and votes again" until_true 20 is_voter "$victim"
+check "and knows the declaration" [ "$(version_at "${victim#c}")" = 2 ]
+
+# A leader that is no seed must be found too: hand over until there is one, then wipe a seed.
+for _ in $(seq 1 12); do
+  case "$(leader)" in c4 | c5) break ;; esac
+  stopped=$(leader)
+  write_node "$stopped" controller false
+  signal_process "$stopped" TERM
+  start_node "$stopped"
+  until_true 10 leader >/dev/null
+  sleep 0.5
+done
+case "$(leader)" in c4 | c5) led_by_others=yes ;; *) led_by_others=no ;; esac
+expect "a controller that is no seed leads" "$led_by_others" yes
+signal_process c1 KILL
+rm -rf "$work/c1/data"
+write_node c1 controller false
+start_node c1
+check "a wiped seed finds that leader and votes again" until_true 10 is_voter c1
 
 for name in "${controllers[@]}"; do
   write_node "$name" controller false
