--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -77,10 +77,14 @@
       continue;
     }
     Pool& pool = pools[instance.service];
-    ++pool.have;
     pool.instance_millicores =
         std::max(pool.instance_millicores, instance.millicores);
-    if (instance.budgeted_runs == 0 && !busy.contains(name)) {
+    // One that is about to be maintained is as good as away.
+    if (busy.contains(name)) {
+      continue;
+    }
+    ++pool.have;
+    if (instance.budgeted_runs == 0) {
       pool.movable.emplace_back(
           static_cast<std::int64_t>(instance.other_runs), name);
     }
@@ -110,9 +114,10 @@
         needed->second.short_millicores *
             (kPermille + this->settings.reserve_permille) / kPermille;
     pool.want =
-        std::max(this->settings.fewest_per_pool,
-                 (millicores + pool.instance_millicores - 1) /
-                     pool.instance_millicores);
+        std::max({this->settings.fewest_per_pool,
+                  needed->second.fewest_instances,
+                  (millicores + pool.instance_millicores - 1) /
+                      pool.instance_millicores});
   }
   return pools;
 }
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -42,6 +42,8 @@
   std::int64_t short_millicores = 0;
   // Of long-running tasks.
   std::int64_t lasting_millicores = 0;
+  // Instances over which tasks of one step must be spread.
+  std::int64_t fewest_instances = 0;
 };
 
 struct CapacityOutput {
--- a/libraries/maintenance/maintenance_planner.cc
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -87,7 +87,7 @@
     if (instance.state == MaintenanceState::kOrdered && may_order) {
       this->FollowOrdered(wave, name, now, output);
     } else if (instance.state == MaintenanceState::kBegun &&
-               this->IsBack(name, instance, facts)) {
+               this->IsBack(name, instance, facts, now)) {
       output.commands.emplace_back(jobs::RecordMaintenance{
           wave.id, name, MaintenanceState::kOver, {}});
     } else if (instance.state == MaintenanceState::kWaiting) {
@@ -136,6 +136,7 @@
         known != facts.end() && known->second.budgeted_runs == 0 &&
         now - cordon->second.since > this->settings.longest_wait;
     if (is_empty || has_waited) {
+      this->own_orders.insert(name);
       output.commands.emplace_back(jobs::RecordMaintenance{
           wave.id, name, MaintenanceState::kOrdered,
           known == facts.end() ? WorkerId() : known->second.worker});
@@ -153,6 +154,10 @@
   if (open.is_under_way || now < open.due) {
     return;
   }
+  if (!this->own_orders.contains(name) && !open.unanswered_at) {
+    // The leader before may have given the order already.
+    open.unanswered_at = now;
+  }
   open.is_under_way = true;
   this->cordons.try_emplace(name, Cordon{now});
   output.orders.push_back(InstanceOrder{.instance = name,
@@ -166,7 +171,16 @@
 bool MaintenancePlanner::IsBack(
     const InstanceName& name,
     const jobs::InstanceMaintenance& maintenance,
-    const std::map<InstanceName, InstanceFacts>& facts) const {
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now) const {
+  // A worker that began just before the maintenance may announce itself late.
+  const auto order = this->open_orders.find(name);
+  const SteadyTime begun_at = order == this->open_orders.end()
+                                  ? this->began_at
+                                  : order->second.begun_at;
+  if (now - begun_at < this->settings.maintenance_time) {
+    return false;
+  }
   const auto known = facts.find(name);
   if (known != facts.end() && known->second.worker != maintenance.worker) {
     return true;
@@ -200,6 +214,7 @@
   switch (result) {
     case InstanceResult::kDone: {
       this->cordons.erase(order.instance);
+      open.begun_at = now;
       record(MaintenanceState::kBegun);
       const auto wave = state.waves().find(order.wave);
       if (wave != state.waves().end()) {
@@ -211,10 +226,20 @@
       }
       break;
     }
-    case InstanceResult::kBusy:
-      this->cordons.erase(order.instance);
-      record(MaintenanceState::kWaiting);
+    case InstanceResult::kBusy: {
+      // NOTE: It may be busy with just this maintenance, if an earlier order was
+      // carried out without an answer; then it goes on counting as down.
+      const bool may_be_down =
+          open.unanswered_at &&
+          now - *open.unanswered_at < this->settings.longest_delay;
+      if (!may_be_down) {
+        open.unanswered_at.reset();
+        this->cordons.erase(order.instance);
+        this->own_orders.erase(order.instance);
+        record(MaintenanceState::kWaiting);
+      }
       break;
+    }
     case InstanceResult::kNotOfWave:
     case InstanceResult::kUnknownInstance:
       this->cordons.erase(order.instance);
@@ -224,7 +249,9 @@
       this->has_been_fenced = true;
       break;
     case InstanceResult::kRefused:
+      break;
     case InstanceResult::kUnknown:
+      open.unanswered_at = now;
       break;
   }
   return commands;
--- a/libraries/maintenance/maintenance_planner.h
+++ b/libraries/maintenance/maintenance_planner.h
@@ -29,6 +29,8 @@
   // Runs that did not end by themselves within this are ended with their
   // instance.
   Milliseconds longest_wait{6'000};
+  // An order that was not answered is carried out within this, if at all.
+  Milliseconds longest_delay{12'000};
   // Before an order that was not answered, or not taken, is given again.
   Milliseconds retry{400};
 };
@@ -95,6 +97,11 @@
   struct OpenOrder {
     bool is_under_way = false;
     SteadyTime due{};
+    // An order was given whose answer is not known, by this leader or the one
+    // before; it may be carried out until some time after this.
+    std::optional<SteadyTime> unanswered_at;
+    // When the platform was last known to have taken an order.
+    SteadyTime begun_at{};
   };
 
   void PlanWave(const jobs::Wave& wave,
@@ -108,7 +115,8 @@
                      MaintenanceOutput& output);
   bool IsBack(const InstanceName& name,
               const jobs::InstanceMaintenance& maintenance,
-              const std::map<InstanceName, InstanceFacts>& facts) const;
+              const std::map<InstanceName, InstanceFacts>& facts,
+              SteadyTime now) const;
   std::uint32_t WantedAtOnce(const jobs::Wave& wave, WallTime wall_now) const;
 
   MaintenanceSettings settings;
@@ -118,6 +126,8 @@
   bool has_been_fenced = false;
   std::map<InstanceName, Cordon> cordons;
   std::map<InstanceName, OpenOrder> open_orders;
+  // Instances whose order this leader is the first to give.
+  std::set<InstanceName> own_orders;
   std::map<InstanceName, ListedInstance> listed;
   std::optional<SteadyTime> listed_at;
 };
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -91,7 +91,8 @@
   std::map<ServiceName, maintenance::ServiceDemand> demand;
   for (const auto& [service, cores] : this->scheduler.Demand(now, this->clock.Now())) {
     demand[service] = {.short_millicores = cores.short_millicores,
-                       .lasting_millicores = cores.lasting_millicores};
+                       .lasting_millicores = cores.lasting_millicores,
+                       .fewest_instances = cores.fewest_workers};
   }
   std::set<InstanceName> busy = wave_output.cordoned;
   for (const auto& [id, wave] : this->state.waves()) {
--- /dev/null
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/maintenance/capacity_planner.h"
+
+#include <gtest/gtest.h>
+
+namespace sumac::maintenance {
+namespace {
+
+const ServiceName kBusy("busy");
+const ServiceName kQuiet("quiet");
+const ServiceName kOff("off");
+constexpr std::int64_t kCores = 16'000;
+
+// Three pools, one of which is off; a clock; and instances by number.
+class CapacityPlannerTest : public testing::Test {
+ protected:
+  CapacityPlannerTest()
+      : state([](std::string_view) {
+          return jobs::JobsDeclaration(
+              1, {},
+              {{.name = kBusy},
+               {.name = kQuiet},
+               {.name = kOff, .is_headroom = true}});
+        }) {
+    this->state.Apply({WallTime(), jobs::Declare{1, "document"}});
+  }
+
+  void AddInstances(const ServiceName& service, int count) {
+    for (int number = 0; number < count; ++number) {
+      const std::string name =
+          service.value() + std::to_string(this->facts.size());
+      this->facts[InstanceName(name)] =
+          InstanceFacts{.worker = WorkerId("w-" + name),
+                        .service = service,
+                        .millicores = kCores};
+    }
+  }
+  void AddIdle(int count) {
+    std::vector<ListedInstance> list;
+    for (int number = 0; number < count; ++number) {
+      list.push_back({.name = InstanceName("idle" + std::to_string(number)),
+                      .service = kOff,
+                      .state = InstanceState::kUp});
+    }
+    this->planner.TakeList(list, this->now);
+  }
+  CapacityOutput Plan() {
+    this->now += Milliseconds(100);
+    return this->planner.Plan(this->state, this->facts, this->demand,
+                              this->busy, this->now);
+  }
+  // The pools that the orders of a plan name.
+  static std::vector<std::string> PoolsOf(const CapacityOutput& output) {
+    std::vector<std::string> pools;
+    for (const InstanceOrder& order : output.orders) {
+      pools.push_back(order.pool.value());
+    }
+    return pools;
+  }
+
+  jobs::JobsState state;
+  SteadyTime now{Milliseconds(10'000)};
+  CapacityPlanner planner{CapacitySettings(), ProcessName("c1"),
+                          LeaderEpoch(1), SteadyTime(Milliseconds(1'000))};
+  std::map<InstanceName, InstanceFacts> facts;
+  std::map<ServiceName, ServiceDemand> demand;
+  std::set<InstanceName> busy;
+};
+
+TEST_F(CapacityPlannerTest, APoolInNeedTakesInstancesThatAreOffFirst) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 6);
+  this->AddIdle(1);
+  this->demand[kBusy].short_millicores = 4 * kCores * 8 / 10;
+  this->demand[kQuiet] = {};
+  const CapacityOutput output = this->Plan();
+  EXPECT_EQ(PoolsOf(output), (std::vector<std::string>{"busy", "busy"}));
+  EXPECT_TRUE(output.cordoned.contains(InstanceName("idle0")));
+}
+
+TEST_F(CapacityPlannerTest, AnInstanceWithLongRunningTasksStays) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 3);
+  for (auto& [name, instance] : this->facts) {
+    instance.budgeted_runs = instance.service == kQuiet ? 1 : 0;
+  }
+  this->demand[kBusy].short_millicores = 4 * kCores;
+  this->demand[kQuiet] = {};
+  EXPECT_TRUE(this->Plan().orders.empty());
+}
+
+TEST_F(CapacityPlannerTest, NothingMovesRightAfterALeaderBegan) {
+  this->AddInstances(kBusy, 2);
+  this->AddIdle(2);
+  this->demand[kBusy].short_millicores = 4 * kCores;
+  this->now = SteadyTime(Milliseconds(1'500));
+  EXPECT_TRUE(this->Plan().orders.empty());
+}
+
+// A step whose tasks must keep apart needs as many instances, whatever little
+// they use.
+TEST_F(CapacityPlannerTest, APoolKeepsAsManyInstancesAsAStepIsSpreadOver) {
+  this->AddInstances(kBusy, 5);
+  this->AddInstances(kQuiet, 2);
+  this->AddIdle(1);
+  this->demand[kBusy] = {.lasting_millicores = 5'000, .fewest_instances = 5};
+  this->demand[kQuiet] = {};
+  this->now += Milliseconds(10'000);
+  EXPECT_TRUE(this->Plan().orders.empty());
+  this->now += Milliseconds(10'000);
+  EXPECT_TRUE(this->Plan().orders.empty());
+  // One of them is about to be maintained, so another takes its place.
+  this->busy.insert(InstanceName("busy0"));
+  EXPECT_EQ(PoolsOf(this->Plan()), std::vector<std::string>{"busy"});
+}
+
+TEST_F(CapacityPlannerTest, ASurplusIsGivenUpOnlyAfterAWhile) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 6);
+  this->AddIdle(0);
+  this->demand[kQuiet] = {};
+  EXPECT_TRUE(this->Plan().orders.empty());
+  this->now += CapacitySettings().surplus_time;
+  EXPECT_EQ(this->Plan().orders.size(), 4U);
+}
+
+TEST_F(CapacityPlannerTest, AnOrderWithoutAnAnswerIsGivenAgain) {
+  this->AddInstances(kBusy, 2);
+  this->AddIdle(1);
+  this->demand[kBusy].short_millicores = 2 * kCores;
+  const CapacityOutput first = this->Plan();
+  ASSERT_EQ(first.orders.size(), 1U);
+  EXPECT_TRUE(this->Plan().orders.empty());
+  this->planner.TakeResult(first.orders[0], InstanceResult::kUnknown,
+                           this->now);
+  this->now += CapacitySettings().retry;
+  EXPECT_EQ(this->Plan().orders.size(), 1U);
+}
+
+TEST_F(CapacityPlannerTest, AMoveEndsTheWorkerThatWasThere) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 4);
+  this->AddIdle(0);
+  this->demand[kBusy].short_millicores = 2 * kCores;
+  this->demand[kQuiet] = {};
+  const CapacityOutput output = this->Plan();
+  ASSERT_EQ(output.orders.size(), 1U);
+  const auto commands = this->planner.TakeResult(
+      output.orders[0], InstanceResult::kDone, this->now);
+  ASSERT_EQ(commands.size(), 1U);
+  const auto& forget = std::get<jobs::ForgetWorker>(commands[0]);
+  EXPECT_EQ(forget.worker.value(),
+            "w-" + output.orders[0].instance.value());
+  EXPECT_TRUE(forget.is_over);
+}
+
+TEST_F(CapacityPlannerTest, AFencedLeaderGivesNoMoreOrders) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 2);
+  this->AddIdle(3);
+  this->demand[kBusy].short_millicores = 2 * kCores;
+  const CapacityOutput output = this->Plan();
+  ASSERT_EQ(output.orders.size(), 1U);
+  this->planner.TakeResult(output.orders[0], InstanceResult::kFenced,
+                           this->now);
+  this->now += Milliseconds(2'000);
+  EXPECT_TRUE(this->Plan().orders.empty());
+}
+
+}  // namespace
+}  // namespace sumac::maintenance
--- /dev/null
+++ b/tests/libraries/maintenance/maintenance_planner_test.cc
@@ -0,0 +1,189 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/maintenance/maintenance_planner.h"
+
+#include <gtest/gtest.h>
+
+namespace sumac::maintenance {
+namespace {
+
+using jobs::MaintenanceState;
+
+const WaveId kWave("1");
+
+class MaintenancePlannerTest : public testing::Test {
+ protected:
+  MaintenancePlannerTest()
+      : state([](std::string_view) { return jobs::JobsDeclaration(); }) {}
+
+  void AddInstance(const std::string& name, std::int64_t load = 0) {
+    this->facts[InstanceName(name)] = InstanceFacts{
+        .worker = WorkerId("w-" + name), .load_permille = load};
+  }
+  void StartWave(std::vector<InstanceName> instances,
+                 std::uint32_t most_at_once,
+                 Milliseconds ramp = Milliseconds(1'000)) {
+    this->Commit(jobs::StartWave{kWave, std::move(instances), ramp,
+                                 most_at_once});
+  }
+  void Commit(jobs::Command command) {
+    this->state.Apply({this->wall(), std::move(command)});
+  }
+  WallTime wall() const { return WallTime(this->now.time_since_epoch()); }
+
+  // One look; what it wants committed is committed.
+  std::vector<InstanceOrder> Look() {
+    this->now += Milliseconds(100);
+    MaintenanceOutput output = this->planner.Plan(this->state, this->facts,
+                                                  this->wall(), this->now);
+    this->cordoned = output.cordoned;
+    for (jobs::Command& command : output.commands) {
+      this->Commit(std::move(command));
+    }
+    return output.orders;
+  }
+  // Looks until there are orders, a few times at most.
+  std::vector<InstanceOrder> LookForOrders() {
+    for (int look = 0; look < 5; ++look) {
+      std::vector<InstanceOrder> orders = this->Look();
+      if (!orders.empty()) {
+        return orders;
+      }
+    }
+    return {};
+  }
+  void Answer(const InstanceOrder& order, InstanceResult result) {
+    for (jobs::Command& command : this->planner.TakeResult(
+             this->state, order, result, this->now)) {
+      this->Commit(std::move(command));
+    }
+  }
+  MaintenanceState StateOf(const std::string& name) const {
+    return this->state.waves()
+        .at(kWave)
+        .instances.at(InstanceName(name))
+        .state;
+  }
+  void LetTheInstanceComeBack(const std::string& name) {
+    this->facts[InstanceName(name)].worker = WorkerId("next-" + name);
+  }
+
+  jobs::JobsState state;
+  SteadyTime now{Milliseconds(10'000)};
+  MaintenancePlanner planner{MaintenanceSettings(), ProcessName("c1"),
+                             LeaderEpoch(1), SteadyTime(Milliseconds(1'000))};
+  std::map<InstanceName, InstanceFacts> facts;
+  std::set<InstanceName> cordoned;
+};
+
+TEST_F(MaintenancePlannerTest, AWaveGoesThroughAllItsInstances) {
+  this->AddInstance("m1");
+  this->AddInstance("m2", 500);
+  this->StartWave({InstanceName("m1"), InstanceName("m2")}, 1);
+  for (const char* name : {"m1", "m2"}) {
+    const auto orders = this->LookForOrders();
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].instance.value(), name);
+    this->Answer(orders[0], InstanceResult::kDone);
+    EXPECT_EQ(this->StateOf(name), MaintenanceState::kBegun);
+    this->now += Milliseconds(2'000);
+    this->LetTheInstanceComeBack(name);
+    this->Look();
+    EXPECT_EQ(this->StateOf(name), MaintenanceState::kOver);
+  }
+  EXPECT_TRUE(this->state.waves().at(kWave).is_done());
+}
+
+TEST_F(MaintenancePlannerTest, NoMoreThanAllowedAreDownAtOnce) {
+  for (const char* name : {"m1", "m2", "m3", "m4"}) {
+    this->AddInstance(name);
+  }
+  this->StartWave({InstanceName("m1"), InstanceName("m2"), InstanceName("m3"),
+                   InstanceName("m4")},
+                  2);
+  const auto orders = this->LookForOrders();
+  EXPECT_EQ(orders.size(), 2U);
+  for (const InstanceOrder& order : orders) {
+    this->Answer(order, InstanceResult::kDone);
+  }
+  EXPECT_TRUE(this->LookForOrders().empty());
+}
+
+TEST_F(MaintenancePlannerTest, AnInstanceIsEmptiedFirst) {
+  this->AddInstance("m1");
+  this->facts[InstanceName("m1")].budgeted_runs = 1;
+  this->StartWave({InstanceName("m1")}, 1);
+  EXPECT_TRUE(this->LookForOrders().empty());
+  EXPECT_TRUE(this->cordoned.contains(InstanceName("m1")));
+  this->facts[InstanceName("m1")].budgeted_runs = 0;
+  EXPECT_EQ(this->LookForOrders().size(), 1U);
+}
+
+TEST_F(MaintenancePlannerTest, ALateAnnouncementIsNotTakenForTheReturn) {
+  this->AddInstance("m1");
+  this->AddInstance("m2");
+  this->StartWave({InstanceName("m1"), InstanceName("m2")}, 1);
+  const auto orders = this->LookForOrders();
+  ASSERT_EQ(orders.size(), 1U);
+  this->Answer(orders[0], InstanceResult::kDone);
+  // A life that began just before the order is heard of only now.
+  this->LetTheInstanceComeBack("m1");
+  EXPECT_TRUE(this->LookForOrders().empty());
+  EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kBegun);
+}
+
+TEST_F(MaintenancePlannerTest, AnInstanceThatMayBeDownUnansweredStaysCounted) {
+  this->AddInstance("m1");
+  this->AddInstance("m2");
+  this->StartWave({InstanceName("m1"), InstanceName("m2")}, 1);
+  const auto first = this->LookForOrders();
+  ASSERT_EQ(first.size(), 1U);
+  this->Answer(first[0], InstanceResult::kUnknown);
+  this->now += Milliseconds(500);
+  const auto again = this->LookForOrders();
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again[0].instance, first[0].instance);
+  this->Answer(again[0], InstanceResult::kBusy);
+  EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kOrdered);
+  this->now += Milliseconds(500);
+  for (const InstanceOrder& order : this->LookForOrders()) {
+    EXPECT_EQ(order.instance, first[0].instance);
+  }
+}
+
+TEST_F(MaintenancePlannerTest, ABusyInstanceIsTriedAgainLater) {
+  this->AddInstance("m1");
+  this->StartWave({InstanceName("m1")}, 1);
+  const auto orders = this->LookForOrders();
+  ASSERT_EQ(orders.size(), 1U);
+  this->Answer(orders[0], InstanceResult::kBusy);
+  EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kWaiting);
+  this->now += Milliseconds(1'000);
+  EXPECT_EQ(this->LookForOrders().size(), 1U);
+}
+
+TEST_F(MaintenancePlannerTest, AnInstanceThatIsGoneIsDone) {
+  this->StartWave({InstanceName("m1")}, 1);
+  this->planner.TakeList({}, this->now);
+  this->Look();
+  EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kOver);
+}
+
+TEST_F(MaintenancePlannerTest, AWaveIsSpreadOverItsTime) {
+  std::vector<InstanceName> names;
+  for (int number = 0; number < 10; ++number) {
+    names.emplace_back("m" + std::to_string(number));
+    this->AddInstance(names.back().value());
+  }
+  this->StartWave(names, 9, Milliseconds(60'000));
+  EXPECT_LE(this->LookForOrders().size(), 3U);
+}
+
+TEST_F(MaintenancePlannerTest, ANewLeaderWaitsBeforeItsFirstOrder) {
+  this->AddInstance("m1");
+  this->StartWave({InstanceName("m1")}, 1);
+  this->now = SteadyTime(Milliseconds(1'500));
+  EXPECT_TRUE(this->LookForOrders().empty());
+}
+
+}  // namespace
+}  // namespace sumac::maintenance
