Scheduler: Let only the last life on an instance count

Ruled out: leases (first order of a leader), a late report (clocks). Before: the new test keeps the old life. After: lives carry the order in which they were heard of, and only the last on an instance counts. Also: a refused connection after a first try that may have arrived no longer counts as nothing sent.

--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -91,8 +91,9 @@
         if (may_repeat) {
           return this->Try(request, limit, true);
         }
+        // After a first try that may have arrived, a refusal proves nothing.
         const bool is_refused =
-            !attempt->has_connected && IsRefusal(exception);
+            !attempt->has_connected && !is_second && IsRefusal(exception);
         return CallReply{.outcome = is_refused ? CallOutcome::kRefused
                                                : CallOutcome::kNoAnswer,
                          .error = exception.getDescription().cStr()};
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -36,45 +36,47 @@
   this->SyncWorkers(now);
 }
 
-std::vector<WorkerId> Scheduler::SyncWorkers(SteadyTime now) {
-  std::vector<WorkerId> added;
+// Of all lives on one instance only the last one heard of can be alive.
+std::map<InstanceName, const jobs::Worker*> Scheduler::FindPresentLives()
+    const {
+  std::map<InstanceName, const jobs::Worker*> present;
   for (const auto& [id, worker] : this->state.workers()) {
-    const auto found = this->workers.find(id);
-    if (found != this->workers.end()) {
-      found->second.Update(worker);
-      continue;
+    const jobs::Worker*& last = present[worker.instance];
+    if (last == nullptr || worker.number > last->number) {
+      last = &worker;
     }
-    this->NoteSuperseded(worker);
-    this->workers.emplace(id,
-                          WorkerSession(worker, this->settings.lease, now));
-    added.push_back(id);
-  }
-  for (const WorkerId& id : this->superseded) {
-    this->EndWorker(id, "another life began on its instance");
   }
-  std::vector<WorkerId> removed;
+  return present;
+}
+
+void Scheduler::SyncWorkers(SteadyTime now) {
+  const auto present = this->FindPresentLives();
+  std::vector<std::pair<WorkerId, std::string>> over;
   for (const auto& [id, session] : this->workers) {
     if (this->state.FindWorker(id) == nullptr) {
-      removed.push_back(id);
+      over.emplace_back(id, "its life is over");
     }
   }
-  for (const WorkerId& id : removed) {
-    this->EndWorker(id, "its life is over");
-  }
-  this->needs_plan = true;
-  return added;
-}
-
-// A new life on an instance ends the one before.
-void Scheduler::NoteSuperseded(const jobs::Worker& worker) {
-  if (worker.instance.value().empty()) {
-    return;
-  }
-  for (const auto& [id, session] : this->workers) {
-    if (session.worker().instance == worker.instance) {
-      this->superseded.push_back(id);
+  for (const auto& [id, worker] : this->state.workers()) {
+    const bool is_superseded = !worker.instance.value().empty() &&
+                               present.at(worker.instance)->id != id;
+    if (is_superseded) {
+      over.emplace_back(id, "another life began on its instance");
+      this->superseded.insert(id);
+      continue;
+    }
+    const auto found = this->workers.find(id);
+    if (found != this->workers.end()) {
+      found->second.Update(worker);
+    } else {
+      this->workers.emplace(id,
+                            WorkerSession(worker, this->settings.lease, now));
     }
   }
+  for (const auto& [id, reason] : over) {
+    this->EndWorker(id, reason);
+  }
+  this->needs_plan = true;
 }
 
 std::optional<RenewOrder> Scheduler::NextRenewal(const WorkerId& worker,
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -88,8 +88,8 @@
             SchedulerSettings settings,
             SteadyTime now);
 
-  // Takes in that the workers of the state changed; gives those that are new.
-  std::vector<WorkerId> SyncWorkers(SteadyTime now);
+  // Takes in that the workers of the state changed.
+  void SyncWorkers(SteadyTime now);
 
   // The next renewal for a worker, or nothing if the worker is not known any
   // more.
@@ -194,7 +194,7 @@
                   RunNumber run,
                   const std::string& reason);
   void ReleaseAll(WorkerSession& session, const std::string& reason);
-  void NoteSuperseded(const jobs::Worker& worker);
+  std::map<InstanceName, const jobs::Worker*> FindPresentLives() const;
   void LapseSilentWorkers(SteadyTime now);
   void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
   void EvacuateCordoned(SteadyTime now);
@@ -257,8 +257,9 @@
   // shrinks while starts are planned.
   std::map<ServiceName, jobs::Resources> rooms;
   std::set<InstanceName> cordoned;
-  // Lives that were followed by another on the same instance.
-  std::vector<WorkerId> superseded;
+  // Lives that were followed by another on the same instance and are to be
+  // forgotten.
+  std::set<WorkerId> superseded;
   std::uint64_t seen_finish_count = 0;
   RunTimes run_times;
   std::map<ServiceName, ArrivalRate> arrivals;
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -16,14 +16,13 @@
 constexpr const char* kService = "previews";
 
 jobs::JobsDeclaration Declared() {
-  return jobs::JobsDeclaration(
-      1,
-      {{.name = QueueName("clips"),
-        .host = "h",
-        .path_prefix = "/q/",
-        .service = ServiceName(kService),
-        .most_attempts = 3}},
-      {{.name = ServiceName(kService)}});
+  return jobs::JobsDeclaration(1,
+                               {{.name = QueueName("clips"),
+                                 .host = "h",
+                                 .path_prefix = "/q/",
+                                 .service = ServiceName(kService),
+                                 .most_attempts = 3}},
+                               {{.name = ServiceName(kService)}});
 }
 
 }  // namespace
@@ -148,16 +147,15 @@
   }
   if (!this->Reaches(id) || !found->second.is_up) {
     const bool is_refused = !found->second.is_cut;
-    this->At(this->now + (is_refused ? kOneWay : kOrderLimit),
-             [this, id, sent_in, is_refused] {
-               if (sent_in == this->generation) {
-                 this->scheduler->TakeRenewalFailure(
-                     id,
-                     is_refused ? OrderResult::kUnreachable
-                                : OrderResult::kUnknown,
-                     this->now);
-               }
-             });
+    this->At(this->now + (is_refused ? kOneWay : kOrderLimit), [this, id,
+                                                                sent_in,
+                                                                is_refused] {
+      if (sent_in == this->generation) {
+        this->scheduler->TakeRenewalFailure(
+            id, is_refused ? OrderResult::kUnreachable : OrderResult::kUnknown,
+            this->now);
+      }
+    });
     finish(kRenewalPause + (is_refused ? kOneWay : kOrderLimit));
     return;
   }
@@ -187,8 +185,8 @@
 }
 
 void FakeFleet::Plan() {
-  SchedulerOutput output = this->scheduler->Plan(
-      this->now, WallTime(this->now.time_since_epoch()));
+  SchedulerOutput output =
+      this->scheduler->Plan(this->now, WallTime(this->now.time_since_epoch()));
   for (const Order& order : output.orders) {
     this->Send(order);
   }
@@ -201,13 +199,14 @@
   std::uniform_int_distribution<std::uint32_t> draw(0, 999);
   const Generation sent_in = this->generation;
   if (draw(this->random) >= this->late_permille) {
-    this->At(this->now + kOneWay, [this, order, sent_in] {
-      this->Execute(order, true, sent_in);
-    });
+    this->At(this->now + kOneWay,
+             [this, order, sent_in] { this->Execute(order, true, sent_in); });
     return;
   }
   std::uniform_int_distribution<int> delay(0, 4'000);
-  this->At(this->now + Milliseconds(delay(this->random)),
+  const Milliseconds late =
+      this->late_by.value_or(Milliseconds(delay(this->random)));
+  this->At(this->now + late,
            [this, order, sent_in] { this->Execute(order, false, sent_in); });
   this->At(this->now + kOrderLimit, [this, order, sent_in] {
     if (sent_in == this->generation) {
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -18,8 +18,8 @@
 namespace sumac::scheduler {
 
 // One leader with its scheduler, some workers and a network that loses, delays
-// and repeats, all on one fake clock. It checks on every start and end what must
-// always hold.
+// and repeats, all on one fake clock. It checks on every start and end what
+// must always hold.
 class FakeFleet {
  public:
   explicit FakeFleet(std::size_t workers, std::uint64_t seed = 1);
@@ -58,6 +58,8 @@
   // The share of orders whose answer is lost and that are carried out 0 to 4 s
   // late, in thousandths.
   std::uint32_t late_permille = 0;
+  // How late; drawn from 0 to 4 s where it is not set.
+  std::optional<Milliseconds> late_by;
   // The share of renewals that are carried out and whose answer is lost.
   std::uint32_t lost_report_permille = 0;
   // How long each task works, and whether it fails.
--- a/tests/libraries/scheduler/fake_worker.cc
+++ b/tests/libraries/scheduler/fake_worker.cc
@@ -31,11 +31,10 @@
 
 void FakeWorker::End(const jobs::TaskId& task, EndCause cause) {
   const auto found = this->tasks.find(task);
-  this->ended.push_back(EndReport{
-      .number = this->next_end++,
-      .task = task,
-      .run = found->second.run,
-      .cause = cause});
+  this->ended.push_back(EndReport{.number = this->next_end++,
+                                  .task = task,
+                                  .run = found->second.run,
+                                  .cause = cause});
   this->closed[task] = std::max(this->closed[task], found->second.run);
   this->tasks.erase(found);
 }
@@ -101,8 +100,8 @@
   });
   RenewReport report{.clock = this->ClockAt(now), .ended = this->ended};
   for (const auto& [task, running] : this->tasks) {
-    report.running.push_back(RunningReport{
-        .task = task, .run = running.run, .percent = 100});
+    report.running.push_back(
+        RunningReport{.task = task, .run = running.run, .percent = 100});
   }
   return report;
 }
--- a/tests/libraries/scheduler/fake_worker.h
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -48,9 +48,7 @@
   // All that runs dies, as when the process is killed.
   void Crash();
 
-  const std::map<jobs::TaskId, Running>& running() const {
-    return this->tasks;
-  }
+  const std::map<jobs::TaskId, Running>& running() const { return this->tasks; }
 
   jobs::Worker description;
   bool is_up = true;
--- a/tests/libraries/scheduler/scheduler_property_test.cc
+++ b/tests/libraries/scheduler/scheduler_property_test.cc
@@ -46,8 +46,8 @@
       break;
     default:
       if (next_job > 0) {
-        fleet.Commit(jobs::CancelJob{JobId(
-            "job" + std::to_string(*rc::gen::inRange(0, next_job)))});
+        fleet.Commit(jobs::CancelJob{
+            JobId("job" + std::to_string(*rc::gen::inRange(0, next_job)))});
       }
       break;
   }
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -23,11 +23,10 @@
 
 TEST(SchedulerTest, AStepWaitsForThoseBeforeIt) {
   FakeFleet fleet(2);
-  jobs::JobSpec spec{.text = "t",
-                     .steps = {{.count = 2, .need = {.millicores = 100}},
-                               {.count = 1,
-                                .need = {.millicores = 100},
-                                .after = {0}}}};
+  jobs::JobSpec spec{
+      .text = "t",
+      .steps = {{.count = 2, .need = {.millicores = 100}},
+                {.count = 1, .need = {.millicores = 100}, .after = {0}}}};
   fleet.Commit(jobs::SubmitJob{JobId("job"), QueueName("clips"), spec});
   fleet.PassTime(Milliseconds(500));
   EXPECT_EQ(fleet.CountRunning("job"), 2U);
@@ -107,6 +106,23 @@
   EXPECT_EQ(fleet.state.FindWorker(WorkerId("w0")), nullptr);
 }
 
+// Whatever the lives are called, and whatever is committed before the old one
+// is forgotten.
+TEST(SchedulerTest, TheOldLifeOnAnInstanceNeverReplacesTheNewOne) {
+  for (const char* next : {"a-life", "z-life"}) {
+    FakeFleet fleet(1);
+    fleet.worker("w0").Crash();
+    fleet.AddWorker(next, "m0");
+    fleet.AddWorker("other", "m1");
+    const auto& sessions = fleet.scheduler->sessions();
+    EXPECT_TRUE(sessions.contains(WorkerId(next)));
+    EXPECT_FALSE(sessions.contains(WorkerId("w0")));
+    fleet.ChangeLeader();
+    EXPECT_TRUE(fleet.scheduler->sessions().contains(WorkerId(next)));
+    EXPECT_FALSE(fleet.scheduler->sessions().contains(WorkerId("w0")));
+  }
+}
+
 TEST(SchedulerTest, ADrainingWorkerGetsNothingNew) {
   FakeFleet fleet(2);
   jobs::Worker leaving = fleet.worker("w0").description;
@@ -223,6 +239,7 @@
   fleet.work = Milliseconds(400);
   fleet.PassTime(Milliseconds(300));
   fleet.late_permille = 1'000;
+  fleet.late_by = Milliseconds(100);
   fleet.Submit("job", {.count = 1});
   fleet.PassTime(Milliseconds(20));
   fleet.late_permille = 0;
