--- a/libraries/log/json_log.cc
+++ b/libraries/log/json_log.cc
@@ -73,7 +73,7 @@
   root->removeAllAppenders();
   if (path.empty()) {
     root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr()));
+        layout, log4cxx::ConsoleAppender::getSystemOut()));
   } else {
     root->addAppender(
         std::make_shared<log4cxx::FileAppender>(layout, path, true));
--- a/libraries/log/json_log.h
+++ b/libraries/log/json_log.h
@@ -15,7 +15,7 @@
 // Parses debug, info, warning or error; anything else is kInfo.
 LogLevel ParseLogLevel(std::string_view name);
 
-// Sends log lines to `path`, or to standard error when it is empty. Each line
+// Sends log lines to `path`, or to standard output when it is empty. Each line
 // is one JSON object with the fields at (RFC 3339, UTC), level, process and
 // event beside those given.
 void StartLogging(const ProcessName& process,
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -212,7 +212,7 @@
           .percent = running.percent,
           .load = running.load,
           .stop_due = now};
-  session.AddRun(std::move(run));
+  session.AddRun(run);
   if (is_known) {
     TaskMemory& memory = this->tasks.Get(running.task);
     memory.last_run = std::max(memory.last_run, running.run);
--- a/libraries/scheduler/worker_calls.h
+++ b/libraries/scheduler/worker_calls.h
@@ -20,8 +20,8 @@
 
 // How a leader reaches workers; an adapter provides it.
 struct WorkerCalls {
-  std::function<kj::Promise<RenewAnswer>(RenewOrder)> renew;
-  std::function<kj::Promise<OrderAnswer>(Order)> send;
+  std::function<kj::Promise<RenewAnswer>(const RenewOrder&)> renew;
+  std::function<kj::Promise<OrderAnswer>(const Order&)> send;
   // The worker's life is over.
   std::function<void(const WorkerId&)> forget;
 };
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -93,9 +93,9 @@
   return found == this->known_runs.end() ? nullptr : &found->second;
 }
 
-Run& WorkerSession::AddRun(Run run) {
+Run& WorkerSession::AddRun(const Run& run) {
   const std::pair key(run.task, run.number);
-  auto [place, is_new] = this->known_runs.try_emplace(key, std::move(run));
+  auto [place, is_new] = this->known_runs.try_emplace(key, run);
   if (is_new) {
     this->used.Add(place->second.need);
     ++this->step_counts[key.first.step];
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -113,7 +113,7 @@
     return this->known_runs;
   }
   Run* FindRun(const jobs::TaskId& task, RunNumber number);
-  Run& AddRun(Run run);
+  Run& AddRun(const Run& run);
   void RemoveRun(const jobs::TaskId& task, RunNumber number);
 
   // What is left for further tasks.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -353,7 +353,7 @@
   }
 }
 
-kj::Promise<void> JobController::RenewLoop(WorkerId worker, Term term) {
+kj::Promise<void> JobController::RenewLoop(const WorkerId& worker, Term term) {
   if (!this->scheduler || this->leading_term != term) {
     return kj::READY_NOW;
   }
@@ -366,7 +366,7 @@
   if (!order) {
     return kj::READY_NOW;
   }
-  return this->worker_calls.renew(*std::move(order))
+  return this->worker_calls.renew(*order)
       .then([this, worker, term](const scheduler::RenewAnswer& answer) {
         return this->TakeRenewal(worker, term, answer);
       })
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -96,7 +96,7 @@
   kj::Promise<fleet::Answer> Serve(const jobs::ShowWave& request);
 
   void SyncWorkers();
-  kj::Promise<void> RenewLoop(WorkerId worker, Term term);
+  kj::Promise<void> RenewLoop(const WorkerId& worker, Term term);
   kj::Promise<void> TakeRenewal(const WorkerId& worker,
                                 Term term,
                                 const scheduler::RenewAnswer& answer);
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -198,8 +198,8 @@
       http::DoorSettings{.address = this->settings.caller_door,
                          .most_body_bytes = kMostCallerBody,
                          .headers = platform::CallerDoor::Headers()},
-      [this](http::DoorRequest request) {
-        return this->caller_adapter->Handle(std::move(request));
+      [this](const http::DoorRequest& request) {
+        return this->caller_adapter->Handle(request);
       }));
   return this->OpenDoor(
       this->health_door,
--- a/services/sumacd/settings.h
+++ b/services/sumacd/settings.h
@@ -106,7 +106,7 @@
 // Log lines.
 struct LogSettings {
   std::string level = "info";
-  // Empty for standard error.
+  // Empty for standard output.
   std::string file;
 
   template <typename Self, typename Visitor>
