--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -169,6 +169,18 @@
   }
 };
 
+// The leader is about to order moves of these instances. A later leader keeps
+// away from them for a while.
+struct RecordMoves {
+  static constexpr std::string_view kTypeName = "record-moves";
+  std::vector<InstanceName> instances;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Required("instances", self.instances);
+  }
+};
+
 using Command = std::variant<BeginEpoch,
                              Declare,
                              RecordWorker,
@@ -177,7 +189,8 @@
                              CancelJob,
                              RecordEnds,
                              StartWave,
-                             RecordMaintenance>;
+                             RecordMaintenance,
+                             RecordMoves>;
 
 // A command with the wall-clock time at which the leader proposed it; the only
 // time that the state knows.
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -15,6 +15,9 @@
 // ask for is 120 s; the rest is room for clocks that differ.
 constexpr Milliseconds kKeepFinished{180'000};
 
+// Moves matter to a later leader for some seconds only.
+constexpr Milliseconds kKeepMoves{30'000};
+
 // Progress with nothing done for one occurrence of `spec`.
 OccurrenceProgress NewProgress(const JobSpec& spec) {
   OccurrenceProgress progress;
@@ -250,6 +253,9 @@
     this->own_record.jobs.erase(this->finished.begin()->second);
     this->finished.erase(this->finished.begin());
   }
+  std::erase_if(this->own_record.moves, [now](const auto& move) {
+    return move.second.at + kKeepMoves < now;
+  });
   std::erase_if(this->own_record.ended_workers, [now](const auto& ended) {
     return ended.second + kKeepFinished < now;
   });
@@ -270,8 +276,7 @@
   return fleet::Answer::Success("started");
 }
 
-fleet::Answer JobsState::Take(const RecordMaintenance& command,
-                              WallTime /*at*/) {
+fleet::Answer JobsState::Take(const RecordMaintenance& command, WallTime at) {
   const auto wave = this->own_record.waves.find(command.wave);
   if (wave == this->own_record.waves.end() ||
       !wave->second.instances.contains(command.instance)) {
@@ -289,6 +294,15 @@
   maintenance.state = command.state;
   if (command.state == MaintenanceState::kOrdered) {
     maintenance.worker = command.worker;
+    this->own_record.moves[command.instance] =
+        MoveRecord{this->own_record.epoch, at};
+  }
+  return fleet::Answer::Success("recorded");
+}
+
+fleet::Answer JobsState::Take(const RecordMoves& command, WallTime at) {
+  for (const InstanceName& instance : command.instances) {
+    this->own_record.moves[instance] = MoveRecord{this->own_record.epoch, at};
   }
   return fleet::Answer::Success("recorded");
 }
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -28,6 +28,19 @@
 using DeclarationDecoder =
     std::function<absl::StatusOr<JobsDeclaration>(std::string_view document)>;
 
+// When an order about an instance, to move or to maintain it, was last about to
+// go out, and by which leadership.
+struct MoveRecord {
+  LeaderEpoch epoch;
+  WallTime at{};
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Field("epoch", self.epoch);
+    visitor.Field("at", self.at);
+  }
+};
+
 // All that is replicated about jobs, as a snapshot holds it.
 struct JobsRecord {
   LeaderEpoch epoch;
@@ -41,6 +54,8 @@
   // announcement may still come.
   std::map<WorkerId, WallTime> ended_workers;
   std::map<WaveId, Wave> waves;
+  // Recent moves; older ones are dropped.
+  std::map<InstanceName, MoveRecord> moves;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -53,6 +68,7 @@
     visitor.Field("workers", self.workers);
     visitor.Field("ended_workers", self.ended_workers);
     visitor.Field("waves", self.waves);
+    visitor.Field("moves", self.moves);
   }
 };
 
@@ -97,6 +113,7 @@
   fleet::Answer Take(const RecordEnds& command, WallTime at);
   fleet::Answer Take(const StartWave& command, WallTime at);
   fleet::Answer Take(const RecordMaintenance& command, WallTime at);
+  fleet::Answer Take(const RecordMoves& command, WallTime at);
 
   void TakeEnd(const RunEnd& end, WallTime at);
   void CountDone(Job& job, const TaskId& task, WallTime at);
--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -49,25 +49,43 @@
     const std::map<InstanceName, InstanceFacts>& facts,
     const std::map<ServiceName, ServiceDemand>& demand,
     const std::set<InstanceName>& busy,
+    WallTime wall_now,
     SteadyTime now) {
   CapacityOutput output;
-  if (!this->settings.is_on || this->has_been_fenced ||
-      now - this->began_at <= this->settings.holder_pause) {
+  if (!this->settings.is_on || this->has_been_fenced) {
     return output;
   }
   std::map<ServiceName, Pool> pools =
-      this->CountPools(state, facts, demand, busy);
+      this->CountPools(state, facts, demand, busy, wall_now, now);
   this->GrowPools(state, pools, facts, now);
   this->ShrinkPools(state, pools, facts, now);
   this->FollowMoves(state, facts, now, output);
   return output;
 }
 
+// The leader before may have ordered a move of this instance a moment ago.
+bool CapacityPlanner::MayMove(const jobs::JobsState& state,
+                              const InstanceName& name,
+                              WallTime wall_now,
+                              SteadyTime now) const {
+  if (now - this->began_at > this->settings.holder_pause) {
+    return true;
+  }
+  const auto record = state.record().moves.find(name);
+  // NOTE: Two leaders' clocks may differ by seconds, so what counts is twice
+  // the pause.
+  return record == state.record().moves.end() ||
+         record->second.epoch == this->epoch ||
+         wall_now - record->second.at > 2 * this->settings.holder_pause;
+}
+
 std::map<ServiceName, CapacityPlanner::Pool> CapacityPlanner::CountPools(
     const jobs::JobsState& state,
     const std::map<InstanceName, InstanceFacts>& facts,
     const std::map<ServiceName, ServiceDemand>& demand,
-    const std::set<InstanceName>& busy) const {
+    const std::set<InstanceName>& busy,
+    WallTime wall_now,
+    SteadyTime now) const {
   std::map<ServiceName, Pool> pools;
   for (const auto& [name, service] : state.declaration().services()) {
     pools[name];
@@ -84,7 +102,8 @@
       continue;
     }
     ++pool.have;
-    if (instance.budgeted_runs == 0) {
+    if (instance.budgeted_runs == 0 &&
+        this->MayMove(state, name, wall_now, now)) {
       pool.movable.emplace_back(static_cast<std::int64_t>(instance.other_runs),
                                 name);
     }
@@ -93,7 +112,7 @@
     const bool is_free = !facts.contains(name) && !busy.contains(name) &&
                          !this->moves.contains(name) &&
                          IsHeadroom(state, service);
-    if (is_free) {
+    if (is_free && this->MayMove(state, name, wall_now, now)) {
       pools[service].movable.emplace_back(0, name);
       ++pools[service].have;
     }
@@ -205,6 +224,7 @@
     const std::map<InstanceName, InstanceFacts>& facts,
     SteadyTime now,
     CapacityOutput& output) {
+  jobs::RecordMoves to_record;
   for (auto item = this->moves.begin(); item != this->moves.end();) {
     const auto& [name, move] = *item;
     const auto known = facts.find(name);
@@ -221,7 +241,15 @@
     const bool is_empty =
         known == facts.end() ||
         (known->second.budgeted_runs == 0 && known->second.other_runs == 0);
-    if (!move.is_taken && !move.is_under_way && is_empty && now >= move.due) {
+    const auto record = state.record().moves.find(name);
+    const bool is_recorded = record != state.record().moves.end() &&
+                             record->second.epoch == this->epoch;
+    const bool is_due =
+        !move.is_taken && !move.is_under_way && is_empty && now >= move.due;
+    if (is_due && !is_recorded) {
+      to_record.instances.push_back(name);
+    }
+    if (is_due && is_recorded) {
       item->second.is_under_way = true;
       output.orders.push_back(InstanceOrder{.instance = name,
                                             .pool = move.to,
@@ -230,6 +258,9 @@
     }
     ++item;
   }
+  if (!to_record.instances.empty()) {
+    output.commands.emplace_back(std::move(to_record));
+  }
 }
 
 std::vector<jobs::Command> CapacityPlanner::TakeResult(
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -20,7 +20,8 @@
 struct CapacitySettings {
   // False leaves every instance where it is; the baseline for comparisons.
   bool is_on = true;
-  // A new leader moves nothing for this long; see MaintenanceSettings.
+  // A new leader leaves instances alone that the one before was about to move
+  // within this time, so that their orders never take turns.
   Milliseconds holder_pause{3'000};
   // Room that a pool should have beyond what it needs now, in thousandths.
   std::int64_t reserve_permille = 150;
@@ -68,6 +69,7 @@
                       const std::map<InstanceName, InstanceFacts>& facts,
                       const std::map<ServiceName, ServiceDemand>& demand,
                       const std::set<InstanceName>& busy,
+                      WallTime wall_now,
                       SteadyTime now);
 
   // Takes in a whole list of the platform's instances.
@@ -110,7 +112,13 @@
       const jobs::JobsState& state,
       const std::map<InstanceName, InstanceFacts>& facts,
       const std::map<ServiceName, ServiceDemand>& demand,
-      const std::set<InstanceName>& busy) const;
+      const std::set<InstanceName>& busy,
+      WallTime wall_now,
+      SteadyTime now) const;
+  bool MayMove(const jobs::JobsState& state,
+               const InstanceName& name,
+               WallTime wall_now,
+               SteadyTime now) const;
   void GrowPools(const jobs::JobsState& state,
                  std::map<ServiceName, Pool>& pools,
                  const std::map<InstanceName, InstanceFacts>& facts,
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -10,7 +10,7 @@
 namespace sumac::daemon {
 namespace {
 
-constexpr Milliseconds kPlanInterval{100};
+constexpr Milliseconds kPlanInterval{50};
 // The list is fetched this often while a wave is under way. Each fetch has a
 // price, and what changes fast is seen from the workers.
 constexpr Milliseconds kListInterval{4'000};
@@ -104,9 +104,11 @@
       }
     }
   }
-  maintenance::CapacityOutput output =
-      this->capacity.Plan(this->state, facts, demand, busy, now);
+  maintenance::CapacityOutput output = this->capacity.Plan(
+      this->state, facts, demand, busy, this->clock.Now(), now);
   wave_output.cordoned.merge(output.cordoned);
+  std::move(output.commands.begin(), output.commands.end(),
+            std::back_inserter(wave_output.commands));
   std::move(output.orders.begin(), output.orders.end(),
             std::back_inserter(wave_output.orders));
 }
