--- a/libraries/replication/types.h
+++ b/libraries/replication/types.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -159,6 +160,21 @@
 
 enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
 
+// The word for a role in logs.
+constexpr std::string_view NameOf(Role role) {
+  switch (role) {
+    case Role::kFollower:
+      return "follower";
+    case Role::kPreCandidate:
+      return "asks-for-votes";
+    case Role::kCandidate:
+      return "candidate";
+    case Role::kLeader:
+      return "leader";
+  }
+  return "?";
+}
+
 // The times and sizes of replication.
 struct ReplicationSettings {
   Milliseconds heartbeat_interval{250};
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -356,7 +356,24 @@
   }));
 }
 
+// One line whenever this replica's part in the group changes.
+void ReplicaHost::LogRole() {
+  const replication::Replica& replica = *this->replica_core;
+  const std::pair current(replica.role(), this->KnownLeader());
+  if (current == this->logged_role) {
+    return;
+  }
+  this->logged_role = current;
+  LogEvent(LogLevel::kInfo, "role",
+           {{"role", NameOf(current.first)},
+            {"leader", current.second.value()},
+            {"term", replica.term().value()},
+            {"last_index", replica.last_index().value()},
+            {"voters", replica.membership().voters.size()}});
+}
+
 void ReplicaHost::Pump() {
+  this->LogRole();
   while (this->PumpOnce()) {
   }
   // A follower's answers wait until the disk holds what they speak for.
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -139,6 +140,7 @@
 
   void taskFailed(kj::Exception&& exception) override;
 
+  void LogRole();
   void Pump();
   bool PumpOnce();
   bool MayRunAheadOfDisk(const replication::Output& output) const;
@@ -169,6 +171,8 @@
   Folder folder;
   std::unique_ptr<replication::Replica> replica_core;
 
+  std::pair<replication::Role, ProcessName> logged_role{
+      replication::Role::kFollower, ProcessName()};
   SteadyTime last_join{};
   std::size_t next_to_ask = 0;
   // The leader as the last one asked named it; empty if it did not.
