Replication: Draw another election seed for each start

They drew alike: Poco::Random without seed() gives the same numbers in every process (two calls in two processes: the same four values). Ruled out: the processor (all were idle), the log (all had the same).

--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/replica_host.h"
 
-#include <Poco/Random.h>
-
 #include <algorithm>
 #include <cstdlib>
 #include <iterator>
@@ -14,6 +12,7 @@
 #include "libraries/base/verify.h"
 #include "libraries/codec/json_writer.h"
 #include "libraries/log/json_log.h"
+#include "libraries/replication/election_seed.h"
 #include "libraries/replication/membership_plan.h"
 #include "libraries/rpc/call.h"
 #include "libraries/wire/generated/peer.capnp.h"
@@ -90,7 +89,7 @@
     TRY(host->callbacks.load_snapshot(start.snapshot.state));
     host->last_applied = start.snapshot.meta.index;
   }
-  start.seed = Poco::Random().next();
+  start.seed = replication::DrawElectionSeed(start.self);
   host->replica_core = std::make_unique<replication::Replica>(
       ToReplicationSettings(settings.group), std::move(start),
       host->clock.SteadyNow());
