Entry: Seed the choice of minions differently in each process

Cause: as with the election seeds, Poco::Random without seed() draws alike in every process, so all entries made the same two random choices.

--- a/services/sumacd/entry.cc
+++ b/services/sumacd/entry.cc
@@ -1,9 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/entry.h"
 
-#include <Poco/Random.h>
-
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "libraries/base/error.h"
@@ -70,7 +69,7 @@
       router(
           ToSharing(settings),
           routing::DecisionRing(settings.process, this->start, kDecisionsKept),
-          Poco::Random().next()),
+          std::random_device()()),
       wake_thread([this] { this->WakeLoop(); }),
       probe_thread([this] { this->ProbeLoop(); }) {}
 
