Sumacd: Take an order that was not sent for refused, not for unreachable

Cause: found on reading. Orders held back because the lease was in doubt counted as refused connections; two of them to one worker made it look dead, and its tasks would have been started elsewhere once the lease was back.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -101,7 +101,7 @@
   session.NoteAnswer(now);
   EndsToRecord ends = this->TakeEnds(session, report, now);
   this->TakeRunning(session, report, is_adopting, now);
-  this->TakeMissing(session, report, now);
+  this->TakeMissing(session, report);
   this->needs_plan = this->needs_plan || is_adopting || ends.up_to > 0;
   return ends;
 }
@@ -229,9 +229,7 @@
 }
 
 // Runs that the worker neither runs nor lists as ended.
-void Scheduler::TakeMissing(WorkerSession& session,
-                            const RenewReport& report,
-                            SteadyTime now) {
+void Scheduler::TakeMissing(WorkerSession& session, const RenewReport& report) {
   std::set<std::pair<jobs::TaskId, RunNumber>> present;
   for (const RunningReport& running : report.running) {
     present.emplace(running.task, running.run);
@@ -255,7 +253,6 @@
   for (const auto& [task, number] : gone) {
     this->ReleaseRun(session, task, number, "the worker does not have it");
   }
-  (void)now;
 }
 
 void Scheduler::TakeRenewalFailure(const WorkerId& worker,
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -173,9 +173,7 @@
                    const RenewReport& report,
                    bool is_adopting,
                    SteadyTime now);
-  void TakeMissing(WorkerSession& session,
-                   const RenewReport& report,
-                   SteadyTime now);
+  void TakeMissing(WorkerSession& session, const RenewReport& report);
   EndsToRecord TakeEnds(WorkerSession& session,
                         const RenewReport& report,
                         SteadyTime now);
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -491,37 +491,35 @@
   scheduler::SchedulerOutput output =
       this->scheduler->Plan(this->last_plan, this->clock.Now());
   this->LogEvents(output.events);
-  for (scheduler::Order& order : output.orders) {
-    this->SendOrder(std::move(order));
+  for (const scheduler::Order& order : output.orders) {
+    this->SendOrder(order);
   }
   for (jobs::Command& command : output.commands) {
     this->ProposeInBackground(std::move(command));
   }
 }
 
-void JobController::SendOrder(scheduler::Order order) {
+void JobController::SendOrder(const scheduler::Order& order) {
   // NOTE: The lease is checked for each order, right before it leaves: a
   // process that was frozen must send nothing when it goes on.
   if (!this->host->MayAct()) {
-    this->scheduler->TakeAnswer(
-        order, {.result = scheduler::OrderResult::kUnreachable},
-        this->clock.SteadyNow());
+    // It says nothing about the worker.
+    this->scheduler->TakeAnswer(order,
+                                {.result = scheduler::OrderResult::kRefused},
+                                this->clock.SteadyNow());
     return;
   }
   const Term term = this->leading_term;
-  scheduler::Order sent = order;
-  this->tasks.add(this->worker_calls.send(std::move(sent))
-                      .then([this, term, order = std::move(order)](
-                                const scheduler::OrderAnswer& answer) {
-                        if (!this->scheduler || this->leading_term != term) {
-                          return;
-                        }
-                        this->scheduler->TakeAnswer(order, answer,
-                                                    this->clock.SteadyNow());
-                        if (this->scheduler->is_dirty()) {
-                          this->SchedulePlan();
-                        }
-                      }));
+  this->tasks.add(this->worker_calls.send(order).then(
+      [this, term, order](const scheduler::OrderAnswer& answer) {
+        if (!this->scheduler || this->leading_term != term) {
+          return;
+        }
+        this->scheduler->TakeAnswer(order, answer, this->clock.SteadyNow());
+        if (this->scheduler->is_dirty()) {
+          this->SchedulePlan();
+        }
+      }));
 }
 
 void JobController::LogEvents(
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -106,7 +106,7 @@
   void CommitEnds();
   void SchedulePlan();
   void Plan();
-  void SendOrder(scheduler::Order order);
+  void SendOrder(const scheduler::Order& order);
   void LogEvents(const std::vector<scheduler::SchedulerEvent>& events) const;
 
   const NodeSettings& settings;
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -204,7 +204,8 @@
   return this->OpenDoor(
       this->health_door,
       http::DoorSettings{.address = this->settings.health_door},
-      [this](http::DoorRequest /*request*/) -> kj::Promise<http::DoorReply> {
+      [this](const http::DoorRequest& /*request*/)
+          -> kj::Promise<http::DoorReply> {
         return this->ReplyToHealthCheck();
       });
 }
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -37,6 +37,7 @@
   }
   void AddIdle(int count) {
     std::vector<ListedInstance> list;
+    list.reserve(count);
     for (int number = 0; number < count; ++number) {
       list.push_back({.name = InstanceName("idle" + std::to_string(number)),
                       .service = kOff,
@@ -67,6 +68,7 @@
   // The pools that the orders of a plan name.
   static std::vector<std::string> PoolsOf(const CapacityOutput& output) {
     std::vector<std::string> pools;
+    pools.reserve(output.orders.size());
     for (const InstanceOrder& order : output.orders) {
       pools.push_back(order.pool.value());
     }
--- a/tests/stand_ins/task_worker.cc
+++ b/tests/stand_ins/task_worker.cc
@@ -54,8 +54,8 @@
       headers(this->header_builder.build()),
       door(timer,
            http::DoorSettings{.address = this->settings.description.address},
-           [this](http::DoorRequest request) {
-             return this->Handle(std::move(request));
+           [this](const http::DoorRequest& request) {
+             return this->Handle(request);
            }) {
   for (const std::string& control : this->settings.controls) {
     this->controls.push_back(std::make_unique<http::AsyncConnection>(
@@ -105,7 +105,8 @@
       .then([this] { return this->AnnounceLoop(); });
 }
 
-kj::Promise<http::DoorReply> TaskWorker::Handle(http::DoorRequest request) {
+kj::Promise<http::DoorReply> TaskWorker::Handle(
+    const http::DoorRequest& request) {
   const SteadyTime now = this->clock.SteadyNow();
   this->worker.Tick(now);
   nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
--- a/tests/stand_ins/task_worker.h
+++ b/tests/stand_ins/task_worker.h
@@ -39,7 +39,7 @@
   std::uint64_t done() const { return this->done_count; }
 
  private:
-  kj::Promise<http::DoorReply> Handle(http::DoorRequest request);
+  kj::Promise<http::DoorReply> Handle(const http::DoorRequest& request);
   kj::Promise<http::DoorReply> Hold(nlohmann::json body, SteadyTime until);
   http::DoorReply Start(const nlohmann::json& body);
   http::DoorReply Stop(const nlohmann::json& body);
