--- a/libraries/fleet/answer.h
+++ b/libraries/fleet/answer.h
@@ -29,6 +29,11 @@
     return Answer{CodeOf(status), std::string(status.message()), {}, {}};
   }
 
+  // An answer that carries an error, or a success with one sentence.
+  static Answer FromOutcome(const absl::Status& status, std::string message) {
+    return status.ok() ? Success(std::move(message)) : FromStatus(status);
+  }
+
   // A success with one sentence.
   static Answer Success(std::string message) {
     return Answer{.message = std::move(message)};
--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -3,16 +3,14 @@
 
 #include <memory>
 
+#include "libraries/base/kj_time.h"
+
 namespace sumac::http {
 namespace {
 
 // Bytes of an answer's body that are read at most.
 constexpr std::uint64_t kMostAnswerBytes = 8ULL << 20;
 
-kj::Duration ToKjTime(Milliseconds time) {
-  return time.count() * kj::MILLISECONDS;
-}
-
 bool IsDisconnect(const kj::Exception& exception) {
   return exception.getType() == kj::Exception::Type::DISCONNECTED;
 }
@@ -81,7 +79,7 @@
         open->is_used = true;
         return this->Send(kj::mv(open), request);
       });
-  return this->timer.timeoutAfter(ToKjTime(limit), kj::mv(called))
+  return this->timer.timeoutAfter(ToKj(limit), kj::mv(called))
       .catch_([this, attempt, &request, limit,
                is_second](kj::Exception&& exception) -> kj::Promise<CallReply> {
         this->Drop(attempt->has_connected ? attempt->generation
--- a/libraries/http/async_door.cc
+++ b/libraries/http/async_door.cc
@@ -3,7 +3,7 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
-#include "libraries/base/text.h"
+#include "libraries/base/kj_time.h"
 #include "libraries/log/json_log.h"
 
 namespace sumac::http {
@@ -11,10 +11,6 @@
 
 constexpr std::uint32_t kBodyTooLargeStatus = 413;
 
-kj::Duration ToKjTime(Milliseconds time) {
-  return time.count() * kj::MILLISECONDS;
-}
-
 const std::string& ReasonFor(std::uint32_t status) {
   return Poco::Net::HTTPResponse::getReasonForStatus(
       static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
@@ -30,8 +26,8 @@
   }
   this->header_table = builder.build();
   kj::HttpServerSettings server_settings;
-  server_settings.headerTimeout = ToKjTime(this->settings.header_time);
-  server_settings.pipelineTimeout = ToKjTime(this->settings.idle_time);
+  server_settings.headerTimeout = ToKj(this->settings.header_time);
+  server_settings.pipelineTimeout = ToKj(this->settings.idle_time);
   server_settings.callbacks = static_cast<kj::HttpServerCallbacks&>(*this);
   this->server = kj::heap<kj::HttpServer>(timer, *this->header_table,
                                           static_cast<kj::HttpService&>(*this),
--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -86,8 +86,6 @@
   std::string reason;
   // Progress by occurrence; one without an entry has not begun.
   std::map<std::uint32_t, OccurrenceProgress> occurrences;
-  // Occurrences that are done and whose progress was dropped.
-  std::uint32_t occurrences_done = 0;
 
   bool is_active() const { return this->state == JobState::kActive; }
 
@@ -128,7 +126,6 @@
     visitor.Field("finished_at", self.finished_at);
     visitor.Field("reason", self.reason);
     visitor.Field("occurrences", self.occurrences);
-    visitor.Field("occurrences_done", self.occurrences_done);
   }
 };
 
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -228,7 +228,6 @@
   for (const auto& [number, occurrence] : job.occurrences) {
     done += static_cast<std::uint32_t>(occurrence.is_done());
   }
-  job.occurrences_done = done;
   if (done == job.spec.occurrences()) {
     this->Finish(job, JobState::kDone, "", at);
   }
--- /dev/null
+++ b/libraries/jobs/service_demand.h
@@ -0,0 +1,22 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_JOBS_SERVICE_DEMAND_H_
+#define LIBRARIES_JOBS_SERVICE_DEMAND_H_
+
+#include <cstdint>
+
+namespace sumac::jobs {
+
+// What the tasks of one service need now, in thousandths of cores.
+struct ServiceDemand {
+  // Of short tasks that run or could run, or what the jobs that arrive now will
+  // keep busy, if that is more.
+  std::int64_t short_millicores = 0;
+  // Of long-running tasks.
+  std::int64_t lasting_millicores = 0;
+  // Instances over which the tasks of one step must be spread at least.
+  std::int64_t fewest_instances = 0;
+};
+
+}  // namespace sumac::jobs
+
+#endif  // LIBRARIES_JOBS_SERVICE_DEMAND_H_
--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -47,7 +47,7 @@
 CapacityOutput CapacityPlanner::Plan(
     const jobs::JobsState& state,
     const std::map<InstanceName, InstanceFacts>& facts,
-    const std::map<ServiceName, ServiceDemand>& demand,
+    const std::map<ServiceName, jobs::ServiceDemand>& demand,
     const std::set<InstanceName>& busy,
     WallTime wall_now,
     SteadyTime now) {
@@ -82,7 +82,7 @@
 std::map<ServiceName, CapacityPlanner::Pool> CapacityPlanner::CountPools(
     const jobs::JobsState& state,
     const std::map<InstanceName, InstanceFacts>& facts,
-    const std::map<ServiceName, ServiceDemand>& demand,
+    const std::map<ServiceName, jobs::ServiceDemand>& demand,
     const std::set<InstanceName>& busy,
     WallTime wall_now,
     SteadyTime now) const {
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -12,6 +12,7 @@
 #include "libraries/base/time.h"
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/jobs_state.h"
+#include "libraries/jobs/service_demand.h"
 #include "libraries/maintenance/instance_messages.h"
 #include "libraries/maintenance/maintenance_planner.h"
 
@@ -37,16 +38,6 @@
   std::int64_t fewest_per_pool = 2;
 };
 
-// What the tasks of one service need now, in thousandths of cores.
-struct ServiceDemand {
-  // Of short tasks that run or could run now.
-  std::int64_t short_millicores = 0;
-  // Of long-running tasks.
-  std::int64_t lasting_millicores = 0;
-  // Instances over which tasks of one step must be spread.
-  std::int64_t fewest_instances = 0;
-};
-
 struct CapacityOutput {
   std::set<InstanceName> cordoned;
   std::vector<jobs::Command> commands;
@@ -67,7 +58,7 @@
   // `busy` are instances that a maintenance wave holds.
   CapacityOutput Plan(const jobs::JobsState& state,
                       const std::map<InstanceName, InstanceFacts>& facts,
-                      const std::map<ServiceName, ServiceDemand>& demand,
+                      const std::map<ServiceName, jobs::ServiceDemand>& demand,
                       const std::set<InstanceName>& busy,
                       WallTime wall_now,
                       SteadyTime now);
@@ -111,7 +102,7 @@
   std::map<ServiceName, Pool> CountPools(
       const jobs::JobsState& state,
       const std::map<InstanceName, InstanceFacts>& facts,
-      const std::map<ServiceName, ServiceDemand>& demand,
+      const std::map<ServiceName, jobs::ServiceDemand>& demand,
       const std::set<InstanceName>& busy,
       WallTime wall_now,
       SteadyTime now) const;
--- a/libraries/rpc/channel.cc
+++ b/libraries/rpc/channel.cc
@@ -3,10 +3,6 @@
 
 namespace sumac::rpc {
 
-kj::Duration ToKj(Milliseconds time) {
-  return time.count() * kj::MILLISECONDS;
-}
-
 Channel::Channel(kj::Network& network, kj::Timer& timer, std::string address)
     : network(network), timer(timer), peer_address(std::move(address)) {}
 
--- a/libraries/rpc/channel.h
+++ b/libraries/rpc/channel.h
@@ -10,13 +10,11 @@
 #include <string>
 #include <utility>
 
+#include "libraries/base/kj_time.h"
 #include "libraries/base/time.h"
 
 namespace sumac::rpc {
 
-// Kj's form of a duration.
-kj::Duration ToKj(Milliseconds time);
-
 // A Cap'n Proto connection to one process that is opened when first needed and
 // anew after it broke. It belongs to one event loop.
 class Channel {
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -205,10 +205,11 @@
   Run run{.task = running.task,
           .number = running.run,
           .phase = is_wanted ? RunPhase::kRunning : RunPhase::kStopping,
-          .need = this->CountedNeed(running.task),
+          .need = is_known
+                      ? CountedNeed(job->spec.steps[running.task.step.step])
+                      : jobs::Resources(),
           .ordered_at = now,
           .confirmed_clock = report.clock,
-          .confirmed_at = now,
           .percent = running.percent,
           .load = running.load,
           .stop_due = now};
@@ -219,7 +220,7 @@
   }
   if (is_wanted) {
     this->tasks.Get(running.task).placed = {session.worker().id, running.run};
-    this->begun.insert(running.task.step.job);
+    this->tasks.MarkBegun(running.task.step.job);
   }
   this->needs_plan = true;
   this->Note(is_wanted ? "run-adopted" : "run-unwanted", running.task,
@@ -255,14 +256,12 @@
   }
 }
 
-void Scheduler::TakeRenewalFailure(const WorkerId& worker,
-                                   OrderResult result,
-                                   SteadyTime now) {
+void Scheduler::TakeRenewalFailure(const WorkerId& worker, OrderResult result) {
   const auto found = this->workers.find(worker);
   if (found == this->workers.end()) {
     return;
   }
-  found->second.NoteFailure(result == OrderResult::kUnreachable, now);
+  found->second.NoteFailure(result == OrderResult::kUnreachable);
   if (result == OrderResult::kOtherLife) {
     this->EndWorker(worker, "another life is at its address");
   }
@@ -312,11 +311,10 @@
   switch (answer.result) {
     case OrderResult::kDone:
       run->confirmed_clock = answer.clock;
-      run->confirmed_at = now;
       if (run->phase == RunPhase::kOrdered) {
         run->phase = RunPhase::kRunning;
       }
-      this->begun.insert(order.task.step.job);
+      this->tasks.MarkBegun(order.task.step.job);
       break;
     case OrderResult::kNoRoom:
       session.full_until = now + this->settings.full_pause;
@@ -337,7 +335,7 @@
       this->EndWorker(order.worker, "another life is at its address");
       break;
     case OrderResult::kUnreachable:
-      session.NoteFailure(true, now);
+      session.NoteFailure(true);
       this->ReleaseRun(session, order.task, order.run, "nobody listens there");
       break;
     case OrderResult::kUnknown:
@@ -675,7 +673,7 @@
   const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
   jobs::TaskId task{{candidate.job->id, candidate.occurrence, candidate.step},
                     0};
-  if (!this->HasRoom(candidate.job->service, this->CountedNeed(task))) {
+  if (!this->HasRoom(candidate.job->service, CountedNeed(step))) {
     return;
   }
   for (task.index = 0; task.index < step.count; ++task.index) {
@@ -712,7 +710,7 @@
     run = std::max(run, this->NextRun(*candidate.job, task));
     // Holds the room while the others are placed.
     session->AddRun(
-        Run{.task = task, .need = this->CountedNeed(task), .ordered_at = now});
+        Run{.task = task, .need = CountedNeed(step), .ordered_at = now});
     places.emplace_back(task, session);
   }
   for (const auto& [task, session] : places) {
@@ -730,7 +728,7 @@
                                        const jobs::TaskId& task,
                                        SteadyTime now) {
   const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
-  const jobs::Resources need = this->CountedNeed(task);
+  const jobs::Resources need = CountedNeed(step);
   const TaskMemory* memory = this->tasks.Find(task);
   WorkerSession* best = nullptr;
   std::tuple<bool, bool, std::int64_t> best_rank;
@@ -772,9 +770,10 @@
                         SteadyTime now,
                         SchedulerOutput& output) {
   const WorkerTime lease_end = session.GrantLease(now);
+  const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
   session.AddRun(Run{.task = task,
                      .number = run,
-                     .need = this->CountedNeed(task),
+                     .need = CountedNeed(step),
                      .ordered_at = now,
                      .start_expires = lease_end});
   TaskMemory& memory = this->tasks.Get(task);
@@ -812,20 +811,16 @@
              : &job->spec.steps[task.step.step];
 }
 
-jobs::Resources Scheduler::CountedNeed(const jobs::TaskId& task) const {
-  const jobs::StepSpec* step = this->FindStep(task);
-  if (step == nullptr) {
-    return {};
-  }
-  jobs::Resources need = step->need;
-  if (step->is_filler) {
+jobs::Resources Scheduler::CountedNeed(const jobs::StepSpec& step) {
+  jobs::Resources need = step.need;
+  if (step.is_filler) {
     need.millicores = 0;
   }
   return need;
 }
 
 bool Scheduler::HasBegun(const jobs::Job& job) const {
-  return !job.occurrences.empty() || this->begun.contains(job.id);
+  return !job.occurrences.empty() || this->tasks.HasBegun(job.id);
 }
 
 // Counts the jobs that were accepted since the last look.
@@ -851,12 +846,13 @@
   }
 }
 
-std::map<ServiceName, CoreDemand> Scheduler::Demand(SteadyTime now,
-                                                    WallTime wall_now) {
+std::map<ServiceName, jobs::ServiceDemand> Scheduler::Demand(
+    SteadyTime now,
+    WallTime wall_now) {
   this->NoteArrivals(now);
-  std::map<ServiceName, CoreDemand> demand;
+  std::map<ServiceName, jobs::ServiceDemand> demand;
   for (const auto& [sequence, job] : this->state.active_jobs()) {
-    CoreDemand& service = demand[job->service];
+    jobs::ServiceDemand& service = demand[job->service];
     for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
                                        job->DueAt(occurrence) <= wall_now;
          ++occurrence) {
@@ -870,8 +866,8 @@
         const std::int64_t left =
             step.count - job->CountDone(occurrence, number);
         if (step.most_per_worker > 0) {
-          service.fewest_workers = std::max(
-              service.fewest_workers,
+          service.fewest_instances = std::max(
+              service.fewest_instances,
               (left + step.most_per_worker - 1) / step.most_per_worker);
         }
         (step.is_long_running ? service.lasting_millicores
@@ -881,7 +877,7 @@
     }
   }
   for (auto& [service, rate] : this->arrivals) {
-    CoreDemand& needed = demand[service];
+    jobs::ServiceDemand& needed = demand[service];
     needed.short_millicores =
         std::max(needed.short_millicores, rate.MillicoresBusy(now));
   }
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -14,6 +14,7 @@
 #include "libraries/base/time.h"
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/jobs_state.h"
+#include "libraries/jobs/service_demand.h"
 #include "libraries/jobs/task_id.h"
 #include "libraries/scheduler/arrival_rate.h"
 #include "libraries/scheduler/run_times.h"
@@ -29,8 +30,6 @@
   Milliseconds stop_retry{700};
   // A worker that said it is full gets no starts for this long.
   Milliseconds full_pause{200};
-  // A worker that leaves keeps its runs only if they end within this.
-  Milliseconds drain_time{2'000};
   // Among jobs of one priority, those that can still be in time go first and
   // the most pressing of them before the others; without it jobs go in the
   // order in which they came.
@@ -65,16 +64,6 @@
   std::uint64_t up_to = 0;
 };
 
-// What the tasks of one service need now, in thousandths of cores.
-struct CoreDemand {
-  // Of short tasks that run or could run, or what the jobs that arrive now will
-  // keep busy, if that is more.
-  std::int64_t short_millicores = 0;
-  std::int64_t lasting_millicores = 0;
-  // Workers over which the tasks of one step must be spread at least.
-  std::int64_t fewest_workers = 0;
-};
-
 // Decides, for the leader, which task runs on which worker: it adopts what runs
 // already, starts what is due, stops what must go, and starts again what ended
 // too early. It holds what the leader believes about workers; all that must
@@ -99,9 +88,7 @@
                           const RenewReport& report,
                           SteadyTime now);
   // Takes in that a renewal failed.
-  void TakeRenewalFailure(const WorkerId& worker,
-                          OrderResult result,
-                          SteadyTime now);
+  void TakeRenewalFailure(const WorkerId& worker, OrderResult result);
   // Takes in that a worker's ends up to this number are on record.
   void NoteRecorded(const WorkerId& worker, const EndsToRecord& recorded);
 
@@ -133,7 +120,8 @@
   bool HasBegun(const jobs::Job& job) const;
   // What the tasks of each service need now: those that run and those that
   // could.
-  std::map<ServiceName, CoreDemand> Demand(SteadyTime now, WallTime wall_now);
+  std::map<ServiceName, jobs::ServiceDemand> Demand(SteadyTime now,
+                                                    WallTime wall_now);
   // How many accepted jobs of a queue have not begun.
   std::uint64_t CountPending(const QueueName& queue) const;
 
@@ -232,7 +220,7 @@
                SchedulerOutput& output);
   RunNumber NextRun(const jobs::Job& job, const jobs::TaskId& task) const;
   bool IsServiceUncertain(const ServiceName& service) const;
-  jobs::Resources CountedNeed(const jobs::TaskId& task) const;
+  static jobs::Resources CountedNeed(const jobs::StepSpec& step);
   void Note(std::string what,
             const jobs::TaskId& task,
             RunNumber run,
@@ -248,7 +236,6 @@
   std::uint64_t first_own_sequence;
   Sessions workers;
   TaskTable tasks;
-  std::set<JobId> begun;
   // Services of which some worker has not told yet what runs there.
   std::set<ServiceName> uncertain;
   // Per service, the most that one worker has left of each resource. It only
--- a/libraries/scheduler/task_table.h
+++ b/libraries/scheduler/task_table.h
@@ -40,16 +40,19 @@
   // The memory of a task, made if it is new.
   TaskMemory& Get(const jobs::TaskId& task);
 
+  // Notes that a task of the job has begun, and tells whether one has.
+  void MarkBegun(const JobId& job) { this->jobs[job].has_begun = true; }
+  bool HasBegun(const JobId& job) const;
+
   // Forgets jobs that are finished and of which nothing runs; looks at a few
   // jobs in each call.
   void DropFinished(const jobs::JobsState& state);
 
-  std::size_t job_count() const { return this->jobs.size(); }
-
  private:
   using Step = std::vector<TaskMemory>;
   struct JobMemory {
     std::map<std::uint32_t, std::vector<Step>> occurrences;
+    bool has_begun = false;
 
     bool has_placed() const;
   };
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -66,7 +66,7 @@
   this->last_answer = now;
 }
 
-void WorkerSession::NoteFailure(bool is_refused, SteadyTime /*now*/) {
+void WorkerSession::NoteFailure(bool is_refused) {
   ++this->failures;
   this->refusals = is_refused ? this->refusals + 1 : 0;
 }
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -53,7 +53,6 @@
   WorkerTime start_expires;
   // The worker's clock when it confirmed the start.
   std::optional<WorkerTime> confirmed_clock;
-  SteadyTime confirmed_at{};
   std::uint32_t percent = 0;
   std::int64_t load = 0;
   // Stopping: when to send the stop (again), and what was answered.
@@ -84,7 +83,7 @@
   // Takes in that the worker answered.
   void NoteAnswer(SteadyTime now);
   // Takes in that a renewal failed; `is_refused` if nobody listens there.
-  void NoteFailure(bool is_refused, SteadyTime now);
+  void NoteFailure(bool is_refused);
 
   // True once the worker answered this leader and its lease has not lapsed
   // since: all that runs there is known.
@@ -95,11 +94,8 @@
   }
   // True if nothing can run there: nobody listens, or the lease is over.
   bool IsLapsed(SteadyTime now) const;
-  // Until when something unknown may run there.
-  SteadyTime lease_bound() const { return this->bound; }
   // True if the worker answers and takes work.
   bool IsUsable(SteadyTime now) const;
-  bool is_clock_known() const { return this->clock.has_value(); }
 
   // Forgets all about runs, after everything there has ended; it must answer
   // again before it is used.
--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libraries/base/error.h"
+#include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
 #include "libraries/base/try.h"
 #include "libraries/codec/json_reader.h"
@@ -87,7 +88,7 @@
 }
 
 kj::Promise<void> Controller::TickLoop() {
-  return this->timer.afterDelay(rpc::ToKj(kTickInterval)).then([this]() {
+  return this->timer.afterDelay(ToKj(kTickInterval)).then([this]() {
     this->Tick();
     return this->TickLoop();
   });
@@ -212,7 +213,7 @@
   }
   auto paf = kj::newPromiseAndFulfiller<void>();
   this->view_waiters.push_back(ViewWaiter{have, kj::mv(paf.fulfiller)});
-  return paf.promise.exclusiveJoin(this->timer.afterDelay(rpc::ToKj(wait)))
+  return paf.promise.exclusiveJoin(this->timer.afterDelay(ToKj(wait)))
       .then([this, have] { return this->ServeView(have); });
 }
 
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "libraries/base/error.h"
+#include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
 #include "libraries/base/try.h"
 #include "libraries/fleet/charts.h"
@@ -204,7 +205,7 @@
   this->is_stopping = true;
   this->HandOverBeforeStop();
   kj::Timer& timer = this->io.provider->getTimer();
-  timer.afterDelay(rpc::ToKj(this->settings.doors.stop_notice))
+  timer.afterDelay(ToKj(this->settings.doors.stop_notice))
       .wait(this->io.waitScope);
   // The doors' threads need the event loop to finish, so they are waited for on
   // another thread.
@@ -236,7 +237,7 @@
     if (this->controller->replica().role() != replication::Role::kLeader) {
       return;
     }
-    timer.afterDelay(rpc::ToKj(kHandOverPoll)).wait(this->io.waitScope);
+    timer.afterDelay(ToKj(kHandOverPoll)).wait(this->io.waitScope);
   }
 }
 
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -88,13 +88,6 @@
   std::erase_if(facts, [](const auto& instance) {
     return instance.second.is_moving && instance.second.worker.value().empty();
   });
-  std::map<ServiceName, maintenance::ServiceDemand> demand;
-  for (const auto& [service, cores] :
-       this->scheduler.Demand(now, this->clock.Now())) {
-    demand[service] = {.short_millicores = cores.short_millicores,
-                       .lasting_millicores = cores.lasting_millicores,
-                       .fewest_instances = cores.fewest_workers};
-  }
   std::set<InstanceName> busy = wave_output.cordoned;
   for (const auto& [id, wave] : this->state.waves()) {
     for (const auto& [name, instance] : wave.instances) {
@@ -104,8 +97,10 @@
       }
     }
   }
+  const WallTime wall_now = this->clock.Now();
   maintenance::CapacityOutput output = this->capacity.Plan(
-      this->state, facts, demand, busy, this->clock.Now(), now);
+      this->state, facts, this->scheduler.Demand(now, wall_now), busy, wall_now,
+      now);
   wave_output.cordoned.merge(output.cordoned);
   std::move(output.commands.begin(), output.commands.end(),
             std::back_inserter(wave_output.commands));
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "libraries/base/error.h"
+#include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
 #include "libraries/base/try.h"
 #include "libraries/codec/json_reader.h"
@@ -33,6 +34,11 @@
   JobId job;
 };
 
+fleet::Answer UnknownJob() {
+  return {.code = ResultCode::kUnknownJob,
+          .message = "no job with this id is known"};
+}
+
 absl::StatusOr<JobAddress> Resolve(const jobs::JobsDeclaration& declaration,
                                    const std::string& host,
                                    const std::string& path) {
@@ -110,7 +116,7 @@
 }
 
 kj::Promise<void> JobController::TickLoop() {
-  return this->timer.afterDelay(rpc::ToKj(kTickInterval)).then([this]() {
+  return this->timer.afterDelay(ToKj(kTickInterval)).then([this]() {
     this->Tick();
     return this->TickLoop();
   });
@@ -163,7 +169,6 @@
   const SteadyTime now = this->clock.SteadyNow();
   const PlatformTimes& times = this->settings.platform_times;
   scheduler::SchedulerSettings chosen;
-  chosen.drain_time = times.drain_time;
   chosen.orders_by_slack = this->settings.policy.order_by_slack;
   chosen.lease.length = std::min(chosen.lease.length, times.longest_lease);
   this->scheduler.emplace(this->jobs_state, chosen, now);
@@ -275,8 +280,7 @@
   }
   const jobs::Job* job = this->jobs_state.FindJob(address->job);
   if (job == nullptr) {
-    return fleet::Answer{.code = ResultCode::kUnknownJob,
-                         .message = "no job with this id is known"};
+    return UnknownJob();
   }
   const std::string_view state = !job->is_active() ? NameOf(job->state)
                                  : this->scheduler->HasBegun(*job) ? "running"
@@ -291,8 +295,7 @@
     return fleet::Answer::FromStatus(address.status());
   }
   if (this->jobs_state.FindJob(address->job) == nullptr) {
-    return fleet::Answer{.code = ResultCode::kUnknownJob,
-                         .message = "no job with this id is known"};
+    return UnknownJob();
   }
   return this->Propose(jobs::CancelJob{address->job});
 }
@@ -359,7 +362,7 @@
   }
   if (!this->host->MayAct()) {
     // Without a lease nothing may be sent; it may come back in a moment.
-    return this->timer.afterDelay(rpc::ToKj(kRenewalPause))
+    return this->timer.afterDelay(ToKj(kRenewalPause))
         .then([this, worker, term] { return this->RenewLoop(worker, term); });
   }
   auto order = this->scheduler->NextRenewal(worker, this->clock.SteadyNow());
@@ -382,9 +385,9 @@
   }
   const SteadyTime now = this->clock.SteadyNow();
   if (answer.result != scheduler::OrderResult::kDone) {
-    this->scheduler->TakeRenewalFailure(worker, answer.result, now);
+    this->scheduler->TakeRenewalFailure(worker, answer.result);
     this->SchedulePlan();
-    return this->timer.afterDelay(rpc::ToKj(kRenewalPause));
+    return this->timer.afterDelay(ToKj(kRenewalPause));
   }
   scheduler::EndsToRecord ends =
       this->scheduler->TakeReport(worker, answer.report, now);
@@ -395,7 +398,7 @@
     return kj::READY_NOW;
   }
   return this->RecordEnds(worker, std::move(ends)).then([this] {
-    return this->timer.afterDelay(rpc::ToKj(kEndsPause));
+    return this->timer.afterDelay(ToKj(kEndsPause));
   });
 }
 
@@ -455,7 +458,7 @@
               std::move(batch.begin(), batch.end(),
                         std::back_inserter(this->waiting_ends));
               this->tasks.add(
-                  this->timer.afterDelay(rpc::ToKj(kRenewalPause)).then([this] {
+                  this->timer.afterDelay(ToKj(kRenewalPause)).then([this] {
                     this->ScheduleEnds();
                   }));
               return;
@@ -474,7 +477,7 @@
     return;
   }
   this->is_plan_scheduled = true;
-  this->tasks.add(this->timer.afterDelay(rpc::ToKj(kPlanPause)).then([this] {
+  this->tasks.add(this->timer.afterDelay(ToKj(kPlanPause)).then([this] {
     this->is_plan_scheduled = false;
     if (this->scheduler) {
       this->Plan();
--- a/services/sumacd/leader_search.cc
+++ b/services/sumacd/leader_search.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
 
 namespace sumac::daemon {
@@ -70,7 +71,7 @@
                            answer.code == ResultCode::kTimeout;
         progress.last_error = answer.message;
         const bool has_hint = !this->known_leader.value().empty();
-        return this->timer.afterDelay(rpc::ToKj(has_hint ? kHintPause : kPause))
+        return this->timer.afterDelay(ToKj(has_hint ? kHintPause : kPause))
             .then([this, attempt = std::move(attempt),
                    progress = std::move(progress)]() mutable {
               return this->TryUntil(std::move(attempt), std::move(progress));
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "libraries/base/error.h"
+#include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
 #include "libraries/base/try.h"
 #include "libraries/codec/json_writer.h"
@@ -270,8 +271,7 @@
     probed = this->link->Ask(jobs::ShowWave{}, kProbeLimit).ignoreResult();
   }
   return probed
-      .then(
-          [this] { return this->timer.afterDelay(rpc::ToKj(kProbeInterval)); })
+      .then([this] { return this->timer.afterDelay(ToKj(kProbeInterval)); })
       .then([this] { return this->ProbeLoop(); });
 }
 
@@ -287,7 +287,7 @@
       this->Reload("file changed");
     }
   }
-  return this->timer.afterDelay(rpc::ToKj(kFileCheckInterval)).then([this] {
+  return this->timer.afterDelay(ToKj(kFileCheckInterval)).then([this] {
     return this->ReloadLoop();
   });
 }
@@ -334,7 +334,7 @@
 }
 
 void NodeDaemon::WaitUpTo(kj::Promise<void> done, Milliseconds limit) {
-  done.exclusiveJoin(this->timer.afterDelay(rpc::ToKj(limit)))
+  done.exclusiveJoin(this->timer.afterDelay(ToKj(limit)))
       .wait(this->io.waitScope);
 }
 
@@ -348,7 +348,7 @@
          waited < kHandOverWait &&
          host.replica().role() == replication::Role::kLeader;
          waited += kHandOverPoll) {
-      this->timer.afterDelay(rpc::ToKj(kHandOverPoll)).wait(this->io.waitScope);
+      this->timer.afterDelay(ToKj(kHandOverPoll)).wait(this->io.waitScope);
     }
   }
   this->WaitUpTo(this->control_door->Drain(), kControllerDrain);
@@ -358,7 +358,7 @@
 // served until the door drains.
 void NodeDaemon::StopEntry() {
   this->caller_door->CloseAfterAnswers();
-  this->timer.afterDelay(rpc::ToKj(kStopNotice)).wait(this->io.waitScope);
+  this->timer.afterDelay(ToKj(kStopNotice)).wait(this->io.waitScope);
   const Milliseconds left =
       this->settings.platform_times.stop_grace - kStopNotice - kStopReserve;
   this->WaitUpTo(this->caller_door->Drain(), std::max(left, Milliseconds(0)));
--- a/services/sumacd/node_peer_service.cc
+++ b/services/sumacd/node_peer_service.cc
@@ -7,29 +7,22 @@
 #include "services/sumacd/serve_replicate.h"
 
 namespace sumac::daemon {
-namespace {
-
-fleet::Answer AnswerFrom(const absl::Status& status) {
-  return status.ok() ? fleet::Answer::Success("accepted")
-                     : fleet::Answer::FromStatus(status);
-}
-
-}  // namespace
-
 kj::Promise<void> NodePeerService::replicate(ReplicateContext context) {
   return ServeReplicate(this->controller, context);
 }
 
 kj::Promise<void> NodePeerService::join(JoinContext context) {
   const replication::NodeId node(wire::ToString(context.getParams().getNode()));
-  rpc::WriteAnswer(AnswerFrom(this->controller.Join(node)),
-                   context.getResults().initResult());
+  rpc::WriteAnswer(
+      fleet::Answer::FromOutcome(this->controller.Join(node), "accepted"),
+      context.getResults().initResult());
   return kj::READY_NOW;
 }
 
 kj::Promise<void> NodePeerService::handOver(HandOverContext context) {
-  rpc::WriteAnswer(AnswerFrom(this->controller.HandOver()),
-                   context.getResults().initResult());
+  rpc::WriteAnswer(
+      fleet::Answer::FromOutcome(this->controller.HandOver(), "accepted"),
+      context.getResults().initResult());
   return kj::READY_NOW;
 }
 
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -18,28 +18,20 @@
 struct PlatformTimes {
   // A worker's lease is at most this long.
   Milliseconds longest_lease{6'000};
-  // A worker stops a run within this.
-  Milliseconds stop_time{400};
-  // A worker that leaves goes on at least this long.
-  Milliseconds drain_time{2'000};
   // A process that was told to stop is killed after this.
   Milliseconds stop_grace{6'000};
   // Two leaders' orders about one instance keep this apart.
   Milliseconds instance_lease{3'000};
-  // Maintenance and a move of an instance take this long.
+  // Maintenance of an instance takes this long.
   Milliseconds maintenance_time{2'000};
-  Milliseconds move_time{1'500};
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("longest_lease_ms", self.longest_lease, Limits{100, 600'000});
-    visitor.Field("stop_time_ms", self.stop_time, Limits{0, 600'000});
-    visitor.Field("drain_time_ms", self.drain_time, Limits{0, 600'000});
     visitor.Field("stop_grace_ms", self.stop_grace, Limits{100, 600'000});
     visitor.Field("instance_lease_ms", self.instance_lease, Limits{0, 600'000});
     visitor.Field("maintenance_time_ms", self.maintenance_time,
                   Limits{0, 600'000});
-    visitor.Field("move_time_ms", self.move_time, Limits{0, 600'000});
   }
 };
 
--- a/services/sumacd/operator_service.cc
+++ b/services/sumacd/operator_service.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
 #include "libraries/codec/json_reader.h"
 #include "libraries/codec/json_writer.h"
@@ -378,7 +379,7 @@
                                 ", silent: ", document["silent"].dump()),
               .document = document};
         }
-        return this->parts.timer.afterDelay(rpc::ToKj(kInForcePoll))
+        return this->parts.timer.afterDelay(ToKj(kInForcePoll))
             .then([this, version, deadline] {
               return this->AwaitInForce(version, deadline);
             });
--- a/services/sumacd/peer_service.cc
+++ b/services/sumacd/peer_service.cc
@@ -18,11 +18,6 @@
   return fleet::Answer{.code = ResultCode::kNotLeader};
 }
 
-fleet::Answer AnswerFrom(const absl::Status& status) {
-  return status.ok() ? fleet::Answer::Success("accepted")
-                     : fleet::Answer::FromStatus(status);
-}
-
 }  // namespace
 
 kj::Promise<void> PeerService::replicate(ReplicateContext context) {
@@ -128,9 +123,8 @@
 kj::Promise<void> PeerService::handOver(HandOverContext context) {
   fleet::Answer answer = NoController();
   if (this->controller != nullptr) {
-    const absl::Status status = this->controller->HandOver();
-    answer = status.ok() ? fleet::Answer::Success("handing over")
-                         : fleet::Answer::FromStatus(status);
+    answer = fleet::Answer::FromOutcome(this->controller->HandOver(),
+                                        "handing over");
   }
   rpc::WriteAnswer(answer, context.getResults().initResult());
   return kj::READY_NOW;
@@ -141,7 +135,8 @@
   if (this->controller != nullptr) {
     const replication::NodeId node(
         wire::ToString(context.getParams().getNode()));
-    answer = AnswerFrom(this->controller->Join(node));
+    answer =
+        fleet::Answer::FromOutcome(this->controller->Join(node), "accepted");
   }
   rpc::WriteAnswer(answer, context.getResults().initResult());
   return kj::READY_NOW;
@@ -162,9 +157,10 @@
   fleet::Answer answer = NoController();
   if (this->controller != nullptr) {
     auto params = context.getParams();
-    answer = AnswerFrom(this->controller->ChangeMember(
+    const absl::Status changed = this->controller->ChangeMember(
         wire::ToString(params.getAction()),
-        replication::NodeId(wire::ToString(params.getNode()))));
+        replication::NodeId(wire::ToString(params.getNode())));
+    answer = fleet::Answer::FromOutcome(changed, "accepted");
   }
   rpc::WriteAnswer(answer, context.getResults().initResult());
   return kj::READY_NOW;
--- a/services/sumacd/view_follower.cc
+++ b/services/sumacd/view_follower.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/base/kj_time.h"
 #include "libraries/codec/json_reader.h"
 #include "libraries/log/json_log.h"
 #include "libraries/wire/generated/peer.capnp.h"
@@ -60,13 +61,13 @@
           return kj::READY_NOW;
         }
         ++this->next_controller;
-        return this->timer.afterDelay(rpc::ToKj(kPauseAfterFailure));
+        return this->timer.afterDelay(ToKj(kPauseAfterFailure));
       },
       [this](kj::Exception&& exception) {
         LogEvent(LogLevel::kDebug, "follow-failed",
                  {{"error", exception.getDescription().cStr()}});
         ++this->next_controller;
-        return this->timer.afterDelay(rpc::ToKj(kPauseAfterFailure));
+        return this->timer.afterDelay(ToKj(kPauseAfterFailure));
       });
 }
 
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -80,7 +80,7 @@
   CapacityPlanner planner{CapacitySettings(), ProcessName("c1"), LeaderEpoch(1),
                           SteadyTime(Milliseconds(1'000))};
   std::map<InstanceName, InstanceFacts> facts;
-  std::map<ServiceName, ServiceDemand> demand;
+  std::map<ServiceName, jobs::ServiceDemand> demand;
   std::set<InstanceName> busy;
 };
 
--- a/tests/stand_ins/task_worker.cc
+++ b/tests/stand_ins/task_worker.cc
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
 
 namespace sumac::stand_ins {
@@ -13,10 +14,6 @@
 constexpr Milliseconds kHoldStep{5};
 constexpr Milliseconds kCallLimit{1'000};
 
-kj::Duration ToKjTime(Milliseconds time) {
-  return time.count() * kj::MILLISECONDS;
-}
-
 std::string CauseName(scheduler::EndCause cause) {
   using enum scheduler::EndCause;
   switch (cause) {
@@ -100,7 +97,7 @@
           ++this->next_control;
         }
         return this->timer.afterDelay(
-            ToKjTime(is_taken ? kAnnounceInterval : kHoldStep * 10));
+            ToKj(is_taken ? kAnnounceInterval : kHoldStep * 10));
       })
       .then([this] { return this->AnnounceLoop(); });
 }
@@ -174,7 +171,7 @@
                              .clock = this->worker.ClockAt(now)});
   }
   if (report->ended.empty() && now < until) {
-    return this->timer.afterDelay(ToKjTime(kHoldStep))
+    return this->timer.afterDelay(ToKj(kHoldStep))
         .then([this, body = std::move(body), until]() mutable {
           return this->Hold(std::move(body), until);
         });
