Log: Keep lines in a bounded queue and never wait for a reader

The users ask that logs never block and that their volume stays bounded. Lines went through log4cxx's console appender, whose write blocks when nobody reads the pipe. Weighed: log4cxx's AsyncAppender (a thread, a wake-up a line, and its own text for what it drops, which is no JSON line) and a non-blocking descriptor (it would be so for all who share it).

--- a/libraries/log/json_log.cc
+++ b/libraries/log/json_log.cc
@@ -1,28 +1,31 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/log/json_log.h"
 
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/fileappender.h>
+#include <fcntl.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
-#include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 #include <memory>
+#include <mutex>
 #include <utility>
 
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
+#include "libraries/base/time.h"
+#include "libraries/log/bounded_writer.h"
+#include "libraries/log/event_rate.h"
 
 namespace sumac {
 namespace {
 
-// The whole line is built here, so log4cxx only adds the end of line.
-constexpr const char* kPattern = "%m%n";
-
-std::string& ProcessLabel() {
-  static std::string label;
-  return label;
-}
+// Bytes of lines that may wait for a slow reader: some seconds of a busy
+// leader's lines, and little beside the memory of a process.
+constexpr std::size_t kMostWaitingBytes = 1U << 20;
+// Lines of one kind in a second. A busy leader writes some tens.
+constexpr std::uint64_t kMostLinesPerSecond = 200;
+constexpr const char* kDropEvent = "log-lines-dropped";
 
 log4cxx::LevelPtr ToLibraryLevel(LogLevel level) {
   switch (level) {
@@ -52,6 +55,88 @@
   return "info";
 }
 
+// Hands whole lines to a BoundedWriter.
+class BoundedAppender : public log4cxx::AppenderSkeleton {
+ public:
+  explicit BoundedAppender(int descriptor)
+      : writer(descriptor, kMostWaitingBytes) {}
+
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& /*pool*/) override {
+    const std::lock_guard lock(this->writer_mutex);
+    this->writer.WriteLine(event->getMessage());
+  }
+  void close() override { this->Flush(); }
+  bool requiresLayout() const override { return false; }
+
+  void Flush() {
+    const std::lock_guard lock(this->writer_mutex);
+    this->writer.Flush();
+  }
+  std::uint64_t TakeDropCount() {
+    const std::lock_guard lock(this->writer_mutex);
+    return this->writer.TakeDropCount();
+  }
+
+ private:
+  std::mutex writer_mutex;
+  BoundedWriter writer;
+};
+
+// What all log lines of the process share.
+struct LogState {
+  std::string process;
+  std::shared_ptr<BoundedAppender> appender;
+  std::mutex rate_mutex;
+  EventRate rate{kMostLinesPerSecond};
+};
+
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+// The descriptor of the file at `path`, or of standard output for none.
+int OpenLog(const std::string& path) {
+  constexpr mode_t kReadableByAll = 0644;
+  if (path.empty()) {
+    return STDOUT_FILENO;
+  }
+  const int opened = ::open(
+      path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kReadableByAll);
+  // NOTE: It stays open until the process ends.
+  return opened < 0 ? STDOUT_FILENO : opened;
+}
+
+void WriteLine(LogLevel level, std::string_view event, nlohmann::json fields) {
+  static const auto kRoot = log4cxx::Logger::getRootLogger();
+  fields["at"] =
+      absl::FormatTime(absl::RFC3339_full, absl::Now(), absl::UTCTimeZone());
+  fields["level"] = NameOf(level);
+  fields["process"] = State().process;
+  fields["event"] = event;
+  kRoot->log(
+      ToLibraryLevel(level),
+      fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+// Says how many lines were left out since the last time.
+void ReportDrops(SteadyTime now) {
+  LogState& state = State();
+  EventRate::Counts left_out;
+  {
+    const std::lock_guard lock(state.rate_mutex);
+    left_out = state.rate.TakeLeftOut(now);
+  }
+  const std::uint64_t unwritten =
+      state.appender ? state.appender->TakeDropCount() : 0;
+  if (left_out.empty() && unwritten == 0) {
+    return;
+  }
+  WriteLine(LogLevel::kWarning, kDropEvent,
+            {{"too_many_of_kind", left_out}, {"unwritten", unwritten}});
+}
+
 }  // namespace
 
 LogLevel ParseLogLevel(std::string_view name) {
@@ -67,34 +152,38 @@
 void StartLogging(const ProcessName& process,
                   const std::string& path,
                   LogLevel lowest) {
-  ProcessLabel() = process.value();
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
+  LogState& state = State();
+  state.process = process.value();
+  state.appender = std::make_shared<BoundedAppender>(OpenLog(path));
   const auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
-  if (path.empty()) {
-    root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemOut()));
-  } else {
-    root->addAppender(
-        std::make_shared<log4cxx::FileAppender>(layout, path, true));
-  }
+  root->addAppender(state.appender);
   root->setLevel(ToLibraryLevel(lowest));
 }
 
 void LogEvent(LogLevel level, std::string_view event, nlohmann::json fields) {
   static const auto kRoot = log4cxx::Logger::getRootLogger();
-  const auto library_level = ToLibraryLevel(level);
-  if (!kRoot->isEnabledFor(library_level)) {
+  if (!kRoot->isEnabledFor(ToLibraryLevel(level))) {
     return;
   }
-  fields["at"] =
-      absl::FormatTime(absl::RFC3339_full, absl::Now(), absl::UTCTimeZone());
-  fields["level"] = NameOf(level);
-  fields["process"] = ProcessLabel();
-  fields["event"] = event;
-  kRoot->log(
-      library_level,
-      fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  LogState& state = State();
+  const SteadyTime now = SystemClock().SteadyNow();
+  ReportDrops(now);
+  {
+    const std::lock_guard lock(state.rate_mutex);
+    if (!state.rate.Admit(event, now)) {
+      return;
+    }
+  }
+  WriteLine(level, event, std::move(fields));
+}
+
+void FlushLog() {
+  LogState& state = State();
+  if (state.appender) {
+    state.appender->Flush();
+    ReportDrops(SystemClock().SteadyNow());
+  }
 }
 
 }  // namespace sumac
--- a/libraries/log/json_log.h
+++ b/libraries/log/json_log.h
@@ -23,10 +23,15 @@
                   LogLevel lowest);
 
 // Writes one line. `event` names what happened in kebab-case; `fields` is a
-// JSON object. Safe to call from any thread; lines below the lowest level are
-// dropped.
+// JSON object. Safe to call from any thread; never waits for a reader. Lines
+// below the lowest level are left out, and so are those beyond the bounds on
+// lines a second of one kind and on bytes that wait to be written; a line
+// log-lines-dropped counts the latter two.
 void LogEvent(LogLevel level, std::string_view event, nlohmann::json fields);
 
+// Writes what waits and can be written now.
+void FlushLog();
+
 }  // namespace sumac
 
 #endif  // LIBRARIES_LOG_JSON_LOG_H_
