Sumacd: Give out metrics at a door of their own

Counters, gauges and summaries (Boost accumulators, as the other daemon has them) at /metrics_door: commits, task events by cause, and how long the loop was busy with each part of its work, so that processor time a task can be read by part.

--- a/libraries/http/async_door.cc
+++ b/libraries/http/async_door.cc
@@ -91,7 +91,7 @@
 kj::Promise<void> AsyncDoor::Reply(Response& response, const DoorReply& reply) {
   kj::HttpHeaders headers(*this->header_table);
   if (!reply.body.empty()) {
-    headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
+    headers.set(kj::HttpHeaderId::CONTENT_TYPE, reply.content_type);
   }
   for (const auto& [name, value] : reply.headers) {
     headers.add(kj::str(name), kj::str(value));
--- a/libraries/http/async_door.h
+++ b/libraries/http/async_door.h
@@ -33,8 +33,9 @@
 // The answer to one request.
 struct DoorReply {
   std::uint32_t status = 200;
-  // JSON; empty for none.
+  // Empty for none.
   std::string body;
+  const char* content_type = "application/json";
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
--- a/libraries/http/metrics.cc
+++ b/libraries/http/metrics.cc
@@ -57,6 +57,12 @@
   this->gauges[name] = std::move(read);
 }
 
+void Metrics::SetCounter(const std::string& name,
+                         std::function<double()> read) {
+  const std::lock_guard lock(this->mutex);
+  this->read_counters[name] = std::move(read);
+}
+
 std::string Metrics::ToText() const {
   const std::lock_guard lock(this->mutex);
   std::string text;
@@ -71,6 +77,10 @@
     add_type(name, "counter");
     StrAppend(&text, name, " ", value, "\n");
   }
+  for (const auto& [name, read] : this->read_counters) {
+    add_type(name, "counter");
+    StrAppend(&text, name, " ", read(), "\n");
+  }
   for (const auto& [name, read] : this->gauges) {
     add_type(name, "gauge");
     StrAppend(&text, name, " ", read(), "\n");
--- a/libraries/http/metrics.h
+++ b/libraries/http/metrics.h
@@ -36,6 +36,9 @@
   // Gives a gauge that is read whenever the metrics are asked for.
   void SetGauge(const std::string& name, std::function<double()> read);
 
+  // The same for a value that only grows.
+  void SetCounter(const std::string& name, std::function<double()> read);
+
   // All of them as text.
   std::string ToText() const;
 
@@ -52,6 +55,7 @@
   std::map<std::string, std::uint64_t> counters;
   std::map<std::string, Summary> summaries;
   std::map<std::string, std::function<double()>> gauges;
+  std::map<std::string, std::function<double()>> read_counters;
 };
 
 }  // namespace sumac::http
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -61,11 +61,12 @@
     const NodeSettings& settings,
     Peers& peers,
     kj::Timer& timer,
+    http::Metrics& metrics,
     jobs::DeclarationDecoder decoder,
     scheduler::WorkerCalls worker_calls,
     maintenance::InstanceCalls instance_calls) {
   std::unique_ptr<JobController> controller(
-      new JobController(settings, timer, std::move(decoder),
+      new JobController(settings, timer, metrics, std::move(decoder),
                         std::move(worker_calls), std::move(instance_calls)));
   JobController* self = controller.get();
   const ReplicaHostSettings host{.process = settings.process(),
@@ -87,16 +88,46 @@
   };
   controller->host =
       TRY(ReplicaHost::Create(host, peers, timer, std::move(callbacks)));
+  controller->RegisterMetrics();
   return controller;
 }
 
+void JobController::RegisterMetrics() {
+  this->metrics.SetGauge("sumac_is_leading",
+                         [this] { return this->is_leading() ? 1.0 : 0.0; });
+  this->metrics.SetGauge("sumac_epoch", [this] {
+    return static_cast<double>(this->jobs_state.epoch().value());
+  });
+  this->metrics.SetGauge("sumac_voters", [this] {
+    return static_cast<double>(
+        this->host->replica().membership().voters.size());
+  });
+  this->metrics.SetGauge("sumac_workers", [this] {
+    return static_cast<double>(this->jobs_state.workers().size());
+  });
+  this->metrics.SetGauge("sumac_active_jobs", [this] {
+    return static_cast<double>(this->jobs_state.active_jobs().size());
+  });
+  this->metrics.SetGauge("sumac_applied_index", [this] {
+    return static_cast<double>(this->host->applied_index().value());
+  });
+  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
+    this->metrics.SetCounter(
+        StrCat("sumac_busy_seconds_total{part=\"", WorkTimes::kNames[part],
+               "\"}"),
+        [this, part] { return this->work_times.Spent(part).count(); });
+  }
+}
+
 JobController::JobController(const NodeSettings& settings,
                              kj::Timer& timer,
+                             http::Metrics& metrics,
                              jobs::DeclarationDecoder decoder,
                              scheduler::WorkerCalls worker_calls,
                              maintenance::InstanceCalls instance_calls)
     : settings(settings),
       timer(timer),
+      metrics(metrics),
       worker_calls(std::move(worker_calls)),
       instance_calls(std::move(instance_calls)),
       jobs_state(std::move(decoder)),
@@ -210,6 +241,7 @@
 }
 
 fleet::Answer JobController::Apply(const std::string& payload) {
+  const auto measured = this->work_times.Measure(Work::kApply);
   const auto stamped = FromCbor<jobs::StampedCommand>(payload, "log");
   if (!stamped.ok()) {
     LogEvent(LogLevel::kError, "log-entry-malformed",
@@ -238,8 +270,16 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Propose(jobs::Command command) {
-  return this->host->Propose(
-      ToCbor(jobs::StampedCommand{this->clock.Now(), std::move(command)}));
+  const auto proposed_at = std::chrono::steady_clock::now();
+  return this->host
+      ->Propose(
+          ToCbor(jobs::StampedCommand{this->clock.Now(), std::move(command)}))
+      .then([this, proposed_at](fleet::Answer&& answer) {
+        const std::chrono::duration<double> took =
+            std::chrono::steady_clock::now() - proposed_at;
+        this->metrics.Observe("sumac_commit_seconds", took.count());
+        return kj::mv(answer);
+      });
 }
 
 void JobController::ProposeInBackground(jobs::Command command) {
@@ -250,6 +290,7 @@
   if (!this->host->MayAct() || !this->scheduler) {
     return this->host->NotLeaderAnswer();
   }
+  const auto measured = this->work_times.Measure(Work::kAnswer);
   return std::visit([this](const auto& body) { return this->Serve(body); },
                     request);
 }
@@ -389,8 +430,7 @@
     this->SchedulePlan();
     return this->timer.afterDelay(ToKj(kRenewalPause));
   }
-  scheduler::EndsToRecord ends =
-      this->scheduler->TakeReport(worker, answer.report, now);
+  scheduler::EndsToRecord ends = this->TakeReport(worker, answer.report, now);
   if (this->scheduler->is_dirty()) {
     this->SchedulePlan();
   }
@@ -402,6 +442,14 @@
   });
 }
 
+scheduler::EndsToRecord JobController::TakeReport(
+    const WorkerId& worker,
+    const scheduler::RenewReport& report,
+    SteadyTime now) {
+  const auto measured = this->work_times.Measure(Work::kReport);
+  return this->scheduler->TakeReport(worker, report, now);
+}
+
 // The worker is told that its ends are known only with the next renewal, after
 // they are committed.
 kj::Promise<void> JobController::RecordEnds(const WorkerId& worker,
@@ -490,9 +538,16 @@
     return;
   }
   this->last_plan = this->clock.SteadyNow();
-  this->keeper->Plan(this->clock.Now(), this->last_plan);
-  scheduler::SchedulerOutput output =
-      this->scheduler->Plan(this->last_plan, this->clock.Now());
+  {
+    const auto measured = this->work_times.Measure(Work::kInstances);
+    this->keeper->Plan(this->clock.Now(), this->last_plan);
+  }
+  scheduler::SchedulerOutput output;
+  {
+    const auto measured = this->work_times.Measure(Work::kSchedule);
+    output = this->scheduler->Plan(this->last_plan, this->clock.Now());
+  }
+  const auto measured = this->work_times.Measure(Work::kOrder);
   this->LogEvents(output.events);
   for (const scheduler::Order& order : output.orders) {
     this->SendOrder(order);
@@ -526,8 +581,11 @@
 }
 
 void JobController::LogEvents(
-    const std::vector<scheduler::SchedulerEvent>& events) const {
+    const std::vector<scheduler::SchedulerEvent>& events) {
   for (const scheduler::SchedulerEvent& event : events) {
+    this->metrics.Count(StrCat("sumac_task_events_total{event=\"", event.what,
+                               "\",reason=\"", event.reason, "\"}"),
+                        event.runs.size());
     LogEvent(LogLevel::kInfo, event.what,
              {{"runs", event.runs},
               {"reason", event.reason},
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -15,6 +15,7 @@
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
 #include "libraries/fleet/answer.h"
+#include "libraries/http/metrics.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/requests.h"
 #include "libraries/maintenance/instance_calls.h"
@@ -25,6 +26,7 @@
 #include "services/sumacd/peers.h"
 #include "services/sumacd/replica_host.h"
 #include "services/sumacd/snapshot_writer.h"
+#include "services/sumacd/work_times.h"
 
 namespace sumac::daemon {
 
@@ -38,6 +40,7 @@
       const NodeSettings& settings,
       Peers& peers,
       kj::Timer& timer,
+      http::Metrics& metrics,
       jobs::DeclarationDecoder decoder,
       scheduler::WorkerCalls worker_calls,
       maintenance::InstanceCalls instance_calls);
@@ -71,12 +74,14 @@
 
   JobController(const NodeSettings& settings,
                 kj::Timer& timer,
+                http::Metrics& metrics,
                 jobs::DeclarationDecoder decoder,
                 scheduler::WorkerCalls worker_calls,
                 maintenance::InstanceCalls instance_calls);
 
   void taskFailed(kj::Exception&& exception) override;
 
+  void RegisterMetrics();
   kj::Promise<void> TickLoop();
   void Tick();
   void FollowLeadership(SteadyTime now);
@@ -100,6 +105,9 @@
   kj::Promise<void> TakeRenewal(const WorkerId& worker,
                                 Term term,
                                 const scheduler::RenewAnswer& answer);
+  scheduler::EndsToRecord TakeReport(const WorkerId& worker,
+                                     const scheduler::RenewReport& report,
+                                     SteadyTime now);
   kj::Promise<void> RecordEnds(const WorkerId& worker,
                                scheduler::EndsToRecord ends);
   void ScheduleEnds();
@@ -107,11 +115,13 @@
   void SchedulePlan();
   void Plan();
   void SendOrder(const scheduler::Order& order);
-  void LogEvents(const std::vector<scheduler::SchedulerEvent>& events) const;
+  void LogEvents(const std::vector<scheduler::SchedulerEvent>& events);
 
   const NodeSettings& settings;
   kj::Timer& timer;
+  http::Metrics& metrics;
   SystemClock clock;
+  WorkTimes work_times;
   scheduler::WorkerCalls worker_calls;
   maintenance::InstanceCalls instance_calls;
   jobs::JobsState jobs_state;
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -19,6 +19,7 @@
 #include "libraries/base/try.h"
 #include "libraries/codec/json_writer.h"
 #include "libraries/http/async_door.h"
+#include "libraries/http/metrics.h"
 #include "libraries/log/json_log.h"
 #include "libraries/storage/data_folder.h"
 #include "libraries/storage/posix_disk.h"
@@ -115,6 +116,7 @@
   absl::Status OpenDoor(std::unique_ptr<http::AsyncDoor>& door,
                         http::DoorSettings door_settings,
                         http::AsyncDoor::Handler handler);
+  absl::Status OpenMetricsDoor();
   absl::Status ListenToPeers();
   platform::AskLeader AskLeader();
   http::DoorReply ReplyToHealthCheck() const;
@@ -132,6 +134,7 @@
   kj::AsyncIoContext& io;
   kj::Timer& timer;
   SystemClock clock;
+  http::Metrics metrics;
   Peers peers;
   platform::WorkerClient workers;
   platform::InstanceClient instances;
@@ -142,6 +145,7 @@
   std::unique_ptr<http::AsyncDoor> control_door;
   std::unique_ptr<http::AsyncDoor> caller_door;
   std::unique_ptr<http::AsyncDoor> health_door;
+  std::unique_ptr<http::AsyncDoor> metrics_door;
   kj::Own<capnp::TwoPartyServer> peer_server;
   kj::Own<kj::ConnectionReceiver> peer_receiver;
   bool is_stopping = false;
@@ -161,6 +165,9 @@
   } else {
     TRY(this->StartEntry());
   }
+  if (!this->settings.metrics_door.empty()) {
+    TRY(this->OpenMetricsDoor());
+  }
   this->running.push_back(this->ReloadLoop().eagerlyEvaluate(nullptr));
   this->running.push_back(this->SignalLoop().eagerlyEvaluate(nullptr));
   return absl::OkStatus();
@@ -172,9 +179,10 @@
           disk, this->settings.data_folder)) {
     TRY(FormatNodeFolder(this->settings));
   }
-  this->controller = TRY(JobController::Create(
-      this->settings, this->peers, this->timer, platform::ReadDeclaration,
-      this->workers.Calls(), this->instances.Calls()));
+  this->controller = TRY(
+      JobController::Create(this->settings, this->peers, this->timer,
+                            this->metrics, platform::ReadDeclaration,
+                            this->workers.Calls(), this->instances.Calls()));
   this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
                                           this->timer, this->controller.get());
   TRY(this->ListenToPeers());
@@ -250,6 +258,17 @@
   return absl::OkStatus();
 }
 
+absl::Status NodeDaemon::OpenMetricsDoor() {
+  return this->OpenDoor(
+      this->metrics_door,
+      http::DoorSettings{.address = this->settings.metrics_door},
+      [this](const http::DoorRequest& /*request*/)
+          -> kj::Promise<http::DoorReply> {
+        return http::DoorReply{.body = this->metrics.ToText(),
+                               .content_type = "text/plain; version=0.0.4"};
+      });
+}
+
 bool NodeDaemon::IsReady() const {
   return !this->is_stopping &&
          this->clock.SteadyNow() - this->link->last_answer() < kOutOfTouchTime;
@@ -276,6 +295,7 @@
 }
 
 kj::Promise<void> NodeDaemon::ReloadLoop() {
+  FlushLog();
   struct stat info {};
   if (::stat(this->path.c_str(), &info) == 0) {
     constexpr std::int64_t kNanoseconds = 1'000'000'000;
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -74,6 +74,8 @@
   // Entries only.
   std::string caller_door;
   std::string health_door;
+  // Where this process gives out its metrics, as IP:PORT; empty for nowhere.
+  std::string metrics_door;
   // The platform's door for instances, as IP:PORT; empty if there is none.
   std::string instances_door;
   PlatformTimes platform_times;
@@ -95,6 +97,7 @@
     visitor.Field("control_door", self.control_door);
     visitor.Field("caller_door", self.caller_door);
     visitor.Field("health_door", self.health_door);
+    visitor.Field("metrics_door", self.metrics_door);
     visitor.Field("instances_door", self.instances_door);
     visitor.Field("platform_times", self.platform_times);
     visitor.Field("policy", self.policy);
