Scheduler: Ask the platform whether a silent worker is up; believe no refusal

Cause: two refused connections in a row were taken for the end of a worker's life. Second cause, found by the new tests: each unanswered renewal extended the time from which the worker's tasks may run elsewhere, so that a silent worker never lapsed while its leader asked on. Now the lease is left to end while a worker does not answer, and the platform's list, asked within 250 ms, tells of an instance that is down, gone or runs another life. Ruled out: refusals with a shorter lease (a lease must outlast an election). Tests: ARefusedConnectionDoesNotProveThatNothingRuns (failed with refusals believed), ACrashIsWaitedOutWhileThePlatformSaysNothing, ADarkInstanceThatIsListedAsDownIsNotWaitedFor, AnOlderListDoesNotEndANewLife; the property test draws both kinds of partition.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -62,7 +62,9 @@
                                present.at(worker.instance)->id != id;
     if (is_superseded) {
       over.emplace_back(id, "another life began on its instance");
-      this->superseded.insert(id);
+      this->over.try_emplace(id);
+    }
+    if (this->over.contains(id)) {
       continue;
     }
     const auto found = this->workers.find(id);
@@ -76,6 +78,9 @@
   for (const auto& [id, reason] : over) {
     this->EndWorker(id, reason);
   }
+  std::erase_if(this->over, [this](const auto& ended) {
+    return this->state.FindWorker(ended.first) == nullptr;
+  });
   this->needs_plan = true;
 }
 
@@ -261,7 +266,7 @@
   if (found == this->workers.end()) {
     return;
   }
-  found->second.NoteFailure(result == OrderResult::kUnreachable);
+  found->second.NoteFailure();
   if (result == OrderResult::kOtherLife) {
     this->EndWorker(worker, "another life is at its address");
   }
@@ -335,7 +340,7 @@
       this->EndWorker(order.worker, "another life is at its address");
       break;
     case OrderResult::kUnreachable:
-      session.NoteFailure(true);
+      session.NoteFailure();
       this->ReleaseRun(session, order.task, order.run, "nobody listens there");
       break;
     case OrderResult::kUnknown:
@@ -428,9 +433,48 @@
   }
 }
 
+bool Scheduler::NeedsLifeCheck() const {
+  return std::any_of(this->workers.begin(), this->workers.end(),
+                     [](const auto& worker) {
+                       return worker.second.is_in_doubt() &&
+                              !worker.second.worker().instance.value().empty();
+                     });
+}
+
+void Scheduler::TakeInstanceLives(
+    const std::map<InstanceName, InstanceLife>& lives,
+    SteadyTime asked_at) {
+  if (lives.empty()) {
+    // A platform without any instance has lost its list, not its instances.
+    return;
+  }
+  std::vector<WorkerId> dead;
+  for (const auto& [id, session] : this->workers) {
+    const InstanceName& instance = session.worker().instance;
+    if (instance.value().empty() || !session.is_in_doubt() ||
+        session.began_at() >= asked_at) {
+      continue;
+    }
+    const auto life = lives.find(instance);
+    const bool is_over =
+        life == lives.end() || !life->second.is_up ||
+        (!life->second.worker.value().empty() && life->second.worker != id);
+    if (is_over) {
+      dead.push_back(id);
+    }
+  }
+  for (const WorkerId& id : dead) {
+    this->EndWorker(id, "the platform lists its instance as down");
+    this->over.try_emplace(id);
+  }
+}
+
 void Scheduler::ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output) {
-  for (const WorkerId& id : std::exchange(this->superseded, {})) {
-    output.commands.emplace_back(jobs::ForgetWorker{id, true});
+  for (auto& [id, ask_again_at] : this->over) {
+    if (now >= ask_again_at) {
+      ask_again_at = now + this->settings.forget_retry;
+      output.commands.emplace_back(jobs::ForgetWorker{id, true});
+    }
   }
   for (auto& [id, session] : this->workers) {
     const bool is_gone =
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -36,6 +36,8 @@
   bool orders_by_slack = true;
   // A worker that has been silent for this long after its lease is forgotten.
   Milliseconds forget_after{10'000};
+  // Before the record that a worker's life is over is asked for again.
+  Milliseconds forget_retry{1'000};
 };
 
 using Order = std::variant<StartOrder, StopOrder, PaceOrder>;
@@ -57,6 +59,13 @@
   std::vector<SchedulerEvent> events;
 };
 
+// What the platform says of one instance.
+struct InstanceLife {
+  bool is_up = false;
+  // The worker that runs there; empty if that is not known.
+  WorkerId worker;
+};
+
 // Ends that a worker reported and that must be on record before the worker is
 // told so.
 struct EndsToRecord {
@@ -105,6 +114,15 @@
   // counting as away.
   bool MayTakeAway(const jobs::TaskId& task) const;
 
+  // True while some worker fails to answer, so that it is of use to know
+  // whether its instance is up.
+  bool NeedsLifeCheck() const;
+  // Takes in what the platform, asked at `asked_at`, says of all instances. The
+  // life of a worker that fails to answer is over if its instance was down or
+  // gone, or ran another one.
+  void TakeInstanceLives(const std::map<InstanceName, InstanceLife>& lives,
+                         SteadyTime asked_at);
+
   // Takes in that a worker's life is over.
   void EndWorker(const WorkerId& worker, const std::string& reason);
 
@@ -242,9 +260,9 @@
   // shrinks while starts are planned.
   std::map<ServiceName, jobs::Resources> rooms;
   std::set<InstanceName> cordoned;
-  // Lives that were followed by another on the same instance and are to be
-  // forgotten.
-  std::set<WorkerId> superseded;
+  // Lives that are over for certain, until that is on record, and when to ask
+  // for the record (again).
+  std::map<WorkerId, SteadyTime> over;
   std::uint64_t seen_finish_count = 0;
   RunTimes run_times;
   std::map<ServiceName, ArrivalRate> arrivals;
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -8,16 +8,16 @@
 namespace {
 
 constexpr std::int64_t kPermille = 1'000;
-// A worker that nobody listens for is taken for dead only when this many tries
-// in a row were refused.
-constexpr int kRefusalsOfTheDead = 2;
 
 }  // namespace
 
 WorkerSession::WorkerSession(const jobs::Worker& worker,
                              LeaseSettings settings,
                              SteadyTime now)
-    : last_answer(now), description(worker), settings(settings) {
+    : last_answer(now),
+      description(worker),
+      settings(settings),
+      session_began(now) {
   // Whatever an earlier leader granted ends within one lease from now.
   const Milliseconds stretched =
       settings.length * kPermille / (kPermille - settings.slow_clock_permille);
@@ -30,7 +30,10 @@
                    .epoch = epoch,
                    .acknowledged_ends = this->acknowledged_ends};
   // The first one only raises the fence and learns the clock.
-  if (this->clock && this->has_answered) {
+  // NOTE: While the worker does not answer, its lease is left to end: an
+  // unanswered renewal may arrive all the same, and each would move the time
+  // from which its tasks may run elsewhere.
+  if (this->clock && this->has_answered && this->failures == 0) {
     order.lease_end = this->GrantLease(now);
     order.wait = this->settings.renewal_wait;
   }
@@ -61,18 +64,14 @@
 
 void WorkerSession::NoteAnswer(SteadyTime now) {
   this->has_answered = true;
-  this->refusals = 0;
   this->failures = 0;
   this->last_answer = now;
 }
 
-void WorkerSession::NoteFailure(bool is_refused) {
-  ++this->failures;
-  this->refusals = is_refused ? this->refusals + 1 : 0;
-}
-
 bool WorkerSession::IsLapsed(SteadyTime now) const {
-  return this->refusals >= kRefusalsOfTheDead || now >= this->bound;
+  // NOTE: A refused connection proves nothing: a partition may refuse
+  // connections to a worker that runs on.
+  return now >= this->bound;
 }
 
 bool WorkerSession::IsUsable(SteadyTime now) const {
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -82,8 +82,8 @@
   void NoteClock(WorkerTime clock, SteadyTime now);
   // Takes in that the worker answered.
   void NoteAnswer(SteadyTime now);
-  // Takes in that a renewal failed; `is_refused` if nobody listens there.
-  void NoteFailure(bool is_refused);
+  // Takes in that a renewal or an order failed.
+  void NoteFailure() { ++this->failures; }
 
   // True once the worker answered this leader and its lease has not lapsed
   // since: all that runs there is known.
@@ -92,7 +92,11 @@
   bool is_answering() const {
     return this->has_answered && this->failures == 0;
   }
-  // True if nothing can run there: nobody listens, or the lease is over.
+  // True if it failed to answer and nothing shows yet whether it still runs.
+  bool is_in_doubt() const { return this->failures > 0; }
+  // When this session began.
+  SteadyTime began_at() const { return this->session_began; }
+  // True if nothing can run there any more since the lease is over.
   bool IsLapsed(SteadyTime now) const;
   // True if the worker answers and takes work.
   bool IsUsable(SteadyTime now) const;
@@ -127,8 +131,8 @@
   jobs::Worker description;
   LeaseSettings settings;
   bool has_answered = false;
-  int refusals = 0;
   int failures = 0;
+  SteadyTime session_began;
   SteadyTime bound;
   // The latest reading of the worker's clock and when it came.
   std::optional<std::pair<WorkerTime, SteadyTime>> clock;
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -16,6 +16,8 @@
 constexpr Milliseconds kListInterval{4'000};
 // Without a wave it only shows instances that others added or took away.
 constexpr Milliseconds kQuietListInterval{15'000};
+// While a worker fails to answer, the list tells whether its instance is up.
+constexpr Milliseconds kLifeCheckInterval{250};
 constexpr std::int64_t kPermille = 1'000;
 
 std::string_view NameOfResult(maintenance::InstanceResult result) {
@@ -39,6 +41,16 @@
   return "?";
 }
 
+std::map<InstanceName, scheduler::InstanceLife> LivesOf(
+    const std::vector<maintenance::ListedInstance>& instances) {
+  std::map<InstanceName, scheduler::InstanceLife> lives;
+  for (const maintenance::ListedInstance& instance : instances) {
+    lives[instance.name] = scheduler::InstanceLife{
+        instance.state == maintenance::InstanceState::kUp, instance.worker};
+  }
+  return lives;
+}
+
 }  // namespace
 
 InstanceKeeper::InstanceKeeper(
@@ -173,7 +185,8 @@
 
 void InstanceKeeper::RefreshList(SteadyTime now) {
   const Milliseconds interval =
-      maintenance::MaintenancePlanner::NeedsList(this->state)
+      this->scheduler.NeedsLifeCheck() ? kLifeCheckInterval
+      : maintenance::MaintenancePlanner::NeedsList(this->state)
           ? kListInterval
           : kQuietListInterval;
   const bool is_first = this->last_list == SteadyTime{};
@@ -204,6 +217,8 @@
         this->is_listing = false;
         this->LogList();
         const SteadyTime now = this->clock.SteadyNow();
+        this->scheduler.TakeInstanceLives(LivesOf(this->pages),
+                                          this->last_list);
         this->capacity.TakeList(this->pages, now);
         this->waves.TakeList(std::move(this->pages), now);
         return kj::READY_NOW;
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -108,11 +108,28 @@
   }
   if (this->scheduler) {
     this->SendRenewals();
+    this->CheckLives();
     this->Plan();
   }
   this->CheckRunning();
 }
 
+// The platform tells of each instance whether it is up, and which worker it
+// runs.
+void FakeFleet::CheckLives() {
+  if (!this->lists_instances || !this->scheduler->NeedsLifeCheck()) {
+    return;
+  }
+  std::map<InstanceName, InstanceLife> lives;
+  for (const auto& [id, worker] : this->workers) {
+    InstanceLife& life = lives[worker.description.instance];
+    if (worker.is_up) {
+      life = InstanceLife{true, id};
+    }
+  }
+  this->scheduler->TakeInstanceLives(lives, this->now);
+}
+
 bool FakeFleet::Reaches(const WorkerId& id) const {
   const auto found = this->workers.find(id);
   return found != this->workers.end() && !found->second.is_cut;
@@ -146,7 +163,8 @@
     return;
   }
   if (!this->Reaches(id) || !found->second.is_up) {
-    const bool is_refused = !found->second.is_cut;
+    const bool is_refused =
+        !found->second.is_cut || found->second.is_cut_with_resets;
     this->At(this->now + (is_refused ? kOneWay : kOrderLimit),
              [this, id, sent_in, is_refused] {
                if (sent_in == this->generation) {
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -58,6 +58,8 @@
   // The share of orders whose answer is lost and that are carried out 0 to 4 s
   // late, in thousandths.
   std::uint32_t late_permille = 0;
+  // False while the platform does not say which instances are up.
+  bool lists_instances = true;
   // How late; drawn from 0 to 4 s where it is not set.
   std::optional<Milliseconds> late_by;
   // The share of renewals that are carried out and whose answer is lost.
@@ -79,6 +81,7 @@
   void Step();
   void At(SteadyTime at, std::function<void()> happen);
   void SendRenewals();
+  void CheckLives();
   void Renew(const WorkerId& id);
   void Plan();
   void Send(const Order& order);
--- a/tests/libraries/scheduler/fake_worker.h
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -54,6 +54,8 @@
   bool is_up = true;
   // Nothing reaches it and nothing comes from it, but it runs on.
   bool is_cut = false;
+  // While it is cut off, connections to it are refused.
+  bool is_cut_with_resets = false;
 
  private:
   void End(const jobs::TaskId& task, EndCause cause);
--- a/tests/libraries/scheduler/scheduler_property_test.cc
+++ b/tests/libraries/scheduler/scheduler_property_test.cc
@@ -29,6 +29,7 @@
       break;
     case 4:
       chosen.is_cut = true;
+      chosen.is_cut_with_resets = *rc::gen::arbitrary<bool>();
       break;
     case 5:
       chosen.is_cut = false;
@@ -41,6 +42,7 @@
       }
       break;
     case 7:
+      fleet.lists_instances = *rc::gen::arbitrary<bool>();
       fleet.late_permille = *rc::gen::inRange<std::uint32_t>(0, 300);
       fleet.lost_report_permille = *rc::gen::inRange<std::uint32_t>(0, 500);
       break;
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -93,6 +93,70 @@
   EXPECT_EQ(fleet.problem, "");
 }
 
+// A partition may refuse connections to a worker that runs on.
+TEST(SchedulerTest, ARefusedConnectionDoesNotProveThatNothingRuns) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 2, .most_per_worker = 1});
+  fleet.PassTime(Milliseconds(300));
+  ASSERT_EQ(fleet.CountRunning("job"), 2U);
+  fleet.AddWorker("w9", "m9");
+  fleet.worker("w0").is_cut = true;
+  fleet.worker("w0").is_cut_with_resets = true;
+  fleet.PassTime(fleet.settings.lease.length - Milliseconds(1'000));
+  EXPECT_EQ(fleet.problem, "");
+  EXPECT_EQ(fleet.starts, 2U);
+  fleet.PassTime(Milliseconds(2'000));
+  EXPECT_EQ(fleet.problem, "");
+  EXPECT_EQ(fleet.starts, 3U);
+}
+
+TEST(SchedulerTest, ADarkInstanceThatIsListedAsDownIsNotWaitedFor) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(300));
+  ASSERT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w0"});
+  fleet.worker("w0").is_cut = true;
+  fleet.worker("w0").Crash();
+  fleet.PassTime(Milliseconds(1'500));
+  EXPECT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w1"});
+  EXPECT_EQ(fleet.state.FindWorker(WorkerId("w0")), nullptr);
+}
+
+TEST(SchedulerTest, ACrashIsWaitedOutWhileThePlatformSaysNothing) {
+  FakeFleet fleet(2);
+  fleet.lists_instances = false;
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(300));
+  fleet.worker("w0").Crash();
+  fleet.PassTime(fleet.settings.lease.length - Milliseconds(1'000));
+  EXPECT_EQ(fleet.starts, 1U);
+  fleet.PassTime(Milliseconds(2'000));
+  EXPECT_EQ(fleet.starts, 2U);
+}
+
+// A list that was asked for before a worker was heard of says nothing about
+// it.
+TEST(SchedulerTest, AnOlderListDoesNotEndANewLife) {
+  FakeFleet fleet(1);
+  fleet.lists_instances = false;
+  fleet.PassTime(Milliseconds(300));
+  const SteadyTime asked_at = fleet.now;
+  fleet.PassTime(Milliseconds(300));
+  fleet.AddWorker("w9", "m9");
+  fleet.PassTime(Milliseconds(300));
+  fleet.worker("w9").is_cut = true;
+  fleet.PassTime(Milliseconds(1'000));
+  ASSERT_TRUE(fleet.scheduler->NeedsLifeCheck());
+  fleet.scheduler->TakeInstanceLives(
+      {{InstanceName("m0"), {true, WorkerId("w0")}},
+       {InstanceName("m9"), {false, WorkerId()}}},
+      asked_at);
+  EXPECT_TRUE(fleet.scheduler->sessions().contains(WorkerId("w9")));
+}
+
 TEST(SchedulerTest, ANewLifeOnAnInstanceEndsTheOneBefore) {
   FakeFleet fleet(1);
   fleet.work = Milliseconds(5'000);
