Maintenance: Remember instances that move to a pool that is off

Instances sent to a pool that is off also counted as there at once, and orders about them were refused as busy until they had arrived. Now they stay known and count after the platform's time to move, which the deployment fills in, like the time of a maintenance (it was 2 s whatever the platform said). Test: AnInstanceThatWasJustSwitchedOffIsUsedOnceItArrived (failed before).

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -28,12 +28,18 @@
 
 void CapacityPlanner::TakeList(const std::vector<ListedInstance>& instances,
                                SteadyTime /*now*/) {
-  this->idle.clear();
+  std::map<InstanceName, ServiceName> listed;
   for (const ListedInstance& instance : instances) {
+    const auto known = this->idle.find(instance.name);
     if (instance.state == InstanceState::kUp) {
-      this->idle[instance.name] = instance.service;
+      listed[instance.name] = instance.service;
+    } else if (instance.state == InstanceState::kMoving &&
+               known != this->idle.end()) {
+      // Where this leader sent it.
+      listed.insert(*known);
     }
   }
+  this->idle = std::move(listed);
 }
 
 std::set<InstanceName> CapacityPlanner::Moving() const {
@@ -231,7 +237,8 @@
     // Where instances are off no worker appears.
     const bool has_arrived =
         (known != facts.end() && known->second.worker != move.worker) ||
-        IsHeadroom(state, move.to);
+        (IsHeadroom(state, move.to) &&
+         now - move.taken_at >= this->settings.move_time);
     const bool is_overdue = now - move.since > this->settings.longest_move;
     if ((move.is_taken && has_arrived) || (is_overdue && !move.is_under_way)) {
       item = this->moves.erase(item);
@@ -278,6 +285,7 @@
   switch (result) {
     case InstanceResult::kDone:
       move.is_taken = true;
+      move.taken_at = now;
       this->idle[order.instance] = move.to;
       if (!move.worker.value().empty()) {
         commands.emplace_back(jobs::ForgetWorker{move.worker, true});
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -29,6 +29,9 @@
   // A pool gives instances up only after it had too many for this long: about
   // what two moves cost over what an idle instance costs a second.
   Milliseconds surplus_time{2'500};
+  // How long the platform takes to move an instance; it takes no further order
+  // about it meanwhile.
+  Milliseconds move_time{1'500};
   // An instance that did not appear in its new pool by then is looked for
   // where the platform lists it.
   Milliseconds longest_move{4'000};
@@ -84,6 +87,7 @@
     SteadyTime since{};
     bool is_under_way = false;
     bool is_taken = false;
+    SteadyTime taken_at{};
     SteadyTime due{};
   };
   // What is known of one pool in one look.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -205,7 +205,7 @@
   this->scheduler.emplace(this->jobs_state, chosen, now);
   const maintenance::MaintenanceSettings maintenance{
       .holder_pause = times.instance_lease,
-      .maintenance_time = times.maintenance_time};
+      .maintenance_time = times.maintenance_time()};
   this->keeper = std::make_unique<InstanceKeeper>(
       this->jobs_state, *this->scheduler, this->instance_calls,
       InstanceKeeper::Host{.propose =
@@ -215,7 +215,8 @@
                            .may_act = [this] { return this->host->MayAct(); }},
       maintenance,
       maintenance::CapacitySettings{.is_on = this->settings.policy.moves,
-                                    .holder_pause = times.instance_lease},
+                                    .holder_pause = times.instance_lease,
+                                    .move_time = times.move_time()},
       this->settings.process(), now);
   this->have_workers_changed = true;
   LogEvent(LogLevel::kInfo, "leads",
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -22,16 +22,30 @@
   Milliseconds stop_grace{6'000};
   // Two leaders' orders about one instance keep this apart.
   Milliseconds instance_lease{3'000};
-  // Maintenance of an instance takes this long.
-  Milliseconds maintenance_time{2'000};
+  // How long maintenance of an instance and a move take, in seconds: the
+  // platform fills them in as fractions.
+  double maintenance_seconds = 2;
+  double move_seconds = 1.5;
+
+  Milliseconds maintenance_time() const {
+    return ToMilliseconds(this->maintenance_seconds);
+  }
+  Milliseconds move_time() const { return ToMilliseconds(this->move_seconds); }
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("longest_lease_ms", self.longest_lease, Limits{100, 600'000});
     visitor.Field("stop_grace_ms", self.stop_grace, Limits{100, 600'000});
     visitor.Field("instance_lease_ms", self.instance_lease, Limits{0, 600'000});
-    visitor.Field("maintenance_time_ms", self.maintenance_time,
-                  Limits{0, 600'000});
+    visitor.Field("maintenance_seconds", self.maintenance_seconds,
+                  Limits{0, 600});
+    visitor.Field("move_seconds", self.move_seconds, Limits{0, 600});
+  }
+
+ private:
+  static Milliseconds ToMilliseconds(double seconds) {
+    return std::chrono::round<Milliseconds>(
+        std::chrono::duration<double>(seconds));
   }
 };
 
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -187,6 +187,33 @@
   EXPECT_TRUE(forget.is_over);
 }
 
+// A pool that is off holds an instance from the moment it was sent there, but
+// the platform takes no further order about it before it has arrived.
+TEST_F(CapacityPlannerTest,
+       AnInstanceThatWasJustSwitchedOffIsUsedOnceItArrived) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 3);
+  this->AddIdle(0);
+  this->demand[kQuiet] = {};
+  this->Plan();
+  this->now += CapacitySettings().surplus_time;
+  const CapacityOutput output = this->Plan();
+  ASSERT_EQ(PoolsOf(output), std::vector<std::string>{"off"});
+  const InstanceName moved = output.orders[0].instance;
+  this->planner.TakeResult(output.orders[0], InstanceResult::kDone, this->now);
+  this->facts.erase(moved);
+  this->planner.TakeList(
+      {{.name = moved, .service = kQuiet, .state = InstanceState::kMoving}},
+      this->now);
+  this->demand[kBusy].short_millicores = 2 * kCores;
+  this->now += CapacitySettings().move_time / 2;
+  EXPECT_TRUE(this->Plan().orders.empty());
+  this->now += CapacitySettings().move_time / 2;
+  const CapacityOutput again = this->Plan();
+  ASSERT_EQ(PoolsOf(again), std::vector<std::string>{"busy"});
+  EXPECT_EQ(again.orders[0].instance, moved);
+}
+
 TEST_F(CapacityPlannerTest, AFencedLeaderGivesNoMoreOrders) {
   this->AddInstances(kBusy, 2);
   this->AddInstances(kQuiet, 2);
