Scheduler: Split placement, urgency and demand off

Placement chooses workers among those that take work in a turn (found once a turn and service, where each task used to look at every worker of the fleet), UrgencyOf orders jobs, DemandMeter tells the pools what they need. A worker's rack is decoded into a field of its own, and WorkerHealth and the counts of serving and filling runs come along unused.

--- a/libraries/jobs/worker.h
+++ b/libraries/jobs/worker.h
@@ -24,6 +24,7 @@
   // Where it takes orders, as IP:PORT.
   std::string address;
   Resources capacity;
+  Rack rack;
   // Its kind, its rack and whatever else tasks may require.
   std::vector<std::string> labels;
   // It will leave: nothing is started there any more.
@@ -47,6 +48,7 @@
     visitor.Field("data_centre", self.data_centre);
     visitor.Field("address", self.address);
     visitor.Field("capacity", self.capacity);
+    visitor.Field("rack", self.rack);
     visitor.Field("labels", self.labels);
     visitor.Field("is_draining", self.is_draining);
     visitor.Field("number", self.number);
--- /dev/null
+++ b/libraries/scheduler/demand_meter.cc
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/demand_meter.h"
+
+#include <algorithm>
+
+namespace sumac::scheduler {
+
+// Counts the jobs that were accepted since the last look.
+void DemandMeter::NoteArrivals(SteadyTime now) {
+  const auto& active = this->state.active_jobs();
+  for (auto item = active.lower_bound(this->next_arrival); item != active.end();
+       ++item) {
+    const jobs::Job& job = *item->second;
+    this->next_arrival = item->first + 1;
+    if (job.sequence < this->first_own_sequence || job.spec.repeats > 0) {
+      continue;
+    }
+    std::int64_t millicore_time = 0;
+    for (const jobs::StepSpec& step : job.spec.steps) {
+      if (!step.is_long_running && !step.is_filler) {
+        millicore_time += step.count * step.need.millicores *
+                          this->run_times.Expect(job.queue, step).count();
+      }
+    }
+    if (millicore_time > 0) {
+      this->arrivals[job.service].Add(millicore_time, now);
+    }
+  }
+}
+
+std::map<ServiceName, jobs::ServiceDemand> DemandMeter::Measure(
+    SteadyTime now,
+    WallTime wall_now) {
+  this->NoteArrivals(now);
+  std::map<ServiceName, jobs::ServiceDemand> demand;
+  for (const auto& [sequence, job] : this->state.active_jobs()) {
+    jobs::ServiceDemand& service = demand[job->service];
+    for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
+                                       job->DueAt(occurrence) <= wall_now;
+         ++occurrence) {
+      for (std::uint32_t number = 0; number < job->spec.steps.size();
+           ++number) {
+        const jobs::StepSpec& step = job->spec.steps[number];
+        if (step.is_filler || job->IsStepDone(occurrence, number) ||
+            !job->IsStepReady(occurrence, number)) {
+          continue;
+        }
+        const std::int64_t left =
+            step.count - job->CountDone(occurrence, number);
+        if (step.most_per_worker > 0) {
+          service.fewest_instances = std::max(
+              service.fewest_instances,
+              (left + step.most_per_worker - 1) / step.most_per_worker);
+        }
+        (step.is_long_running ? service.lasting_millicores
+                              : service.short_millicores) +=
+            left * step.need.millicores;
+      }
+    }
+  }
+  for (auto& [service, rate] : this->arrivals) {
+    jobs::ServiceDemand& needed = demand[service];
+    needed.short_millicores =
+        std::max(needed.short_millicores, rate.MillicoresBusy(now));
+  }
+  return demand;
+}
+
+}  // namespace sumac::scheduler
--- /dev/null
+++ b/libraries/scheduler/placement.cc
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace sumac::scheduler {
+
+void Placement::BeginTurn(Sessions& sessions,
+                          const std::set<InstanceName>& cordoned,
+                          SteadyTime now) {
+  this->now = now;
+  this->pools.clear();
+  std::map<ServiceName, std::vector<WorkerSession*>> quarantined;
+  for (auto& [id, session] : sessions) {
+    if (!session.IsUsable(now) ||
+        cordoned.contains(session.worker().instance)) {
+      continue;
+    }
+    const ServiceName& service = session.worker().service;
+    (this->health.IsQuarantined(id, now) ? quarantined[service]
+                                         : this->pools[service].workers)
+        .push_back(&session);
+  }
+  // A pool of which nothing good is left uses what it has.
+  for (auto& [service, workers] : quarantined) {
+    Pool& pool = this->pools[service];
+    if (pool.workers.empty()) {
+      pool.workers = std::move(workers);
+    }
+  }
+  for (auto& [service, pool] : this->pools) {
+    for (const WorkerSession* session : pool.workers) {
+      const jobs::Resources room = session->Room();
+      jobs::Resources& most = pool.most_room;
+      most.millicores = std::max(most.millicores, room.millicores);
+      most.memory_mb = std::max(most.memory_mb, room.memory_mb);
+      most.accelerators = std::max(most.accelerators, room.accelerators);
+    }
+  }
+}
+
+bool Placement::HasRoom(const ServiceName& service,
+                        const jobs::Resources& need) const {
+  const auto pool = this->pools.find(service);
+  return pool != this->pools.end() && pool->second.most_room.Holds(need);
+}
+
+jobs::Resources Placement::CountedNeed(const jobs::StepSpec& step) {
+  jobs::Resources need = step.need;
+  if (step.is_filler) {
+    need.millicores = 0;
+  }
+  return need;
+}
+
+bool Placement::Fits(const PlacementRequest& request,
+                     const WorkerSession& session) {
+  const jobs::StepSpec& step = request.step();
+  const jobs::Worker& worker = session.worker();
+  if (worker.id == request.other_than ||
+      (!request.rack.value().empty() && worker.rack != request.rack) ||
+      (!step.required_label.empty() &&
+       !worker.has_label(step.required_label))) {
+    return false;
+  }
+  return session.Room().Holds(CountedNeed(step)) &&
+         (step.most_per_worker == 0 ||
+          session.CountOf(request.task.step) < step.most_per_worker);
+}
+
+bool Placement::IsGood(const WorkerSession& session) const {
+  const WorkerId& id = session.worker().id;
+  return !this->health.IsQuarantined(id, this->now) &&
+         !this->health.IsSlow(id, this->now);
+}
+
+WorkerSession* Placement::Choose(const PlacementRequest& request) const {
+  const jobs::StepSpec& step = request.step();
+  const jobs::Resources need = CountedNeed(step);
+  WorkerSession* best = nullptr;
+  std::tuple<bool, bool, bool, std::uint32_t, std::int64_t> best_rank;
+  for (WorkerSession* session : this->WorkersOf(request.job->service)) {
+    if (!Fits(request, *session)) {
+      continue;
+    }
+    const jobs::Worker& worker = session->worker();
+    const bool has_failed_there = request.memory != nullptr &&
+                                  request.memory->failed_on.contains(worker.id);
+    const bool is_far = !step.data_rack.value().empty() &&
+                        !worker.has_label(step.data_rack.value());
+    // Fillers slow down what serves users beside them.
+    const std::uint32_t disturbed = step.is_filler ? session->serving_runs()
+                                    : step.latency_target > Milliseconds(0)
+                                        ? session->filler_runs()
+                                        : 0;
+    // The smaller the better: not where it failed, not on a slow worker, near
+    // its data, little to disturb, tight fit.
+    const std::tuple rank(
+        has_failed_there, this->health.IsSlow(worker.id, this->now), is_far,
+        disturbed, session->Room().millicores - need.millicores);
+    if (best == nullptr || rank < best_rank) {
+      best = session;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+const std::vector<WorkerSession*>& Placement::WorkersOf(
+    const ServiceName& service) const {
+  static const std::vector<WorkerSession*> kNone;
+  const auto pool = this->pools.find(service);
+  return pool == this->pools.end() ? kNone : pool->second.workers;
+}
+
+std::set<Rack> Placement::RacksOf(const ServiceName& service) const {
+  std::set<Rack> racks;
+  for (const WorkerSession* session : this->WorkersOf(service)) {
+    racks.insert(session->worker().rack);
+  }
+  return racks;
+}
+
+}  // namespace sumac::scheduler
--- /dev/null
+++ b/libraries/scheduler/placement.h
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_SCHEDULER_PLACEMENT_H_
+#define LIBRARIES_SCHEDULER_PLACEMENT_H_
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/jobs/job.h"
+#include "libraries/jobs/resources.h"
+#include "libraries/scheduler/task_table.h"
+#include "libraries/scheduler/worker_health.h"
+#include "libraries/scheduler/worker_session.h"
+
+namespace sumac::scheduler {
+
+// What a task's worker must have and should have.
+struct PlacementRequest {
+  const jobs::Job* job = nullptr;
+  jobs::TaskId task;
+  // What is known of the task's earlier runs; nothing for none.
+  const TaskMemory* memory = nullptr;
+  // Only workers of this rack, where it is not empty.
+  Rack rack;
+  // Not on this worker, where it is not empty.
+  WorkerId other_than;
+
+  const jobs::StepSpec& step() const {
+    return this->job->spec.steps[this->task.step.step];
+  }
+};
+
+// Chooses workers for tasks, among those that take work in one turn of the
+// scheduler. Pure.
+class Placement {
+ public:
+  using Sessions = std::map<WorkerId, WorkerSession>;
+
+  explicit Placement(const WorkerHealth& health) : health(health) {}
+
+  // Begins a turn: finds which workers take work at `now`. The sessions must
+  // stay until the next turn.
+  void BeginTurn(Sessions& sessions,
+                 const std::set<InstanceName>& cordoned,
+                 SteadyTime now);
+
+  // True unless no worker of the service can have room for `need`. It looks at
+  // no single worker, since most tasks that wait find no room anywhere.
+  bool HasRoom(const ServiceName& service, const jobs::Resources& need) const;
+
+  // The best worker for the task, or nothing if none has room.
+  WorkerSession* Choose(const PlacementRequest& request) const;
+
+  // The racks that have workers of the service, and the workers that take work.
+  std::set<Rack> RacksOf(const ServiceName& service) const;
+  const std::vector<WorkerSession*>& WorkersOf(
+      const ServiceName& service) const;
+
+  // True if the worker can hold the task now, whatever a policy says.
+  static bool Fits(const PlacementRequest& request,
+                   const WorkerSession& session);
+
+  // True if nothing is known against the worker.
+  bool IsGood(const WorkerSession& session) const;
+
+  // What a task of the step takes of its worker's room.
+  static jobs::Resources CountedNeed(const jobs::StepSpec& step);
+
+ private:
+  struct Pool {
+    std::vector<WorkerSession*> workers;
+    // The most that one worker had left of each resource when the turn began.
+    jobs::Resources most_room;
+  };
+
+  const WorkerHealth& health;
+  SteadyTime now{};
+  std::map<ServiceName, Pool> pools;
+};
+
+}  // namespace sumac::scheduler
+
+#endif  // LIBRARIES_SCHEDULER_PLACEMENT_H_
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -2,11 +2,11 @@
 #include "libraries/scheduler/scheduler.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "libraries/base/text.h"
 #include "libraries/base/verify.h"
+#include "libraries/scheduler/urgency.h"
 
 namespace sumac::scheduler {
 namespace {
@@ -32,7 +32,9 @@
     : state(state),
       settings(settings),
       epoch(state.epoch()),
-      first_own_sequence(state.record().next_sequence) {
+      first_own_sequence(state.record().next_sequence),
+      placement(this->health),
+      demand(state, this->run_times, this->first_own_sequence) {
   this->SyncWorkers(now);
 }
 
@@ -210,9 +212,9 @@
   Run run{.task = running.task,
           .number = running.run,
           .phase = is_wanted ? RunPhase::kRunning : RunPhase::kStopping,
-          .need = is_known
-                      ? CountedNeed(job->spec.steps[running.task.step.step])
-                      : jobs::Resources(),
+          .need = is_known ? Placement::CountedNeed(
+                                 job->spec.steps[running.task.step.step])
+                           : jobs::Resources(),
           .ordered_at = now,
           .confirmed_clock = report.clock,
           .percent = running.percent,
@@ -410,6 +412,7 @@
   this->needs_plan = false;
   SchedulerOutput output;
   this->LapseSilentWorkers(now);
+  this->placement.BeginTurn(this->workers, this->cordoned, now);
   this->ForgetGoneWorkers(now, output);
   this->EvacuateCordoned(now);
   this->StopUnwanted(now, output);
@@ -526,11 +529,15 @@
   return away < step->disruption_budget;
 }
 
-bool Scheduler::HasPlaceElsewhere(const jobs::TaskId& task, SteadyTime now) {
+WorkerSession* Scheduler::ChooseWorker(const jobs::Job& job,
+                                       const jobs::TaskId& task) const {
+  return this->placement.Choose(PlacementRequest{
+      .job = &job, .task = task, .memory = this->tasks.Find(task)});
+}
+
+bool Scheduler::HasPlaceElsewhere(const jobs::TaskId& task) const {
   const jobs::Job* job = this->state.FindJob(task.step.job);
-  return job != nullptr &&
-         this->ChooseWorker({job, task.step.occurrence, task.step.step}, task,
-                            now) != nullptr;
+  return job != nullptr && this->ChooseWorker(*job, task) != nullptr;
 }
 
 // Long-running tasks leave instances that are to be taken away; others end by
@@ -544,7 +551,7 @@
       const jobs::StepSpec* step = this->FindStep(run.task);
       if (step != nullptr && step->is_long_running &&
           run.phase == RunPhase::kRunning && this->MayTakeAway(run.task) &&
-          this->HasPlaceElsewhere(run.task, now)) {
+          this->HasPlaceElsewhere(run.task)) {
         run.phase = RunPhase::kStopping;
         run.stop_due = now;
         this->Note("run-evacuated", run.task, run.number, id,
@@ -600,32 +607,9 @@
                                        run.task, run.number});
 }
 
-// Most tasks that wait find no room anywhere; this tells so without looking at
-// every worker for each.
-void Scheduler::MeasureRooms(SteadyTime now) {
-  this->rooms.clear();
-  for (const auto& [id, session] : this->workers) {
-    if (!session.IsUsable(now) || this->IsCordoned(session)) {
-      continue;
-    }
-    const jobs::Resources room = session.Room();
-    jobs::Resources& most = this->rooms[session.worker().service];
-    most.millicores = std::max(most.millicores, room.millicores);
-    most.memory_mb = std::max(most.memory_mb, room.memory_mb);
-    most.accelerators = std::max(most.accelerators, room.accelerators);
-  }
-}
-
-bool Scheduler::HasRoom(const ServiceName& service,
-                        const jobs::Resources& need) const {
-  const auto room = this->rooms.find(service);
-  return room != this->rooms.end() && room->second.Holds(need);
-}
-
 void Scheduler::StartDue(SteadyTime now,
                          WallTime wall_now,
                          SchedulerOutput& output) {
-  this->MeasureRooms(now);
   for (const Candidate& due : this->OrderDue(wall_now)) {
     const jobs::Job& job = *due.job;
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
@@ -650,8 +634,11 @@
     for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
                                        job->DueAt(occurrence) <= wall_now;
          ++occurrence) {
-      order.emplace_back(this->UrgencyOf(*job, occurrence, wall_now),
-                         Candidate{job, occurrence, 0});
+      order.emplace_back(
+          UrgencyOf(*job, occurrence,
+                    this->state.declaration().FindQueue(job->queue),
+                    this->run_times, this->settings.orders_by_slack, wall_now),
+          Candidate{job, occurrence, 0});
     }
   }
   std::sort(order.begin(), order.end(),
@@ -666,38 +653,6 @@
   return candidates;
 }
 
-Scheduler::Urgency Scheduler::UrgencyOf(const jobs::Job& job,
-                                        std::uint32_t occurrence,
-                                        WallTime wall_now) const {
-  // A late job earns a little until it has taken three times its time.
-  constexpr int kWorthlessAfter = 3;
-  const jobs::QueueDeclaration* queue =
-      this->state.declaration().FindQueue(job.queue);
-  Urgency urgency{.sequence = job.sequence};
-  if (queue == nullptr) {
-    return urgency;
-  }
-  urgency.priority = queue->priority;
-  if (!this->settings.orders_by_slack || job.has_long_running_step()) {
-    return urgency;
-  }
-  const WallTime due = job.DueAt(occurrence);
-  const auto chain =
-      static_cast<double>(this->run_times.WholeChain(job).count());
-  const Milliseconds objective =
-      Milliseconds(static_cast<std::int64_t>(chain * queue->stretch)) +
-      queue->latency_target;
-  const Milliseconds left = this->run_times.RemainingChain(job, occurrence);
-  const Milliseconds slack = due + objective - left - wall_now;
-  if (slack < Milliseconds(0)) {
-    urgency.lateness =
-        wall_now + left > due + kWorthlessAfter * objective ? 2 : 1;
-    return urgency;
-  }
-  urgency.slack = slack.count();
-  return urgency;
-}
-
 bool Scheduler::MayStart(const jobs::Job& job,
                          const jobs::TaskId& task,
                          const TaskMemory* memory) const {
@@ -717,14 +672,15 @@
   const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
   jobs::TaskId task{{candidate.job->id, candidate.occurrence, candidate.step},
                     0};
-  if (!this->HasRoom(candidate.job->service, CountedNeed(step))) {
+  if (!this->placement.HasRoom(candidate.job->service,
+                               Placement::CountedNeed(step))) {
     return;
   }
   for (task.index = 0; task.index < step.count; ++task.index) {
     if (!this->MayStart(*candidate.job, task, this->tasks.Find(task))) {
       continue;
     }
-    WorkerSession* session = this->ChooseWorker(candidate, task, now);
+    WorkerSession* session = this->ChooseWorker(*candidate.job, task);
     if (session == nullptr) {
       // Tasks of one step are alike: if one finds no room, none does.
       break;
@@ -747,14 +703,14 @@
     if (!this->MayStart(*candidate.job, task, this->tasks.Find(task))) {
       break;
     }
-    WorkerSession* session = this->ChooseWorker(candidate, task, now);
+    WorkerSession* session = this->ChooseWorker(*candidate.job, task);
     if (session == nullptr) {
       break;
     }
     run = std::max(run, this->NextRun(*candidate.job, task));
     // Holds the room while the others are placed.
-    session->AddRun(
-        Run{.task = task, .need = CountedNeed(step), .ordered_at = now});
+    session->AddRun(Run{
+        .task = task, .need = Placement::CountedNeed(step), .ordered_at = now});
     places.emplace_back(task, session);
   }
   for (const auto& [task, session] : places) {
@@ -768,45 +724,6 @@
   }
 }
 
-WorkerSession* Scheduler::ChooseWorker(const Candidate& candidate,
-                                       const jobs::TaskId& task,
-                                       SteadyTime now) {
-  const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
-  const jobs::Resources need = CountedNeed(step);
-  const TaskMemory* memory = this->tasks.Find(task);
-  WorkerSession* best = nullptr;
-  std::tuple<bool, bool, std::int64_t> best_rank;
-  for (auto& [id, session] : this->workers) {
-    const jobs::Worker& worker = session.worker();
-    if (worker.service != candidate.job->service || !session.IsUsable(now) ||
-        this->IsCordoned(session)) {
-      continue;
-    }
-    if (!step.required_label.empty() &&
-        !worker.has_label(step.required_label)) {
-      continue;
-    }
-    const jobs::Resources room = session.Room();
-    if (!room.Holds(need) ||
-        (step.most_per_worker > 0 &&
-         session.CountOf(task.step) >= step.most_per_worker)) {
-      continue;
-    }
-    const bool has_failed_there =
-        memory != nullptr && memory->failed_on.contains(id);
-    const bool is_far = !step.data_rack.value().empty() &&
-                        !worker.has_label(step.data_rack.value());
-    // The smaller the better: not where it failed, near its data, tight fit.
-    const std::tuple rank(has_failed_there, is_far,
-                          room.millicores - need.millicores);
-    if (best == nullptr || rank < best_rank) {
-      best = &session;
-      best_rank = rank;
-    }
-  }
-  return best;
-}
-
 void Scheduler::StartOn(WorkerSession& session,
                         const Candidate& candidate,
                         const jobs::TaskId& task,
@@ -817,7 +734,7 @@
   const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
   session.AddRun(Run{.task = task,
                      .number = run,
-                     .need = CountedNeed(step),
+                     .need = Placement::CountedNeed(step),
                      .ordered_at = now,
                      .start_expires = lease_end});
   TaskMemory& memory = this->tasks.Get(task);
@@ -855,79 +772,10 @@
              : &job->spec.steps[task.step.step];
 }
 
-jobs::Resources Scheduler::CountedNeed(const jobs::StepSpec& step) {
-  jobs::Resources need = step.need;
-  if (step.is_filler) {
-    need.millicores = 0;
-  }
-  return need;
-}
-
 bool Scheduler::HasBegun(const jobs::Job& job) const {
   return !job.occurrences.empty() || this->tasks.HasBegun(job.id);
 }
 
-// Counts the jobs that were accepted since the last look.
-void Scheduler::NoteArrivals(SteadyTime now) {
-  const auto& active = this->state.active_jobs();
-  for (auto item = active.lower_bound(this->next_arrival); item != active.end();
-       ++item) {
-    const jobs::Job& job = *item->second;
-    this->next_arrival = item->first + 1;
-    if (job.sequence < this->first_own_sequence || job.spec.repeats > 0) {
-      continue;
-    }
-    std::int64_t millicore_time = 0;
-    for (const jobs::StepSpec& step : job.spec.steps) {
-      if (!step.is_long_running && !step.is_filler) {
-        millicore_time += step.count * step.need.millicores *
-                          this->run_times.Expect(job.queue, step).count();
-      }
-    }
-    if (millicore_time > 0) {
-      this->arrivals[job.service].Add(millicore_time, now);
-    }
-  }
-}
-
-std::map<ServiceName, jobs::ServiceDemand> Scheduler::Demand(
-    SteadyTime now,
-    WallTime wall_now) {
-  this->NoteArrivals(now);
-  std::map<ServiceName, jobs::ServiceDemand> demand;
-  for (const auto& [sequence, job] : this->state.active_jobs()) {
-    jobs::ServiceDemand& service = demand[job->service];
-    for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
-                                       job->DueAt(occurrence) <= wall_now;
-         ++occurrence) {
-      for (std::uint32_t number = 0; number < job->spec.steps.size();
-           ++number) {
-        const jobs::StepSpec& step = job->spec.steps[number];
-        if (step.is_filler || job->IsStepDone(occurrence, number) ||
-            !job->IsStepReady(occurrence, number)) {
-          continue;
-        }
-        const std::int64_t left =
-            step.count - job->CountDone(occurrence, number);
-        if (step.most_per_worker > 0) {
-          service.fewest_instances = std::max(
-              service.fewest_instances,
-              (left + step.most_per_worker - 1) / step.most_per_worker);
-        }
-        (step.is_long_running ? service.lasting_millicores
-                              : service.short_millicores) +=
-            left * step.need.millicores;
-      }
-    }
-  }
-  for (auto& [service, rate] : this->arrivals) {
-    jobs::ServiceDemand& needed = demand[service];
-    needed.short_millicores =
-        std::max(needed.short_millicores, rate.MillicoresBusy(now));
-  }
-  return demand;
-}
-
 std::uint64_t Scheduler::CountPending(const QueueName& queue) const {
   std::uint64_t pending = 0;
   for (const auto& [sequence, job] : this->state.active_jobs()) {
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -16,9 +16,11 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/service_demand.h"
 #include "libraries/jobs/task_id.h"
-#include "libraries/scheduler/arrival_rate.h"
+#include "libraries/scheduler/demand_meter.h"
+#include "libraries/scheduler/placement.h"
 #include "libraries/scheduler/run_times.h"
 #include "libraries/scheduler/task_table.h"
+#include "libraries/scheduler/worker_health.h"
 #include "libraries/scheduler/worker_messages.h"
 #include "libraries/scheduler/worker_session.h"
 
@@ -139,7 +141,9 @@
   // What the tasks of each service need now: those that run and those that
   // could.
   std::map<ServiceName, jobs::ServiceDemand> Demand(SteadyTime now,
-                                                    WallTime wall_now);
+                                                    WallTime wall_now) {
+    return this->demand.Measure(now, wall_now);
+  }
   // How many accepted jobs of a queue have not begun.
   std::uint64_t CountPending(const QueueName& queue) const;
 
@@ -156,23 +160,6 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
   };
-  // What decides which job goes first; the smaller the earlier.
-  struct Urgency {
-    std::uint32_t priority = 0;
-    // 0 for a job that can still be in time, 1 for one that is late but still
-    // worth something, 2 for one that is not.
-    std::uint32_t lateness = 0;
-    // How long the job can still wait, in milliseconds.
-    std::int64_t slack = 0;
-    std::uint64_t sequence = 0;
-
-    auto operator<=>(const Urgency&) const = default;
-  };
-
-  Urgency UrgencyOf(const jobs::Job& job,
-                    std::uint32_t occurrence,
-                    WallTime wall_now) const;
-
   using Sessions = std::map<WorkerId, WorkerSession>;
 
   void TakeRunning(WorkerSession& session,
@@ -202,7 +189,9 @@
   void LapseSilentWorkers(SteadyTime now);
   void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
   void EvacuateCordoned(SteadyTime now);
-  bool HasPlaceElsewhere(const jobs::TaskId& task, SteadyTime now);
+  WorkerSession* ChooseWorker(const jobs::Job& job,
+                              const jobs::TaskId& task) const;
+  bool HasPlaceElsewhere(const jobs::TaskId& task) const;
   bool IsAtWork(const jobs::TaskId& task) const;
   bool IsCordoned(const WorkerSession& session) const {
     return this->cordoned.contains(session.worker().instance);
@@ -213,7 +202,6 @@
                Run& run,
                SteadyTime now,
                SchedulerOutput& output);
-  void NoteArrivals(SteadyTime now);
   std::vector<Candidate> OrderDue(WallTime wall_now);
   void StartDue(SteadyTime now, WallTime wall_now, SchedulerOutput& output);
   void StartStep(const Candidate& candidate,
@@ -225,11 +213,6 @@
   bool MayStart(const jobs::Job& job,
                 const jobs::TaskId& task,
                 const TaskMemory* memory) const;
-  void MeasureRooms(SteadyTime now);
-  bool HasRoom(const ServiceName& service, const jobs::Resources& need) const;
-  WorkerSession* ChooseWorker(const Candidate& candidate,
-                              const jobs::TaskId& task,
-                              SteadyTime now);
   void StartOn(WorkerSession& session,
                const Candidate& candidate,
                const jobs::TaskId& task,
@@ -238,7 +221,6 @@
                SchedulerOutput& output);
   RunNumber NextRun(const jobs::Job& job, const jobs::TaskId& task) const;
   bool IsServiceUncertain(const ServiceName& service) const;
-  static jobs::Resources CountedNeed(const jobs::StepSpec& step);
   void Note(std::string what,
             const jobs::TaskId& task,
             RunNumber run,
@@ -256,18 +238,15 @@
   TaskTable tasks;
   // Services of which some worker has not told yet what runs there.
   std::set<ServiceName> uncertain;
-  // Per service, the most that one worker has left of each resource. It only
-  // shrinks while starts are planned.
-  std::map<ServiceName, jobs::Resources> rooms;
   std::set<InstanceName> cordoned;
   // Lives that are over for certain, until that is on record, and when to ask
   // for the record (again).
   std::map<WorkerId, SteadyTime> over;
   std::uint64_t seen_finish_count = 0;
   RunTimes run_times;
-  std::map<ServiceName, ArrivalRate> arrivals;
-  // Jobs numbered below this have been counted as arrivals.
-  std::uint64_t next_arrival = 0;
+  WorkerHealth health;
+  Placement placement;
+  DemandMeter demand;
   bool needs_plan = true;
   std::vector<SchedulerEvent> events;
 };
--- /dev/null
+++ b/libraries/scheduler/urgency.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_SCHEDULER_URGENCY_H_
+#define LIBRARIES_SCHEDULER_URGENCY_H_
+
+#include <cstdint>
+
+#include "libraries/base/time.h"
+#include "libraries/jobs/declaration.h"
+#include "libraries/jobs/job.h"
+#include "libraries/scheduler/run_times.h"
+
+namespace sumac::scheduler {
+
+// What decides which job goes first; the smaller the earlier.
+struct Urgency {
+  std::uint32_t priority = 0;
+  // 0 for a job that can still be in time, 1 for one that is late but still
+  // worth something, 2 for one that is not.
+  std::uint32_t lateness = 0;
+  // How long the job can still wait, in milliseconds.
+  std::int64_t slack = 0;
+  std::uint64_t sequence = 0;
+
+  auto operator<=>(const Urgency&) const = default;
+};
+
+// How urgent one occurrence of a job is. Without `orders_by_slack` jobs of one
+// priority go in the order in which they came. `queue` is the job's queue as
+// declared now, or nothing.
+Urgency UrgencyOf(const jobs::Job& job,
+                  std::uint32_t occurrence,
+                  const jobs::QueueDeclaration* queue,
+                  const RunTimes& run_times,
+                  bool orders_by_slack,
+                  WallTime wall_now);
+
+}  // namespace sumac::scheduler
+
+#endif  // LIBRARIES_SCHEDULER_URGENCY_H_
--- /dev/null
+++ b/libraries/scheduler/worker_health.h
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_SCHEDULER_WORKER_HEALTH_H_
+#define LIBRARIES_SCHEDULER_WORKER_HEALTH_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+
+namespace sumac::scheduler {
+
+// How one run gets on.
+struct RunProgress {
+  Milliseconds elapsed{0};
+  // Of its work, in hundredths.
+  std::uint32_t percent = 0;
+  // Since its percent last rose, up to the last report.
+  Milliseconds since_rise{0};
+  // What a run of this kind should take; 0 if that is not known.
+  Milliseconds expected{0};
+};
+
+enum class RunPace {
+  kNormal,
+  // It will take several times as long as it should.
+  kSlow,
+  // It does not get on at all.
+  kStalled,
+};
+
+// Judges a run by its progress.
+RunPace JudgeProgress(const RunProgress& progress);
+
+// What runs tell about the workers that they run on: one that fails the tasks
+// of several jobs, or on which runs stand still, is kept from new work for a
+// while and then tried again; one on which runs are slow is taken last.
+// Failures of a job that fails on several workers are the job's own. Pure.
+class WorkerHealth {
+ public:
+  // Takes in how a run ended, or how it is seen to get on.
+  void NoteDone(const WorkerId& worker, SteadyTime now);
+  void NoteFailure(const WorkerId& worker, const JobId& job, SteadyTime now);
+  void NoteStalled(const WorkerId& worker, SteadyTime now);
+  void NotePace(const WorkerId& worker, RunPace pace, SteadyTime now);
+
+  // Forgets a worker.
+  void Forget(const WorkerId& worker) { this->workers.erase(worker); }
+
+  // True while nothing should be started there.
+  bool IsQuarantined(const WorkerId& worker, SteadyTime now) const;
+  // True while it is known to be slow.
+  bool IsSlow(const WorkerId& worker, SteadyTime now) const;
+
+ private:
+  struct Failure {
+    SteadyTime at;
+    JobId job;
+  };
+  struct Record {
+    std::deque<Failure> failures;
+    // Runs that ended done within the window.
+    std::deque<SteadyTime> successes;
+    SteadyTime quarantined_until{};
+    // How often it was quarantined without a success since.
+    int quarantines = 0;
+    SteadyTime slow_until{};
+  };
+
+  void Quarantine(Record& record, SteadyTime now);
+  void DropOld(Record& record, SteadyTime now);
+  bool IsBad(const Record& record) const;
+
+  std::map<WorkerId, Record> workers;
+  // Where tasks of a job failed lately.
+  std::map<JobId, std::set<WorkerId>> failed_on;
+};
+
+}  // namespace sumac::scheduler
+
+#endif  // LIBRARIES_SCHEDULER_WORKER_HEALTH_H_
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -85,6 +85,8 @@
   this->known_runs.clear();
   this->step_counts.clear();
   this->used = {};
+  this->serving_count = 0;
+  this->filler_count = 0;
 }
 
 Run* WorkerSession::FindRun(const jobs::TaskId& task, RunNumber number) {
@@ -98,6 +100,8 @@
   if (is_new) {
     this->used.Add(place->second.need);
     ++this->step_counts[key.first.step];
+    this->serving_count += static_cast<std::uint32_t>(run.is_serving);
+    this->filler_count += static_cast<std::uint32_t>(run.is_filler);
   }
   return place->second;
 }
@@ -108,6 +112,8 @@
     return;
   }
   this->used.Subtract(found->second.need);
+  this->serving_count -= static_cast<std::uint32_t>(found->second.is_serving);
+  this->filler_count -= static_cast<std::uint32_t>(found->second.is_filler);
   const auto count = this->step_counts.find(task.step);
   if (--count->second == 0) {
     this->step_counts.erase(count);
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -47,6 +47,9 @@
   RunNumber number;
   RunPhase phase = RunPhase::kOrdered;
   jobs::Resources need;
+  // It serves users of its own, or it fills what others leave.
+  bool is_serving = false;
+  bool is_filler = false;
   SteadyTime ordered_at{};
   // The end of the lease that the start carried: a start that is carried out
   // late does nothing from then on.
@@ -121,6 +124,10 @@
   // How many tasks of a step run there.
   std::uint32_t CountOf(const jobs::StepId& step) const;
 
+  // How many of its runs serve users, and how many fill what others leave.
+  std::uint32_t serving_runs() const { return this->serving_count; }
+  std::uint32_t filler_runs() const { return this->filler_count; }
+
   std::uint64_t seen_ends = 0;
   std::uint64_t acknowledged_ends = 0;
   // No starts before this, after the worker said it had no room.
@@ -139,6 +146,8 @@
   std::map<std::pair<jobs::TaskId, RunNumber>, Run> known_runs;
   std::map<jobs::StepId, std::uint32_t> step_counts;
   jobs::Resources used;
+  std::uint32_t serving_count = 0;
+  std::uint32_t filler_count = 0;
 };
 
 }  // namespace sumac::scheduler
