Scheduler: Leave workers that fail, stand still or crawl

Cause: a worker that fails all it starts, or on which tasks stand still or take many times as long, went on getting tasks, and what stood still there waited for the end of the fault. A run is judged by its reported progress against what its queue's runs take; a worker by the failures of jobs that fail nowhere else, by a run that stands still, or by runs of several jobs that are slow at once. Such runs are stopped and started elsewhere where a good worker has room; the worker gets nothing for 2 s, then twice as long each time it turns out bad again. Tried first and dropped: giving up every run that would take three times its time. Now one slow run is not enough unless it is six times too slow. Switched by SchedulerSettings::leaves_bad_workers. Tests: WorkerHealthTest, and in SchedulerTest a run that stands still, a slow and a failing worker, a bad job, a long task.

--- a/libraries/scheduler/run_times.cc
+++ b/libraries/scheduler/run_times.cc
@@ -21,6 +21,11 @@
   seen.mean_ms += weight * (static_cast<double>(took.count()) - seen.mean_ms);
 }
 
+bool RunTimes::IsKnown(const QueueName& queue) const {
+  const auto seen = this->queues.find(queue);
+  return seen != this->queues.end() && seen->second.count >= kEnoughSeen;
+}
+
 Milliseconds RunTimes::Expect(const QueueName& queue,
                               const jobs::StepSpec& step) const {
   const auto seen = this->queues.find(queue);
--- a/libraries/scheduler/run_times.h
+++ b/libraries/scheduler/run_times.h
@@ -21,6 +21,9 @@
   // How long one task of a step probably takes.
   Milliseconds Expect(const QueueName& queue, const jobs::StepSpec& step) const;
 
+  // True once enough runs of the queue were seen for Expect to be near.
+  bool IsKnown(const QueueName& queue) const;
+
   // How long the steps of an occurrence that are not done take one after the
   // other, by their longest chain.
   Milliseconds RemainingChain(const jobs::Job& job,
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -148,6 +148,9 @@
       }
       if (end.cause == EndCause::kFailed) {
         memory.failed_on.insert(session.worker().id);
+        this->health.NoteFailure(session.worker().id, end.task.step.job, now);
+      } else if (end.cause == EndCause::kDone) {
+        this->health.NoteDone(session.worker().id, now);
       }
       if (is_final && !step->is_long_running) {
         result.ends.push_back(jobs::RunEnd{end.task, end.run,
@@ -181,6 +184,9 @@
       this->AdoptRun(session, running, report, is_adopting, now);
       continue;
     }
+    if (running.percent != run->percent) {
+      run->percent_rose_at = now;
+    }
     run->percent = running.percent;
     run->load = running.load;
     if (run->phase == RunPhase::kOrdered) {
@@ -218,6 +224,7 @@
           .ordered_at = now,
           .confirmed_clock = report.clock,
           .percent = running.percent,
+          .percent_rose_at = now,
           .load = running.load,
           .stop_due = now};
   session.AddRun(run);
@@ -378,6 +385,7 @@
     return;
   }
   this->ReleaseAll(found->second, reason);
+  this->health.Forget(worker);
   this->workers.erase(found);
   this->needs_plan = true;
 }
@@ -415,6 +423,7 @@
   this->placement.BeginTurn(this->workers, this->cordoned, now);
   this->ForgetGoneWorkers(now, output);
   this->EvacuateCordoned(now);
+  this->GiveUpSlowRuns(now);
   this->StopUnwanted(now, output);
   this->StartDue(now, wall_now, output);
   this->tasks.DropFinished(this->state);
@@ -561,6 +570,130 @@
   }
 }
 
+// Runs that stand still or crawl are stopped, so that their tasks start again
+// on a worker of which nothing bad is known.
+void Scheduler::GiveUpSlowRuns(SteadyTime now) {
+  if (!this->settings.leaves_bad_workers ||
+      now - this->judged_at < this->settings.judge_interval) {
+    return;
+  }
+  this->judged_at = now;
+  for (auto& [id, session] : this->workers) {
+    if (session.is_answering()) {
+      this->GiveUpSlowRunsOf(session, now);
+    }
+  }
+}
+
+// How a run gets on, or nothing for one whose progress says nothing about its
+// worker: members of a gang wait for each other, and fillers for the others.
+std::optional<RunProgress> Scheduler::ProgressOf(const WorkerSession& session,
+                                                 const Run& run) const {
+  // A long-running task takes about this long until it is at work.
+  constexpr Milliseconds kLongRunningStart{1'500};
+  const jobs::Job* job = this->state.FindJob(run.task.step.job);
+  const jobs::StepSpec* step = this->FindStep(run.task);
+  if (run.phase != RunPhase::kRunning || step == nullptr || step->is_gang ||
+      step->is_filler) {
+    return std::nullopt;
+  }
+  return RunProgress{
+      .elapsed = session.last_answer - run.ordered_at,
+      .percent = run.percent,
+      .since_rise = session.last_answer - run.percent_rose_at,
+      .expected = step->is_long_running
+                      ? kLongRunningStart
+                      : this->run_times.Expect(job->queue, *step)};
+}
+
+void Scheduler::GiveUpSlowRunsOf(WorkerSession& session, SteadyTime now) {
+  struct Suspect {
+    Run* run;
+    RunProgress progress;
+    RunPace pace;
+  };
+  std::vector<Suspect> suspects;
+  std::set<JobId> slow_jobs;
+  std::size_t normal = 0;
+  bool is_slow = false;
+  const WorkerId& worker = session.worker().id;
+  for (auto& [key, run] : session.runs()) {
+    const auto progress = this->ProgressOf(session, run);
+    if (!progress) {
+      continue;
+    }
+    const RunPace pace = JudgeProgress(*progress);
+    normal += static_cast<std::size_t>(pace == RunPace::kNormal);
+    if (pace == RunPace::kStalled) {
+      this->health.NoteStalled(worker, now);
+    } else if (pace == RunPace::kSlow || pace == RunPace::kVerySlow) {
+      // The submitter's estimate alone says too little.
+      const jobs::Job* job = this->state.FindJob(run.task.step.job);
+      if (!this->run_times.IsKnown(job->queue)) {
+        continue;
+      }
+      slow_jobs.insert(job->id);
+      is_slow = is_slow || pace == RunPace::kVerySlow;
+    } else {
+      continue;
+    }
+    suspects.push_back({&run, *progress, pace});
+  }
+  // One slow run may be a long task; runs of several jobs show that it is the
+  // worker.
+  is_slow = is_slow || (slow_jobs.size() > 1 && suspects.size() > normal);
+  if (is_slow) {
+    this->health.NoteSlow(worker, now);
+  }
+  for (const auto& [run, progress, pace] : suspects) {
+    if ((pace == RunPace::kStalled || is_slow) &&
+        this->IsBetterElsewhere(session, *run, progress, pace)) {
+      this->GiveUp(session, *run, pace, now);
+    }
+  }
+}
+
+void Scheduler::GiveUp(WorkerSession& session,
+                       Run& run,
+                       RunPace pace,
+                       SteadyTime now) {
+  TaskMemory& memory = this->tasks.Get(run.task);
+  ++memory.moves;
+  memory.failed_on.insert(session.worker().id);
+  run.phase = RunPhase::kStopping;
+  run.stop_due = now;
+  this->Note("run-given-up", run.task, run.number, session.worker().id,
+             pace == RunPace::kStalled ? "it stands still" : "it is slow");
+}
+
+bool Scheduler::IsBetterElsewhere(const WorkerSession& session,
+                                  const Run& run,
+                                  const RunProgress& progress,
+                                  RunPace pace) const {
+  // What a stop, its report and another start take.
+  constexpr Milliseconds kRestart{700};
+  const jobs::Job* job = this->state.FindJob(run.task.step.job);
+  const TaskMemory* memory = this->tasks.Find(run.task);
+  if (memory == nullptr || memory->moves >= this->settings.most_moves) {
+    return false;
+  }
+  if (pace != RunPace::kStalled) {
+    constexpr std::int64_t kWholePercent = 100;
+    const std::int64_t percent = std::max<std::int64_t>(run.percent, 1);
+    const Milliseconds left =
+        progress.elapsed * (kWholePercent - percent) / percent;
+    if (left < progress.expected + kRestart) {
+      return false;
+    }
+  }
+  const WorkerSession* other = this->placement.Choose(
+      PlacementRequest{.job = job,
+                       .task = run.task,
+                       .memory = memory,
+                       .other_than = session.worker().id});
+  return other != nullptr && this->placement.IsGood(*other);
+}
+
 bool Scheduler::IsWanted(const Run& run) const {
   const jobs::Job* job = this->state.FindJob(run.task.step.job);
   return job != nullptr && job->is_active() &&
@@ -735,8 +868,11 @@
   session.AddRun(Run{.task = task,
                      .number = run,
                      .need = Placement::CountedNeed(step),
+                     .is_serving = step.latency_target > Milliseconds(0),
+                     .is_filler = step.is_filler,
                      .ordered_at = now,
-                     .start_expires = lease_end});
+                     .start_expires = lease_end,
+                     .percent_rose_at = now});
   TaskMemory& memory = this->tasks.Get(task);
   memory.placed = {session.worker().id, run};
   memory.last_run = run;
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -36,6 +36,13 @@
   // the most pressing of them before the others; without it jobs go in the
   // order in which they came.
   bool orders_by_slack = true;
+  // Runs that do not get on are given up and started elsewhere, and workers
+  // that fail tasks or stand still get none for a while.
+  bool leaves_bad_workers = true;
+  // Runs are judged this often.
+  Milliseconds judge_interval{100};
+  // A run of a task is given up this often at most.
+  std::uint32_t most_moves = 2;
   // A worker that has been silent for this long after its lease is forgotten.
   Milliseconds forget_after{10'000};
   // Before the record that a worker's life is over is asked for again.
@@ -198,6 +205,15 @@
   }
   bool IsWanted(const Run& run) const;
   void StopUnwanted(SteadyTime now, SchedulerOutput& output);
+  void GiveUpSlowRuns(SteadyTime now);
+  void GiveUpSlowRunsOf(WorkerSession& session, SteadyTime now);
+  void GiveUp(WorkerSession& session, Run& run, RunPace pace, SteadyTime now);
+  std::optional<RunProgress> ProgressOf(const WorkerSession& session,
+                                        const Run& run) const;
+  bool IsBetterElsewhere(const WorkerSession& session,
+                         const Run& run,
+                         const RunProgress& progress,
+                         RunPace pace) const;
   void StopRun(WorkerSession& session,
                Run& run,
                SteadyTime now,
@@ -247,6 +263,7 @@
   WorkerHealth health;
   Placement placement;
   DemandMeter demand;
+  SteadyTime judged_at{};
   bool needs_plan = true;
   std::vector<SchedulerEvent> events;
 };
--- a/libraries/scheduler/task_table.h
+++ b/libraries/scheduler/task_table.h
@@ -3,6 +3,7 @@
 #define LIBRARIES_SCHEDULER_TASK_TABLE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -25,6 +26,8 @@
   bool is_ending = false;
   RunNumber last_run;
   std::string checkpoint;
+  // How often a run was given up because it did not get on.
+  std::uint32_t moves = 0;
   // Workers on which it failed; others are tried first.
   std::set<WorkerId> failed_on;
 };
--- a/libraries/scheduler/worker_health.cc
+++ b/libraries/scheduler/worker_health.cc
@@ -28,9 +28,10 @@
 // take, stands still: reports come each second and round to hundredths.
 constexpr Milliseconds kShortestStall{1'300};
 constexpr int kStallDivisor = 4;
-// Tasks of one queue differ by some factor of two; one that needs more than
-// this times what it should is on a slow worker.
+// Tasks of one queue differ by some factor of two, some by more; the second
+// factor is beyond what tasks themselves do.
 constexpr int kSlowFactor = 3;
+constexpr int kVerySlowFactor = 6;
 constexpr std::int64_t kWholePercent = 100;
 
 }  // namespace
@@ -38,23 +39,28 @@
 RunPace JudgeProgress(const RunProgress& progress) {
   if (progress.percent >= kWholePercent ||
       progress.expected <= Milliseconds(0)) {
-    return RunPace::kNormal;
+    return RunPace::kUnknown;
   }
   if (progress.since_rise >
       std::max(kShortestStall, progress.expected / kStallDivisor)) {
     return RunPace::kStalled;
   }
   if (progress.elapsed < kShortestJudged) {
-    return RunPace::kNormal;
+    return RunPace::kUnknown;
   }
   // A run that has not shown any progress yet counts with half a hundredth.
   const std::int64_t doubled_percent =
       std::max<std::int64_t>(2 * progress.percent, 1);
   const Milliseconds whole =
       progress.elapsed * (2 * kWholePercent) / doubled_percent;
-  const bool is_slow = whole > kSlowFactor * progress.expected &&
-                       progress.elapsed > progress.expected;
-  return is_slow ? RunPace::kSlow : RunPace::kNormal;
+  if (whole <= kSlowFactor * progress.expected) {
+    return RunPace::kNormal;
+  }
+  if (progress.elapsed <= progress.expected) {
+    return RunPace::kUnknown;
+  }
+  return whole > kVerySlowFactor * progress.expected ? RunPace::kVerySlow
+                                                     : RunPace::kSlow;
 }
 
 void WorkerHealth::DropOld(Record& record, SteadyTime now) {
@@ -129,12 +135,8 @@
   }
 }
 
-void WorkerHealth::NotePace(const WorkerId& worker,
-                            RunPace pace,
-                            SteadyTime now) {
-  if (pace == RunPace::kSlow) {
-    this->workers[worker].slow_until = now + kSlowTime;
-  }
+void WorkerHealth::NoteSlow(const WorkerId& worker, SteadyTime now) {
+  this->workers[worker].slow_until = now + kSlowTime;
 }
 
 bool WorkerHealth::IsQuarantined(const WorkerId& worker, SteadyTime now) const {
--- a/libraries/scheduler/worker_health.h
+++ b/libraries/scheduler/worker_health.h
@@ -24,9 +24,14 @@
 };
 
 enum class RunPace {
+  // Too little was seen to tell.
+  kUnknown,
   kNormal,
-  // It will take several times as long as it should.
+  // It will take several times as long as it should: the task may be a long
+  // one, or the worker slow.
   kSlow,
+  // It will take so many times as long that the worker must be slow.
+  kVerySlow,
   // It does not get on at all.
   kStalled,
 };
@@ -44,7 +49,7 @@
   void NoteDone(const WorkerId& worker, SteadyTime now);
   void NoteFailure(const WorkerId& worker, const JobId& job, SteadyTime now);
   void NoteStalled(const WorkerId& worker, SteadyTime now);
-  void NotePace(const WorkerId& worker, RunPace pace, SteadyTime now);
+  void NoteSlow(const WorkerId& worker, SteadyTime now);
 
   // Forgets a worker.
   void Forget(const WorkerId& worker) { this->workers.erase(worker); }
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -57,6 +57,8 @@
   // The worker's clock when it confirmed the start.
   std::optional<WorkerTime> confirmed_clock;
   std::uint32_t percent = 0;
+  // When a report last showed a higher percent than the one before.
+  SteadyTime percent_rose_at{};
   std::int64_t load = 0;
   // Stopping: when to send the stop (again), and what was answered.
   SteadyTime stop_due{};
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -244,8 +244,12 @@
       answer.result = OrderResult::kUnreachable;
     } else if (const auto* start = std::get_if<StartOrder>(&order)) {
       const std::size_t before = found->second.running().size();
+      const jobs::Job* job = this->state.FindJob(start->task.step.job);
+      const bool is_long_running =
+          job != nullptr &&
+          job->spec.steps[start->task.step.step].is_long_running;
       answer = found->second.Start(*start, this->work, this->fails(*start),
-                                   this->now);
+                                   is_long_running, this->now);
       if (found->second.running().size() > before) {
         this->CheckStart(*start);
       }
--- a/tests/libraries/scheduler/fake_worker.cc
+++ b/tests/libraries/scheduler/fake_worker.cc
@@ -42,6 +42,7 @@
 OrderAnswer FakeWorker::Start(const StartOrder& order,
                               Milliseconds work,
                               bool fails,
+                              bool is_long_running,
                               SteadyTime now) {
   OrderAnswer answer{.clock = this->ClockAt(now)};
   if (order.epoch < this->fence) {
@@ -65,7 +66,13 @@
     answer.result = OrderResult::kOldRun;
     return answer;
   }
-  this->tasks[order.task] = Running{order.run, now + work, fails};
+  const SteadyTime ends_at =
+      this->stands_still ? SteadyTime::max() : now + work * this->slowness;
+  this->tasks[order.task] = Running{.run = order.run,
+                                    .began_at = now,
+                                    .ends_at = ends_at,
+                                    .fails = fails,
+                                    .is_long_running = is_long_running};
   answer.result = OrderResult::kDone;
   return answer;
 }
@@ -100,12 +107,25 @@
   });
   RenewReport report{.clock = this->ClockAt(now), .ended = this->ended};
   for (const auto& [task, running] : this->tasks) {
-    report.running.push_back(
-        RunningReport{.task = task, .run = running.run, .percent = 100});
+    report.running.push_back(RunningReport{
+        .task = task, .run = running.run, .percent = PercentOf(running, now)});
   }
   return report;
 }
 
+std::uint32_t FakeWorker::PercentOf(const Running& running, SteadyTime now) {
+  constexpr std::int64_t kWholePercent = 100;
+  if (running.ends_at == SteadyTime::max()) {
+    return 0;
+  }
+  if (running.is_long_running) {
+    return static_cast<std::uint32_t>(kWholePercent);
+  }
+  return static_cast<std::uint32_t>(
+      (now - running.began_at) * kWholePercent /
+      std::max(running.ends_at - running.began_at, Milliseconds(1)));
+}
+
 void FakeWorker::Crash() {
   this->tasks.clear();
   this->ended.clear();
--- a/tests/libraries/scheduler/fake_worker.h
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -20,9 +20,12 @@
  public:
   struct Running {
     RunNumber run;
+    SteadyTime began_at;
     // When it ends by itself, in true time.
     SteadyTime ends_at;
     bool fails = false;
+    // It has no end of its own and is at work from its start on.
+    bool is_long_running = false;
   };
 
   // Its clock started at `clock_offset` and loses `slow_permille`.
@@ -39,6 +42,7 @@
   OrderAnswer Start(const StartOrder& order,
                     Milliseconds work,
                     bool fails,
+                    bool is_long_running,
                     SteadyTime now);
   OrderAnswer Stop(const StopOrder& order, SteadyTime now);
   // The report, or nothing when the fencing token is too low.
@@ -54,11 +58,15 @@
   bool is_up = true;
   // Nothing reaches it and nothing comes from it, but it runs on.
   bool is_cut = false;
+  // What is started there never gets on, or takes this many times as long.
+  bool stands_still = false;
+  int slowness = 1;
   // While it is cut off, connections to it are refused.
   bool is_cut_with_resets = false;
 
  private:
   void End(const jobs::TaskId& task, EndCause cause);
+  static std::uint32_t PercentOf(const Running& running, SteadyTime now);
 
   Milliseconds clock_offset;
   std::int64_t slow_permille;
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "tests/libraries/scheduler/fake_fleet.h"
 
 namespace sumac::scheduler {
@@ -157,6 +159,87 @@
   EXPECT_TRUE(fleet.scheduler->sessions().contains(WorkerId("w9")));
 }
 
+TEST(SchedulerTest, ARunThatStandsStillIsGivenUpAndStartedElsewhere) {
+  FakeFleet fleet(2);
+  fleet.worker("w0").stands_still = true;
+  fleet.Submit("job", {.count = 1, .estimate = Milliseconds(800)});
+  fleet.PassTime(Milliseconds(1'000));
+  EXPECT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w0"});
+  fleet.PassTime(Milliseconds(1'500));
+  EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+  EXPECT_EQ(fleet.starts, 2U);
+  EXPECT_EQ(fleet.problem, "");
+  // The worker gets nothing for a while.
+  fleet.Submit("next", {.count = 2, .estimate = Milliseconds(800)});
+  fleet.PassTime(Milliseconds(300));
+  EXPECT_EQ(fleet.WorkersOf("next"), (std::vector<std::string>{"w1", "w1"}));
+}
+
+TEST(SchedulerTest, ARunOnASlowWorkerIsGivenUpOnceTheQueueIsKnown) {
+  FakeFleet fleet(2);
+  for (int number = 0; number < 3; ++number) {
+    fleet.Submit("before" + std::to_string(number),
+                 {.count = 4, .estimate = Milliseconds(800)});
+    fleet.PassTime(Milliseconds(1'500));
+  }
+  fleet.worker("w0").slowness = 7;
+  fleet.Submit("job", {.count = 1, .estimate = Milliseconds(800)});
+  fleet.PassTime(Milliseconds(4'000));
+  EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+  EXPECT_EQ(fleet.starts, 14U);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+// Tasks of one queue differ; one that is three times as long as the others is
+// no sign of a slow worker.
+TEST(SchedulerTest, ALongTaskIsNotGivenUp) {
+  FakeFleet fleet(2);
+  for (int number = 0; number < 3; ++number) {
+    fleet.Submit("before" + std::to_string(number),
+                 {.count = 4, .estimate = Milliseconds(800)});
+    fleet.PassTime(Milliseconds(1'500));
+  }
+  fleet.work = Milliseconds(4'000);
+  fleet.Submit("long", {.count = 3, .estimate = Milliseconds(800)});
+  fleet.PassTime(Milliseconds(5'000));
+  EXPECT_EQ(fleet.job("long").state, JobState::kDone);
+  EXPECT_EQ(fleet.starts, 15U);
+}
+
+TEST(SchedulerTest, AWorkerThatFailsTasksOfSeveralJobsGetsNoMoreForAWhile) {
+  FakeFleet fleet(2);
+  fleet.fails = [](const StartOrder& order) {
+    return order.worker == WorkerId("w0");
+  };
+  for (int number = 0; number < 6; ++number) {
+    fleet.Submit("job" + std::to_string(number), {.count = 1});
+    fleet.PassTime(Milliseconds(1'000));
+  }
+  fleet.PassTime(Milliseconds(1'000));
+  for (int number = 0; number < 6; ++number) {
+    EXPECT_EQ(fleet.job("job" + std::to_string(number)).state, JobState::kDone);
+  }
+  // Two jobs and perhaps one more after the first quarantine failed there; each
+  // was started again on the other worker.
+  EXPECT_LE(fleet.starts, 9U);
+}
+
+TEST(SchedulerTest, AJobThatFailsEverywhereSpeaksAgainstNoWorker) {
+  FakeFleet fleet(2);
+  fleet.fails = [](const StartOrder& order) {
+    return order.task.step.job.value().starts_with("bad");
+  };
+  for (int number = 0; number < 3; ++number) {
+    fleet.Submit("bad" + std::to_string(number), {.count = 2});
+  }
+  fleet.PassTime(Milliseconds(9'000));
+  fleet.Submit("good", {.count = 10});
+  fleet.PassTime(Milliseconds(300));
+  const std::vector<std::string> workers = fleet.WorkersOf("good");
+  EXPECT_EQ(std::count(workers.begin(), workers.end(), "w0"), 8);
+  EXPECT_EQ(std::count(workers.begin(), workers.end(), "w1"), 2);
+}
+
 TEST(SchedulerTest, ANewLifeOnAnInstanceEndsTheOneBefore) {
   FakeFleet fleet(1);
   fleet.work = Milliseconds(5'000);
