Scheduler, Jobs: Run gangs as one: ends, checkpoints, racks

Causes, found by reading the code against the platform's rules: each member of a gang brought its own checkpoint, though all must bring the same; an end as done counted for its member alone and a failed run once for each member that said so; when one member's start was refused or its worker lost, the others went on waiting until they gave up by themselves; racks were not looked at. Now a gang has one checkpoint, one progress and one count of failures, is stopped whole when a member is missing, and is placed in one rack where it asks so and one has room.

--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/jobs/jobs_state.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libraries/base/error.h"
@@ -194,6 +195,10 @@
     occurrence->second = NewProgress(job.spec);
   }
   StepProgress& step = occurrence->second.steps[end.task.step.step];
+  if (job.spec.steps[end.task.step.step].is_gang) {
+    this->TakeGangEnd(job, end, step, at);
+    return;
+  }
   TaskProgress& task = step.tasks[end.task.index];
   const bool is_repeated = end.run <= task.last_ended_run;
   task.last_ended_run = std::max(task.last_ended_run, end.run);
@@ -220,6 +225,42 @@
   }
 }
 
+// A gang's members share their runs: one end as done counts for all, and a run
+// fails once however many members report it.
+void JobsState::TakeGangEnd(Job& job,
+                            const RunEnd& end,
+                            StepProgress& step,
+                            WallTime at) {
+  TaskProgress& first = step.tasks.front();
+  const bool is_repeated = end.run <= first.last_ended_run;
+  if (step.is_done()) {
+    return;
+  }
+  for (TaskProgress& task : step.tasks) {
+    task.last_ended_run = std::max(task.last_ended_run, end.run);
+  }
+  const bool is_long_running =
+      job.spec.steps[end.task.step.step].is_long_running;
+  if (end.outcome == RunOutcome::kDone && !is_long_running) {
+    for (TaskProgress& task : step.tasks) {
+      task.is_done = true;
+    }
+    step.done_count = static_cast<std::uint32_t>(step.tasks.size());
+    this->CountDone(job, end.task, at);
+    return;
+  }
+  if (is_repeated || is_long_running) {
+    return;
+  }
+  ++first.failures;
+  if (first.failures >= job.most_attempts) {
+    this->Finish(job, JobState::kFailed,
+                 StrCat("gang ", end.task.ToText(), " failed ", first.failures,
+                        " times"),
+                 at);
+  }
+}
+
 void JobsState::CountDone(Job& job, const TaskId& task, WallTime at) {
   if (!job.occurrences.at(task.step.occurrence).is_done()) {
     return;
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -116,6 +116,10 @@
   fleet::Answer Take(const RecordMoves& command, WallTime at);
 
   void TakeEnd(const RunEnd& end, WallTime at);
+  void TakeGangEnd(Job& job,
+                   const RunEnd& end,
+                   StepProgress& step,
+                   WallTime at);
   void CountDone(Job& job, const TaskId& task, WallTime at);
   void Finish(Job& job, JobState state, std::string reason, WallTime at);
   void FollowDeclaration(Job& job) const;
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -144,7 +144,7 @@
       TaskMemory& memory = this->tasks.Get(end.task);
       memory.last_run = std::max(memory.last_run, end.run);
       if (!end.checkpoint.empty()) {
-        memory.checkpoint = end.checkpoint;
+        this->CheckpointOf(end.task, *step).checkpoint = end.checkpoint;
       }
       if (end.cause == EndCause::kFailed) {
         memory.failed_on.insert(session.worker().id);
@@ -193,9 +193,9 @@
       run->phase = RunPhase::kRunning;
       run->confirmed_clock = report.clock;
     }
-    if (!running.checkpoint.empty() &&
-        this->FindStep(running.task) != nullptr) {
-      this->tasks.Get(running.task).checkpoint = running.checkpoint;
+    const jobs::StepSpec* step = this->FindStep(running.task);
+    if (!running.checkpoint.empty() && step != nullptr) {
+      this->CheckpointOf(running.task, *step).checkpoint = running.checkpoint;
     }
   }
 }
@@ -356,6 +356,7 @@
       // It may run, or may begin later. A stop settles it either way.
       run->phase = RunPhase::kStopping;
       run->stop_due = now;
+      this->BreakGang(order.task, order.run);
       this->Note("start-unanswered", order.task, order.run, order.worker,
                  "stopped before the task goes elsewhere");
       break;
@@ -402,10 +403,41 @@
   }
   if (!reason.empty()) {
     this->Note("run-gone", task, run, session.worker().id, reason);
+    this->BreakGang(task, run);
   }
   this->needs_plan = true;
 }
 
+// A gang whose member is missing would hold its room until the others give up
+// waiting; they are stopped at once, so that it can start anew.
+void Scheduler::BreakGang(const jobs::TaskId& member, RunNumber run) {
+  const jobs::StepSpec* step = this->FindStep(member);
+  if (step == nullptr || !step->is_gang) {
+    return;
+  }
+  for (std::uint32_t index = 0; index < step->count; ++index) {
+    const jobs::TaskId task{member.step, index};
+    const TaskMemory* memory = this->tasks.Find(task);
+    if (memory == nullptr || !memory->placed || memory->placed->second != run) {
+      continue;
+    }
+    const auto session = this->workers.find(memory->placed->first);
+    Run* other = session == this->workers.end()
+                     ? nullptr
+                     : session->second.FindRun(task, run);
+    if (other != nullptr && other->phase != RunPhase::kStopping) {
+      other->phase = RunPhase::kStopping;
+      other->stop_due = SteadyTime{};
+    }
+  }
+}
+
+// Where the checkpoint of a task is kept: a gang has one for all its members.
+TaskMemory& Scheduler::CheckpointOf(const jobs::TaskId& task,
+                                    const jobs::StepSpec& step) {
+  return this->tasks.Get({task.step, step.is_gang ? 0 : task.index});
+}
+
 void Scheduler::ReleaseAll(WorkerSession& session, const std::string& reason) {
   std::vector<std::pair<jobs::TaskId, RunNumber>> all;
   for (const auto& [key, run] : session.runs()) {
@@ -823,37 +855,67 @@
   }
 }
 
+// A worker for each member of a gang, of one rack where one is named; fewer if
+// not all find room.
+std::vector<WorkerSession*> Scheduler::PlaceGang(const Candidate& candidate,
+                                                 const Rack& rack) {
+  const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
+  std::vector<WorkerSession*> places;
+  jobs::TaskId task{{candidate.job->id, candidate.occurrence, candidate.step},
+                    0};
+  for (; task.index < step.count; ++task.index) {
+    WorkerSession* session = this->placement.Choose(
+        PlacementRequest{.job = candidate.job,
+                         .task = task,
+                         .memory = this->tasks.Find(task),
+                         .rack = rack});
+    if (session == nullptr) {
+      break;
+    }
+    // Holds the room while the others are placed.
+    session->AddRun(Run{.task = task, .need = Placement::CountedNeed(step)});
+    places.push_back(session);
+  }
+  for (task.index = 0; task.index < places.size(); ++task.index) {
+    places[task.index]->RemoveRun(task, RunNumber());
+  }
+  return places;
+}
+
 // A gang starts whole or not at all, all members with one run number.
 void Scheduler::StartGang(const Candidate& candidate,
                           SteadyTime now,
                           SchedulerOutput& output) {
   const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
-  std::vector<std::pair<jobs::TaskId, WorkerSession*>> places;
+  if (!this->placement.HasRoom(candidate.job->service,
+                               Placement::CountedNeed(step))) {
+    return;
+  }
+  jobs::TaskId task{{candidate.job->id, candidate.occurrence, candidate.step},
+                    0};
   RunNumber run;
-  for (std::uint32_t index = 0; index < step.count; ++index) {
-    const jobs::TaskId task{
-        {candidate.job->id, candidate.occurrence, candidate.step}, index};
+  for (task.index = 0; task.index < step.count; ++task.index) {
     if (!this->MayStart(*candidate.job, task, this->tasks.Find(task))) {
-      break;
-    }
-    WorkerSession* session = this->ChooseWorker(*candidate.job, task);
-    if (session == nullptr) {
-      break;
+      return;
     }
     run = std::max(run, this->NextRun(*candidate.job, task));
-    // Holds the room while the others are placed.
-    session->AddRun(Run{
-        .task = task, .need = Placement::CountedNeed(step), .ordered_at = now});
-    places.emplace_back(task, session);
   }
-  for (const auto& [task, session] : places) {
-    session->RemoveRun(task, RunNumber());
+  std::vector<WorkerSession*> places;
+  if (step.wants_same_rack) {
+    for (const Rack& rack : this->placement.RacksOf(candidate.job->service)) {
+      if (places.size() < step.count) {
+        places = this->PlaceGang(candidate, rack);
+      }
+    }
+  }
+  if (places.size() < step.count) {
+    places = this->PlaceGang(candidate, Rack());
   }
   if (places.size() < step.count) {
     return;
   }
-  for (const auto& [task, session] : places) {
-    this->StartOn(*session, candidate, task, run, now, output);
+  for (task.index = 0; task.index < step.count; ++task.index) {
+    this->StartOn(*places[task.index], candidate, task, run, now, output);
   }
 }
 
@@ -876,14 +938,15 @@
   TaskMemory& memory = this->tasks.Get(task);
   memory.placed = {session.worker().id, run};
   memory.last_run = run;
-  output.orders.emplace_back(StartOrder{.worker = session.worker().id,
-                                        .address = session.worker().address,
-                                        .epoch = this->epoch,
-                                        .task = task,
-                                        .run = run,
-                                        .text = candidate.job->spec.text,
-                                        .lease_end = lease_end,
-                                        .checkpoint = memory.checkpoint});
+  output.orders.emplace_back(
+      StartOrder{.worker = session.worker().id,
+                 .address = session.worker().address,
+                 .epoch = this->epoch,
+                 .task = task,
+                 .run = run,
+                 .text = candidate.job->spec.text,
+                 .lease_end = lease_end,
+                 .checkpoint = this->CheckpointOf(task, step).checkpoint});
   this->Note("run-ordered", task, run, session.worker().id, "");
 }
 
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -192,6 +192,9 @@
                   RunNumber run,
                   const std::string& reason);
   void ReleaseAll(WorkerSession& session, const std::string& reason);
+  void BreakGang(const jobs::TaskId& member, RunNumber run);
+  TaskMemory& CheckpointOf(const jobs::TaskId& task,
+                           const jobs::StepSpec& step);
   std::map<InstanceName, const jobs::Worker*> FindPresentLives() const;
   void LapseSilentWorkers(SteadyTime now);
   void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
@@ -226,6 +229,8 @@
   void StartGang(const Candidate& candidate,
                  SteadyTime now,
                  SchedulerOutput& output);
+  std::vector<WorkerSession*> PlaceGang(const Candidate& candidate,
+                                        const Rack& rack);
   bool MayStart(const jobs::Job& job,
                 const jobs::TaskId& task,
                 const TaskMemory* memory) const;
--- a/tests/libraries/jobs/jobs_state_test.cc
+++ b/tests/libraries/jobs/jobs_state_test.cc
@@ -194,6 +194,30 @@
   EXPECT_NE(loaded.declaration().FindQueue(kQueue), nullptr);
 }
 
+TEST_F(JobsStateTest, OneEndAsDoneCountsForAWholeGang) {
+  this->Submit("gang", {{.count = 3, .is_gang = true}, {.after = {0}}});
+  this->End("gang", 0, 1, RunOutcome::kDone);
+  EXPECT_TRUE(this->state.FindJob(JobId("gang"))->IsStepDone(0, 0));
+  EXPECT_EQ(this->StateOf("gang"), JobState::kActive);
+  this->End("gang", 0, 0, RunOutcome::kDone);
+  this->End("gang", 1, 0, RunOutcome::kDone);
+  EXPECT_EQ(this->StateOf("gang"), JobState::kDone);
+}
+
+TEST_F(JobsStateTest, AGangsRunFailsOnceHoweverManyMembersSaySo) {
+  this->Submit("gang", {{.count = 3, .is_gang = true}});
+  this->End("gang", 0, 0, RunOutcome::kFailed, 1);
+  this->End("gang", 0, 1, RunOutcome::kFailed, 1);
+  EXPECT_EQ(this->StateOf("gang"), JobState::kActive);
+  EXPECT_EQ(this->state.FindJob(JobId("gang"))
+                ->ProgressOf({{JobId("gang"), 0, 0}, 2})
+                .last_ended_run,
+            RunNumber(1));
+  // Another member fails the next run; the gang may fail twice.
+  this->End("gang", 0, 2, RunOutcome::kFailed, 2);
+  EXPECT_EQ(this->StateOf("gang"), JobState::kFailed);
+}
+
 TEST(TaskIdTest, IsReadBackFromItsText) {
   const TaskId task{{JobId("5c0e7a21d94b36f8"), 2, 1}, 17};
   EXPECT_EQ(task.ToText(), "5c0e7a21d94b36f8.2.1.17");
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -47,13 +47,15 @@
 }
 
 FakeWorker& FakeFleet::AddWorker(const std::string& id,
-                                 const std::string& instance) {
+                                 const std::string& instance,
+                                 const std::string& rack) {
   jobs::Worker worker{.id = WorkerId(id),
                       .instance = InstanceName(instance),
                       .service = ServiceName(kService),
                       .address = id,
                       .capacity = {.millicores = 8'000, .memory_mb = 8'000},
-                      .labels = {"a", "r1"},
+                      .rack = Rack(rack),
+                      .labels = {"a", rack},
                       .sequence = 1};
   std::uniform_int_distribution<std::int64_t> offset(0, 1'000'000);
   std::uniform_int_distribution<std::int64_t> slow(0, 20);
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -35,7 +35,9 @@
   // what it sent may still arrive.
   void ChangeLeader();
   // Adds a life of a worker on an instance.
-  FakeWorker& AddWorker(const std::string& id, const std::string& instance);
+  FakeWorker& AddWorker(const std::string& id,
+                        const std::string& instance,
+                        const std::string& rack = "r1");
 
   FakeWorker& worker(const std::string& id) {
     return this->workers.at(WorkerId(id));
--- a/tests/libraries/scheduler/fake_worker.cc
+++ b/tests/libraries/scheduler/fake_worker.cc
@@ -107,8 +107,10 @@
   });
   RenewReport report{.clock = this->ClockAt(now), .ended = this->ended};
   for (const auto& [task, running] : this->tasks) {
-    report.running.push_back(RunningReport{
-        .task = task, .run = running.run, .percent = PercentOf(running, now)});
+    report.running.push_back(RunningReport{.task = task,
+                                           .run = running.run,
+                                           .checkpoint = this->checkpoint,
+                                           .percent = PercentOf(running, now)});
   }
   return report;
 }
--- a/tests/libraries/scheduler/fake_worker.h
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -61,6 +61,8 @@
   // What is started there never gets on, or takes this many times as long.
   bool stands_still = false;
   int slowness = 1;
+  // What everything there has saved.
+  std::string checkpoint;
   // While it is cut off, connections to it are refused.
   bool is_cut_with_resets = false;
 
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -323,6 +323,70 @@
   EXPECT_EQ(fleet.CountRunning("gang"), 9U);
 }
 
+TEST(SchedulerTest, AGangThatWantsOneRackGetsItWhereOneHasRoom) {
+  FakeFleet fleet(1);
+  for (const char* name : {"x1", "x2", "x3"}) {
+    fleet.AddWorker(name, name, "r2");
+  }
+  fleet.work = Milliseconds(5'000);
+  fleet.Submit("gang", {.count = 16, .is_gang = true, .wants_same_rack = true});
+  fleet.PassTime(Milliseconds(400));
+  EXPECT_EQ(fleet.CountRunning("gang"), 16U);
+  const std::vector<std::string> workers = fleet.WorkersOf("gang");
+  EXPECT_EQ(std::count(workers.begin(), workers.end(), "w0"), 0);
+  // More than the rack holds: it is spread.
+  fleet.Submit("wide", {.count = 16, .is_gang = true, .wants_same_rack = true});
+  fleet.PassTime(Milliseconds(400));
+  EXPECT_EQ(fleet.CountRunning("wide"), 16U);
+}
+
+// Members that wait for one that was refused would hold their room in vain.
+TEST(SchedulerTest, AGangWithoutOneMemberIsStoppedAndStartsAnew) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(2'000);
+  fleet.Submit("gang", {.count = 2, .is_gang = true, .most_per_worker = 1});
+  fleet.PassTime(Milliseconds(300));
+  ASSERT_EQ(fleet.CountRunning("gang"), 2U);
+  const jobs::TaskId member{{JobId("gang"), 0, 0}, 0};
+  const RunNumber run = fleet.worker("w0").running().contains(member)
+                            ? fleet.worker("w0").running().at(member).run
+                            : fleet.worker("w1").running().at(member).run;
+  fleet.worker("w0").Crash();
+  fleet.AddWorker("w9", "m9");
+  fleet.PassTime(Milliseconds(500));
+  EXPECT_EQ(fleet.CountRunning("gang"), 2U);
+  const std::vector<std::string> workers = fleet.WorkersOf("gang");
+  EXPECT_EQ(workers, (std::vector<std::string>{"w1", "w9"}));
+  for (const char* name : {"w1", "w9"}) {
+    for (const auto& [task, running] : fleet.worker(name).running()) {
+      EXPECT_GT(running.run, run);
+    }
+  }
+  EXPECT_EQ(fleet.problem, "");
+}
+
+// Any member's checkpoint is good for the gang, and all must bring the same.
+TEST(SchedulerTest, AGangGoesOnFromOneCheckpoint) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(60'000);
+  std::vector<std::string> brought;
+  fleet.fails = [&](const StartOrder& order) {
+    brought.push_back(order.checkpoint);
+    return false;
+  };
+  fleet.Submit("gang", {.count = 2, .is_gang = true, .most_per_worker = 1});
+  fleet.PassTime(Milliseconds(300));
+  fleet.worker("w0").checkpoint = "saved-0";
+  fleet.worker("w1").checkpoint = "saved-1";
+  fleet.PassTime(Milliseconds(300));
+  fleet.worker("w0").Crash();
+  fleet.AddWorker("w9", "m9");
+  fleet.PassTime(Milliseconds(500));
+  ASSERT_EQ(brought.size(), 4U);
+  EXPECT_FALSE(brought[2].empty());
+  EXPECT_EQ(brought[2], brought[3]);
+}
+
 TEST(SchedulerTest, ACordonedInstanceIsLeftWithinTheBudget) {
   FakeFleet fleet(4);
   fleet.work = Milliseconds(60'000);
