--- a/libraries/scheduler/demand_meter.cc
+++ b/libraries/scheduler/demand_meter.cc
@@ -60,8 +60,8 @@
   }
   for (auto& [service, rate] : this->arrivals) {
     jobs::ServiceDemand& needed = demand[service];
-    needed.short_millicores =
-        std::max(needed.short_millicores, rate.MillicoresBusy(now));
+    needed.short_millicores = std::max(
+        needed.short_millicores, rate.MillicoresBusy(this->forecast, now));
   }
   return demand;
 }
--- a/libraries/scheduler/demand_meter.h
+++ b/libraries/scheduler/demand_meter.h
@@ -22,9 +22,11 @@
   // earlier ones do not count as arrivals.
   DemandMeter(const jobs::JobsState& state,
               const RunTimes& run_times,
+              ForecastSettings forecast,
               std::uint64_t first_own_sequence)
       : state(state),
         run_times(run_times),
+        forecast(forecast),
         first_own_sequence(first_own_sequence) {}
 
   std::map<ServiceName, jobs::ServiceDemand> Measure(SteadyTime now,
@@ -35,6 +37,7 @@
 
   const jobs::JobsState& state;
   const RunTimes& run_times;
+  ForecastSettings forecast;
   std::uint64_t first_own_sequence;
   std::map<ServiceName, ArrivalRate> arrivals;
   // Jobs numbered below this have been counted as arrivals.
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -34,7 +34,10 @@
       epoch(state.epoch()),
       first_own_sequence(state.record().next_sequence),
       placement(this->health),
-      demand(state, this->run_times, this->first_own_sequence) {
+      demand(state,
+             this->run_times,
+             settings.forecast,
+             this->first_own_sequence) {
   this->SyncWorkers(now);
 }
 
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -28,6 +28,7 @@
 
 struct SchedulerSettings {
   LeaseSettings lease;
+  ForecastSettings forecast;
   // Before a stop that had no effect yet is sent again.
   Milliseconds stop_retry{700};
   // A worker that said it is full gets no starts for this long.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -200,7 +200,12 @@
   const SteadyTime now = this->clock.SteadyNow();
   const PlatformTimes& times = this->settings.platform_times;
   scheduler::SchedulerSettings chosen;
-  chosen.orders_by_slack = this->settings.policy.order_by_slack;
+  const PolicySettings& policy = this->settings.policy;
+  chosen.orders_by_slack = policy.order_by_slack;
+  chosen.leaves_bad_workers = policy.leave_bad_workers;
+  if (!policy.forecast) {
+    chosen.forecast.horizon = Milliseconds(0);
+  }
   chosen.lease.length = std::min(chosen.lease.length, times.longest_lease);
   this->scheduler.emplace(this->jobs_state, chosen, now);
   const maintenance::MaintenanceSettings maintenance{
@@ -214,8 +219,10 @@
                                },
                            .may_act = [this] { return this->host->MayAct(); }},
       maintenance,
-      maintenance::CapacitySettings{.is_on = this->settings.policy.moves,
+      maintenance::CapacitySettings{.is_on = policy.moves,
                                     .holder_pause = times.instance_lease,
+                                    .reserve_permille = policy.reserve_permille,
+                                    .surplus_time = policy.surplus_time,
                                     .move_time = times.move_time()},
       this->settings.process(), now);
   this->have_workers_changed = true;
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -57,11 +57,24 @@
   // Jobs that can still be in time go first, the most pressing before the
   // others.
   bool order_by_slack = true;
+  // Growth of a queue's arrivals is carried on for as long as an instance needs
+  // to move.
+  bool forecast = true;
+  // Tasks leave workers that fail, stand still or are slow.
+  bool leave_bad_workers = true;
+  // Room that a pool should have beyond what it needs, in thousandths.
+  std::int64_t reserve_permille = 150;
+  // How long a pool keeps instances that it does not need any more.
+  Milliseconds surplus_time{2'500};
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("moves", self.moves);
     visitor.Field("order_by_slack", self.order_by_slack);
+    visitor.Field("forecast", self.forecast);
+    visitor.Field("leave_bad_workers", self.leave_bad_workers);
+    visitor.Field("reserve_permille", self.reserve_permille, Limits{0, 10'000});
+    visitor.Field("surplus_ms", self.surplus_time, Limits{0, 600'000});
   }
 };
 
