Scheduler, Platform: Ask placement policies; pace what fills beside what serves

Both were in the messages and not used: a queue with a policy started nothing, and fillers were never slowed. Policies: one question at a time, the most urgent step first, about up to 30 workers that have room; what the policy said of a worker is kept, a ticket until shortly before its end; a refused ticket is asked for again; a silent policy is asked again after 0.3 s and holds up no other queue. Pacing: a loop for each worker on which runs fill beside runs that serve. Half the pace while a tail is above 0.85 of its target, none above 1.3, up in steps of ten hundredths while below 0.65; what was too fast for a pair of images is remembered. Adopted fillers are told their pace anew (their share was not known at adoption: found by the test). A leader refuses jobs beyond 20,000 that are not finished, never one that may be accepted already.

--- a/libraries/jobs/declaration.h
+++ b/libraries/jobs/declaration.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,14 @@
 
 namespace sumac::jobs {
 
+// How long a queue's placement policy needs for a question, for each worker in
+// it, and how long its answers hold.
+struct PlacementPolicy {
+  Milliseconds decision_time{0};
+  Milliseconds worker_time{0};
+  Milliseconds validity{0};
+};
+
 // A queue that takes jobs for one service. Jobs are addressed by host and path.
 struct QueueDeclaration {
   QueueName name;
@@ -28,8 +37,8 @@
   // `latency_target`.
   double stretch = 1;
   Milliseconds latency_target{0};
-  // True if a policy service says which workers may run a step.
-  bool has_placement_policy = false;
+  // Set if a policy says which workers may run a step.
+  std::optional<PlacementPolicy> placement_policy;
 };
 
 // A service: the pool of instances whose workers run its queues' tasks.
--- a/libraries/jobs/task_id.cc
+++ b/libraries/jobs/task_id.cc
@@ -19,9 +19,12 @@
 
 }  // namespace
 
+std::string StepId::ToText() const {
+  return StrCat(this->job.value(), ".", this->occurrence, ".", this->step);
+}
+
 std::string TaskId::ToText() const {
-  return StrCat(this->step.job.value(), ".", this->step.occurrence, ".",
-                this->step.step, ".", this->index);
+  return StrCat(this->step.ToText(), ".", this->index);
 }
 
 std::optional<TaskId> TaskId::Parse(std::string_view text) {
--- a/libraries/jobs/task_id.h
+++ b/libraries/jobs/task_id.h
@@ -21,6 +21,9 @@
 
   auto operator<=>(const StepId&) const = default;
 
+  // JOB.OCCURRENCE.STEP
+  std::string ToText() const;
+
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("job", self.job);
--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace sumac::scheduler {
 
@@ -85,6 +86,11 @@
       continue;
     }
     const jobs::Worker& worker = session->worker();
+    if (request.advice != nullptr &&
+        request.advice->FindTicket(request.task.step, worker.id, this->now) ==
+            nullptr) {
+      continue;
+    }
     const bool has_failed_there = request.memory != nullptr &&
                                   request.memory->failed_on.contains(worker.id);
     const bool is_far = !step.data_rack.value().empty() &&
@@ -114,6 +120,23 @@
   return pool == this->pools.end() ? kNone : pool->second.workers;
 }
 
+std::vector<WorkerId> Placement::ListRoom(
+    const PlacementRequest& request) const {
+  std::vector<std::pair<std::int64_t, WorkerId>> order;
+  for (const WorkerSession* session : this->WorkersOf(request.job->service)) {
+    if (Fits(request, *session)) {
+      order.emplace_back(-session->Room().millicores, session->worker().id);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<WorkerId> workers;
+  workers.reserve(order.size());
+  for (const auto& [room, worker] : order) {
+    workers.push_back(worker);
+  }
+  return workers;
+}
+
 std::set<Rack> Placement::RacksOf(const ServiceName& service) const {
   std::set<Rack> racks;
   for (const WorkerSession* session : this->WorkersOf(service)) {
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -10,6 +10,7 @@
 #include "libraries/base/time.h"
 #include "libraries/jobs/job.h"
 #include "libraries/jobs/resources.h"
+#include "libraries/scheduler/placement_advice.h"
 #include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/worker_health.h"
 #include "libraries/scheduler/worker_session.h"
@@ -26,6 +27,9 @@
   Rack rack;
   // Not on this worker, where it is not empty.
   WorkerId other_than;
+  // Only workers that the queue's placement policy admits; nothing for a queue
+  // without one.
+  const PlacementAdvice* advice = nullptr;
 
   const jobs::StepSpec& step() const {
     return this->job->spec.steps[this->task.step.step];
@@ -57,6 +61,9 @@
   std::set<Rack> RacksOf(const ServiceName& service) const;
   const std::vector<WorkerSession*>& WorkersOf(
       const ServiceName& service) const;
+  // Workers that have room for the task whatever a policy says, those with most
+  // room first.
+  std::vector<WorkerId> ListRoom(const PlacementRequest& request) const;
 
   // True if the worker can hold the task now, whatever a policy says.
   static bool Fits(const PlacementRequest& request,
--- /dev/null
+++ b/libraries/scheduler/placement_advice.cc
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/placement_advice.h"
+
+#include <algorithm>
+
+namespace sumac::scheduler {
+namespace {
+
+// Workers in one question: about as many as the time that a job may take is
+// reckoned with.
+constexpr std::size_t kMostInQuestion = 30;
+// Before another question, after one without an answer.
+constexpr Milliseconds kPauseAfterFailure{300};
+// Taken off a ticket's time: its answer was on the way, and the start that
+// brings it will be.
+constexpr Milliseconds kTicketMargin{250};
+
+}  // namespace
+
+const std::string* PlacementAdvice::FindTicket(const jobs::StepId& step,
+                                               const WorkerId& worker,
+                                               SteadyTime now) const {
+  const auto advice = this->steps.find(step);
+  if (advice == this->steps.end()) {
+    return nullptr;
+  }
+  const auto ticket = advice->second.tickets.find(worker);
+  return ticket == advice->second.tickets.end() || now >= ticket->second.ends_at
+             ? nullptr
+             : &ticket->second.text;
+}
+
+void PlacementAdvice::Want(const jobs::StepId& step,
+                           const std::vector<WorkerId>& workers,
+                           std::pair<Milliseconds, Milliseconds> expected,
+                           SteadyTime now) {
+  const StepAdvice& advice = this->steps[step];
+  AdviceQuestion question{.step = step};
+  for (const WorkerId& worker : workers) {
+    if (question.workers.size() < kMostInQuestion &&
+        !advice.refused.contains(worker) &&
+        this->FindTicket(step, worker, now) == nullptr) {
+      question.workers.push_back(worker);
+    }
+  }
+  if (question.workers.empty()) {
+    return;
+  }
+  question.expected =
+      expected.first +
+      expected.second * static_cast<std::int64_t>(question.workers.size());
+  this->wanted.push_back(std::move(question));
+}
+
+std::optional<AdviceQuestion> PlacementAdvice::NextQuestion(SteadyTime now) {
+  if (this->is_open || this->wanted.empty() || now < this->pause_until) {
+    return std::nullopt;
+  }
+  this->is_open = true;
+  return this->wanted.front();
+}
+
+void PlacementAdvice::TakeAnswer(const AdviceQuestion& question,
+                                 const AdviceAnswer& answer,
+                                 SteadyTime now) {
+  this->is_open = false;
+  if (!answer.is_answered) {
+    this->pause_until = now + kPauseAfterFailure;
+    return;
+  }
+  StepAdvice& advice = this->steps[question.step];
+  for (const auto& [worker, ticket] : answer.tickets) {
+    advice.tickets[worker] =
+        Ticket{ticket, now + answer.validity - kTicketMargin};
+  }
+  for (const WorkerId& worker : question.workers) {
+    if (!answer.tickets.contains(worker)) {
+      advice.refused.insert(worker);
+    }
+  }
+}
+
+void PlacementAdvice::DropTicket(const jobs::StepId& step,
+                                 const WorkerId& worker) {
+  const auto advice = this->steps.find(step);
+  if (advice != this->steps.end()) {
+    advice->second.tickets.erase(worker);
+  }
+}
+
+void PlacementAdvice::DropFinished(const jobs::JobsState& state) {
+  std::erase_if(this->steps, [&](const auto& item) {
+    const jobs::Job* job = state.FindJob(item.first.job);
+    return job == nullptr || !job->is_active();
+  });
+}
+
+}  // namespace sumac::scheduler
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -17,6 +17,8 @@
 // Another life at a worker's address is reported by its next announcement; runs
 // that nobody confirms nor denies are stopped after this.
 constexpr Milliseconds kUnconfirmedTime{1'500};
+// The pace, in hundredths, of a filler that disturbs nobody.
+constexpr std::uint32_t kFullPace = 100;
 
 // The first epoch of a group is 1 and its runs count from 1.
 RunNumber FirstRunOf(LeaderEpoch epoch) {
@@ -112,6 +114,7 @@
   EndsToRecord ends = this->TakeEnds(session, report, now);
   this->TakeRunning(session, report, is_adopting, now);
   this->TakeMissing(session, report);
+  this->FollowSharing(session, now);
   this->needs_plan = this->needs_plan || is_adopting || ends.up_to > 0;
   return ends;
 }
@@ -218,18 +221,22 @@
   const bool is_wanted = is_adopting && is_known && is_free &&
                          job->is_active() &&
                          !job->ProgressOf(running.task).is_done;
-  Run run{.task = running.task,
-          .number = running.run,
-          .phase = is_wanted ? RunPhase::kRunning : RunPhase::kStopping,
-          .need = is_known ? Placement::CountedNeed(
-                                 job->spec.steps[running.task.step.step])
-                           : jobs::Resources(),
-          .ordered_at = now,
-          .confirmed_clock = report.clock,
-          .percent = running.percent,
-          .percent_rose_at = now,
-          .load = running.load,
-          .stop_due = now};
+  const jobs::StepSpec* step = this->FindStep(running.task);
+  Run run{
+      .task = running.task,
+      .number = running.run,
+      .phase = is_wanted ? RunPhase::kRunning : RunPhase::kStopping,
+      .need =
+          step != nullptr ? Placement::CountedNeed(*step) : jobs::Resources(),
+      .is_serving = step != nullptr && step->latency_target > Milliseconds(0),
+      .is_filler = step != nullptr && step->is_filler,
+      .ordered_at = now,
+      .confirmed_clock = report.clock,
+      .percent = running.percent,
+      .percent_rose_at = now,
+      .load = running.load,
+      .pace = std::nullopt,
+      .stop_due = now};
   session.AddRun(run);
   if (is_known) {
     TaskMemory& memory = this->tasks.Get(running.task);
@@ -307,6 +314,8 @@
     this->TakeStartAnswer(*start, answer, now);
   } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
     this->TakeStopAnswer(*stop, answer);
+  } else if (const auto* pace = std::get_if<PaceOrder>(&order)) {
+    this->TakePaceAnswer(*pace, answer);
   }
 }
 
@@ -337,6 +346,11 @@
       session.full_until = now + this->settings.full_pause;
       this->ReleaseRun(session, order.task, order.run, "the worker is full");
       break;
+    case OrderResult::kBadTicket:
+      this->advice.DropTicket(order.task.step, order.worker);
+      this->ReleaseRun(session, order.task, order.run,
+                       "the worker refused the ticket");
+      break;
     case OrderResult::kOldRun:
     case OrderResult::kTooLate:
     case OrderResult::kRefused:
@@ -383,6 +397,142 @@
   }
 }
 
+void Scheduler::TakeAdvice(const AdviceQuestion& question,
+                           const AdviceAnswer& answer,
+                           SteadyTime now) {
+  this->advice.TakeAnswer(question, answer, now);
+  this->advice.DropFinished(this->state);
+  this->needs_plan = true;
+}
+
+const PlacementAdvice* Scheduler::AdviceFor(const jobs::Job& job) const {
+  const jobs::QueueDeclaration* queue =
+      this->state.declaration().FindQueue(job.queue);
+  return queue != nullptr && queue->placement_policy ? &this->advice : nullptr;
+}
+
+// Asks about workers that have room for the task, where its queue has a
+// placement policy.
+void Scheduler::AskForAdvice(const Candidate& candidate,
+                             const jobs::TaskId& task,
+                             SteadyTime now) {
+  const jobs::QueueDeclaration* queue =
+      this->state.declaration().FindQueue(candidate.job->queue);
+  if (queue == nullptr || !queue->placement_policy) {
+    return;
+  }
+  this->advice.Want(task.step,
+                    this->placement.ListRoom(
+                        PlacementRequest{.job = candidate.job, .task = task}),
+                    {queue->placement_policy->decision_time,
+                     queue->placement_policy->worker_time},
+                    now);
+}
+
+// What the last report shows of fillers beside runs that serve users; nothing
+// where they do not stand side by side.
+std::optional<SharingReport> Scheduler::MeasureSharing(
+    const WorkerSession& session) const {
+  constexpr std::int64_t kPermille = 1'000;
+  if (session.serving_runs() == 0 || session.filler_runs() == 0) {
+    return std::nullopt;
+  }
+  SharingReport report;
+  for (const auto& [key, run] : session.runs()) {
+    const jobs::StepSpec* step = this->FindStep(run.task);
+    if (step == nullptr) {
+      continue;
+    }
+    if (run.is_filler) {
+      report.filler_image = step->image;
+    }
+    if (!run.is_serving) {
+      continue;
+    }
+    const std::int64_t permille =
+        run.load * kPermille / step->latency_target.count();
+    if (permille >= report.worst_permille) {
+      report.worst_permille = permille;
+      report.serving_image = step->image;
+    }
+  }
+  return report;
+}
+
+// Where a filler begins beside a run that serves, what is known of their images
+// sets its pace.
+void Scheduler::BeginSharing(WorkerSession& session, SteadyTime now) {
+  const std::optional<SharingReport> report = this->MeasureSharing(session);
+  if (!report || session.filler_pace.percent < kFullPace) {
+    return;
+  }
+  session.filler_pace =
+      PaceState{.percent = this->pace_control.FirstPercent(
+                    report->serving_image, report->filler_image),
+                .changed_at = now};
+}
+
+void Scheduler::FollowSharing(WorkerSession& session, SteadyTime now) {
+  const std::optional<SharingReport> report = this->MeasureSharing(session);
+  if (!report) {
+    if (session.serving_runs() == 0 &&
+        session.filler_pace.percent < kFullPace) {
+      session.filler_pace = PaceState{.changed_at = now};
+      this->needs_plan = true;
+    }
+    return;
+  }
+  if (this->pace_control.Update(session.filler_pace, *report, now)) {
+    this->needs_plan = true;
+    for (const auto& [key, run] : session.runs()) {
+      if (run.is_filler) {
+        this->Note(
+            "filler-paced", run.task, run.number, session.worker().id,
+            StrCat("at ", session.filler_pace.percent,
+                   " percent; the worst tail is at ", report->worst_permille,
+                   " thousandths of its target"));
+      }
+    }
+  }
+}
+
+// Tells each filler the pace of its worker, where it was told another.
+void Scheduler::PaceFillers(SchedulerOutput& output) {
+  for (auto& [id, session] : this->workers) {
+    if (session.filler_runs() == 0 || !session.is_answering()) {
+      continue;
+    }
+    for (auto& [key, run] : session.runs()) {
+      if (!run.is_filler || run.phase != RunPhase::kRunning ||
+          run.pace == session.filler_pace.percent) {
+        continue;
+      }
+      run.pace = session.filler_pace.percent;
+      output.orders.emplace_back(
+          PaceOrder{.worker = id,
+                    .address = session.worker().address,
+                    .epoch = this->epoch,
+                    .task = run.task,
+                    .run = run.number,
+                    .percent = session.filler_pace.percent});
+    }
+  }
+}
+
+void Scheduler::TakePaceAnswer(const PaceOrder& order,
+                               const OrderAnswer& answer) {
+  const auto found = this->workers.find(order.worker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  Run* run = found->second.FindRun(order.task, order.run);
+  if (run != nullptr && answer.result != OrderResult::kDone &&
+      run->pace == order.percent) {
+    // It may still have its old pace.
+    run->pace.reset();
+  }
+}
+
 void Scheduler::EndWorker(const WorkerId& worker, const std::string& reason) {
   const auto found = this->workers.find(worker);
   if (found == this->workers.end()) {
@@ -460,7 +610,10 @@
   this->EvacuateCordoned(now);
   this->GiveUpSlowRuns(now);
   this->StopUnwanted(now, output);
+  this->advice.BeginTurn();
   this->StartDue(now, wall_now, output);
+  this->PaceFillers(output);
+  output.question = this->advice.NextQuestion(now);
   this->tasks.DropFinished(this->state);
   output.events = std::exchange(this->events, {});
   return output;
@@ -575,8 +728,11 @@
 
 WorkerSession* Scheduler::ChooseWorker(const jobs::Job& job,
                                        const jobs::TaskId& task) const {
-  return this->placement.Choose(PlacementRequest{
-      .job = &job, .task = task, .memory = this->tasks.Find(task)});
+  return this->placement.Choose(
+      PlacementRequest{.job = &job,
+                       .task = task,
+                       .memory = this->tasks.Find(task),
+                       .advice = this->AdviceFor(job)});
 }
 
 bool Scheduler::HasPlaceElsewhere(const jobs::TaskId& task) const {
@@ -721,11 +877,12 @@
       return false;
     }
   }
-  const WorkerSession* other = this->placement.Choose(
-      PlacementRequest{.job = job,
-                       .task = run.task,
-                       .memory = memory,
-                       .other_than = session.worker().id});
+  const WorkerSession* other =
+      this->placement.Choose(PlacementRequest{.job = job,
+                                              .task = run.task,
+                                              .memory = memory,
+                                              .other_than = session.worker().id,
+                                              .advice = this->AdviceFor(*job)});
   return other != nullptr && this->placement.IsGood(*other);
 }
 
@@ -851,6 +1008,7 @@
     WorkerSession* session = this->ChooseWorker(*candidate.job, task);
     if (session == nullptr) {
       // Tasks of one step are alike: if one finds no room, none does.
+      this->AskForAdvice(candidate, task, now);
       break;
     }
     this->StartOn(*session, candidate, task,
@@ -871,7 +1029,8 @@
         PlacementRequest{.job = candidate.job,
                          .task = task,
                          .memory = this->tasks.Find(task),
-                         .rack = rack});
+                         .rack = rack,
+                         .advice = this->AdviceFor(*candidate.job)});
     if (session == nullptr) {
       break;
     }
@@ -915,6 +1074,8 @@
     places = this->PlaceGang(candidate, Rack());
   }
   if (places.size() < step.count) {
+    task.index = 0;
+    this->AskForAdvice(candidate, task, now);
     return;
   }
   for (task.index = 0; task.index < step.count; ++task.index) {
@@ -941,6 +1102,11 @@
   TaskMemory& memory = this->tasks.Get(task);
   memory.placed = {session.worker().id, run};
   memory.last_run = run;
+  this->BeginSharing(session, now);
+  const std::string* ticket =
+      this->AdviceFor(*candidate.job) == nullptr
+          ? nullptr
+          : this->advice.FindTicket(task.step, session.worker().id, now);
   output.orders.emplace_back(
       StartOrder{.worker = session.worker().id,
                  .address = session.worker().address,
@@ -949,7 +1115,8 @@
                  .run = run,
                  .text = candidate.job->spec.text,
                  .lease_end = lease_end,
-                 .checkpoint = this->CheckpointOf(task, step).checkpoint});
+                 .checkpoint = this->CheckpointOf(task, step).checkpoint,
+                 .ticket = ticket == nullptr ? std::string() : *ticket});
   this->Note("run-ordered", task, run, session.worker().id, "");
 }
 
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -17,7 +17,9 @@
 #include "libraries/jobs/service_demand.h"
 #include "libraries/jobs/task_id.h"
 #include "libraries/scheduler/demand_meter.h"
+#include "libraries/scheduler/pace_control.h"
 #include "libraries/scheduler/placement.h"
+#include "libraries/scheduler/placement_advice.h"
 #include "libraries/scheduler/run_times.h"
 #include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/worker_health.h"
@@ -66,6 +68,8 @@
   std::vector<Order> orders;
   // Commands to commit.
   std::vector<jobs::Command> commands;
+  // To be asked of the placement policy.
+  std::optional<AdviceQuestion> question;
   std::vector<SchedulerEvent> events;
 };
 
@@ -116,6 +120,11 @@
                   const OrderAnswer& answer,
                   SteadyTime now);
 
+  // Takes in what the placement policy said.
+  void TakeAdvice(const AdviceQuestion& question,
+                  const AdviceAnswer& answer,
+                  SteadyTime now);
+
   // From now on nothing is started on these instances, and long-running tasks
   // leave them as the disruption budgets allow.
   void SetCordoned(std::set<InstanceName> instances);
@@ -193,6 +202,16 @@
                   RunNumber run,
                   const std::string& reason);
   void ReleaseAll(WorkerSession& session, const std::string& reason);
+  void BeginSharing(WorkerSession& session, SteadyTime now);
+  void FollowSharing(WorkerSession& session, SteadyTime now);
+  std::optional<SharingReport> MeasureSharing(
+      const WorkerSession& session) const;
+  void PaceFillers(SchedulerOutput& output);
+  void TakePaceAnswer(const PaceOrder& order, const OrderAnswer& answer);
+  const PlacementAdvice* AdviceFor(const jobs::Job& job) const;
+  void AskForAdvice(const Candidate& candidate,
+                    const jobs::TaskId& task,
+                    SteadyTime now);
   void BreakGang(const jobs::TaskId& member, RunNumber run);
   TaskMemory& CheckpointOf(const jobs::TaskId& task,
                            const jobs::StepSpec& step);
@@ -267,6 +286,8 @@
   std::uint64_t seen_finish_count = 0;
   RunTimes run_times;
   WorkerHealth health;
+  PlacementAdvice advice;
+  PaceControl pace_control;
   Placement placement;
   DemandMeter demand;
   SteadyTime judged_at{};
--- a/libraries/scheduler/worker_calls.h
+++ b/libraries/scheduler/worker_calls.h
@@ -22,6 +22,8 @@
 struct WorkerCalls {
   std::function<kj::Promise<RenewAnswer>(const RenewOrder&)> renew;
   std::function<kj::Promise<OrderAnswer>(const Order&)> send;
+  // Asks the placement policy.
+  std::function<kj::Promise<AdviceAnswer>(const AdviceQuestion&)> advise;
   // The worker's life is over.
   std::function<void(const WorkerId&)> forget;
 };
--- a/libraries/scheduler/worker_messages.h
+++ b/libraries/scheduler/worker_messages.h
@@ -3,6 +3,7 @@
 #define LIBRARIES_SCHEDULER_WORKER_MESSAGES_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
   WorkerTime lease_end;
   // What an earlier run saved; empty to begin at the beginning.
   std::string checkpoint;
+  // The placement policy's admission; empty where the queue has none.
+  std::string ticket;
 };
 
 // Stops one run, and keeps it from starting if it has not.
@@ -76,6 +79,8 @@
   kTooLate,
   // The worker has seen a higher fencing token.
   kFenced,
+  // The placement policy's ticket does not hold there.
+  kBadTicket,
   // Another life of the worker is at that address.
   kOtherLife,
   // The worker did nothing, for another reason.
@@ -92,6 +97,23 @@
   std::optional<WorkerTime> clock;
 };
 
+// Asks a placement policy which of some workers may run a step's tasks.
+struct AdviceQuestion {
+  jobs::StepId step;
+  std::vector<WorkerId> workers;
+  // How long the policy needs for it.
+  Milliseconds expected{0};
+};
+
+struct AdviceAnswer {
+  // False if there was no answer, or the policy takes no question now.
+  bool is_answered = false;
+  // How long the tickets hold.
+  Milliseconds validity{0};
+  // The workers that may, with their tickets.
+  std::map<WorkerId, std::string> tickets;
+};
+
 // One run that a worker says it is running.
 struct RunningReport {
   jobs::TaskId task;
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -35,7 +35,9 @@
   // from which its tasks may run elsewhere.
   if (this->clock && this->has_answered && this->failures == 0) {
     order.lease_end = this->GrantLease(now);
-    order.wait = this->settings.renewal_wait;
+    const bool is_shared = this->serving_count > 0 && this->filler_count > 0;
+    order.wait = is_shared ? this->settings.shared_renewal_wait
+                           : this->settings.renewal_wait;
   }
   return order;
 }
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -13,6 +13,7 @@
 #include "libraries/jobs/resources.h"
 #include "libraries/jobs/task_id.h"
 #include "libraries/jobs/worker.h"
+#include "libraries/scheduler/pace_control.h"
 #include "libraries/scheduler/worker_messages.h"
 
 namespace sumac::scheduler {
@@ -26,6 +27,9 @@
   // How long a worker may keep a renewal's answer back. Bounds how late a
   // silent worker is noticed.
   Milliseconds renewal_wait{1'000};
+  // The same where runs that fill stand beside runs that serve: their pace
+  // follows the reports.
+  Milliseconds shared_renewal_wait{500};
   // Workers' clocks may run slow by this many thousandths.
   std::int64_t slow_clock_permille = 20;
   // Added to every bound for timers that fire late.
@@ -60,6 +64,9 @@
   // When a report last showed a higher percent than the one before.
   SteadyTime percent_rose_at{};
   std::int64_t load = 0;
+  // Of a filler: the pace it was told last, in hundredths; unknown for one that
+  // was adopted, or whose order got no answer.
+  std::optional<std::uint32_t> pace = 100;
   // Stopping: when to send the stop (again), and what was answered.
   SteadyTime stop_due{};
   std::optional<WorkerTime> stopped_clock;
@@ -130,6 +137,8 @@
   std::uint32_t serving_runs() const { return this->serving_count; }
   std::uint32_t filler_runs() const { return this->filler_count; }
 
+  // How fast fillers may work there.
+  PaceState filler_pace;
   std::uint64_t seen_ends = 0;
   std::uint64_t acknowledged_ends = 0;
   // No starts before this, after the worker said it had no room.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -313,8 +313,25 @@
     return fleet::Answer{.code = ResultCode::kBadRequest,
                          .message = "the path holds no job id"};
   }
-  return this->Propose(
-      jobs::SubmitJob{address->job, address->queue->name, request.spec});
+  // NOTE: A refusal promises that the job never runs, so it may not be given to
+  // one that is accepted or on its way.
+  const bool may_be_accepted =
+      this->jobs_state.FindJob(address->job) != nullptr ||
+      this->open_submissions.contains(address->job);
+  if (!may_be_accepted &&
+      this->jobs_state.active_jobs().size() + this->open_submissions.size() >=
+          this->settings.policy.most_active_jobs) {
+    this->metrics.Count("sumac_refusals_total{reason=\"overload\"}");
+    return fleet::Answer{.code = ResultCode::kOverloaded,
+                         .message = "too many jobs wait or run"};
+  }
+  this->open_submissions.insert(address->job);
+  return this
+      ->Propose(
+          jobs::SubmitJob{address->job, address->queue->name, request.spec})
+      .attach(kj::defer([this, job = address->job] {
+        this->open_submissions.erase(this->open_submissions.find(job));
+      }));
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::ShowAt& request) {
@@ -563,6 +580,26 @@
   for (jobs::Command& command : output.commands) {
     this->ProposeInBackground(std::move(command));
   }
+  if (output.question) {
+    this->AskForAdvice(*std::move(output.question));
+  }
+}
+
+void JobController::AskForAdvice(scheduler::AdviceQuestion question) {
+  const Term term = this->leading_term;
+  this->tasks.add(this->worker_calls.advise(question).then(
+      [this, term, question](const scheduler::AdviceAnswer& answer) {
+        if (!this->scheduler || this->leading_term != term) {
+          return;
+        }
+        LogEvent(LogLevel::kInfo, "advice-taken",
+                 {{"step", question.step.ToText()},
+                  {"asked", question.workers.size()},
+                  {"admitted", answer.tickets.size()},
+                  {"validity_ms", answer.validity.count()}});
+        this->scheduler->TakeAdvice(question, answer, this->clock.SteadyNow());
+        this->SchedulePlan();
+      }));
 }
 
 void JobController::SendOrder(const scheduler::Order& order) {
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "absl/status/statusor.h"
@@ -115,6 +116,7 @@
   void SchedulePlan();
   void Plan();
   void SendOrder(const scheduler::Order& order);
+  void AskForAdvice(scheduler::AdviceQuestion question);
   void LogEvents(const std::vector<scheduler::SchedulerEvent>& events);
 
   const NodeSettings& settings;
@@ -134,6 +136,8 @@
   std::optional<scheduler::Scheduler> scheduler;
   std::unique_ptr<InstanceKeeper> keeper;
   std::map<WorkerId, kj::Promise<void>> renewals;
+  // Jobs whose acceptance was proposed and is not decided; resends stand twice.
+  std::multiset<JobId> open_submissions;
   SteadyTime last_maintenance{};
   SteadyTime last_plan{};
   bool have_workers_changed = false;
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -23,6 +23,7 @@
 #include "libraries/log/json_log.h"
 #include "libraries/storage/data_folder.h"
 #include "libraries/storage/posix_disk.h"
+#include "platform/advice_client.h"
 #include "platform/doors.h"
 #include "platform/instance_client.h"
 #include "platform/wire_codec.h"
@@ -102,7 +103,10 @@
         workers(io.provider->getNetwork(), this->timer),
         instances(io.provider->getNetwork(),
                   this->timer,
-                  this->settings.instances_door) {}
+                  this->settings.instances_door),
+        advice(io.provider->getNetwork(),
+               this->timer,
+               this->settings.advice_door) {}
 
   // Builds all parts; on an error nothing listens any more.
   absl::Status Start();
@@ -138,6 +142,7 @@
   Peers peers;
   platform::WorkerClient workers;
   platform::InstanceClient instances;
+  platform::AdviceClient advice;
   std::unique_ptr<JobController> controller;
   std::unique_ptr<JobsLink> link;
   std::optional<platform::CallerDoor> caller_adapter;
@@ -179,10 +184,13 @@
           disk, this->settings.data_folder)) {
     TRY(FormatNodeFolder(this->settings));
   }
-  this->controller = TRY(
-      JobController::Create(this->settings, this->peers, this->timer,
-                            this->metrics, platform::ReadDeclaration,
-                            this->workers.Calls(), this->instances.Calls()));
+  scheduler::WorkerCalls calls = this->workers.Calls();
+  calls.advise = [this](const scheduler::AdviceQuestion& question) {
+    return this->advice.Ask(question);
+  };
+  this->controller = TRY(JobController::Create(
+      this->settings, this->peers, this->timer, this->metrics,
+      platform::ReadDeclaration, std::move(calls), this->instances.Calls()));
   this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
                                           this->timer, this->controller.get());
   TRY(this->ListenToPeers());
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -64,6 +64,9 @@
   bool leave_bad_workers = true;
   // Room that a pool should have beyond what it needs, in thousandths.
   std::int64_t reserve_permille = 150;
+  // Further jobs are refused while so many are accepted and not finished;
+  // bounds a controller's memory.
+  std::uint64_t most_active_jobs = 20'000;
   // How long a pool keeps instances that it does not need any more.
   Milliseconds surplus_time{2'500};
 
@@ -74,6 +77,8 @@
     visitor.Field("forecast", self.forecast);
     visitor.Field("leave_bad_workers", self.leave_bad_workers);
     visitor.Field("reserve_permille", self.reserve_permille, Limits{0, 10'000});
+    visitor.Field("most_active_jobs", self.most_active_jobs,
+                  Limits{1, 10'000'000});
     visitor.Field("surplus_ms", self.surplus_time, Limits{0, 600'000});
   }
 };
@@ -105,6 +110,8 @@
   std::string metrics_door;
   // The platform's door for instances, as IP:PORT; empty if there is none.
   std::string instances_door;
+  // The placement policy's door, as IP:PORT; empty if there is none.
+  std::string advice_door;
   PlatformTimes platform_times;
   PolicySettings policy;
   GroupSettings group;
@@ -126,6 +133,7 @@
     visitor.Field("health_door", self.health_door);
     visitor.Field("metrics_door", self.metrics_door);
     visitor.Field("instances_door", self.instances_door);
+    visitor.Field("advice_door", self.advice_door);
     visitor.Field("platform_times", self.platform_times);
     visitor.Field("policy", self.policy);
     visitor.Field("group", self.group);
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -16,12 +16,19 @@
 constexpr const char* kService = "previews";
 
 jobs::JobsDeclaration Declared() {
-  return jobs::JobsDeclaration(1,
-                               {{.name = QueueName("clips"),
-                                 .host = "h",
-                                 .path_prefix = "/q/",
-                                 .service = ServiceName(kService),
-                                 .most_attempts = 3}},
+  jobs::QueueDeclaration clips{.name = QueueName("clips"),
+                               .host = "h",
+                               .path_prefix = "/q/",
+                               .service = ServiceName(kService),
+                               .most_attempts = 3};
+  jobs::QueueDeclaration advised = clips;
+  advised.name = QueueName("advised");
+  advised.path_prefix = "/a/";
+  advised.placement_policy =
+      jobs::PlacementPolicy{.decision_time = Milliseconds(100),
+                            .worker_time = Milliseconds(1),
+                            .validity = Milliseconds(2'000)};
+  return jobs::JobsDeclaration(1, {clips, advised},
                                {{.name = ServiceName(kService)}});
 }
 
@@ -76,12 +83,14 @@
   this->scheduler.emplace(this->state, this->settings, this->now);
 }
 
-void FakeFleet::Submit(const std::string& id, jobs::StepSpec step) {
+void FakeFleet::Submit(const std::string& id,
+                       jobs::StepSpec step,
+                       const std::string& queue) {
   if (step.need.millicores == 0) {
     step.need = {.millicores = 1'000, .memory_mb = 100};
   }
   jobs::JobSpec spec{.text = "text", .steps = {std::move(step)}};
-  this->Commit(jobs::SubmitJob{JobId(id), QueueName("clips"), spec});
+  this->Commit(jobs::SubmitJob{JobId(id), QueueName(queue), spec});
 }
 
 void FakeFleet::At(SteadyTime at, std::function<void()> happen) {
@@ -211,6 +220,27 @@
   for (jobs::Command& command : output.commands) {
     this->Commit(std::move(command));
   }
+  if (output.question) {
+    this->Advise(*output.question);
+  }
+}
+
+void FakeFleet::Advise(const AdviceQuestion& question) {
+  ++this->questions;
+  AdviceAnswer answer{.is_answered = !this->is_policy_silent,
+                      .validity = Milliseconds(2'000)};
+  for (const WorkerId& worker : question.workers) {
+    const auto found = this->admitted.find(worker);
+    if (answer.is_answered && found != this->admitted.end()) {
+      answer.tickets.insert(*found);
+    }
+  }
+  const Generation sent_in = this->generation;
+  this->At(this->now + question.expected, [this, question, answer, sent_in] {
+    if (sent_in == this->generation) {
+      this->scheduler->TakeAdvice(question, answer, this->now);
+    }
+  });
 }
 
 void FakeFleet::Send(const Order& order) {
@@ -247,16 +277,18 @@
     } else if (const auto* start = std::get_if<StartOrder>(&order)) {
       const std::size_t before = found->second.running().size();
       const jobs::Job* job = this->state.FindJob(start->task.step.job);
-      const bool is_long_running =
-          job != nullptr &&
-          job->spec.steps[start->task.step.step].is_long_running;
+      const jobs::StepSpec step = job == nullptr
+                                      ? jobs::StepSpec()
+                                      : job->spec.steps[start->task.step.step];
       answer = found->second.Start(*start, this->work, this->fails(*start),
-                                   is_long_running, this->now);
+                                   step, this->now);
       if (found->second.running().size() > before) {
         this->CheckStart(*start);
       }
     } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
       answer = found->second.Stop(*stop, this->now);
+    } else if (const auto* pace = std::get_if<PaceOrder>(&order)) {
+      answer = found->second.Pace(*pace);
     }
   }
   if (is_answered && sent_in == this->generation) {
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -28,7 +28,9 @@
   void PassTime(Milliseconds time);
 
   // Accepts a job of one step.
-  void Submit(const std::string& id, jobs::StepSpec step);
+  void Submit(const std::string& id,
+              jobs::StepSpec step,
+              const std::string& queue = "clips");
   // Commits a command.
   fleet::Answer Commit(jobs::Command command);
   // Another leader takes over; the old one's open calls come to nothing, but
@@ -60,6 +62,11 @@
   // The share of orders whose answer is lost and that are carried out 0 to 4 s
   // late, in thousandths.
   std::uint32_t late_permille = 0;
+  // The placement policy: the workers that it admits, with their tickets. While
+  // it is silent, questions get no answer.
+  std::map<WorkerId, std::string> admitted;
+  bool is_policy_silent = false;
+  std::uint64_t questions = 0;
   // False while the platform does not say which instances are up.
   bool lists_instances = true;
   // How late; drawn from 0 to 4 s where it is not set.
@@ -88,6 +95,7 @@
   void Plan();
   void Send(const Order& order);
   void Execute(const Order& order, bool is_answered, Generation generation);
+  void Advise(const AdviceQuestion& question);
   void CheckStart(const StartOrder& order);
   void CheckRunning();
   bool Reaches(const WorkerId& id) const;
--- a/tests/libraries/scheduler/fake_worker.cc
+++ b/tests/libraries/scheduler/fake_worker.cc
@@ -42,7 +42,7 @@
 OrderAnswer FakeWorker::Start(const StartOrder& order,
                               Milliseconds work,
                               bool fails,
-                              bool is_long_running,
+                              const jobs::StepSpec& step,
                               SteadyTime now) {
   OrderAnswer answer{.clock = this->ClockAt(now)};
   if (order.epoch < this->fence) {
@@ -66,17 +66,45 @@
     answer.result = OrderResult::kOldRun;
     return answer;
   }
+  if (!this->tickets.empty() && !this->tickets.contains(order.ticket)) {
+    answer.result = OrderResult::kBadTicket;
+    return answer;
+  }
   const SteadyTime ends_at =
       this->stands_still ? SteadyTime::max() : now + work * this->slowness;
-  this->tasks[order.task] = Running{.run = order.run,
-                                    .began_at = now,
-                                    .ends_at = ends_at,
-                                    .fails = fails,
-                                    .is_long_running = is_long_running};
+  this->tasks[order.task] =
+      Running{.run = order.run,
+              .began_at = now,
+              .ends_at = ends_at,
+              .fails = fails,
+              .is_long_running = step.is_long_running,
+              .is_serving = step.latency_target > Milliseconds(0),
+              .is_filler = step.is_filler};
   answer.result = OrderResult::kDone;
   return answer;
 }
 
+OrderAnswer FakeWorker::Pace(const PaceOrder& order) {
+  const auto found = this->tasks.find(order.task);
+  if (found != this->tasks.end() && found->second.run == order.run) {
+    found->second.pace = order.percent;
+  }
+  return {.result = OrderResult::kDone};
+}
+
+std::int64_t FakeWorker::LoadOf(const Running& running) const {
+  constexpr std::int64_t kFullPace = 100;
+  if (!running.is_serving) {
+    return 0;
+  }
+  std::int64_t load = this->tail;
+  for (const auto& [task, other] : this->tasks) {
+    load +=
+        other.is_filler ? this->tail_per_filler * other.pace / kFullPace : 0;
+  }
+  return load;
+}
+
 OrderAnswer FakeWorker::Stop(const StopOrder& order, SteadyTime now) {
   OrderAnswer answer{.clock = this->ClockAt(now)};
   if (order.epoch < this->fence) {
@@ -110,7 +138,8 @@
     report.running.push_back(RunningReport{.task = task,
                                            .run = running.run,
                                            .checkpoint = this->checkpoint,
-                                           .percent = PercentOf(running, now)});
+                                           .percent = PercentOf(running, now),
+                                           .load = this->LoadOf(running)});
   }
   return report;
 }
--- a/tests/libraries/scheduler/fake_worker.h
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -4,10 +4,12 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "libraries/base/time.h"
+#include "libraries/jobs/job_spec.h"
 #include "libraries/jobs/worker.h"
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_messages.h"
@@ -26,6 +28,9 @@
     bool fails = false;
     // It has no end of its own and is at work from its start on.
     bool is_long_running = false;
+    bool is_serving = false;
+    bool is_filler = false;
+    std::uint32_t pace = 100;
   };
 
   // Its clock started at `clock_offset` and loses `slow_permille`.
@@ -42,8 +47,9 @@
   OrderAnswer Start(const StartOrder& order,
                     Milliseconds work,
                     bool fails,
-                    bool is_long_running,
+                    const jobs::StepSpec& step,
                     SteadyTime now);
+  OrderAnswer Pace(const PaceOrder& order);
   OrderAnswer Stop(const StopOrder& order, SteadyTime now);
   // The report, or nothing when the fencing token is too low.
   std::optional<RenewReport> Renew(const RenewOrder& order, SteadyTime now);
@@ -61,6 +67,12 @@
   // What is started there never gets on, or takes this many times as long.
   bool stands_still = false;
   int slowness = 1;
+  // The tail of the answer times of what serves there, in milliseconds: alone,
+  // and what a filler at full speed adds.
+  std::int64_t tail = 0;
+  std::int64_t tail_per_filler = 0;
+  // Tickets without which it starts nothing; empty for any.
+  std::set<std::string> tickets;
   // What everything there has saved.
   std::string checkpoint;
   // While it is cut off, connections to it are refused.
@@ -68,6 +80,7 @@
 
  private:
   void End(const jobs::TaskId& task, EndCause cause);
+  std::int64_t LoadOf(const Running& running) const;
   static std::uint32_t PercentOf(const Running& running, SteadyTime now);
 
   Milliseconds clock_offset;
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -463,6 +463,106 @@
   EXPECT_EQ(fleet.job("job").state, JobState::kDone);
 }
 
+TEST(SchedulerTest, OnlyAdmittedWorkersRunAnAdvisedQueue) {
+  FakeFleet fleet(3);
+  fleet.work = Milliseconds(5'000);
+  fleet.admitted = {{WorkerId("w1"), "ticket-1"}};
+  fleet.worker("w1").tickets = {"ticket-1"};
+  fleet.Submit("job", {.count = 3}, "advised");
+  fleet.PassTime(Milliseconds(600));
+  EXPECT_EQ(fleet.WorkersOf("job"),
+            (std::vector<std::string>{"w1", "w1", "w1"}));
+  // What the policy said does not change: nobody is asked about twice.
+  EXPECT_EQ(fleet.questions, 1U);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+TEST(SchedulerTest, ATicketThatEndedIsAskedForAgain) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(3'000);
+  fleet.admitted = {{WorkerId("w0"), "ticket"}};
+  // More than fits at once: the second half starts after the ticket's end.
+  fleet.Submit("job", {.count = 16}, "advised");
+  fleet.PassTime(Milliseconds(600));
+  EXPECT_EQ(fleet.CountRunning("job"), 8U);
+  fleet.PassTime(Milliseconds(4'000));
+  EXPECT_EQ(fleet.CountRunning("job"), 8U);
+  EXPECT_EQ(fleet.starts, 16U);
+  EXPECT_GE(fleet.questions, 2U);
+}
+
+TEST(SchedulerTest, ARefusedTicketIsDroppedAndAskedForAgain) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(5'000);
+  fleet.admitted = {{WorkerId("w0"), "stale"}};
+  fleet.worker("w0").tickets = {"fresh"};
+  fleet.Submit("job", {.count = 1}, "advised");
+  fleet.PassTime(Milliseconds(500));
+  EXPECT_EQ(fleet.CountRunning("job"), 0U);
+  fleet.admitted = {{WorkerId("w0"), "fresh"}};
+  fleet.PassTime(Milliseconds(800));
+  EXPECT_EQ(fleet.CountRunning("job"), 1U);
+}
+
+TEST(SchedulerTest, ASilentPolicyIsAskedAgainAndOthersGoOn) {
+  FakeFleet fleet(1);
+  fleet.admitted = {{WorkerId("w0"), "ticket"}};
+  fleet.is_policy_silent = true;
+  fleet.Submit("job", {.count = 1}, "advised");
+  fleet.Submit("other", {.count = 1});
+  fleet.PassTime(Milliseconds(2'000));
+  EXPECT_EQ(fleet.job("other").state, JobState::kDone);
+  EXPECT_EQ(fleet.job("job").state, JobState::kActive);
+  fleet.is_policy_silent = false;
+  fleet.PassTime(Milliseconds(2'000));
+  EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+}
+
+TEST(SchedulerTest, AFillerIsPacedUntilWhatServesKeepsItsTarget) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(600'000);
+  fleet.worker("w0").tail = 60;
+  fleet.worker("w0").tail_per_filler = 100;
+  fleet.Submit("serves", {.count = 1,
+                          .is_long_running = true,
+                          .image = "site",
+                          .latency_target = Milliseconds(100)});
+  fleet.Submit("fills", {.count = 1, .image = "batch", .is_filler = true});
+  fleet.PassTime(Milliseconds(400));
+  ASSERT_EQ(fleet.worker("w0").running().size(), 2U);
+  const jobs::TaskId filler{{JobId("fills"), 0, 0}, 0};
+  // Over its target for less than 4 s.
+  fleet.PassTime(Milliseconds(3'000));
+  EXPECT_LE(fleet.worker("w0").running().at(filler).pace, 40U);
+  for (int second = 0; second < 60; ++second) {
+    fleet.PassTime(Milliseconds(1'000));
+    EXPECT_LE(fleet.worker("w0").running().at(filler).pace, 40U);
+  }
+  // Alone it may use all again.
+  fleet.Commit(jobs::CancelJob{JobId("serves")});
+  fleet.PassTime(Milliseconds(1'000));
+  EXPECT_EQ(fleet.worker("w0").running().at(filler).pace, 100U);
+}
+
+TEST(SchedulerTest, AnAdoptedFillerIsToldItsPaceAnew) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(600'000);
+  fleet.worker("w0").tail = 60;
+  fleet.worker("w0").tail_per_filler = 300;
+  fleet.Submit("serves", {.count = 1,
+                          .is_long_running = true,
+                          .image = "site",
+                          .latency_target = Milliseconds(100)});
+  fleet.Submit("fills", {.count = 1, .image = "batch", .is_filler = true});
+  fleet.PassTime(Milliseconds(3'000));
+  const jobs::TaskId filler{{JobId("fills"), 0, 0}, 0};
+  ASSERT_EQ(fleet.worker("w0").running().at(filler).pace, 0U);
+  fleet.ChangeLeader();
+  fleet.Commit(jobs::CancelJob{JobId("serves")});
+  fleet.PassTime(Milliseconds(2'000));
+  EXPECT_EQ(fleet.worker("w0").running().at(filler).pace, 100U);
+}
+
 TEST(SchedulerTest, AnUnansweredStartIsStoppedBeforeTheTaskGoesElsewhere) {
   FakeFleet fleet(2);
   fleet.work = Milliseconds(2'000);
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -46,6 +46,37 @@
   EXPECT_TRUE(read->FindService(ServiceName("previews"))->enforces_capacity);
 }
 
+TEST(WireCodecTest, ReadsAPlacementPolicy) {
+  nlohmann::json manifest = Manifest();
+  manifest["routes"][0]["advice"] = {
+      {"decision_ms", 120}, {"each_ms", 2.5}, {"validity_ms", 3'000}};
+  const auto read = ReadDeclaration(manifest.dump());
+  ASSERT_TRUE(read.ok()) << read.status();
+  const auto& policy = read->FindQueue(QueueName("clips"))->placement_policy;
+  ASSERT_TRUE(policy.has_value());
+  EXPECT_EQ(policy->decision_time, Milliseconds(120));
+  EXPECT_EQ(policy->worker_time, Milliseconds(3));
+  EXPECT_EQ(policy->validity, Milliseconds(3'000));
+  EXPECT_FALSE(read->FindQueue(QueueName("deep"))->placement_policy);
+}
+
+TEST(WireCodecTest, AsksForAdviceAndReadsIt) {
+  EXPECT_EQ(nlohmann::json::parse(WriteAdviceQuestion(
+                {.step = {JobId("5c0e7a21d94b36f8"), 0, 1},
+                 .workers = {WorkerId("i-1"), WorkerId("i-2")}})),
+            nlohmann::json::parse(
+                R"({"step":"5c0e7a21d94b36f8.0.1","workers":["i-1","i-2"]})"));
+  const auto answer =
+      ReadAdviceAnswer(R"({"successes":[["i-2","c81e"]],"validity_ms":3000})");
+  ASSERT_TRUE(answer.ok());
+  EXPECT_TRUE(answer->is_answered);
+  EXPECT_EQ(answer->validity, Milliseconds(3'000));
+  EXPECT_EQ(answer->tickets,
+            (std::map<WorkerId, std::string>{{WorkerId("i-2"), "c81e"}}));
+  EXPECT_FALSE(ReadAdviceAnswer(R"({"successes":3})").ok());
+  EXPECT_FALSE(ReadAdviceAnswer("[]").ok());
+}
+
 TEST(WireCodecTest, TheLongestPrefixTakesTheRequest) {
   const auto read = ReadDeclaration(Manifest().dump());
   ASSERT_TRUE(read.ok());
@@ -146,10 +177,11 @@
                       .run = RunNumber(2),
                       .text = "x",
                       .lease_end = scheduler::WorkerTime(486'000),
-                      .checkpoint = "c"})),
+                      .checkpoint = "c",
+                      .ticket = "t"})),
       nlohmann::json::parse(
           R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"x","until_ms":486000,
-                    "fence_token":7,"checkpoint":"c"})"));
+                    "fence_token":7,"checkpoint":"c","ticket":"t"})"));
   EXPECT_EQ(
       nlohmann::json::parse(WriteStop(
           {.epoch = LeaderEpoch(7), .task = task, .run = RunNumber(2)})),
--- a/tests/stand_ins/task_worker.cc
+++ b/tests/stand_ins/task_worker.cc
@@ -139,8 +139,9 @@
   order.lease_end =
       scheduler::WorkerTime(body.at("until_ms").get<std::int64_t>());
   const std::size_t before = this->worker.running().size();
-  const scheduler::OrderAnswer answer = this->worker.Start(
-      order, this->settings.work, false, this->clock.SteadyNow());
+  const scheduler::OrderAnswer answer =
+      this->worker.Start(order, this->settings.work, false, jobs::StepSpec(),
+                         this->clock.SteadyNow());
   this->start_count += this->worker.running().size() - before;
   return this->OrderReply(answer);
 }
@@ -181,7 +182,8 @@
                           {"ended", nlohmann::json::array()}};
   for (const auto& running : report->running) {
     reply["running"].push_back({running.task.ToText(), running.run.value(),
-                                running.checkpoint, running.percent, 0});
+                                running.checkpoint, running.percent,
+                                running.load});
   }
   for (const auto& end : report->ended) {
     reply["ended"].push_back({end.number, end.task.ToText(), end.run.value(),
