Platform, Scheduler: Let no unanswered order hold up the others

Reports may overtake each other, so older ones are ignored, and ends are acknowledged in the order of their numbers, whichever lot is on record first (EndsAreAcknowledgedInTheirOrder). Maintenance: instances that are off are maintained first and do not wait for the ramp, and a wave's list is read each 2 s. Sumacd: reserve 150 -> 500 thousandths.

--- a/libraries/http/async_connection.h
+++ b/libraries/http/async_connection.h
@@ -7,6 +7,7 @@
 #include <kj/compat/http.h>
 #include <kj/timer.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -65,6 +66,10 @@
   kj::Promise<CallReply> Call(CallRequest request, Milliseconds limit);
 
   const std::string& address() const { return this->remote_address; }
+  // Calls that are under way or wait for their turn.
+  std::size_t open_calls() const {
+    return this->waiting.size() + (this->is_busy ? 1 : 0);
+  }
 
  private:
   // An open connection; requests under way keep it alive.
--- /dev/null
+++ b/libraries/http/connection_pool.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_HTTP_CONNECTION_POOL_H_
+#define LIBRARIES_HTTP_CONNECTION_POOL_H_
+
+#include <kj/async.h>
+#include <kj/compat/http.h>
+#include <kj/timer.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libraries/base/time.h"
+#include "libraries/http/async_connection.h"
+
+namespace sumac::http {
+
+// Some kept connections to one address. A call takes one that is free, so that
+// one without an answer does not hold up those behind it; only where all are
+// taken does it wait. Calls may overtake each other.
+class ConnectionPool {
+ public:
+  // At most `size` connections, each opened when first needed.
+  ConnectionPool(kj::Network& network,
+                 kj::Timer& timer,
+                 const kj::HttpHeaderTable& headers,
+                 const std::string& address,
+                 std::size_t size);
+
+  // As AsyncConnection::Call.
+  kj::Promise<CallReply> Call(CallRequest request, Milliseconds limit);
+
+  const std::string& address() const {
+    return this->connections.front()->address();
+  }
+
+ private:
+  std::vector<std::unique_ptr<AsyncConnection>> connections;
+};
+
+}  // namespace sumac::http
+
+#endif  // LIBRARIES_HTTP_CONNECTION_POOL_H_
--- a/libraries/maintenance/maintenance_planner.cc
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -103,9 +103,10 @@
       } else if (known != facts.end() && known->second.is_moving) {
         continue;
       }
-      // One that carries nothing goes first.
+      // Those that are off go first, then those that carry nothing.
+      constexpr std::int64_t kOff = -1;
       const std::int64_t load =
-          known == facts.end() ? 0 : known->second.load_permille;
+          known == facts.end() ? kOff : known->second.load_permille;
       candidates.emplace_back(load, name);
     }
   }
@@ -120,7 +121,10 @@
       const auto open = this->open_orders.find(name);
       const bool is_early =
           open != this->open_orders.end() && now < open->second.due;
-      if (on_their_way < wanted && !is_early) {
+      // One that is off costs no capacity: the wave's own bound is enough.
+      const std::uint32_t most =
+          facts.contains(name) ? wanted : wave.most_at_once;
+      if (on_their_way < most && !is_early) {
         ++on_their_way;
         this->cordons.emplace(name, Cordon{now});
       }
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -108,6 +108,10 @@
     return {};
   }
   WorkerSession& session = found->second;
+  if (!session.IsNewest(report.clock)) {
+    return {};
+  }
+  session.NoteReport(report.clock);
   const bool is_adopting = !session.is_adopted();
   session.NoteClock(report.clock, now);
   session.NoteAnswer(now);
@@ -135,6 +139,9 @@
     if (end.number <= session.seen_ends) {
       continue;
     }
+    if (result.up_to == 0) {
+      result.after = session.seen_ends;
+    }
     session.seen_ends = end.number;
     result.up_to = end.number;
     const Run* known_run = session.FindRun(end.task, end.run);
@@ -177,6 +184,9 @@
                : end.cause == EndCause::kBroken  ? "gang broken"
                                                  : "gang incomplete");
   }
+  if (result.up_to > 0) {
+    session.open_ends.insert(result.after);
+  }
   return result;
 }
 
@@ -300,9 +310,8 @@
     }
   }
   const auto found = this->workers.find(worker);
-  if (found != this->workers.end()) {
-    found->second.acknowledged_ends =
-        std::max(found->second.acknowledged_ends, recorded.up_to);
+  if (found != this->workers.end() && recorded.up_to > 0) {
+    found->second.NoteRecorded(recorded.after);
   }
   this->needs_plan = true;
 }
@@ -394,6 +403,8 @@
   Run* run = found->second.FindRun(order.task, order.run);
   if (run != nullptr && answer.result == OrderResult::kDone) {
     run->stopped_clock = answer.clock;
+    found->second.needs_look = true;
+    this->needs_plan = true;
   }
 }
 
@@ -613,6 +624,11 @@
   this->advice.BeginTurn();
   this->StartDue(now, wall_now, output);
   this->PaceFillers(output);
+  for (auto& [id, session] : this->workers) {
+    if (std::exchange(session.needs_look, false)) {
+      output.looks.push_back(session.NextLook(this->epoch));
+    }
+  }
   output.question = this->advice.NextQuestion(now);
   this->tasks.DropFinished(this->state);
   output.events = std::exchange(this->events, {});
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -32,7 +32,7 @@
   LeaseSettings lease;
   ForecastSettings forecast;
   // Before a stop that had no effect yet is sent again.
-  Milliseconds stop_retry{700};
+  Milliseconds stop_retry{450};
   // A worker that said it is full gets no starts for this long.
   Milliseconds full_pause{200};
   // Among jobs of one priority, those that can still be in time go first and
@@ -66,6 +66,8 @@
 // while the leader holds its lease.
 struct SchedulerOutput {
   std::vector<Order> orders;
+  // Reports to ask for at once; they answer TakeReport like renewals.
+  std::vector<RenewOrder> looks;
   // Commands to commit.
   std::vector<jobs::Command> commands;
   // To be asked of the placement policy.
@@ -84,6 +86,8 @@
 // told so.
 struct EndsToRecord {
   std::vector<jobs::RunEnd> ends;
+  // The worker numbered them from after + 1 up to this; 0 for no ends.
+  std::uint64_t after = 0;
   std::uint64_t up_to = 0;
 };
 
@@ -112,7 +116,8 @@
                           SteadyTime now);
   // Takes in that a renewal failed.
   void TakeRenewalFailure(const WorkerId& worker, OrderResult result);
-  // Takes in that a worker's ends up to this number are on record.
+  // Takes in that these ends are on record. The worker is told so only once all
+  // that came before them are, too.
   void NoteRecorded(const WorkerId& worker, const EndsToRecord& recorded);
 
   // Takes in what became of an order.
--- a/libraries/scheduler/worker_calls.h
+++ b/libraries/scheduler/worker_calls.h
@@ -21,6 +21,8 @@
 // How a leader reaches workers; an adapter provides it.
 struct WorkerCalls {
   std::function<kj::Promise<RenewAnswer>(const RenewOrder&)> renew;
+  // The same without waiting, beside a renewal that is under way.
+  std::function<kj::Promise<RenewAnswer>(const RenewOrder&)> look;
   std::function<kj::Promise<OrderAnswer>(const Order&)> send;
   // Asks the placement policy.
   std::function<kj::Promise<AdviceAnswer>(const AdviceQuestion&)> advise;
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -36,12 +36,26 @@
   if (this->clock && this->has_answered && this->failures == 0) {
     order.lease_end = this->GrantLease(now);
     const bool is_shared = this->serving_count > 0 && this->filler_count > 0;
-    order.wait = is_shared ? this->settings.shared_renewal_wait
-                           : this->settings.renewal_wait;
+    order.wait = is_shared                  ? this->settings.shared_renewal_wait
+                 : this->known_runs.empty() ? this->settings.idle_renewal_wait
+                                            : this->settings.renewal_wait;
   }
   return order;
 }
 
+void WorkerSession::NoteRecorded(std::uint64_t after) {
+  this->open_ends.erase(after);
+  this->acknowledged_ends =
+      this->open_ends.empty() ? this->seen_ends : *this->open_ends.begin();
+}
+
+RenewOrder WorkerSession::NextLook(LeaderEpoch epoch) const {
+  return RenewOrder{.worker = this->description.id,
+                    .address = this->description.address,
+                    .epoch = epoch,
+                    .acknowledged_ends = this->acknowledged_ends};
+}
+
 WorkerTime WorkerSession::GrantLease(SteadyTime now) {
   const auto [reading, read_at] = *this->clock;
   const std::int64_t passed = (now - read_at).count() *
@@ -84,6 +98,7 @@
 
 void WorkerSession::Reset() {
   this->has_answered = false;
+  this->last_report = {};
   this->known_runs.clear();
   this->step_counts.clear();
   this->used = {};
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -24,9 +25,11 @@
   // a leader, the next election and its first round of renewals; the platform
   // bounds it from above.
   Milliseconds length{6'000};
-  // How long a worker may keep a renewal's answer back. Bounds how late a
-  // silent worker is noticed.
-  Milliseconds renewal_wait{1'000};
+  // How long a worker may keep a renewal's answer back: one on which nothing
+  // runs, and one on which something does. Bounds how late a silent worker, or
+  // a lost answer, is noticed.
+  Milliseconds idle_renewal_wait{1'000};
+  Milliseconds renewal_wait{600};
   // The same where runs that fill stand beside runs that serve: their pace
   // follows the reports.
   Milliseconds shared_renewal_wait{500};
@@ -90,6 +93,16 @@
   // after the clock is known.
   WorkerTime GrantLease(SteadyTime now);
 
+  // What runs and has ended there, asked without waiting and without a renewal.
+  RenewOrder NextLook(LeaderEpoch epoch) const;
+
+  // True unless a later report was taken already: reports may overtake each
+  // other.
+  bool IsNewest(WorkerTime report_clock) const {
+    return report_clock >= this->last_report;
+  }
+  void NoteReport(WorkerTime report_clock) { this->last_report = report_clock; }
+
   // Takes in the clock of an answer.
   void NoteClock(WorkerTime clock, SteadyTime now);
   // Takes in that the worker answered.
@@ -139,7 +152,14 @@
 
   // How fast fillers may work there.
   PaceState filler_pace;
+  // A stop was answered, and only a report tells how its run ended.
+  bool needs_look = false;
+  // Takes in that the ends that came right after this number are on record.
+  void NoteRecorded(std::uint64_t after);
+
   std::uint64_t seen_ends = 0;
+  // Where the lots of ends begin that are not on record yet.
+  std::set<std::uint64_t> open_ends;
   std::uint64_t acknowledged_ends = 0;
   // No starts before this, after the worker said it had no room.
   SteadyTime full_until{};
@@ -152,6 +172,8 @@
   int failures = 0;
   SteadyTime session_began;
   SteadyTime bound;
+  // The clock of the last report.
+  WorkerTime last_report;
   // The latest reading of the worker's clock and when it came.
   std::optional<std::pair<WorkerTime, SteadyTime>> clock;
   std::map<std::pair<jobs::TaskId, RunNumber>, Run> known_runs;
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -13,7 +13,7 @@
 constexpr Milliseconds kPlanInterval{50};
 // The list is fetched this often while a wave is under way. Each fetch has a
 // price, and what changes fast is seen from the workers.
-constexpr Milliseconds kListInterval{4'000};
+constexpr Milliseconds kListInterval{2'000};
 // Without a wave it only shows instances that others added or took away.
 constexpr Milliseconds kQuietListInterval{15'000};
 // While a worker fails to answer, the list tells whether its instance is up.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -580,11 +580,35 @@
   for (jobs::Command& command : output.commands) {
     this->ProposeInBackground(std::move(command));
   }
+  for (const scheduler::RenewOrder& look : output.looks) {
+    this->Look(look);
+  }
   if (output.question) {
     this->AskForAdvice(*std::move(output.question));
   }
 }
 
+// A report beside the renewals; what it tells is taken in like theirs.
+void JobController::Look(const scheduler::RenewOrder& look) {
+  const Term term = this->leading_term;
+  this->tasks.add(this->worker_calls.look(look).then(
+      [this, term, worker = look.worker](
+          const scheduler::RenewAnswer& answer) -> kj::Promise<void> {
+        const bool is_ours = this->scheduler && this->leading_term == term;
+        if (!is_ours || answer.result != scheduler::OrderResult::kDone) {
+          // The next renewal tells the same.
+          return kj::READY_NOW;
+        }
+        scheduler::EndsToRecord ends =
+            this->TakeReport(worker, answer.report, this->clock.SteadyNow());
+        this->SchedulePlan();
+        if (ends.up_to == 0) {
+          return kj::READY_NOW;
+        }
+        return this->RecordEnds(worker, std::move(ends));
+      }));
+}
+
 void JobController::AskForAdvice(scheduler::AdviceQuestion question) {
   const Term term = this->leading_term;
   this->tasks.add(this->worker_calls.advise(question).then(
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -62,8 +62,10 @@
   bool forecast = true;
   // Tasks leave workers that fail, stand still or are slow.
   bool leave_bad_workers = true;
-  // Room that a pool should have beyond what it needs, in thousandths.
-  std::int64_t reserve_permille = 150;
+  // Room that a pool should have beyond what it needs, in thousandths. An
+  // instance for a second costs a fiftieth of what a late job does in the worst
+  // seconds of a day: 400 to 700 earned more than 150 (docs/WORTH.md).
+  std::int64_t reserve_permille = 500;
   // Further jobs are refused while so many are accepted and not finished;
   // bounds a controller's memory.
   std::uint64_t most_active_jobs = 20'000;
--- a/tests/libraries/maintenance/maintenance_planner_test.cc
+++ b/tests/libraries/maintenance/maintenance_planner_test.cc
@@ -175,6 +175,29 @@
   EXPECT_LE(this->LookForOrders().size(), 3U);
 }
 
+// It costs no capacity, so only the wave's bound holds it back.
+TEST_F(MaintenancePlannerTest, InstancesThatAreOffDoNotWaitForTheRamp) {
+  std::vector<ListedInstance> list;
+  std::vector<InstanceName> names;
+  for (const char* name : {"a", "b", "c", "d"}) {
+    names.emplace_back(name);
+    list.push_back({.name = InstanceName(name), .state = InstanceState::kUp});
+  }
+  this->AddInstance("a");
+  this->AddInstance("b");
+  this->planner.TakeList(list, this->now);
+  this->StartWave(names, 3, Milliseconds(60'000));
+  std::set<InstanceName> ordered;
+  for (int look = 0; look < 5; ++look) {
+    for (const InstanceOrder& order : this->Look()) {
+      ordered.insert(order.instance);
+    }
+  }
+  EXPECT_TRUE(ordered.contains(InstanceName("c")));
+  EXPECT_TRUE(ordered.contains(InstanceName("d")));
+  EXPECT_LE(ordered.size(), 3U);
+}
+
 TEST_F(MaintenancePlannerTest, ANewLeaderWaitsBeforeItsFirstOrder) {
   this->AddInstance("m1");
   this->StartWave({InstanceName("m1")}, 1);
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -199,18 +199,21 @@
     return;
   }
   if (report) {
-    const EndsToRecord ends =
-        this->scheduler->TakeReport(id, *report, this->now);
-    if (!ends.ends.empty()) {
-      this->Commit(jobs::RecordEnds{ends.ends});
-    }
-    if (ends.up_to > 0) {
-      this->scheduler->NoteRecorded(id, ends);
-    }
+    this->TakeReport(id, *report);
   }
   finish(Milliseconds(20));
 }
 
+void FakeFleet::TakeReport(const WorkerId& id, const RenewReport& report) {
+  const EndsToRecord ends = this->scheduler->TakeReport(id, report, this->now);
+  if (!ends.ends.empty()) {
+    this->Commit(jobs::RecordEnds{ends.ends});
+  }
+  if (ends.up_to > 0) {
+    this->scheduler->NoteRecorded(id, ends);
+  }
+}
+
 void FakeFleet::Plan() {
   SchedulerOutput output =
       this->scheduler->Plan(this->now, WallTime(this->now.time_since_epoch()));
@@ -220,11 +223,26 @@
   for (jobs::Command& command : output.commands) {
     this->Commit(std::move(command));
   }
+  for (const RenewOrder& look : output.looks) {
+    this->Look(look);
+  }
   if (output.question) {
     this->Advise(*output.question);
   }
 }
 
+void FakeFleet::Look(const RenewOrder& look) {
+  const auto found = this->workers.find(look.worker);
+  std::uniform_int_distribution<std::uint32_t> draw(0, 999);
+  if (!this->Reaches(look.worker) || !found->second.is_up ||
+      draw(this->random) < this->lost_report_permille) {
+    return;
+  }
+  if (const auto report = found->second.Renew(look, this->now)) {
+    this->TakeReport(look.worker, *report);
+  }
+}
+
 void FakeFleet::Advise(const AdviceQuestion& question) {
   ++this->questions;
   AdviceAnswer answer{.is_answered = !this->is_policy_silent,
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -563,6 +563,46 @@
   EXPECT_EQ(fleet.worker("w0").running().at(filler).pace, 100U);
 }
 
+// Two reports may be on their way to the record at once; a worker may forget an
+// end only when all before it are on record.
+TEST(SchedulerTest, EndsAreAcknowledgedInTheirOrder) {
+  FakeFleet fleet(1);
+  fleet.PassTime(Milliseconds(100));
+  const WorkerId worker("w0");
+  const auto report = [](std::int64_t clock, std::uint64_t last) {
+    RenewReport report{.clock = WorkerTime(clock)};
+    for (std::uint64_t number = 1; number <= last; ++number) {
+      report.ended.push_back(
+          {.number = number, .task = {{JobId("gone"), 0, 0}, 0}});
+    }
+    return report;
+  };
+  constexpr std::int64_t kLater = 100'000'000;
+  const EndsToRecord first =
+      fleet.scheduler->TakeReport(worker, report(kLater, 1), fleet.now);
+  const EndsToRecord second =
+      fleet.scheduler->TakeReport(worker, report(kLater + 1, 3), fleet.now);
+  EXPECT_EQ(second.after, 1U);
+  fleet.scheduler->NoteRecorded(worker, second);
+  EXPECT_EQ(fleet.scheduler->NextRenewal(worker, fleet.now)->acknowledged_ends,
+            0U);
+  fleet.scheduler->NoteRecorded(worker, first);
+  EXPECT_EQ(fleet.scheduler->NextRenewal(worker, fleet.now)->acknowledged_ends,
+            3U);
+}
+
+TEST(SchedulerTest, AReportThatWasOvertakenChangesNothing) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(5'000);
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(300));
+  const RenewReport old{.clock = WorkerTime(1)};
+  fleet.scheduler->TakeReport(WorkerId("w0"), old, fleet.now);
+  fleet.PassTime(Milliseconds(300));
+  EXPECT_EQ(fleet.starts, 1U);
+  EXPECT_EQ(fleet.CountRunning("job"), 1U);
+}
+
 TEST(SchedulerTest, AnUnansweredStartIsStoppedBeforeTheTaskGoesElsewhere) {
   FakeFleet fleet(2);
   fleet.work = Milliseconds(2'000);
