Sumacd, Sumacctl: Open the operators' door to jobs of steps

Processes found from seeds had no operators' door. Found by that test: since the log is a bounded queue, every planned stop ended in a crash after main, in the destructor of an appender that outlived log4cxx's memory pools (backtrace by gdb).

--- a/libraries/jobs/requests.h
+++ b/libraries/jobs/requests.h
@@ -88,8 +88,27 @@
   }
 };
 
-using Request =
-    std::variant<SubmitAt, ShowAt, CancelAt, Commit, ReadDeclaration, ShowWave>;
+// An operator's question about all jobs, workers, waves, queues, pools or
+// controllers, or about one that it names.
+struct Show {
+  static constexpr std::string_view kTypeName = "show";
+  std::string kind;
+  std::string name;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Required("kind", self.kind);
+    visitor.Field("name", self.name);
+  }
+};
+
+using Request = std::variant<SubmitAt,
+                             ShowAt,
+                             CancelAt,
+                             Commit,
+                             ReadDeclaration,
+                             ShowWave,
+                             Show>;
 
 }  // namespace sumac::jobs
 
--- a/libraries/log/json_log.cc
+++ b/libraries/log/json_log.cc
@@ -91,8 +91,10 @@
   EventRate rate{kMostLinesPerSecond};
 };
 
+// NOTE: Never destroyed: log4cxx takes its memory pools down when the process
+// ends, and an appender that outlives them crashes in its destructor.
 LogState& State() {
-  static LogState state;
+  static LogState& state = *new LogState;
   return state;
 }
 
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -884,6 +884,11 @@
   if (memory == nullptr || memory->moves >= this->settings.most_moves) {
     return false;
   }
+  // NOTE: A long-running task that was not at work by the last report may be by
+  // the time the stop arrives, so its budget counts all the same.
+  if (!this->MayTakeAway(run.task)) {
+    return false;
+  }
   if (pace != RunPace::kStalled) {
     constexpr std::int64_t kWholePercent = 100;
     const std::int64_t percent = std::max<std::int64_t>(run.percent, 1);
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -169,6 +169,11 @@
   // How many accepted jobs of a queue have not begun.
   std::uint64_t CountPending(const QueueName& queue) const;
 
+  // True while a worker gets no tasks because of how its runs went.
+  bool IsSetAside(const WorkerId& worker, SteadyTime now) const {
+    return this->health.IsQuarantined(worker, now);
+  }
+
   // What was declared of a task's step; nothing if the job is not known.
   const jobs::StepSpec* FindStep(const jobs::TaskId& task) const;
 
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -11,6 +11,7 @@
 #include "libraries/codec/json_reader.h"
 #include "libraries/codec/json_writer.h"
 #include "libraries/log/json_log.h"
+#include "services/sumacd/job_queries.h"
 
 namespace sumac::daemon {
 namespace {
@@ -402,6 +403,12 @@
   return fleet::Answer{.document = {{"is_done", wave->second.is_done()}}};
 }
 
+kj::Promise<fleet::Answer> JobController::Serve(const jobs::Show& request) {
+  return AnswerQuery(
+      JobSources{this->jobs_state, *this->scheduler, this->host->replica()},
+      request.kind, request.name, this->clock.SteadyNow());
+}
+
 // Starts to renew workers that are new and stops it for those that are gone.
 void JobController::SyncWorkers() {
   this->scheduler->SyncWorkers(this->clock.SteadyNow());
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -100,6 +100,7 @@
   kj::Promise<fleet::Answer> Serve(const jobs::Commit& request);
   kj::Promise<fleet::Answer> Serve(const jobs::ReadDeclaration& request);
   kj::Promise<fleet::Answer> Serve(const jobs::ShowWave& request);
+  kj::Promise<fleet::Answer> Serve(const jobs::Show& request);
 
   void SyncWorkers();
   kj::Promise<void> RenewLoop(const WorkerId& worker, Term term);
--- /dev/null
+++ b/services/sumacd/job_queries.cc
@@ -0,0 +1,218 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/job_queries.h"
+
+#include <array>
+#include <functional>
+#include <string_view>
+#include <utility>
+
+#include "libraries/base/text.h"
+#include "libraries/codec/json_writer.h"
+
+namespace sumac::daemon {
+namespace {
+
+// Jobs in one answer; an answer must stay within one message.
+constexpr std::size_t kMostJobsShown = 500;
+
+using Rows = nlohmann::json;
+
+std::string_view StateOf(const JobSources& sources, const jobs::Job& job) {
+  return !job.is_active()                  ? NameOf(job.state)
+         : sources.scheduler.HasBegun(job) ? "running"
+                                           : "queued";
+}
+
+Rows DescribeJob(const JobSources& sources, const jobs::Job& job) {
+  std::uint64_t tasks = 0;
+  std::uint64_t done = 0;
+  for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences();
+       ++occurrence) {
+    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+      tasks += job.spec.steps[step].count;
+      done += job.CountDone(occurrence, step);
+    }
+  }
+  return {{"id", job.id.value()},
+          {"queue", job.queue.value()},
+          {"service", job.service.value()},
+          {"state", StateOf(sources, job)},
+          {"reason", job.reason},
+          {"steps", job.spec.steps.size()},
+          {"tasks", tasks},
+          {"done", done},
+          {"accepted_at_ms", job.accepted_at.time_since_epoch().count()}};
+}
+
+// Every run of the job that the leader knows of.
+Rows DescribeRuns(const JobSources& sources, const JobId& job) {
+  Rows rows = Rows::array();
+  for (const auto& [worker, session] : sources.scheduler.sessions()) {
+    for (const auto& [key, run] : session.runs()) {
+      if (run.task.step.job == job) {
+        rows.push_back({{"task", run.task.ToText()},
+                        {"run", run.number.value()},
+                        {"worker", worker.value()},
+                        {"percent", run.percent}});
+      }
+    }
+  }
+  return rows;
+}
+
+fleet::Answer ShowJobs(const JobSources& sources, const std::string& name) {
+  if (!name.empty()) {
+    const jobs::Job* job = sources.state.FindJob(JobId(name));
+    if (job == nullptr) {
+      return {.code = ResultCode::kUnknownName,
+              .message = StrCat("no job ", name, " is known")};
+    }
+    Rows document = DescribeJob(sources, *job);
+    document["spec"] = ToJson(job->spec);
+    document["runs"] = DescribeRuns(sources, job->id);
+    return {.document = std::move(document)};
+  }
+  Rows rows = Rows::array();
+  for (const auto& [sequence, job] : sources.state.active_jobs()) {
+    if (rows.size() < kMostJobsShown) {
+      rows.push_back(DescribeJob(sources, *job));
+    }
+  }
+  const std::size_t active = sources.state.active_jobs().size();
+  return {.message = active > rows.size()
+                         ? StrCat("the first ", rows.size(), " of ", active)
+                         : "",
+          .document = std::move(rows)};
+}
+
+Rows DescribeWorker(const scheduler::Scheduler& scheduler,
+                    const scheduler::WorkerSession& session,
+                    SteadyTime now) {
+  const jobs::Worker& worker = session.worker();
+  return {{"id", worker.id.value()},
+          {"instance", worker.instance.value()},
+          {"service", worker.service.value()},
+          {"data_centre", worker.data_centre.value()},
+          {"rack", worker.rack.value()},
+          {"runs", session.runs().size()},
+          {"free_millicores", session.Room().millicores},
+          {"state", worker.is_draining                     ? "draining"
+                    : !session.is_answering()              ? "silent"
+                    : scheduler.IsSetAside(worker.id, now) ? "set-aside"
+                                                           : "ready"},
+          {"silent_ms", (now - session.last_answer).count()}};
+}
+
+fleet::Answer ShowWorkers(const JobSources& sources,
+                          const std::string& name,
+                          SteadyTime now) {
+  Rows rows = Rows::array();
+  for (const auto& [id, session] : sources.scheduler.sessions()) {
+    if (name.empty() || name == id.value()) {
+      rows.push_back(DescribeWorker(sources.scheduler, session, now));
+    }
+  }
+  if (!name.empty() && rows.empty()) {
+    return {.code = ResultCode::kUnknownName,
+            .message = StrCat("no worker ", name, " is known")};
+  }
+  return {.document = std::move(rows)};
+}
+
+fleet::Answer ShowWaves(const JobSources& sources) {
+  Rows rows = Rows::array();
+  for (const auto& [id, wave] : sources.state.waves()) {
+    std::uint64_t over = 0;
+    for (const auto& [name, instance] : wave.instances) {
+      over += static_cast<std::uint64_t>(instance.state ==
+                                         jobs::MaintenanceState::kOver);
+    }
+    rows.push_back({{"id", id.value()},
+                    {"instances", wave.instances.size()},
+                    {"over", over},
+                    {"down", wave.CountDown()},
+                    {"most_at_once", wave.most_at_once},
+                    {"state", wave.is_done() ? "done" : "running"}});
+  }
+  return {.document = std::move(rows)};
+}
+
+fleet::Answer ShowQueues(const JobSources& sources) {
+  Rows rows = Rows::array();
+  for (const jobs::QueueDeclaration& queue :
+       sources.state.declaration().queues()) {
+    rows.push_back({{"name", queue.name.value()},
+                    {"service", queue.service.value()},
+                    {"priority", queue.priority},
+                    {"pending", sources.scheduler.CountPending(queue.name)},
+                    {"has_policy", queue.placement_policy.has_value()}});
+  }
+  return {.document = std::move(rows)};
+}
+
+fleet::Answer ShowPools(const JobSources& sources) {
+  std::map<ServiceName, std::pair<std::size_t, std::size_t>> counts;
+  for (const auto& [id, session] : sources.scheduler.sessions()) {
+    auto& [workers, runs] = counts[session.worker().service];
+    ++workers;
+    runs += session.runs().size();
+  }
+  Rows rows = Rows::array();
+  for (const auto& [name, service] : sources.state.declaration().services()) {
+    const auto& [workers, runs] = counts[name];
+    rows.push_back({{"name", name.value()},
+                    {"is_headroom", service.is_headroom},
+                    {"workers", workers},
+                    {"runs", runs}});
+  }
+  return {.document = std::move(rows)};
+}
+
+fleet::Answer ShowControllers(const JobSources& sources) {
+  const replication::Membership& members = sources.replica.membership();
+  Rows rows = Rows::array();
+  const auto add = [&](const replication::NodeId& node, const char* kind) {
+    rows.push_back({{"node", node.value()},
+                    {"kind", kind},
+                    {"leads", node == sources.replica.self()}});
+  };
+  for (const replication::NodeId& voter : members.voters) {
+    add(voter, "voter");
+  }
+  for (const replication::NodeId& learner : members.learners) {
+    add(learner, "learner");
+  }
+  return {.document = std::move(rows)};
+}
+
+}  // namespace
+
+fleet::Answer AnswerQuery(const JobSources& sources,
+                          const std::string& kind,
+                          const std::string& name,
+                          SteadyTime now) {
+  if (kind == "jobs") {
+    return ShowJobs(sources, name);
+  }
+  if (kind == "workers") {
+    return ShowWorkers(sources, name, now);
+  }
+  if (kind == "waves") {
+    return ShowWaves(sources);
+  }
+  if (kind == "queues") {
+    return ShowQueues(sources);
+  }
+  if (kind == "pools") {
+    return ShowPools(sources);
+  }
+  if (kind == "controllers") {
+    return ShowControllers(sources);
+  }
+  return {.code = ResultCode::kBadArgument,
+          .message = StrCat("found kind ", kind,
+                            ", allowed: jobs, workers, waves, queues, pools or "
+                            "controllers")};
+}
+
+}  // namespace sumac::daemon
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -30,6 +30,7 @@
 #include "platform/worker_client.h"
 #include "services/sumacd/job_controller.h"
 #include "services/sumacd/jobs_link.h"
+#include "services/sumacd/node_operator_service.h"
 #include "services/sumacd/node_peer_service.h"
 #include "services/sumacd/peers.h"
 
@@ -89,6 +90,12 @@
       disk, settings.data_folder, identity);
 }
 
+// A Cap'n Proto door that listens.
+struct RpcDoor {
+  kj::Own<kj::ConnectionReceiver> receiver;
+  kj::Own<capnp::TwoPartyServer> server;
+};
+
 // One running process.
 class NodeDaemon {
  public:
@@ -122,6 +129,8 @@
                         http::AsyncDoor::Handler handler);
   absl::Status OpenMetricsDoor();
   absl::Status ListenToPeers();
+  absl::Status OpenRpcDoor(const std::string& address,
+                           capnp::Capability::Client service);
   platform::AskLeader AskLeader();
   http::DoorReply ReplyToHealthCheck() const;
   bool IsReady() const;
@@ -151,8 +160,7 @@
   std::unique_ptr<http::AsyncDoor> caller_door;
   std::unique_ptr<http::AsyncDoor> health_door;
   std::unique_ptr<http::AsyncDoor> metrics_door;
-  kj::Own<capnp::TwoPartyServer> peer_server;
-  kj::Own<kj::ConnectionReceiver> peer_receiver;
+  std::vector<RpcDoor> rpc_doors;
   bool is_stopping = false;
   std::int64_t file_changed_at = 0;
   std::vector<kj::Promise<void>> running;
@@ -170,6 +178,12 @@
   } else {
     TRY(this->StartEntry());
   }
+  if (!this->settings.operators_door.empty()) {
+    TRY(this->OpenRpcDoor(
+        this->settings.operators_door,
+        kj::heap<NodeOperatorService>(this->settings, *this->link,
+                                      this->controller.get())));
+  }
   if (!this->settings.metrics_door.empty()) {
     TRY(this->OpenMetricsDoor());
   }
@@ -244,25 +258,31 @@
 }
 
 absl::Status NodeDaemon::ListenToPeers() {
-  const std::string address = this->settings.process().value();
+  return this->OpenRpcDoor(this->settings.process().value(),
+                           kj::heap<NodePeerService>(*this->controller));
+}
+
+absl::Status NodeDaemon::OpenRpcDoor(const std::string& address,
+                                     capnp::Capability::Client service) {
+  RpcDoor door;
   try {
-    this->peer_receiver = this->io.provider->getNetwork()
-                              .parseAddress(address)
-                              .wait(this->io.waitScope)
-                              ->listen();
+    door.receiver = this->io.provider->getNetwork()
+                        .parseAddress(address)
+                        .wait(this->io.waitScope)
+                        ->listen();
   } catch (const kj::Exception& error) {
     return MakeError(ResultCode::kSettingsInvalid,
                      StrCat("can't listen on ", address, ": ",
                             error.getDescription().cStr()));
   }
-  this->peer_server = kj::heap<capnp::TwoPartyServer>(
-      kj::heap<NodePeerService>(*this->controller));
-  this->running.push_back(this->peer_server->listen(*this->peer_receiver)
+  door.server = kj::heap<capnp::TwoPartyServer>(kj::mv(service));
+  this->running.push_back(door.server->listen(*door.receiver)
                               .eagerlyEvaluate([](kj::Exception&& error) {
                                 LogEvent(
                                     LogLevel::kError, "listening-failed",
                                     {{"error", error.getDescription().cStr()}});
                               }));
+  this->rpc_doors.push_back(kj::mv(door));
   return absl::OkStatus();
 }
 
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -108,6 +108,8 @@
   // Entries only.
   std::string caller_door;
   std::string health_door;
+  // Where operators reach this process, as IP:PORT; empty for nowhere.
+  std::string operators_door;
   // Where this process gives out its metrics, as IP:PORT; empty for nowhere.
   std::string metrics_door;
   // The platform's door for instances, as IP:PORT; empty if there is none.
@@ -133,6 +135,7 @@
     visitor.Field("control_door", self.control_door);
     visitor.Field("caller_door", self.caller_door);
     visitor.Field("health_door", self.health_door);
+    visitor.Field("operators_door", self.operators_door);
     visitor.Field("metrics_door", self.metrics_door);
     visitor.Field("instances_door", self.instances_door);
     visitor.Field("advice_door", self.advice_door);
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -190,6 +190,21 @@
   EXPECT_EQ(fleet.problem, "");
 }
 
+// By the time the stop arrives it may be at work.
+TEST(SchedulerTest, ALongRunningTaskIsGivenUpOnlyWithinItsBudget) {
+  for (const std::uint32_t budget : {0U, 1U}) {
+    FakeFleet fleet(2);
+    fleet.work = Milliseconds(60'000);
+    fleet.worker("w0").stands_still = true;
+    fleet.Submit("job", {.count = 1,
+                         .is_long_running = true,
+                         .has_disruption_budget = true,
+                         .disruption_budget = budget});
+    fleet.PassTime(Milliseconds(4'000));
+    EXPECT_EQ(fleet.starts, 1U + budget);
+  }
+}
+
 // Tasks of one queue differ; one that is three times as long as the others is
 // no sign of a slow worker.
 TEST(SchedulerTest, ALongTaskIsNotGivenUp) {
