Maintenance: Let work that earns nothing any more give way between pools

Now such work may use what is off, and its pool gives instances up as soon as another pool needs them for work that can earn. Test: LateWorkTakesOnlyWhatIsOffAndGivesItBack.

--- a/libraries/jobs/service_demand.h
+++ b/libraries/jobs/service_demand.h
@@ -11,6 +11,8 @@
   // Of short tasks that run or could run, or what the jobs that arrive now will
   // keep busy, if that is more.
   std::int64_t short_millicores = 0;
+  // Of short tasks whose jobs are so late that they earn nothing any more.
+  std::int64_t late_millicores = 0;
   // Of long-running tasks.
   std::int64_t lasting_millicores = 0;
   // Instances over which the tasks of one step must be spread at least.
--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -129,25 +129,50 @@
   for (auto& [name, pool] : pools) {
     std::sort(pool.movable.begin(), pool.movable.end());
     const auto needed = demand.find(name);
+    pool.want = IsHeadroom(state, name) ? 0 : this->settings.fewest_per_pool;
+    pool.want_with_late = pool.want;
     if (IsHeadroom(state, name) || needed == demand.end() ||
         pool.instance_millicores == 0) {
-      pool.want = IsHeadroom(state, name) ? 0 : this->settings.fewest_per_pool;
       continue;
     }
-    const std::int64_t millicores =
-        needed->second.lasting_millicores +
-        needed->second.short_millicores *
-            (kPermille + this->settings.reserve_permille) / kPermille;
-    pool.want = std::max({this->settings.fewest_per_pool,
-                          needed->second.fewest_instances,
-                          (millicores + pool.instance_millicores - 1) /
-                              pool.instance_millicores});
+    const jobs::ServiceDemand& service = needed->second;
+    const auto instances_for = [&](std::int64_t short_millicores) {
+      const std::int64_t millicores =
+          service.lasting_millicores +
+          short_millicores * (kPermille + this->settings.reserve_permille) /
+              kPermille;
+      return std::max({this->settings.fewest_per_pool, service.fewest_instances,
+                       (millicores + pool.instance_millicores - 1) /
+                           pool.instance_millicores});
+    };
+    pool.want = instances_for(service.short_millicores);
+    pool.want_with_late =
+        instances_for(service.short_millicores + service.late_millicores);
   }
   return pools;
 }
 
+// Sends instances of a pool that has more than it needs, the emptiest first,
+// until none is missing.
+void CapacityPlanner::TakeFrom(
+    const ServiceName& from,
+    Pool& pool,
+    const ServiceName& to,
+    std::int64_t& missing,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now) {
+  while (missing > 0 && pool.have > pool.want && !pool.movable.empty()) {
+    const InstanceName name = pool.movable.front().second;
+    pool.movable.erase(pool.movable.begin());
+    --pool.have;
+    --missing;
+    this->BeginMove(name, from, to, facts, now);
+  }
+}
+
 // Pools that have too few take instances that are off first, then those of
-// pools that have more than they need.
+// pools that have more than they need. For work that earns nothing any more a
+// pool takes only what is off, and gives it back as soon as another needs it.
 void CapacityPlanner::GrowPools(
     const jobs::JobsState& state,
     std::map<ServiceName, Pool>& pools,
@@ -164,19 +189,21 @@
     std::int64_t missing = -lack;
     for (const bool takes_headroom : {true, false}) {
       for (auto& [from, pool] : pools) {
-        if (from == to || IsHeadroom(state, from) != takes_headroom) {
-          continue;
-        }
-        while (missing > 0 && pool.have > pool.want && !pool.movable.empty()) {
-          const InstanceName name = pool.movable.front().second;
-          pool.movable.erase(pool.movable.begin());
-          --pool.have;
-          --missing;
-          this->BeginMove(name, from, to, facts, now);
+        if (from != to && IsHeadroom(state, from) == takes_headroom) {
+          this->TakeFrom(from, pool, to, missing, facts, now);
         }
       }
     }
   }
+  for (auto& [to, needy] : pools) {
+    std::int64_t missing =
+        needy.want_with_late - std::max(needy.have, needy.want);
+    for (auto& [from, pool] : pools) {
+      if (IsHeadroom(state, from) && !IsHeadroom(state, to)) {
+        this->TakeFrom(from, pool, to, missing, facts, now);
+      }
+    }
+  }
 }
 
 // Pools that have had too many for a while send empty instances to a pool whose
@@ -193,7 +220,7 @@
     return;
   }
   for (auto& [name, pool] : pools) {
-    if (IsHeadroom(state, name) || pool.have <= pool.want) {
+    if (IsHeadroom(state, name) || pool.have <= pool.want_with_late) {
       this->surplus_since.erase(name);
       continue;
     }
@@ -201,7 +228,7 @@
     if (now - since < this->settings.surplus_time) {
       continue;
     }
-    while (pool.have > pool.want && !pool.movable.empty() &&
+    while (pool.have > pool.want_with_late && !pool.movable.empty() &&
            pool.movable.front().first == 0) {
       const InstanceName instance = pool.movable.front().second;
       pool.movable.erase(pool.movable.begin());
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -94,7 +94,9 @@
   struct Pool {
     std::int64_t instance_millicores = 0;
     std::int64_t have = 0;
+    // What it needs, and what it would use with work that earns nothing.
     std::int64_t want = 0;
+    std::int64_t want_with_late = 0;
     // Instances that could go, the emptiest first.
     std::vector<std::pair<std::int64_t, InstanceName>> movable;
   };
@@ -118,6 +120,12 @@
                  std::map<ServiceName, Pool>& pools,
                  const std::map<InstanceName, InstanceFacts>& facts,
                  SteadyTime now);
+  void TakeFrom(const ServiceName& from,
+                Pool& pool,
+                const ServiceName& to,
+                std::int64_t& missing,
+                const std::map<InstanceName, InstanceFacts>& facts,
+                SteadyTime now);
   void ShrinkPools(const jobs::JobsState& state,
                    std::map<ServiceName, Pool>& pools,
                    const std::map<InstanceName, InstanceFacts>& facts,
--- a/libraries/scheduler/demand_meter.cc
+++ b/libraries/scheduler/demand_meter.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "libraries/scheduler/urgency.h"
+
 namespace sumac::scheduler {
 
 // Counts the jobs that were accepted since the last look.
@@ -28,34 +30,46 @@
   }
 }
 
+// Adds what the steps of one occurrence need that could run now.
+void DemandMeter::AddOccurrence(const jobs::Job& job,
+                                std::uint32_t occurrence,
+                                WallTime wall_now,
+                                jobs::ServiceDemand& service) const {
+  constexpr bool kBySlack = true;
+  constexpr std::uint32_t kWorthlessFrom = 2;
+  const bool is_late =
+      UrgencyOf(job, occurrence, this->state.declaration().FindQueue(job.queue),
+                this->run_times, kBySlack, wall_now)
+          .lateness >= kWorthlessFrom;
+  for (std::uint32_t number = 0; number < job.spec.steps.size(); ++number) {
+    const jobs::StepSpec& step = job.spec.steps[number];
+    if (step.is_filler || job.IsStepDone(occurrence, number) ||
+        !job.IsStepReady(occurrence, number)) {
+      continue;
+    }
+    const std::int64_t left = step.count - job.CountDone(occurrence, number);
+    if (step.most_per_worker > 0) {
+      service.fewest_instances =
+          std::max(service.fewest_instances,
+                   (left + step.most_per_worker - 1) / step.most_per_worker);
+    }
+    std::int64_t& millicores = step.is_long_running ? service.lasting_millicores
+                               : is_late            ? service.late_millicores
+                                                    : service.short_millicores;
+    millicores += left * step.need.millicores;
+  }
+}
+
 std::map<ServiceName, jobs::ServiceDemand> DemandMeter::Measure(
     SteadyTime now,
     WallTime wall_now) {
   this->NoteArrivals(now);
   std::map<ServiceName, jobs::ServiceDemand> demand;
   for (const auto& [sequence, job] : this->state.active_jobs()) {
-    jobs::ServiceDemand& service = demand[job->service];
     for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
                                        job->DueAt(occurrence) <= wall_now;
          ++occurrence) {
-      for (std::uint32_t number = 0; number < job->spec.steps.size();
-           ++number) {
-        const jobs::StepSpec& step = job->spec.steps[number];
-        if (step.is_filler || job->IsStepDone(occurrence, number) ||
-            !job->IsStepReady(occurrence, number)) {
-          continue;
-        }
-        const std::int64_t left =
-            step.count - job->CountDone(occurrence, number);
-        if (step.most_per_worker > 0) {
-          service.fewest_instances = std::max(
-              service.fewest_instances,
-              (left + step.most_per_worker - 1) / step.most_per_worker);
-        }
-        (step.is_long_running ? service.lasting_millicores
-                              : service.short_millicores) +=
-            left * step.need.millicores;
-      }
+      this->AddOccurrence(*job, occurrence, wall_now, demand[job->service]);
     }
   }
   for (auto& [service, rate] : this->arrivals) {
--- a/libraries/scheduler/demand_meter.h
+++ b/libraries/scheduler/demand_meter.h
@@ -33,6 +33,10 @@
                                                      WallTime wall_now);
 
  private:
+  void AddOccurrence(const jobs::Job& job,
+                     std::uint32_t occurrence,
+                     WallTime wall_now,
+                     jobs::ServiceDemand& service) const;
   void NoteArrivals(SteadyTime now);
 
   const jobs::JobsState& state;
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -214,6 +214,25 @@
   EXPECT_EQ(again.orders[0].instance, moved);
 }
 
+// A backlog that is too late earns nothing: it may use what is off, and no more.
+TEST_F(CapacityPlannerTest, LateWorkTakesOnlyWhatIsOffAndGivesItBack) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 4);
+  this->AddIdle(1);
+  this->demand[kBusy].late_millicores = 10 * kCores;
+  this->demand[kQuiet] = {};
+  const CapacityOutput output = this->Plan();
+  ASSERT_EQ(PoolsOf(output), std::vector<std::string>{"busy"});
+  EXPECT_EQ(output.orders[0].instance, InstanceName("idle0"));
+  // Another pool needs more than it has: late work gives way.
+  this->AddInstances(kBusy, 4);
+  this->demand[kQuiet].short_millicores = 6 * kCores;
+  for (const std::string& pool : PoolsOf(this->Plan())) {
+    EXPECT_EQ(pool, "quiet");
+  }
+  EXPECT_FALSE(this->planner.Moving().empty());
+}
+
 TEST_F(CapacityPlannerTest, AFencedLeaderGivesNoMoreOrders) {
   this->AddInstances(kBusy, 2);
   this->AddInstances(kQuiet, 2);
