--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/job_controller.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -262,7 +264,54 @@
       this->have_workers_changed ||
       std::holds_alternative<jobs::RecordWorker>(stamped->command) ||
       std::holds_alternative<jobs::ForgetWorker>(stamped->command);
-  return this->jobs_state.Apply(*stamped);
+  const std::vector<JobId> touched = this->ActiveJobsOf(stamped->command);
+  fleet::Answer answer = this->jobs_state.Apply(*stamped);
+  this->LogFinished(touched);
+  return answer;
+}
+
+// The active jobs that a command may finish; while another controller leads,
+// none: it writes the lines about them.
+std::vector<JobId> JobController::ActiveJobsOf(
+    const jobs::Command& command) const {
+  std::vector<JobId> jobs;
+  const auto add = [&](const JobId& id) {
+    const jobs::Job* job = this->jobs_state.FindJob(id);
+    if (job != nullptr && job->is_active()) {
+      jobs.push_back(id);
+    }
+  };
+  if (!this->is_leading()) {
+    return jobs;
+  }
+  if (const auto* cancel = std::get_if<jobs::CancelJob>(&command)) {
+    add(cancel->job);
+  } else if (const auto* ends = std::get_if<jobs::RecordEnds>(&command)) {
+    std::set<JobId> ended;
+    for (const jobs::RunEnd& end : ends->ends) {
+      ended.insert(end.task.step.job);
+    }
+    std::for_each(ended.begin(), ended.end(), add);
+  }
+  return jobs;
+}
+
+void JobController::LogFinished(const std::vector<JobId>& touched) {
+  for (const JobId& id : touched) {
+    const jobs::Job* job = this->jobs_state.FindJob(id);
+    if (job == nullptr || job->is_active()) {
+      continue;
+    }
+    const Milliseconds took = job->finished_at - job->accepted_at;
+    this->metrics.Observe("sumac_job_seconds",
+                          std::chrono::duration<double>(took).count());
+    LogEvent(LogLevel::kInfo, "job-finished",
+             {{"job", id.value()},
+              {"queue", job->queue.value()},
+              {"state", NameOf(job->state)},
+              {"reason", job->reason},
+              {"took_ms", took.count()}});
+  }
 }
 
 void JobController::AfterPass() {
@@ -330,6 +379,17 @@
   return this
       ->Propose(
           jobs::SubmitJob{address->job, address->queue->name, request.spec})
+      .then([this, job = address->job,
+             queue = address->queue->name](fleet::Answer&& answer) {
+        LogEvent(LogLevel::kInfo,
+                 answer.is_ok() ? "job-accepted" : "job-not-accepted",
+                 {{"job", job.value()},
+                  {"queue", queue.value()},
+                  {"declaration", this->jobs_state.declaration().version()},
+                  {"code", static_cast<int>(answer.code)},
+                  {"message", answer.message}});
+        return kj::mv(answer);
+      })
       .attach(kj::defer([this, job = address->job] {
         this->open_submissions.erase(this->open_submissions.find(job));
       }));
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -90,6 +90,8 @@
   void StartDeciding();
   void EndLeadership();
   fleet::Answer Apply(const std::string& payload);
+  std::vector<JobId> ActiveJobsOf(const jobs::Command& command) const;
+  void LogFinished(const std::vector<JobId>& touched);
   void AfterPass();
   kj::Promise<fleet::Answer> Propose(jobs::Command command);
   void ProposeInBackground(jobs::Command command);
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -222,7 +222,7 @@
 absl::Status NodeDaemon::StartEntry() {
   this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
                                           this->timer, nullptr);
-  this->caller_adapter.emplace(this->AskLeader());
+  this->caller_adapter.emplace(this->AskLeader(), this->metrics);
   this->running.push_back(this->ProbeLoop().eagerlyEvaluate(nullptr));
   TRY(this->OpenDoor(
       this->caller_door,
--- a/tests/platform/doors_test.cc
+++ b/tests/platform/doors_test.cc
@@ -34,7 +34,7 @@
   http::DoorReply Call(kj::HttpMethod method,
                        const std::string& body = "",
                        const std::string& deadline = "3000") {
-    CallerDoor door(this->Leader());
+    CallerDoor door(this->Leader(), this->metrics);
     http::DoorRequest request{.method = method,
                               .path = "/clips/5c0e7a21d94b36f8",
                               .host = "desk.example:80",
@@ -65,6 +65,7 @@
   };
 
   std::unique_ptr<Turns> turns = std::make_unique<Turns>();
+  http::Metrics metrics;
   jobs::JobsState state;
   fleet::Answer answer;
   std::optional<jobs::Request> asked;
@@ -119,6 +120,19 @@
   EXPECT_GT(this->limit, Milliseconds(0));
 }
 
+TEST_F(DoorsTest, RequestsAreCountedByTheirEnd) {
+  this->Call(kj::HttpMethod::POST, kJob);
+  this->answer = fleet::Answer{.code = ResultCode::kUnknownJob};
+  this->Call(kj::HttpMethod::GET);
+  const std::string text = this->metrics.ToText();
+  EXPECT_NE(text.find(R"(sumac_requests_total{method="POST",status="200"} 1)"),
+            std::string::npos)
+      << text;
+  EXPECT_NE(text.find(R"(sumac_requests_total{method="GET",status="410"} 1)"),
+            std::string::npos)
+      << text;
+}
+
 TEST_F(DoorsTest, AnUnknownJobIsGone) {
   this->answer = fleet::Answer{.code = ResultCode::kUnknownJob};
   EXPECT_EQ(this->Call(kj::HttpMethod::GET).status, 410U);
