--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -136,22 +136,28 @@
       continue;
     }
     const jobs::ServiceDemand& service = needed->second;
-    const auto instances_for = [&](std::int64_t short_millicores) {
-      const std::int64_t millicores =
-          service.lasting_millicores +
-          short_millicores * (kPermille + this->settings.reserve_permille) /
-              kPermille;
-      return std::max({this->settings.fewest_per_pool, service.fewest_instances,
-                       (millicores + pool.instance_millicores - 1) /
-                           pool.instance_millicores});
-    };
-    pool.want = instances_for(service.short_millicores);
-    pool.want_with_late =
-        instances_for(service.short_millicores + service.late_millicores);
+    pool.want = this->InstancesFor(pool, service, service.short_millicores);
+    pool.want_with_late = this->InstancesFor(
+        pool, service, service.short_millicores + service.late_millicores);
   }
   return pools;
 }
 
+// Instances that a pool needs for its long-running tasks and so much short
+// work.
+std::int64_t CapacityPlanner::InstancesFor(
+    const Pool& pool,
+    const jobs::ServiceDemand& service,
+    std::int64_t short_millicores) const {
+  const std::int64_t millicores =
+      service.lasting_millicores +
+      short_millicores * (kPermille + this->settings.reserve_permille) /
+          kPermille;
+  return std::max(
+      {this->settings.fewest_per_pool, service.fewest_instances,
+       (millicores + pool.instance_millicores - 1) / pool.instance_millicores});
+}
+
 // Sends instances of a pool that has more than it needs, the emptiest first,
 // until none is missing.
 void CapacityPlanner::TakeFrom(
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -120,6 +120,9 @@
                  std::map<ServiceName, Pool>& pools,
                  const std::map<InstanceName, InstanceFacts>& facts,
                  SteadyTime now);
+  std::int64_t InstancesFor(const Pool& pool,
+                            const jobs::ServiceDemand& service,
+                            std::int64_t short_millicores) const;
   void TakeFrom(const ServiceName& from,
                 Pool& pool,
                 const ServiceName& to,
--- a/libraries/scheduler/worker_health.cc
+++ b/libraries/scheduler/worker_health.cc
@@ -50,7 +50,7 @@
   }
   // A run that has not shown any progress yet counts with half a hundredth.
   const std::int64_t doubled_percent =
-      std::max<std::int64_t>(2 * progress.percent, 1);
+      std::max<std::int64_t>(2 * std::int64_t{progress.percent}, 1);
   const Milliseconds whole =
       progress.elapsed * (2 * kWholePercent) / doubled_percent;
   if (whole <= kSlowFactor * progress.expected) {
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -651,7 +651,7 @@
     this->Look(look);
   }
   if (output.question) {
-    this->AskForAdvice(*std::move(output.question));
+    this->AskForAdvice(*output.question);
   }
 }
 
@@ -676,7 +676,7 @@
       }));
 }
 
-void JobController::AskForAdvice(scheduler::AdviceQuestion question) {
+void JobController::AskForAdvice(const scheduler::AdviceQuestion& question) {
   const Term term = this->leading_term;
   this->tasks.add(this->worker_calls.advise(question).then(
       [this, term, question](const scheduler::AdviceAnswer& answer) {
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -120,7 +120,7 @@
   void Plan();
   void SendOrder(const scheduler::Order& order);
   void Look(const scheduler::RenewOrder& look);
-  void AskForAdvice(scheduler::AdviceQuestion question);
+  void AskForAdvice(const scheduler::AdviceQuestion& question);
   void LogEvents(const std::vector<scheduler::SchedulerEvent>& events);
 
   const NodeSettings& settings;
