--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -73,6 +73,13 @@
   return found == this->by_id.end() ? nullptr : found->second;
 }
 
+const StepSpec* JobsState::FindStep(const TaskId& task) const {
+  const Job* job = this->FindJob(task.step.job);
+  return job == nullptr || !job->HasTask(task)
+             ? nullptr
+             : &job->spec.steps[task.step.step];
+}
+
 const Worker* JobsState::FindWorker(const WorkerId& id) const {
   const auto found = this->own_record.workers.find(id);
   return found == this->own_record.workers.end() ? nullptr : &found->second;
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -97,6 +97,8 @@
   // Grows whenever a job is finished for good.
   std::uint64_t finish_count() const { return this->finishes; }
   const Job* FindJob(const JobId& id) const;
+  // What was asked of a task's step; nothing if there is no such task.
+  const StepSpec* FindStep(const TaskId& task) const;
   const Worker* FindWorker(const WorkerId& id) const;
   // The jobs that are active, in the order in which they were accepted.
   const std::map<std::uint64_t, const Job*>& active_jobs() const {
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -17,8 +17,6 @@
 // Another life at a worker's address is reported by its next announcement; runs
 // that nobody confirms nor denies are stopped after this.
 constexpr Milliseconds kUnconfirmedTime{1'500};
-// The pace, in hundredths, of a filler that disturbs nobody.
-constexpr std::uint32_t kFullPace = 100;
 
 // The first epoch of a group is 1 and its runs count from 1.
 RunNumber FirstRunOf(LeaderEpoch epoch) {
@@ -35,7 +33,16 @@
       settings(settings),
       epoch(state.epoch()),
       first_own_sequence(state.record().next_sequence),
+      sharing(state),
       placement(this->health),
+      stragglers(
+          state,
+          this->run_times,
+          this->tasks,
+          this->placement,
+          this->health,
+          [this](const jobs::Job& job) { return this->AdviceFor(job); },
+          settings.most_moves),
       demand(state,
              this->run_times,
              settings.forecast,
@@ -118,7 +125,9 @@
   EndsToRecord ends = this->TakeEnds(session, report, now);
   this->TakeRunning(session, report, is_adopting, now);
   this->TakeMissing(session, report);
-  this->FollowSharing(session, now);
+  if (auto reason = this->sharing.TakeReport(session, now)) {
+    this->NotePace(session, *reason);
+  }
   this->needs_plan = this->needs_plan || is_adopting || ends.up_to > 0;
   return ends;
 }
@@ -152,7 +161,7 @@
     }
     const bool is_final =
         end.cause == EndCause::kDone || end.cause == EndCause::kFailed;
-    const jobs::StepSpec* step = this->FindStep(end.task);
+    const jobs::StepSpec* step = this->state.FindStep(end.task);
     if (step != nullptr) {
       TaskMemory& memory = this->tasks.Get(end.task);
       memory.last_run = std::max(memory.last_run, end.run);
@@ -209,7 +218,7 @@
       run->phase = RunPhase::kRunning;
       run->confirmed_clock = report.clock;
     }
-    const jobs::StepSpec* step = this->FindStep(running.task);
+    const jobs::StepSpec* step = this->state.FindStep(running.task);
     if (!running.checkpoint.empty() && step != nullptr) {
       this->CheckpointOf(running.task, *step).checkpoint = running.checkpoint;
     }
@@ -231,7 +240,7 @@
   const bool is_wanted = is_adopting && is_known && is_free &&
                          job->is_active() &&
                          !job->ProgressOf(running.task).is_done;
-  const jobs::StepSpec* step = this->FindStep(running.task);
+  const jobs::StepSpec* step = this->state.FindStep(running.task);
   Run run{
       .task = running.task,
       .number = running.run,
@@ -324,7 +333,10 @@
   } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
     this->TakeStopAnswer(*stop, answer);
   } else if (const auto* pace = std::get_if<PaceOrder>(&order)) {
-    this->TakePaceAnswer(*pace, answer);
+    const auto found = this->workers.find(pace->worker);
+    if (found != this->workers.end()) {
+      Sharing::TakeAnswer(found->second, *pace, answer.result);
+    }
   }
 }
 
@@ -440,107 +452,14 @@
                     now);
 }
 
-// What the last report shows of fillers beside runs that serve users; nothing
-// where they do not stand side by side.
-std::optional<SharingReport> Scheduler::MeasureSharing(
-    const WorkerSession& session) const {
-  constexpr std::int64_t kPermille = 1'000;
-  if (session.serving_runs() == 0 || session.filler_runs() == 0) {
-    return std::nullopt;
-  }
-  SharingReport report;
+void Scheduler::NotePace(const WorkerSession& session,
+                         const std::string& reason) {
+  this->needs_plan = true;
   for (const auto& [key, run] : session.runs()) {
-    const jobs::StepSpec* step = this->FindStep(run.task);
-    if (step == nullptr) {
-      continue;
-    }
     if (run.is_filler) {
-      report.filler_image = step->image;
-    }
-    if (!run.is_serving) {
-      continue;
+      this->Note("filler-paced", run.task, run.number, session.worker().id,
+                 reason);
     }
-    const std::int64_t permille =
-        run.load * kPermille / step->latency_target.count();
-    if (permille >= report.worst_permille) {
-      report.worst_permille = permille;
-      report.serving_image = step->image;
-    }
-  }
-  return report;
-}
-
-// Where a filler begins beside a run that serves, what is known of their images
-// sets its pace.
-void Scheduler::BeginSharing(WorkerSession& session, SteadyTime now) {
-  const std::optional<SharingReport> report = this->MeasureSharing(session);
-  if (!report || session.filler_pace.percent < kFullPace) {
-    return;
-  }
-  session.filler_pace =
-      PaceState{.percent = this->pace_control.FirstPercent(
-                    report->serving_image, report->filler_image),
-                .changed_at = now};
-}
-
-void Scheduler::FollowSharing(WorkerSession& session, SteadyTime now) {
-  const std::optional<SharingReport> report = this->MeasureSharing(session);
-  if (!report) {
-    if (session.serving_runs() == 0 &&
-        session.filler_pace.percent < kFullPace) {
-      session.filler_pace = PaceState{.changed_at = now};
-      this->needs_plan = true;
-    }
-    return;
-  }
-  if (this->pace_control.Update(session.filler_pace, *report, now)) {
-    this->needs_plan = true;
-    for (const auto& [key, run] : session.runs()) {
-      if (run.is_filler) {
-        this->Note(
-            "filler-paced", run.task, run.number, session.worker().id,
-            StrCat("at ", session.filler_pace.percent,
-                   " percent; the worst tail is at ", report->worst_permille,
-                   " thousandths of its target"));
-      }
-    }
-  }
-}
-
-// Tells each filler the pace of its worker, where it was told another.
-void Scheduler::PaceFillers(SchedulerOutput& output) {
-  for (auto& [id, session] : this->workers) {
-    if (session.filler_runs() == 0 || !session.is_answering()) {
-      continue;
-    }
-    for (auto& [key, run] : session.runs()) {
-      if (!run.is_filler || run.phase != RunPhase::kRunning ||
-          run.pace == session.filler_pace.percent) {
-        continue;
-      }
-      run.pace = session.filler_pace.percent;
-      output.orders.emplace_back(
-          PaceOrder{.worker = id,
-                    .address = session.worker().address,
-                    .epoch = this->epoch,
-                    .task = run.task,
-                    .run = run.number,
-                    .percent = session.filler_pace.percent});
-    }
-  }
-}
-
-void Scheduler::TakePaceAnswer(const PaceOrder& order,
-                               const OrderAnswer& answer) {
-  const auto found = this->workers.find(order.worker);
-  if (found == this->workers.end()) {
-    return;
-  }
-  Run* run = found->second.FindRun(order.task, order.run);
-  if (run != nullptr && answer.result != OrderResult::kDone &&
-      run->pace == order.percent) {
-    // It may still have its old pace.
-    run->pace.reset();
   }
 }
 
@@ -575,7 +494,7 @@
 // A gang whose member is missing would hold its room until the others give up
 // waiting; they are stopped at once, so that it can start anew.
 void Scheduler::BreakGang(const jobs::TaskId& member, RunNumber run) {
-  const jobs::StepSpec* step = this->FindStep(member);
+  const jobs::StepSpec* step = this->state.FindStep(member);
   if (step == nullptr || !step->is_gang) {
     return;
   }
@@ -619,11 +538,13 @@
   this->placement.BeginTurn(this->workers, this->cordoned, now);
   this->ForgetGoneWorkers(now, output);
   this->EvacuateCordoned(now);
-  this->GiveUpSlowRuns(now);
+  this->GiveUpStragglers(now);
   this->StopUnwanted(now, output);
   this->advice.BeginTurn();
   this->StartDue(now, wall_now, output);
-  this->PaceFillers(output);
+  for (PaceOrder& order : Sharing::NextOrders(this->workers, this->epoch)) {
+    output.orders.emplace_back(std::move(order));
+  }
   for (auto& [id, session] : this->workers) {
     if (std::exchange(session.needs_look, false)) {
       output.looks.push_back(session.NextLook(this->epoch));
@@ -729,7 +650,7 @@
 }
 
 bool Scheduler::MayTakeAway(const jobs::TaskId& task) const {
-  const jobs::StepSpec* step = this->FindStep(task);
+  const jobs::StepSpec* step = this->state.FindStep(task);
   if (step == nullptr || !step->has_disruption_budget) {
     return true;
   }
@@ -764,7 +685,7 @@
       continue;
     }
     for (auto& [key, run] : session.runs()) {
-      const jobs::StepSpec* step = this->FindStep(run.task);
+      const jobs::StepSpec* step = this->state.FindStep(run.task);
       if (step != nullptr && step->is_long_running &&
           run.phase == RunPhase::kRunning && this->MayTakeAway(run.task) &&
           this->HasPlaceElsewhere(run.task)) {
@@ -779,132 +700,32 @@
 
 // Runs that stand still or crawl are stopped, so that their tasks start again
 // on a worker of which nothing bad is known.
-void Scheduler::GiveUpSlowRuns(SteadyTime now) {
+void Scheduler::GiveUpStragglers(SteadyTime now) {
   if (!this->settings.leaves_bad_workers ||
       now - this->judged_at < this->settings.judge_interval) {
     return;
   }
   this->judged_at = now;
-  for (auto& [id, session] : this->workers) {
-    if (session.is_answering()) {
-      this->GiveUpSlowRunsOf(session, now);
-    }
-  }
-}
-
-// How a run gets on, or nothing for one whose progress says nothing about its
-// worker: members of a gang wait for each other, and fillers for the others.
-std::optional<RunProgress> Scheduler::ProgressOf(const WorkerSession& session,
-                                                 const Run& run) const {
-  // A long-running task takes about this long until it is at work.
-  constexpr Milliseconds kLongRunningStart{1'500};
-  const jobs::Job* job = this->state.FindJob(run.task.step.job);
-  const jobs::StepSpec* step = this->FindStep(run.task);
-  if (run.phase != RunPhase::kRunning || step == nullptr || step->is_gang ||
-      step->is_filler) {
-    return std::nullopt;
-  }
-  return RunProgress{
-      .elapsed = session.last_answer - run.ordered_at,
-      .percent = run.percent,
-      .since_rise = session.last_answer - run.percent_rose_at,
-      .expected = step->is_long_running
-                      ? kLongRunningStart
-                      : this->run_times.Expect(job->queue, *step)};
-}
-
-void Scheduler::GiveUpSlowRunsOf(WorkerSession& session, SteadyTime now) {
-  struct Suspect {
-    Run* run;
-    RunProgress progress;
-    RunPace pace;
-  };
-  std::vector<Suspect> suspects;
-  std::set<JobId> slow_jobs;
-  std::size_t normal = 0;
-  bool is_slow = false;
-  const WorkerId& worker = session.worker().id;
-  for (auto& [key, run] : session.runs()) {
-    const auto progress = this->ProgressOf(session, run);
-    if (!progress) {
-      continue;
-    }
-    const RunPace pace = JudgeProgress(*progress);
-    normal += static_cast<std::size_t>(pace == RunPace::kNormal);
-    if (pace == RunPace::kStalled) {
-      this->health.NoteStalled(worker, now);
-    } else if (pace == RunPace::kSlow || pace == RunPace::kVerySlow) {
-      // The submitter's estimate alone says too little.
-      const jobs::Job* job = this->state.FindJob(run.task.step.job);
-      if (!this->run_times.IsKnown(job->queue)) {
-        continue;
-      }
-      slow_jobs.insert(job->id);
-      is_slow = is_slow || pace == RunPace::kVerySlow;
-    } else {
-      continue;
-    }
-    suspects.push_back({&run, *progress, pace});
-  }
-  // One slow run may be a long task; runs of several jobs show that it is the
-  // worker.
-  is_slow = is_slow || (slow_jobs.size() > 1 && suspects.size() > normal);
-  if (is_slow) {
-    this->health.NoteSlow(worker, now);
-  }
-  for (const auto& [run, progress, pace] : suspects) {
-    if ((pace == RunPace::kStalled || is_slow) &&
-        this->IsBetterElsewhere(session, *run, progress, pace)) {
-      this->GiveUp(session, *run, pace, now);
+  for (const Straggler& straggler : this->stragglers.Find(this->workers, now)) {
+    // NOTE: A long-running task that was not at work by the last report may be
+    // by the time the stop arrives, so its budget counts all the same.
+    if (this->MayTakeAway(straggler.run->task)) {
+      this->GiveUp(straggler, now);
     }
   }
 }
 
-void Scheduler::GiveUp(WorkerSession& session,
-                       Run& run,
-                       RunPace pace,
-                       SteadyTime now) {
+void Scheduler::GiveUp(const Straggler& straggler, SteadyTime now) {
+  const WorkerId& worker = straggler.session->worker().id;
+  Run& run = *straggler.run;
   TaskMemory& memory = this->tasks.Get(run.task);
   ++memory.moves;
-  memory.failed_on.insert(session.worker().id);
+  memory.failed_on.insert(worker);
   run.phase = RunPhase::kStopping;
   run.stop_due = now;
-  this->Note("run-given-up", run.task, run.number, session.worker().id,
-             pace == RunPace::kStalled ? "it stands still" : "it is slow");
-}
-
-bool Scheduler::IsBetterElsewhere(const WorkerSession& session,
-                                  const Run& run,
-                                  const RunProgress& progress,
-                                  RunPace pace) const {
-  // What a stop, its report and another start take.
-  constexpr Milliseconds kRestart{700};
-  const jobs::Job* job = this->state.FindJob(run.task.step.job);
-  const TaskMemory* memory = this->tasks.Find(run.task);
-  if (memory == nullptr || memory->moves >= this->settings.most_moves) {
-    return false;
-  }
-  // NOTE: A long-running task that was not at work by the last report may be by
-  // the time the stop arrives, so its budget counts all the same.
-  if (!this->MayTakeAway(run.task)) {
-    return false;
-  }
-  if (pace != RunPace::kStalled) {
-    constexpr std::int64_t kWholePercent = 100;
-    const std::int64_t percent = std::max<std::int64_t>(run.percent, 1);
-    const Milliseconds left =
-        progress.elapsed * (kWholePercent - percent) / percent;
-    if (left < progress.expected + kRestart) {
-      return false;
-    }
-  }
-  const WorkerSession* other =
-      this->placement.Choose(PlacementRequest{.job = job,
-                                              .task = run.task,
-                                              .memory = memory,
-                                              .other_than = session.worker().id,
-                                              .advice = this->AdviceFor(*job)});
-  return other != nullptr && this->placement.IsGood(*other);
+  this->Note(
+      "run-given-up", run.task, run.number, worker,
+      straggler.pace == RunPace::kStalled ? "it stands still" : "it is slow");
 }
 
 bool Scheduler::IsWanted(const Run& run) const {
@@ -1123,7 +944,7 @@
   TaskMemory& memory = this->tasks.Get(task);
   memory.placed = {session.worker().id, run};
   memory.last_run = run;
-  this->BeginSharing(session, now);
+  this->sharing.Begin(session, now);
   const std::string* ticket =
       this->AdviceFor(*candidate.job) == nullptr
           ? nullptr
@@ -1155,13 +976,6 @@
   return this->uncertain.contains(service);
 }
 
-const jobs::StepSpec* Scheduler::FindStep(const jobs::TaskId& task) const {
-  const jobs::Job* job = this->state.FindJob(task.step.job);
-  return job == nullptr || !job->HasTask(task)
-             ? nullptr
-             : &job->spec.steps[task.step.step];
-}
-
 bool Scheduler::HasBegun(const jobs::Job& job) const {
   return !job.occurrences.empty() || this->tasks.HasBegun(job.id);
 }
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -17,10 +17,11 @@
 #include "libraries/jobs/service_demand.h"
 #include "libraries/jobs/task_id.h"
 #include "libraries/scheduler/demand_meter.h"
-#include "libraries/scheduler/pace_control.h"
 #include "libraries/scheduler/placement.h"
 #include "libraries/scheduler/placement_advice.h"
 #include "libraries/scheduler/run_times.h"
+#include "libraries/scheduler/sharing.h"
+#include "libraries/scheduler/stragglers.h"
 #include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/worker_health.h"
 #include "libraries/scheduler/worker_messages.h"
@@ -174,9 +175,6 @@
     return this->health.IsQuarantined(worker, now);
   }
 
-  // What was declared of a task's step; nothing if the job is not known.
-  const jobs::StepSpec* FindStep(const jobs::TaskId& task) const;
-
   const std::map<WorkerId, WorkerSession>& sessions() const {
     return this->workers;
   }
@@ -212,12 +210,7 @@
                   RunNumber run,
                   const std::string& reason);
   void ReleaseAll(WorkerSession& session, const std::string& reason);
-  void BeginSharing(WorkerSession& session, SteadyTime now);
-  void FollowSharing(WorkerSession& session, SteadyTime now);
-  std::optional<SharingReport> MeasureSharing(
-      const WorkerSession& session) const;
-  void PaceFillers(SchedulerOutput& output);
-  void TakePaceAnswer(const PaceOrder& order, const OrderAnswer& answer);
+  void NotePace(const WorkerSession& session, const std::string& reason);
   const PlacementAdvice* AdviceFor(const jobs::Job& job) const;
   void AskForAdvice(const Candidate& candidate,
                     const jobs::TaskId& task,
@@ -238,15 +231,8 @@
   }
   bool IsWanted(const Run& run) const;
   void StopUnwanted(SteadyTime now, SchedulerOutput& output);
-  void GiveUpSlowRuns(SteadyTime now);
-  void GiveUpSlowRunsOf(WorkerSession& session, SteadyTime now);
-  void GiveUp(WorkerSession& session, Run& run, RunPace pace, SteadyTime now);
-  std::optional<RunProgress> ProgressOf(const WorkerSession& session,
-                                        const Run& run) const;
-  bool IsBetterElsewhere(const WorkerSession& session,
-                         const Run& run,
-                         const RunProgress& progress,
-                         RunPace pace) const;
+  void GiveUpStragglers(SteadyTime now);
+  void GiveUp(const Straggler& straggler, SteadyTime now);
   void StopRun(WorkerSession& session,
                Run& run,
                SteadyTime now,
@@ -297,8 +283,9 @@
   RunTimes run_times;
   WorkerHealth health;
   PlacementAdvice advice;
-  PaceControl pace_control;
+  Sharing sharing;
   Placement placement;
+  Stragglers stragglers;
   DemandMeter demand;
   SteadyTime judged_at{};
   bool needs_plan = true;
--- /dev/null
+++ b/libraries/scheduler/stragglers.cc
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/stragglers.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sumac::scheduler {
+
+std::vector<Straggler> Stragglers::Find(Sessions& sessions, SteadyTime now) {
+  std::vector<Straggler> found;
+  for (auto& [id, session] : sessions) {
+    if (session.is_answering()) {
+      this->FindOn(session, now, found);
+    }
+  }
+  return found;
+}
+
+// How a run gets on, or nothing for one whose progress says nothing about its
+// worker: members of a gang wait for each other, and fillers for the others.
+std::optional<RunProgress> Stragglers::ProgressOf(const WorkerSession& session,
+                                                  const Run& run) const {
+  // A long-running task takes about this long until it is at work.
+  constexpr Milliseconds kLongRunningStart{1'500};
+  const jobs::Job* job = this->state.FindJob(run.task.step.job);
+  const jobs::StepSpec* step = this->state.FindStep(run.task);
+  if (run.phase != RunPhase::kRunning || step == nullptr || step->is_gang ||
+      step->is_filler) {
+    return std::nullopt;
+  }
+  return RunProgress{
+      .elapsed = session.last_answer - run.ordered_at,
+      .percent = run.percent,
+      .since_rise = session.last_answer - run.percent_rose_at,
+      .expected = step->is_long_running
+                      ? kLongRunningStart
+                      : this->run_times.Expect(job->queue, *step)};
+}
+
+void Stragglers::FindOn(WorkerSession& session,
+                        SteadyTime now,
+                        std::vector<Straggler>& found) {
+  struct Suspect {
+    Run* run;
+    RunProgress progress;
+    RunPace pace;
+  };
+  std::vector<Suspect> suspects;
+  std::set<JobId> slow_jobs;
+  std::size_t normal = 0;
+  bool is_slow = false;
+  const WorkerId& worker = session.worker().id;
+  for (auto& [key, run] : session.runs()) {
+    const auto progress = this->ProgressOf(session, run);
+    if (!progress) {
+      continue;
+    }
+    const RunPace pace = JudgeProgress(*progress);
+    normal += static_cast<std::size_t>(pace == RunPace::kNormal);
+    if (pace == RunPace::kStalled) {
+      this->health.NoteStalled(worker, now);
+    } else if (pace == RunPace::kSlow || pace == RunPace::kVerySlow) {
+      // The submitter's estimate alone says too little.
+      const jobs::Job* job = this->state.FindJob(run.task.step.job);
+      if (!this->run_times.IsKnown(job->queue)) {
+        continue;
+      }
+      slow_jobs.insert(job->id);
+      is_slow = is_slow || pace == RunPace::kVerySlow;
+    } else {
+      continue;
+    }
+    suspects.push_back({&run, *progress, pace});
+  }
+  // One slow run may be a long task; runs of several jobs show that it is the
+  // worker.
+  is_slow = is_slow || (slow_jobs.size() > 1 && suspects.size() > normal);
+  if (is_slow) {
+    this->health.NoteSlow(worker, now);
+  }
+  for (const auto& [run, progress, pace] : suspects) {
+    if ((pace == RunPace::kStalled || is_slow) &&
+        this->IsBetterElsewhere(session, *run, progress, pace)) {
+      found.push_back({&session, run, pace});
+    }
+  }
+}
+
+bool Stragglers::IsBetterElsewhere(const WorkerSession& session,
+                                   const Run& run,
+                                   const RunProgress& progress,
+                                   RunPace pace) const {
+  // What a stop, its report and another start take.
+  constexpr Milliseconds kRestart{700};
+  const jobs::Job* job = this->state.FindJob(run.task.step.job);
+  const TaskMemory* memory = this->tasks.Find(run.task);
+  if (memory == nullptr || memory->moves >= this->most_moves) {
+    return false;
+  }
+  if (pace != RunPace::kStalled) {
+    constexpr std::int64_t kWholePercent = 100;
+    const std::int64_t percent = std::max<std::int64_t>(run.percent, 1);
+    const Milliseconds left =
+        progress.elapsed * (kWholePercent - percent) / percent;
+    if (left < progress.expected + kRestart) {
+      return false;
+    }
+  }
+  const WorkerSession* other = this->placement.Choose(
+      PlacementRequest{.job = job,
+                       .task = run.task,
+                       .memory = memory,
+                       .other_than = session.worker().id,
+                       .advice = this->advice_for(*job)});
+  return other != nullptr && this->placement.IsGood(*other);
+}
+
+}  // namespace sumac::scheduler
--- /dev/null
+++ b/libraries/scheduler/stragglers.h
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_SCHEDULER_STRAGGLERS_H_
+#define LIBRARIES_SCHEDULER_STRAGGLERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/jobs/jobs_state.h"
+#include "libraries/scheduler/placement.h"
+#include "libraries/scheduler/run_times.h"
+#include "libraries/scheduler/task_table.h"
+#include "libraries/scheduler/worker_health.h"
+#include "libraries/scheduler/worker_session.h"
+
+namespace sumac::scheduler {
+
+// A run that does not get on, and for whose task a better worker has room.
+struct Straggler {
+  WorkerSession* session;
+  Run* run;
+  RunPace pace;
+};
+
+// Finds runs that stand still or crawl, by the progress that workers report,
+// and tells the workers' health what they show. Pure.
+class Stragglers {
+ public:
+  using Sessions = std::map<WorkerId, WorkerSession>;
+  // The placement policy's advice for a job's queue; nothing without one.
+  using AdviceFor = std::function<const PlacementAdvice*(const jobs::Job&)>;
+
+  // A run of a task is given up `most_moves` times at most.
+  Stragglers(const jobs::JobsState& state,
+             const RunTimes& run_times,
+             const TaskTable& tasks,
+             const Placement& placement,
+             WorkerHealth& health,
+             AdviceFor advice_for,
+             std::uint32_t most_moves)
+      : state(state),
+        run_times(run_times),
+        tasks(tasks),
+        placement(placement),
+        health(health),
+        advice_for(std::move(advice_for)),
+        most_moves(most_moves) {}
+
+  // The stragglers by the last reports.
+  std::vector<Straggler> Find(Sessions& sessions, SteadyTime now);
+
+ private:
+  void FindOn(WorkerSession& session,
+              SteadyTime now,
+              std::vector<Straggler>& found);
+  std::optional<RunProgress> ProgressOf(const WorkerSession& session,
+                                        const Run& run) const;
+  bool IsBetterElsewhere(const WorkerSession& session,
+                         const Run& run,
+                         const RunProgress& progress,
+                         RunPace pace) const;
+
+  const jobs::JobsState& state;
+  const RunTimes& run_times;
+  const TaskTable& tasks;
+  const Placement& placement;
+  WorkerHealth& health;
+  AdviceFor advice_for;
+  std::uint32_t most_moves;
+};
+
+}  // namespace sumac::scheduler
+
+#endif  // LIBRARIES_SCHEDULER_STRAGGLERS_H_
--- a/services/sumacd/node_operator_service.cc
+++ b/services/sumacd/node_operator_service.cc
@@ -8,8 +8,8 @@
 #include "libraries/base/try.h"
 #include "libraries/codec/json_reader.h"
 #include "libraries/log/json_log.h"
-#include "libraries/rpc/answer_codec.h"
 #include "libraries/wire/replication_codec.h"
+#include "services/sumacd/operator_replies.h"
 
 namespace sumac::daemon {
 namespace {
@@ -47,20 +47,6 @@
   return job;
 }
 
-template <typename Context>
-kj::Promise<void> Reply(Context context, const fleet::Answer& answer) {
-  rpc::WriteAnswer(answer, context.getResults().initResult());
-  return kj::READY_NOW;
-}
-
-template <typename Context>
-kj::Promise<void> ReplyWith(Context context,
-                            kj::Promise<fleet::Answer> promise) {
-  return promise.then([context](const fleet::Answer& answer) mutable {
-    rpc::WriteAnswer(answer, context.getResults().initResult());
-  });
-}
-
 // What only a system with a list of processes has.
 template <typename Context>
 kj::Promise<void> RefuseMethod(Context context) {
--- /dev/null
+++ b/services/sumacd/operator_replies.h
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_OPERATOR_REPLIES_H_
+#define SERVICES_SUMACD_OPERATOR_REPLIES_H_
+
+#include <kj/async.h>
+
+#include "libraries/fleet/answer.h"
+#include "libraries/rpc/answer_codec.h"
+
+namespace sumac::daemon {
+
+// Answers one call at the operators' door.
+template <typename Context>
+kj::Promise<void> Reply(Context context, const fleet::Answer& answer) {
+  rpc::WriteAnswer(answer, context.getResults().initResult());
+  return kj::READY_NOW;
+}
+
+// Answers it once the answer is there.
+template <typename Context>
+kj::Promise<void> ReplyWith(Context context,
+                            kj::Promise<fleet::Answer> promise) {
+  return promise.then([context](const fleet::Answer& answer) mutable {
+    rpc::WriteAnswer(answer, context.getResults().initResult());
+  });
+}
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_OPERATOR_REPLIES_H_
--- a/services/sumacd/operator_service.cc
+++ b/services/sumacd/operator_service.cc
@@ -13,6 +13,7 @@
 #include "libraries/rpc/call.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
+#include "services/sumacd/operator_replies.h"
 #include "services/sumacd/peer_service.h"
 #include "services/sumacd/queries.h"
 
@@ -29,21 +30,6 @@
 constexpr ReaderCodes kJobCodes{ResultCode::kBadArgument,
                                 ResultCode::kBadArgument};
 
-template <typename Context>
-kj::Promise<void> Reply(Context context, const fleet::Answer& answer) {
-  rpc::WriteAnswer(answer, context.getResults().initResult());
-  return kj::READY_NOW;
-}
-
-// Replies with an answer once it is there.
-template <typename Context>
-kj::Promise<void> ReplyWith(Context context,
-                            kj::Promise<fleet::Answer> promise) {
-  return promise.then([context](const fleet::Answer& answer) mutable {
-    rpc::WriteAnswer(answer, context.getResults().initResult());
-  });
-}
-
 fleet::Answer TooLarge(std::string_view what, std::size_t most) {
   return fleet::Answer{
       .code = ResultCode::kBadArgument,
