--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -415,7 +415,7 @@
   Run* run = found->second.FindRun(order.task, order.run);
   if (run != nullptr && answer.result == OrderResult::kDone) {
     run->stopped_clock = answer.clock;
-    found->second.needs_look = true;
+    found->second.needs_report = true;
     this->needs_plan = true;
   }
 }
@@ -546,8 +546,8 @@
     output.orders.emplace_back(std::move(order));
   }
   for (auto& [id, session] : this->workers) {
-    if (std::exchange(session.needs_look, false)) {
-      output.looks.push_back(session.NextLook(this->epoch));
+    if (std::exchange(session.needs_report, false)) {
+      output.report_requests.push_back(session.NextReportRequest(this->epoch));
     }
   }
   output.question = this->advice.NextQuestion(now);
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -68,7 +68,7 @@
 struct SchedulerOutput {
   std::vector<Order> orders;
   // Reports to ask for at once; they answer TakeReport like renewals.
-  std::vector<RenewOrder> looks;
+  std::vector<RenewOrder> report_requests;
   // Commands to commit.
   std::vector<jobs::Command> commands;
   // To be asked of the placement policy.
--- a/libraries/scheduler/worker_calls.h
+++ b/libraries/scheduler/worker_calls.h
@@ -22,7 +22,7 @@
 struct WorkerCalls {
   std::function<kj::Promise<RenewAnswer>(const RenewOrder&)> renew;
   // The same without waiting, beside a renewal that is under way.
-  std::function<kj::Promise<RenewAnswer>(const RenewOrder&)> look;
+  std::function<kj::Promise<RenewAnswer>(const RenewOrder&)> request_report;
   std::function<kj::Promise<OrderAnswer>(const Order&)> send;
   // Asks the placement policy.
   std::function<kj::Promise<AdviceAnswer>(const AdviceQuestion&)> advise;
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -49,7 +49,7 @@
       this->open_ends.empty() ? this->seen_ends : *this->open_ends.begin();
 }
 
-RenewOrder WorkerSession::NextLook(LeaderEpoch epoch) const {
+RenewOrder WorkerSession::NextReportRequest(LeaderEpoch epoch) const {
   return RenewOrder{.worker = this->description.id,
                     .address = this->description.address,
                     .epoch = epoch,
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -94,7 +94,7 @@
   WorkerTime GrantLease(SteadyTime now);
 
   // What runs and has ended there, asked without waiting and without a renewal.
-  RenewOrder NextLook(LeaderEpoch epoch) const;
+  RenewOrder NextReportRequest(LeaderEpoch epoch) const;
 
   // True unless a later report was taken already: reports may overtake each
   // other.
@@ -153,7 +153,7 @@
   // How fast fillers may work there.
   PaceState filler_pace;
   // A stop was answered, and only a report tells how its run ended.
-  bool needs_look = false;
+  bool needs_report = false;
   // Takes in that the ends that came right after this number are on record.
   void NoteRecorded(std::uint64_t after);
 
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -647,8 +647,8 @@
   for (jobs::Command& command : output.commands) {
     this->ProposeInBackground(std::move(command));
   }
-  for (const scheduler::RenewOrder& look : output.looks) {
-    this->Look(look);
+  for (const scheduler::RenewOrder& order : output.report_requests) {
+    this->RequestReport(order);
   }
   if (output.question) {
     this->AskForAdvice(*output.question);
@@ -656,10 +656,10 @@
 }
 
 // A report beside the renewals; what it tells is taken in like theirs.
-void JobController::Look(const scheduler::RenewOrder& look) {
+void JobController::RequestReport(const scheduler::RenewOrder& order) {
   const Term term = this->leading_term;
-  this->tasks.add(this->worker_calls.look(look).then(
-      [this, term, worker = look.worker](
+  this->tasks.add(this->worker_calls.request_report(order).then(
+      [this, term, worker = order.worker](
           const scheduler::RenewAnswer& answer) -> kj::Promise<void> {
         const bool is_ours = this->scheduler && this->leading_term == term;
         if (!is_ours || answer.result != scheduler::OrderResult::kDone) {
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -119,7 +119,7 @@
   void SchedulePlan();
   void Plan();
   void SendOrder(const scheduler::Order& order);
-  void Look(const scheduler::RenewOrder& look);
+  void RequestReport(const scheduler::RenewOrder& order);
   void AskForAdvice(const scheduler::AdviceQuestion& question);
   void LogEvents(const std::vector<scheduler::SchedulerEvent>& events);
 
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -223,23 +223,23 @@
   for (jobs::Command& command : output.commands) {
     this->Commit(std::move(command));
   }
-  for (const RenewOrder& look : output.looks) {
-    this->Look(look);
+  for (const RenewOrder& order : output.report_requests) {
+    this->RequestReport(order);
   }
   if (output.question) {
     this->Advise(*output.question);
   }
 }
 
-void FakeFleet::Look(const RenewOrder& look) {
-  const auto found = this->workers.find(look.worker);
+void FakeFleet::RequestReport(const RenewOrder& order) {
+  const auto found = this->workers.find(order.worker);
   std::uniform_int_distribution<std::uint32_t> draw(0, 999);
-  if (!this->Reaches(look.worker) || !found->second.is_up ||
+  if (!this->Reaches(order.worker) || !found->second.is_up ||
       draw(this->random) < this->lost_report_permille) {
     return;
   }
-  if (const auto report = found->second.Renew(look, this->now)) {
-    this->TakeReport(look.worker, *report);
+  if (const auto report = found->second.Renew(order, this->now)) {
+    this->TakeReport(order.worker, *report);
   }
 }
 
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -96,7 +96,7 @@
   void Send(const Order& order);
   void Execute(const Order& order, bool is_answered, Generation generation);
   void TakeReport(const WorkerId& id, const RenewReport& report);
-  void Look(const RenewOrder& look);
+  void RequestReport(const RenewOrder& order);
   void Advise(const AdviceQuestion& question);
   void CheckStart(const StartOrder& order);
   void CheckRunning();
