--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -214,7 +214,8 @@
   EXPECT_EQ(again.orders[0].instance, moved);
 }
 
-// A backlog that is too late earns nothing: it may use what is off, and no more.
+// A backlog that is too late earns nothing: it may use what is off, and no
+// more.
 TEST_F(CapacityPlannerTest, LateWorkTakesOnlyWhatIsOffAndGivesItBack) {
   this->AddInstances(kBusy, 2);
   this->AddInstances(kQuiet, 4);
