--- a/libraries/scheduler/demand_meter.cc
+++ b/libraries/scheduler/demand_meter.cc
@@ -36,11 +36,10 @@
                                 WallTime wall_now,
                                 jobs::ServiceDemand& service) const {
   constexpr bool kBySlack = true;
-  constexpr std::uint32_t kWorthlessFrom = 2;
-  const bool is_late =
+  const Urgency urgency =
       UrgencyOf(job, occurrence, this->state.declaration().FindQueue(job.queue),
-                this->run_times, kBySlack, wall_now)
-          .lateness >= kWorthlessFrom;
+                this->run_times, kBySlack, wall_now);
+  const bool is_worthless = urgency.lateness == Lateness::kWorthless;
   for (std::uint32_t number = 0; number < job.spec.steps.size(); ++number) {
     const jobs::StepSpec& step = job.spec.steps[number];
     if (step.is_filler || job.IsStepDone(occurrence, number) ||
@@ -54,7 +53,7 @@
                    (left + step.most_per_worker - 1) / step.most_per_worker);
     }
     std::int64_t& millicores = step.is_long_running ? service.lasting_millicores
-                               : is_late            ? service.late_millicores
+                               : is_worthless       ? service.late_millicores
                                                     : service.short_millicores;
     millicores += left * step.need.millicores;
   }
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -98,23 +98,28 @@
   this->needs_plan = true;
 }
 
+WorkerSession* Scheduler::FindSession(const WorkerId& worker) {
+  const auto found = this->workers.find(worker);
+  return found == this->workers.end() ? nullptr : &found->second;
+}
+
 std::optional<RenewOrder> Scheduler::NextRenewal(const WorkerId& worker,
                                                  SteadyTime now) {
-  const auto found = this->workers.find(worker);
-  if (found == this->workers.end()) {
+  WorkerSession* session = this->FindSession(worker);
+  if (session == nullptr) {
     return std::nullopt;
   }
-  return found->second.NextRenewal(this->epoch, now);
+  return session->NextRenewal(this->epoch, now);
 }
 
 EndsToRecord Scheduler::TakeReport(const WorkerId& worker,
                                    const RenewReport& report,
                                    SteadyTime now) {
-  const auto found = this->workers.find(worker);
-  if (found == this->workers.end()) {
+  WorkerSession* known = this->FindSession(worker);
+  if (known == nullptr) {
     return {};
   }
-  WorkerSession& session = found->second;
+  WorkerSession& session = *known;
   if (!session.IsNewest(report.clock)) {
     return {};
   }
@@ -210,7 +215,7 @@
       continue;
     }
     if (running.percent != run->percent) {
-      run->percent_rose_at = now;
+      run->percent_changed_at = now;
     }
     run->percent = running.percent;
     run->load = running.load;
@@ -233,14 +238,13 @@
                          bool is_adopting,
                          SteadyTime now) {
   const jobs::Job* job = this->state.FindJob(running.task.step.job);
-  const bool is_known = job != nullptr && job->HasTask(running.task);
+  const jobs::StepSpec* step = this->state.FindStep(running.task);
   const TaskMemory* known = this->tasks.Find(running.task);
   const bool is_free =
       known == nullptr || (!known->placed && !known->is_ending);
-  const bool is_wanted = is_adopting && is_known && is_free &&
+  const bool is_wanted = is_adopting && step != nullptr && is_free &&
                          job->is_active() &&
                          !job->ProgressOf(running.task).is_done;
-  const jobs::StepSpec* step = this->state.FindStep(running.task);
   Run run{
       .task = running.task,
       .number = running.run,
@@ -252,12 +256,12 @@
       .ordered_at = now,
       .confirmed_clock = report.clock,
       .percent = running.percent,
-      .percent_rose_at = now,
+      .percent_changed_at = now,
       .load = running.load,
       .pace = std::nullopt,
       .stop_due = now};
   session.AddRun(run);
-  if (is_known) {
+  if (step != nullptr) {
     TaskMemory& memory = this->tasks.Get(running.task);
     memory.last_run = std::max(memory.last_run, running.run);
   }
@@ -300,11 +304,11 @@
 }
 
 void Scheduler::TakeRenewalFailure(const WorkerId& worker, OrderResult result) {
-  const auto found = this->workers.find(worker);
-  if (found == this->workers.end()) {
+  WorkerSession* session = this->FindSession(worker);
+  if (session == nullptr) {
     return;
   }
-  found->second.NoteFailure();
+  session->NoteFailure();
   if (result == OrderResult::kOtherLife) {
     this->EndWorker(worker, "another life is at its address");
   }
@@ -318,9 +322,9 @@
       memory->is_ending = false;
     }
   }
-  const auto found = this->workers.find(worker);
-  if (found != this->workers.end() && recorded.up_to > 0) {
-    found->second.NoteRecorded(recorded.after);
+  WorkerSession* session = this->FindSession(worker);
+  if (session != nullptr && recorded.up_to > 0) {
+    session->NoteRecorded(recorded.after);
   }
   this->needs_plan = true;
 }
@@ -333,9 +337,9 @@
   } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
     this->TakeStopAnswer(*stop, answer);
   } else if (const auto* pace = std::get_if<PaceOrder>(&order)) {
-    const auto found = this->workers.find(pace->worker);
-    if (found != this->workers.end()) {
-      Sharing::TakeAnswer(found->second, *pace, answer.result);
+    WorkerSession* session = this->FindSession(pace->worker);
+    if (session != nullptr) {
+      Sharing::TakeAnswer(*session, *pace, answer.result);
     }
   }
 }
@@ -343,11 +347,11 @@
 void Scheduler::TakeStartAnswer(const StartOrder& order,
                                 const OrderAnswer& answer,
                                 SteadyTime now) {
-  const auto found = this->workers.find(order.worker);
-  if (found == this->workers.end()) {
+  WorkerSession* known = this->FindSession(order.worker);
+  if (known == nullptr) {
     return;
   }
-  WorkerSession& session = found->second;
+  WorkerSession& session = *known;
   if (answer.clock) {
     session.NoteClock(*answer.clock, now);
   }
@@ -404,18 +408,18 @@
 
 void Scheduler::TakeStopAnswer(const StopOrder& order,
                                const OrderAnswer& answer) {
-  const auto found = this->workers.find(order.worker);
-  if (found == this->workers.end()) {
+  WorkerSession* session = this->FindSession(order.worker);
+  if (session == nullptr) {
     return;
   }
   if (answer.result == OrderResult::kOtherLife) {
     this->EndWorker(order.worker, "another life is at its address");
     return;
   }
-  Run* run = found->second.FindRun(order.task, order.run);
+  Run* run = session->FindRun(order.task, order.run);
   if (run != nullptr && answer.result == OrderResult::kDone) {
     run->stopped_clock = answer.clock;
-    found->second.needs_report = true;
+    session->needs_report = true;
     this->needs_plan = true;
   }
 }
@@ -504,10 +508,8 @@
     if (memory == nullptr || !memory->placed || memory->placed->second != run) {
       continue;
     }
-    const auto session = this->workers.find(memory->placed->first);
-    Run* other = session == this->workers.end()
-                     ? nullptr
-                     : session->second.FindRun(task, run);
+    WorkerSession* session = this->FindSession(memory->placed->first);
+    Run* other = session == nullptr ? nullptr : session->FindRun(task, run);
     if (other != nullptr && other->phase != RunPhase::kStopping) {
       other->phase = RunPhase::kStopping;
       other->stop_due = SteadyTime{};
@@ -940,7 +942,7 @@
                      .is_filler = step.is_filler,
                      .ordered_at = now,
                      .start_expires = lease_end,
-                     .percent_rose_at = now});
+                     .percent_changed_at = now});
   TaskMemory& memory = this->tasks.Get(task);
   memory.placed = {session.worker().id, run};
   memory.last_run = run;
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -187,6 +187,7 @@
   };
   using Sessions = std::map<WorkerId, WorkerSession>;
 
+  WorkerSession* FindSession(const WorkerId& worker);
   void TakeRunning(WorkerSession& session,
                    const RenewReport& report,
                    bool is_adopting,
--- a/libraries/scheduler/stragglers.cc
+++ b/libraries/scheduler/stragglers.cc
@@ -31,7 +31,7 @@
   return RunProgress{
       .elapsed = session.last_answer - run.ordered_at,
       .percent = run.percent,
-      .since_rise = session.last_answer - run.percent_rose_at,
+      .since_change = session.last_answer - run.percent_changed_at,
       .expected = step->is_long_running
                       ? kLongRunningStart
                       : this->run_times.Expect(job->queue, *step)};
--- a/libraries/scheduler/urgency.cc
+++ b/libraries/scheduler/urgency.cc
@@ -27,8 +27,9 @@
   const Milliseconds left = run_times.RemainingChain(job, occurrence);
   const Milliseconds slack = due + objective - left - wall_now;
   if (slack < Milliseconds(0)) {
-    urgency.lateness =
-        wall_now + left > due + kWorthlessAfter * objective ? 2 : 1;
+    urgency.lateness = wall_now + left > due + kWorthlessAfter * objective
+                           ? Lateness::kWorthless
+                           : Lateness::kLate;
     return urgency;
   }
   urgency.slack = slack.count();
--- a/libraries/scheduler/urgency.h
+++ b/libraries/scheduler/urgency.h
@@ -11,12 +11,14 @@
 
 namespace sumac::scheduler {
 
+// Whether a job can still be in time, is late but still worth something, or is
+// not worth anything any more.
+enum class Lateness { kInTime, kLate, kWorthless };
+
 // What decides which job goes first; the smaller the earlier.
 struct Urgency {
   std::uint32_t priority = 0;
-  // 0 for a job that can still be in time, 1 for one that is late but still
-  // worth something, 2 for one that is not.
-  std::uint32_t lateness = 0;
+  Lateness lateness = Lateness::kInTime;
   // How long the job can still wait, in milliseconds.
   std::int64_t slack = 0;
   std::uint64_t sequence = 0;
--- a/libraries/scheduler/worker_health.cc
+++ b/libraries/scheduler/worker_health.cc
@@ -41,7 +41,7 @@
       progress.expected <= Milliseconds(0)) {
     return RunPace::kUnknown;
   }
-  if (progress.since_rise >
+  if (progress.since_change >
       std::max(kShortestStall, progress.expected / kStallDivisor)) {
     return RunPace::kStalled;
   }
--- a/libraries/scheduler/worker_health.h
+++ b/libraries/scheduler/worker_health.h
@@ -17,8 +17,8 @@
   Milliseconds elapsed{0};
   // Of its work, in hundredths.
   std::uint32_t percent = 0;
-  // Since its percent last rose, up to the last report.
-  Milliseconds since_rise{0};
+  // Since its percent last changed, up to the last report.
+  Milliseconds since_change{0};
   // What a run of this kind should take; 0 if that is not known.
   Milliseconds expected{0};
 };
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -64,8 +64,8 @@
   // The worker's clock when it confirmed the start.
   std::optional<WorkerTime> confirmed_clock;
   std::uint32_t percent = 0;
-  // When a report last showed a higher percent than the one before.
-  SteadyTime percent_rose_at{};
+  // When a report last showed another percent than the one before.
+  SteadyTime percent_changed_at{};
   std::int64_t load = 0;
   // Of a filler: the pace it was told last, in hundredths; unknown for one that
   // was adopted, or whose order got no answer.
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/daemon.h"
 
-#include <capnp/rpc-twoparty.h>
+#include <capnp/capability.h>
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
 #include <signal.h>
@@ -19,6 +19,7 @@
 #include "libraries/fleet/charts.h"
 #include "libraries/http/metrics.h"
 #include "libraries/log/json_log.h"
+#include "libraries/rpc/door.h"
 #include "services/sumacd/controller.h"
 #include "services/sumacd/core_link.h"
 #include "services/sumacd/doors.h"
@@ -74,8 +75,7 @@
   std::unique_ptr<CoreLink> core;
   std::unique_ptr<Entry> entry;
   std::unique_ptr<ViewFollower> follower;
-  std::vector<kj::Own<capnp::TwoPartyServer>> servers;
-  std::vector<kj::Own<kj::ConnectionReceiver>> receivers;
+  std::vector<std::unique_ptr<rpc::Door>> doors;
   std::vector<kj::Promise<void>> running;
   std::unique_ptr<http::HttpServer> caller_door;
   std::unique_ptr<http::HttpServer> target_door;
@@ -105,25 +105,9 @@
 
 absl::Status Daemon::Listen(const std::string& address,
                             capnp::Capability::Client bootstrap) {
-  try {
-    auto receiver = this->io.provider->getNetwork()
-                        .parseAddress(address)
-                        .wait(this->io.waitScope)
-                        ->listen();
-    auto server = kj::heap<capnp::TwoPartyServer>(kj::mv(bootstrap));
-    this->running.push_back(
-        server->listen(*receiver).eagerlyEvaluate([](kj::Exception&& error) {
-          LogEvent(LogLevel::kError, "listening-failed",
-                   {{"error", error.getDescription().cStr()}});
-        }));
-    this->servers.push_back(kj::mv(server));
-    this->receivers.push_back(kj::mv(receiver));
-    return absl::OkStatus();
-  } catch (const kj::Exception& error) {
-    return MakeError(ResultCode::kSettingsInvalid,
-                     StrCat("can't listen on ", address, ": ",
-                            error.getDescription().cStr()));
-  }
+  this->doors.push_back(
+      TRY(rpc::Door::Create(this->io, address, kj::mv(bootstrap))));
+  return absl::OkStatus();
 }
 
 absl::Status Daemon::Start() {
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/node_daemon.h"
 
-#include <capnp/rpc-twoparty.h>
+#include <capnp/capability.h>
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
 #include <signal.h>
@@ -21,6 +21,7 @@
 #include "libraries/http/async_door.h"
 #include "libraries/http/metrics.h"
 #include "libraries/log/json_log.h"
+#include "libraries/rpc/door.h"
 #include "libraries/storage/data_folder.h"
 #include "libraries/storage/posix_disk.h"
 #include "platform/advice_client.h"
@@ -90,12 +91,6 @@
       disk, settings.data_folder, identity);
 }
 
-// A Cap'n Proto door that listens.
-struct RpcDoor {
-  kj::Own<kj::ConnectionReceiver> receiver;
-  kj::Own<capnp::TwoPartyServer> server;
-};
-
 // One running process.
 class NodeDaemon {
  public:
@@ -160,7 +155,7 @@
   std::unique_ptr<http::AsyncDoor> caller_door;
   std::unique_ptr<http::AsyncDoor> health_door;
   std::unique_ptr<http::AsyncDoor> metrics_door;
-  std::vector<RpcDoor> rpc_doors;
+  std::vector<std::unique_ptr<rpc::Door>> rpc_doors;
   bool is_stopping = false;
   std::int64_t file_changed_at = 0;
   std::vector<kj::Promise<void>> running;
@@ -264,25 +259,8 @@
 
 absl::Status NodeDaemon::OpenRpcDoor(const std::string& address,
                                      capnp::Capability::Client service) {
-  RpcDoor door;
-  try {
-    door.receiver = this->io.provider->getNetwork()
-                        .parseAddress(address)
-                        .wait(this->io.waitScope)
-                        ->listen();
-  } catch (const kj::Exception& error) {
-    return MakeError(ResultCode::kSettingsInvalid,
-                     StrCat("can't listen on ", address, ": ",
-                            error.getDescription().cStr()));
-  }
-  door.server = kj::heap<capnp::TwoPartyServer>(kj::mv(service));
-  this->running.push_back(door.server->listen(*door.receiver)
-                              .eagerlyEvaluate([](kj::Exception&& error) {
-                                LogEvent(
-                                    LogLevel::kError, "listening-failed",
-                                    {{"error", error.getDescription().cStr()}});
-                              }));
-  this->rpc_doors.push_back(kj::mv(door));
+  this->rpc_doors.push_back(
+      TRY(rpc::Door::Create(this->io, address, kj::mv(service))));
   return absl::OkStatus();
 }
 
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -533,16 +533,22 @@
   EXPECT_EQ(fleet.job("job").state, JobState::kDone);
 }
 
-TEST(SchedulerTest, AFillerIsPacedUntilWhatServesKeepsItsTarget) {
-  FakeFleet fleet(1);
+// Starts a filler beside a run that serves with a tail of 60 ms, of 100 that it
+// may have; the filler adds `tail_per_filler` at full speed.
+void FillBesideWhatServes(FakeFleet& fleet, std::int64_t tail_per_filler) {
   fleet.work = Milliseconds(600'000);
   fleet.worker("w0").tail = 60;
-  fleet.worker("w0").tail_per_filler = 100;
+  fleet.worker("w0").tail_per_filler = tail_per_filler;
   fleet.Submit("serves", {.count = 1,
                           .is_long_running = true,
                           .image = "site",
                           .latency_target = Milliseconds(100)});
   fleet.Submit("fills", {.count = 1, .image = "batch", .is_filler = true});
+}
+
+TEST(SchedulerTest, AFillerIsPacedUntilWhatServesKeepsItsTarget) {
+  FakeFleet fleet(1);
+  FillBesideWhatServes(fleet, 100);
   fleet.PassTime(Milliseconds(400));
   ASSERT_EQ(fleet.worker("w0").running().size(), 2U);
   const jobs::TaskId filler{{JobId("fills"), 0, 0}, 0};
@@ -561,14 +567,7 @@
 
 TEST(SchedulerTest, AnAdoptedFillerIsToldItsPaceAnew) {
   FakeFleet fleet(1);
-  fleet.work = Milliseconds(600'000);
-  fleet.worker("w0").tail = 60;
-  fleet.worker("w0").tail_per_filler = 300;
-  fleet.Submit("serves", {.count = 1,
-                          .is_long_running = true,
-                          .image = "site",
-                          .latency_target = Milliseconds(100)});
-  fleet.Submit("fills", {.count = 1, .image = "batch", .is_filler = true});
+  FillBesideWhatServes(fleet, 300);
   fleet.PassTime(Milliseconds(3'000));
   const jobs::TaskId filler{{JobId("fills"), 0, 0}, 0};
   ASSERT_EQ(fleet.worker("w0").running().at(filler).pace, 0U);
--- a/tests/libraries/scheduler/worker_health_test.cc
+++ b/tests/libraries/scheduler/worker_health_test.cc
@@ -10,10 +10,10 @@
 const WorkerId kWorker("w1");
 const WorkerId kOther("w2");
 
-RunProgress After(int elapsed, std::uint32_t percent, int since_rise) {
+RunProgress After(int elapsed, std::uint32_t percent, int since_change) {
   return {.elapsed = Milliseconds(elapsed),
           .percent = percent,
-          .since_rise = Milliseconds(since_rise),
+          .since_change = Milliseconds(since_change),
           .expected = Milliseconds(1'000)};
 }
 
