Scheduler: Take a ticket's declared time where the answer names none

Found on reading: wire_codec.h said that the queue's declaration tells the time then, and nothing read that field; a ticket without a time would have ended before it began, and its queue would have started nothing. The question carries the declared time now. With it goes work in the hot path: the rooms of all workers were listed for every waiting step in every turn, also while a question was open, and all but the first were thrown away. ATicketHoldsAsDeclaredWhereTheAnswerDoesNotSay asks for it (not run on the code before: the field's type is new).

--- a/libraries/scheduler/placement_advice.cc
+++ b/libraries/scheduler/placement_advice.cc
@@ -2,6 +2,7 @@
 #include "libraries/scheduler/placement_advice.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sumac::scheduler {
 namespace {
@@ -32,10 +33,13 @@
 
 void PlacementAdvice::Want(const jobs::StepId& step,
                            const std::vector<WorkerId>& workers,
-                           std::pair<Milliseconds, Milliseconds> expected,
+                           const jobs::PlacementPolicy& policy,
                            SteadyTime now) {
+  if (!this->MayWant(now)) {
+    return;
+  }
   const StepAdvice& advice = this->steps[step];
-  AdviceQuestion question{.step = step};
+  AdviceQuestion question{.step = step, .declared_validity = policy.validity};
   for (const WorkerId& worker : workers) {
     if (question.workers.size() < kMostInQuestion &&
         !advice.refused.contains(worker) &&
@@ -47,17 +51,17 @@
     return;
   }
   question.expected =
-      expected.first +
-      expected.second * static_cast<std::int64_t>(question.workers.size());
-  this->wanted.push_back(std::move(question));
+      policy.decision_time +
+      policy.worker_time * static_cast<std::int64_t>(question.workers.size());
+  this->wanted = std::move(question);
 }
 
 std::optional<AdviceQuestion> PlacementAdvice::NextQuestion(SteadyTime now) {
-  if (this->is_open || this->wanted.empty() || now < this->pause_until) {
+  if (this->is_open || !this->wanted || now < this->pause_until) {
     return std::nullopt;
   }
   this->is_open = true;
-  return this->wanted.front();
+  return this->wanted;
 }
 
 void PlacementAdvice::TakeAnswer(const AdviceQuestion& question,
@@ -68,10 +72,11 @@
     this->pause_until = now + kPauseAfterFailure;
     return;
   }
+  const Milliseconds validity =
+      answer.validity.value_or(question.declared_validity);
   StepAdvice& advice = this->steps[question.step];
   for (const auto& [worker, ticket] : answer.tickets) {
-    advice.tickets[worker] =
-        Ticket{ticket, now + answer.validity - kTicketMargin};
+    advice.tickets[worker] = Ticket{ticket, now + validity - kTicketMargin};
   }
   for (const WorkerId& worker : question.workers) {
     if (!answer.tickets.contains(worker)) {
--- a/libraries/scheduler/placement_advice.h
+++ b/libraries/scheduler/placement_advice.h
@@ -2,16 +2,15 @@
 #ifndef LIBRARIES_SCHEDULER_PLACEMENT_ADVICE_H_
 #define LIBRARIES_SCHEDULER_PLACEMENT_ADVICE_H_
 
-#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
+#include "libraries/jobs/declaration.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/task_id.h"
 #include "libraries/scheduler/worker_messages.h"
@@ -25,7 +24,12 @@
 class PlacementAdvice {
  public:
   // Begins a turn of the scheduler: nothing is wanted yet.
-  void BeginTurn() { this->wanted.clear(); }
+  void BeginTurn() { this->wanted.reset(); }
+
+  // True while a question could be asked and none is wanted yet in this turn.
+  bool MayWant(SteadyTime now) const {
+    return !this->is_open && !this->wanted && now >= this->pause_until;
+  }
 
   // The ticket for the step's tasks on the worker, or nothing while none is
   // known that holds at `now`.
@@ -35,11 +39,11 @@
 
   // Takes in that tasks of the step find no place among the workers that are
   // known to be admitted. `workers` have room for them, the best first; the
-  // steps come in the order of their urgency. `expected` is how long the
-  // policy needs for a question and for each worker in it.
+  // steps come in the order of their urgency, and the first about which there
+  // is something to ask is asked about. `policy` is the queue's.
   void Want(const jobs::StepId& step,
             const std::vector<WorkerId>& workers,
-            std::pair<Milliseconds, Milliseconds> expected,
+            const jobs::PlacementPolicy& policy,
             SteadyTime now);
 
   // The next question, while none is open; it counts as open until its answer
@@ -65,7 +69,7 @@
   };
 
   std::map<jobs::StepId, StepAdvice> steps;
-  std::vector<AdviceQuestion> wanted;
+  std::optional<AdviceQuestion> wanted;
   bool is_open = false;
   // No question before this, after one that failed.
   SteadyTime pause_until{};
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -432,10 +432,16 @@
   this->needs_plan = true;
 }
 
-const PlacementAdvice* Scheduler::AdviceFor(const jobs::Job& job) const {
+// The placement policy of the job's queue, or nothing.
+const jobs::PlacementPolicy* Scheduler::PolicyOf(const jobs::Job& job) const {
   const jobs::QueueDeclaration* queue =
       this->state.declaration().FindQueue(job.queue);
-  return queue != nullptr && queue->placement_policy ? &this->advice : nullptr;
+  return queue != nullptr && queue->placement_policy ? &*queue->placement_policy
+                                                     : nullptr;
+}
+
+const PlacementAdvice* Scheduler::AdviceFor(const jobs::Job& job) const {
+  return this->PolicyOf(job) == nullptr ? nullptr : &this->advice;
 }
 
 // Asks about workers that have room for the task, where its queue has a
@@ -443,17 +449,12 @@
 void Scheduler::AskForAdvice(const Candidate& candidate,
                              const jobs::TaskId& task,
                              SteadyTime now) {
-  const jobs::QueueDeclaration* queue =
-      this->state.declaration().FindQueue(candidate.job->queue);
-  if (queue == nullptr || !queue->placement_policy) {
-    return;
+  const jobs::PlacementPolicy* policy = this->PolicyOf(*candidate.job);
+  if (policy != nullptr && this->advice.MayWant(now)) {
+    const PlacementRequest request{.job = candidate.job, .task = task};
+    this->advice.Want(task.step, this->placement.ListRoom(request), *policy,
+                      now);
   }
-  this->advice.Want(task.step,
-                    this->placement.ListRoom(
-                        PlacementRequest{.job = candidate.job, .task = task}),
-                    {queue->placement_policy->decision_time,
-                     queue->placement_policy->worker_time},
-                    now);
 }
 
 void Scheduler::NotePace(const WorkerSession& session,
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -212,6 +212,7 @@
                   const std::string& reason);
   void ReleaseAll(WorkerSession& session, const std::string& reason);
   void NotePace(const WorkerSession& session, const std::string& reason);
+  const jobs::PlacementPolicy* PolicyOf(const jobs::Job& job) const;
   const PlacementAdvice* AdviceFor(const jobs::Job& job) const;
   void AskForAdvice(const Candidate& candidate,
                     const jobs::TaskId& task,
--- a/libraries/scheduler/worker_messages.h
+++ b/libraries/scheduler/worker_messages.h
@@ -101,15 +101,17 @@
 struct AdviceQuestion {
   jobs::StepId step;
   std::vector<WorkerId> workers;
-  // How long the policy needs for it.
+  // How long the policy needs for it, by the queue's declaration.
   Milliseconds expected{0};
+  // How long its tickets hold, where the answer does not say.
+  Milliseconds declared_validity{0};
 };
 
 struct AdviceAnswer {
   // False if there was no answer, or the policy takes no question now.
   bool is_answered = false;
-  // How long the tickets hold.
-  Milliseconds validity{0};
+  // How long the tickets hold, if the policy said.
+  std::optional<Milliseconds> validity;
   // The workers that may, with their tickets.
   std::map<WorkerId, std::string> tickets;
 };
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -683,11 +683,13 @@
         if (!this->scheduler || this->leading_term != term) {
           return;
         }
-        LogEvent(LogLevel::kInfo, "advice-taken",
-                 {{"step", question.step.ToText()},
-                  {"asked", question.workers.size()},
-                  {"admitted", answer.tickets.size()},
-                  {"validity_ms", answer.validity.count()}});
+        LogEvent(
+            LogLevel::kInfo, "advice-taken",
+            {{"step", question.step.ToText()},
+             {"asked", question.workers.size()},
+             {"admitted", answer.tickets.size()},
+             {"validity_ms",
+              answer.validity.value_or(question.declared_validity).count()}});
         this->scheduler->TakeAdvice(question, answer, this->clock.SteadyNow());
         this->SchedulePlan();
       }));
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -246,7 +246,7 @@
 void FakeFleet::Advise(const AdviceQuestion& question) {
   ++this->questions;
   AdviceAnswer answer{.is_answered = !this->is_policy_silent,
-                      .validity = Milliseconds(2'000)};
+                      .validity = this->answered_validity};
   for (const WorkerId& worker : question.workers) {
     const auto found = this->admitted.find(worker);
     if (answer.is_answered && found != this->admitted.end()) {
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -66,6 +66,8 @@
   // it is silent, questions get no answer.
   std::map<WorkerId, std::string> admitted;
   bool is_policy_silent = false;
+  // What its answers say of the tickets' time; the queue declares 2 s.
+  std::optional<Milliseconds> answered_validity = Milliseconds(2'000);
   std::uint64_t questions = 0;
   // False while the platform does not say which instances are up.
   bool lists_instances = true;
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -506,6 +506,17 @@
   EXPECT_GE(fleet.questions, 2U);
 }
 
+TEST(SchedulerTest, ATicketHoldsAsDeclaredWhereTheAnswerDoesNotSay) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(5'000);
+  fleet.admitted = {{WorkerId("w0"), "ticket"}};
+  fleet.answered_validity = std::nullopt;
+  fleet.Submit("job", {.count = 1}, "advised");
+  fleet.PassTime(Milliseconds(600));
+  EXPECT_EQ(fleet.CountRunning("job"), 1U);
+  EXPECT_EQ(fleet.questions, 1U);
+}
+
 TEST(SchedulerTest, ARefusedTicketIsDroppedAndAskedForAgain) {
   FakeFleet fleet(1);
   fleet.work = Milliseconds(5'000);
