--- a/meta/sumac.sh
+++ b/meta/sumac.sh
@@ -11,7 +11,7 @@
 packages=(
   g++ cmake ninja-build clang-format clang-tidy libpoco-dev libcapnp-dev capnproto libabsl-dev
   libboost-dev libboost-program-options-dev liblog4cxx-dev nlohmann-json3-dev librapidcheck-dev
-  libgtest-dev curl jq gnuplot-nox
+  libgtest-dev libgoogle-perftools-dev curl jq gnuplot-nox
 )
 
 usage() {
