Scheduler: Let the pause between passes follow what a pass takes

Hypothesis: when the leader's processor share is nearly used up, a fixed pause lets passes take half of the loop, while fewer and larger passes start as much.

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -23,8 +23,6 @@
 constexpr Milliseconds kMaintenanceInterval{100};
 // Without news the scheduler looks at its timers this often.
 constexpr Milliseconds kIdlePlanInterval{100};
-// News is gathered for this long before the scheduler looks at it.
-constexpr Milliseconds kPlanPause{10};
 // After a report of ends, before the next renewal: ends that come close to each
 // other share a report and a commit.
 constexpr Milliseconds kEndsPause{15};
@@ -614,7 +612,8 @@
     return;
   }
   this->is_plan_scheduled = true;
-  this->tasks.add(this->timer.afterDelay(ToKj(kPlanPause)).then([this] {
+  const Milliseconds pause = this->pass_pacer.NextPause();
+  this->tasks.add(this->timer.afterDelay(ToKj(pause)).then([this] {
     this->is_plan_scheduled = false;
     if (this->scheduler) {
       this->Plan();
@@ -626,6 +625,10 @@
   if (!this->host->MayAct()) {
     return;
   }
+  const auto began = std::chrono::steady_clock::now();
+  const auto noted = kj::defer([this, began] {
+    this->NotePass(std::chrono::steady_clock::now() - began);
+  });
   this->last_plan = this->clock.SteadyNow();
   if (std::exchange(this->have_workers_changed, false)) {
     this->SyncWorkers();
@@ -655,6 +658,13 @@
   }
 }
 
+void JobController::NotePass(std::chrono::steady_clock::duration took) {
+  this->metrics.Observe("sumac_pass_seconds",
+                        std::chrono::duration<double>(took).count());
+  this->pass_pacer.NotePass(
+      std::chrono::duration_cast<std::chrono::microseconds>(took));
+}
+
 // A report beside the renewals; what it tells is taken in like theirs.
 void JobController::RequestReport(const scheduler::RenewOrder& order) {
   const Term term = this->leading_term;
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -6,6 +6,7 @@
 #include <kj/async.h>
 #include <kj/timer.h>
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +21,7 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/requests.h"
 #include "libraries/maintenance/instance_calls.h"
+#include "libraries/scheduler/pass_pacer.h"
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_calls.h"
 #include "services/sumacd/instance_keeper.h"
@@ -118,6 +120,7 @@
   void CommitEnds();
   void SchedulePlan();
   void Plan();
+  void NotePass(std::chrono::steady_clock::duration took);
   void SendOrder(const scheduler::Order& order);
   void RequestReport(const scheduler::RenewOrder& order);
   void AskForAdvice(const scheduler::AdviceQuestion& question);
@@ -144,6 +147,7 @@
   std::multiset<JobId> open_submissions;
   SteadyTime last_maintenance{};
   SteadyTime last_plan{};
+  scheduler::PassPacer pass_pacer;
   bool have_workers_changed = false;
   bool has_applied = false;
   bool is_plan_scheduled = false;
