--- a/libraries/replication/leadership.h
+++ b/libraries/replication/leadership.h
@@ -21,8 +21,11 @@
   // here.
   SteadyTime acknowledged_sent_at{};
   SteadyTime last_answer_at{};
-  // Set while a snapshot goes over.
+  // Set while a snapshot goes over: which one, the first byte that the member
+  // does not have yet, and when the piece from there was sent.
   std::optional<std::uint64_t> snapshot_offset;
+  LogIndex snapshot_index;
+  SteadyTime piece_sent_at{};
 };
 
 // A leader's view of the other members, and what follows from it.
--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -540,8 +540,10 @@
   }
   if (progress.next_index <= this->log.snapshot().index ||
       progress.snapshot_offset) {
-    if (is_heartbeat || !progress.snapshot_offset) {
+    if (!progress.snapshot_offset) {
       this->SendSnapshot(node, progress, now);
+    } else if (is_heartbeat) {
+      this->SendSnapshotHeartbeat(node, progress, now);
     }
     return;
   }
@@ -578,13 +580,29 @@
   this->Send(node, std::move(request));
 }
 
+bool Replica::is_sending_snapshot() const {
+  if (!this->leading) {
+    return false;
+  }
+  const auto& members = this->leading->members();
+  return std::any_of(members.begin(), members.end(), [](const auto& member) {
+    return member.second.snapshot_offset.has_value();
+  });
+}
+
+// Sends the next piece of the newest snapshot.
 void Replica::SendSnapshot(const NodeId& node,
                            MemberProgress& progress,
                            SteadyTime now) {
+  const SnapshotMeta& meta = this->log.snapshot();
+  if (progress.snapshot_index != meta.index) {
+    progress.snapshot_index = meta.index;
+    progress.snapshot_offset = 0;
+  }
   const std::uint64_t offset = progress.snapshot_offset.value_or(0);
   progress.snapshot_offset = offset;
-  SnapshotChunk chunk{
-      .meta = this->log.snapshot(), .offset = offset, .sent_at = now};
+  progress.piece_sent_at = now;
+  SnapshotChunk chunk{.meta = meta, .offset = offset, .sent_at = now};
   if (offset < this->snapshot_state.size()) {
     chunk.data = this->snapshot_state.substr(
         offset, this->settings.snapshot_chunk_bytes);
@@ -593,6 +611,26 @@
   this->Send(node, std::move(chunk));
 }
 
+// A piece that was lost is sent again. One that is only slow is not: each
+// answer to a piece brings the next, so a piece that goes out twice doubles all
+// that follow it.
+void Replica::SendSnapshotHeartbeat(const NodeId& node,
+                                    MemberProgress& progress,
+                                    SteadyTime now) {
+  const bool is_superseded =
+      progress.snapshot_index != this->log.snapshot().index;
+  const bool is_lost =
+      now - progress.piece_sent_at > this->settings.election_timeout;
+  if (is_superseded || is_lost) {
+    this->SendSnapshot(node, progress, now);
+    return;
+  }
+  // An empty piece says no more than that the leader is there.
+  this->Send(node, SnapshotChunk{.meta = this->log.snapshot(),
+                                 .offset = *progress.snapshot_offset,
+                                 .sent_at = now});
+}
+
 void Replica::HandleAppendAnswer(const NodeId& from,
                                  const AppendAnswer& answer,
                                  SteadyTime now) {
@@ -696,16 +734,18 @@
     progress->snapshot_offset.reset();
     progress->match_index = std::max(progress->match_index, answer.index);
     progress->next_index = progress->match_index.Next();
-  } else if (answer.index == this->log.snapshot().index) {
-    progress->snapshot_offset = answer.next_offset;
-    this->SendSnapshot(from, *progress, now);
+    this->SendTo(from, *progress, false, now);
     return;
-  } else {
-    progress->snapshot_offset = 0;
+  }
+  const bool is_piece_taken = answer.next_offset > *progress->snapshot_offset;
+  // Only the answer to the last piece tells that the member lost what it had.
+  const bool has_begun_anew = answer.next_offset < *progress->snapshot_offset &&
+                              answer.sent_at >= progress->piece_sent_at;
+  if (answer.index == progress->snapshot_index &&
+      (is_piece_taken || has_begun_anew)) {
+    progress->snapshot_offset = answer.next_offset;
     this->SendSnapshot(from, *progress, now);
-    return;
   }
-  this->SendTo(from, *progress, false, now);
 }
 
 void Replica::HandleTimeoutNow(SteadyTime now) {
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -81,6 +81,8 @@
   // True once a leader has applied an entry of its own term, so that its state
   // is complete.
   bool is_ready_to_lead() const;
+  // True while this leader sends a snapshot to some member.
+  bool is_sending_snapshot() const;
 
   // The entry with which the present leadership of this replica began; its
   // state is complete once that is applied.
@@ -163,6 +165,9 @@
   void SendSnapshot(const NodeId& node,
                     MemberProgress& progress,
                     SteadyTime now);
+  void SendSnapshotHeartbeat(const NodeId& node,
+                             MemberProgress& progress,
+                             SteadyTime now);
   void MaybeFinishHandOver(SteadyTime now);
   void TickLeader(SteadyTime now);
   void Send(const NodeId& to, decltype(Message::body) body);
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -40,6 +40,10 @@
 // A leader whose disk has held one write for this long hands over.
 constexpr Milliseconds kStalledDiskTime{1'000};
 
+// While a snapshot goes over to a member, the next one is taken after this many
+// times the usual number of entries: some seconds of a rush, in which the
+// member gets the whole of it, while the log stays bounded.
+constexpr std::uint64_t kPatienceWhileSending = 4;
 // Committed entries that are applied before other events get their turn: some
 // ten milliseconds on a third of a core.
 constexpr std::size_t kMostAppliedAtOnce = 64;
@@ -224,9 +228,9 @@
   replication::MemberHealth health;
   health.is_silent = silence > kSilentControllerTime;
   health.is_lost = silence > kLostControllerTime;
-  health.is_caught_up =
-      !health.is_silent &&
-      found->second.match_index >= this->replica_core->commit_index();
+  health.is_caught_up = !health.is_silent && this->catch_up_mark.IsReached(
+                                                 this->replica_core->term(),
+                                                 found->second.match_index);
   return health;
 }
 
@@ -241,6 +245,8 @@
       health[node] = this->HealthOf(node, now);
     }
   }
+  this->catch_up_mark.Note(this->replica_core->term(),
+                           this->replica_core->commit_index());
   const auto next = replication::PlanNextMembers(members, health,
                                                  this->settings.wanted_voters);
   if (next) {
@@ -606,8 +612,12 @@
 }
 
 void ReplicaHost::MaybeSnapshot() {
-  if (this->entries_since_snapshot < this->settings.group.snapshot_every ||
-      this->is_snapshot_under_way || !this->unwritten.empty()) {
+  // A newer snapshot would make a member that takes one in begin anew.
+  const std::uint64_t due_after =
+      this->settings.group.snapshot_every *
+      (this->replica_core->is_sending_snapshot() ? kPatienceWhileSending : 1);
+  if (this->entries_since_snapshot < due_after || this->is_snapshot_under_way ||
+      !this->unwritten.empty()) {
     // NOTE: With nothing left to write, the disk holds all that is applied, so
     // the snapshot never runs ahead of the log on the disk.
     return;
--- a/tests/libraries/replication/replica_test.cc
+++ b/tests/libraries/replication/replica_test.cc
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+#include <utility>
+#include <variant>
+
 #include "libraries/base/error.h"
 #include "tests/libraries/replication/cluster.h"
 
@@ -153,6 +157,113 @@
   EXPECT_EQ(cluster.CheckInvariants(), "");
 }
 
+// A group whose laggard takes a snapshot in over a link that is slower than the
+// heartbeats; with what went over.
+class SnapshotTransfer {
+ public:
+  SnapshotTransfer() : cluster(3) {
+    this->cluster.settings.snapshot_chunk_bytes = 256;
+    for (std::size_t node = 0; node < 3; ++node) {
+      this->cluster.Restart(node);
+    }
+    this->leader = this->cluster.ElectLeader().value();
+    this->laggard = (this->leader + 1) % 3;
+    this->cluster.Crash(this->laggard);
+    this->ProposeMany(300);
+    this->cluster.Compact(this->leader);
+    this->cluster.Restart(this->laggard);
+  }
+
+  void ProposeMany(int count) {
+    for (int number = 0; number < count; ++number) {
+      EXPECT_TRUE(this->cluster.Propose(this->leader, "command").ok());
+      this->cluster.Settle();
+    }
+  }
+
+  // What goes to or comes from the laggard takes `one_way`.
+  void PassTime(Milliseconds time, Milliseconds one_way) {
+    constexpr Milliseconds kStep{10};
+    const NodeId& slow = this->cluster.nodes[this->laggard].id;
+    for (Milliseconds passed{0}; passed < time; passed += kStep) {
+      this->cluster.Tick(kStep);
+      while (!this->cluster.network.empty()) {
+        const Message message = this->cluster.network.front();
+        if (message.from == slow || message.to == slow) {
+          this->cluster.network.pop_front();
+          this->on_the_way.emplace_back(this->cluster.now + one_way, message);
+        } else {
+          this->cluster.Deliver(0);
+        }
+      }
+      while (!this->on_the_way.empty() &&
+             this->on_the_way.front().first <= this->cluster.now) {
+        this->DeliverSlow(this->on_the_way.front().second);
+        this->on_the_way.pop_front();
+      }
+    }
+  }
+
+  std::size_t HeldByLaggard() const {
+    return this->cluster.nodes[this->laggard].applied.size();
+  }
+
+  Cluster cluster;
+  std::size_t leader = 0;
+  std::size_t laggard = 0;
+  std::size_t snapshot_bytes_sent = 0;
+
+ private:
+  void DeliverSlow(const Message& message) {
+    if (const auto* chunk = std::get_if<SnapshotChunk>(&message.body)) {
+      this->snapshot_bytes_sent += chunk->data.size();
+    }
+    std::deque<Message> others = std::exchange(this->cluster.network, {});
+    this->cluster.network.push_back(message);
+    this->cluster.Deliver(0);
+    for (Message& later : others) {
+      this->cluster.network.push_back(std::move(later));
+    }
+  }
+
+  std::deque<std::pair<SteadyTime, Message>> on_the_way;
+};
+
+// With a copy at each heartbeat, each of which brought a next piece of its own,
+// this transfer sent several times the snapshot, and a busy leader did not get
+// to the end of it.
+TEST(ReplicaTest, ASnapshotGoesOverALinkSlowerThanHeartbeatsOnce) {
+  SnapshotTransfer transfer;
+  transfer.PassTime(Milliseconds(20'000), Milliseconds(180));
+  EXPECT_GE(transfer.HeldByLaggard(), 300U);
+  const std::size_t size =
+      transfer.cluster.nodes[transfer.laggard].snapshot.state.size();
+  EXPECT_GT(size, 2'000U);
+  EXPECT_LE(transfer.snapshot_bytes_sent, size + size / 4);
+  EXPECT_EQ(transfer.cluster.CheckInvariants(), "");
+}
+
+TEST(ReplicaTest, ASnapshotThatIsSupersededGoesOverAnew) {
+  SnapshotTransfer transfer;
+  transfer.PassTime(Milliseconds(900), Milliseconds(60));
+  transfer.ProposeMany(50);
+  transfer.cluster.Compact(transfer.leader);
+  transfer.PassTime(Milliseconds(20'000), Milliseconds(60));
+  EXPECT_GE(transfer.HeldByLaggard(), 350U);
+  EXPECT_EQ(transfer.cluster.CheckInvariants(), "");
+}
+
+TEST(ReplicaTest, AMemberThatRestartsInTheMiddleOfASnapshotGetsItAnew) {
+  SnapshotTransfer transfer;
+  transfer.PassTime(Milliseconds(900), Milliseconds(60));
+  ASSERT_LT(transfer.HeldByLaggard(), 300U);
+  transfer.cluster.Crash(transfer.laggard);
+  transfer.cluster.Restart(transfer.laggard);
+  transfer.PassTime(Milliseconds(20'000), Milliseconds(60));
+  EXPECT_GE(transfer.HeldByLaggard(), 300U);
+  EXPECT_EQ(transfer.cluster.CheckInvariants(), "");
+}
+
 TEST(ReplicaTest, MembersChangeOneAtATime) {
   Cluster cluster(3);
   const auto leader = cluster.ElectLeader();
