Base, Rpc, Sumacd: Let a late loop read its answers before it gives them up

Beside it, one call over its limit dropped the connection between an entry and the leader with all calls on it, and each resend of a job was committed again. Now a timer that fires late gives the loop one more round (four at most); a connection on which something else was answered stays; a resend of a job that is on record, and a cancel of one that has finished, are answered without a commit.

--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -3,7 +3,7 @@
 
 #include <memory>
 
-#include "libraries/base/kj_time.h"
+#include "libraries/base/kj_timeout.h"
 
 namespace sumac::http {
 namespace {
@@ -79,7 +79,7 @@
         open->is_used = true;
         return this->Send(kj::mv(open), request);
       });
-  return this->timer.timeoutAfter(ToKj(limit), kj::mv(called))
+  return TimeoutAfter(this->timer, limit, kj::mv(called))
       .catch_([this, attempt, &request, limit,
                is_second](kj::Exception&& exception) -> kj::Promise<CallReply> {
         this->Drop(attempt->has_connected ? attempt->generation
--- a/libraries/rpc/channel.cc
+++ b/libraries/rpc/channel.cc
@@ -34,11 +34,12 @@
 }
 
 void Channel::NoteFailure(const kj::Exception& exception,
-                          std::uint64_t failed_generation) {
-  const bool is_connection_bad =
-      exception.getType() == kj::Exception::Type::DISCONNECTED ||
-      exception.getType() == kj::Exception::Type::OVERLOADED;
-  if (is_connection_bad && failed_generation == this->generation) {
+                          const CallStart& start) {
+  const bool is_gone = exception.getType() == kj::Exception::Type::DISCONNECTED;
+  const bool is_silent =
+      exception.getType() == kj::Exception::Type::OVERLOADED &&
+      this->last_answer_at <= start.at;
+  if ((is_gone || is_silent) && start.generation == this->generation) {
     ++this->generation;
     this->bootstrap = nullptr;
     this->connection = nullptr;
--- a/libraries/rpc/channel.h
+++ b/libraries/rpc/channel.h
@@ -8,9 +8,10 @@
 
 #include <cstdint>
 #include <string>
+#include <type_traits>
 #include <utility>
 
-#include "libraries/base/kj_time.h"
+#include "libraries/base/kj_timeout.h"
 #include "libraries/base/time.h"
 
 namespace sumac::rpc {
@@ -28,18 +29,19 @@
     return this->GetBootstrap().castAs<Interface>();
   }
 
-  // Bounds a call: when it takes longer than `limit` or fails because the other
-  // side is gone, the connection is dropped, so that the next call opens a new
-  // one.
+  // Bounds a call. When it fails because the other side is gone, or takes
+  // longer than `limit` while nothing else was answered, the connection is
+  // dropped, so that the next call opens a new one. One slow call among others
+  // that are answered says nothing against the connection, and dropping it
+  // would leave all of them without a known outcome.
   template <typename T>
   kj::Promise<T> Guard(Milliseconds limit, kj::Promise<T> call) {
-    const std::uint64_t generation = this->generation;
-    return this->timer.timeoutAfter(ToKj(limit), kj::mv(call))
-        .catch_(
-            [this, generation](kj::Exception&& exception) -> kj::Promise<T> {
-              this->NoteFailure(exception, generation);
-              return kj::mv(exception);
-            });
+    const CallStart start{this->generation, this->clock.SteadyNow()};
+    return TimeoutAfter(this->timer, limit, this->NoteAnswer(kj::mv(call)))
+        .catch_([this, start](kj::Exception&& exception) -> kj::Promise<T> {
+          this->NoteFailure(exception, start);
+          return kj::mv(exception);
+        });
   }
 
   const std::string& address() const { return this->peer_address; }
@@ -50,9 +52,27 @@
     kj::Own<capnp::TwoPartyClient> client;
   };
 
+  // When a call began, and on which connection.
+  struct CallStart {
+    std::uint64_t generation = 0;
+    SteadyTime at{};
+  };
+
+  template <typename T>
+  kj::Promise<T> NoteAnswer(kj::Promise<T> call) {
+    if constexpr (std::is_void_v<T>) {
+      return call.then(
+          [this] { this->last_answer_at = this->clock.SteadyNow(); });
+    } else {
+      return call.then([this](T&& result) {
+        this->last_answer_at = this->clock.SteadyNow();
+        return kj::mv(result);
+      });
+    }
+  }
+
   capnp::Capability::Client GetBootstrap();
-  void NoteFailure(const kj::Exception& exception,
-                   std::uint64_t failed_generation);
+  void NoteFailure(const kj::Exception& exception, const CallStart& start);
 
   kj::Network& network;
   kj::Timer& timer;
@@ -60,6 +80,9 @@
   // Counts connections, so that a late failure of an old one does not drop a
   // new one.
   std::uint64_t generation = 0;
+  SystemClock clock;
+  // When a call was last answered.
+  SteadyTime last_answer_at{};
   kj::Maybe<capnp::Capability::Client> bootstrap;
   kj::Maybe<kj::Own<Connection>> connection;
 };
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -358,12 +358,14 @@
     return fleet::Answer{.code = ResultCode::kBadRequest,
                          .message = "the path holds no job id"};
   }
+  if (this->jobs_state.FindJob(address->job) != nullptr) {
+    // A resend. The job is on record, so its answer needs no further commit; in
+    // a rush on a slow leader resends would double the work.
+    return fleet::Answer::Success("accepted before");
+  }
   // NOTE: A refusal promises that the job never runs, so it may not be given to
-  // one that is accepted or on its way.
-  const bool may_be_accepted =
-      this->jobs_state.FindJob(address->job) != nullptr ||
-      this->open_submissions.contains(address->job);
-  if (!may_be_accepted &&
+  // one that is on its way.
+  if (!this->open_submissions.contains(address->job) &&
       this->jobs_state.active_jobs().size() + this->open_submissions.size() >=
           this->settings.policy.most_active_jobs) {
     this->metrics.Count("sumac_refusals_total{reason=\"overload\"}");
@@ -416,9 +418,14 @@
   if (!address.ok()) {
     return fleet::Answer::FromStatus(address.status());
   }
-  if (this->jobs_state.FindJob(address->job) == nullptr) {
+  const jobs::Job* job = this->jobs_state.FindJob(address->job);
+  if (job == nullptr) {
     return UnknownJob();
   }
+  if (!job->is_active()) {
+    // Nothing of it will run any more, and that is on record.
+    return fleet::Answer::Success("it has finished");
+  }
   return this->Propose(jobs::CancelJob{address->job});
 }
 
--- /dev/null
+++ b/tests/libraries/base/response_limit_test.cc
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/base/response_limit.h"
+
+#include <gtest/gtest.h>
+
+namespace sumac {
+namespace {
+
+constexpr SteadyTime kBegin{Milliseconds(1'000)};
+constexpr Milliseconds kLimit{400};
+
+TEST(ResponseLimitTest, APunctualTimerMeansThatNoAnswerCame) {
+  ResponseLimit limit(kLimit, kBegin);
+  EXPECT_FALSE(limit.WaitMore(kBegin + kLimit));
+  EXPECT_FALSE(limit.WaitMore(kBegin + kLimit + Milliseconds(5)));
+}
+
+// A loop's timers count from its last round, so they may fire early.
+TEST(ResponseLimitTest, AnEarlyTimerWaitsForTheRest) {
+  ResponseLimit limit(kLimit, kBegin);
+  EXPECT_EQ(limit.WaitMore(kBegin + Milliseconds(350)), Milliseconds(50));
+  EXPECT_FALSE(limit.WaitMore(kBegin + kLimit));
+}
+
+// The loop stood still for 120 ms: it must read what came meanwhile before it
+// gives the answer up.
+TEST(ResponseLimitTest, ALateTimerGivesTheLoopOneMoreRound) {
+  ResponseLimit limit(kLimit, kBegin);
+  const SteadyTime fired = kBegin + kLimit + Milliseconds(120);
+  EXPECT_EQ(limit.WaitMore(fired), Milliseconds(120));
+  EXPECT_FALSE(limit.WaitMore(fired + Milliseconds(121)));
+}
+
+// A process that was stopped for long does not wait for as long again, and one
+// that is always late gives up at last.
+TEST(ResponseLimitTest, TheRoundsAreBounded) {
+  ResponseLimit limit(kLimit, kBegin);
+  SteadyTime fired = kBegin + kLimit + Milliseconds(9'000);
+  for (int round = 0; round < 4; ++round) {
+    EXPECT_EQ(limit.WaitMore(fired), Milliseconds(250)) << round;
+    fired += Milliseconds(250 + 300);
+  }
+  EXPECT_FALSE(limit.WaitMore(fired));
+}
+
+}  // namespace
+}  // namespace sumac
