Sumacd: Ask a worker for ends no more often than passes look at them

Hypothesis: in a rush a worker's runs end every 55 ms, and each end takes a call of its own although the scheduler looks only at each pass.

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -531,8 +531,10 @@
   if (ends.up_to == 0) {
     return kj::READY_NOW;
   }
-  return this->RecordEnds(worker, std::move(ends)).then([this] {
-    return this->timer.afterDelay(ToKj(kEndsPause));
+  // Ends that come faster than passes look at them share a report, too.
+  const Milliseconds pause = std::max(kEndsPause, this->pass_pacer.NextPause());
+  return this->RecordEnds(worker, std::move(ends)).then([this, pause] {
+    return this->timer.afterDelay(ToKj(pause));
   });
 }
 
