Scheduler: Count stops of the leader before against a step's budget

Now an adopted run counts as at work only once a report shows it after the platform's longest stop; the earlier leader can give no more orders there by then, since its fencing token is too low. The time is a setting, filled in by the deployment. Ruled out: recording evacuations in the log, a commit for each; counting every adopted task as away for good, which would end all evacuations. The test fails without the check and passes with it.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -256,6 +256,8 @@
       .is_serving = step != nullptr && step->latency_target > Milliseconds(0),
       .is_filler = step != nullptr && step->is_filler,
       .ordered_at = now,
+      .settled_at =
+          now + this->settings.longest_stop + this->settings.lease.margin,
       .confirmed_clock = report.clock,
       .percent = running.percent,
       .percent_changed_at = now,
@@ -655,6 +657,7 @@
   const auto run = session->second.runs().find({task, number});
   return run != session->second.runs().end() &&
          run->second.phase == RunPhase::kRunning &&
+         session->second.last_answer >= run->second.settled_at &&
          run->second.percent >= kWholePercent;
 }
 
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -32,6 +32,9 @@
 struct SchedulerSettings {
   LeaseSettings lease;
   ForecastSettings forecast;
+  // How long a worker takes at most to carry out a stop, by the platform's
+  // terms.
+  Milliseconds longest_stop{1'000};
   // Before a stop that had no effect yet is sent again.
   Milliseconds stop_retry{450};
   // A worker that said it is full gets no starts for this long.
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -58,6 +58,10 @@
   bool is_serving = false;
   bool is_filler = false;
   SteadyTime ordered_at{};
+  // Of a run that was adopted: an earlier leader may have stopped it just
+  // before, and it is listed as running while the stop takes its time. Only a
+  // report that comes from then on shows that it goes on.
+  SteadyTime settled_at{};
   // The end of the lease that the start carried: a start that is carried out
   // late does nothing from then on.
   WorkerTime start_expires;
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -208,6 +208,7 @@
     chosen.forecast.horizon = Milliseconds(0);
   }
   chosen.lease.length = std::min(chosen.lease.length, times.longest_lease);
+  chosen.longest_stop = times.longest_stop;
   this->scheduler.emplace(this->jobs_state, chosen, now);
   const maintenance::MaintenanceSettings maintenance{
       .holder_pause = times.instance_lease,
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -18,6 +18,8 @@
 struct PlatformTimes {
   // A worker's lease is at most this long.
   Milliseconds longest_lease{6'000};
+  // A worker carries a stop out within this.
+  Milliseconds longest_stop{1'000};
   // A process that was told to stop is killed after this.
   Milliseconds stop_grace{6'000};
   // Two leaders' orders about one instance keep this apart.
@@ -35,6 +37,7 @@
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("longest_lease_ms", self.longest_lease, Limits{100, 600'000});
+    visitor.Field("longest_stop_ms", self.longest_stop, Limits{0, 600'000});
     visitor.Field("stop_grace_ms", self.stop_grace, Limits{100, 600'000});
     visitor.Field("instance_lease_ms", self.instance_lease, Limits{0, 600'000});
     visitor.Field("maintenance_seconds", self.maintenance_seconds,
--- a/tests/libraries/scheduler/fake_worker.cc
+++ b/tests/libraries/scheduler/fake_worker.cc
@@ -19,6 +19,8 @@
   for (const auto& [task, running] : this->tasks) {
     if (has_lapsed) {
       over.emplace_back(task, EndCause::kLapsed);
+    } else if (running.stops_at && now >= *running.stops_at) {
+      over.emplace_back(task, EndCause::kStopped);
     } else if (now >= running.ends_at) {
       over.emplace_back(task,
                         running.fails ? EndCause::kFailed : EndCause::kDone);
@@ -114,7 +116,11 @@
   this->fence = order.epoch;
   const auto present = this->tasks.find(order.task);
   if (present != this->tasks.end() && present->second.run == order.run) {
-    this->End(order.task, EndCause::kStopped);
+    if (this->stop_time == Milliseconds(0)) {
+      this->End(order.task, EndCause::kStopped);
+    } else if (!present->second.stops_at) {
+      present->second.stops_at = now + this->stop_time;
+    }
   }
   this->closed[order.task] = std::max(this->closed[order.task], order.run);
   answer.result = OrderResult::kDone;
--- a/tests/libraries/scheduler/fake_worker.h
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,8 @@
     bool is_serving = false;
     bool is_filler = false;
     std::uint32_t pace = 100;
+    // When a stop that is under way takes effect.
+    std::optional<SteadyTime> stops_at;
   };
 
   // Its clock started at `clock_offset` and loses `slow_permille`.
@@ -73,6 +76,9 @@
   std::int64_t tail_per_filler = 0;
   // Tickets without which it starts nothing; empty for any.
   std::set<std::string> tickets;
+  // How long a stop takes after it was answered; the run is listed as running
+  // until then.
+  Milliseconds stop_time{0};
   // What everything there has saved.
   std::string checkpoint;
   // While it is cut off, connections to it are refused.
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -425,6 +425,50 @@
   EXPECT_EQ(fleet.CountRunning("job"), 2U);
 }
 
+// A stop takes its time, and until it is over the run is listed as running. A
+// leader that takes over meanwhile can't tell it from one that goes on, and
+// must not take another task of the step away beside it.
+TEST(SchedulerTest, TheBudgetCountsStopsOfTheLeaderBefore) {
+  FakeFleet fleet(4);
+  fleet.work = Milliseconds(60'000);
+  fleet.settings.longest_stop = Milliseconds(900);
+  fleet.Submit("job", {.count = 2,
+                       .most_per_worker = 1,
+                       .is_long_running = true,
+                       .has_disruption_budget = true,
+                       .disruption_budget = 1});
+  fleet.PassTime(Milliseconds(400));
+  const std::vector<std::string> before = fleet.WorkersOf("job");
+  ASSERT_EQ(before.size(), 2U);
+  const auto instance_of = [&](const std::string& worker) {
+    return fleet.worker(worker).description.instance;
+  };
+  const auto runs_on = [&](const std::string& worker) {
+    const std::vector<std::string> workers = fleet.WorkersOf("job");
+    return std::count(workers.begin(), workers.end(), worker) > 0;
+  };
+  FakeWorker& first = fleet.worker(before[0]);
+  first.stop_time = Milliseconds(800);
+  const RunNumber first_run = first.running().begin()->second.run;
+  const auto is_first_leaving = [&] {
+    return std::any_of(
+        first.running().begin(), first.running().end(),
+        [&](const auto& task) { return task.second.run == first_run; });
+  };
+  fleet.scheduler->SetCordoned({instance_of(before[0])});
+  fleet.PassTime(Milliseconds(50));
+  fleet.ChangeLeader();
+  fleet.scheduler->SetCordoned({instance_of(before[1])});
+  for (int step = 0; step < 400; ++step) {
+    fleet.PassTime(Milliseconds(10));
+    ASSERT_TRUE(runs_on(before[1]) || !is_first_leaving()) << step;
+  }
+  // Once the first task is at work again, the second leaves its instance.
+  EXPECT_EQ(fleet.CountRunning("job"), 2U);
+  EXPECT_FALSE(runs_on(before[1]));
+  EXPECT_EQ(fleet.problem, "");
+}
+
 TEST(SchedulerTest, ATaskWithoutAnotherPlaceStaysOnItsCordonedInstance) {
   FakeFleet fleet(2);
   fleet.work = Milliseconds(60'000);
