Scheduler, Sumacd: Take in the workers that changed, not all of them

Now the commits since the last pass name the workers to take in, the last life on each instance is kept, and a run remembers whether its step has a budget, so that counting instances looks up no steps. A life at whose address another answers is forgotten at once instead of being asked again. The scheduler's tests pass.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -49,57 +49,55 @@
              this->run_times,
              settings.forecast,
              this->first_own_sequence) {
-  this->SyncWorkers(now);
+  for (const auto& [id, worker] : state.workers()) {
+    this->SyncWorker(id, now);
+  }
 }
 
-// Of all lives on one instance only the last one heard of can be alive.
-std::map<InstanceName, const jobs::Worker*> Scheduler::FindPresentLives()
-    const {
-  std::map<InstanceName, const jobs::Worker*> present;
-  for (const auto& [id, worker] : this->state.workers()) {
-    const jobs::Worker*& last = present[worker.instance];
-    if (last == nullptr || worker.number > last->number) {
-      last = &worker;
-    }
+void Scheduler::SyncWorkers(const std::set<WorkerId>& changed, SteadyTime now) {
+  for (const WorkerId& id : changed) {
+    this->SyncWorker(id, now);
   }
-  return present;
+  this->needs_plan = this->needs_plan || !changed.empty();
 }
 
-void Scheduler::SyncWorkers(SteadyTime now) {
-  const auto present = this->FindPresentLives();
-  std::vector<std::pair<WorkerId, std::string>> over;
-  for (const auto& [id, session] : this->workers) {
-    if (this->state.FindWorker(id) == nullptr) {
-      over.emplace_back(id, "its life is over");
-    }
+void Scheduler::SyncWorker(const WorkerId& id, SteadyTime now) {
+  const jobs::Worker* worker = this->state.FindWorker(id);
+  if (worker == nullptr) {
+    this->over.erase(id);
+    this->EndWorker(id, "its life is over");
+    return;
   }
-  for (const auto& [id, worker] : this->state.workers()) {
-    const bool is_superseded = !worker.instance.value().empty() &&
-                               present.at(worker.instance)->id != id;
-    if (is_superseded) {
-      over.emplace_back(id, "another life began on its instance");
-      this->over.try_emplace(id);
-    }
-    if (this->over.contains(id)) {
-      continue;
-    }
-    const auto found = this->workers.find(id);
-    if (found != this->workers.end()) {
-      found->second.Update(worker);
-      this->MarkCordoned(found->second);
-    } else {
-      const auto added = this->workers.emplace(
-          id, WorkerSession(worker, this->settings.lease, now));
-      this->MarkCordoned(added.first->second);
-    }
+  if (this->IsSuperseded(*worker)) {
+    this->over.try_emplace(id);
   }
-  for (const auto& [id, reason] : over) {
-    this->EndWorker(id, reason);
+  if (this->over.contains(id)) {
+    this->EndWorker(id, "another life began on its instance");
+    return;
   }
-  std::erase_if(this->over, [this](const auto& ended) {
-    return this->state.FindWorker(ended.first) == nullptr;
-  });
-  this->needs_plan = true;
+  const auto [session, is_new] = this->workers.try_emplace(
+      id, WorkerSession(*worker, this->settings.lease, now));
+  session->second.Update(*worker);
+  this->MarkCordoned(session->second);
+}
+
+// Of all lives on one instance only the last one heard of can be alive. Ends an
+// earlier one that this worker supersedes; true if it is itself an earlier one.
+bool Scheduler::IsSuperseded(const jobs::Worker& worker) {
+  if (worker.instance.value().empty()) {
+    return false;
+  }
+  auto& [number, last] = this->last_lives[worker.instance];
+  if (worker.number < number) {
+    return true;
+  }
+  const WorkerId before = std::exchange(last, worker.id);
+  number = worker.number;
+  if (before != worker.id && this->state.FindWorker(before) != nullptr) {
+    this->over.try_emplace(before);
+    this->EndWorker(before, "another life began on its instance");
+  }
+  return false;
 }
 
 WorkerSession* Scheduler::FindSession(const WorkerId& worker) {
@@ -257,6 +255,7 @@
           step != nullptr ? Placement::CountedNeed(*step) : jobs::Resources(),
       .is_serving = step != nullptr && step->latency_target > Milliseconds(0),
       .is_filler = step != nullptr && step->is_filler,
+      .is_budgeted = step != nullptr && step->has_disruption_budget,
       .ordered_at = now,
       .settled_at =
           now + this->settings.longest_stop + this->settings.lease.margin,
@@ -316,7 +315,7 @@
   }
   session->NoteFailure();
   if (result == OrderResult::kOtherLife) {
-    this->EndWorker(worker, "another life is at its address");
+    this->EndReplacedWorker(worker);
   }
   this->needs_plan = true;
 }
@@ -395,7 +394,7 @@
       this->ReleaseRun(session, order.task, order.run, "fenced off");
       break;
     case OrderResult::kOtherLife:
-      this->EndWorker(order.worker, "another life is at its address");
+      this->EndReplacedWorker(order.worker);
       break;
     case OrderResult::kUnreachable:
       session.NoteFailure();
@@ -419,7 +418,7 @@
     return;
   }
   if (answer.result == OrderResult::kOtherLife) {
-    this->EndWorker(order.worker, "another life is at its address");
+    this->EndReplacedWorker(order.worker);
     return;
   }
   Run* run = session->FindRun(order.task, order.run);
@@ -485,6 +484,12 @@
   this->needs_plan = true;
 }
 
+// An address goes to another life only once the one before is over.
+void Scheduler::EndReplacedWorker(const WorkerId& worker) {
+  this->over.try_emplace(worker);
+  this->EndWorker(worker, "another life is at its address");
+}
+
 void Scheduler::ReleaseRun(WorkerSession& session,
                            const jobs::TaskId& task,
                            RunNumber run,
@@ -967,6 +972,7 @@
                      .need = Placement::CountedNeed(step),
                      .is_serving = step.latency_target > Milliseconds(0),
                      .is_filler = step.is_filler,
+                     .is_budgeted = step.has_disruption_budget,
                      .ordered_at = now,
                      .start_expires = lease_end,
                      .percent_changed_at = now});
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -109,8 +109,8 @@
             SchedulerSettings settings,
             SteadyTime now);
 
-  // Takes in that the workers of the state changed.
-  void SyncWorkers(SteadyTime now);
+  // Takes in that these workers were recorded, changed or forgotten.
+  void SyncWorkers(const std::set<WorkerId>& changed, SteadyTime now);
 
   // The next renewal for a worker, or nothing if the worker is not known any
   // more.
@@ -224,7 +224,9 @@
   void BreakGang(const jobs::TaskId& member, RunNumber run);
   TaskMemory& CheckpointOf(const jobs::TaskId& task,
                            const jobs::StepSpec& step);
-  std::map<InstanceName, const jobs::Worker*> FindPresentLives() const;
+  void SyncWorker(const WorkerId& id, SteadyTime now);
+  void EndReplacedWorker(const WorkerId& worker);
+  bool IsSuperseded(const jobs::Worker& worker);
   void LapseSilentWorkers(SteadyTime now);
   void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
   void EvacuateCordoned(SteadyTime now);
@@ -284,6 +286,8 @@
   // Services of which some worker has not told yet what runs there.
   std::set<ServiceName> uncertain;
   std::set<InstanceName> cordoned;
+  // The last life heard of on each instance.
+  std::map<InstanceName, std::pair<std::uint64_t, WorkerId>> last_lives;
   // Lives that are over for certain, until that is on record, and when to ask
   // for the record (again).
   std::map<WorkerId, SteadyTime> over;
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -57,6 +57,8 @@
   // It serves users of its own, or it fills what others leave.
   bool is_serving = false;
   bool is_filler = false;
+  // Its step has a disruption budget.
+  bool is_budgeted = false;
   SteadyTime ordered_at{};
   // Of a run that was adopted: an earlier leader may have stopped it just
   // before, and it is listed as running while the stop takes its time. Only a
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -140,9 +140,7 @@
     instance.millicores = worker.capacity.millicores;
     instance.is_leaving = worker.is_draining;
     for (const auto& [key, run] : session.runs()) {
-      const jobs::StepSpec* step = this->state.FindStep(run.task);
-      const bool is_budgeted = step != nullptr && step->has_disruption_budget;
-      ++(is_budgeted ? instance.budgeted_runs : instance.other_runs);
+      ++(run.is_budgeted ? instance.budgeted_runs : instance.other_runs);
     }
     if (!session.is_answering()) {
       // Something may run there unseen.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -76,7 +76,6 @@
                                  .wanted_voters = settings.wanted_voters()};
   ReplicaCallbacks callbacks;
   callbacks.load_snapshot = [self](const std::string& state) {
-    self->have_workers_changed = true;
     self->has_applied = true;
     return self->jobs_state.Load(state);
   };
@@ -227,7 +226,9 @@
                                     .surplus_time = policy.surplus_time,
                                     .move_time = times.move_time()},
       this->settings.process(), now);
-  this->SyncWorkers();
+  for (const auto& [worker, session] : this->scheduler->sessions()) {
+    this->BeginRenewals(worker);
+  }
   LogEvent(LogLevel::kInfo, "leads",
            {{"term", this->leading_term.value()},
             {"epoch", this->jobs_state.epoch().value()},
@@ -246,6 +247,7 @@
   this->renewals.clear();
   this->keeper.reset();
   this->scheduler.reset();
+  this->changed_workers.clear();
   this->waiting_ends.clear();
   this->is_ends_commit_open = false;
 }
@@ -259,16 +261,26 @@
     return fleet::Answer::FromStatus(stamped.status());
   }
   this->has_applied = true;
-  this->have_workers_changed =
-      this->have_workers_changed ||
-      std::holds_alternative<jobs::RecordWorker>(stamped->command) ||
-      std::holds_alternative<jobs::ForgetWorker>(stamped->command);
+  this->NoteChangedWorker(stamped->command);
   const std::vector<JobId> touched = this->ActiveJobsOf(stamped->command);
   fleet::Answer answer = this->jobs_state.Apply(*stamped);
   this->LogFinished(touched);
   return answer;
 }
 
+// A scheduler takes in all workers when it begins, and from then on those that
+// change.
+void JobController::NoteChangedWorker(const jobs::Command& command) {
+  if (!this->scheduler) {
+    return;
+  }
+  if (const auto* record = std::get_if<jobs::RecordWorker>(&command)) {
+    this->changed_workers.insert(record->worker.id);
+  } else if (const auto* forget = std::get_if<jobs::ForgetWorker>(&command)) {
+    this->changed_workers.insert(forget->worker);
+  }
+}
+
 // The active jobs that a command may finish; while another controller leads,
 // none: it writes the lines about them.
 std::vector<JobId> JobController::ActiveJobsOf(
@@ -472,10 +484,13 @@
       request.kind, request.name, this->clock.SteadyNow());
 }
 
-// Starts to renew workers that are new and stops it for those that are gone.
+// Takes in the workers that changed since the last pass: renews those that are
+// new and stops it for those that are gone.
 void JobController::SyncWorkers() {
-  this->scheduler->SyncWorkers(this->clock.SteadyNow());
-  for (auto item = this->renewals.begin(); item != this->renewals.end();) {
+  const std::set<WorkerId> changed = std::exchange(this->changed_workers, {});
+  this->scheduler->SyncWorkers(changed, this->clock.SteadyNow());
+  for (auto item = this->renewals.begin();
+       !changed.empty() && item != this->renewals.end();) {
     if (this->scheduler->sessions().contains(item->first)) {
       ++item;
       continue;
@@ -483,12 +498,17 @@
     this->worker_calls.forget(item->first);
     item = this->renewals.erase(item);
   }
-  for (const auto& [worker, session] : this->scheduler->sessions()) {
-    if (!this->renewals.contains(worker)) {
-      this->renewals.emplace(
-          worker,
-          this->RenewLoop(worker, this->leading_term).eagerlyEvaluate(nullptr));
-    }
+  for (const WorkerId& worker : changed) {
+    this->BeginRenewals(worker);
+  }
+}
+
+void JobController::BeginRenewals(const WorkerId& worker) {
+  if (this->scheduler->sessions().contains(worker) &&
+      !this->renewals.contains(worker)) {
+    this->renewals.emplace(
+        worker,
+        this->RenewLoop(worker, this->leading_term).eagerlyEvaluate(nullptr));
   }
 }
 
@@ -640,9 +660,7 @@
     this->NotePass(std::chrono::steady_clock::now() - began);
   });
   this->last_plan = this->clock.SteadyNow();
-  if (std::exchange(this->have_workers_changed, false)) {
-    this->SyncWorkers();
-  }
+  this->SyncWorkers();
   {
     const auto measured = this->work_times.Measure(Work::kInstances);
     this->keeper->Plan(this->clock.Now(), this->last_plan);
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -92,6 +92,7 @@
   void StartDeciding();
   void EndLeadership();
   fleet::Answer Apply(const std::string& payload);
+  void NoteChangedWorker(const jobs::Command& command);
   std::vector<JobId> ActiveJobsOf(const jobs::Command& command) const;
   void LogFinished(const std::vector<JobId>& touched);
   void AfterPass();
@@ -107,6 +108,7 @@
   kj::Promise<fleet::Answer> Serve(const jobs::Show& request);
 
   void SyncWorkers();
+  void BeginRenewals(const WorkerId& worker);
   kj::Promise<void> RenewLoop(const WorkerId& worker, Term term);
   kj::Promise<void> TakeRenewal(const WorkerId& worker,
                                 Term term,
@@ -148,7 +150,8 @@
   SteadyTime last_maintenance{};
   SteadyTime last_plan{};
   scheduler::PassPacer pass_pacer;
-  bool have_workers_changed = false;
+  // Workers of which something was committed since the last pass.
+  std::set<WorkerId> changed_workers;
   bool has_applied = false;
   bool is_plan_scheduled = false;
   std::vector<WaitingEnds> waiting_ends;
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -44,10 +44,16 @@
 }
 
 fleet::Answer FakeFleet::Commit(jobs::Command command) {
+  std::set<WorkerId> changed;
+  if (const auto* record = std::get_if<jobs::RecordWorker>(&command)) {
+    changed.insert(record->worker.id);
+  } else if (const auto* forget = std::get_if<jobs::ForgetWorker>(&command)) {
+    changed.insert(forget->worker);
+  }
   fleet::Answer answer = this->state.Apply(jobs::StampedCommand{
       WallTime(this->now.time_since_epoch()), std::move(command)});
   if (this->scheduler) {
-    this->scheduler->SyncWorkers(this->now);
+    this->scheduler->SyncWorkers(changed, this->now);
     this->scheduler->Wake();
   }
   return answer;
