--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -488,9 +488,11 @@
 // new and stops it for those that are gone.
 void JobController::SyncWorkers() {
   const std::set<WorkerId> changed = std::exchange(this->changed_workers, {});
+  if (changed.empty()) {
+    return;
+  }
   this->scheduler->SyncWorkers(changed, this->clock.SteadyNow());
-  for (auto item = this->renewals.begin();
-       !changed.empty() && item != this->renewals.end();) {
+  for (auto item = this->renewals.begin(); item != this->renewals.end();) {
     if (this->scheduler->sessions().contains(item->first)) {
       ++item;
       continue;
