Sumacd: Give the renewal loops a file of their own

The loops that renew workers' leases sat in job_controller.cc, where no test without processes and sockets could reach them. They now have a class with a host interface and end with the leadership, so the checks for a term that has passed are not needed.

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -226,9 +226,7 @@
                                     .surplus_time = policy.surplus_time,
                                     .move_time = times.move_time()},
       this->settings.process(), now);
-  for (const auto& [worker, session] : this->scheduler->sessions()) {
-    this->BeginRenewals(worker);
-  }
+  this->BeginRenewals();
   LogEvent(LogLevel::kInfo, "leads",
            {{"term", this->leading_term.value()},
             {"epoch", this->jobs_state.epoch().value()},
@@ -241,10 +239,7 @@
   LogEvent(LogLevel::kWarning, "leads-no-more",
            {{"term", this->leading_term.value()}});
   this->leading_term = Term(0);
-  for (const auto& [worker, renewal] : this->renewals) {
-    this->worker_calls.forget(worker);
-  }
-  this->renewals.clear();
+  this->renewals.reset();
   this->keeper.reset();
   this->scheduler.reset();
   this->changed_workers.clear();
@@ -492,73 +487,58 @@
     return;
   }
   this->scheduler->SyncWorkers(changed, this->clock.SteadyNow());
-  for (auto item = this->renewals.begin(); item != this->renewals.end();) {
-    if (this->scheduler->sessions().contains(item->first)) {
-      ++item;
-      continue;
-    }
-    this->worker_calls.forget(item->first);
-    item = this->renewals.erase(item);
-  }
+  const auto is_known = [this](const WorkerId& worker) {
+    return this->scheduler->sessions().contains(worker);
+  };
+  this->renewals->DropUnknown(is_known);
   for (const WorkerId& worker : changed) {
-    this->BeginRenewals(worker);
-  }
-}
-
-void JobController::BeginRenewals(const WorkerId& worker) {
-  if (this->scheduler->sessions().contains(worker) &&
-      !this->renewals.contains(worker)) {
-    this->renewals.emplace(
-        worker,
-        this->RenewLoop(worker, this->leading_term).eagerlyEvaluate(nullptr));
+    if (is_known(worker)) {
+      this->renewals->Begin(worker);
+    }
   }
 }
 
-kj::Promise<void> JobController::RenewLoop(const WorkerId& worker, Term term) {
-  if (!this->scheduler || this->leading_term != term) {
-    return kj::READY_NOW;
-  }
-  if (!this->host->MayAct()) {
-    // Without a lease nothing may be sent; it may come back in a moment.
-    return this->timer.afterDelay(ToKj(kRenewalPause))
-        .then([this, worker, term] { return this->RenewLoop(worker, term); });
-  }
-  auto order = this->scheduler->NextRenewal(worker, this->clock.SteadyNow());
-  if (!order) {
-    return kj::READY_NOW;
+void JobController::BeginRenewals() {
+  this->renewals.emplace(
+      this->timer,
+      WorkerRenewals::Host{.may_act = [this] { return this->host->MayAct(); },
+                           .next =
+                               [this](const WorkerId& worker) {
+                                 return this->scheduler->NextRenewal(
+                                     worker, this->clock.SteadyNow());
+                               },
+                           .renew = this->worker_calls.renew,
+                           .take =
+                               [this](const WorkerId& worker,
+                                      const scheduler::RenewAnswer& answer) {
+                                 return this->TakeRenewal(worker, answer);
+                               },
+                           .forget = this->worker_calls.forget});
+  for (const auto& [worker, session] : this->scheduler->sessions()) {
+    this->renewals->Begin(worker);
   }
-  return this->worker_calls.renew(*order)
-      .then([this, worker, term](const scheduler::RenewAnswer& answer) {
-        return this->TakeRenewal(worker, term, answer);
-      })
-      .then([this, worker, term] { return this->RenewLoop(worker, term); });
 }
 
-kj::Promise<void> JobController::TakeRenewal(
+RenewalOutcome JobController::TakeRenewal(
     const WorkerId& worker,
-    Term term,
     const scheduler::RenewAnswer& answer) {
-  if (!this->scheduler || this->leading_term != term) {
-    return kj::READY_NOW;
-  }
-  const SteadyTime now = this->clock.SteadyNow();
   if (answer.result != scheduler::OrderResult::kDone) {
     this->scheduler->TakeRenewalFailure(worker, answer.result);
     this->SchedulePlan();
-    return this->timer.afterDelay(ToKj(kRenewalPause));
+    return {.recorded = nullptr, .pause = kRenewalPause};
   }
-  scheduler::EndsToRecord ends = this->TakeReport(worker, answer.report, now);
+  scheduler::EndsToRecord ends =
+      this->TakeReport(worker, answer.report, this->clock.SteadyNow());
   if (this->scheduler->is_dirty()) {
     this->SchedulePlan();
   }
   if (ends.up_to == 0) {
-    return kj::READY_NOW;
+    return {.recorded = nullptr, .pause = Milliseconds(0)};
   }
   // Ends that come faster than passes look at them share a report, too.
   const Milliseconds pause = std::max(kEndsPause, this->pass_pacer.NextPause());
-  return this->RecordEnds(worker, std::move(ends)).then([this, pause] {
-    return this->timer.afterDelay(ToKj(pause));
-  });
+  return {.recorded = this->RecordEnds(worker, std::move(ends)),
+          .pause = pause};
 }
 
 scheduler::EndsToRecord JobController::TakeReport(
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -30,6 +30,7 @@
 #include "services/sumacd/replica_host.h"
 #include "services/sumacd/snapshot_writer.h"
 #include "services/sumacd/work_times.h"
+#include "services/sumacd/worker_renewals.h"
 
 namespace sumac::daemon {
 
@@ -108,11 +109,9 @@
   kj::Promise<fleet::Answer> Serve(const jobs::Show& request);
 
   void SyncWorkers();
-  void BeginRenewals(const WorkerId& worker);
-  kj::Promise<void> RenewLoop(const WorkerId& worker, Term term);
-  kj::Promise<void> TakeRenewal(const WorkerId& worker,
-                                Term term,
-                                const scheduler::RenewAnswer& answer);
+  void BeginRenewals();
+  RenewalOutcome TakeRenewal(const WorkerId& worker,
+                             const scheduler::RenewAnswer& answer);
   scheduler::EndsToRecord TakeReport(const WorkerId& worker,
                                      const scheduler::RenewReport& report,
                                      SteadyTime now);
@@ -144,7 +143,8 @@
   // Present once the epoch of this leadership is committed.
   std::optional<scheduler::Scheduler> scheduler;
   std::unique_ptr<InstanceKeeper> keeper;
-  std::map<WorkerId, kj::Promise<void>> renewals;
+  // Present as long as the scheduler.
+  std::optional<WorkerRenewals> renewals;
   // Jobs whose acceptance was proposed and is not decided; resends stand twice.
   std::multiset<JobId> open_submissions;
   SteadyTime last_maintenance{};
--- /dev/null
+++ b/services/sumacd/worker_renewals.h
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_WORKER_RENEWALS_H_
+#define SERVICES_SUMACD_WORKER_RENEWALS_H_
+
+#include <kj/async.h>
+#include <kj/timer.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/scheduler/worker_calls.h"
+#include "libraries/scheduler/worker_messages.h"
+
+namespace sumac::daemon {
+
+// What one answer to a renewal leads to.
+struct RenewalOutcome {
+  // Fulfilled once the ends that the answer listed are on record; nothing if it
+  // listed none.
+  kj::Maybe<kj::Promise<void>> recorded;
+  // Before the next renewal.
+  Milliseconds pause{0};
+};
+
+// Renews the leases of workers one after the other, each worker in a loop of
+// its own. Lives as long as one leadership and belongs to the core's event
+// loop.
+class WorkerRenewals {
+ public:
+  // What the loops need of their controller.
+  struct Host {
+    // True while this leader's lease holds.
+    std::function<bool()> may_act;
+    // The next renewal for a worker, or nothing if it is not known any more.
+    std::function<std::optional<scheduler::RenewOrder>(const WorkerId&)> next;
+    // Sends a renewal.
+    std::function<kj::Promise<scheduler::RenewAnswer>(
+        const scheduler::RenewOrder&)>
+        renew;
+    // Takes in the answer to a renewal.
+    std::function<RenewalOutcome(const WorkerId&,
+                                 const scheduler::RenewAnswer&)>
+        take;
+    // The worker is not renewed any more.
+    std::function<void(const WorkerId&)> forget;
+  };
+
+  WorkerRenewals(kj::Timer& timer, Host host)
+      : timer(timer), host(std::move(host)) {}
+  ~WorkerRenewals();
+  WorkerRenewals(const WorkerRenewals&) = delete;
+  WorkerRenewals& operator=(const WorkerRenewals&) = delete;
+
+  // Begins to renew a worker, unless it is renewed already.
+  void Begin(const WorkerId& worker);
+  // Ends the loops of the workers for which `is_known` is false.
+  void DropUnknown(const std::function<bool(const WorkerId&)>& is_known);
+
+ private:
+  kj::Promise<void> Loop(const WorkerId& worker);
+
+  kj::Timer& timer;
+  Host host;
+  std::map<WorkerId, kj::Promise<void>> loops;
+};
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_WORKER_RENEWALS_H_
