Tests: Show that a slow record of ends lets a sound worker's lease end

Fails on the code as it is: with records that take 8 s and leases of 6 s a worker goes 8,120 ms without a renewal, and two tasks are started three times.

--- a/meta/sumac.sh
+++ b/meta/sumac.sh
@@ -70,9 +70,23 @@
   echo "clang-tidy is clean"
 }
 
+# The tests that KNOWN-RED.txt lists, one a line: Suite.Test of a unit test, or the name of a whole one.
+known_red() {
+  [ ! -f KNOWN-RED.txt ] || sed -n 's/^\([A-Za-z0-9_.]*\): .*/\1/p' KNOWN-RED.txt
+}
+
+# All tests but those known to be red, which are printed.
 run_tests() {
   build
-  ctest --test-dir "$build_folder" --output-on-failure --parallel "$jobs" "$@"
+  local units wholes
+  units=$(known_red | { grep '\.' || true; } | paste -sd:)
+  wholes=$(known_red | { grep -v '\.' || true; } | paste -sd'|')
+  GTEST_FILTER="*${units:+-$units}" ctest --test-dir "$build_folder" --output-on-failure \
+    --parallel "$jobs" ${wholes:+--exclude-regex "^($wholes)\$"} "$@"
+  if [ -n "$units$wholes" ]; then
+    echo "passed over, known to be red:"
+    cat KNOWN-RED.txt
+  fi
 }
 
 command=${1:---help}
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -124,7 +124,9 @@
     event.happen();
   }
   if (this->scheduler) {
-    this->SendRenewals();
+    if (this->renews) {
+      this->SendRenewals();
+    }
     this->CheckLives();
     this->Plan();
   }
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -71,6 +71,8 @@
   // What its answers say of the tickets' time; the queue declares 2 s.
   std::optional<Milliseconds> answered_validity = Milliseconds(2'000);
   std::uint64_t questions = 0;
+  // False where the test renews the workers' leases itself.
+  bool renews = true;
   // False while the platform does not say which instances are up.
   bool lists_instances = true;
   // How late; drawn from 0 to 4 s where it is not set.
--- /dev/null
+++ b/tests/services/sumacd/worker_renewals_test.cc
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: Apache-2.0
+// A leader that carries more than it can commits slowly. Its loop for a worker
+// renewed the lease, took in the ends that the answer listed, and then waited
+// until they were on record before it renewed again. Once a record took longer
+// than a lease, the lease of a sound worker ended on both sides: lasting tasks
+// there died outside every disruption budget, and a task that had ended done
+// since the last renewal, of which the leader had not asked yet, was started
+// again elsewhere. With a record of 8 s and leases of 6 s the worker below went
+// 8,120 ms without a renewal, and two tasks were started three times in all.
+#include "services/sumacd/worker_renewals.h"
+
+#include <gtest/gtest.h>
+#include <kj/async.h>
+#include <kj/timer.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "libraries/base/kj_time.h"
+#include "tests/libraries/scheduler/fake_fleet.h"
+
+namespace sumac::daemon {
+namespace {
+
+constexpr Milliseconds kRecordTime{8'000};
+constexpr Milliseconds kStep{10};
+constexpr Milliseconds kEndsPause{15};
+
+// The loops above a fake fleet, on its clock.
+class WorkerRenewalsTest : public testing::Test {
+ protected:
+  struct Parts {
+    kj::EventLoop loop;
+    kj::WaitScope scope{loop};
+    kj::TimerImpl timer{kj::origin<kj::TimePoint>()};
+  };
+
+  WorkerRenewalsTest() {
+    this->fleet.renews = false;
+    this->renewals = std::make_unique<WorkerRenewals>(
+        this->parts->timer,
+        WorkerRenewals::Host{.may_act = [] { return true; },
+                             .next =
+                                 [this](const WorkerId& worker) {
+                                   return this->fleet.scheduler->NextRenewal(
+                                       worker, this->fleet.now);
+                                 },
+                             .renew =
+                                 [this](const scheduler::RenewOrder& order) {
+                                   return this->Renew(order);
+                                 },
+                             .take =
+                                 [this](const WorkerId& worker,
+                                        const scheduler::RenewAnswer& answer) {
+                                   return this->Take(worker, answer);
+                                 },
+                             .forget = [](const WorkerId&) {}});
+    this->renewals->Begin(WorkerId("w0"));
+  }
+
+  // A worker keeps its answer back for a while, as it may.
+  kj::Promise<scheduler::RenewAnswer> Renew(
+      const scheduler::RenewOrder& order) {
+    const Milliseconds gap = this->fleet.now - this->last_renewal;
+    this->longest_gap = std::max(this->longest_gap, gap);
+    this->last_renewal = this->fleet.now;
+    return this->parts->timer.afterDelay(ToKj(Milliseconds(100)))
+        .then([this, order]() -> scheduler::RenewAnswer {
+          const auto report = this->fleet.worker(order.worker.value())
+                                  .Renew(order, this->fleet.now);
+          if (!report) {
+            return {.result = scheduler::OrderResult::kFenced};
+          }
+          return {scheduler::OrderResult::kDone, *report};
+        });
+  }
+
+  RenewalOutcome Take(const WorkerId& worker,
+                      const scheduler::RenewAnswer& answer) {
+    scheduler::EndsToRecord ends = this->fleet.scheduler->TakeReport(
+        worker, answer.report, this->fleet.now);
+    if (ends.up_to == 0) {
+      return {.recorded = nullptr, .pause = Milliseconds(0)};
+    }
+    return {.recorded = this->parts->timer.afterDelay(ToKj(kRecordTime))
+                            .then([this, worker, ends] {
+                              this->fleet.Commit(jobs::RecordEnds{ends.ends});
+                              this->fleet.scheduler->NoteRecorded(worker, ends);
+                            }),
+            .pause = kEndsPause};
+  }
+
+  void PassTime(Milliseconds time) {
+    for (Milliseconds passed{0}; passed < time; passed += kStep) {
+      this->fleet.PassTime(kStep);
+      this->parts->timer.advanceTo(this->parts->timer.now() + ToKj(kStep));
+      this->parts->scope.poll();
+    }
+  }
+
+  std::unique_ptr<Parts> parts = std::make_unique<Parts>();
+  scheduler::FakeFleet fleet{1};
+  std::unique_ptr<WorkerRenewals> renewals;
+  SteadyTime last_renewal = this->fleet.now;
+  Milliseconds longest_gap{0};
+};
+
+TEST_F(WorkerRenewalsTest, ALeaseIsRenewedWhileARecordOfEndsTakesLong) {
+  this->PassTime(Milliseconds(300));
+  this->fleet.Submit("job", {.count = 1});
+  this->PassTime(Milliseconds(10'000));
+  EXPECT_LT(this->longest_gap, this->fleet.settings.lease.length / 4);
+}
+
+TEST_F(WorkerRenewalsTest,
+       ADoneTaskIsNotStartedAgainWhileAnotherEndIsRecorded) {
+  this->PassTime(Milliseconds(300));
+  this->fleet.Submit("first", {.count = 1});
+  this->PassTime(Milliseconds(400));
+  this->fleet.Submit("second", {.count = 1});
+  this->PassTime(Milliseconds(200));
+  ASSERT_EQ(this->fleet.CountRunning("second"), 1U);
+  this->fleet.AddWorker("w1", "m1");
+  this->renewals->Begin(WorkerId("w1"));
+  this->PassTime(Milliseconds(10'000));
+  EXPECT_EQ(this->fleet.starts, 2U);
+  EXPECT_EQ(this->fleet.problem, "");
+  this->PassTime(Milliseconds(8'000));
+  EXPECT_EQ(this->fleet.job("first").state, jobs::JobState::kDone);
+  EXPECT_EQ(this->fleet.job("second").state, jobs::JobState::kDone);
+}
+
+}  // namespace
+}  // namespace sumac::daemon
