Sumacd: Renew leases while the record of ends takes its time

Cause: a worker's loop waited for the commit of the ends that its last answer listed before it renewed the lease again. A leader that carries more than it can commits slowly; once a commit took longer than a lease, sound workers' leases ended on both sides, which takes lasting tasks away outside each disruption budget and starts done tasks again.

Now a renewal waits for the record for half a second at most and then goes out with the acknowledgement as it was. While the record is open the pause keeps a worker that lists its ends at once from being asked without end.

--- a/services/sumacd/worker_renewals.cc
+++ b/services/sumacd/worker_renewals.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libraries/base/kj_time.h"
+#include "libraries/log/json_log.h"
 
 namespace sumac::daemon {
 namespace {
@@ -11,30 +12,35 @@
 // Without a lease of its own a leader sends nothing; it may come back in a
 // moment.
 constexpr Milliseconds kNoLeasePause{150};
+// A renewal waits this long at most for ends to be on record: a commit that
+// takes longer than a lease must not end the lease of a worker that is sound.
+// Leases of 6 s outlast ten such waits.
+constexpr Milliseconds kLongestRecordWait{500};
 
 }  // namespace
 
 WorkerRenewals::~WorkerRenewals() {
-  for (const auto& [worker, loop] : this->loops) {
+  for (const auto& [worker, renewal] : this->renewals) {
     this->host.forget(worker);
   }
 }
 
 void WorkerRenewals::Begin(const WorkerId& worker) {
-  if (!this->loops.contains(worker)) {
-    this->loops.emplace(worker, this->Loop(worker).eagerlyEvaluate(nullptr));
+  const auto [renewal, is_new] = this->renewals.try_emplace(worker);
+  if (is_new) {
+    renewal->second.loop = this->Loop(worker).eagerlyEvaluate(nullptr);
   }
 }
 
 void WorkerRenewals::DropUnknown(
     const std::function<bool(const WorkerId&)>& is_known) {
-  for (auto item = this->loops.begin(); item != this->loops.end();) {
+  for (auto item = this->renewals.begin(); item != this->renewals.end();) {
     if (is_known(item->first)) {
       ++item;
       continue;
     }
     this->host.forget(item->first);
-    item = this->loops.erase(item);
+    item = this->renewals.erase(item);
   }
 }
 
@@ -49,20 +55,53 @@
     return kj::READY_NOW;
   }
   return this->host.renew(*order)
-      .then([this, worker](
-                const scheduler::RenewAnswer& answer) -> kj::Promise<void> {
-        RenewalOutcome outcome = this->host.take(worker, answer);
-        const Milliseconds pause = outcome.pause;
-        KJ_IF_MAYBE (recorded, outcome.recorded) {
-          return recorded->then(
-              [this, pause] { return this->timer.afterDelay(ToKj(pause)); });
-        }
-        if (pause == Milliseconds(0)) {
-          return kj::READY_NOW;
-        }
-        return this->timer.afterDelay(ToKj(pause));
+      .then([this, worker](const scheduler::RenewAnswer& answer) {
+        return this->TakeAnswer(worker, answer);
       })
       .then([this, worker] { return this->Loop(worker); });
 }
 
+kj::Promise<void> WorkerRenewals::TakeAnswer(
+    const WorkerId& worker,
+    const scheduler::RenewAnswer& answer) {
+  RenewalOutcome outcome = this->host.take(worker, answer);
+  const std::shared_ptr<OpenRecords>& open = this->renewals.at(worker).open;
+  KJ_IF_MAYBE (recorded, outcome.recorded) {
+    this->AwaitRecord(open, kj::mv(*recorded));
+  }
+  const Milliseconds pause = outcome.pause;
+  return this->AwaitSettled(*open).then([this, pause]() -> kj::Promise<void> {
+    if (pause == Milliseconds(0)) {
+      return kj::READY_NOW;
+    }
+    return this->timer.afterDelay(ToKj(pause));
+  });
+}
+
+void WorkerRenewals::AwaitRecord(const std::shared_ptr<OpenRecords>& open,
+                                 kj::Promise<void> recorded) {
+  ++open->count;
+  this->records.add(recorded.then([open] {
+    if (--open->count == 0 && open->settled.get() != nullptr) {
+      open->settled->fulfill();
+    }
+  }));
+}
+
+// Until all ends are on record, or long enough.
+kj::Promise<void> WorkerRenewals::AwaitSettled(OpenRecords& open) {
+  if (open.count == 0) {
+    return kj::READY_NOW;
+  }
+  auto settled = kj::newPromiseAndFulfiller<void>();
+  open.settled = kj::mv(settled.fulfiller);
+  return settled.promise.exclusiveJoin(
+      this->timer.afterDelay(ToKj(kLongestRecordWait)));
+}
+
+void WorkerRenewals::taskFailed(kj::Exception&& exception) {
+  LogEvent(LogLevel::kError, "task-failed",
+           {{"error", exception.getDescription().cStr()}});
+}
+
 }  // namespace sumac::daemon
--- a/services/sumacd/worker_renewals.h
+++ b/services/sumacd/worker_renewals.h
@@ -5,8 +5,10 @@
 #include <kj/async.h>
 #include <kj/timer.h>
 
+#include <cstddef>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -29,7 +31,7 @@
 // Renews the leases of workers one after the other, each worker in a loop of
 // its own. Lives as long as one leadership and belongs to the core's event
 // loop.
-class WorkerRenewals {
+class WorkerRenewals : private kj::TaskSet::ErrorHandler {
  public:
   // What the loops need of their controller.
   struct Host {
@@ -50,7 +52,7 @@
   };
 
   WorkerRenewals(kj::Timer& timer, Host host)
-      : timer(timer), host(std::move(host)) {}
+      : timer(timer), host(std::move(host)), records(*this) {}
   ~WorkerRenewals();
   WorkerRenewals(const WorkerRenewals&) = delete;
   WorkerRenewals& operator=(const WorkerRenewals&) = delete;
@@ -61,11 +63,30 @@
   void DropUnknown(const std::function<bool(const WorkerId&)>& is_known);
 
  private:
+  // Ends of one worker that are not on record yet.
+  struct OpenRecords {
+    std::size_t count = 0;
+    // Fulfilled once there are none.
+    kj::Own<kj::PromiseFulfiller<void>> settled;
+  };
+  struct Renewal {
+    std::shared_ptr<OpenRecords> open = std::make_shared<OpenRecords>();
+    kj::Promise<void> loop = nullptr;
+  };
+
+  void taskFailed(kj::Exception&& exception) override;
+
   kj::Promise<void> Loop(const WorkerId& worker);
+  kj::Promise<void> TakeAnswer(const WorkerId& worker,
+                               const scheduler::RenewAnswer& answer);
+  void AwaitRecord(const std::shared_ptr<OpenRecords>& open,
+                   kj::Promise<void> recorded);
+  kj::Promise<void> AwaitSettled(OpenRecords& open);
 
   kj::Timer& timer;
   Host host;
-  std::map<WorkerId, kj::Promise<void>> loops;
+  std::map<WorkerId, Renewal> renewals;
+  kj::TaskSet records;
 };
 
 }  // namespace sumac::daemon
