Http, Platform: Believe no refusal of a second copy of an order

Cause: an order whose kept connection is reset before the answer goes out again, since orders are idempotent. What the worker says to the second copy was taken for the whole truth: 409 and 503 released the run at once, also when the first copy had been carried out.

--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -87,7 +87,10 @@
         const bool may_repeat = request.is_idempotent && attempt->was_used &&
                                 IsDisconnect(exception) && !is_second;
         if (may_repeat) {
-          return this->Try(request, limit, true);
+          return this->Try(request, limit, true).then([](CallReply&& reply) {
+            reply.is_repeated = true;
+            return kj::mv(reply);
+          });
         }
         // After a first try that may have arrived, a refusal proves nothing.
         const bool is_refused =
--- a/libraries/http/async_connection.h
+++ b/libraries/http/async_connection.h
@@ -34,6 +34,9 @@
   CallOutcome outcome = CallOutcome::kNoAnswer;
   std::uint32_t status = 0;
   std::string body;
+  // The request went out twice: a refusal speaks of the second copy, and the
+  // first may have been carried out.
+  bool is_repeated = false;
   // What went wrong, for the log; empty for an answer.
   std::string error;
 };
--- a/libraries/scheduler/worker_messages.h
+++ b/libraries/scheduler/worker_messages.h
@@ -155,6 +155,8 @@
   WorkerTime clock;
   std::vector<RunningReport> running;
   std::vector<EndReport> ended;
+  // The list of ends is full: the worker may have more that it has not listed.
+  bool has_more_ends = false;
 };
 
 }  // namespace sumac::scheduler
