Scheduler: Let the fake fleet commit late and send starts twice

The fake fleet recorded ends at once and answered each order once, so nothing between an end's report and its record, and no order that came over a broken connection, could be played. Additions only, each off by default: commits that take time, with ends that come meanwhile sharing the next one; late reports and answers; a start whose first copy is lost and carried out late; a worker's refusals; a queue that moves to another service; workers that announce themselves again; the 500 ends that a report lists at most; what ran and ended on each worker, for a model to read.

Ruled out: a fleet of its own for the new tests, which would have to be kept like the first one.

--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -13,13 +13,16 @@
 constexpr Milliseconds kOneWay{1};
 constexpr Milliseconds kOrderLimit{600};
 constexpr Milliseconds kRenewalPause{150};
+constexpr Milliseconds kLatestReport{400};
 constexpr const char* kService = "previews";
+constexpr const char* kOtherService = "thumbs";
 
-jobs::JobsDeclaration Declared() {
+// The document names the service of the queue of clips.
+jobs::JobsDeclaration Declared(std::string_view document) {
   jobs::QueueDeclaration clips{.name = QueueName("clips"),
                                .host = "h",
                                .path_prefix = "/q/",
-                               .service = ServiceName(kService),
+                               .service = ServiceName(std::string(document)),
                                .most_attempts = 3};
   jobs::QueueDeclaration advised = clips;
   advised.name = QueueName("advised");
@@ -28,15 +31,17 @@
       jobs::PlacementPolicy{.decision_time = Milliseconds(100),
                             .worker_time = Milliseconds(1),
                             .validity = Milliseconds(2'000)};
-  return jobs::JobsDeclaration(1, {clips, advised},
-                               {{.name = ServiceName(kService)}});
+  return jobs::JobsDeclaration(
+      1, {clips, advised},
+      {{.name = ServiceName(kService)}, {.name = ServiceName(kOtherService)}});
 }
 
 }  // namespace
 
 FakeFleet::FakeFleet(std::size_t count, std::uint64_t seed)
-    : state([](std::string_view) { return Declared(); }), random(seed) {
-  this->Commit(jobs::Declare{1, "document"});
+    : state([](std::string_view document) { return Declared(document); }),
+      random(seed) {
+  this->Commit(jobs::Declare{1, kService});
   for (std::size_t number = 0; number < count; ++number) {
     this->AddWorker(StrCat("w", number), StrCat("m", number));
   }
@@ -61,10 +66,11 @@
 
 FakeWorker& FakeFleet::AddWorker(const std::string& id,
                                  const std::string& instance,
-                                 const std::string& rack) {
+                                 const std::string& rack,
+                                 const std::string& service) {
   jobs::Worker worker{.id = WorkerId(id),
                       .instance = InstanceName(instance),
-                      .service = ServiceName(kService),
+                      .service = ServiceName(service),
                       .address = id,
                       .capacity = {.millicores = 8'000, .memory_mb = 8'000},
                       .rack = Rack(rack),
@@ -81,7 +87,16 @@
   return added;
 }
 
+void FakeFleet::MoveClipsTo(const std::string& service) {
+  this->Commit(jobs::Declare{++this->declared_version, service});
+}
+
 void FakeFleet::ChangeLeader() {
+  if (this->keeps_open_commits) {
+    this->PutOnRecord(this->open_lot);
+  }
+  this->open_lot.clear();
+  this->waiting_ends.clear();
   ++this->generation;
   this->scheduler.reset();
   this->renewing.clear();
@@ -123,6 +138,7 @@
   for (const Event& event : due) {
     event.happen();
   }
+  this->AnnounceUnknown();
   if (this->scheduler) {
     this->SendRenewals();
     this->CheckLives();
@@ -204,20 +220,127 @@
     finish(kRenewalPause + kOrderLimit);
     return;
   }
+  const Milliseconds delay = this->DrawReportDelay();
   if (report) {
+    this->DeliverReport(id, *report, delay);
+  }
+  if (this->renews_at_once && delay == Milliseconds(0)) {
+    this->RenewAgain(id);
+  }
+  finish(Milliseconds(20) + delay);
+}
+
+void FakeFleet::RenewAgain(const WorkerId& id) {
+  const auto order = this->scheduler->NextRenewal(id, this->now);
+  if (!order) {
+    return;
+  }
+  if (const auto report = this->workers.at(id).Renew(*order, this->now)) {
     this->TakeReport(id, *report);
   }
-  finish(Milliseconds(20));
 }
 
-void FakeFleet::TakeReport(const WorkerId& id, const RenewReport& report) {
-  const EndsToRecord ends = this->scheduler->TakeReport(id, report, this->now);
-  if (!ends.ends.empty()) {
-    this->Commit(jobs::RecordEnds{ends.ends});
-    this->NoteEnds(ends.ends);
+Milliseconds FakeFleet::DrawReportDelay() {
+  if (this->late_report_permille == 0) {
+    return Milliseconds(0);
+  }
+  std::uniform_int_distribution<std::uint32_t> draw(0, 999);
+  std::uniform_int_distribution<std::int64_t> delay(0, kLatestReport.count());
+  return draw(this->random) < this->late_report_permille
+             ? Milliseconds(delay(this->random))
+             : Milliseconds(0);
+}
+
+void FakeFleet::DeliverReport(const WorkerId& id,
+                              const RenewReport& report,
+                              Milliseconds delay) {
+  if (delay == Milliseconds(0)) {
+    this->TakeReport(id, report);
+    return;
   }
+  this->At(this->now + delay, [this, id, report, sent_in = this->generation] {
+    if (sent_in == this->generation) {
+      this->TakeReport(id, report);
+    }
+  });
+}
+
+void FakeFleet::TakeReport(const WorkerId& id, const RenewReport& report) {
+  EndsToRecord ends = this->scheduler->TakeReport(id, report, this->now);
   if (ends.up_to > 0) {
+    this->RecordEnds(id, std::move(ends));
+  }
+}
+
+// Ends that come while a commit is under way share the next one.
+void FakeFleet::RecordEnds(const WorkerId& id, EndsToRecord ends) {
+  if (ends.ends.empty()) {
     this->scheduler->NoteRecorded(id, ends);
+    return;
+  }
+  this->waiting_ends.push_back(WaitingEnds{id, std::move(ends)});
+  if (this->open_lot.empty()) {
+    this->CommitWaitingEnds();
+  }
+}
+
+void FakeFleet::CommitWaitingEnds() {
+  const std::vector<WaitingEnds> lot = std::exchange(this->waiting_ends, {});
+  const auto finish = [this, lot] {
+    this->PutOnRecord(lot);
+    for (const WaitingEnds& waiting : lot) {
+      this->scheduler->NoteRecorded(waiting.worker, waiting.ends);
+    }
+  };
+  if (this->commit_time == Milliseconds(0)) {
+    finish();
+    return;
+  }
+  this->open_lot = lot;
+  this->At(this->now + this->commit_time,
+           [this, finish, sent_in = this->generation] {
+             if (sent_in != this->generation) {
+               return;
+             }
+             this->open_lot.clear();
+             finish();
+             if (!this->waiting_ends.empty()) {
+               this->CommitWaitingEnds();
+             }
+           });
+}
+
+void FakeFleet::PutOnRecord(const std::vector<WaitingEnds>& lot) {
+  for (const WaitingEnds& waiting : lot) {
+    this->Commit(jobs::RecordEnds{waiting.ends.ends});
+    this->NoteEnds(waiting.ends.ends);
+  }
+}
+
+void FakeFleet::CommitLater(jobs::Command command) {
+  if (this->commit_time == Milliseconds(0)) {
+    this->Commit(std::move(command));
+    return;
+  }
+  this->At(this->now + this->commit_time,
+           [this, command, sent_in = this->generation] {
+             if (sent_in == this->generation) {
+               this->Commit(command);
+             }
+           });
+}
+
+void FakeFleet::AnnounceUnknown() {
+  if (this->announce_interval == Milliseconds(0) ||
+      this->now.time_since_epoch() % this->announce_interval !=
+          Milliseconds(0)) {
+    return;
+  }
+  for (const auto& [id, worker] : this->workers) {
+    if (worker.is_up && !worker.is_cut &&
+        this->state.FindWorker(id) == nullptr) {
+      this->Commit(jobs::RecordWorker{worker.description});
+    }
   }
 }
 
@@ -228,7 +351,7 @@
     this->Send(order);
   }
   for (jobs::Command& command : output.commands) {
-    this->Commit(std::move(command));
+    this->CommitLater(std::move(command));
   }
   for (const RenewOrder& order : output.report_requests) {
     this->RequestReport(order);
@@ -246,7 +369,7 @@
     return;
   }
   if (const auto report = found->second.Renew(order, this->now)) {
-    this->TakeReport(order.worker, *report);
+    this->DeliverReport(order.worker, *report, this->DrawReportDelay());
   }
 }
 
@@ -271,14 +394,16 @@
 void FakeFleet::Send(const Order& order) {
   std::uniform_int_distribution<std::uint32_t> draw(0, 999);
   const Generation sent_in = this->generation;
+  if (this->resent_permille > 0 && draw(this->random) < this->resent_permille) {
+    this->Resend(order);
+    return;
+  }
   if (draw(this->random) >= this->late_permille) {
     this->At(this->now + kOneWay,
              [this, order, sent_in] { this->Execute(order, true, sent_in); });
     return;
   }
-  std::uniform_int_distribution<int> delay(0, 4'000);
-  const Milliseconds late =
-      this->late_by.value_or(Milliseconds(delay(this->random)));
+  const Milliseconds late = this->DrawLateness();
   this->At(this->now + late,
            [this, order, sent_in] { this->Execute(order, false, sent_in); });
   this->At(this->now + kOrderLimit, [this, order, sent_in] {
@@ -289,6 +414,34 @@
   });
 }
 
+Milliseconds FakeFleet::DrawLateness() {
+  std::uniform_int_distribution<int> delay(0, 4'000);
+  return this->late_by.value_or(Milliseconds(delay(this->random)));
+}
+
+void FakeFleet::Resend(const Order& order) {
+  const Generation sent_in = this->generation;
+  this->At(this->now + this->DrawLateness(),
+           [this, order, sent_in] { this->Execute(order, false, sent_in); });
+  this->At(this->now + this->resend_after,
+           [this, order, sent_in] { this->Execute(order, true, sent_in); });
+}
+
+void FakeFleet::DeliverAnswer(const Order& order, const OrderAnswer& answer) {
+  if (this->answer_delay == Milliseconds(0)) {
+    this->scheduler->TakeAnswer(order, answer, this->now);
+    return;
+  }
+  std::uniform_int_distribution<std::int64_t> delay(0,
+                                                    this->answer_delay.count());
+  this->At(this->now + Milliseconds(delay(this->random)),
+           [this, order, answer, sent_in = this->generation] {
+             if (sent_in == this->generation) {
+               this->scheduler->TakeAnswer(order, answer, this->now);
+             }
+           });
+}
+
 void FakeFleet::Execute(const Order& order,
                         bool is_answered,
                         Generation sent_in) {
@@ -317,7 +470,7 @@
     }
   }
   if (is_answered && sent_in == this->generation) {
-    this->scheduler->TakeAnswer(order, answer, this->now);
+    this->DeliverAnswer(order, answer);
   }
 }
 
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -39,11 +39,18 @@
   // Adds a life of a worker on an instance.
   FakeWorker& AddWorker(const std::string& id,
                         const std::string& instance,
-                        const std::string& rack = "r1");
+                        const std::string& rack = "r1",
+                        const std::string& service = "previews");
+  // Declares that the queue of clips belongs to this service from now on.
+  void MoveClipsTo(const std::string& service);
 
   FakeWorker& worker(const std::string& id) {
     return this->workers.at(WorkerId(id));
   }
+  // All lives, also those that ended.
+  const std::map<WorkerId, FakeWorker>& all_workers() const {
+    return this->workers;
+  }
   const jobs::Job& job(const std::string& id) const {
     return *this->state.FindJob(JobId(id));
   }
@@ -77,6 +84,23 @@
   std::optional<Milliseconds> late_by;
   // The share of renewals that are carried out and whose answer is lost.
   std::uint32_t lost_report_permille = 0;
+  // The share of reports that come late, by 0 to 400 ms.
+  std::uint32_t late_report_permille = 0;
+  // The most by which answers to orders come late.
+  Milliseconds answer_delay{0};
+  // The share of orders of which a first copy is lost with its connection and
+  // may be carried out late all the same; the copy that is sent again after
+  // `resend_after` is answered.
+  std::uint32_t resent_permille = 0;
+  Milliseconds resend_after{1};
+  // How long a commit takes.
+  Milliseconds commit_time{0};
+  // What is being committed when the leader changes is on record in the end.
+  bool keeps_open_commits = false;
+  // The next renewal leaves right after a report, before the leader plans.
+  bool renews_at_once = false;
+  // Workers that nobody knows announce themselves this often; 0 for never.
+  Milliseconds announce_interval{0};
   // How long each task works, and whether it fails.
   Milliseconds work{800};
   std::function<bool(const StartOrder&)> fails = [](const StartOrder&) {
@@ -90,16 +114,33 @@
     std::function<void()> happen;
   };
   using Generation = std::uint64_t;
+  struct WaitingEnds {
+    WorkerId worker;
+    EndsToRecord ends;
+  };
 
   void Step();
   void At(SteadyTime at, std::function<void()> happen);
   void SendRenewals();
   void CheckLives();
   void Renew(const WorkerId& id);
+  void RenewAgain(const WorkerId& id);
   void Plan();
   void Send(const Order& order);
+  void Resend(const Order& order);
+  Milliseconds DrawLateness();
   void Execute(const Order& order, bool is_answered, Generation generation);
   void TakeReport(const WorkerId& id, const RenewReport& report);
+  Milliseconds DrawReportDelay();
+  void DeliverReport(const WorkerId& id,
+                     const RenewReport& report,
+                     Milliseconds delay);
+  void DeliverAnswer(const Order& order, const OrderAnswer& answer);
+  void RecordEnds(const WorkerId& id, EndsToRecord ends);
+  void CommitWaitingEnds();
+  void PutOnRecord(const std::vector<WaitingEnds>& lot);
+  void CommitLater(jobs::Command command);
+  void AnnounceUnknown();
   void RequestReport(const RenewOrder& order);
   void Advise(const AdviceQuestion& question);
   void CheckStart(const StartOrder& order);
@@ -117,6 +158,10 @@
   std::vector<Event> events;
   std::set<WorkerId> renewing;
   Generation generation = 0;
+  // Ends that wait for the commit that is under way, and those in it.
+  std::vector<WaitingEnds> waiting_ends;
+  std::vector<WaitingEnds> open_lot;
+  std::uint64_t declared_version = 1;
 };
 
 }  // namespace sumac::scheduler
--- a/tests/libraries/scheduler/fake_worker.cc
+++ b/tests/libraries/scheduler/fake_worker.cc
@@ -37,6 +37,7 @@
                                   .task = task,
                                   .run = found->second.run,
                                   .cause = cause});
+  this->every_end.push_back(this->ended.back());
   this->closed[task] = std::max(this->closed[task], found->second.run);
   this->tasks.erase(found);
 }
@@ -68,6 +69,10 @@
     answer.result = OrderResult::kOldRun;
     return answer;
   }
+  if (this->start_refusal) {
+    answer.result = *this->start_refusal;
+    return answer;
+  }
   if (!this->tickets.empty() && !this->tickets.contains(order.ticket)) {
     answer.result = OrderResult::kBadTicket;
     return answer;
@@ -82,6 +87,7 @@
               .is_long_running = step.is_long_running,
               .is_serving = step.latency_target > Milliseconds(0),
               .is_filler = step.is_filler};
+  this->begun.emplace_back(order.task, order.run);
   answer.result = OrderResult::kDone;
   return answer;
 }
@@ -113,6 +119,10 @@
     answer.result = OrderResult::kFenced;
     return answer;
   }
+  if (this->stop_refusal) {
+    answer.result = *this->stop_refusal;
+    return answer;
+  }
   this->fence = order.epoch;
   const auto present = this->tasks.find(order.task);
   if (present != this->tasks.end() && present->second.run == order.run) {
@@ -136,10 +146,12 @@
   if (order.lease_end) {
     this->lease_end = std::max(this->lease_end, *order.lease_end);
   }
+  this->acknowledged = std::max(this->acknowledged, order.acknowledged_ends);
   std::erase_if(this->ended, [&](const EndReport& end) {
     return end.number <= order.acknowledged_ends;
   });
   RenewReport report{.clock = this->ClockAt(now), .ended = this->ended};
+  report.ended.resize(std::min(report.ended.size(), this->most_listed_ends));
   for (const auto& [task, running] : this->tasks) {
     report.running.push_back(RunningReport{.task = task,
                                            .run = running.run,
--- a/tests/libraries/scheduler/fake_worker.h
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libraries/base/time.h"
@@ -58,10 +59,22 @@
   std::optional<RenewReport> Renew(const RenewOrder& order, SteadyTime now);
 
   WorkerTime ClockAt(SteadyTime now) const;
+  // True while its lease holds.
+  bool HasLease(SteadyTime now) const {
+    return this->ClockAt(now) < this->lease_end;
+  }
   // All that runs dies, as when the process is killed.
   void Crash();
 
   const std::map<jobs::TaskId, Running>& running() const { return this->tasks; }
+  // All runs that ever began here, in their order.
+  const std::vector<std::pair<jobs::TaskId, RunNumber>>& begun_runs() const {
+    return this->begun;
+  }
+  // All ends that there ever were here, in their order.
+  const std::vector<EndReport>& all_ends() const { return this->every_end; }
+  // Ends numbered up to this were acknowledged.
+  std::uint64_t acknowledged_ends() const { return this->acknowledged; }
 
   jobs::Worker description;
   bool is_up = true;
@@ -83,6 +96,11 @@
   std::string checkpoint;
   // While it is cut off, connections to it are refused.
   bool is_cut_with_resets = false;
+  // What it answers to starts, or to stops, instead of carrying them out.
+  std::optional<OrderResult> start_refusal;
+  std::optional<OrderResult> stop_refusal;
+  // A report lists this many ends at most.
+  std::size_t most_listed_ends = 500;
 
  private:
   void End(const jobs::TaskId& task, EndCause cause);
@@ -98,6 +116,9 @@
   std::map<jobs::TaskId, RunNumber> closed;
   std::vector<EndReport> ended;
   std::uint64_t next_end = 1;
+  std::uint64_t acknowledged = 0;
+  std::vector<std::pair<jobs::TaskId, RunNumber>> begun;
+  std::vector<EndReport> every_end;
 };
 
 }  // namespace sumac::scheduler
