Scheduler: Show eight ways to two runs of one task

Each example is one way by which a leader believes that no run of a task is under way while one is, or that none was done.

ARetryOfTheLeaderBeforeGoesOnAlone: runs twice at once, run 2 on w1 and run 1048578 on w2. ARetryOnTheSameWorkerGoesOnAlone: the same within one report. ATaskWaitsForTheRecordOfAllItsEnds: run 2 was done, then came run 1048577. One flag stands for several ends on their way to the record. AMovedQueuesTasksMayStillRunAtItsServiceBefore: runs twice at once; only workers of the new service were waited for. ALateForgettingEndsNothingThatRuns: runs twice at once; a command to forget a silent worker is recorded after the worker came back. AStartRefusedAsOldMayHaveBeenDone and AStartSentAgainAndRefusedMayStillBegin: a start sent again over a new connection is refused; the copy that was sent first had been carried out, or is later. AFullListOfEndsIsNotAllOfThem: 20 of 520 tasks were started again.

The tests are red until the mends come; the ledger looks only at workers, never at what the leader believes.

--- /dev/null
+++ b/tests/libraries/scheduler/run_ledger.cc
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "tests/libraries/scheduler/run_ledger.h"
+
+#include "libraries/base/text.h"
+
+namespace sumac::scheduler {
+
+void RunLedger::Observe(const FakeFleet& fleet) {
+  for (const auto& [id, worker] : fleet.all_workers()) {
+    this->ReadEnds(worker);
+  }
+  this->FollowNotes(fleet);
+  // Within one step of the clock runs end before others start.
+  for (const auto& [id, worker] : fleet.all_workers()) {
+    this->ReadStarts(worker);
+  }
+  this->CountRunning(fleet);
+}
+
+void RunLedger::ReadEnds(const FakeWorker& worker) {
+  const WorkerId& id = worker.description.id;
+  std::size_t& read = this->positions[id].ends;
+  for (; read < worker.all_ends().size(); ++read) {
+    const EndReport& end = worker.all_ends()[read];
+    if (end.cause == EndCause::kDone) {
+      this->done_ends[end.task].push_back(
+          DoneEnd{.worker = id, .number = end.number, .run = end.run});
+    }
+  }
+}
+
+void RunLedger::FollowNotes(const FakeFleet& fleet) {
+  for (auto& [task, ends] : this->done_ends) {
+    for (DoneEnd& end : ends) {
+      const FakeWorker& worker = fleet.all_workers().at(end.worker);
+      if (end.is_noted || end.is_excused) {
+        continue;
+      }
+      end.is_noted = worker.acknowledged_ends() >= end.number;
+      end.is_excused = !end.is_noted && !worker.HasLease(fleet.now);
+      if (end.is_noted && !end.later_start.empty()) {
+        this->problem =
+            StrCat(task.ToText(), " run ", end.run.value(), " was done on ",
+                   end.worker.value(), ", then came ", end.later_start);
+      }
+    }
+  }
+}
+
+void RunLedger::ReadStarts(const FakeWorker& worker) {
+  const WorkerId& id = worker.description.id;
+  std::size_t& read = this->positions[id].starts;
+  for (; read < worker.begun_runs().size(); ++read) {
+    const auto& [task, run] = worker.begun_runs()[read];
+    for (DoneEnd& end : this->done_ends[task]) {
+      end.later_start = StrCat("run ", run.value(), " on ", id.value());
+      if (end.is_noted) {
+        this->problem = StrCat(task.ToText(), " was noted as done, then came ",
+                               end.later_start);
+      }
+    }
+  }
+}
+
+void RunLedger::CountRunning(const FakeFleet& fleet) {
+  std::map<jobs::TaskId, std::string> running;
+  for (const auto& [id, worker] : fleet.all_workers()) {
+    if (!worker.is_up) {
+      continue;
+    }
+    for (const auto& [task, present] : worker.running()) {
+      const std::string here =
+          StrCat("run ", present.run.value(), " on ", id.value());
+      const auto [other, is_only] = running.try_emplace(task, here);
+      if (!is_only) {
+        this->problem =
+            StrCat(task.ToText(), " runs twice at once: ", other->second,
+                   " and ", here);
+      }
+    }
+  }
+}
+
+}  // namespace sumac::scheduler
