--- a/tests/libraries/scheduler/fake_worker.cc
+++ b/tests/libraries/scheduler/fake_worker.cc
@@ -151,6 +151,7 @@
     return end.number <= order.acknowledged_ends;
   });
   RenewReport report{.clock = this->ClockAt(now), .ended = this->ended};
+  report.has_more_ends = report.ended.size() >= this->most_listed_ends;
   report.ended.resize(std::min(report.ended.size(), this->most_listed_ends));
   for (const auto& [task, running] : this->tasks) {
     report.running.push_back(RunningReport{.task = task,
