Scheduler, Jobs: Start a task only once all its runs and ends are settled

Now a task's memory counts the runs that may exist, wanted or not, and the ends that are not on record; a start needs both to be nought and no run that was done. A later run of an earlier leader goes on. A job remembers the services it belonged to. A worker that is being forgotten has no session. A start refused as old is settled by a stop and a report.

Ruled out by the traces of the evidence for this shape: another life at the address, the platform's list, a lapsed lease.

--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -74,6 +74,8 @@
   QueueName queue;
   // The service that the queue belonged to when it was last declared.
   ServiceName service;
+  // Services that it belonged to before; runs may be left on their workers.
+  std::vector<ServiceName> former_services;
   // Runs of one task that may fail, as last declared.
   std::uint32_t most_attempts = 1;
   JobSpec spec;
@@ -127,6 +129,7 @@
     visitor.Field("id", self.id);
     visitor.Field("queue", self.queue);
     visitor.Field("service", self.service);
+    visitor.Field("former_services", self.former_services);
     visitor.Field("most_attempts", self.most_attempts);
     visitor.Field("spec", self.spec);
     visitor.Field("sequence", self.sequence);
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -117,10 +117,14 @@
 // stay where they were.
 void JobsState::FollowDeclaration(Job& job) const {
   const QueueDeclaration* queue = this->declared.FindQueue(job.queue);
-  if (queue != nullptr) {
+  if (queue == nullptr) {
+    return;
+  }
+  if (job.service != queue->service) {
+    job.former_services.push_back(job.service);
     job.service = queue->service;
-    job.most_attempts = queue->most_attempts;
   }
+  job.most_attempts = queue->most_attempts;
 }
 
 fleet::Answer JobsState::Take(const RecordWorker& command, WallTime /*at*/) {
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -65,9 +65,13 @@
   const jobs::Worker* worker = this->state.FindWorker(id);
   if (worker == nullptr) {
     this->over.erase(id);
+    this->forgotten.erase(id);
     this->EndWorker(id, "its life is over");
     return;
   }
+  if (this->forgotten.contains(id)) {
+    return;
+  }
   if (this->IsSuperseded(*worker)) {
     this->over.try_emplace(id);
   }
@@ -128,10 +132,15 @@
   session.NoteReport(report.clock);
   const bool is_adopting = !session.is_adopted();
   session.NoteClock(report.clock, now);
-  session.NoteAnswer(now);
+  // With ends left out nobody knows yet what became of its runs.
+  if (!is_adopting || !report.has_more_ends) {
+    session.NoteAnswer(now);
+  }
   EndsToRecord ends = this->TakeEnds(session, report, now);
   this->TakeRunning(session, report, is_adopting, now);
-  this->TakeMissing(session, report);
+  if (!report.has_more_ends) {
+    this->TakeMissing(session, report);
+  }
   if (auto reason = this->sharing.TakeReport(session, now)) {
     this->NotePace(session, *reason);
   }
@@ -172,6 +181,7 @@
     if (step != nullptr) {
       TaskMemory& memory = this->tasks.Get(end.task);
       memory.last_run = std::max(memory.last_run, end.run);
+      memory.last_ended_run = std::max(memory.last_ended_run, end.run);
       if (!end.checkpoint.empty()) {
         this->CheckpointOf(end.task, *step).checkpoint = end.checkpoint;
       }
@@ -186,7 +196,9 @@
                                            end.cause == EndCause::kDone
                                                ? jobs::RunOutcome::kDone
                                                : jobs::RunOutcome::kFailed});
-        memory.is_ending = true;
+        ++memory.open_ends;
+        memory.has_done_run =
+            memory.has_done_run || end.cause == EndCause::kDone;
       }
     }
     if (was_known) {
@@ -232,6 +244,20 @@
   }
 }
 
+// True if this run of an earlier leader is the one that its task should have.
+// NOTE: A leader that took in a failure started the next run at once, so the
+// end of an earlier run, on record or not, says nothing against a later one.
+bool Scheduler::MayGoOn(const jobs::Job& job,
+                        const RunningReport& running) const {
+  const jobs::TaskProgress progress = job.ProgressOf(running.task);
+  if (progress.is_done || running.run <= progress.last_ended_run) {
+    return false;
+  }
+  const TaskMemory* known = this->tasks.Find(running.task);
+  return known == nullptr || (!known->placed && !known->has_done_run &&
+                              running.run > known->last_ended_run);
+}
+
 // A run that this leader did not order: one of an earlier leader that goes on,
 // or one that has to go.
 void Scheduler::AdoptRun(WorkerSession& session,
@@ -241,12 +267,8 @@
                          SteadyTime now) {
   const jobs::Job* job = this->state.FindJob(running.task.step.job);
   const jobs::StepSpec* step = this->state.FindStep(running.task);
-  const TaskMemory* known = this->tasks.Find(running.task);
-  const bool is_free =
-      known == nullptr || (!known->placed && !known->is_ending);
-  const bool is_wanted = is_adopting && step != nullptr && is_free &&
-                         job->is_active() &&
-                         !job->ProgressOf(running.task).is_done;
+  const bool is_wanted = is_adopting && step != nullptr && job->is_active() &&
+                         this->MayGoOn(*job, running);
   Run run{
       .task = running.task,
       .number = running.run,
@@ -269,6 +291,7 @@
   if (step != nullptr) {
     TaskMemory& memory = this->tasks.Get(running.task);
     memory.last_run = std::max(memory.last_run, running.run);
+    ++memory.known_runs;
   }
   if (is_wanted) {
     this->tasks.Get(running.task).placed = {session.worker().id, running.run};
@@ -324,7 +347,7 @@
                              const EndsToRecord& recorded) {
   for (const jobs::RunEnd& end : recorded.ends) {
     if (TaskMemory* memory = this->tasks.Find(end.task)) {
-      memory->is_ending = false;
+      --memory->open_ends;
     }
     this->waiting.Reconsider(end.task.step.job);
   }
@@ -382,7 +405,6 @@
       this->ReleaseRun(session, order.task, order.run,
                        "the worker refused the ticket");
       break;
-    case OrderResult::kOldRun:
     case OrderResult::kTooLate:
     case OrderResult::kRefused:
       session.full_until = now + this->settings.full_pause;
@@ -400,17 +422,30 @@
       session.NoteFailure();
       this->ReleaseRun(session, order.task, order.run, "nobody listens there");
       break;
+    case OrderResult::kOldRun:
+      // The worker knows this run or a later one: it may have run to its end.
+      this->SettleStart(session, *run, "refused as old", now);
+      break;
     case OrderResult::kUnknown:
-      // It may run, or may begin later. A stop settles it either way.
-      session.BeginStop(*run, now);
-      this->BreakGang(order.task, order.run);
-      this->notes.Add("start-unanswered", order.task, order.run, order.worker,
-                      "stopped before the task goes elsewhere");
+      this->SettleStart(session, *run, "unanswered", now);
       break;
   }
   this->needs_plan = true;
 }
 
+// A run of which nobody knows whether it has begun, or will, or has ended. A
+// stop and the next report settle it either way, before its task goes
+// elsewhere.
+void Scheduler::SettleStart(WorkerSession& session,
+                            Run& run,
+                            const std::string& reason,
+                            SteadyTime now) {
+  session.BeginStop(run, now);
+  this->BreakGang(run.task, run.number);
+  this->notes.Add("start-unsettled", run.task, run.number, session.worker().id,
+                  reason);
+}
+
 void Scheduler::TakeStopAnswer(const StopOrder& order,
                                const OrderAnswer& answer) {
   WorkerSession* session = this->FindSession(order.worker);
@@ -494,8 +529,11 @@
                            const jobs::TaskId& task,
                            RunNumber run,
                            const std::string& reason) {
-  session.RemoveRun(task, run);
+  const bool was_known = session.RemoveRun(task, run);
   TaskMemory* memory = this->tasks.Find(task);
+  if (memory != nullptr && was_known) {
+    --memory->known_runs;
+  }
   if (memory != nullptr &&
       memory->placed == std::pair(session.worker().id, run)) {
     memory->placed.reset();
@@ -627,13 +665,24 @@
       output.commands.emplace_back(jobs::ForgetWorker{id, true});
     }
   }
-  for (auto& [id, session] : this->workers) {
+  std::vector<WorkerId> gone;
+  for (const auto& [id, session] : this->workers) {
     const bool is_gone =
         session.IsLapsed(now) && !session.is_adopted() &&
         now - session.last_answer > this->settings.forget_after;
     if (is_gone) {
-      // Asked for again only after as long, should the command be lost.
-      session.last_answer = now;
+      gone.push_back(id);
+    }
+  }
+  // NOTE: From here on the worker gets no orders, also if it answers again
+  // before the command is committed: later leaders would not know of its runs.
+  for (const WorkerId& id : gone) {
+    this->EndWorker(id, "it has been silent for long");
+    this->forgotten[id] = now;
+  }
+  for (auto& [id, ask_again_at] : this->forgotten) {
+    if (now >= ask_again_at) {
+      ask_again_at = now + this->settings.forget_retry;
       output.commands.emplace_back(jobs::ForgetWorker{id, false});
     }
   }
@@ -843,20 +892,25 @@
   return is_all_placed;
 }
 
-// True if the task is not done and has no run.
+// True if the task is not done and no run of it may exist.
 bool Scheduler::NeedsStart(const jobs::Job& job,
                            const jobs::TaskId& task,
                            const TaskMemory* memory) {
-  const bool has_run =
-      memory != nullptr && (memory->placed || memory->is_ending);
-  return !has_run && !job.ProgressOf(task).is_done;
+  const bool is_unsettled = memory != nullptr && memory->is_unsettled();
+  return !is_unsettled && !job.ProgressOf(task).is_done;
 }
 
 // A task of an older job may still run on a worker that has not answered this
-// leader yet.
+// leader yet, of its queue's service or of one that the queue had before.
 bool Scheduler::MayRunUnseen(const jobs::Job& job) const {
-  return job.sequence < this->first_own_sequence &&
-         this->IsServiceUncertain(job.service);
+  if (job.sequence >= this->first_own_sequence) {
+    return false;
+  }
+  return this->uncertain.contains(job.service) ||
+         std::any_of(job.former_services.begin(), job.former_services.end(),
+                     [this](const ServiceName& service) {
+                       return this->uncertain.contains(service);
+                     });
 }
 
 // Starts the tasks of a step that have no run. False if one of them found no
@@ -978,6 +1032,7 @@
                      .percent_changed_at = now});
   TaskMemory& memory = this->tasks.Get(task);
   memory.placed = {session.worker().id, run};
+  ++memory.known_runs;
   memory.last_run = run;
   this->sharing.Begin(session, now);
   const std::string* ticket =
@@ -1007,10 +1062,6 @@
   return std::max(last.Next(), FirstRunOf(this->epoch));
 }
 
-bool Scheduler::IsServiceUncertain(const ServiceName& service) const {
-  return this->uncertain.contains(service);
-}
-
 bool Scheduler::HasBegun(const jobs::Job& job) const {
   return !job.occurrences.empty() || this->tasks.HasBegun(job.id);
 }
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -201,6 +201,7 @@
                         const RenewReport& report,
                         SteadyTime now);
   void NoteRunTime(const Run& run, SteadyTime now);
+  bool MayGoOn(const jobs::Job& job, const RunningReport& running) const;
   void AdoptRun(WorkerSession& session,
                 const RunningReport& running,
                 const RenewReport& report,
@@ -209,6 +210,10 @@
   void TakeStartAnswer(const StartOrder& order,
                        const OrderAnswer& answer,
                        SteadyTime now);
+  void SettleStart(WorkerSession& session,
+                   Run& run,
+                   const std::string& reason,
+                   SteadyTime now);
   void TakeStopAnswer(const StopOrder& order, const OrderAnswer& answer);
   void ReleaseRun(WorkerSession& session,
                   const jobs::TaskId& task,
@@ -272,7 +277,6 @@
                SteadyTime now,
                SchedulerOutput& output);
   RunNumber NextRun(const jobs::Job& job, const jobs::TaskId& task) const;
-  bool IsServiceUncertain(const ServiceName& service) const;
 
   const jobs::JobsState& state;
   SchedulerSettings settings;
@@ -291,6 +295,8 @@
   // Lives that are over for certain, until that is on record, and when to ask
   // for the record (again).
   std::map<WorkerId, SteadyTime> over;
+  // The same for workers that have been silent for long and may come back.
+  std::map<WorkerId, SteadyTime> forgotten;
   // How many jobs had finished when all runs were last looked at, and when.
   std::uint64_t seen_finish_count = 0;
   SteadyTime looked_for_unwanted{};
--- a/libraries/scheduler/task_table.cc
+++ b/libraries/scheduler/task_table.cc
@@ -48,12 +48,13 @@
   return found != this->jobs.end() && found->second.has_begun;
 }
 
-bool TaskTable::JobMemory::has_placed() const {
+bool TaskTable::JobMemory::has_open_task() const {
   for (const auto& [number, steps] : this->occurrences) {
     for (const Step& step : steps) {
-      const bool has_any = std::any_of(
-          step.begin(), step.end(),
-          [](const TaskMemory& task) { return task.placed || task.is_ending; });
+      const bool has_any =
+          std::any_of(step.begin(), step.end(), [](const TaskMemory& task) {
+            return task.known_runs > 0 || task.open_ends > 0;
+          });
       if (has_any) {
         return true;
       }
@@ -69,7 +70,8 @@
     for (auto item = this->jobs.begin(bucket); item != this->jobs.end(bucket);
          ++item) {
       const jobs::Job* job = state.FindJob(item->first);
-      if ((job == nullptr || !job->is_active()) && !item->second.has_placed()) {
+      if ((job == nullptr || !job->is_active()) &&
+          !item->second.has_open_task()) {
         finished.push_back(item->first);
       }
     }
--- a/libraries/scheduler/task_table.h
+++ b/libraries/scheduler/task_table.h
@@ -20,16 +20,28 @@
 
 // Where a task runs, and what a leader knows of its earlier runs.
 struct TaskMemory {
-  // Set while a run of the task may exist.
+  // The run that is wanted, where there is one.
   std::optional<std::pair<WorkerId, RunNumber>> placed;
-  // A run ended done or failed, and its record is not committed yet.
-  bool is_ending = false;
+  // Runs of the task that may exist on workers, wanted or not, in any phase.
+  std::uint32_t known_runs = 0;
+  // Runs that ended done or failed and whose record is not committed yet.
+  std::uint32_t open_ends = 0;
+  // A run ended done.
+  bool has_done_run = false;
   RunNumber last_run;
+  // The highest run of which an end was taken in.
+  RunNumber last_ended_run;
   std::string checkpoint;
   // How often a run was given up because it did not get on.
   std::uint32_t moves = 0;
   // Workers on which it failed; others are tried first.
   std::set<WorkerId> failed_on;
+
+  // True while nothing may be started: a run may exist, or an end is not on
+  // record yet.
+  bool is_unsettled() const {
+    return this->known_runs > 0 || this->open_ends > 0 || this->has_done_run;
+  }
 };
 
 // A leader's memory of all tasks. It is looked at for every waiting task in
@@ -57,7 +69,8 @@
     std::map<std::uint32_t, std::vector<Step>> occurrences;
     bool has_begun = false;
 
-    bool has_placed() const;
+    // True while a run may exist or an end is not on record yet.
+    bool has_open_task() const;
   };
 
   std::unordered_map<JobId, JobMemory> jobs;
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -131,10 +131,10 @@
   this->has_unsettled_runs = true;
 }
 
-void WorkerSession::RemoveRun(const jobs::TaskId& task, RunNumber number) {
+bool WorkerSession::RemoveRun(const jobs::TaskId& task, RunNumber number) {
   const auto found = this->known_runs.find({task, number});
   if (found == this->known_runs.end()) {
-    return;
+    return false;
   }
   this->used.Subtract(found->second.need);
   this->serving_count -= static_cast<std::uint32_t>(found->second.is_serving);
@@ -144,6 +144,7 @@
     this->step_counts.erase(count);
   }
   this->known_runs.erase(found);
+  return true;
 }
 
 jobs::Resources WorkerSession::Room() const {
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -145,7 +145,8 @@
   }
   Run* FindRun(const jobs::TaskId& task, RunNumber number);
   Run& AddRun(const Run& run);
-  void RemoveRun(const jobs::TaskId& task, RunNumber number);
+  // False if the run was not known.
+  bool RemoveRun(const jobs::TaskId& task, RunNumber number);
   // Marks one of its runs as one that has to go; the stop is sent at `due`.
   void BeginStop(Run& run, SteadyTime due);
   // True if some run there may be waiting for its confirmation or its stop.
