Tests: Hold late announcements against the life that runs

Three tests of announcements that come after their sender's end: a first one that was held up by a cut, one of a life that was forgotten, and one at an address that went to another service.

--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -285,6 +285,88 @@
   }
 }
 
+// A first announcement was held up by a cut. When it came, its sender had
+// crashed and the next life on the instance was at work. It was heard of last
+// and so was taken for the present life: what ran there was started a second
+// time elsewhere.
+TEST(SchedulerTest, AnAnnouncementThatOutlivesItsSenderEndsNoOtherLife) {
+  for (const char* late : {"a-late", "z-late"}) {
+    for (const bool is_silent : {false, true}) {
+      FakeFleet fleet(2);
+      fleet.work = Milliseconds(20'000);
+      fleet.lists_instances = !is_silent;
+      fleet.Submit("job", {.count = 1});
+      fleet.PassTime(Milliseconds(300));
+      ASSERT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w0"});
+      fleet.AddWorker(late, "m0").Crash();
+      fleet.worker(late).is_cut = is_silent;
+      fleet.PassTime(Milliseconds(3'000));
+      EXPECT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w0"});
+      EXPECT_TRUE(fleet.scheduler->sessions().contains(WorkerId("w0")));
+      fleet.ChangeLeader();
+      fleet.PassTime(Milliseconds(3'000));
+      EXPECT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w0"});
+      EXPECT_FALSE(fleet.scheduler->sessions().contains(WorkerId(late)));
+      EXPECT_EQ(fleet.starts, 1U);
+      EXPECT_EQ(fleet.problem, "");
+    }
+  }
+}
+
+// A worker was silent for so long that it was forgotten, and its instance went
+// to the next life. Its last announcement came after that; it was recorded
+// anew, with the highest number of all, and took the next life's place.
+TEST(SchedulerTest, AForgottenLifeThatIsHeardOfAgainEndsNoOtherLife) {
+  FakeFleet fleet(2);
+  fleet.lists_instances = false;
+  jobs::Worker forgotten = fleet.worker("w0").description;
+  fleet.worker("w0").is_cut = true;
+  fleet.PassTime(fleet.settings.lease.length + fleet.settings.forget_after +
+                 Milliseconds(2'000));
+  ASSERT_EQ(fleet.state.FindWorker(WorkerId("w0")), nullptr);
+  fleet.worker("w0").Crash();
+  fleet.AddWorker("next", "m0");
+  fleet.work = Milliseconds(20'000);
+  fleet.Submit("job", {.count = 2, .most_per_worker = 1});
+  fleet.PassTime(Milliseconds(300));
+  const std::vector<std::string> placed{"next", "w1"};
+  ASSERT_EQ(fleet.WorkersOf("job"), placed);
+  forgotten.sequence = 9;
+  fleet.Commit(jobs::RecordWorker{forgotten});
+  fleet.PassTime(Milliseconds(3'000));
+  EXPECT_EQ(fleet.WorkersOf("job"), placed);
+  EXPECT_TRUE(fleet.scheduler->sessions().contains(WorkerId("next")));
+  EXPECT_EQ(fleet.starts, 2U);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+// An address went to a worker of another service, and an announcement of the
+// life before came after that: orders for that life are answered there by
+// another one.
+TEST(SchedulerTest, AnAddressThatWentToAnotherWorkerEndsOnlyTheLifeBefore) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(20'000);
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(300));
+  ASSERT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w0"});
+  const jobs::Worker before{.id = WorkerId("before"),
+                            .instance = InstanceName("m8"),
+                            .service = ServiceName("thumbs"),
+                            .address = "w0",
+                            .capacity = {.millicores = 8'000},
+                            .sequence = 3};
+  fleet.Commit(jobs::RecordWorker{before});
+  fleet.scheduler->TakeRenewalFailure(before.id, OrderResult::kOtherLife);
+  fleet.PassTime(Milliseconds(500));
+  EXPECT_EQ(fleet.state.FindWorker(before.id), nullptr);
+  fleet.Commit(jobs::RecordWorker{before});
+  EXPECT_EQ(fleet.state.FindWorker(before.id), nullptr);
+  fleet.PassTime(Milliseconds(3'000));
+  EXPECT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w0"});
+  EXPECT_EQ(fleet.starts, 1U);
+  EXPECT_EQ(fleet.problem, "");
+}
+
 TEST(SchedulerTest, ADrainingWorkerGetsNothingNew) {
   FakeFleet fleet(2);
   jobs::Worker leaving = fleet.worker("w0").description;
