Scheduler: Let only an answer end the other lives on an instance

Cause: lives were numbered in the order in which they were recorded, and of two on one instance the higher number counted as the present one. An announcement that outlives its sender (held up by a cut, or of a life that was forgotten while it was silent) is recorded last, so a dead life ended the running one and its tasks were started a second time elsewhere.

Ruled out: telling them apart by what they announce (sequence and clock count within one life only); the order of recording in jobs_state (a first announcement may be the late one). An answer to a call that was sent after the other life was heard of does prove it: lives on an instance follow each other. A life that never answers is ended as before: by another life's answer at its address, the platform's list, or its silence.

--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -133,11 +133,7 @@
   }
   // A worker that said it leaves never takes that back.
   const bool was_draining = worker.is_draining;
-  const std::uint64_t number = worker.number == 0
-                                   ? this->own_record.next_worker_number++
-                                   : worker.number;
   worker = command.worker;
-  worker.number = number;
   worker.is_draining = worker.is_draining || was_draining;
   return fleet::Answer::Success("recorded");
 }
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -47,7 +47,6 @@
   std::uint64_t declaration_version = 0;
   std::string declaration_document;
   std::uint64_t next_sequence = 1;
-  std::uint64_t next_worker_number = 1;
   std::map<JobId, Job> jobs;
   std::map<WorkerId, Worker> workers;
   // Lives that are over, by the time of their end; kept while a late
@@ -65,7 +64,6 @@
     visitor.Field("declaration_version", self.declaration_version);
     visitor.Field("declaration_document", self.declaration_document);
     visitor.Field("next_sequence", self.next_sequence);
-    visitor.Field("next_worker_number", self.next_worker_number);
     visitor.Field("jobs", self.jobs);
     visitor.Field("workers", self.workers);
     visitor.Field("ended_workers", self.ended_workers);
--- a/libraries/jobs/worker.h
+++ b/libraries/jobs/worker.h
@@ -29,9 +29,6 @@
   std::vector<std::string> labels;
   // It will leave: nothing is started there any more.
   bool is_draining = false;
-  // Lives are numbered in the order in which they were first heard of; of two
-  // on one instance the higher one is the present one.
-  std::uint64_t number = 0;
   // Grows with each announcement of this life, so that a late one is known.
   std::uint64_t sequence = 0;
 
@@ -51,7 +48,6 @@
     visitor.Field("rack", self.rack);
     visitor.Field("labels", self.labels);
     visitor.Field("is_draining", self.is_draining);
-    visitor.Field("number", self.number);
     visitor.Field("sequence", self.sequence);
   }
 };
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -68,9 +68,6 @@
     this->EndWorker(id, "its life is over");
     return;
   }
-  if (this->IsSuperseded(*worker)) {
-    this->over.try_emplace(id);
-  }
   if (this->over.contains(id)) {
     this->EndWorker(id, "another life began on its instance");
     return;
@@ -81,23 +78,26 @@
   this->MarkCordoned(session->second);
 }
 
-// Of all lives on one instance only the last one heard of can be alive. Ends an
-// earlier one that this worker supersedes; true if it is itself an earlier one.
-bool Scheduler::IsSuperseded(const jobs::Worker& worker) {
+// Ends the other lives on the instance of one that has just answered. An
+// announcement may outlive its sender and come after that of the next life, so
+// being heard of last proves nothing. An answer to a call that was sent after
+// another life was heard of does: lives follow each other.
+void Scheduler::EndOtherLives(const WorkerSession& answering) {
+  const jobs::Worker& worker = answering.worker();
   if (worker.instance.value().empty()) {
-    return false;
+    return;
   }
-  auto& [number, last] = this->last_lives[worker.instance];
-  if (worker.number < number) {
-    return true;
+  std::vector<WorkerId> ended;
+  for (const auto& [id, session] : this->workers) {
+    if (id != worker.id && session.worker().instance == worker.instance &&
+        session.began_at() <= answering.began_at()) {
+      ended.push_back(id);
+    }
   }
-  const WorkerId before = std::exchange(last, worker.id);
-  number = worker.number;
-  if (before != worker.id && this->state.FindWorker(before) != nullptr) {
-    this->over.try_emplace(before);
-    this->EndWorker(before, "another life began on its instance");
+  for (const WorkerId& id : ended) {
+    this->over.try_emplace(id);
+    this->EndWorker(id, "another life began on its instance");
   }
-  return false;
 }
 
 WorkerSession* Scheduler::FindSession(const WorkerId& worker) {
@@ -129,6 +129,9 @@
   const bool is_adopting = !session.is_adopted();
   session.NoteClock(report.clock, now);
   session.NoteAnswer(now);
+  if (is_adopting) {
+    this->EndOtherLives(session);
+  }
   EndsToRecord ends = this->TakeEnds(session, report, now);
   this->TakeRunning(session, report, is_adopting, now);
   this->TakeMissing(session, report);
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -226,7 +226,7 @@
                            const jobs::StepSpec& step);
   void SyncWorker(const WorkerId& id, SteadyTime now);
   void EndReplacedWorker(const WorkerId& worker);
-  bool IsSuperseded(const jobs::Worker& worker);
+  void EndOtherLives(const WorkerSession& answering);
   void LapseSilentWorkers(SteadyTime now);
   void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
   void EvacuateCordoned(SteadyTime now);
@@ -286,8 +286,6 @@
   // Services of which some worker has not told yet what runs there.
   std::set<ServiceName> uncertain;
   std::set<InstanceName> cordoned;
-  // The last life heard of on each instance.
-  std::map<InstanceName, std::pair<std::uint64_t, WorkerId>> last_lives;
   // Lives that are over for certain, until that is on record, and when to ask
   // for the record (again).
   std::map<WorkerId, SteadyTime> over;
