Maintenance: Take an instance for back only once its worker answers

Cause: an instance counted as back from maintenance, or as arrived from a move, as soon as another worker than before was heard of there. An announcement of an earlier life that a cut held up for longer than the maintenance fits that too, and then more instances were down than allowed, or the moving one was no longer cordoned. Now that the announcement of a life does not end the one before, two may also stand for one instance; the one that answers is the present one.

Ruled out: a longer pause than maintenance_time, which no cut keeps to.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -269,7 +269,8 @@
     const auto known = facts.find(name);
     // Where instances are off no worker appears.
     const bool has_arrived =
-        (known != facts.end() && known->second.worker != move.worker) ||
+        (known != facts.end() && !known->second.is_only_announced &&
+         known->second.worker != move.worker) ||
         (IsHeadroom(state, move.to) &&
          now - move.taken_at >= this->settings.move_time);
     const bool is_overdue = now - move.since > this->settings.longest_move;
--- a/libraries/maintenance/maintenance_planner.cc
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -168,7 +168,7 @@
                                         .epoch = this->epoch});
 }
 
-// An instance is back once another worker than before runs there, or, where
+// An instance is back once another worker than before answers there, or, where
 // none ran, once the platform lists it as out of its maintenance.
 bool MaintenancePlanner::IsBack(
     const InstanceName& name,
@@ -184,7 +184,8 @@
     return false;
   }
   const auto known = facts.find(name);
-  if (known != facts.end() && known->second.worker != maintenance.worker) {
+  if (known != facts.end() && !known->second.is_only_announced &&
+      known->second.worker != maintenance.worker) {
     return true;
   }
   const auto open = this->open_orders.find(name);
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -2,6 +2,7 @@
 #include "services/sumacd/instance_keeper.h"
 
 #include <iterator>
+#include <algorithm>
 #include <utility>
 
 #include "libraries/base/text.h"
@@ -135,10 +136,17 @@
   for (const auto& [id, session] : this->scheduler.sessions()) {
     const jobs::Worker& worker = session.worker();
     maintenance::InstanceFacts& instance = facts[worker.instance];
-    instance.worker = id;
-    instance.service = worker.service;
-    instance.millicores = worker.capacity.millicores;
-    instance.is_leaving = worker.is_draining;
+    // Of two lives on one instance only one that answers is the present one.
+    const bool is_present =
+        instance.worker.value().empty() ||
+        (instance.is_only_announced && session.is_adopted());
+    if (is_present) {
+      instance.worker = id;
+      instance.is_only_announced = !session.is_adopted();
+      instance.service = worker.service;
+      instance.millicores = worker.capacity.millicores;
+      instance.is_leaving = worker.is_draining;
+    }
     for (const auto& [key, run] : session.runs()) {
       ++(run.is_budgeted ? instance.budgeted_runs : instance.other_runs);
     }
@@ -147,8 +155,9 @@
       ++instance.other_runs;
     }
     const std::int64_t all = worker.capacity.millicores;
-    instance.load_permille =
+    const std::int64_t load =
         all == 0 ? 0 : (all - session.Room().millicores) * kPermille / all;
+    instance.load_permille = std::max(instance.load_permille, load);
   }
   return facts;
 }
