--- a/tests/libraries/storage/data_folder_test.cc
+++ b/tests/libraries/storage/data_folder_test.cc
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+#include <vector>
+
 #include "tests/libraries/storage/fake_disk.h"
 
 namespace sumac::storage {
@@ -18,6 +22,21 @@
 constexpr const char* kFolder = "data";
 using Folder = DataFolder<FakeDisk>;
 
+// Each operation alone, and all of them.
+const std::vector<std::set<DiskOperation>> kRefusals{
+    {DiskOperation::kAppend},
+    {DiskOperation::kSync},
+    {DiskOperation::kOpen},
+    {DiskOperation::kTruncate},
+    {DiskOperation::kRename},
+    {DiskOperation::kRemove},
+    {DiskOperation::kSyncFolder},
+    {DiskOperation::kAppend, DiskOperation::kTruncate},
+    {DiskOperation::kSync, DiskOperation::kTruncate, DiskOperation::kRemove},
+    {DiskOperation::kAppend, DiskOperation::kSync, DiskOperation::kOpen,
+     DiskOperation::kTruncate, DiskOperation::kRename, DiskOperation::kRemove,
+     DiskOperation::kSyncFolder}};
+
 Entry MakeEntry(std::uint64_t index,
                 std::uint64_t term,
                 const std::string& payload) {
@@ -191,6 +210,85 @@
   EXPECT_EQ(this->Open().TakeStartState().entries.size(), 3U);
 }
 
+// A disk may take the bytes and refuse them for want of room only when they are
+// synced, or refuse a file that begins. What the refused try had left behind
+// stayed in the log, and the next start took it for damage.
+TEST_F(DataFolderTest, WhateverAFullDiskRefusesTheSameWriteGoesThroughLater) {
+  const FakeDisk formatted = this->disk;
+  for (const std::set<DiskOperation>& refused : kRefusals) {
+    this->disk = formatted;
+    Folder folder = this->Open(StorageSettings{.segment_bytes = 64});
+    for (std::uint64_t index = 1; index <= 4; ++index) {
+      const Output output =
+          MakeOutput({MakeEntry(index, 1, "payload")}, HardState{Term(index)});
+      this->disk.refused = refused;
+      bool is_written = false;
+      for (int tries = 0; tries < 3 && !is_written; ++tries) {
+        const absl::Status status = folder.Write(output);
+        is_written = status.ok();
+        EXPECT_TRUE(is_written || CodeOf(status) == ResultCode::kDiskFull);
+      }
+      this->disk.refused.clear();
+      ASSERT_TRUE(is_written || folder.Write(output).ok());
+    }
+    this->disk.Crash();
+    const auto opened = Folder::Open(this->disk, kFolder, {});
+    ASSERT_TRUE(opened.ok())
+        << opened.status() << " " << static_cast<int>(*refused.begin());
+    EXPECT_EQ(opened->report().entries_after_snapshot, 4U);
+  }
+}
+
+// The same, with the power lost while the disk is full: what was written before
+// is there.
+TEST_F(DataFolderTest, ALossOfPowerWhileTheDiskIsFullLosesNothing) {
+  const FakeDisk formatted = this->disk;
+  for (const std::set<DiskOperation>& refused : kRefusals) {
+    this->disk = formatted;
+    {
+      Folder folder = this->Open(StorageSettings{.segment_bytes = 64});
+      ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(1, 1, "a")})).ok());
+      this->disk.refused = refused;
+      for (int tries = 0; tries < 3; ++tries) {
+        if (folder.Write(MakeOutput({MakeEntry(2, 1, "b")})).ok()) {
+          break;
+        }
+      }
+      this->disk.refused.clear();
+    }
+    for (const std::size_t torn : {0U, 7U, 4'096U}) {
+      FakeDisk left = this->disk;
+      left.Crash(torn);
+      const auto opened = Folder::Open(left, kFolder, {});
+      ASSERT_TRUE(opened.ok())
+          << opened.status() << " " << static_cast<int>(*refused.begin());
+      EXPECT_GE(opened->report().entries_after_snapshot, 1U);
+    }
+  }
+}
+
+// A snapshot that found no room left its beginning behind, which took room for
+// as long as no other was made.
+TEST_F(DataFolderTest, ASnapshotWithoutRoomLeavesNothingBehind) {
+  Folder folder = this->Open();
+  ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(1, 1, "a")})).ok());
+  const Snapshot snapshot{{LogIndex(1), Term(1), {{NodeId("c1.1")}, {}}},
+                          std::string(1'000, 's')};
+  const std::size_t files_before = this->disk.files.size();
+  for (const DiskOperation operation :
+       {DiskOperation::kAppend, DiskOperation::kSync, DiskOperation::kRename}) {
+    this->disk.refused = {operation};
+    EXPECT_EQ(CodeOf(folder.SaveSnapshot(snapshot)), ResultCode::kDiskFull);
+    EXPECT_EQ(this->disk.files.size(), files_before);
+  }
+  this->disk.refused.clear();
+  this->disk.room = 500;
+  EXPECT_EQ(CodeOf(folder.SaveSnapshot(snapshot)), ResultCode::kDiskFull);
+  EXPECT_EQ(this->disk.files.size(), files_before);
+  this->disk.room = 1U << 20;
+  EXPECT_TRUE(folder.SaveSnapshot(snapshot).ok());
+}
+
 TEST_F(DataFolderTest, AFailedSyncIsAnErrorOfItsOwn) {
   Folder folder = this->Open();
   this->disk.fails_sync = true;
--- a/tests/libraries/storage/fake_disk.h
+++ b/tests/libraries/storage/fake_disk.h
@@ -12,10 +12,22 @@
 #include <vector>
 
 #include "libraries/base/error.h"
+#include "libraries/base/try.h"
 #include "libraries/storage/disk.h"
 
 namespace sumac::storage {
 
+// What a disk that is full may refuse.
+enum class DiskOperation {
+  kAppend,
+  kSync,
+  kOpen,
+  kTruncate,
+  kRename,
+  kRemove,
+  kSyncFolder,
+};
+
 // A disk in memory that forgets at a crash what was not synced, and fails when
 // told to.
 class FakeDisk {
@@ -32,6 +44,7 @@
         : disk(disk), path(std::move(path)) {}
 
     absl::Status Append(std::string_view bytes) {
+      TRY(this->disk->CheckRoom(DiskOperation::kAppend));
       if (this->disk->IsPowerGone()) {
         return MakeError(ResultCode::kStorageFailed, "power lost");
       }
@@ -47,6 +60,7 @@
     }
 
     absl::Status Sync() {
+      TRY(this->disk->CheckRoom(DiskOperation::kSync));
       if (this->disk->fails_sync || this->disk->IsPowerGone()) {
         return MakeError(ResultCode::kStorageFailed, "sync failed");
       }
@@ -83,11 +97,13 @@
   }
 
   absl::StatusOr<File> OpenForAppend(const std::string& path) {
+    TRY(this->CheckRoom(DiskOperation::kOpen));
     this->files.try_emplace(path);
     return File(this, path);
   }
 
   absl::Status Truncate(const std::string& path, std::uint64_t length) {
+    TRY(this->CheckRoom(DiskOperation::kTruncate));
     if (this->IsPowerGone()) {
       return MakeError(ResultCode::kStorageFailed, "power lost");
     }
@@ -98,6 +114,7 @@
   }
 
   absl::Status Rename(const std::string& from, const std::string& to) {
+    TRY(this->CheckRoom(DiskOperation::kRename));
     if (this->IsPowerGone()) {
       return MakeError(ResultCode::kStorageFailed, "power lost");
     }
@@ -107,6 +124,7 @@
   }
 
   absl::Status Remove(const std::string& path) {
+    TRY(this->CheckRoom(DiskOperation::kRemove));
     if (this->IsPowerGone()) {
       return MakeError(ResultCode::kStorageFailed, "power lost");
     }
@@ -115,6 +133,7 @@
   }
 
   absl::Status SyncFolder(const std::string& /*path*/) {
+    TRY(this->CheckRoom(DiskOperation::kSyncFolder));
     if (this->IsPowerGone()) {
       return MakeError(ResultCode::kStorageFailed, "power lost");
     }
@@ -142,10 +161,18 @@
   std::map<std::string, Content> files;
   std::size_t room = std::size_t{1} << 40;
   bool fails_sync = false;
+  // What it refuses for want of room.
+  std::set<DiskOperation> refused;
   // Operations that still succeed before the power goes; nothing for no end.
   std::optional<std::uint64_t> operations_left;
 
  private:
+  absl::Status CheckRoom(DiskOperation operation) const {
+    return this->refused.contains(operation)
+               ? MakeError(ResultCode::kDiskFull, "no room")
+               : absl::OkStatus();
+  }
+
   bool IsPowerGone() {
     if (!this->operations_left) {
       return false;
