Storage: Write again after a full disk without doubling what stayed

Cause: a disk may say that it has no room at the sync (ENOSPC or EDQUOT from fdatasync), after it took the bytes. The same held for a segment whose sync or name was refused after its first bytes.

Ruled out: taking such a sync for a failed disk, which would end the process for a want of room that passes.

--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -168,11 +168,24 @@
     if (disk.Read(temporary).ok()) {
       TRY(disk.Remove(temporary));
     }
+    const absl::Status written = WriteAndRename(disk, temporary, target, bytes);
+    if (!written.ok()) {
+      // Its beginning would take room that the log needs. Should it stay, the
+      // next try removes it.
+      disk.Remove(temporary).IgnoreError();
+      return written;
+    }
+    return disk.SyncFolder(folder);
+  }
+
+  static absl::Status WriteAndRename(DiskType& disk,
+                                     const std::string& temporary,
+                                     const std::string& target,
+                                     std::string_view bytes) {
     auto file = TRY(disk.OpenForAppend(temporary));
     TRY(file.Append(bytes));
     TRY(file.Sync());
-    TRY(disk.Rename(temporary, target));
-    return disk.SyncFolder(folder);
+    return disk.Rename(temporary, target);
   }
 
   absl::Status LoadIdentity() {
@@ -270,18 +283,20 @@
   absl::Status StartSegment() {
     const std::uint64_t sequence = this->next_sequence;
     const std::string file_path = this->PathOf(SegmentName(sequence));
+    if (this->has_unfinished_segment) {
+      TRY(this->disk->Remove(file_path));
+      this->has_unfinished_segment = false;
+    }
     auto file = TRY(this->disk->OpenForAppend(file_path));
     std::string bytes(kSegmentHeader);
     bytes += EncodeRecord(this->hard_state);
-    const absl::Status appended = file.Append(bytes);
-    if (!appended.ok()) {
+    const absl::Status begun = this->FillSegment(file, bytes);
+    if (!begun.ok()) {
       // Nothing of the log is in it yet, so it can go and the next try begins
-      // afresh.
-      TRY(this->disk->Remove(file_path));
-      return appended;
+      // afresh; a second beginning behind the first would be damage.
+      this->has_unfinished_segment = !this->disk->Remove(file_path).ok();
+      return begun;
     }
-    TRY(file.Sync());
-    TRY(this->disk->SyncFolder(this->path));
     if (this->segment_sequence != 0) {
       this->closed_segments[this->segment_sequence] = this->last_written;
     }
@@ -292,6 +307,14 @@
     return absl::OkStatus();
   }
 
+  // Makes the first bytes of a segment and its name last.
+  absl::Status FillSegment(typename DiskType::File& file,
+                           const std::string& bytes) {
+    TRY(file.Append(bytes));
+    TRY(file.Sync());
+    return this->disk->SyncFolder(this->path);
+  }
+
   // Cuts off what a write that met a full disk left behind.
   absl::Status DropUnfinished() {
     if (!this->has_unfinished_write) {
@@ -304,12 +327,12 @@
   }
 
   absl::Status AppendAndSync(const std::string& bytes) {
-    const absl::Status appended = this->segment.Append(bytes);
-    if (!appended.ok()) {
-      this->has_unfinished_write = true;
-      return appended;
-    }
+    // A disk may find out that it has no room only at the sync. The bytes are
+    // in the file then all the same, and the same ones come again.
+    this->has_unfinished_write = true;
+    TRY(this->segment.Append(bytes));
     TRY(this->segment.Sync());
+    this->has_unfinished_write = false;
     this->segment_length += bytes.size();
     return absl::OkStatus();
   }
@@ -346,6 +369,8 @@
   std::uint64_t segment_length = 0;
   std::uint64_t next_sequence = 1;
   bool has_unfinished_write = false;
+  // The file of the next segment holds the beginning of one that failed.
+  bool has_unfinished_segment = false;
   // The last entry's position by the sequence number of each closed segment.
   std::map<std::uint64_t, LogIndex> closed_segments;
 };
