--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/instance_keeper.h"
 
-#include <iterator>
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "libraries/base/text.h"
