--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -166,14 +166,13 @@
   const bool is_leader =
       this->host->replica().role() == replication::Role::kLeader;
   const Term term = this->host->replica().term();
-  if (this->leading_term != Term(0) &&
-      (!is_leader || term != this->leading_term)) {
+  if (this->term_watch.IsOver(is_leader, term)) {
     this->EndLeadership();
   }
   if (!this->host->MayAct()) {
     return;
   }
-  if (this->leading_term == Term(0)) {
+  if (this->term_watch.is_idle()) {
     this->BeginLeadership();
   }
   if (now - this->last_maintenance >= kMaintenanceInterval) {
@@ -186,13 +185,12 @@
 // of this leadership.
 void JobController::BeginLeadership() {
   const Term term = this->host->replica().term();
-  this->leading_term = term;
+  this->term_watch.Begin(term);
   this->tasks.add(this->Propose(jobs::BeginEpoch{})
                       .then([this, term](const fleet::Answer& answer) {
-                        if (!answer.is_ok() || this->leading_term != term) {
-                          return;
+                        if (this->term_watch.TakeEpoch(term, answer.is_ok())) {
+                          this->StartDeciding();
                         }
-                        this->StartDeciding();
                       }));
 }
 
@@ -230,7 +228,7 @@
     this->BeginRenewals(worker);
   }
   LogEvent(LogLevel::kInfo, "leads",
-           {{"term", this->leading_term.value()},
+           {{"term", this->term_watch.term().value()},
             {"epoch", this->jobs_state.epoch().value()},
             {"workers", this->jobs_state.workers().size()},
             {"jobs", this->jobs_state.active_jobs().size()}});
@@ -239,8 +237,8 @@
 
 void JobController::EndLeadership() {
   LogEvent(LogLevel::kWarning, "leads-no-more",
-           {{"term", this->leading_term.value()}});
-  this->leading_term = Term(0);
+           {{"term", this->term_watch.term().value()}});
+  this->term_watch.End();
   for (const auto& [worker, renewal] : this->renewals) {
     this->worker_calls.forget(worker);
   }
@@ -508,14 +506,14 @@
 void JobController::BeginRenewals(const WorkerId& worker) {
   if (this->scheduler->sessions().contains(worker) &&
       !this->renewals.contains(worker)) {
-    this->renewals.emplace(
-        worker,
-        this->RenewLoop(worker, this->leading_term).eagerlyEvaluate(nullptr));
+    this->renewals.emplace(worker,
+                           this->RenewLoop(worker, this->term_watch.term())
+                               .eagerlyEvaluate(nullptr));
   }
 }
 
 kj::Promise<void> JobController::RenewLoop(const WorkerId& worker, Term term) {
-  if (!this->scheduler || this->leading_term != term) {
+  if (!this->scheduler || this->term_watch.term() != term) {
     return kj::READY_NOW;
   }
   if (!this->host->MayAct()) {
@@ -538,7 +536,7 @@
     const WorkerId& worker,
     Term term,
     const scheduler::RenewAnswer& answer) {
-  if (!this->scheduler || this->leading_term != term) {
+  if (!this->scheduler || this->term_watch.term() != term) {
     return kj::READY_NOW;
   }
   const SteadyTime now = this->clock.SteadyNow();
@@ -608,12 +606,12 @@
                         waiting.ends.ends.end());
   }
   this->is_ends_commit_open = true;
-  const Term term = this->leading_term;
+  const Term term = this->term_watch.term();
   this->tasks.add(
       this->Propose(std::move(command))
           .then([this, term, batch = std::move(batch)](
                     const fleet::Answer& answer) mutable {
-            if (!this->scheduler || this->leading_term != term) {
+            if (!this->scheduler || this->term_watch.term() != term) {
               return;
             }
             this->is_ends_commit_open = false;
@@ -697,11 +695,11 @@
 
 // A report beside the renewals; what it tells is taken in like theirs.
 void JobController::RequestReport(const scheduler::RenewOrder& order) {
-  const Term term = this->leading_term;
+  const Term term = this->term_watch.term();
   this->tasks.add(this->worker_calls.request_report(order).then(
       [this, term, worker = order.worker](
           const scheduler::RenewAnswer& answer) -> kj::Promise<void> {
-        const bool is_ours = this->scheduler && this->leading_term == term;
+        const bool is_ours = this->scheduler && this->term_watch.term() == term;
         if (!is_ours || answer.result != scheduler::OrderResult::kDone) {
           // The next renewal tells the same.
           return kj::READY_NOW;
@@ -717,10 +715,10 @@
 }
 
 void JobController::AskForAdvice(const scheduler::AdviceQuestion& question) {
-  const Term term = this->leading_term;
+  const Term term = this->term_watch.term();
   this->tasks.add(this->worker_calls.advise(question).then(
       [this, term, question](const scheduler::AdviceAnswer& answer) {
-        if (!this->scheduler || this->leading_term != term) {
+        if (!this->scheduler || this->term_watch.term() != term) {
           return;
         }
         LogEvent(
@@ -745,10 +743,10 @@
                                 this->clock.SteadyNow());
     return;
   }
-  const Term term = this->leading_term;
+  const Term term = this->term_watch.term();
   this->tasks.add(this->worker_calls.send(order).then(
       [this, term, order](const scheduler::OrderAnswer& answer) {
-        if (!this->scheduler || this->leading_term != term) {
+        if (!this->scheduler || this->term_watch.term() != term) {
           return;
         }
         this->scheduler->TakeAnswer(order, answer, this->clock.SteadyNow());
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -29,6 +29,7 @@
 #include "services/sumacd/peers.h"
 #include "services/sumacd/replica_host.h"
 #include "services/sumacd/snapshot_writer.h"
+#include "services/sumacd/term_watch.h"
 #include "services/sumacd/work_times.h"
 
 namespace sumac::daemon {
@@ -139,8 +140,7 @@
   std::unique_ptr<ReplicaHost> host;
   std::unique_ptr<SnapshotWriter> snapshot_writer;
 
-  // The term that this controller leads in, or began to.
-  Term leading_term;
+  TermWatch term_watch;
   // Present once the epoch of this leadership is committed.
   std::optional<scheduler::Scheduler> scheduler;
   std::unique_ptr<InstanceKeeper> keeper;
