Daemon: Ask for the epoch again after a refusal in the same term

Cause: a leader asks for the epoch of its term once. If that is refused, since its lease ran out between two checks or leadership was just being handed over to a controller that did not take it, it stayed the leader of the same term with nothing that decides: no renewal, no start, and every request was told that nobody leads. The refusal left no line in the log either.

Ruled out: giving leadership up, which costs an election where the next look, 20 ms later, is enough.

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -190,6 +190,10 @@
                       .then([this, term](const fleet::Answer& answer) {
                         if (this->term_watch.TakeEpoch(term, answer.is_ok())) {
                           this->StartDeciding();
+                        } else {
+                          LogEvent(LogLevel::kWarning, "epoch-not-begun",
+                                   {{"term", term.value()},
+                                    {"code", static_cast<int>(answer.code)}});
                         }
                       }));
 }
--- a/services/sumacd/term_watch.cc
+++ b/services/sumacd/term_watch.cc
@@ -8,7 +8,15 @@
 }
 
 bool TermWatch::TakeEpoch(Term term, bool is_committed) {
-  return is_committed && this->current == term;
+  if (this->current != term) {
+    return false;
+  }
+  if (!is_committed) {
+    // The lease may come back in the same term, and without an epoch nothing
+    // would decide in it.
+    this->End();
+  }
+  return is_committed;
 }
 
 }  // namespace sumac::daemon
--- a/services/sumacd/term_watch.h
+++ b/services/sumacd/term_watch.h
@@ -24,7 +24,7 @@
   void End() { this->current = Term(0); }
 
   // Takes in how asking for the epoch of `term` ended; true if it decides from
-  // now on.
+  // now on. After a refusal it is idle again and may ask anew.
   bool TakeEpoch(Term term, bool is_committed);
 
  private:
