Daemon: Let a replica's host stand on any disk

The host opened a folder on the real disk itself, so that nothing about a slow or full disk could be tested around it. What it needs of a store is two calls; they are given to it now, and the data folder on the real disk stays the default. No change of what it does.

--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -20,6 +20,8 @@
 #include "libraries/http/metrics.h"
 #include "libraries/log/json_log.h"
 #include "libraries/rpc/door.h"
+#include "libraries/storage/data_folder.h"
+#include "libraries/storage/posix_disk.h"
 #include "services/sumacd/controller.h"
 #include "services/sumacd/core_link.h"
 #include "services/sumacd/doors.h"
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -15,6 +15,7 @@
 #include "libraries/replication/election_seed.h"
 #include "libraries/replication/membership_plan.h"
 #include "libraries/rpc/call.h"
+#include "libraries/storage/posix_disk.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
 
@@ -76,13 +77,21 @@
     Peers& peers,
     kj::Timer& timer,
     ReplicaCallbacks callbacks) {
-  auto disk = std::make_unique<storage::PosixDisk>();
-  Folder folder = TRY(
-      Folder::Open(*disk, settings.data_folder, storage::StorageSettings()));
-  std::unique_ptr<ReplicaHost> host(
-      new ReplicaHost(settings, peers, timer, std::move(callbacks),
-                      std::move(disk), std::move(folder)));
-  replication::StartState start = host->folder.TakeStartState();
+  ReplicaStore store = TRY(OpenReplicaStore(
+      std::make_shared<storage::PosixDisk>(), settings.data_folder));
+  return CreateOn(std::move(store), settings, peers, timer,
+                  std::move(callbacks));
+}
+
+absl::StatusOr<std::unique_ptr<ReplicaHost>> ReplicaHost::CreateOn(
+    ReplicaStore store,
+    const ReplicaHostSettings& settings,
+    Peers& peers,
+    kj::Timer& timer,
+    ReplicaCallbacks callbacks) {
+  replication::StartState start = std::move(store.start);
+  std::unique_ptr<ReplicaHost> host(new ReplicaHost(
+      settings, peers, timer, std::move(callbacks), std::move(store)));
   if (ProcessOf(start.self) != settings.process) {
     return MakeError(
         ResultCode::kSettingsInvalid,
@@ -104,14 +113,12 @@
                          Peers& peers,
                          kj::Timer& timer,
                          ReplicaCallbacks callbacks,
-                         std::unique_ptr<storage::PosixDisk> disk,
-                         Folder folder)
+                         ReplicaStore store)
     : settings(settings),
       peers(peers),
       timer(timer),
       callbacks(std::move(callbacks)),
-      disk(std::move(disk)),
-      folder(std::move(folder)),
+      store(std::move(store)),
       tasks(*this) {}
 
 void ReplicaHost::Tick(SteadyTime now) {
@@ -453,7 +460,7 @@
   // is done; a deque keeps it there when others are added behind it.
   this->tasks.add(
       this->disk_thread
-          .Run([this, output] { return this->folder.Write(*output); })
+          .Run([this, output] { return this->store.write(*output); })
           .then([this](const absl::Status& status) {
             this->FinishWrite(status);
           }));
@@ -639,7 +646,7 @@
       this->disk_thread
           .Run(
               [this, snapshot = replication::Snapshot{meta, std::move(bytes)}] {
-                return this->folder.SaveSnapshot(snapshot);
+                return this->store.save_snapshot(snapshot);
               })
           .then([meta](const absl::Status& status) {
             LogEvent(
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -24,10 +24,9 @@
 #include "libraries/replication/catch_up_mark.h"
 #include "libraries/replication/membership_plan.h"
 #include "libraries/replication/replica.h"
-#include "libraries/storage/data_folder.h"
-#include "libraries/storage/posix_disk.h"
 #include "services/sumacd/disk_thread.h"
 #include "services/sumacd/peers.h"
+#include "services/sumacd/replica_store.h"
 #include "services/sumacd/settings.h"
 
 namespace sumac::daemon {
@@ -70,6 +69,14 @@
       kj::Timer& timer,
       ReplicaCallbacks callbacks);
 
+  // The same with a store that is open already.
+  static absl::StatusOr<std::unique_ptr<ReplicaHost>> CreateOn(
+      ReplicaStore store,
+      const ReplicaHostSettings& settings,
+      Peers& peers,
+      kj::Timer& timer,
+      ReplicaCallbacks callbacks);
+
   // Takes in a message of another replica; the promise holds what there is for
   // its sender once all that it led to is on the disk.
   kj::Promise<std::vector<replication::Message>> Receive(
@@ -119,8 +126,6 @@
   Milliseconds WriteAge(SteadyTime now) const;
 
  private:
-  using Folder = storage::DataFolder<storage::PosixDisk>;
-
   struct PendingProposal {
     Term term;
     kj::Own<kj::PromiseFulfiller<fleet::Answer>> fulfiller;
@@ -136,8 +141,7 @@
               Peers& peers,
               kj::Timer& timer,
               ReplicaCallbacks callbacks,
-              std::unique_ptr<storage::PosixDisk> disk,
-              Folder folder);
+              ReplicaStore store);
 
   void taskFailed(kj::Exception&& exception) override;
 
@@ -168,8 +172,7 @@
   kj::Timer& timer;
   ReplicaCallbacks callbacks;
   SystemClock clock;
-  std::unique_ptr<storage::PosixDisk> disk;
-  Folder folder;
+  ReplicaStore store;
   std::unique_ptr<replication::Replica> replica_core;
 
   std::pair<replication::Role, ProcessName> logged_role{
