--- /dev/null
+++ b/tests/services/sumacd/replica_host_test.cc
@@ -0,0 +1,288 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/replica_host.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <gtest/gtest.h>
+#include <kj/async-io.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libraries/base/kj_time.h"
+#include "libraries/base/text.h"
+#include "services/sumacd/serve_replicate.h"
+#include "tests/libraries/storage/switched_disk.h"
+
+namespace sumac::daemon {
+namespace {
+
+using storage::SwitchedDisk;
+
+constexpr const char* kFolder = "data";
+constexpr std::size_t kVoters = 3;
+constexpr kj::Duration kTick = 10 * kj::MILLISECONDS;
+// Long beside what a busy computer takes for a hand-over, so that the one is
+// told from the other.
+constexpr Milliseconds kElectionTimeout{2'000};
+// A leader's silence is noticed one heartbeat before it at the earliest.
+constexpr Milliseconds kHandOverBound{1'200};
+constexpr Milliseconds kPatience{10'000};
+
+// Hands messages to a host.
+class HostDoor final : public wire::Peer::Server {
+ public:
+  explicit HostDoor(std::unique_ptr<ReplicaHost>& host) : host(host) {}
+
+  kj::Promise<void> replicate(ReplicateContext context) override {
+    return ServeReplicate(*this->host, context);
+  }
+
+ private:
+  std::unique_ptr<ReplicaHost>& host;
+};
+
+// A replica with its disk, its state machine and its door.
+struct Member {
+  std::string address;
+  std::shared_ptr<SwitchedDisk> disk = std::make_shared<SwitchedDisk>();
+  std::vector<std::string> applied;
+  std::unique_ptr<Peers> peers;
+  std::unique_ptr<ReplicaHost> host;
+  kj::Own<kj::ConnectionReceiver> receiver;
+  std::unique_ptr<capnp::TwoPartyServer> server;
+  kj::Promise<void> listening = nullptr;
+  kj::Promise<void> ticking = nullptr;
+};
+
+// A group of voters on loopback, all in this process.
+class ReplicaHostTest : public testing::Test {
+ protected:
+  ReplicaHostTest() {
+    for (std::size_t number = 0; number < kVoters; ++number) {
+      this->parts->members.push_back(std::make_unique<Member>());
+      this->Listen(*this->parts->members.back());
+    }
+    for (const auto& member : this->parts->members) {
+      this->Start(*member);
+    }
+  }
+  // NOTE: kj's destructors may throw; a test's may not.
+  ~ReplicaHostTest() noexcept override {}
+
+  void Listen(Member& member) {
+    auto address =
+        this->network().parseAddress("127.0.0.1").wait(this->scope());
+    member.receiver = address->listen();
+    member.address = StrCat("127.0.0.1:", member.receiver->getPort());
+    member.server = std::make_unique<capnp::TwoPartyServer>(
+        kj::heap<HostDoor>(member.host));
+  }
+
+  void Start(Member& member) {
+    storage::Identity identity{.node = NodeOf(member)};
+    std::vector<ProcessName> names;
+    for (const auto& other : this->parts->members) {
+      identity.first_voters.insert(NodeOf(*other));
+      names.emplace_back(other->address);
+    }
+    using Folder = storage::DataFolder<SwitchedDisk>;
+    ASSERT_TRUE(Folder::Format(*member.disk, kFolder, identity).ok());
+    auto store = OpenReplicaStore(member.disk, kFolder);
+    ASSERT_TRUE(store.ok()) << store.status();
+    member.peers = std::make_unique<Peers>(
+        this->network(), this->parts->io.provider->getTimer(), names);
+    ReplicaHostSettings settings{.process = ProcessName(member.address)};
+    settings.group.election_timeout = kElectionTimeout;
+    auto host = ReplicaHost::CreateOn(
+        *std::move(store), settings, *member.peers,
+        this->parts->io.provider->getTimer(), CallbacksOf(member));
+    ASSERT_TRUE(host.ok()) << host.status();
+    member.host = *std::move(host);
+    member.listening =
+        member.server->listen(*member.receiver).eagerlyEvaluate(nullptr);
+    member.ticking = this->Tick(member).eagerlyEvaluate(nullptr);
+  }
+
+  static replication::NodeId NodeOf(const Member& member) {
+    return replication::NodeId(StrCat(member.address, ".1"));
+  }
+
+  static ReplicaCallbacks CallbacksOf(Member& member) {
+    return ReplicaCallbacks{
+        .load_snapshot = [](const std::string&) { return absl::OkStatus(); },
+        .apply =
+            [&member](const std::string& payload) {
+              member.applied.push_back(payload);
+              return fleet::Answer::Success("applied");
+            },
+        .after_pass = [] {},
+        .begin_snapshot = [](LogIndex) {}};
+  }
+
+  kj::Promise<void> Tick(Member& member) {
+    return this->parts->io.provider->getTimer().afterDelay(kTick).then(
+        [this, &member] {
+          member.host->Tick(this->clock.SteadyNow());
+          return this->Tick(member);
+        });
+  }
+
+  // Waits until `holds`; how long it took, or nothing if it took too long.
+  std::optional<Milliseconds> Await(const std::function<bool()>& holds) {
+    const SteadyTime began_at = this->clock.SteadyNow();
+    while (!holds()) {
+      if (this->clock.SteadyNow() - began_at > kPatience) {
+        return std::nullopt;
+      }
+      this->parts->io.provider->getTimer()
+          .afterDelay(1 * kj::MILLISECONDS)
+          .wait(this->scope());
+    }
+    return this->clock.SteadyNow() - began_at;
+  }
+
+  // The member that may act, once there is one beside `other`.
+  Member* AwaitLeader(const Member* other = nullptr) {
+    Member* leader = nullptr;
+    this->Await([&] {
+      for (const auto& member : this->parts->members) {
+        if (member.get() != other && member->host->MayAct()) {
+          leader = member.get();
+        }
+      }
+      return leader != nullptr;
+    });
+    return leader;
+  }
+
+  // True if the command was acknowledged.
+  bool Propose(Member& member, const std::string& command) {
+    return member.host->Propose(command).wait(this->scope()).is_ok();
+  }
+
+  bool AreAllAlike() {
+    const auto& members = this->parts->members;
+    return std::all_of(members.begin(), members.end(), [&](const auto& member) {
+      return member->applied == members.front()->applied;
+    });
+  }
+
+  kj::Network& network() { return this->parts->io.provider->getNetwork(); }
+  kj::WaitScope& scope() { return this->parts->io.waitScope; }
+
+  struct Parts {
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    std::vector<std::unique_ptr<Member>> members;
+  };
+
+  SystemClock clock;
+  std::unique_ptr<Parts> parts = std::make_unique<Parts>();
+};
+
+// A leader whose disk was full fell silent, and the others waited for their
+// election timeout; what it had been asked came to nothing meanwhile.
+TEST_F(ReplicaHostTest, ALeaderWhoseDiskIsFullHandsOver) {
+  Member* first = this->AwaitLeader();
+  ASSERT_NE(first, nullptr);
+  ASSERT_TRUE(this->Propose(*first, "a"));
+  first->disk->is_full = true;
+  const SteadyTime filled_at = this->clock.SteadyNow();
+  std::optional<fleet::Answer> answer;
+  auto open = first->host->Propose("b")
+                  .then([&](const fleet::Answer& given) { answer = given; })
+                  .eagerlyEvaluate(nullptr);
+  Member* next = this->AwaitLeader(first);
+  ASSERT_NE(next, nullptr);
+  const Milliseconds took = this->clock.SteadyNow() - filled_at;
+  RecordProperty("hand_over_ms", static_cast<int>(took.count()));
+  EXPECT_LT(took, kHandOverBound);
+  EXPECT_TRUE(first->host->is_disk_full());
+  EXPECT_FALSE(first->host->MayAct());
+  ASSERT_TRUE(this->Propose(*next, "c"));
+  // Whoever asked is not left without an answer until there is room.
+  ASSERT_TRUE(this->Await([&] { return answer.has_value(); }));
+  first->disk->is_full = false;
+  EXPECT_TRUE(this->Await([&] { return this->AreAllAlike(); }));
+  EXPECT_FALSE(first->host->is_disk_full());
+  const std::vector<std::string> whole{"a", "b", "c"};
+  if (answer->is_ok()) {
+    EXPECT_EQ(first->applied, whole);
+  }
+  EXPECT_EQ(next->applied.front(), "a");
+  EXPECT_EQ(next->applied.back(), "c");
+}
+
+TEST_F(ReplicaHostTest, AVoterWhoseDiskIsFullCatchesUpOnceThereIsRoom) {
+  Member* leader = this->AwaitLeader();
+  ASSERT_NE(leader, nullptr);
+  Member* voter = this->parts->members.front().get() == leader
+                      ? this->parts->members.back().get()
+                      : this->parts->members.front().get();
+  voter->disk->is_full = true;
+  for (const char* command : {"a", "b", "c"}) {
+    EXPECT_TRUE(this->Propose(*leader, command));
+  }
+  EXPECT_TRUE(this->Await([&] { return voter->host->is_disk_full(); }));
+  EXPECT_TRUE(leader->host->MayAct());
+  voter->disk->is_full = false;
+  EXPECT_TRUE(this->Await([&] { return this->AreAllAlike(); }));
+  EXPECT_FALSE(voter->host->is_disk_full());
+  EXPECT_EQ(voter->applied, (std::vector<std::string>{"a", "b", "c"}));
+}
+
+// Without room anywhere nothing is acknowledged; afterwards all goes on, and
+// what was acknowledged outlives a loss of power of the whole group.
+TEST_F(ReplicaHostTest, WithoutRoomAnywhereNothingAcknowledgedIsLost) {
+  Member* leader = this->AwaitLeader();
+  ASSERT_NE(leader, nullptr);
+  ASSERT_TRUE(this->Propose(*leader, "a"));
+  for (const auto& member : this->parts->members) {
+    member->disk->is_full = true;
+  }
+  bool is_acknowledged = false;
+  auto open = leader->host->Propose("b")
+                  .then([&](const fleet::Answer& answer) {
+                    is_acknowledged = answer.is_ok();
+                  })
+                  .eagerlyEvaluate(nullptr);
+  this->parts->io.provider->getTimer()
+      .afterDelay(ToKj(kElectionTimeout))
+      .wait(this->scope());
+  EXPECT_FALSE(is_acknowledged);
+  for (const auto& member : this->parts->members) {
+    EXPECT_FALSE(member->host->MayAct());
+    member->disk->is_full = false;
+  }
+  Member* next = this->AwaitLeader();
+  ASSERT_NE(next, nullptr);
+  ASSERT_TRUE(this->Propose(*next, "c"));
+  EXPECT_TRUE(this->Await([&] { return this->AreAllAlike(); }));
+  std::vector<std::shared_ptr<SwitchedDisk>> disks;
+  for (const auto& member : this->parts->members) {
+    disks.push_back(member->disk);
+  }
+  open = nullptr;
+  this->parts.reset();
+  std::size_t holders = 0;
+  for (const auto& disk : disks) {
+    disk->inner.Crash();
+    auto store = OpenReplicaStore(disk, kFolder);
+    ASSERT_TRUE(store.ok()) << store.status();
+    const auto& entries = store->start.entries;
+    const auto holds = [&](const char* command) {
+      return std::any_of(
+          entries.begin(), entries.end(),
+          [&](const auto& entry) { return entry.payload == command; });
+    };
+    holders += static_cast<std::size_t>(holds("a") && holds("c"));
+  }
+  EXPECT_GT(holders, kVoters / 2);
+}
+
+}  // namespace
+}  // namespace sumac::daemon
