Tests: Hold late starts against cancelled jobs

Three tests of a start that got no answer and is carried out seconds later: by the same leader after its job was cancelled, by an earlier leader whose next one learns of the run only by a report (also once nothing of the job is on record), and by an earlier leader after the next was heard. All three pass on the code as it is: such a run is stopped within one stop_retry, within 100 ms of the first report, and is never begun.

--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -52,6 +52,92 @@
   EXPECT_EQ(fleet.starts, 4U);
 }
 
+// A start got no answer and was carried out seconds later, after the job had
+// been cancelled and while no stop came through.
+TEST(SchedulerTest, AStartThatIsCarriedOutAfterItsJobWasCancelledIsStopped) {
+  constexpr Milliseconds kLate{2'000};
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(60'000);
+  fleet.PassTime(Milliseconds(100));
+  fleet.late_permille = 1'000;
+  fleet.late_by = kLate;
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(100));
+  fleet.late_permille = 0;
+  fleet.worker("w0").is_cut = true;
+  fleet.Commit(jobs::CancelJob{JobId("job")});
+  while (fleet.starts == 0 && fleet.now < SteadyTime(Milliseconds(9'000))) {
+    // It comes through again just before the start does.
+    fleet.worker("w0").is_cut =
+        fleet.now < SteadyTime(Milliseconds(1'100)) + kLate;
+    fleet.PassTime(Milliseconds(10));
+  }
+  ASSERT_EQ(fleet.CountRunning("job"), 1U);
+  fleet.PassTime(fleet.settings.stop_retry + Milliseconds(200));
+  EXPECT_EQ(fleet.CountRunning("job"), 0U);
+  fleet.PassTime(Milliseconds(5'000));
+  EXPECT_EQ(fleet.starts, 1U);
+  EXPECT_EQ(fleet.problem, "");
+}
+
+// The leader that had ordered it was replaced meanwhile, and the next one does
+// not know of the order: the first report shows it the run, of a job that is
+// cancelled, or of one of which nothing is on record any more.
+TEST(SchedulerTest, ALateStartOfAnEarlierLeaderIsStoppedFromTheFirstReportOn) {
+  constexpr Milliseconds kLate{2'000};
+  for (const bool is_job_dropped : {false, true}) {
+    FakeFleet fleet(1);
+    fleet.work = Milliseconds(60'000);
+    fleet.PassTime(Milliseconds(100));
+    fleet.late_permille = 1'000;
+    fleet.late_by = kLate;
+    fleet.Submit("job", {.count = 1});
+    fleet.PassTime(Milliseconds(100));
+    fleet.late_permille = 0;
+    fleet.worker("w0").is_cut = true;
+    fleet.ChangeLeader();
+    fleet.Commit(jobs::CancelJob{JobId("job")});
+    while (fleet.starts == 0 && fleet.now < SteadyTime(Milliseconds(9'000))) {
+      fleet.worker("w0").is_cut =
+          fleet.now < SteadyTime(Milliseconds(1'100)) + kLate;
+      fleet.PassTime(Milliseconds(10));
+    }
+    ASSERT_EQ(fleet.CountRunning("job"), 1U);
+    if (is_job_dropped) {
+      fleet.state.Apply(
+          {WallTime(fleet.now.time_since_epoch()) + Milliseconds(600'000),
+           jobs::RecordMoves{{}}});
+      ASSERT_EQ(fleet.state.FindJob(JobId("job")), nullptr);
+    }
+    const auto& session = fleet.scheduler->sessions().at(WorkerId("w0"));
+    while (!session.is_adopted() &&
+           fleet.now < SteadyTime(Milliseconds(9'000))) {
+      fleet.PassTime(Milliseconds(10));
+    }
+    fleet.PassTime(Milliseconds(100));
+    EXPECT_EQ(fleet.CountRunning("job"), 0U);
+    fleet.PassTime(Milliseconds(5'000));
+    EXPECT_EQ(fleet.starts, 1U);
+    EXPECT_EQ(fleet.problem, "");
+  }
+}
+
+// What arrives after the next leader was heard is not carried out at all.
+TEST(SchedulerTest, ALateStartOfAnEarlierLeaderIsFencedOffOnceTheNextWasHeard) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(60'000);
+  fleet.PassTime(Milliseconds(100));
+  fleet.late_permille = 1'000;
+  fleet.late_by = Milliseconds(2'000);
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(100));
+  fleet.late_permille = 0;
+  fleet.ChangeLeader();
+  fleet.Commit(jobs::CancelJob{JobId("job")});
+  fleet.PassTime(Milliseconds(5'000));
+  EXPECT_EQ(fleet.starts, 0U);
+}
+
 TEST(SchedulerTest, AnotherLeaderTakesOverWhatRuns) {
   FakeFleet fleet(3);
   fleet.work = Milliseconds(3'000);
