Daemon: Hand leadership over when the disk is full

Cause: a leader whose disk refused a write fell silent, as a voter does, and the others waited for their election timeout. What it had been asked got no answer until there was room again, since nobody looked at it any more.

Now it hands over first. While it does, its heartbeats and entries go on, which need no write of its own; its own copy does not count. If nobody takes over within an election timeout it falls silent as before. A gauge, sumac_is_disk_full, and the line hands-over-with-full-disk say so.

Ruled out: going on as a leader without a disk, whose next term or vote could not be kept to.

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -95,6 +95,9 @@
 void JobController::RegisterMetrics() {
   this->metrics.SetGauge("sumac_is_leading",
                          [this] { return this->is_leading() ? 1.0 : 0.0; });
+  this->metrics.SetGauge("sumac_is_disk_full", [this] {
+    return this->host->is_disk_full() ? 1.0 : 0.0;
+  });
   this->metrics.SetGauge("sumac_epoch", [this] {
     return static_cast<double>(this->jobs_state.epoch().value());
   });
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -124,6 +124,8 @@
 void ReplicaHost::Tick(SteadyTime now) {
   if (this->has_full_disk) {
     this->StartWrite();
+  }
+  if (this->IsMuted(now)) {
     return;
   }
   this->replica_core->Tick(now);
@@ -333,7 +335,7 @@
 
 kj::Promise<std::vector<replication::Message>> ReplicaHost::Receive(
     replication::Message message) {
-  if (this->has_full_disk) {
+  if (this->IsMuted(this->clock.SteadyNow())) {
     return std::vector<replication::Message>();
   }
   const ProcessName sender = ProcessOf(message.from);
@@ -345,10 +347,11 @@
 }
 
 void ReplicaHost::TakeIn(replication::Message message) {
-  if (this->has_full_disk) {
+  const SteadyTime now = this->clock.SteadyNow();
+  if (this->IsMuted(now)) {
     return;
   }
-  this->replica_core->Receive(std::move(message), this->clock.SteadyNow());
+  this->replica_core->Receive(std::move(message), now);
   this->SchedulePump();
 }
 
@@ -397,7 +400,9 @@
   // A follower's answers wait until the disk holds what they speak for.
   const bool is_leader =
       this->replica_core->role() == replication::Role::kLeader;
-  if (this->unwritten.empty() || is_leader) {
+  // One that may say nothing has none, and leaves no call open for it.
+  if (this->unwritten.empty() || is_leader ||
+      this->IsMuted(this->clock.SteadyNow())) {
     this->AnswerSenders();
   }
   this->FailLostProposals();
@@ -411,7 +416,8 @@
   const bool is_leader =
       this->replica_core->role() == replication::Role::kLeader;
   const bool may_take = this->unwritten.empty() || is_leader;
-  if (!may_take || this->has_full_disk || !this->replica_core->has_output()) {
+  if (!may_take || this->IsMuted(this->clock.SteadyNow()) ||
+      !this->replica_core->has_output()) {
     return false;
   }
   replication::Output output = this->replica_core->TakeOutput();
@@ -475,6 +481,7 @@
       LogEvent(LogLevel::kError, "disk-full",
                {{"error", std::string(status.message())}});
       this->AnswerSenders();
+      this->HandOverWithFullDisk();
     }
     return;
   }
@@ -501,6 +508,31 @@
   this->Pump();
 }
 
+// A replica whose disk is full says nothing, since it could not keep to it. A
+// leader that hands over goes on until that is done or has failed: its
+// heartbeats and entries need no write of its own, and what it was asked is
+// decided with it.
+bool ReplicaHost::IsMuted(SteadyTime now) const {
+  const bool hands_over =
+      this->replica_core->role() == replication::Role::kLeader &&
+      now < this->hands_over_until;
+  return this->has_full_disk && !hands_over;
+}
+
+void ReplicaHost::HandOverWithFullDisk() {
+  const SteadyTime now = this->clock.SteadyNow();
+  if (this->replica_core->role() != replication::Role::kLeader) {
+    return;
+  }
+  const absl::Status status = this->replica_core->HandOver(now);
+  LogEvent(LogLevel::kWarning, "hands-over-with-full-disk",
+           {{"status", status.ToString()}});
+  if (status.ok()) {
+    this->hands_over_until = now + this->settings.group.election_timeout;
+    this->SchedulePump();
+  }
+}
+
 // Carries out what an output asks for beside its writes, once.
 void ReplicaHost::Deliver(replication::Output& output) {
   if (output.snapshot_to_install) {
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -151,6 +151,8 @@
   bool MayRunAheadOfDisk(const replication::Output& output) const;
   void StartWrite();
   void FinishWrite(const absl::Status& status);
+  bool IsMuted(SteadyTime now) const;
+  void HandOverWithFullDisk();
   void Deliver(replication::Output& output);
   void SendMessages(std::vector<replication::Message> messages);
   void CallReplicate(const ProcessName& process,
@@ -185,6 +187,8 @@
   ProcessName join_hint;
   bool is_pump_scheduled = false;
   bool has_full_disk = false;
+  // Until when a leader with a full disk tries to hand over.
+  SteadyTime hands_over_until{};
   // Outputs that are not on the disk yet, oldest first; the first is being
   // written while `is_writing`.
   std::deque<replication::Output> unwritten;
