--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -862,5 +862,72 @@
   }
 }
 
+// A leader stands still for longer than a lease, and then one worker's answer
+// comes in before another's: what ended meanwhile is listed in an answer that
+// is still to come.
+TEST(SchedulerTest, ALeaderThatStoodStillAsksBeforeItBelievesALapse) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    FakeFleet fleet(3, seed);
+    fleet.work = Milliseconds(800);
+    fleet.Submit("job", {.count = 1});
+    fleet.PassTime(Milliseconds(300));
+    ASSERT_EQ(fleet.CountRunning("job"), 1U);
+    fleet.renews = false;
+    fleet.PassTime(fleet.settings.lease.length + Milliseconds(2'000));
+    fleet.late_report_permille = 1'000;
+    fleet.renews = true;
+    fleet.PassTime(Milliseconds(1'000));
+    EXPECT_EQ(fleet.starts, 1U) << seed;
+    EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+    EXPECT_EQ(fleet.problem, "");
+  }
+}
+
+// Starts of a step with a disruption budget were carried out and their answers
+// lost: 0.66 s after the start of such a run its leader stopped it, 0.8 s later
+// it was at work and its end was one too many. A stop that only settles a start
+// asks the budget like any other.
+TEST(SchedulerTest, UnansweredStartsAreNotStoppedBeyondTheBudget) {
+  FakeFleet fleet(3);
+  fleet.PassTime(Milliseconds(300));
+  fleet.late_permille = 1'000;
+  fleet.late_by = Milliseconds(0);
+  fleet.Submit("job", {.count = 3,
+                       .most_per_worker = 1,
+                       .is_long_running = true,
+                       .has_disruption_budget = true,
+                       .disruption_budget = 1});
+  fleet.PassTime(Milliseconds(100));
+  ASSERT_EQ(fleet.CountRunning("job"), 3U);
+  fleet.late_permille = 0;
+  for (Milliseconds passed{0}; passed < Milliseconds(4'000);
+       passed += Milliseconds(10)) {
+    fleet.PassTime(Milliseconds(10));
+    ASSERT_GE(fleet.CountRunning("job"), 2U);
+  }
+  EXPECT_EQ(fleet.CountRunning("job"), 3U);
+}
+
+// A leader evacuated a lasting task at 16.37 s and counted the others of its
+// step as at work by reports of 14.09 s; their leases had ended from 15.43 s
+// on.
+TEST(SchedulerTest, AnOldReportDoesNotShowThatATaskIsAtWork) {
+  FakeFleet fleet(2);
+  fleet.Submit("job", {.count = 2,
+                       .most_per_worker = 1,
+                       .is_long_running = true,
+                       .has_disruption_budget = true,
+                       .disruption_budget = 1});
+  fleet.PassTime(Milliseconds(3'000));
+  const jobs::TaskId task{{JobId("job"), 0, 0}, 0};
+  ASSERT_TRUE(fleet.scheduler->MayTakeAway(task));
+  fleet.renews = false;
+  fleet.PassTime(Milliseconds(2'000));
+  EXPECT_FALSE(fleet.scheduler->MayTakeAway(task));
+  fleet.renews = true;
+  fleet.PassTime(Milliseconds(500));
+  EXPECT_TRUE(fleet.scheduler->MayTakeAway(task));
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
