Tests: Silence a group's connections, and late words at the door

At the door, a late announcement and a late leave of a life that is over change nothing of the next one at its address, of another service.

--- a/tests/platform/doors_test.cc
+++ b/tests/platform/doors_test.cc
@@ -168,5 +168,37 @@
   EXPECT_TRUE(this->asked.has_value());
 }
 
+// The address went to a worker of another service, and what a cut had held up
+// of the life before comes after that.
+TEST_F(DoorsTest, WhatComesLateOfALifeThatIsOverLeavesTheNextOneAlone) {
+  const std::string before =
+      R"({"service":"s","address":"10.0.0.1:80","state":"ready","seq":7})";
+  const std::string next =
+      R"({"service":"t","address":"10.0.0.1:80","state":"ready","seq":1})";
+  const auto commit = [&] {
+    ASSERT_TRUE(this->asked.has_value());
+    this->state.Apply(
+        {WallTime(), std::get<jobs::Commit>(*this->asked).command});
+  };
+  this->Control(kj::HttpMethod::PUT, "/instances/i-1", before);
+  commit();
+  this->state.Apply({WallTime(), jobs::ForgetWorker{WorkerId("i-1"), true}});
+  this->Control(kj::HttpMethod::PUT, "/instances/i-2", next);
+  commit();
+  const std::string late =
+      R"({"service":"s","address":"10.0.0.1:80","state":"ready","seq":9})";
+  EXPECT_EQ(this->Control(kj::HttpMethod::PUT, "/instances/i-1", late).status,
+            200U);
+  commit();
+  EXPECT_EQ(this->Control(kj::HttpMethod::DELETE, "/instances/i-1").status,
+            200U);
+  commit();
+  EXPECT_EQ(this->state.FindWorker(WorkerId("i-1")), nullptr);
+  const jobs::Worker* present = this->state.FindWorker(WorkerId("i-2"));
+  ASSERT_NE(present, nullptr);
+  EXPECT_EQ(present->service, ServiceName("t"));
+  EXPECT_FALSE(present->is_draining);
+}
+
 }  // namespace
 }  // namespace sumac::platform
--- a/tests/services/sumacd/replica_host_test.cc
+++ b/tests/services/sumacd/replica_host_test.cc
@@ -17,6 +17,7 @@
 #include "libraries/base/text.h"
 #include "services/sumacd/serve_replicate.h"
 #include "tests/libraries/storage/switched_disk.h"
+#include "tests/stand_ins/relay.h"
 
 namespace sumac::daemon {
 namespace {
@@ -55,6 +56,8 @@
   std::unique_ptr<ReplicaHost> host;
   kj::Own<kj::ConnectionReceiver> receiver;
   std::unique_ptr<capnp::TwoPartyServer> server;
+  // The others reach it by this.
+  std::unique_ptr<stand_ins::Relay> path;
   kj::Promise<void> listening = nullptr;
   kj::Promise<void> ticking = nullptr;
 };
@@ -78,7 +81,9 @@
     auto address =
         this->network().parseAddress("127.0.0.1").wait(this->scope());
     member.receiver = address->listen();
-    member.address = StrCat("127.0.0.1:", member.receiver->getPort());
+    member.path = std::make_unique<stand_ins::Relay>(
+        this->parts->io, StrCat("127.0.0.1:", member.receiver->getPort()));
+    member.address = member.path->address();
     member.server = std::make_unique<capnp::TwoPartyServer>(
         kj::heap<HostDoor>(member.host));
   }
@@ -284,5 +289,38 @@
   EXPECT_GT(holders, kVoters / 2);
 }
 
+// All connections go silent at once, and only new ones work. The group finds
+// out by its own limits, each pair takes one new connection, and nothing
+// acknowledged is lost.
+TEST_F(ReplicaHostTest, AGroupWhoseConnectionsFallSilentDecidesAgain) {
+  Member* leader = this->AwaitLeader();
+  ASSERT_NE(leader, nullptr);
+  ASSERT_TRUE(this->Propose(*leader, "a"));
+  ASSERT_TRUE(this->Await([&] { return this->AreAllAlike(); }));
+  std::size_t opened = 0;
+  for (const auto& member : this->parts->members) {
+    opened += member->path->accepted();
+    member->path->SilenceOpen();
+  }
+  const SteadyTime silent_from = this->clock.SteadyNow();
+  bool is_decided = false;
+  while (!is_decided && this->clock.SteadyNow() - silent_from < kPatience) {
+    Member* next = this->AwaitLeader();
+    is_decided = next != nullptr && this->Propose(*next, "b");
+  }
+  const Milliseconds took = this->clock.SteadyNow() - silent_from;
+  RecordProperty("decides_again_ms", static_cast<int>(took.count()));
+  ASSERT_TRUE(is_decided);
+  EXPECT_TRUE(this->Await([&] { return this->AreAllAlike(); }));
+  EXPECT_EQ(this->parts->members.front()->applied.front(), "a");
+  std::size_t opened_again = 0;
+  for (const auto& member : this->parts->members) {
+    opened_again += member->path->accepted();
+  }
+  RecordProperty("connections_before", static_cast<int>(opened));
+  RecordProperty("connections_after", static_cast<int>(opened_again - opened));
+  EXPECT_LE(opened_again - opened, kVoters * (kVoters - 1));
+}
+
 }  // namespace
 }  // namespace sumac::daemon
