Rpc: Probe the connections that others opened

Cause: calls have limits, and the side that makes them drops a connection that went silent. The other side has nothing to send and kept it for good, with its descriptor and its tables. Outgoing ones need no probe: the next call finds out, and callers' connections at the doors end after their idle time.

Ruled out: an idle limit of our own on the rpc server, which has no place for one; the platform's network honours keep-alive probes and TCP_USER_TIMEOUT.

--- a/libraries/rpc/door.cc
+++ b/libraries/rpc/door.cc
@@ -2,6 +2,7 @@
 #include "libraries/rpc/door.h"
 
 #include "libraries/base/error.h"
+#include "libraries/base/kj_keep_alive.h"
 #include "libraries/base/text.h"
 #include "libraries/log/json_log.h"
 
@@ -28,10 +29,23 @@
            capnp::Capability::Client bootstrap)
     : receiver(kj::mv(receiver)),
       server(kj::mv(bootstrap)),
-      listening(this->server.listen(*this->receiver)
-                    .eagerlyEvaluate([](kj::Exception&& error) {
-                      LogEvent(LogLevel::kError, "listening-failed",
-                               {{"error", error.getDescription().cStr()}});
-                    })) {}
+      listening(this->Accept().eagerlyEvaluate([](kj::Exception&& error) {
+        LogEvent(LogLevel::kError, "listening-failed",
+                 {{"error", error.getDescription().cStr()}});
+      })) {}
+
+kj::Promise<void> Door::Accept() {
+  return this->receiver->accept().then(
+      [this](kj::Own<kj::AsyncIoStream>&& stream) {
+        // A connection that can't be probed serves all the same.
+        KJ_IF_MAYBE (error, kj::runCatchingExceptions(
+                                [&] { KeepAlive::Apply(*stream); })) {
+          LogEvent(LogLevel::kWarning, "connection-not-probed",
+                   {{"error", error->getDescription().cStr()}});
+        }
+        this->server.accept(kj::mv(stream));
+        return this->Accept();
+      });
+}
 
 }  // namespace sumac::rpc
--- a/libraries/rpc/door.h
+++ b/libraries/rpc/door.h
@@ -28,6 +28,8 @@
   Door(kj::Own<kj::ConnectionReceiver> receiver,
        capnp::Capability::Client bootstrap);
 
+  kj::Promise<void> Accept();
+
   kj::Own<kj::ConnectionReceiver> receiver;
   capnp::TwoPartyServer server;
   // Ends before what it uses.
