Scheduler: Let the ledger count the failed runs of a task

The fake fleet's check does not know of leases.

The check moves into the ledger, which knows them, for these histories; all other tests keep the fleet's own. A refusal as old can be told as it is again, for the example that needs it.

--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -425,10 +425,9 @@
   const Generation sent_in = this->generation;
   this->At(this->now + this->DrawLateness(),
            [this, order, sent_in] { this->Execute(order, false, sent_in); });
-  this->At(this->now + this->resend_after,
-           [this, order, sent_in] {
-             this->Execute(order, true, sent_in, true);
-           });
+  this->At(this->now + this->resend_after, [this, order, sent_in] {
+    this->Execute(order, true, sent_in, true);
+  });
 }
 
 void FakeFleet::DeliverAnswer(const Order& order, const OrderAnswer& answer) {
@@ -474,7 +473,8 @@
       answer = found->second.Pace(*pace);
     }
   }
-  if (is_second && answer.result != OrderResult::kDone &&
+  if (is_second && !this->believes_second_copies &&
+      answer.result != OrderResult::kDone &&
       answer.result != OrderResult::kOtherLife) {
     answer.result = OrderResult::kUnknown;
   }
@@ -523,7 +523,8 @@
     this->problem = StrCat(order.task.ToText(), " was started after its end");
   } else if (!this->AreEarlierStepsDone(*job, order.task)) {
     this->problem = StrCat(order.task.ToText(), " was started too early");
-  } else if (!job->spec.steps[order.task.step.step].is_long_running &&
+  } else if (this->counts_attempts &&
+             !job->spec.steps[order.task.step.step].is_long_running &&
              this->failed_runs[order.task].size() >= job->most_attempts) {
     this->problem = StrCat(order.task.ToText(), " was started too often");
   }
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -95,6 +95,10 @@
   // `resend_after` is answered.
   std::uint32_t resent_permille = 0;
   Milliseconds resend_after{1};
+  // A refusal of the second copy is told as it is.
+  bool believes_second_copies = false;
+  // False where another model counts the failed runs of a task.
+  bool counts_attempts = true;
   // How long a commit takes.
   Milliseconds commit_time{0};
   // What is being committed when the leader changes is on record in the end.
@@ -131,7 +135,8 @@
   void Send(const Order& order);
   void Resend(const Order& order);
   Milliseconds DrawLateness();
-  // As the adapter tells it, a refusal of a second copy settles nothing.
+  // As the adapter tells it, a refusal of a second copy settles nothing, unless
+  // it is believed.
   void Execute(const Order& order,
                bool is_answered,
                Generation generation,
--- a/tests/libraries/scheduler/run_ledger.cc
+++ b/tests/libraries/scheduler/run_ledger.cc
@@ -12,7 +12,7 @@
   this->FollowNotes(fleet);
   // Within one step of the clock runs end before others start.
   for (const auto& [id, worker] : fleet.all_workers()) {
-    this->ReadStarts(worker);
+    this->ReadStarts(fleet, worker);
   }
   this->CountRunning(fleet);
 }
@@ -22,23 +22,26 @@
   std::size_t& read = this->positions[id].ends;
   for (; read < worker.all_ends().size(); ++read) {
     const EndReport& end = worker.all_ends()[read];
-    if (end.cause == EndCause::kDone) {
-      this->done_ends[end.task].push_back(
-          DoneEnd{.worker = id, .number = end.number, .run = end.run});
+    const bool is_done = end.cause == EndCause::kDone;
+    if (is_done || end.cause == EndCause::kFailed) {
+      this->final_ends[end.task].push_back(FinalEnd{.worker = id,
+                                                    .number = end.number,
+                                                    .run = end.run,
+                                                    .is_done = is_done});
     }
   }
 }
 
 void RunLedger::FollowNotes(const FakeFleet& fleet) {
-  for (auto& [task, ends] : this->done_ends) {
-    for (DoneEnd& end : ends) {
+  for (auto& [task, ends] : this->final_ends) {
+    for (FinalEnd& end : ends) {
       const FakeWorker& worker = fleet.all_workers().at(end.worker);
       if (end.is_noted || end.is_excused) {
         continue;
       }
       end.is_noted = worker.acknowledged_ends() >= end.number;
       end.is_excused = !end.is_noted && !worker.HasLease(fleet.now);
-      if (end.is_noted && !end.later_start.empty()) {
+      if (end.is_noted && end.is_done && !end.later_start.empty()) {
         this->problem =
             StrCat(task.ToText(), " run ", end.run.value(), " was done on ",
                    end.worker.value(), ", then came ", end.later_start);
@@ -47,19 +50,36 @@
   }
 }
 
-void RunLedger::ReadStarts(const FakeWorker& worker) {
+void RunLedger::ReadStarts(const FakeFleet& fleet, const FakeWorker& worker) {
   const WorkerId& id = worker.description.id;
   std::size_t& read = this->positions[id].starts;
   for (; read < worker.begun_runs().size(); ++read) {
     const auto& [task, run] = worker.begun_runs()[read];
-    for (DoneEnd& end : this->done_ends[task]) {
-      end.later_start = StrCat("run ", run.value(), " on ", id.value());
-      if (end.is_noted) {
-        this->problem = StrCat(task.ToText(), " was noted as done, then came ",
-                               end.later_start);
-      }
+    this->TakeStart(fleet, task,
+                    StrCat("run ", run.value(), " on ", id.value()));
+  }
+}
+
+void RunLedger::TakeStart(const FakeFleet& fleet,
+                          const jobs::TaskId& task,
+                          const std::string& start) {
+  std::uint32_t failures = 0;
+  for (FinalEnd& end : this->final_ends[task]) {
+    end.later_start = start;
+    failures += static_cast<std::uint32_t>(!end.is_done && end.is_noted);
+    if (end.is_done && end.is_noted) {
+      this->problem =
+          StrCat(task.ToText(), " was noted as done, then came ", start);
     }
   }
+  const jobs::Job* job = fleet.state.FindJob(task.step.job);
+  const jobs::StepSpec* step = fleet.state.FindStep(task);
+  if (job == nullptr || step == nullptr) {
+    this->problem = StrCat(task.ToText(), " is of no known job");
+  } else if (!step->is_long_running && failures >= job->most_attempts) {
+    this->problem = StrCat(task.ToText(), " failed ", failures,
+                           " times, then came ", start);
+  }
 }
 
 void RunLedger::CountRunning(const FakeFleet& fleet) {
--- a/tests/libraries/scheduler/run_ledger.h
+++ b/tests/libraries/scheduler/run_ledger.h
@@ -14,7 +14,8 @@
 namespace sumac::scheduler {
 
 // A plain model of "at most one run of a task at a time, none after its noted
-// end". It looks only at what workers do, never at what a leader believes.
+// end, and none once it failed as often as it may". It looks only at what
+// workers do, never at what a leader believes.
 class RunLedger {
  public:
   // Takes in what has happened on all workers since the last call.
@@ -24,11 +25,12 @@
   std::string problem;
 
  private:
-  // A run that ended as done.
-  struct DoneEnd {
+  // A run that ended as done or failed.
+  struct FinalEnd {
     WorkerId worker;
     std::uint64_t number = 0;
     RunNumber run;
+    bool is_done = false;
     // Its worker's lease was over before the end was noted: then nobody had to
     // know of it.
     bool is_excused = false;
@@ -44,11 +46,14 @@
 
   void ReadEnds(const FakeWorker& worker);
   void FollowNotes(const FakeFleet& fleet);
-  void ReadStarts(const FakeWorker& worker);
+  void ReadStarts(const FakeFleet& fleet, const FakeWorker& worker);
+  void TakeStart(const FakeFleet& fleet,
+                 const jobs::TaskId& task,
+                 const std::string& start);
   void CountRunning(const FakeFleet& fleet);
 
   std::map<WorkerId, Position> positions;
-  std::map<jobs::TaskId, std::vector<DoneEnd>> done_ends;
+  std::map<jobs::TaskId, std::vector<FinalEnd>> final_ends;
 };
 
 }  // namespace sumac::scheduler
--- a/tests/libraries/scheduler/run_uniqueness_property_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_property_test.cc
@@ -109,6 +109,8 @@
     this->fleet.AddWorker("t0", "m9", "r1", "thumbs");
     this->fleet.announce_interval = Milliseconds(500);
     this->fleet.renews_at_once = true;
+    // The ledger does, and knows which ends nobody had to know of.
+    this->fleet.counts_attempts = false;
     this->fleet.work = Milliseconds(100);
     this->fleet.commit_time = Milliseconds(30);
     this->fleet.fails = [this](const StartOrder& order) {
--- a/tests/libraries/scheduler/run_uniqueness_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_test.cc
@@ -160,6 +160,7 @@
   fleet.resent_permille = 1'000;
   fleet.late_by = Milliseconds(1);
   fleet.resend_after = Milliseconds(100);
+  fleet.believes_second_copies = true;
   fleet.lost_report_permille = 1'000;
   fleet.Submit("job", {.count = 1});
   PassTime(fleet, ledger, Milliseconds(200));
