Scheduler: Hold disruption budgets in random histories

Random histories get a class of their own, and new happenings: jobs whose tasks last and have a disruption budget, and instances that are cordoned.

--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -112,6 +112,8 @@
   std::function<bool(const StartOrder&)> fails = [](const StartOrder&) {
     return false;
   };
+  // The same for tasks that last, where it is set.
+  std::optional<Milliseconds> lasting_work;
   std::uint64_t starts = 0;
 
  private:
--- /dev/null
+++ b/tests/libraries/scheduler/run_history.cc
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "tests/libraries/scheduler/run_history.h"
+
+namespace sumac::scheduler {
+namespace {
+
+constexpr Milliseconds kStep{10};
+constexpr Milliseconds kStopTime{100};
+constexpr int kFailings = 3;
+
+constexpr std::array kNames = {
+    "submit",        "change-leader", "cut",
+    "heal",          "restart",       "lose-orders",
+    "lose-reports",  "delay-answers", "fail",
+    "work",          "commit",        "stop-slowly",
+    "refuse-starts", "refuse-stops",  "hide-instances",
+    "move-queue",    "resend",        "submit-lasting",
+    "cordon"};
+
+}  // namespace
+
+std::ostream& operator<<(std::ostream& out, const Happening& happening) {
+  return out << kNames.at(static_cast<std::size_t>(happening.kind)) << " w"
+             << happening.worker << " " << happening.amount << ", then "
+             << happening.pause_ms << " ms";
+}
+
+RunHistory::RunHistory(std::uint64_t seed) : fleet(kHistoryWorkers, seed) {
+  this->fleet.AddWorker("t0", "m9", "r1", "thumbs");
+  this->fleet.announce_interval = Milliseconds(500);
+  this->fleet.renews_at_once = true;
+  // The ledger does, and knows of leases that ran out.
+  this->fleet.counts_attempts = false;
+  this->fleet.work = Milliseconds(100);
+  this->fleet.lasting_work = Milliseconds(3'000);
+  this->fleet.commit_time = Milliseconds(30);
+  this->fleet.fails = [this](const StartOrder& order) {
+    return this->failing == Failing::kAll ||
+           (this->failing == Failing::kEveryOther &&
+            order.run.value() % 2 == 1);
+  };
+  for (const std::string& life : this->lives) {
+    this->fleet.worker(life).stop_time = kStopTime;
+  }
+}
+
+void RunHistory::ShortenLeases() {
+  this->fleet.settings.lease.length = Milliseconds(1'200);
+  this->fleet.settings.forget_after = Milliseconds(300);
+  this->fleet.ChangeLeader();
+}
+
+void RunHistory::PassTime(Milliseconds time) {
+  for (Milliseconds passed{0}; passed < time && this->problem().empty();
+       passed += kStep) {
+    this->fleet.PassTime(kStep);
+    this->ledger.Observe(this->fleet);
+    this->budgets.Observe(this->fleet);
+  }
+}
+
+FakeWorker& RunHistory::LifeOn(int number) {
+  return this->fleet.worker(this->lives.at(number));
+}
+
+// A job whose tasks last, of which so many may be taken away at once.
+void RunHistory::SubmitLasting(int amount) {
+  constexpr std::uint32_t kTasks = 3;
+  const std::string name = "lasting" + std::to_string(this->next_job++);
+  this->fleet.Submit(
+      name, {.count = kTasks,
+             .is_long_running = true,
+             .has_disruption_budget = true,
+             .disruption_budget = static_cast<std::uint32_t>(amount) % kTasks});
+  this->lasting_jobs.emplace_back(name);
+}
+
+void RunHistory::Cordon(const FakeWorker& worker, bool is_cordoned) {
+  if (is_cordoned) {
+    this->cordoned.insert(worker.description.instance);
+  } else {
+    this->cordoned.erase(worker.description.instance);
+  }
+  this->fleet.scheduler->SetCordoned(this->cordoned);
+}
+
+void RunHistory::Restart(int number) {
+  FakeWorker& before = this->LifeOn(number);
+  before.Crash();
+  const std::string life = "life" + std::to_string(this->next_life++);
+  this->fleet.AddWorker(life, before.description.instance.value());
+  this->lives.at(number) = life;
+}
+
+void RunHistory::Refuse(std::optional<OrderResult>& refusal, int amount) {
+  constexpr int kHalf = 50;
+  constexpr int kQuarter = 25;
+  if (amount >= kHalf) {
+    refusal.reset();
+  } else {
+    refusal = amount < kQuarter ? OrderResult::kNoRoom : OrderResult::kRefused;
+  }
+}
+
+void RunHistory::Happen(const Happening& happening) {
+  constexpr int kHalf = 50;
+  constexpr std::uint32_t kFactor = 10;
+  const int amount = happening.amount;
+  const auto permille = static_cast<std::uint32_t>(amount) * kFactor;
+  const bool is_much = amount >= kHalf;
+  FakeWorker& worker = this->LifeOn(happening.worker);
+  switch (happening.kind) {
+    case Kind::kSubmit:
+      this->fleet.Submit("job" + std::to_string(this->next_job++),
+                         {.count = is_much ? 2U : 1U});
+      break;
+    case Kind::kChangeLeader:
+      this->fleet.keeps_open_commits = is_much;
+      this->fleet.ChangeLeader();
+      this->fleet.scheduler->SetCordoned(this->cordoned);
+      break;
+    case Kind::kCut:
+      worker.is_cut = true;
+      worker.is_cut_with_resets = is_much;
+      break;
+    case Kind::kHeal:
+      worker.is_cut = false;
+      break;
+    case Kind::kRestart:
+      this->Restart(happening.worker);
+      break;
+    case Kind::kLoseOrders:
+      this->fleet.late_permille = is_much ? permille : 0;
+      break;
+    case Kind::kLoseReports:
+      this->fleet.lost_report_permille = is_much ? 0 : permille;
+      this->fleet.late_report_permille = is_much ? permille : 0;
+      break;
+    case Kind::kDelayAnswers:
+      this->fleet.answer_delay = Milliseconds(is_much ? 4 * amount : 0);
+      break;
+    case Kind::kFail:
+      this->failing = static_cast<Failing>(amount % kFailings);
+      break;
+    case Kind::kWork:
+      this->fleet.work = Milliseconds(kFactor * (1 + amount));
+      break;
+    case Kind::kCommit:
+      this->fleet.commit_time = Milliseconds(is_much ? 4 * amount : amount / 2);
+      break;
+    case Kind::kStopSlowly:
+      worker.stop_time = Milliseconds(is_much ? 4 * amount : 0);
+      break;
+    case Kind::kRefuseStarts:
+      Refuse(worker.start_refusal, amount);
+      break;
+    case Kind::kRefuseStops:
+      Refuse(worker.stop_refusal, amount);
+      break;
+    case Kind::kHideInstances:
+      this->fleet.lists_instances = !is_much;
+      break;
+    case Kind::kSubmitLasting:
+      this->SubmitLasting(amount);
+      break;
+    case Kind::kCordon:
+      this->Cordon(worker, is_much);
+      break;
+    case Kind::kMoveQueue:
+      this->fleet.MoveClipsTo(is_much ? "thumbs" : "previews");
+      break;
+    case Kind::kResend:
+      this->fleet.resent_permille = is_much ? permille : 0;
+      this->fleet.resend_after = Milliseconds(1 + amount);
+      break;
+  }
+  this->PassTime(Milliseconds(happening.pause_ms));
+}
+
+void RunHistory::Recover() {
+  constexpr int kMostSeconds = 30;
+  this->failing = Failing::kNone;
+  this->fleet.late_permille = 0;
+  this->fleet.lost_report_permille = 0;
+  this->fleet.resent_permille = 0;
+  for (int number = 0; number < kHistoryWorkers; ++number) {
+    this->LifeOn(number).is_cut = false;
+    this->LifeOn(number).start_refusal.reset();
+    this->LifeOn(number).stop_refusal.reset();
+  }
+  this->cordoned.clear();
+  this->fleet.scheduler->SetCordoned({});
+  for (const JobId& job : this->lasting_jobs) {
+    this->fleet.Commit(jobs::CancelJob{job});
+  }
+  for (int second = 0; second < kMostSeconds && !this->is_finished();
+       ++second) {
+    this->PassTime(Milliseconds(1'000));
+  }
+}
+
+}  // namespace sumac::scheduler
