--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -95,6 +95,9 @@
 void JobController::RegisterMetrics() {
   this->metrics.SetGauge("sumac_is_leading",
                          [this] { return this->is_leading() ? 1.0 : 0.0; });
+  this->metrics.SetGauge("sumac_is_disk_full", [this] {
+    return this->host->is_disk_full() ? 1.0 : 0.0;
+  });
   this->metrics.SetGauge("sumac_epoch", [this] {
     return static_cast<double>(this->jobs_state.epoch().value());
   });
@@ -166,14 +169,13 @@
   const bool is_leader =
       this->host->replica().role() == replication::Role::kLeader;
   const Term term = this->host->replica().term();
-  if (this->leading_term != Term(0) &&
-      (!is_leader || term != this->leading_term)) {
+  if (this->term_watch.IsOver(is_leader, term)) {
     this->EndLeadership();
   }
   if (!this->host->MayAct()) {
     return;
   }
-  if (this->leading_term == Term(0)) {
+  if (this->term_watch.is_idle()) {
     this->BeginLeadership();
   }
   if (now - this->last_maintenance >= kMaintenanceInterval) {
@@ -186,13 +188,16 @@
 // of this leadership.
 void JobController::BeginLeadership() {
   const Term term = this->host->replica().term();
-  this->leading_term = term;
+  this->term_watch.Begin(term);
   this->tasks.add(this->Propose(jobs::BeginEpoch{})
                       .then([this, term](const fleet::Answer& answer) {
-                        if (!answer.is_ok() || this->leading_term != term) {
-                          return;
+                        if (this->term_watch.TakeEpoch(term, answer.is_ok())) {
+                          this->StartDeciding();
+                        } else {
+                          LogEvent(LogLevel::kWarning, "epoch-not-begun",
+                                   {{"term", term.value()},
+                                    {"code", static_cast<int>(answer.code)}});
                         }
-                        this->StartDeciding();
                       }));
 }
 
@@ -228,7 +233,7 @@
       this->settings.process(), now);
   this->BeginRenewals();
   LogEvent(LogLevel::kInfo, "leads",
-           {{"term", this->leading_term.value()},
+           {{"term", this->term_watch.term().value()},
             {"epoch", this->jobs_state.epoch().value()},
             {"workers", this->jobs_state.workers().size()},
             {"jobs", this->jobs_state.active_jobs().size()}});
@@ -237,8 +242,8 @@
 
 void JobController::EndLeadership() {
   LogEvent(LogLevel::kWarning, "leads-no-more",
-           {{"term", this->leading_term.value()}});
-  this->leading_term = Term(0);
+           {{"term", this->term_watch.term().value()}});
+  this->term_watch.End();
   this->renewals.reset();
   this->keeper.reset();
   this->scheduler.reset();
@@ -588,12 +593,12 @@
                         waiting.ends.ends.end());
   }
   this->is_ends_commit_open = true;
-  const Term term = this->leading_term;
+  const Term term = this->term_watch.term();
   this->tasks.add(
       this->Propose(std::move(command))
           .then([this, term, batch = std::move(batch)](
                     const fleet::Answer& answer) mutable {
-            if (!this->scheduler || this->leading_term != term) {
+            if (!this->scheduler || this->term_watch.term() != term) {
               return;
             }
             this->is_ends_commit_open = false;
@@ -677,11 +682,11 @@
 
 // A report beside the renewals; what it tells is taken in like theirs.
 void JobController::RequestReport(const scheduler::RenewOrder& order) {
-  const Term term = this->leading_term;
+  const Term term = this->term_watch.term();
   this->tasks.add(this->worker_calls.request_report(order).then(
       [this, term, worker = order.worker](
           const scheduler::RenewAnswer& answer) -> kj::Promise<void> {
-        const bool is_ours = this->scheduler && this->leading_term == term;
+        const bool is_ours = this->scheduler && this->term_watch.term() == term;
         if (!is_ours || answer.result != scheduler::OrderResult::kDone) {
           // The next renewal tells the same.
           return kj::READY_NOW;
@@ -697,10 +702,10 @@
 }
 
 void JobController::AskForAdvice(const scheduler::AdviceQuestion& question) {
-  const Term term = this->leading_term;
+  const Term term = this->term_watch.term();
   this->tasks.add(this->worker_calls.advise(question).then(
       [this, term, question](const scheduler::AdviceAnswer& answer) {
-        if (!this->scheduler || this->leading_term != term) {
+        if (!this->scheduler || this->term_watch.term() != term) {
           return;
         }
         LogEvent(
@@ -725,10 +730,10 @@
                                 this->clock.SteadyNow());
     return;
   }
-  const Term term = this->leading_term;
+  const Term term = this->term_watch.term();
   this->tasks.add(this->worker_calls.send(order).then(
       [this, term, order](const scheduler::OrderAnswer& answer) {
-        if (!this->scheduler || this->leading_term != term) {
+        if (!this->scheduler || this->term_watch.term() != term) {
           return;
         }
         this->scheduler->TakeAnswer(order, answer, this->clock.SteadyNow());
