--- a/tests/libraries/http/async_connection_test.cc
+++ b/tests/libraries/http/async_connection_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <kj/async-io.h>
 
+#include <cstddef>
 #include <memory>
 #include <vector>
 
@@ -58,8 +59,10 @@
     parts->relay.SilenceOpen();
     SystemClock clock;
     const SteadyTime silent_from = clock.SteadyNow();
+    constexpr std::size_t kCalls = 10;
     std::vector<kj::Promise<CallReply>> calls;
-    for (int count = 0; count < 10; ++count) {
+    calls.reserve(kCalls);
+    for (std::size_t count = 0; count < kCalls; ++count) {
       calls.push_back(parts->Call(is_idempotent));
     }
     EXPECT_EQ(calls[0].wait(parts->io.waitScope).outcome,
