Scheduler, Sumacd: Say why due steps have no place

Cause: where jobs ask for labels, gangs, due times and near data together, tasks waited for tens of seconds with most of the fleet free, and neither the log nor the operators' door told which wish kept them waiting.

Once a second the leader looks at the 128 most urgent due steps that have no place and counts the workers of their service under the first wish that excludes each. `sumacctl waiting [JOB]` shows it, `sumac_waiting_tasks` counts tasks by reason, `step-waits` tells a wait of three seconds once, and `feasible-not-placed` warns when the fleet could hold the step and half of its service's room is free. No decision changes.

Ruled out: noting the cause in every pass, which would walk over all workers for every waiting step.

--- a/libraries/scheduler/event_notes.cc
+++ b/libraries/scheduler/event_notes.cc
@@ -16,16 +16,23 @@
                      RunNumber run,
                      const WorkerId& worker,
                      std::string reason) {
+  this->AddStep(std::move(what), std::move(reason), false,
+                StrCat(task.ToText(), "#", run.value(), "@", worker.value()));
+}
+
+void EventNotes::AddStep(std::string what,
+                         std::string reason,
+                         bool is_alarm,
+                         std::string text) {
   const bool is_same = !this->events.empty() &&
                        this->events.back().what == what &&
                        this->events.back().reason == reason &&
                        this->events.back().runs.size() < kMostRunsPerEvent;
   if (!is_same) {
     this->events.push_back(
-        SchedulerEvent{std::move(what), std::move(reason), {}});
+        SchedulerEvent{std::move(what), std::move(reason), {}, is_alarm});
   }
-  this->events.back().runs.push_back(
-      StrCat(task.ToText(), "#", run.value(), "@", worker.value()));
+  this->events.back().runs.push_back(std::move(text));
 }
 
 }  // namespace sumac::scheduler
--- a/libraries/scheduler/event_notes.h
+++ b/libraries/scheduler/event_notes.h
@@ -17,6 +17,8 @@
   std::string what;
   std::string reason;
   std::vector<std::string> runs;
+  // Something that an operator should look at.
+  bool is_alarm = false;
 };
 
 // Collects what a pass of the scheduler has to tell.
@@ -30,6 +32,12 @@
            const WorkerId& worker,
            std::string reason);
 
+  // Notes something about a step, as a text that names it.
+  void AddStep(std::string what,
+               std::string reason,
+               bool is_alarm,
+               std::string text);
+
   // What was noted since the last time.
   std::vector<SchedulerEvent> Take() { return std::exchange(this->events, {}); }
 
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/base/text.h"
 #include "libraries/base/verify.h"
 
 namespace sumac::scheduler {
@@ -814,14 +815,67 @@
                          WallTime wall_now,
                          SchedulerOutput& output) {
   std::set<std::uint64_t> unplaced;
-  for (const DueOccurrence& due : this->waiting.Order(now, wall_now)) {
+  const std::vector<DueOccurrence> order = this->waiting.Order(now, wall_now);
+  for (const DueOccurrence& due : order) {
     if (!this->StartSteps(due, now, output)) {
       unplaced.insert(due.job->sequence);
     }
   }
+  this->ReviewWaiting(order, unplaced, now);
   this->waiting.Settle(unplaced, wall_now);
 }
 
+// Finds out, now and then, why the most urgent of the steps that wait do so.
+void Scheduler::ReviewWaiting(const std::vector<DueOccurrence>& due,
+                              const std::set<std::uint64_t>& unplaced,
+                              SteadyTime now) {
+  if (!this->waiting_steps.IsDue(now)) {
+    return;
+  }
+  this->waiting_steps.Begin(now);
+  for (const DueOccurrence& waiting : due) {
+    if (!unplaced.contains(waiting.job->sequence)) {
+      continue;
+    }
+    const auto steps =
+        static_cast<std::uint32_t>(waiting.job->spec.steps.size());
+    for (std::uint32_t step = 0; step < steps; ++step) {
+      if (!waiting.job->IsStepDone(waiting.occurrence, step) &&
+          waiting.job->IsStepReady(waiting.occurrence, step) &&
+          this->waiting_steps.HasRoom()) {
+        this->ReviewStep({waiting.job, waiting.occurrence, step}, now);
+      }
+    }
+  }
+}
+
+void Scheduler::ReviewStep(const Candidate& candidate, SteadyTime now) {
+  const jobs::Job& job = *candidate.job;
+  const jobs::StepId step{job.id, candidate.occurrence, candidate.step};
+  std::uint32_t tasks = 0;
+  for (std::uint32_t index = 0; index < job.spec.steps[step.step].count;
+       ++index) {
+    const jobs::TaskId task{step, index};
+    tasks += static_cast<std::uint32_t>(
+        NeedsStart(job, task, this->tasks.Find(task)));
+  }
+  if (tasks == 0) {
+    return;
+  }
+  const WaitingCause cause = FindWaitingCause(
+      PlacementRequest{
+          .job = &job, .task = {step, 0}, .advice = this->AdviceFor(job)},
+      this->placement, this->workers, this->MayRunUnseen(job), now);
+  const WaitingNews news = this->waiting_steps.Note(step, tasks, cause);
+  if (news != WaitingNews::kNone) {
+    const bool is_alarm = news == WaitingNews::kWaitsWithoutNeed;
+    this->notes.AddStep(
+        is_alarm ? "feasible-not-placed" : "step-waits",
+        std::string(NameOf(cause.reason)), is_alarm,
+        StrCat(step.ToText(), ": ", tasks, " tasks; ", cause.ToText()));
+  }
+}
+
 // Starts what can be started of one occurrence of a job. False if something is
 // left that only lacks a place.
 bool Scheduler::StartSteps(const DueOccurrence& due,
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -25,6 +25,7 @@
 #include "libraries/scheduler/stragglers.h"
 #include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/waiting_jobs.h"
+#include "libraries/scheduler/waiting_table.h"
 #include "libraries/scheduler/worker_health.h"
 #include "libraries/scheduler/worker_messages.h"
 #include "libraries/scheduler/worker_session.h"
@@ -174,6 +175,9 @@
   // How many accepted jobs of a queue have not begun.
   std::uint64_t CountPending(const QueueName& queue) const;
 
+  // Why steps that are due have no place, as of the last review.
+  const WaitingTable& waiting_table() const { return this->waiting_steps; }
+
   // True while a worker gets no tasks because of how its runs went.
   bool IsSetAside(const WorkerId& worker, SteadyTime now) const {
     return this->health.IsQuarantined(worker, now);
@@ -250,6 +254,10 @@
                SteadyTime now,
                SchedulerOutput& output);
   void StartDue(SteadyTime now, WallTime wall_now, SchedulerOutput& output);
+  void ReviewWaiting(const std::vector<DueOccurrence>& due,
+                     const std::set<std::uint64_t>& unplaced,
+                     SteadyTime now);
+  void ReviewStep(const Candidate& candidate, SteadyTime now);
   bool StartSteps(const DueOccurrence& due,
                   SteadyTime now,
                   SchedulerOutput& output);
@@ -296,6 +304,7 @@
   SteadyTime looked_for_unwanted{};
   RunTimes run_times;
   WaitingJobs waiting;
+  WaitingTable waiting_steps;
   WorkerHealth health;
   PlacementAdvice advice;
   Sharing sharing;
--- /dev/null
+++ b/libraries/scheduler/waiting_cause.cc
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/waiting_cause.h"
+
+#include <algorithm>
+
+#include "libraries/base/text.h"
+
+namespace sumac::scheduler {
+namespace {
+
+bool HasLabel(const jobs::StepSpec& step, const jobs::Worker& worker) {
+  return step.required_label.empty() || worker.has_label(step.required_label);
+}
+
+// How many tasks of the step this room holds beside those that run there.
+std::uint32_t CountPlaces(const jobs::StepSpec& step,
+                          jobs::Resources room,
+                          std::uint32_t running) {
+  const jobs::Resources need = Placement::CountedNeed(step);
+  std::uint32_t places = 0;
+  while (
+      places < step.count && room.Holds(need) &&
+      (step.most_per_worker == 0 || running + places < step.most_per_worker)) {
+    room.Subtract(need);
+    ++places;
+  }
+  return places;
+}
+
+bool IsFeasible(const jobs::StepSpec& step, const Placement::Sessions& fleet) {
+  std::uint32_t places = 0;
+  for (const auto& [id, session] : fleet) {
+    if (HasLabel(step, session.worker())) {
+      places += CountPlaces(step, session.worker().capacity, 0);
+    }
+  }
+  return places >= (step.is_gang ? step.count : 1);
+}
+
+// Counts the worker under the first wish that excludes it.
+void CountWorker(const PlacementRequest& request,
+                 const WorkerSession& session,
+                 SteadyTime now,
+                 WaitingCause& cause) {
+  const jobs::StepSpec& step = request.step();
+  const jobs::Worker& worker = session.worker();
+  const std::uint32_t running = session.CountOf(request.task.step);
+  if (!HasLabel(step, worker)) {
+    ++cause.without_label;
+  } else if (!worker.capacity.Holds(Placement::CountedNeed(step))) {
+    ++cause.too_small;
+  } else if (step.most_per_worker > 0 && running >= step.most_per_worker) {
+    ++cause.at_limit;
+  } else if (!session.Room().Holds(Placement::CountedNeed(step))) {
+    ++cause.without_room;
+  } else if (request.advice != nullptr &&
+             request.advice->FindTicket(request.task.step, worker.id, now) ==
+                 nullptr) {
+    ++cause.not_admitted;
+  } else {
+    cause.places = std::min(
+        step.count, cause.places + CountPlaces(step, session.Room(), running));
+  }
+}
+
+WaitingReason ReasonOf(const WaitingCause& cause) {
+  if (cause.workers == 0) {
+    return WaitingReason::kNoWorker;
+  }
+  if (cause.places > 0) {
+    return WaitingReason::kGang;
+  }
+  // What is nearest to a place decides.
+  return cause.not_admitted > 0   ? WaitingReason::kPolicy
+         : cause.without_room > 0 ? WaitingReason::kRoom
+         : cause.at_limit > 0     ? WaitingReason::kLimit
+         : cause.too_small > 0    ? WaitingReason::kTooSmall
+                                  : WaitingReason::kLabel;
+}
+
+}  // namespace
+
+std::string_view NameOf(WaitingReason reason) {
+  switch (reason) {
+    case WaitingReason::kUnseen:
+      return "may-run-unseen";
+    case WaitingReason::kNoWorker:
+      return "no-worker";
+    case WaitingReason::kLabel:
+      return "label";
+    case WaitingReason::kTooSmall:
+      return "too-small";
+    case WaitingReason::kLimit:
+      return "limit-per-worker";
+    case WaitingReason::kRoom:
+      return "room";
+    case WaitingReason::kPolicy:
+      return "policy";
+    case WaitingReason::kGang:
+      return "gang";
+  }
+  return "";
+}
+
+std::string WaitingCause::ToText() const {
+  return StrCat(this->workers, " workers: ", this->without_label,
+                " without the label, ", this->too_small, " too small, ",
+                this->at_limit, " at the limit, ", this->without_room,
+                " without room, ", this->not_admitted,
+                " not admitted; room for ", this->places);
+}
+
+WaitingCause FindWaitingCause(const PlacementRequest& request,
+                              const Placement& placement,
+                              const Placement::Sessions& fleet,
+                              bool may_run_unseen,
+                              SteadyTime now) {
+  WaitingCause cause;
+  std::int64_t all = 0;
+  std::int64_t free = 0;
+  for (const WorkerSession* session :
+       placement.WorkersOf(request.job->service)) {
+    ++cause.workers;
+    all += session->worker().capacity.millicores;
+    free += session->Room().millicores;
+    CountWorker(request, *session, now, cause);
+  }
+  cause.reason = may_run_unseen ? WaitingReason::kUnseen : ReasonOf(cause);
+  cause.is_feasible = IsFeasible(request.step(), fleet);
+  cause.is_half_free = 2 * free >= all;
+  return cause;
+}
+
+}  // namespace sumac::scheduler
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -111,6 +111,16 @@
   this->metrics.SetGauge("sumac_applied_index", [this] {
     return static_cast<double>(this->host->applied_index().value());
   });
+  for (const scheduler::WaitingReason reason : scheduler::kWaitingReasons) {
+    this->metrics.SetGauge(
+        StrCat("sumac_waiting_tasks{reason=\"", NameOf(reason), "\"}"),
+        [this, reason] {
+          return this->scheduler
+                     ? static_cast<double>(
+                           this->scheduler->waiting_table().CountTasks(reason))
+                     : 0.0;
+        });
+  }
   for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
     this->metrics.SetCounter(
         StrCat("sumac_busy_seconds_total{part=\"", WorkTimes::kNames[part],
@@ -764,7 +774,7 @@
     this->metrics.Count(StrCat("sumac_task_events_total{event=\"", event.what,
                                "\",reason=\"", event.reason, "\"}"),
                         event.runs.size());
-    LogEvent(LogLevel::kInfo, event.what,
+    LogEvent(event.is_alarm ? LogLevel::kWarning : LogLevel::kInfo, event.what,
              {{"runs", event.runs},
               {"reason", event.reason},
               {"epoch", this->jobs_state.epoch().value()}});
--- a/services/sumacd/job_queries.cc
+++ b/services/sumacd/job_queries.cc
@@ -145,6 +145,33 @@
   return {.document = std::move(rows)};
 }
 
+// The steps that have no place, of one job or of all, as of the last review.
+fleet::Answer ShowWaiting(const JobSources& sources,
+                          const std::string& name,
+                          SteadyTime now) {
+  Rows rows = Rows::array();
+  for (const auto& [step, waiting] :
+       sources.scheduler.waiting_table().steps()) {
+    if (!name.empty() && step.job.value() != name) {
+      continue;
+    }
+    const scheduler::WaitingCause& cause = waiting.cause;
+    rows.push_back({{"step", step.ToText()},
+                    {"tasks", waiting.tasks},
+                    {"reason", NameOf(cause.reason)},
+                    {"since_ms", (now - waiting.since).count()},
+                    {"workers", cause.workers},
+                    {"without_label", cause.without_label},
+                    {"too_small", cause.too_small},
+                    {"at_limit", cause.at_limit},
+                    {"without_room", cause.without_room},
+                    {"not_admitted", cause.not_admitted},
+                    {"places", cause.places},
+                    {"is_feasible", cause.is_feasible}});
+  }
+  return {.document = std::move(rows)};
+}
+
 fleet::Answer ShowPools(const JobSources& sources) {
   std::map<ServiceName, std::pair<std::size_t, std::size_t>> counts;
   for (const auto& [id, session] : sources.scheduler.sessions()) {
@@ -192,6 +219,9 @@
   if (kind == "workers") {
     return ShowWorkers(sources, name, now);
   }
+  if (kind == "waiting") {
+    return ShowWaiting(sources, name, now);
+  }
   if (kind == "waves") {
     return ShowWaves(sources);
   }
@@ -206,8 +236,8 @@
   }
   return {.code = ResultCode::kBadArgument,
           .message = StrCat("found kind ", kind,
-                            ", allowed: jobs, workers, waves, queues, pools or "
-                            "controllers")};
+                            ", allowed: jobs, workers, waiting, waves, queues, "
+                            "pools or controllers")};
 }
 
 }  // namespace sumac::daemon
