Scheduler: Name the required label of a step that waits

Cause: step-waits counted the workers without the label and did not say which; on a fleet of two kinds that hid that only 4 of 49 instances had it. No decision changes.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -867,12 +867,14 @@
           .job = &job, .task = {step, 0}, .advice = this->AdviceFor(job)},
       this->placement, this->workers, this->MayRunUnseen(job), now);
   const WaitingNews news = this->waiting_steps.Note(step, tasks, cause);
+  const std::string& label = job.spec.steps[step.step].required_label;
   if (news != WaitingNews::kNone) {
     const bool is_alarm = news == WaitingNews::kWaitsWithoutNeed;
-    this->notes.AddStep(
-        is_alarm ? "feasible-not-placed" : "step-waits",
-        std::string(NameOf(cause.reason)), is_alarm,
-        StrCat(step.ToText(), ": ", tasks, " tasks; ", cause.ToText()));
+    this->notes.AddStep(is_alarm ? "feasible-not-placed" : "step-waits",
+                        std::string(NameOf(cause.reason)), is_alarm,
+                        StrCat(step.ToText(), ": ", tasks, " tasks",
+                               label.empty() ? "" : " that require ", label,
+                               "; ", cause.ToText()));
   }
 }
 
