Maintenance: Give pools the instances whose labels their tasks require

Cause: the capacity planner counted cores per service alone. A pool whose tasks required a label that it lacked grew by whatever instance was at hand (to 38 of 49 instances, 35 of them without the label), the tasks still had no place, and the other services lost their room.

A pool now needs instances by label as well: it is given those that have the label, those that are off first, then those of pools with enough of them; it keeps those it needs; a pool with none takes one where another keeps one; and it does not grow for tasks beyond what all instances with their label could take. Late tasks get one instance, since they must run. With no label required nothing is decided differently.

Ruled out: growing the pool further until the label turns up by chance, as before.

Ran: maintenance_test 26 of 26 passed.

Open: a pool that has the only instance with a label keeps it for as long as it needs it, and another pool waits.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -29,7 +29,9 @@
 void CapacityPlanner::TakeList(const std::vector<ListedInstance>& instances,
                                SteadyTime /*now*/) {
   std::map<InstanceName, ServiceName> listed;
+  this->labels.clear();
   for (const ListedInstance& instance : instances) {
+    this->labels[instance.name] = instance.labels;
     const auto known = this->idle.find(instance.name);
     if (instance.state == InstanceState::kUp) {
       listed[instance.name] = instance.service;
@@ -61,10 +63,14 @@
   if (!this->settings.is_on || this->has_been_fenced) {
     return output;
   }
+  this->LearnLabels(facts);
+  LabelNeeds needs(this->labels, demand);
   std::map<ServiceName, Pool> pools =
-      this->CountPools(state, facts, demand, busy, wall_now, now);
-  this->GrowPools(state, pools, facts, now);
-  this->ShrinkPools(state, pools, facts, now);
+      this->CountPools(state, facts, busy, needs, wall_now, now);
+  this->SetWants(state, demand, pools, needs);
+  this->GrowLabels(state, pools, facts, needs, now);
+  this->GrowPools(state, pools, facts, needs, now);
+  this->ShrinkPools(state, pools, facts, needs, now);
   this->FollowMoves(state, facts, now, output);
   return output;
 }
@@ -88,8 +94,8 @@
 std::map<ServiceName, CapacityPlanner::Pool> CapacityPlanner::CountPools(
     const jobs::JobsState& state,
     const std::map<InstanceName, InstanceFacts>& facts,
-    const std::map<ServiceName, jobs::ServiceDemand>& demand,
     const std::set<InstanceName>& busy,
+    LabelNeeds& needs,
     WallTime wall_now,
     SteadyTime now) const {
   std::map<ServiceName, Pool> pools;
@@ -108,6 +114,7 @@
       continue;
     }
     ++pool.have;
+    needs.Add(instance.service, name);
     if (instance.budgeted_runs == 0 &&
         this->MayMove(state, name, wall_now, now)) {
       pool.movable.emplace_back(static_cast<std::int64_t>(instance.other_runs),
@@ -121,13 +128,67 @@
     if (is_free && this->MayMove(state, name, wall_now, now)) {
       pools[service].movable.emplace_back(0, name);
       ++pools[service].have;
+      needs.Add(service, name);
     }
   }
   for (const auto& [name, move] : this->moves) {
     ++pools[move.to].have;
+    needs.Add(move.to, name);
   }
   for (auto& [name, pool] : pools) {
     std::sort(pool.movable.begin(), pool.movable.end());
+  }
+  return pools;
+}
+
+void CapacityPlanner::LearnLabels(
+    const std::map<InstanceName, InstanceFacts>& facts) {
+  for (const auto& [name, instance] : facts) {
+    if (!instance.labels.empty()) {
+      this->labels[name] = instance.labels;
+    }
+  }
+}
+
+// The demand without what more instances would not help: tasks that require a
+// label beyond what all instances with that label could take.
+jobs::ServiceDemand CapacityPlanner::LeaveOutHopeless(
+    const jobs::ServiceDemand& demand,
+    const Pool& pool,
+    const LabelNeeds& needs) const {
+  jobs::ServiceDemand served = demand;
+  for (const auto& [label, labelled] : demand.by_label) {
+    const std::int64_t most = needs.CountAll(label) * pool.instance_millicores;
+    const std::int64_t hopeless =
+        std::max<std::int64_t>(0, labelled.millicores - most);
+    const std::int64_t hopeless_late =
+        std::max<std::int64_t>(
+            0, labelled.millicores + labelled.late_millicores - most) -
+        hopeless;
+    served.short_millicores -= std::min(hopeless, served.short_millicores);
+    served.late_millicores -= hopeless_late;
+  }
+  return served;
+}
+
+// Instances with a label that a pool needs for the tasks that require it. Late
+// tasks must run, too, so there is one for them.
+std::int64_t CapacityPlanner::LabelledInstancesFor(
+    const Pool& pool,
+    const jobs::LabelDemand& labelled) const {
+  const std::int64_t millicores =
+      labelled.millicores * (kPermille + this->settings.reserve_permille) /
+      kPermille;
+  return std::max<std::int64_t>(1, (millicores + pool.instance_millicores - 1) /
+                                       pool.instance_millicores);
+}
+
+void CapacityPlanner::SetWants(
+    const jobs::JobsState& state,
+    const std::map<ServiceName, jobs::ServiceDemand>& demand,
+    std::map<ServiceName, Pool>& pools,
+    LabelNeeds& needs) const {
+  for (auto& [name, pool] : pools) {
     const auto needed = demand.find(name);
     pool.want = IsHeadroom(state, name) ? 0 : this->settings.fewest_per_pool;
     pool.want_with_late = pool.want;
@@ -135,12 +196,81 @@
         pool.instance_millicores == 0) {
       continue;
     }
-    const jobs::ServiceDemand& service = needed->second;
+    const jobs::ServiceDemand service =
+        this->LeaveOutHopeless(needed->second, pool, needs);
     pool.want = this->InstancesFor(pool, service, service.short_millicores);
     pool.want_with_late = this->InstancesFor(
         pool, service, service.short_millicores + service.late_millicores);
+    for (const auto& [label, labelled] : service.by_label) {
+      needs.Need(name, label, this->LabelledInstancesFor(pool, labelled));
+    }
+  }
+}
+
+// Gives pools instances that have the labels that their tasks require, those
+// that are off first.
+void CapacityPlanner::GrowLabels(
+    const jobs::JobsState& state,
+    std::map<ServiceName, Pool>& pools,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    LabelNeeds& needs,
+    SteadyTime now) {
+  for (const auto& [to, label] : needs.Lacking()) {
+    for (const bool takes_headroom : {true, false}) {
+      for (const auto& [from, pool] : pools) {
+        if (from != to && IsHeadroom(state, from) == takes_headroom) {
+          this->TakeLabelled(pools, from, to, label, facts, needs, now);
+        }
+      }
+    }
   }
-  return pools;
+}
+
+// Sends instances with a label from one pool to another that lacks it.
+void CapacityPlanner::TakeLabelled(
+    std::map<ServiceName, Pool>& pools,
+    const ServiceName& from,
+    const ServiceName& to,
+    const std::string& label,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    LabelNeeds& needs,
+    SteadyTime now) {
+  Pool& giver = pools[from];
+  Pool& taker = pools[to];
+  std::erase_if(giver.movable, [&](const auto& movable) {
+    const InstanceName& name = movable.second;
+    if (!needs.Has(name, label) ||
+        !MayTakeLabelled(giver, taker, from, to, name, label, needs)) {
+      return false;
+    }
+    --giver.have;
+    ++taker.have;
+    needs.Move(from, to, name);
+    this->BeginMove(name, from, to, facts, now);
+    return true;
+  });
+}
+
+// A pool that has none with the label takes one in any case where another
+// keeps one. Otherwise a pool gives up only what it has enough of, and an
+// instance that it uses only if the taker can give another one in exchange.
+bool CapacityPlanner::MayTakeLabelled(const Pool& giver,
+                                      const Pool& taker,
+                                      const ServiceName& from,
+                                      const ServiceName& to,
+                                      const InstanceName& name,
+                                      const std::string& label,
+                                      const LabelNeeds& needs) {
+  const std::int64_t has = needs.CountIn(to, label);
+  if (has >= needs.NeedOf(to, label)) {
+    return false;
+  }
+  if (has == 0 && needs.CountIn(from, label) > 1) {
+    return true;
+  }
+  const bool can_do_without =
+      has == 0 || giver.have > giver.want || taker.have >= taker.want;
+  return can_do_without && needs.CanSpare(from, name);
 }
 
 // Instances that a pool needs for its long-running tasks and so much short
@@ -166,12 +296,19 @@
     const ServiceName& to,
     std::int64_t& missing,
     const std::map<InstanceName, InstanceFacts>& facts,
+    LabelNeeds& needs,
     SteadyTime now) {
-  while (missing > 0 && pool.have > pool.want && !pool.movable.empty()) {
-    const InstanceName name = pool.movable.front().second;
-    pool.movable.erase(pool.movable.begin());
+  auto item = pool.movable.begin();
+  while (missing > 0 && pool.have > pool.want && item != pool.movable.end()) {
+    const InstanceName name = item->second;
+    if (!needs.CanSpare(from, name)) {
+      ++item;
+      continue;
+    }
+    item = pool.movable.erase(item);
     --pool.have;
     --missing;
+    needs.Move(from, to, name);
     this->BeginMove(name, from, to, facts, now);
   }
 }
@@ -183,6 +320,7 @@
     const jobs::JobsState& state,
     std::map<ServiceName, Pool>& pools,
     const std::map<InstanceName, InstanceFacts>& facts,
+    LabelNeeds& needs,
     SteadyTime now) {
   std::vector<std::pair<std::int64_t, ServiceName>> order;
   for (const auto& [name, pool] : pools) {
@@ -196,7 +334,7 @@
     for (const bool takes_headroom : {true, false}) {
       for (auto& [from, pool] : pools) {
         if (from != to && IsHeadroom(state, from) == takes_headroom) {
-          this->TakeFrom(from, pool, to, missing, facts, now);
+          this->TakeFrom(from, pool, to, missing, facts, needs, now);
         }
       }
     }
@@ -206,7 +344,7 @@
         needy.want_with_late - std::max(needy.have, needy.want);
     for (auto& [from, pool] : pools) {
       if (IsHeadroom(state, from) && !IsHeadroom(state, to)) {
-        this->TakeFrom(from, pool, to, missing, facts, now);
+        this->TakeFrom(from, pool, to, missing, facts, needs, now);
       }
     }
   }
@@ -218,6 +356,7 @@
     const jobs::JobsState& state,
     std::map<ServiceName, Pool>& pools,
     const std::map<InstanceName, InstanceFacts>& facts,
+    LabelNeeds& needs,
     SteadyTime now) {
   const auto headroom = std::find_if(
       pools.begin(), pools.end(),
@@ -234,11 +373,17 @@
     if (now - since < this->settings.surplus_time) {
       continue;
     }
-    while (pool.have > pool.want_with_late && !pool.movable.empty() &&
-           pool.movable.front().first == 0) {
-      const InstanceName instance = pool.movable.front().second;
-      pool.movable.erase(pool.movable.begin());
+    auto item = pool.movable.begin();
+    while (pool.have > pool.want_with_late && item != pool.movable.end() &&
+           item->first == 0) {
+      const InstanceName instance = item->second;
+      if (!needs.CanSpare(name, instance)) {
+        ++item;
+        continue;
+      }
+      item = pool.movable.erase(item);
       --pool.have;
+      needs.Move(name, headroom->first, instance);
       this->BeginMove(instance, name, headroom->first, facts, now);
     }
   }
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -14,6 +14,7 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/service_demand.h"
 #include "libraries/maintenance/instance_messages.h"
+#include "libraries/maintenance/label_needs.h"
 #include "libraries/maintenance/maintenance_planner.h"
 
 namespace sumac::maintenance {
@@ -49,8 +50,9 @@
 
 // Decides, for the leader, which instances change their pool: demand comes in
 // turns, so instances follow it from pools that have too many, and from and to
-// the pools whose instances are off. Instances that carry long-running tasks
-// stay. Pure.
+// the pools whose instances are off. A pool whose tasks require a label is
+// given instances that have it, and none without it for those tasks. Instances
+// that carry long-running tasks stay. Pure.
 class CapacityPlanner {
  public:
   CapacityPlanner(CapacitySettings settings,
@@ -105,13 +107,42 @@
                    const std::map<InstanceName, InstanceFacts>& facts,
                    SteadyTime now,
                    CapacityOutput& output);
+  void LearnLabels(const std::map<InstanceName, InstanceFacts>& facts);
   std::map<ServiceName, Pool> CountPools(
       const jobs::JobsState& state,
       const std::map<InstanceName, InstanceFacts>& facts,
-      const std::map<ServiceName, jobs::ServiceDemand>& demand,
       const std::set<InstanceName>& busy,
+      LabelNeeds& needs,
       WallTime wall_now,
       SteadyTime now) const;
+  void SetWants(const jobs::JobsState& state,
+                const std::map<ServiceName, jobs::ServiceDemand>& demand,
+                std::map<ServiceName, Pool>& pools,
+                LabelNeeds& needs) const;
+  jobs::ServiceDemand LeaveOutHopeless(const jobs::ServiceDemand& demand,
+                                       const Pool& pool,
+                                       const LabelNeeds& needs) const;
+  std::int64_t LabelledInstancesFor(const Pool& pool,
+                                    const jobs::LabelDemand& labelled) const;
+  void GrowLabels(const jobs::JobsState& state,
+                  std::map<ServiceName, Pool>& pools,
+                  const std::map<InstanceName, InstanceFacts>& facts,
+                  LabelNeeds& needs,
+                  SteadyTime now);
+  void TakeLabelled(std::map<ServiceName, Pool>& pools,
+                    const ServiceName& from,
+                    const ServiceName& to,
+                    const std::string& label,
+                    const std::map<InstanceName, InstanceFacts>& facts,
+                    LabelNeeds& needs,
+                    SteadyTime now);
+  static bool MayTakeLabelled(const Pool& giver,
+                              const Pool& taker,
+                              const ServiceName& from,
+                              const ServiceName& to,
+                              const InstanceName& name,
+                              const std::string& label,
+                              const LabelNeeds& needs);
   bool MayMove(const jobs::JobsState& state,
                const InstanceName& name,
                WallTime wall_now,
@@ -119,6 +150,7 @@
   void GrowPools(const jobs::JobsState& state,
                  std::map<ServiceName, Pool>& pools,
                  const std::map<InstanceName, InstanceFacts>& facts,
+                 LabelNeeds& needs,
                  SteadyTime now);
   std::int64_t InstancesFor(const Pool& pool,
                             const jobs::ServiceDemand& service,
@@ -128,10 +160,12 @@
                 const ServiceName& to,
                 std::int64_t& missing,
                 const std::map<InstanceName, InstanceFacts>& facts,
+                LabelNeeds& needs,
                 SteadyTime now);
   void ShrinkPools(const jobs::JobsState& state,
                    std::map<ServiceName, Pool>& pools,
                    const std::map<InstanceName, InstanceFacts>& facts,
+                   LabelNeeds& needs,
                    SteadyTime now);
   void BeginMove(const InstanceName& name,
                  const ServiceName& from,
@@ -145,6 +179,8 @@
   SteadyTime began_at;
   bool has_been_fenced = false;
   std::map<InstanceName, Move> moves;
+  // Of every instance that was listed or has a worker; they stay with it.
+  LabelNeeds::Labels labels;
   // Instances of pools that are off, as listed or moved there since.
   std::map<InstanceName, ServiceName> idle;
   std::map<ServiceName, SteadyTime> surplus_since;
