Scheduler: Let a task wait the time of a run for room near its data

Cause: where the workers near a step's data were full, its tasks started far away at once.

A task now waits for room near its data for as long as a near run takes, where a good worker of its pool is near at all, and then takes what there is. Long-running tasks and gangs do not wait. `near-data` is a reason of its own in what operators see.

Ruled out: waiting without a bound (it would starve behind what lasts); waiting where no worker of the pool is near. Not tried: twice the time.

Ran: scheduler_test, Waiting*, NearData* and SchedulerTest 62 of 62 passed; its property test was not run.

--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -72,6 +72,25 @@
          !this->health.IsSlow(id, this->now);
 }
 
+bool Placement::IsNear(const jobs::StepSpec& step, const jobs::Worker& worker) {
+  return step.data_rack.value().empty() ||
+         worker.has_label(step.data_rack.value());
+}
+
+bool Placement::MayBeNear(const PlacementRequest& request) const {
+  const jobs::StepSpec& step = request.step();
+  const std::vector<WorkerSession*>& workers =
+      this->WorkersOf(request.job->service);
+  return std::any_of(workers.begin(), workers.end(),
+                     [&](const WorkerSession* session) {
+                       const jobs::Worker& worker = session->worker();
+                       return IsNear(step, worker) && this->IsGood(*session) &&
+                              (step.required_label.empty() ||
+                               worker.has_label(step.required_label)) &&
+                              worker.capacity.Holds(CountedNeed(step));
+                     });
+}
+
 WorkerSession* Placement::Choose(const PlacementRequest& request) const {
   const jobs::StepSpec& step = request.step();
   const jobs::Resources need = CountedNeed(step);
@@ -89,8 +108,7 @@
     }
     const bool has_failed_there = request.memory != nullptr &&
                                   request.memory->failed_on.contains(worker.id);
-    const bool is_far = !step.data_rack.value().empty() &&
-                        !worker.has_label(step.data_rack.value());
+    const bool is_far = !IsNear(step, worker);
     // Fillers slow down what serves users beside them.
     const std::uint32_t disturbed = step.is_filler ? session->serving_runs()
                                     : step.latency_target > Milliseconds(0)
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -56,6 +56,12 @@
   // The best worker for the task, or nothing if none has room.
   WorkerSession* Choose(const PlacementRequest& request) const;
 
+  // True if the worker is near the task's data, or its place does not matter.
+  static bool IsNear(const jobs::StepSpec& step, const jobs::Worker& worker);
+  // True if some good worker near the task's data will have room for it once
+  // what runs there has ended.
+  bool MayBeNear(const PlacementRequest& request) const;
+
   // The racks that have workers of the service, and the workers that take work.
   std::set<Rack> RacksOf(const ServiceName& service) const;
   const std::vector<WorkerSession*>& WorkersOf(
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -833,6 +833,7 @@
     return;
   }
   this->waiting_steps.Begin(now);
+  this->near_wait.DropFinished(this->state);
   for (const DueOccurrence& waiting : due) {
     if (!unplaced.contains(waiting.job->sequence)) {
       continue;
@@ -939,12 +940,33 @@
       this->AskForAdvice(candidate, task, now);
       return false;
     }
+    if (this->WaitsForNear(job, task, session->worker(), now)) {
+      return false;
+    }
     this->StartOn(*session, candidate, task, this->NextRun(job, task), now,
                   output);
   }
   return true;
 }
 
+// True if the task should rather wait for room near its data than start on this
+// worker, the best that has room.
+bool Scheduler::WaitsForNear(const jobs::Job& job,
+                             const jobs::TaskId& task,
+                             const jobs::Worker& worker,
+                             SteadyTime now) {
+  const jobs::StepSpec& step = job.spec.steps[task.step.step];
+  // What lasts has no run time to lose.
+  if (step.is_long_running || Placement::IsNear(step, worker)) {
+    return false;
+  }
+  // A far run holds its room for a multiple of the time, so that under load
+  // every one of them makes others wait, too.
+  return this->placement.MayBeNear({.job = &job, .task = task}) &&
+         this->near_wait.ShouldWait(
+             task.step, this->run_times.Expect(job.queue, step), now);
+}
+
 // A worker for each member of a gang, of one rack where one is named; fewer if
 // not all find room.
 std::vector<WorkerSession*> Scheduler::PlaceGang(const Candidate& candidate,
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -18,6 +18,7 @@
 #include "libraries/jobs/task_id.h"
 #include "libraries/scheduler/demand_meter.h"
 #include "libraries/scheduler/event_notes.h"
+#include "libraries/scheduler/near_wait.h"
 #include "libraries/scheduler/placement.h"
 #include "libraries/scheduler/placement_advice.h"
 #include "libraries/scheduler/run_times.h"
@@ -264,6 +265,10 @@
   bool StartStep(const Candidate& candidate,
                  SteadyTime now,
                  SchedulerOutput& output);
+  bool WaitsForNear(const jobs::Job& job,
+                    const jobs::TaskId& task,
+                    const jobs::Worker& worker,
+                    SteadyTime now);
   bool StartGang(const Candidate& candidate,
                  SteadyTime now,
                  SchedulerOutput& output);
@@ -305,6 +310,7 @@
   RunTimes run_times;
   WaitingJobs waiting;
   WaitingTable waiting_steps;
+  NearWait near_wait;
   WorkerHealth health;
   PlacementAdvice advice;
   Sharing sharing;
--- a/libraries/scheduler/waiting_cause.cc
+++ b/libraries/scheduler/waiting_cause.cc
@@ -63,12 +63,12 @@
   }
 }
 
-WaitingReason ReasonOf(const WaitingCause& cause) {
+WaitingReason ReasonOf(const jobs::StepSpec& step, const WaitingCause& cause) {
   if (cause.workers == 0) {
     return WaitingReason::kNoWorker;
   }
   if (cause.places > 0) {
-    return WaitingReason::kGang;
+    return step.is_gang ? WaitingReason::kGang : WaitingReason::kNear;
   }
   // What is nearest to a place decides.
   return cause.not_admitted > 0   ? WaitingReason::kPolicy
@@ -98,6 +98,8 @@
       return "policy";
     case WaitingReason::kGang:
       return "gang";
+    case WaitingReason::kNear:
+      return "near-data";
   }
   return "";
 }
@@ -125,7 +127,8 @@
     free += session->Room().millicores;
     CountWorker(request, *session, now, cause);
   }
-  cause.reason = may_run_unseen ? WaitingReason::kUnseen : ReasonOf(cause);
+  cause.reason =
+      may_run_unseen ? WaitingReason::kUnseen : ReasonOf(request.step(), cause);
   cause.is_feasible = IsFeasible(request.step(), fleet);
   cause.is_half_free = 2 * free >= all;
   return cause;
--- a/libraries/scheduler/waiting_cause.h
+++ b/libraries/scheduler/waiting_cause.h
@@ -30,12 +30,14 @@
   kPolicy,
   // There is room for some members of the gang and not for all.
   kGang,
+  // There is room only far from its data, and it still waits for some near.
+  kNear,
 };
 
 inline constexpr std::array kWaitingReasons{
     WaitingReason::kUnseen,   WaitingReason::kNoWorker, WaitingReason::kLabel,
     WaitingReason::kTooSmall, WaitingReason::kLimit,    WaitingReason::kRoom,
-    WaitingReason::kPolicy,   WaitingReason::kGang};
+    WaitingReason::kPolicy,   WaitingReason::kGang,     WaitingReason::kNear};
 
 std::string_view NameOf(WaitingReason reason);
 
