--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -18,6 +18,7 @@
 #include "libraries/jobs/task_id.h"
 #include "libraries/scheduler/demand_meter.h"
 #include "libraries/scheduler/event_notes.h"
+#include "libraries/scheduler/near_wait.h"
 #include "libraries/scheduler/placement.h"
 #include "libraries/scheduler/placement_advice.h"
 #include "libraries/scheduler/run_times.h"
@@ -25,6 +26,7 @@
 #include "libraries/scheduler/stragglers.h"
 #include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/waiting_jobs.h"
+#include "libraries/scheduler/waiting_table.h"
 #include "libraries/scheduler/worker_health.h"
 #include "libraries/scheduler/worker_messages.h"
 #include "libraries/scheduler/worker_session.h"
@@ -177,6 +179,9 @@
   // How many accepted jobs of a queue have not begun.
   std::uint64_t CountPending(const QueueName& queue) const;
 
+  // Why steps that are due have no place, as of the last review.
+  const WaitingTable& waiting_table() const { return this->waiting_steps; }
+
   // True while a worker gets no tasks because of how its runs went.
   bool IsSetAside(const WorkerId& worker, SteadyTime now) const {
     return this->health.IsQuarantined(worker, now);
@@ -258,12 +263,20 @@
                SteadyTime now,
                SchedulerOutput& output);
   void StartDue(SteadyTime now, WallTime wall_now, SchedulerOutput& output);
+  void ReviewWaiting(const std::vector<DueOccurrence>& due,
+                     const std::set<std::uint64_t>& unplaced,
+                     SteadyTime now);
+  void ReviewStep(const Candidate& candidate, SteadyTime now);
   bool StartSteps(const DueOccurrence& due,
                   SteadyTime now,
                   SchedulerOutput& output);
   bool StartStep(const Candidate& candidate,
                  SteadyTime now,
                  SchedulerOutput& output);
+  bool WaitsForNear(const jobs::Job& job,
+                    const jobs::TaskId& task,
+                    const jobs::Worker& worker,
+                    SteadyTime now);
   bool StartGang(const Candidate& candidate,
                  SteadyTime now,
                  SchedulerOutput& output);
@@ -303,6 +316,8 @@
   SteadyTime looked_for_unwanted{};
   RunTimes run_times;
   WaitingJobs waiting;
+  WaitingTable waiting_steps;
+  NearWait near_wait;
   WorkerHealth health;
   PlacementAdvice advice;
   Sharing sharing;
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -145,6 +145,7 @@
       instance.is_only_announced = !session.is_adopted();
       instance.service = worker.service;
       instance.millicores = worker.capacity.millicores;
+      instance.labels = worker.labels;
       instance.is_leaving = worker.is_draining;
     }
     for (const auto& [key, run] : session.runs()) {
