--- a/tests/libraries/scheduler/run_history.cc
+++ b/tests/libraries/scheduler/run_history.cc
@@ -9,13 +9,13 @@
 constexpr int kFailings = 3;
 
 constexpr std::array kNames = {
-    "submit",        "change-leader", "cut",
-    "heal",          "restart",       "lose-orders",
-    "lose-reports",  "delay-answers", "fail",
-    "work",          "commit",        "stop-slowly",
-    "refuse-starts", "refuse-stops",  "hide-instances",
-    "move-queue",    "resend",        "submit-lasting",
-    "cordon"};
+    "submit",         "change-leader", "cut",
+    "heal",           "restart",       "announce-late",
+    "lose-orders",    "lose-reports",  "delay-answers",
+    "fail",           "work",          "commit",
+    "stop-slowly",    "refuse-starts", "refuse-stops",
+    "hide-instances", "move-queue",    "resend",
+    "submit-lasting", "cordon"};
 
 }  // namespace
 
@@ -92,6 +92,12 @@
   this->lives.at(number) = life;
 }
 
+// The first announcement of an earlier life on the instance, which is over.
+void RunHistory::AnnounceLate(const FakeWorker& present) {
+  const std::string life = "late" + std::to_string(this->next_life++);
+  this->fleet.AddWorker(life, present.description.instance.value()).Crash();
+}
+
 void RunHistory::Refuse(std::optional<OrderResult>& refusal, int amount) {
   constexpr int kHalf = 50;
   constexpr int kQuarter = 25;
@@ -129,6 +135,9 @@
     case Kind::kRestart:
       this->Restart(happening.worker);
       break;
+    case Kind::kAnnounceLate:
+      this->AnnounceLate(worker);
+      break;
     case Kind::kLoseOrders:
       this->fleet.late_permille = is_much ? permille : 0;
       break;
--- a/tests/libraries/scheduler/run_history.h
+++ b/tests/libraries/scheduler/run_history.h
@@ -25,6 +25,7 @@
   kCut,
   kHeal,
   kRestart,
+  kAnnounceLate,
   kLoseOrders,
   kLoseReports,
   kDelayAnswers,
@@ -84,6 +85,7 @@
   void SubmitLasting(int amount);
   void Cordon(const FakeWorker& worker, bool is_cordoned);
   void Restart(int number);
+  void AnnounceLate(const FakeWorker& present);
   void Refuse(std::optional<OrderResult>& refusal, int amount);
 
   FakeFleet fleet;
--- a/tests/libraries/scheduler/run_uniqueness_property_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_property_test.cc
@@ -25,8 +25,9 @@
 std::vector<Kind> FaultyKinds() {
   std::vector<Kind> kinds = CommonKinds();
   kinds.insert(kinds.end(),
-               {Kind::kRestart, Kind::kLoseOrders, Kind::kLoseReports,
-                Kind::kRefuseStarts, Kind::kRefuseStops, Kind::kHideInstances});
+               {Kind::kRestart, Kind::kAnnounceLate, Kind::kLoseOrders,
+                Kind::kLoseReports, Kind::kRefuseStarts, Kind::kRefuseStops,
+                Kind::kHideInstances});
   return kinds;
 }
 
