Scheduler: Test that a run that has to go holds its task

With `known_runs` taken out of the condition for a start, all examples and properties of run_uniqueness stayed green: since a later run of an earlier leader is adopted, none of them has a run that is only stopping. The new example has one. Green on the code as it is (9 of 9 examples, one run); with the guard taken out on a scratch copy it fails with "runs twice at once: run 1 on w0 and run 3 on w1".

--- a/tests/libraries/scheduler/run_uniqueness_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_test.cc
@@ -194,6 +194,32 @@
   EXPECT_EQ(fleet.CountRunning("job"), 1U);
 }
 
+// A run may show up that its leader had given up, here since it believed the
+// refusal of a second copy. It has to go, and until it has gone its task must
+// not start elsewhere.
+TEST(RunUniquenessTest, ARunThatHasToGoHoldsItsTask) {
+  FakeFleet fleet(1);
+  RunLedger ledger;
+  PassTime(fleet, ledger, Milliseconds(100));
+  fleet.work = kLongWork;
+  fleet.worker("w0").stop_time = Milliseconds(400);
+  fleet.worker("w0").start_refusal = OrderResult::kNoRoom;
+  fleet.believes_second_copies = true;
+  fleet.resent_permille = 1'000;
+  fleet.late_by = Milliseconds(300);
+  fleet.Submit("job", {.count = 1});
+  PassTime(fleet, ledger, Milliseconds(40));
+  fleet.resent_permille = 0;
+  PassTime(fleet, ledger, Milliseconds(240));
+  fleet.worker("w0").start_refusal.reset();
+  PassTime(fleet, ledger, Milliseconds(60));
+  ASSERT_EQ(fleet.CountRunning("job"), 1U);
+  fleet.AddWorker("w1", "m1");
+  PassTime(fleet, ledger, Milliseconds(1'500));
+  EXPECT_EQ(ledger.problem, "");
+  EXPECT_EQ(fleet.starts, 2U);
+}
+
 // A report lists only so many ends. A new leader took the ends that were left
 // out for runs that had never been.
 TEST(RunUniquenessTest, AFullListOfEndsIsNotAllOfThem) {
