Tests: Show a returned worker's tasks running twice

It answered again and was given tasks at 37.4292 s; at 37.6291 s the session ended with "its life is over", at 37.6292 s the same tasks were ordered elsewhere, and the first runs went on until 38.842 s. Only a record that the worker is forgotten gives that reason; that it was one for mere silence is deduced from the worker being let back in at 38.4777 s, since the proposal writes no line. Nothing withdraws such a record when the worker is back, and the state and the scheduler take it in all the same. Ruled out for that task: a platform's list that calls the worker down, another life at its address, a refused start; none of these lines occurs for it.

The fake fleet can now commit such a record late; at its default it behaves as before.

--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -228,7 +228,7 @@
     this->Send(order);
   }
   for (jobs::Command& command : output.commands) {
-    this->Commit(std::move(command));
+    this->Record(std::move(command));
   }
   for (const RenewOrder& order : output.report_requests) {
     this->RequestReport(order);
@@ -238,6 +238,17 @@
   }
 }
 
+// Commits what a turn of the scheduler asked for, at once or later.
+void FakeFleet::Record(jobs::Command command) {
+  if (!std::holds_alternative<jobs::ForgetWorker>(command) ||
+      this->forget_delay == Milliseconds(0)) {
+    this->Commit(std::move(command));
+    return;
+  }
+  this->At(this->now + this->forget_delay,
+           [this, command] { this->Commit(command); });
+}
+
 void FakeFleet::RequestReport(const RenewOrder& order) {
   const auto found = this->workers.find(order.worker);
   std::uniform_int_distribution<std::uint32_t> draw(0, 999);
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -75,6 +75,8 @@
   bool lists_instances = true;
   // How late; drawn from 0 to 4 s where it is not set.
   std::optional<Milliseconds> late_by;
+  // How long the record that a worker is forgotten takes, as in a slow group.
+  Milliseconds forget_delay{0};
   // The share of renewals that are carried out and whose answer is lost.
   std::uint32_t lost_report_permille = 0;
   // How long each task works, and whether it fails.
@@ -97,6 +99,7 @@
   void CheckLives();
   void Renew(const WorkerId& id);
   void Plan();
+  void Record(jobs::Command command);
   void Send(const Order& order);
   void Execute(const Order& order, bool is_answered, Generation generation);
   void TakeReport(const WorkerId& id, const RenewReport& report);
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -660,6 +660,38 @@
             3U);
 }
 
+// A worker was silent for so long that the leader asked for the record that it
+// is forgotten. The group was slow, and the record came only after the worker
+// had answered again and had been given tasks: run-ordered at 37.4292 s,
+// run-gone "its life is over" at 37.6291 s, and run-ordered elsewhere at
+// 37.6292 s while the first run went on until 38.842 s.
+TEST(SchedulerTest, AWorkerThatIsBackKeepsItsTasksWhenARecordToForgetItIsLate) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(6'000);
+  fleet.forget_delay = Milliseconds(3'000);
+  fleet.PassTime(Milliseconds(500));
+  fleet.worker("w0").is_cut = true;
+  // Beyond the lease and the time after which a silent worker is forgotten.
+  fleet.PassTime(fleet.settings.forget_after + Milliseconds(1'000));
+  fleet.worker("w0").is_cut = false;
+  // It answers, and the next renewal, which goes out at once, gives it a lease.
+  for (int renewal = 0; renewal < 2; ++renewal) {
+    const auto order = fleet.scheduler->NextRenewal(WorkerId("w0"), fleet.now);
+    ASSERT_TRUE(order.has_value());
+    const auto report = fleet.worker("w0").Renew(*order, fleet.now);
+    ASSERT_TRUE(report.has_value());
+    fleet.scheduler->TakeReport(WorkerId("w0"), *report, fleet.now);
+  }
+  // Fills both workers; a third has room for what is taken from the first.
+  fleet.Submit("job", {.count = 16});
+  fleet.PassTime(Milliseconds(500));
+  ASSERT_EQ(fleet.worker("w0").running().size(), 8U);
+  fleet.AddWorker("w2", "m2");
+  fleet.PassTime(Milliseconds(20'000));
+  EXPECT_EQ(fleet.problem, "");
+  EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+}
+
 TEST(SchedulerTest, AReportThatWasOvertakenChangesNothing) {
   FakeFleet fleet(1);
   fleet.work = Milliseconds(5'000);
