Tests: Let the stand-in workers log what happens at them

A soak needs to know from the workers when runs began and ended, which ends were acknowledged and when leases lapsed. The stand-in logged nothing, looked at leases only when it was called, answered calls for an earlier life at its address, and its clock went on from life to life.

It now ticks by itself, dates ends of a paused process by when they were due, answers 421 for another life, can listen behind a proxy, runs tasks that last and can announce that it leaves. All of it is behind options; without them it behaves as before, except for the clock's offset, which is drawn from the process id.

--- a/tests/libraries/scheduler/fake_worker.h
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -62,6 +62,11 @@
   void Crash();
 
   const std::map<jobs::TaskId, Running>& running() const { return this->tasks; }
+  // Ends that are not acknowledged, in their order.
+  const std::vector<EndReport>& unacknowledged_ends() const {
+    return this->ended;
+  }
+  WorkerTime lease_ends_at() const { return this->lease_end; }
 
   jobs::Worker description;
   bool is_up = true;
--- a/tests/stand_ins/task_worker.cc
+++ b/tests/stand_ins/task_worker.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "tests/stand_ins/task_worker.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libraries/base/kj_time.h"
@@ -10,6 +11,13 @@
 namespace {
 
 constexpr std::uint32_t kConflict = 409;
+constexpr std::uint32_t kMisdirected = 421;
+constexpr const char* kExpectedWorkerHeader = "Sumacstack-Expected-Instance";
+// A job whose text this is has tasks that last until they are stopped.
+constexpr const char* kLastingSpec = "lasting";
+constexpr Milliseconds kLastingWork{3'600'000};
+// How far apart leases and ends are looked at.
+constexpr Milliseconds kTickInterval{10};
 constexpr Milliseconds kAnnounceInterval{500};
 constexpr Milliseconds kHoldStep{5};
 constexpr Milliseconds kCallLimit{1'000};
@@ -43,17 +51,25 @@
 
 }  // namespace
 
-TaskWorker::TaskWorker(kj::Network& network, kj::Timer& timer, Settings given)
+TaskWorker::TaskWorker(kj::Network& network,
+                       kj::Timer& timer,
+                       Settings given,
+                       EventLog& log)
     : network(network),
       timer(timer),
       settings(std::move(given)),
-      worker(this->settings.description, Milliseconds(5'000), 0),
+      log(log),
+      worker(this->settings.description, this->settings.clock_offset, 0),
       headers(this->header_builder.build()),
-      door(timer,
-           http::DoorSettings{.address = this->settings.description.address},
-           [this](const http::DoorRequest& request) {
-             return this->Handle(request);
-           }) {
+      door(
+          timer,
+          http::DoorSettings{.address = this->settings.listen_address.empty()
+                                            ? this->settings.description.address
+                                            : this->settings.listen_address,
+                             .headers = {kExpectedWorkerHeader}},
+          [this](const http::DoorRequest& request) {
+            return this->Handle(request);
+          }) {
   for (const std::string& control : this->settings.controls) {
     this->controls.push_back(std::make_unique<http::AsyncConnection>(
         network, timer, *this->headers, control));
@@ -61,18 +77,96 @@
 }
 
 kj::Promise<void> TaskWorker::Run() {
+  this->log.Add({{"event", "life"},
+                 {"worker", this->settings.description.id.value()},
+                 {"address", this->settings.description.address},
+                 {"process", this->settings.process}});
   return this->door.Listen(this->network).then([this] {
-    return this->AnnounceLoop();
+    return this->AnnounceLoop().exclusiveJoin(this->TickLoop());
   });
 }
 
+kj::Promise<void> TaskWorker::Leave() {
+  this->is_leaving = true;
+  this->log.Add(
+      {{"event", "leaves"}, {"worker", this->settings.description.id.value()}});
+  return this->timer.afterDelay(ToKj(this->settings.leave_time))
+      .then([this] {
+        return this->controls[this->next_control % this->controls.size()]->Call(
+            {.method = kj::HttpMethod::DELETE,
+             .path =
+                 StrCat("/instances/", this->settings.description.id.value())},
+            kCallLimit);
+      })
+      .then([this](const http::CallReply&) {
+        this->log.Add({{"event", "gone"},
+                       {"worker", this->settings.description.id.value()}});
+      });
+}
+
+kj::Promise<void> TaskWorker::TickLoop() {
+  this->Tick(this->clock.SteadyNow());
+  return this->timer.afterDelay(ToKj(kTickInterval)).then([this] {
+    return this->TickLoop();
+  });
+}
+
+void TaskWorker::Tick(SteadyTime now) {
+  const auto earlier = this->worker.running();
+  this->LogLapse(now);
+  this->worker.Tick(now);
+  this->LogEnds(now, earlier);
+}
+
+void TaskWorker::LogLapse(SteadyTime now) {
+  const scheduler::WorkerTime lease_end = this->worker.lease_ends_at();
+  const Milliseconds late(this->worker.ClockAt(now).value() -
+                          lease_end.value());
+  if (late < Milliseconds(0) || lease_end == this->logged_lapse) {
+    return;
+  }
+  this->logged_lapse = lease_end;
+  this->log.Add(
+      {{"event", "lapse"}, {"worker", this->settings.description.id.value()}},
+      late);
+}
+
+// A process that was paused notices late what ended meanwhile, so ends are
+// dated by when they were due.
+void TaskWorker::LogEnds(
+    SteadyTime now,
+    const std::map<jobs::TaskId, scheduler::FakeWorker::Running>& earlier) {
+  const Milliseconds since_lapse(this->worker.ClockAt(now).value() -
+                                 this->worker.lease_ends_at().value());
+  for (const scheduler::EndReport& end : this->worker.unacknowledged_ends()) {
+    if (end.number <= this->logged_end) {
+      continue;
+    }
+    this->logged_end = end.number;
+    Milliseconds ago{0};
+    if (end.cause == scheduler::EndCause::kLapsed) {
+      ago = since_lapse;
+    } else if (end.cause == scheduler::EndCause::kDone) {
+      ago = now - earlier.at(end.task).ends_at;
+    }
+    this->log.Add({{"event", "end"},
+                   {"worker", this->settings.description.id.value()},
+                   {"number", end.number},
+                   {"task", end.task.ToText()},
+                   {"run", end.run.value()},
+                   {"cause", CauseName(end.cause)}},
+                  ago);
+  }
+}
+
 std::string TaskWorker::Announcement() {
   const jobs::Worker& about = this->settings.description;
   return nlohmann::json({{"service", about.service.value()},
                          {"address", about.address},
                          {"zone", about.data_centre.value()},
                          {"machine", about.instance.value()},
-                         {"state", "ready"},
+                         {"state", this->is_leaving ? "draining" : "ready"},
+
                          {"capacity",
                           {{"cpu", about.capacity.millicores},
                            {"mem_mb", about.capacity.memory_mb},
@@ -105,7 +199,12 @@
 kj::Promise<http::DoorReply> TaskWorker::Handle(
     const http::DoorRequest& request) {
   const SteadyTime now = this->clock.SteadyNow();
-  this->worker.Tick(now);
+  this->Tick(now);
+  const auto expected = request.headers.find(kExpectedWorkerHeader);
+  if (expected != request.headers.end() &&
+      expected->second != this->settings.description.id.value()) {
+    return http::DoorReply{.status = kMisdirected};
+  }
   nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
   if (request.path == "/run-start") {
     return this->Start(body);
@@ -138,11 +237,22 @@
   order.run = RunNumber(body.at("run").get<std::uint64_t>());
   order.lease_end =
       scheduler::WorkerTime(body.at("until_ms").get<std::int64_t>());
+  const bool is_lasting = body.value("spec", "") == kLastingSpec;
+  jobs::StepSpec step;
+  step.is_long_running = is_lasting;
   const std::size_t before = this->worker.running().size();
   const scheduler::OrderAnswer answer =
-      this->worker.Start(order, this->settings.work, false, jobs::StepSpec(),
-                         this->clock.SteadyNow());
-  this->start_count += this->worker.running().size() - before;
+      this->worker.Start(order, is_lasting ? kLastingWork : this->settings.work,
+                         false, step, this->clock.SteadyNow());
+  if (this->worker.running().size() > before) {
+    ++this->start_count;
+    this->log.Add({{"event", "start"},
+                   {"worker", this->settings.description.id.value()},
+                   {"task", order.task.ToText()},
+                   {"run", order.run.value()},
+                   {"epoch", order.epoch.value()},
+                   {"lasting", is_lasting}});
+  }
   return this->OrderReply(answer);
 }
 
@@ -151,14 +261,18 @@
   order.epoch = LeaderEpoch(body.at("fence_token").get<std::uint64_t>());
   order.task = *jobs::TaskId::Parse(body.at("task").get<std::string>());
   order.run = RunNumber(body.at("run").get<std::uint64_t>());
-  return this->OrderReply(this->worker.Stop(order, this->clock.SteadyNow()));
+  const SteadyTime now = this->clock.SteadyNow();
+  const auto earlier = this->worker.running();
+  const scheduler::OrderAnswer answer = this->worker.Stop(order, now);
+  this->LogEnds(now, earlier);
+  return this->OrderReply(answer);
 }
 
 // Answers once a run has ended, or the time to wait is over.
 kj::Promise<http::DoorReply> TaskWorker::Hold(nlohmann::json body,
                                               SteadyTime until) {
   const SteadyTime now = this->clock.SteadyNow();
-  this->worker.Tick(now);
+  this->Tick(now);
   scheduler::RenewOrder order;
   order.epoch = LeaderEpoch(body.at("fence_token").get<std::uint64_t>());
   order.acknowledged_ends = body.value("acked_upto", std::uint64_t{0});
@@ -171,6 +285,12 @@
     return this->OrderReply({.result = scheduler::OrderResult::kFenced,
                              .clock = this->worker.ClockAt(now)});
   }
+  if (order.acknowledged_ends > this->logged_acknowledgement) {
+    this->logged_acknowledgement = order.acknowledged_ends;
+    this->log.Add({{"event", "acknowledged"},
+                   {"worker", this->settings.description.id.value()},
+                   {"number", order.acknowledged_ends}});
+  }
   if (report->ended.empty() && now < until) {
     return this->timer.afterDelay(ToKj(kHoldStep))
         .then([this, body = std::move(body), until]() mutable {
--- a/tests/stand_ins/task_worker.h
+++ b/tests/stand_ins/task_worker.h
@@ -6,6 +6,7 @@
 #include <kj/async.h>
 #include <kj/timer.h>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "libraries/http/async_door.h"
 #include "nlohmann/json.hpp"
 #include "tests/libraries/scheduler/fake_worker.h"
+#include "tests/stand_ins/event_log.h"
 
 namespace sumac::stand_ins {
 
@@ -26,15 +28,31 @@
     jobs::Worker description;
     // Where controllers take announcements.
     std::vector<std::string> controls;
+    // Where it listens, when it announces the address of a proxy instead.
+    std::string listen_address;
+    // The process that it lives in, for the log.
+    std::string process;
+    // What its clock shows when the machine's steady clock shows zero.
+    Milliseconds clock_offset{5'000};
+    // How long it stays after it announced that it will leave.
+    Milliseconds leave_time{0};
     // How long each task works.
     Milliseconds work{200};
   };
 
-  TaskWorker(kj::Network& network, kj::Timer& timer, Settings settings);
+  // What happens there goes to `log`, which must outlive it.
+  TaskWorker(kj::Network& network,
+             kj::Timer& timer,
+             Settings settings,
+             EventLog& log);
 
   // Listens and announces until the process ends.
   kj::Promise<void> Run();
 
+  // Announces that it will leave, and takes itself off the list once the
+  // controllers had time to move its tasks.
+  kj::Promise<void> Leave();
+
   std::uint64_t starts() const { return this->start_count; }
   std::uint64_t done() const { return this->done_count; }
 
@@ -45,11 +63,19 @@
   http::DoorReply Stop(const nlohmann::json& body);
   http::DoorReply OrderReply(const scheduler::OrderAnswer& answer) const;
   kj::Promise<void> AnnounceLoop();
+  kj::Promise<void> TickLoop();
+  // Lets time pass there and logs what ended meanwhile.
+  void Tick(SteadyTime now);
+  void LogLapse(SteadyTime now);
+  void LogEnds(
+      SteadyTime now,
+      const std::map<jobs::TaskId, scheduler::FakeWorker::Running>& earlier);
   std::string Announcement();
 
   kj::Network& network;
   kj::Timer& timer;
   Settings settings;
+  EventLog& log;
   SystemClock clock;
   scheduler::FakeWorker worker;
   kj::HttpHeaderTable::Builder header_builder;
@@ -58,6 +84,11 @@
   std::vector<std::unique_ptr<http::AsyncConnection>> controls;
   std::size_t next_control = 0;
   std::uint64_t sequence = 0;
+  bool is_leaving = false;
+  // The last end, acknowledgement and lease end that are in the log.
+  std::uint64_t logged_end = 0;
+  std::uint64_t logged_acknowledgement = 0;
+  scheduler::WorkerTime logged_lapse;
   std::uint64_t start_count = 0;
   std::uint64_t done_count = 0;
 };
--- a/tests/stand_ins/task_workers_main.cc
+++ b/tests/stand_ins/task_workers_main.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Workers that run tasks, in one process, for tests with real processes.
 #include <kj/async-io.h>
+#include <kj/async-unix.h>
 #include <signal.h>
 #include <unistd.h>
 
@@ -18,6 +19,9 @@
 
 namespace options = boost::program_options;
 
+constexpr sumac::Milliseconds kClockStep{1'000};
+constexpr int kClockSteps = 600;
+
 std::vector<std::string> SplitAtCommas(const std::string& text) {
   std::vector<std::string> parts;
   std::stringstream stream(text);
@@ -39,6 +43,14 @@
   add("controls", options::value<std::string>()->required());
   add("service", options::value<std::string>()->default_value("previews"));
   add("work-ms", options::value<int>()->default_value(200));
+  add("listen-ip", options::value<std::string>()->default_value(""),
+      "where they listen, if they announce the address of a proxy");
+  add("log", options::value<std::string>()->default_value(""),
+      "what happens at them, as JSON lines");
+  add("process", options::value<std::string>()->default_value(""),
+      "this process's name, for the log and the names of workers");
+  add("leave-ms", options::value<int>()->default_value(0),
+      "on SIGTERM workers announce that they leave, and go after this");
   add("millicores", options::value<int>()->default_value(16'000));
   options::variables_map arguments;
   options::store(
@@ -47,16 +59,23 @@
   options::notify(arguments);
 
   signal(SIGPIPE, SIG_IGN);
+  const sumac::Milliseconds leave_time(arguments["leave-ms"].as<int>());
+  if (leave_time > sumac::Milliseconds(0)) {
+    kj::UnixEventPort::captureSignal(SIGTERM);
+  }
+  sumac::stand_ins::EventLog log(arguments["log"].as<std::string>());
   kj::AsyncIoContext io = kj::setupAsyncIo();
   std::vector<std::unique_ptr<sumac::stand_ins::TaskWorker>> workers;
   std::vector<kj::Promise<void>> running;
   const auto service = arguments["service"].as<std::string>();
+  const auto process = arguments["process"].as<std::string>();
+  const std::string prefix = process.empty() ? service : process;
   for (int number = 0; number < arguments["count"].as<int>(); ++number) {
     sumac::stand_ins::TaskWorker::Settings settings;
     settings.description = {
-        .id = sumac::WorkerId(sumac::StrCat(service, "-", number, "-",
+        .id = sumac::WorkerId(sumac::StrCat(prefix, "-", number, "-",
                                             static_cast<long>(getpid()))),
-        .instance = sumac::InstanceName(sumac::StrCat(service, "-", number)),
+        .instance = sumac::InstanceName(sumac::StrCat(prefix, "-", number)),
         .service = sumac::ServiceName(service),
         .data_centre = sumac::DataCentre("dc-1"),
         .address = sumac::StrCat(arguments["ip"].as<std::string>(), ":",
@@ -64,12 +83,32 @@
         .capacity = {.millicores = arguments["millicores"].as<int>(),
                      .memory_mb = 32'000},
         .labels = {"a", sumac::StrCat("r", number / 4)}};
+    const auto listen_ip = arguments["listen-ip"].as<std::string>();
+    if (!listen_ip.empty()) {
+      settings.listen_address = sumac::StrCat(
+          listen_ip, ":", arguments["first-port"].as<int>() + number);
+    }
+    settings.process = process;
+    settings.leave_time = leave_time;
+    // A new life's clock need not go on from where the last one's stood.
+    settings.clock_offset = kClockStep * (getpid() % kClockSteps);
     settings.controls = SplitAtCommas(arguments["controls"].as<std::string>());
     settings.work = sumac::Milliseconds(arguments["work-ms"].as<int>());
     workers.push_back(std::make_unique<sumac::stand_ins::TaskWorker>(
-        io.provider->getNetwork(), io.provider->getTimer(), settings));
+        io.provider->getNetwork(), io.provider->getTimer(), settings, log));
     running.push_back(workers.back()->Run().eagerlyEvaluate(nullptr));
   }
   std::cout << "ready" << std::endl;
-  kj::NEVER_DONE.wait(io.waitScope);
+  if (leave_time == sumac::Milliseconds(0)) {
+    kj::NEVER_DONE.wait(io.waitScope);
+  }
+  io.unixEventPort.onSignal(SIGTERM).wait(io.waitScope);
+  std::vector<kj::Promise<void>> leaving;
+  leaving.reserve(workers.size());
+  for (const auto& worker : workers) {
+    leaving.push_back(worker->Leave());
+  }
+  for (kj::Promise<void>& one : leaving) {
+    one.wait(io.waitScope);
+  }
 }
