Tests: Add callers that submit, show and cancel jobs

Threads that keep a connection to each entry for as long as the entry keeps it, send a job again after no clear answer, ask for its state at any entry and cancel some; two of them have jobs that last. Every call and answer is logged.

--- /dev/null
+++ b/tests/stand_ins/job_caller_main.cc
@@ -0,0 +1,280 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// A stand-in for callers that submit jobs of steps, ask how far they are and
+// cancel some, over connections that each thread keeps to each entry for as
+// long as the entry does. Every call and its answer go to a log, for a check of
+// the whole history. Ends by itself.
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+#include "libraries/base/text.h"
+#include "libraries/base/time.h"
+#include "tests/stand_ins/event_log.h"
+
+namespace sumac::stand_ins {
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr const char* kDeadlineHeader = "Sumacstack-Deadline-Ms";
+// How long a caller gives the system, and how long it waits itself: an entry
+// that is up must answer before that.
+constexpr Milliseconds kDeadline{3'000};
+constexpr Milliseconds kLongestWait{5'000};
+// A job is asked for so often after it was first shown as ended, since an older
+// answer could come from another entry.
+constexpr int kAskedAfterEnd = 4;
+// A submission that got no clear answer is sent again so often.
+constexpr int kMostAttempts = 6;
+constexpr Milliseconds kLongestPause{400};
+
+// What all threads share.
+struct Load {
+  std::vector<std::string> entries;
+  std::string host;
+  std::string lasting_prefix;
+  std::string prefix;
+  std::uint64_t seed = 0;
+  SteadyTime submits_until;
+  SteadyTime asks_until;
+  SystemClock clock;
+  EventLog log;
+
+  explicit Load(const std::string& path) : log(path) {}
+};
+
+// One thread's callers.
+class JobCaller {
+ public:
+  JobCaller(Load& load, std::uint64_t number)
+      : load(load),
+        random(load.seed * 1'000 + number),
+        sessions(load.entries.size()),
+        is_lasting(number < 2) {}
+
+  // Carries one job after the other from its submission to its end.
+  void Run() {
+    while (this->load.clock.SteadyNow() < this->load.submits_until) {
+      this->RunJob();
+    }
+  }
+
+ private:
+  void RunJob() {
+    const std::string id = absl::StrFormat("%016x", this->random());
+    if (!this->Submit(id)) {
+      this->Pause();
+      return;
+    }
+    const bool is_given_up = !this->is_lasting && this->Draw(8) == 0;
+    bool is_cancelled = false;
+    int asked_after_end = 0;
+    for (int asked = 0; asked_after_end < kAskedAfterEnd; ++asked) {
+      const SteadyTime now = this->load.clock.SteadyNow();
+      if (now > this->load.asks_until) {
+        return;
+      }
+      const bool is_over = this->is_lasting && now > this->load.submits_until;
+      if (!is_cancelled && (is_over || (is_given_up && asked == 2))) {
+        is_cancelled = this->Call("DELETE", "cancel", id, "").status == 200;
+      }
+      this->Pause();
+      const std::string state = this->Call("GET", "show", id, "").state;
+      const bool has_ended =
+          state == "done" || state == "failed" || state == "cancelled";
+      asked_after_end += has_ended ? 1 : 0;
+    }
+  }
+
+  // Whether the job was accepted, or may have been.
+  bool Submit(const std::string& id) {
+    const nlohmann::json job = this->NewJob();
+    this->load.log.Add({{"event", "job"}, {"id", id}, {"steps", job["steps"]}});
+    for (int attempt = 0; attempt < kMostAttempts; ++attempt) {
+      const int status = this->Call("POST", "submit", id, job.dump()).status;
+      constexpr std::array kFinal{200, 404, 429, 503};
+      if (std::find(kFinal.begin(), kFinal.end(), status) != kFinal.end()) {
+        return status == 200;
+      }
+    }
+    return true;
+  }
+
+  nlohmann::json NewJob() {
+    nlohmann::json step = {{"count", 2 + this->Draw(6)},
+                           {"cpu", 500},
+                           {"mem_mb", 10},
+                           {"estimate_ms", 400}};
+    if (this->is_lasting) {
+      step["long_running"] = true;
+      step["miss_allowance"] = 1;
+      step["cpu"] = 1'000;
+      return {{"spec", "lasting"}, {"steps", {step}}};
+    }
+    nlohmann::json last = step;
+    last["count"] = 1;
+    last["after"] = {0};
+    return {{"spec", "x"}, {"steps", {step, last}}};
+  }
+
+  struct Answer {
+    // 0 for no whole answer.
+    int status = 0;
+    std::string state;
+  };
+
+  // Calls any entry and logs what came.
+  Answer Call(const std::string& method,
+              const std::string& event,
+              const std::string& id,
+              const std::string& body) {
+    const std::size_t entry = this->Draw(this->load.entries.size());
+    const SteadyTime began_at = this->load.clock.SteadyNow();
+    std::string error;
+    Answer answer = this->TryCall(entry, method, id, body, error);
+    const Milliseconds took = this->load.clock.SteadyNow() - began_at;
+    this->load.log.Add({{"event", event},
+                        {"id", id},
+                        {"entry", this->load.entries[entry]},
+                        {"took", took.count()},
+                        {"status", answer.status},
+                        {"state", answer.state},
+                        {"error", error}});
+    return answer;
+  }
+
+  Answer TryCall(std::size_t entry,
+                 const std::string& method,
+                 const std::string& id,
+                 const std::string& body,
+                 std::string& error) {
+    auto& session = this->sessions[entry];
+    try {
+      if (!session) {
+        session = std::make_unique<Poco::Net::HTTPClientSession>(
+            Poco::Net::SocketAddress(this->load.entries[entry]));
+        session->setKeepAlive(true);
+        session->setTimeout(Poco::Timespan(kLongestWait.count() * 1'000));
+      }
+      const std::string& prefix =
+          this->is_lasting ? this->load.lasting_prefix : this->load.prefix;
+      Poco::Net::HTTPRequest request(method, prefix + id,
+                                     Poco::Net::HTTPMessage::HTTP_1_1);
+      request.setHost(this->load.host);
+      request.set(kDeadlineHeader, StrCat(kDeadline.count()));
+      request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+      session->sendRequest(request) << body << std::flush;
+      Poco::Net::HTTPResponse response;
+      std::string text;
+      const auto read = Poco::StreamCopier::copyToString64(
+          session->receiveResponse(response), text);
+      if (response.hasContentLength() &&
+          response.getContentLength64() != static_cast<Poco::Int64>(read)) {
+        error = "cut answer";
+        session.reset();
+        return {};
+      }
+      if (!response.getKeepAlive()) {
+        session.reset();
+      }
+      const auto document = nlohmann::json::parse(text, nullptr, false);
+      return {.status = response.getStatus(),
+              .state = document.is_object() ? document.value("state", "") : ""};
+    } catch (const Poco::Exception& exception) {
+      error = exception.displayText();
+      session.reset();
+      return {};
+    }
+  }
+
+  std::uint64_t Draw(std::uint64_t count) { return this->random() % count; }
+  void Pause() {
+    std::this_thread::sleep_for(
+        Milliseconds(this->Draw(kLongestPause.count())));
+  }
+
+  Load& load;
+  std::mt19937_64 random;
+  std::vector<std::unique_ptr<Poco::Net::HTTPClientSession>> sessions;
+  // Its jobs last until the end.
+  bool is_lasting;
+};
+
+options::options_description DescribeOptions() {
+  options::options_description description("Options");
+  auto add = description.add_options();
+  add("entries", options::value<std::string>()->required(),
+      "callers' doors, by commas");
+  add("host", options::value<std::string>()->required());
+  add("prefix", options::value<std::string>()->required());
+  add("lasting-prefix", options::value<std::string>()->required(),
+      "the queue of jobs that last");
+  add("log", options::value<std::string>()->required());
+  add("seed", options::value<std::uint64_t>()->default_value(1));
+  add("threads", options::value<std::uint64_t>()->default_value(8));
+  add("seconds", options::value<int>()->required(),
+      "new jobs are submitted for so long");
+  add("settle-seconds", options::value<int>()->default_value(40),
+      "and asked for until they end, this much longer at most");
+  return description;
+}
+
+void RunLoad(const options::variables_map& arguments) {
+  Load load(arguments["log"].as<std::string>());
+  load.entries = absl::StrSplit(arguments["entries"].as<std::string>(), ',');
+  load.host = arguments["host"].as<std::string>();
+  load.prefix = arguments["prefix"].as<std::string>();
+  load.lasting_prefix = arguments["lasting-prefix"].as<std::string>();
+  load.seed = arguments["seed"].as<std::uint64_t>();
+  load.submits_until = load.clock.SteadyNow() +
+                       std::chrono::seconds(arguments["seconds"].as<int>());
+  load.asks_until = load.submits_until +
+                    std::chrono::seconds(arguments["settle-seconds"].as<int>());
+  std::vector<std::thread> threads;
+  const auto count = arguments["threads"].as<std::uint64_t>();
+  for (std::uint64_t number = 0; number < count; ++number) {
+    threads.emplace_back([&load, number] { JobCaller(load, number).Run(); });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+}
+
+}  // namespace
+}  // namespace sumac::stand_ins
+
+int main(int argument_count, char** argument_values) {
+  namespace options = boost::program_options;
+  options::variables_map arguments;
+  try {
+    options::store(
+        options::parse_command_line(argument_count, argument_values,
+                                    sumac::stand_ins::DescribeOptions()),
+        arguments);
+    options::notify(arguments);
+  } catch (const options::error& error) {
+    std::cerr << error.what() << "\n" << sumac::stand_ins::DescribeOptions();
+    return 2;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  sumac::stand_ins::RunLoad(arguments);
+  return 0;
+}
