Tests: End a leaving stand-in worker before its DELETE is sent

The leader had taken w3's DELETE and placed the task anew at once; the stand-in ran on until the answer, which a link delayed, had come. The platform's page says that a worker sends its DELETE and ends, so this is the stand-in's fault, not the product's. Its runs now die before the DELETE goes out, and later calls get 503.

--- a/tests/stand_ins/task_worker.cc
+++ b/tests/stand_ins/task_worker.cc
@@ -12,6 +12,7 @@
 
 constexpr std::uint32_t kConflict = 409;
 constexpr std::uint32_t kMisdirected = 421;
+constexpr std::uint32_t kUnavailable = 503;
 constexpr const char* kExpectedWorkerHeader = "Sumacstack-Expected-Instance";
 // A job whose text this is has tasks that last until they are stopped.
 constexpr const char* kLastingSpec = "lasting";
@@ -92,16 +93,18 @@
       {{"event", "leaves"}, {"worker", this->settings.description.id.value()}});
   return this->timer.afterDelay(ToKj(this->settings.leave_time))
       .then([this] {
+        // Nothing may run here once the system can know that it has gone.
+        this->Tick(this->clock.SteadyNow());
+        this->worker.Crash();
+        this->log.Add({{"event", "gone"},
+                       {"worker", this->settings.description.id.value()}});
         return this->controls[this->next_control % this->controls.size()]->Call(
             {.method = kj::HttpMethod::DELETE,
              .path =
                  StrCat("/instances/", this->settings.description.id.value())},
             kCallLimit);
       })
-      .then([this](const http::CallReply&) {
-        this->log.Add({{"event", "gone"},
-                       {"worker", this->settings.description.id.value()}});
-      });
+      .ignoreResult();
 }
 
 kj::Promise<void> TaskWorker::TickLoop() {
@@ -200,6 +203,9 @@
     const http::DoorRequest& request) {
   const SteadyTime now = this->clock.SteadyNow();
   this->Tick(now);
+  if (!this->worker.is_up) {
+    return http::DoorReply{.status = kUnavailable};
+  }
   const auto expected = request.headers.find(kExpectedWorkerHeader);
   if (expected != request.headers.end() &&
       expected->second != this->settings.description.id.value()) {
