Tests: Keep soaks apart and let them end

A soak now takes a lock for its network and waits for it, and meta/soak.sh's first network can be chosen.

A paused worker is woken before it is killed, since it could not log that its leases lapsed meanwhile.

--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -11,8 +11,8 @@
 build_folder=${SUMAC_BUILD:-build}
 export SUMAC_SOAK_KEEP=${SUMAC_SOAK_KEEP:-$build_folder/soak}
 lanes=${SUMAC_SOAK_LANES:-2}
-# The first of the loopback networks that lanes use; ctest's soak has 40.
-first_network=41
+# The first of the loopback networks that lanes use; ctest's soak has 40. Two scripts at once need their own.
+first_network=${SUMAC_SOAK_NETWORK:-41}
 
 [ $# -ge 1 ] || {
   sed -n '3,7s/^# //p' "${BASH_SOURCE[0]}" >&2
@@ -32,7 +32,7 @@
   for ((place = $1; place < ${#seeds[@]}; place += lanes)); do
     log=$SUMAC_SOAK_KEEP/seed-${seeds[place]}.txt
     if tests/processes/soak.sh "$build_folder" "${seeds[place]}" "$seconds" $((first_network + $1)) >"$log" 2>&1; then
-      echo "passed  ${seeds[place]}  $(tail -1 "$log"), $(grep -c '^KNOWN-RED' "$log" || true) of them known"
+      echo "passed  ${seeds[place]}  $(grep "^[0-9].* broken$" "$log" || true), $(grep -c '^KNOWN-RED' "$log" || true) of them known"
     else
       echo "FAILED  ${seeds[place]}  $(grep -E '^(FAILED|BROKEN)' "$log" | head -3 | tr '\n' ';')"
     fi
--- a/tests/processes/soak.sh
+++ b/tests/processes/soak.sh
@@ -6,7 +6,7 @@
 # once more at the end.
 # usage: soak.sh BUILD_FOLDER SEED SECONDS [NETWORK]
 # NETWORK is the third number of the loopback addresses. With SUMAC_SOAK_KEEP set, the logs of a soak that
-# fails are copied to that folder.
+# fails are copied to that folder, with SUMAC_SOAK_KEEP_ALL those of all.
 set -euo pipefail
 source "$(dirname "${BASH_SOURCE[0]}")/harness.sh"
 
@@ -15,6 +15,13 @@
 network=127.0.${4:-40}
 RANDOM=$seed
 
+# Two soaks on the same addresses would answer each other's calls.
+exec {lock}>"/tmp/sumac-soak-$network.lock"
+flock -w 120 "$lock" || {
+  echo "FAILED  another soak uses the network $network"
+  exit 1
+}
+
 # How old events must be for a check while the soak runs: a paused process logs late.
 settled_ms=15000
 # How long jobs may take to end once all faults are over.
@@ -189,6 +196,11 @@
   is_alive "$1" || return 0
   told[$1]=${told[$1]:-$2}
   [ "$2" = TERM ] || told[$1]=KILL
+  if [ "$2" = KILL ] && [[ $1 == w* ]]; then
+    # A paused worker would die without a word about the leases that lapsed meanwhile.
+    kill -CONT "${pids[$1]}"
+    sleep 0.1
+  fi
   [ "$2" = TERM ] || note killed process "$1"
   note_harm "$1"
   kill "-$2" "${pids[$1]}"
@@ -277,7 +289,8 @@
     carry_out CONT "$name"
     carry_out START "$name"
   done
-  wait "${declares[@]}" || true
+  # Without a process id this would wait for all.
+  [ "${#declares[@]}" = 0 ] || wait "${declares[@]}" || true
 }
 
 make_plan | sort -n -s >"$work/plan"
@@ -306,7 +319,7 @@
 check "no promise is broken in the whole history" check_events 0
 grep -F "${known:-nothing is known}" "$work/checked" | sed 's/^BROKEN/KNOWN-RED/' || true
 grep -vF "${known:-nothing is known}" "$work/checked"
-if [ "$failures" != 0 ] && [ -n "${SUMAC_SOAK_KEEP:-}" ]; then
+if [ -n "${SUMAC_SOAK_KEEP:-}" ] && { [ "$failures" != 0 ] || [ -n "${SUMAC_SOAK_KEEP_ALL:-}" ]; }; then
   mkdir -p "$SUMAC_SOAK_KEEP"
   cp -r "$work" "$SUMAC_SOAK_KEEP/seed-$seed"
   echo "logs kept in $SUMAC_SOAK_KEEP/seed-$seed"
