Tests: Let workers of a soak stand still, and fill them

Workers now stand still for a while, which the scheduler answers with stops, and have half the room for twice the callers.

--- a/tests/processes/soak.sh
+++ b/tests/processes/soak.sh
@@ -78,7 +78,7 @@
 start_process() {
   case "$1" in
     w*) start_other "$1" "$bin/task_workers_stand_in" --count "$workers_each" --ip "$network.3${1#w}" \
-      --listen-ip "$network.5${1#w}" --controls "$controls" --work-ms 400 --millicores 4000 \
+      --listen-ip "$network.5${1#w}" --controls "$controls" --work-ms 400 --millicores 2000 \
       --leave-ms 2500 --process "$1" --log "$work/events-$1" ;;
     *) start_other "$1" "$bin/sumacd" --settings "$work/$1/settings.json" ;;
   esac
@@ -123,7 +123,7 @@
     draw 100 1800
     at=$((at + drawn))
     [ "$at" -lt "$end" ] || break
-    pick kill kill term term pause pause pause hup declare worker-kill worker-term worker-pause blackout \
+    pick kill kill term term pause pause pause hup declare worker-kill worker-term worker-pause worker-stall blackout \
       link link link link link
     case "$picked" in
       kill | term)
@@ -164,6 +164,13 @@
         draw 100 9000
         plan $((at + drawn)) CONT "$picked"
         ;;
+      worker-stall)
+        # From WINCH to URG they stand still; neither ends one that does not take signals yet.
+        pick "${workers[@]}"
+        plan "$at" WINCH "$picked"
+        draw 100 3000
+        plan $((at + drawn)) URG "$picked"
+        ;;
       blackout)
         draw 200 2500
         for name in "${controllers[@]}"; do
@@ -237,7 +244,7 @@
   case "$1" in
     KILL | TERM) end_process "$2" "$1" ;;
     START) [ -z "${told[$2]:-}" ] && is_alive "$2" || waits_to_start[$2]=1 ;;
-    STOP | CONT | HUP)
+    STOP | CONT | HUP | WINCH | URG)
       if is_alive "$2"; then
         note_harm "$2"
         kill "-$1" "${pids[$2]}"
@@ -287,6 +294,7 @@
   for link in "${!links[@]}"; do call_proxy "$link" pass/0; done
   for name in "${nodes[@]}" "${workers[@]}"; do
     carry_out CONT "$name"
+    [[ $name != w* ]] || carry_out URG "$name"
     carry_out START "$name"
   done
   # Without a process id this would wait for all.
@@ -308,7 +316,7 @@
 for name in "${workers[@]}"; do start_process "$name"; done
 start_other callers "$bin/job_caller_stand_in" --entries "$network.11:8624,$network.12:8624" \
   --host desk.example --prefix /clips/ --lasting-prefix /lasting/ --log "$work/events-callers" \
-  --seed "$seed" --seconds "$seconds" --settle-seconds "$settle_seconds"
+  --seed "$seed" --threads 12 --seconds "$seconds" --settle-seconds "$settle_seconds"
 check "no promise is broken while faults come" run_plan
 heal
 callers_are_over() {
--- a/tests/stand_ins/task_worker.h
+++ b/tests/stand_ins/task_worker.h
@@ -53,6 +53,11 @@
   // controllers had time to move its tasks.
   kj::Promise<void> Leave();
 
+  // While it does, what is started there never gets on.
+  void set_stands_still(bool stands_still) {
+    this->worker.stands_still = stands_still;
+  }
+
   std::uint64_t starts() const { return this->start_count; }
   std::uint64_t done() const { return this->done_count; }
 
--- a/tests/stand_ins/task_workers_main.cc
+++ b/tests/stand_ins/task_workers_main.cc
@@ -32,6 +32,21 @@
   return parts;
 }
 
+using Workers = std::vector<std::unique_ptr<sumac::stand_ins::TaskWorker>>;
+
+// Lets all workers stand still, or work again, at each `signal_number`.
+kj::Promise<void> FollowSignal(kj::UnixEventPort& port,
+                               int signal_number,
+                               Workers& workers) {
+  return port.onSignal(signal_number)
+      .then([&port, signal_number, &workers](siginfo_t&&) {
+        for (const auto& worker : workers) {
+          worker->set_stands_still(signal_number == SIGWINCH);
+        }
+        return FollowSignal(port, signal_number, workers);
+      });
+}
+
 }  // namespace
 
 int main(int argument_count, char** argument_values) {
@@ -59,13 +74,15 @@
   options::notify(arguments);
 
   signal(SIGPIPE, SIG_IGN);
+  kj::UnixEventPort::captureSignal(SIGWINCH);
+  kj::UnixEventPort::captureSignal(SIGURG);
   const sumac::Milliseconds leave_time(arguments["leave-ms"].as<int>());
   if (leave_time > sumac::Milliseconds(0)) {
     kj::UnixEventPort::captureSignal(SIGTERM);
   }
   sumac::stand_ins::EventLog log(arguments["log"].as<std::string>());
   kj::AsyncIoContext io = kj::setupAsyncIo();
-  std::vector<std::unique_ptr<sumac::stand_ins::TaskWorker>> workers;
+  Workers workers;
   std::vector<kj::Promise<void>> running;
   const auto service = arguments["service"].as<std::string>();
   const auto process = arguments["process"].as<std::string>();
@@ -98,6 +115,10 @@
         io.provider->getNetwork(), io.provider->getTimer(), settings, log));
     running.push_back(workers.back()->Run().eagerlyEvaluate(nullptr));
   }
+  for (const int signal_number : {SIGWINCH, SIGURG}) {
+    running.push_back(FollowSignal(io.unixEventPort, signal_number, workers)
+                          .eagerlyEvaluate(nullptr));
+  }
   std::cout << "ready" << std::endl;
   if (leave_time == sumac::Milliseconds(0)) {
     kj::NEVER_DONE.wait(io.waitScope);
