--- a/tests/libraries/scheduler/fake_worker.h
+++ b/tests/libraries/scheduler/fake_worker.h
@@ -75,6 +75,11 @@
   const std::vector<EndReport>& all_ends() const { return this->every_end; }
   // Ends numbered up to this were acknowledged.
   std::uint64_t acknowledged_ends() const { return this->acknowledged; }
+  // Ends that are not acknowledged, in their order.
+  const std::vector<EndReport>& unacknowledged_ends() const {
+    return this->ended;
+  }
+  WorkerTime lease_ends_at() const { return this->lease_end; }
 
   jobs::Worker description;
   bool is_up = true;
