--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -962,5 +962,22 @@
   EXPECT_TRUE(fleet.scheduler->MayTakeAway(task, fleet.now));
 }
 
+// A leader changed while the worker of a job's only tasks was silent. Whether
+// the job had begun was in the memory of the leader before, so callers who had
+// been shown "running" were shown "queued" for as long.
+TEST(SchedulerTest, AJobThatWasShownAsRunningIsNeverQueuedAgain) {
+  FakeFleet fleet(1);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 1, .is_long_running = true});
+  EXPECT_FALSE(fleet.scheduler->HasBegun(fleet.job("job")));
+  fleet.PassTime(Milliseconds(300));
+  ASSERT_TRUE(fleet.scheduler->HasBegun(fleet.job("job")));
+  fleet.worker("w0").is_cut = true;
+  fleet.ChangeLeader();
+  EXPECT_TRUE(fleet.scheduler->HasBegun(fleet.job("job")));
+  fleet.PassTime(Milliseconds(2'000));
+  EXPECT_TRUE(fleet.scheduler->HasBegun(fleet.job("job")));
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
