Sumacd: Ask no platform that has no door for instances

A leader with an empty instances door looked up an empty address every 0.3 s, each time on a thread of its own, and logged that nothing was listed.

--- a/libraries/maintenance/instance_calls.h
+++ b/libraries/maintenance/instance_calls.h
@@ -13,6 +13,7 @@
 namespace sumac::maintenance {
 
 // How a leader reaches the platform about instances; an adapter provides it.
+// Empty functions where the platform has no door for that.
 struct InstanceCalls {
   // One page of the list; an empty token asks for the first.
   std::function<kj::Promise<absl::StatusOr<InstancePage>>(std::string token)>
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -76,6 +76,11 @@
     return;
   }
   this->last_plan = now;
+  if (!this->calls.list) {
+    // The platform has no door for instances; a look-up of no address would
+    // also run on a thread that outlives a planned stop.
+    return;
+  }
   this->RefreshList(now);
   std::map<InstanceName, maintenance::InstanceFacts> facts =
       this->GatherFacts();
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -199,7 +199,9 @@
   };
   this->controller = TRY(JobController::Create(
       this->settings, this->peers, this->timer, this->metrics,
-      platform::ReadDeclaration, std::move(calls), this->instances.Calls()));
+      platform::ReadDeclaration, std::move(calls),
+      this->settings.instances_door.empty() ? maintenance::InstanceCalls()
+                                            : this->instances.Calls()));
   this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
                                           this->timer, this->controller.get());
   TRY(this->ListenToPeers());
