Jobs, Scheduler: Keep on record that a job has begun

Cause: whether a job had begun was in its leader's memory, so a new leader showed running jobs as queued until a worker reported or a task ended.

A command of each pass names the jobs that have begun since; a job counts as begun once that is on record, so what callers were shown holds over changes of leader. Ruled out: showing jobs as running while workers are silent, which is not known to be true.

Before: AJobThatWasShownAsRunningIsNeverQueuedAgain failed. After: scheduler_test 91 of 91.

--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -122,6 +122,18 @@
   }
 };
 
+// Jobs of which a task has begun. What callers were shown must not depend on
+// the memory of one leader.
+struct RecordBegun {
+  static constexpr std::string_view kTypeName = "record-begun";
+  std::vector<JobId> jobs;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Required("jobs", self.jobs);
+  }
+};
+
 // Operators ask for the maintenance of some instances.
 struct StartWave {
   static constexpr std::string_view kTypeName = "start-wave";
@@ -188,6 +200,7 @@
                              SubmitJob,
                              CancelJob,
                              RecordEnds,
+                             RecordBegun,
                              StartWave,
                              RecordMaintenance,
                              RecordMoves>;
--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -83,6 +83,8 @@
   std::uint64_t sequence = 0;
   WallTime accepted_at{};
   JobState state = JobState::kActive;
+  // A task of it has begun.
+  bool has_begun = false;
   WallTime finished_at{};
   // Why it failed, for people.
   std::string reason;
@@ -135,6 +137,7 @@
     visitor.Field("sequence", self.sequence);
     visitor.Field("accepted_at", self.accepted_at);
     visitor.Field("state", self.state);
+    visitor.Field("has_begun", self.has_begun);
     visitor.Field("finished_at", self.finished_at);
     visitor.Field("reason", self.reason);
     visitor.Field("occurrences", self.occurrences);
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -198,6 +198,16 @@
   return fleet::Answer::Success("recorded");
 }
 
+fleet::Answer JobsState::Take(const RecordBegun& command, WallTime /*at*/) {
+  for (const JobId& id : command.jobs) {
+    const auto found = this->own_record.jobs.find(id);
+    if (found != this->own_record.jobs.end()) {
+      found->second.has_begun = true;
+    }
+  }
+  return fleet::Answer::Success("recorded");
+}
+
 void JobsState::TakeEnd(const RunEnd& end, WallTime at) {
   const auto found = this->own_record.jobs.find(end.task.step.job);
   if (found == this->own_record.jobs.end()) {
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -114,6 +114,7 @@
   fleet::Answer Take(const SubmitJob& command, WallTime at);
   fleet::Answer Take(const CancelJob& command, WallTime at);
   fleet::Answer Take(const RecordEnds& command, WallTime at);
+  fleet::Answer Take(const RecordBegun& command, WallTime at);
   fleet::Answer Take(const StartWave& command, WallTime at);
   fleet::Answer Take(const RecordMaintenance& command, WallTime at);
   fleet::Answer Take(const RecordMoves& command, WallTime at);
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -299,7 +299,7 @@
   }
   if (is_wanted) {
     this->tasks.Get(running.task).placed = {session.worker().id, running.run};
-    this->tasks.MarkBegun(running.task.step.job);
+    this->NoteBegun(*job);
   }
   this->needs_plan = true;
   this->notes.Add(is_wanted ? "run-adopted" : "run-unwanted", running.task,
@@ -377,6 +377,13 @@
   }
 }
 
+// Each start of a job's tasks asks for the record until it is there.
+void Scheduler::NoteBegun(const jobs::Job& job) {
+  if (!job.has_begun && job.is_active()) {
+    this->begun.insert(job.id);
+  }
+}
+
 void Scheduler::TakeStartAnswer(const StartOrder& order,
                                 const OrderAnswer& answer,
                                 SteadyTime now) {
@@ -398,7 +405,9 @@
       if (run->phase == RunPhase::kOrdered) {
         run->phase = RunPhase::kRunning;
       }
-      this->tasks.MarkBegun(order.task.step.job);
+      if (const jobs::Job* job = this->state.FindJob(order.task.step.job)) {
+        this->NoteBegun(*job);
+      }
       break;
     case OrderResult::kNoRoom:
       session.full_until = now + this->settings.full_pause;
@@ -618,6 +627,11 @@
   }
   output.question = this->advice.NextQuestion(now);
   this->tasks.DropFinished(this->state);
+  if (!this->begun.empty()) {
+    output.commands.emplace_back(
+        jobs::RecordBegun{{this->begun.begin(), this->begun.end()}});
+    this->begun.clear();
+  }
   output.events = this->notes.Take();
   return output;
 }
@@ -1162,7 +1176,7 @@
 }
 
 bool Scheduler::HasBegun(const jobs::Job& job) const {
-  return !job.occurrences.empty() || this->tasks.HasBegun(job.id);
+  return job.has_begun || !job.occurrences.empty();
 }
 
 std::uint64_t Scheduler::CountPending(const QueueName& queue) const {
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -168,7 +168,7 @@
   // Makes Plan look at the jobs anew, after a commit.
   void Wake() { this->needs_plan = true; }
 
-  // True if a task of the job has begun, as far as this leader knows.
+  // True if it is on record that a task of the job has begun.
   bool HasBegun(const jobs::Job& job) const;
   // What the tasks of each service need now: those that run and those that
   // could.
@@ -215,6 +215,7 @@
                 const RenewReport& report,
                 bool is_adopting,
                 SteadyTime now);
+  void NoteBegun(const jobs::Job& job);
   void TakeStartAnswer(const StartOrder& order,
                        const OrderAnswer& answer,
                        SteadyTime now);
@@ -306,6 +307,8 @@
   // Services of which some worker has not told yet what runs there.
   std::set<ServiceName> uncertain;
   std::set<InstanceName> cordoned;
+  // Jobs of which a task has begun, until the record is asked for.
+  std::set<JobId> begun;
   // Lives that are over for certain, until that is on record, and when to ask
   // for the record (again).
   std::map<WorkerId, SteadyTime> over;
--- a/libraries/scheduler/task_table.cc
+++ b/libraries/scheduler/task_table.cc
@@ -43,11 +43,6 @@
   return step[task.index];
 }
 
-bool TaskTable::HasBegun(const JobId& job) const {
-  const auto found = this->jobs.find(job);
-  return found != this->jobs.end() && found->second.has_begun;
-}
-
 bool TaskTable::JobMemory::has_open_task() const {
   for (const auto& [number, steps] : this->occurrences) {
     for (const Step& step : steps) {
--- a/libraries/scheduler/task_table.h
+++ b/libraries/scheduler/task_table.h
@@ -55,10 +55,6 @@
   // The memory of a task, made if it is new.
   TaskMemory& Get(const jobs::TaskId& task);
 
-  // Notes that a task of the job has begun, and tells whether one has.
-  void MarkBegun(const JobId& job) { this->jobs[job].has_begun = true; }
-  bool HasBegun(const JobId& job) const;
-
   // Forgets jobs that are finished and of which nothing runs; looks at a few
   // jobs in each call.
   void DropFinished(const jobs::JobsState& state);
@@ -67,7 +63,6 @@
   using Step = std::vector<TaskMemory>;
   struct JobMemory {
     std::map<std::uint32_t, std::vector<Step>> occurrences;
-    bool has_begun = false;
 
     // True while a run may exist or an end is not on record yet.
     bool has_open_task() const;
