Tests: Show an end that the soak's checker passes over

The kill of w3 was noted at ..6322, two of its tasks ended as done at ..6328 and ..6329, and the process was dead by ..6332.

--- a/tests/stand_ins/soak_checks_test.cc
+++ b/tests/stand_ins/soak_checks_test.cc
@@ -118,6 +118,14 @@
   EXPECT_EQ(Find(SoundHistory()), std::vector<std::string>());
 }
 
+// The soak notes a kill just before it kills. A task that ended as done in
+// between was taken for lost, and its job for shown done too early.
+TEST(SoakChecks, KnowsAnEndBetweenTheNoteOfAKillAndTheKill) {
+  std::vector<json> events = SoundHistory();
+  events.push_back(Note(3'198, "killed", "process", "process-of-b"));
+  EXPECT_EQ(Find(events), std::vector<std::string>());
+}
+
 TEST(SoakChecks, FindsARunBesideAnother) {
   std::vector<json> events = SoundHistory();
   events.push_back(Life(0, "c"));
