--- a/tests/stand_ins/soak_history.cc
+++ b/tests/stand_ins/soak_history.cc
@@ -102,7 +102,8 @@
     this->all_runs[index].ended_at = at;
     this->all_runs[index].cause = "died";
   }
-  life.running.clear();
+  // Its runs stay known: one may yet end by itself between the note of a kill
+  // and the kill.
   life.gone_at = at;
 }
 
