--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -39,7 +39,7 @@
   done
 }
 
-outcomes=$SUMAC_SOAK_KEEP/outcomes-$(date +%s).txt
+outcomes=$SUMAC_SOAK_KEEP/outcomes-$(date +%s)-$$.txt
 running=()
 for lane in $(seq 0 $((lanes - 1))); do
   run_lane "$lane" &
