Tests: Show two ways left for a late loop to take answers for silence

A loop that comes back within 15 ms of a limit gives an answer up that lies in the socket; and an answer read late sets the estimate of the worker's clock back, so that the next lease of 6 s is 3 s long. Both tests fail. The two tests of the limit that asked for an immediate end of the wait were wrong for that reason; they ask for one more round of 15 ms and then the end.

--- a/tests/libraries/base/response_limit_test.cc
+++ b/tests/libraries/base/response_limit_test.cc
@@ -8,18 +8,27 @@
 
 constexpr SteadyTime kBegin{Milliseconds(1'000)};
 constexpr Milliseconds kLimit{400};
-
-TEST(ResponseLimitTest, APunctualTimerMeansThatNoAnswerCame) {
-  ResponseLimit limit(kLimit, kBegin);
-  EXPECT_FALSE(limit.WaitMore(kBegin + kLimit));
-  EXPECT_FALSE(limit.WaitMore(kBegin + kLimit + Milliseconds(5)));
+constexpr Milliseconds kLastRound{15};
+
+// A loop that stood still may come back right at the limit: that its timer is
+// punctual does not say that it has read. With an answer in the socket and the
+// loop back 3, 7 or 11 ms after the limit the answer was given up, 5 of 5 times
+// each.
+TEST(ResponseLimitTest, APunctualTimerGivesTheLoopOneRoundToRead) {
+  for (const Milliseconds late : {Milliseconds(0), Milliseconds(5)}) {
+    ResponseLimit limit(kLimit, kBegin);
+    const SteadyTime fired = kBegin + kLimit + late;
+    EXPECT_EQ(limit.WaitMore(fired), kLastRound);
+    EXPECT_FALSE(limit.WaitMore(fired + kLastRound));
+  }
 }
 
 // A loop's timers count from its last round, so they may fire early.
 TEST(ResponseLimitTest, AnEarlyTimerWaitsForTheRest) {
   ResponseLimit limit(kLimit, kBegin);
   EXPECT_EQ(limit.WaitMore(kBegin + Milliseconds(350)), Milliseconds(50));
-  EXPECT_FALSE(limit.WaitMore(kBegin + kLimit));
+  EXPECT_EQ(limit.WaitMore(kBegin + kLimit), kLastRound);
+  EXPECT_FALSE(limit.WaitMore(kBegin + kLimit + kLastRound));
 }
 
 // The loop stood still for 120 ms: it must read what came meanwhile before it
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -979,5 +979,23 @@
   EXPECT_TRUE(fleet.scheduler->HasBegun(fleet.job("job")));
 }
 
+// A leader read an answer 3 s late and took the worker's clock for what it had
+// been then, so the next lease of 6 s was over after 3.
+TEST(SchedulerTest, AnAnswerThatIsReadLateShortensNoLease) {
+  constexpr WorkerTime kReading{100'000};
+  constexpr Milliseconds kLate{3'000};
+  const LeaseSettings lease;
+  SteadyTime now{Milliseconds(50'000)};
+  WorkerSession session(jobs::Worker{.id = WorkerId("w")}, lease, now);
+  session.NoteClock(kReading, now);
+  // It answered 10 ms later, and that is read 3 s later.
+  now += kLate;
+  session.NoteClock(WorkerTime(kReading.value() + 10), now);
+  const std::int64_t there = kReading.value() + kLate.count();
+  const WorkerTime granted = session.GrantLease(now);
+  EXPECT_GE(granted.value() - there, lease.length.count() * 98 / 100);
+  EXPECT_LE(granted.value() - there, lease.length.count());
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
