Base, Scheduler: Take no late answer for a missing or an old one

Causes: a timer that fires within 15 ms of its limit counted as proof that the loop had read, though it may come back from a standstill right then; and a reading of a worker's clock that was read late replaced a better estimate.

Now a wait always ends with one more round of 15 ms at least, and a clock's reading is taken only if it is above what the one before foretells with the slowest clock allowed. A worker that is being forgotten is asked for again only after 10 s: a second command could come after it announced itself.

--- a/libraries/base/response_limit.h
+++ b/libraries/base/response_limit.h
@@ -12,8 +12,8 @@
 // Decides when an answer that has not come counts as missing, on an event loop
 // that may be late itself. A timer that fires late says as much about this
 // process as about the other side: the answer may lie in the socket, unread. So
-// after a late timer the loop gets one more round, as long as it was late, to
-// read what has come. Without that a leader short of processor time took up to
+// the loop gets one more round after its timer, as long as it was late, to read
+// what has come. Without that a leader short of processor time took up to
 // a sixth of its workers' answers for lost and gave twice the orders, which
 // made it later still. Pure.
 class ResponseLimit {
@@ -27,11 +27,14 @@
     if (late < Milliseconds(0)) {
       return -late;
     }
-    if (late < kPunctual || this->rounds == kMostRounds) {
+    // NOTE: The first timer says nothing, however punctual: a loop that stood
+    // still may come back right at the limit.
+    const bool had_round = this->rounds > 0 && late < kPunctual;
+    if (had_round || this->rounds == kMostRounds) {
       return std::nullopt;
     }
     ++this->rounds;
-    const Milliseconds more = std::min(late, kLongestRound);
+    const Milliseconds more = std::clamp(late, kPunctual, kLongestRound);
     this->due = now + more;
     return more;
   }
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -710,7 +710,9 @@
   }
   for (auto& [id, ask_again_at] : this->forgotten) {
     if (now >= ask_again_at) {
-      ask_again_at = now + this->settings.forget_retry;
+      // Not again while the first may still be on its way: a second one could
+      // come after the worker announced itself anew.
+      ask_again_at = now + this->settings.forget_after;
       output.commands.emplace_back(jobs::ForgetWorker{id, false});
     }
   }
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -56,12 +56,17 @@
                     .acknowledged_ends = this->acknowledged_ends};
 }
 
-WorkerTime WorkerSession::GrantLease(SteadyTime now) {
+WorkerTime WorkerSession::ClockAt(SteadyTime now) const {
   const auto [reading, read_at] = *this->clock;
   const std::int64_t passed = (now - read_at).count() *
                               (kPermille - this->settings.slow_clock_permille) /
                               kPermille;
-  const WorkerTime lease_end(reading.value() + passed +
+  return WorkerTime(reading.value() + passed);
+}
+
+WorkerTime WorkerSession::GrantLease(SteadyTime now) {
+  const auto [reading, read_at] = *this->clock;
+  const WorkerTime lease_end(this->ClockAt(now).value() +
                              this->settings.length.count());
   // The worker's clock was at `reading` at `read_at` at the latest, and may run
   // slow from then on.
@@ -73,7 +78,8 @@
 }
 
 void WorkerSession::NoteClock(WorkerTime reading, SteadyTime now) {
-  if (!this->clock || reading >= this->clock->first) {
+  // An answer that was read late tells less than the one before.
+  if (!this->clock || reading >= this->ClockAt(now)) {
     this->clock = {reading, now};
   }
 }
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -181,6 +181,9 @@
   SteadyTime last_answer{};
 
  private:
+  // What the worker's clock shows at least. Only after it is known.
+  WorkerTime ClockAt(SteadyTime now) const;
+
   jobs::Worker description;
   LeaseSettings settings;
   bool has_answered = false;
