--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -997,5 +997,27 @@
   EXPECT_LE(granted.value() - there, lease.length.count());
 }
 
+// "its lease is over" was said of 1,590 runs by a leader that had not heard of
+// their workers because it was late itself. The clock says that a run must have
+// ended, not how; only a worker that is asked after that and keeps silent has
+// nothing to tell.
+TEST(SchedulerTest, ALapseIsBelievedOnlyAfterAQuestionInVain) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(300));
+  ASSERT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w0"});
+  const auto& session = fleet.scheduler->sessions().at(WorkerId("w0"));
+  fleet.renews = false;
+  fleet.PassTime(fleet.settings.lease.length + Milliseconds(2'000));
+  EXPECT_EQ(session.runs().size(), 1U);
+  fleet.worker("w0").is_cut = true;
+  fleet.renews = true;
+  fleet.PassTime(Milliseconds(1'500));
+  EXPECT_TRUE(session.runs().empty());
+  EXPECT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w1"});
+  EXPECT_EQ(fleet.problem, "");
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
