--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -335,14 +335,12 @@
   }
 }
 
-void Scheduler::TakeRenewalFailure(const WorkerId& worker,
-                                   OrderResult result,
-                                   SteadyTime now) {
+void Scheduler::TakeRenewalFailure(const WorkerId& worker, OrderResult result) {
   WorkerSession* session = this->FindSession(worker);
   if (session == nullptr) {
     return;
   }
-  session->NoteFailure(now);
+  session->NoteFailure();
   if (result == OrderResult::kOtherLife) {
     this->EndReplacedWorker(worker);
   }
@@ -434,7 +432,7 @@
       this->EndReplacedWorker(order.worker);
       break;
     case OrderResult::kUnreachable:
-      session.NoteFailure(now);
+      session.NoteFailure();
       this->ReleaseRun(session, order.task, order.run, "nobody listens there");
       break;
     case OrderResult::kOldRun:
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -538,8 +538,7 @@
     const WorkerId& worker,
     const scheduler::RenewAnswer& answer) {
   if (answer.result != scheduler::OrderResult::kDone) {
-    this->scheduler->TakeRenewalFailure(worker, answer.result,
-                                        this->clock.SteadyNow());
+    this->scheduler->TakeRenewalFailure(worker, answer.result);
     this->SchedulePlan();
     return {.recorded = nullptr, .pause = kRenewalPause};
   }
