--- a/tests/libraries/scheduler/run_uniqueness_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_test.cc
@@ -149,6 +149,34 @@
   EXPECT_EQ(fleet.starts, 2U);
 }
 
+// The record that a silent worker is forgotten takes so long that it is asked
+// for twice. After the first the worker announces itself anew and gets runs,
+// and the second ends its session: "run-gone job0.0.0.0#2097155@w0 its life is
+// over" and the next start at once, in a random history.
+TEST(RunUniquenessTest, ASecondForgettingEndsNothingThatRuns) {
+  FakeFleet fleet(2);
+  RunLedger ledger;
+  fleet.settings.forget_after = Milliseconds(500);
+  fleet.ChangeLeader();
+  fleet.announce_interval = Milliseconds(100);
+  PassTime(fleet, ledger, Milliseconds(300));
+  fleet.worker("w0").is_cut = true;
+  fleet.worker("w0").is_cut_with_resets = true;
+  fleet.commit_time = Milliseconds(700);
+  while (fleet.scheduler->sessions().contains(WorkerId("w0"))) {
+    PassTime(fleet, ledger, kStep);
+  }
+  PassTime(fleet, ledger, Milliseconds(600));
+  fleet.worker("w0").is_cut = false;
+  fleet.work = kLongWork;
+  fleet.Submit("job", {.count = 2, .most_per_worker = 1});
+  AwaitStarts(fleet, ledger, 2);
+  fleet.AddWorker("w2", "m2");
+  PassTime(fleet, ledger, Milliseconds(2'000));
+  EXPECT_EQ(ledger.problem, "");
+  EXPECT_EQ(fleet.starts, 2U);
+}
+
 // A start may reach its worker although its connection broke. The run was done
 // before the start came again and was refused as old: that says that the run
 // has been there, not that it is still to come.
