Jobs, Scheduler: Let a command that forgets a worker name what it knew

Cause: the record that a silent worker is forgotten was asked for again while the first command was on its way. The first let the worker come back, and the second ended its session with all that ran there.

The command names the worker's last announcement that its leader knew; a later one makes it void. A worker that announces something new while it is being forgotten is taken back at once. The test of the jobs state names the sequence, asks besides that the worker is gone in between, and that a stale command does nothing.

--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -61,11 +61,15 @@
   // The life is known to be over, so that an announcement of it that comes late
   // changes nothing. A worker that was only silent for long may come back.
   bool is_over = false;
+  // Where its life is not over: its last announcement that was known. A later
+  // one shows that it came back, and it stays.
+  std::uint64_t sequence = 0;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("worker", self.worker);
     visitor.Field("is_over", self.is_over);
+    visitor.Field("sequence", self.sequence);
   }
 };
 
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -150,6 +150,9 @@
 fleet::Answer JobsState::Take(const ForgetWorker& command, WallTime at) {
   if (command.is_over) {
     this->own_record.ended_workers.emplace(command.worker, at);
+  } else if (const Worker* worker = this->FindWorker(command.worker);
+             worker != nullptr && worker->sequence > command.sequence) {
+    return fleet::Answer::Success("it was heard of since");
   }
   this->own_record.workers.erase(command.worker);
   return fleet::Answer::Success("forgotten");
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -70,9 +70,12 @@
     this->EndWorker(id, "its life is over");
     return;
   }
-  if (this->forgotten.contains(id)) {
+  const auto forgetting = this->forgotten.find(id);
+  if (forgetting != this->forgotten.end() &&
+      worker->sequence <= forgetting->second.sequence) {
     return;
   }
+  this->forgotten.erase(id);
   if (this->over.contains(id)) {
     this->EndWorker(id, "another life began on its instance");
     return;
@@ -693,27 +696,28 @@
       output.commands.emplace_back(jobs::ForgetWorker{id, true});
     }
   }
-  std::vector<WorkerId> gone;
+  std::map<WorkerId, std::uint64_t> gone;
   for (const auto& [id, session] : this->workers) {
     const bool is_gone =
         session.IsLapsed(now) && !session.is_adopted() &&
         now - session.last_answer > this->settings.forget_after;
     if (is_gone) {
-      gone.push_back(id);
+      gone.emplace(id, session.worker().sequence);
     }
   }
   // NOTE: From here on the worker gets no orders, also if it answers again
   // before the command is committed: later leaders would not know of its runs.
-  for (const WorkerId& id : gone) {
+  for (const auto& [id, sequence] : gone) {
     this->EndWorker(id, "it has been silent for long");
-    this->forgotten[id] = now;
-  }
-  for (auto& [id, ask_again_at] : this->forgotten) {
-    if (now >= ask_again_at) {
-      // Not again while the first may still be on its way: a second one could
-      // come after the worker announced itself anew.
-      ask_again_at = now + this->settings.forget_after;
-      output.commands.emplace_back(jobs::ForgetWorker{id, false});
+    this->forgotten[id] = {.ask_at = now, .sequence = sequence};
+  }
+  for (auto& [id, forgetting] : this->forgotten) {
+    if (now >= forgetting.ask_at) {
+      // The command may be on its way twice; its sequence keeps the second from
+      // ending what the worker began since.
+      forgetting.ask_at = now + this->settings.forget_after;
+      output.commands.emplace_back(
+          jobs::ForgetWorker{id, false, forgetting.sequence});
     }
   }
 }
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -197,6 +197,12 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
   };
+  // A worker that is being forgotten: when to ask for the record (again), and
+  // its last announcement.
+  struct Forgetting {
+    SteadyTime ask_at{};
+    std::uint64_t sequence = 0;
+  };
   using Sessions = std::map<WorkerId, WorkerSession>;
 
   WorkerSession* FindSession(const WorkerId& worker);
@@ -313,7 +319,7 @@
   // for the record (again).
   std::map<WorkerId, SteadyTime> over;
   // The same for workers that have been silent for long and may come back.
-  std::map<WorkerId, SteadyTime> forgotten;
+  std::map<WorkerId, Forgetting> forgotten;
   // How many jobs had finished when all runs were last looked at, and when.
   std::uint64_t seen_finish_count = 0;
   SteadyTime looked_for_unwanted{};
--- a/tests/libraries/jobs/jobs_state_test.cc
+++ b/tests/libraries/jobs/jobs_state_test.cc
@@ -150,9 +150,13 @@
   EXPECT_EQ(this->state.FindWorker(WorkerId("w")), nullptr);
   // One that was only silent may.
   this->Do(RecordWorker{{.id = WorkerId("v"), .sequence = 1}});
-  this->Do(ForgetWorker{WorkerId("v"), false});
+  this->Do(ForgetWorker{WorkerId("v"), false, 1});
+  EXPECT_EQ(this->state.FindWorker(WorkerId("v")), nullptr);
   this->Do(RecordWorker{{.id = WorkerId("v"), .sequence = 2}});
   EXPECT_NE(this->state.FindWorker(WorkerId("v")), nullptr);
+  // What was asked for before it came back is void.
+  this->Do(ForgetWorker{WorkerId("v"), false, 1});
+  EXPECT_NE(this->state.FindWorker(WorkerId("v")), nullptr);
 }
 
 TEST_F(JobsStateTest, MaintenanceGoesOnlyForwardUnlessAnOrderIsWithdrawn) {
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -338,9 +338,10 @@
           Milliseconds(0)) {
     return;
   }
-  for (const auto& [id, worker] : this->workers) {
+  for (auto& [id, worker] : this->workers) {
     if (worker.is_up && !worker.is_cut &&
         this->state.FindWorker(id) == nullptr) {
+      ++worker.description.sequence;
       this->Commit(jobs::RecordWorker{worker.description});
     }
   }
