--- a/tests/platform/worker_client_repeat_test.cc
+++ b/tests/platform/worker_client_repeat_test.cc
@@ -48,7 +48,7 @@
                         this->io.provider->getTimer()};
   };
 
-  kj::Promise<void> Serve(std::string status, std::string body) {
+  kj::Promise<void> Serve(const std::string& status, const std::string& body) {
     return this->parts->receiver->accept()
         .then([](kj::Own<kj::AsyncIoStream>&& stream) {
           kj::AsyncIoStream& first = *stream;
