Scheduler: Believe a lapse only after a question in vain

Cause: a lease counted as over by the clock alone, also for a leader that was late itself and had asked nobody. It knew only that the runs had ended, not how, and started tasks again whose done end lay unread. The shape on a large deployment: run 1048577 done at 5.299 s, its end taken in at 11.777 s, run 1048578 ordered in between and begun at 12.874 s.

Ruled out: that the mend itself let two runs through.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -338,12 +338,14 @@
   }
 }
 
-void Scheduler::TakeRenewalFailure(const WorkerId& worker, OrderResult result) {
+void Scheduler::TakeRenewalFailure(const WorkerId& worker,
+                                   OrderResult result,
+                                   SteadyTime now) {
   WorkerSession* session = this->FindSession(worker);
   if (session == nullptr) {
     return;
   }
-  session->NoteFailure();
+  session->NoteFailure(now);
   if (result == OrderResult::kOtherLife) {
     this->EndReplacedWorker(worker);
   }
@@ -435,7 +437,7 @@
       this->EndReplacedWorker(order.worker);
       break;
     case OrderResult::kUnreachable:
-      session.NoteFailure();
+      session.NoteFailure(now);
       this->ReleaseRun(session, order.task, order.run, "nobody listens there");
       break;
     case OrderResult::kOldRun:
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -125,7 +125,9 @@
                           const RenewReport& report,
                           SteadyTime now);
   // Takes in that a renewal failed.
-  void TakeRenewalFailure(const WorkerId& worker, OrderResult result);
+  void TakeRenewalFailure(const WorkerId& worker,
+                          OrderResult result,
+                          SteadyTime now);
   // Takes in that these ends are on record. The worker is told so only once all
   // that came before them are, too.
   void NoteRecorded(const WorkerId& worker, const EndsToRecord& recorded);
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -33,7 +33,12 @@
   // NOTE: While the worker does not answer, its lease is left to end: an
   // unanswered renewal may arrive all the same, and each would move the time
   // from which its tasks may run elsewhere.
-  if (this->clock && this->has_answered && this->failures == 0) {
+  // One whose lease ran out while nobody asked is asked first, so that its
+  // silence shows within one call and not after another lease.
+  const bool has_run_out =
+      this->IsLeaseOver(now) && this->last_answer < this->bound;
+  if (this->clock && this->has_answered && this->failures == 0 &&
+      !has_run_out) {
     order.lease_end = this->GrantLease(now);
     const bool is_shared = this->serving_count > 0 && this->filler_count > 0;
     order.wait = is_shared                  ? this->settings.shared_renewal_wait
@@ -90,16 +95,20 @@
   this->last_answer = now;
 }
 
-bool WorkerSession::IsLapsed(SteadyTime now) const {
+bool WorkerSession::IsLeaseOver(SteadyTime now) const {
   // NOTE: A refused connection proves nothing: a partition may refuse
   // connections to a worker that runs on.
   return now >= this->bound;
 }
 
+bool WorkerSession::IsLapsed(SteadyTime now) const {
+  return this->IsLeaseOver(now) && this->last_failure >= this->bound;
+}
+
 bool WorkerSession::IsUsable(SteadyTime now) const {
   return this->has_answered && this->failures == 0 &&
          !this->description.is_draining && this->clock.has_value() &&
-         now >= this->full_until && !this->IsLapsed(now);
+         now >= this->full_until && !this->IsLeaseOver(now);
 }
 
 void WorkerSession::Reset() {
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -114,7 +114,10 @@
   // Takes in that the worker answered.
   void NoteAnswer(SteadyTime now);
   // Takes in that a renewal or an order failed.
-  void NoteFailure() { ++this->failures; }
+  void NoteFailure(SteadyTime now) {
+    ++this->failures;
+    this->last_failure = now;
+  }
 
   // True once the worker answered this leader and its lease has not lapsed
   // since: all that runs there is known.
@@ -128,6 +131,10 @@
   // When this session began.
   SteadyTime began_at() const { return this->session_began; }
   // True if nothing can run there any more since the lease is over.
+  bool IsLeaseOver(SteadyTime now) const;
+  // True if besides the worker was asked since, and kept silent: a leader that
+  // was late itself, or asked nobody, knows only that its runs have ended, and
+  // not how.
   bool IsLapsed(SteadyTime now) const;
   // True if the worker answers and takes work.
   bool IsUsable(SteadyTime now) const;
@@ -188,6 +195,7 @@
   LeaseSettings settings;
   bool has_answered = false;
   int failures = 0;
+  SteadyTime last_failure{};
   SteadyTime session_began;
   SteadyTime bound;
   // The clock of the last report.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -538,7 +538,8 @@
     const WorkerId& worker,
     const scheduler::RenewAnswer& answer) {
   if (answer.result != scheduler::OrderResult::kDone) {
-    this->scheduler->TakeRenewalFailure(worker, answer.result);
+    this->scheduler->TakeRenewalFailure(worker, answer.result,
+                                        this->clock.SteadyNow());
     this->SchedulePlan();
     return {.recorded = nullptr, .pause = kRenewalPause};
   }
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -200,14 +200,15 @@
   if (!this->Reaches(id) || !found->second.is_up) {
     const bool is_refused =
         !found->second.is_cut || found->second.is_cut_with_resets;
-    this->At(this->now + (is_refused ? kOneWay : kOrderLimit),
-             [this, id, sent_in, is_refused] {
-               if (sent_in == this->generation) {
-                 this->scheduler->TakeRenewalFailure(
-                     id, is_refused ? OrderResult::kUnreachable
-                                    : OrderResult::kUnknown);
-               }
-             });
+    this->At(this->now + (is_refused ? kOneWay : kOrderLimit), [this, id,
+                                                                sent_in,
+                                                                is_refused] {
+      if (sent_in == this->generation) {
+        this->scheduler->TakeRenewalFailure(
+            id, is_refused ? OrderResult::kUnreachable : OrderResult::kUnknown,
+            this->now);
+      }
+    });
     finish(kRenewalPause + (is_refused ? kOneWay : kOrderLimit));
     return;
   }
@@ -216,7 +217,8 @@
   if (draw(this->random) < this->lost_report_permille) {
     this->At(this->now + kOrderLimit, [this, id, sent_in] {
       if (sent_in == this->generation) {
-        this->scheduler->TakeRenewalFailure(id, OrderResult::kUnknown);
+        this->scheduler->TakeRenewalFailure(id, OrderResult::kUnknown,
+                                            this->now);
       }
     });
     finish(kRenewalPause + kOrderLimit);
