--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -13,12 +13,14 @@
     pool.workers.clear();
     pool.quarantined.clear();
     pool.most_room = {};
+    pool.failed_needs.clear();
   }
   for (auto& [id, session] : sessions) {
     if (session.is_cordoned || !session.IsUsable(now)) {
       continue;
     }
     Pool& pool = this->pools[session.worker().service];
+    session.is_slow = this->health.IsSlow(id, now);
     (this->health.IsQuarantined(id, now) ? pool.quarantined : pool.workers)
         .push_back(&session);
   }
@@ -40,7 +42,40 @@
 bool Placement::HasRoom(const ServiceName& service,
                         const jobs::Resources& need) const {
   const auto pool = this->pools.find(service);
-  return pool != this->pools.end() && pool->second.most_room.Holds(need);
+  if (pool == this->pools.end() || !pool->second.most_room.Holds(need)) {
+    return false;
+  }
+  const std::vector<jobs::Resources>& failed = pool->second.failed_needs;
+  return std::none_of(failed.begin(), failed.end(),
+                      [&](const jobs::Resources& other) {
+                        return need.Holds(other);
+                      });
+}
+
+// In a rush hundreds of steps wait for a full pool, and each of them would look
+// at every worker in every turn.
+void Placement::NoteFailure(const PlacementRequest& request) const {
+  const jobs::StepSpec& step = request.step();
+  // The members of a gang hold room for each other while they are placed.
+  const bool is_plain = step.required_label.empty() && !step.is_gang &&
+                        step.most_per_worker == 0 &&
+                        request.rack.value().empty() &&
+                        request.other_than.value().empty() &&
+                        request.advice == nullptr;
+  const auto pool = this->pools.find(request.job->service);
+  if (!is_plain || pool == this->pools.end()) {
+    return;
+  }
+  // A few suffice: what asks for less is noted as it fails.
+  constexpr std::size_t kMostNeeds = 8;
+  std::vector<jobs::Resources>& failed = pool->second.failed_needs;
+  const jobs::Resources need = CountedNeed(step);
+  std::erase_if(failed, [&](const jobs::Resources& other) {
+    return other.Holds(need);
+  });
+  if (failed.size() < kMostNeeds) {
+    failed.push_back(need);
+  }
 }
 
 jobs::Resources Placement::CountedNeed(const jobs::StepSpec& step) {
@@ -54,6 +89,9 @@
 bool Placement::Fits(const PlacementRequest& request,
                      const WorkerSession& session) {
   const jobs::StepSpec& step = request.step();
+  if (!session.Room().Holds(CountedNeed(step))) {
+    return false;
+  }
   const jobs::Worker& worker = session.worker();
   if (worker.id == request.other_than ||
       (!request.rack.value().empty() && worker.rack != request.rack) ||
@@ -61,9 +99,8 @@
        !worker.has_label(step.required_label))) {
     return false;
   }
-  return session.Room().Holds(CountedNeed(step)) &&
-         (step.most_per_worker == 0 ||
-          session.CountOf(request.task.step) < step.most_per_worker);
+  return step.most_per_worker == 0 ||
+         session.CountOf(request.task.step) < step.most_per_worker;
 }
 
 bool Placement::IsGood(const WorkerSession& session) const {
@@ -117,13 +154,15 @@
     // The smaller the better: not where it failed, not on a slow worker, near
     // its data, little to disturb, tight fit.
     const std::tuple rank(
-        has_failed_there, this->health.IsSlow(worker.id, this->now), is_far,
-        disturbed, session->Room().millicores - need.millicores);
+        has_failed_there, session->is_slow, is_far, disturbed, session->Room().millicores - need.millicores);
     if (best == nullptr || rank < best_rank) {
       best = session;
       best_rank = rank;
     }
   }
+  if (best == nullptr) {
+    this->NoteFailure(request);
+  }
   return best;
 }
 
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -87,8 +87,13 @@
     std::vector<WorkerSession*> quarantined;
     // The most that one worker had left of each resource when the turn began.
     jobs::Resources most_room;
+    // Needs for which this turn found no room on any worker. Rooms only shrink
+    // within a turn, so nothing that needs as much finds any.
+    mutable std::vector<jobs::Resources> failed_needs;
   };
 
+  void NoteFailure(const PlacementRequest& request) const;
+
   const WorkerHealth& health;
   SteadyTime now{};
   // Emptied in each turn and kept, so that a turn allocates nothing.
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -119,7 +119,7 @@
   if (session == nullptr) {
     return std::nullopt;
   }
-  return session->NextRenewal(this->epoch, now);
+  return session->NextRenewal(this->epoch, this->workers.size(), now);
 }
 
 EndsToRecord Scheduler::TakeReport(const WorkerId& worker,
@@ -472,7 +472,7 @@
   // The run may be at work by the time the stop arrives: three such stops at
   // once took all tasks of a step away that may miss one.
   if (run.is_budgeted && !this->MayTakeAway(run.task, now)) {
-    session.needs_report = true;
+    this->report_wanted.insert(session.worker().id);
     return;
   }
   session.BeginStop(run, now);
@@ -492,7 +492,7 @@
   Run* run = session->FindRun(order.task, order.run);
   if (run != nullptr && answer.result == OrderResult::kDone) {
     run->stopped_clock = answer.clock;
-    session->needs_report = true;
+    this->report_wanted.insert(order.worker);
     this->needs_plan = true;
   }
 }
@@ -630,11 +630,7 @@
   for (PaceOrder& order : Sharing::NextOrders(this->workers, this->epoch)) {
     output.orders.emplace_back(std::move(order));
   }
-  for (auto& [id, session] : this->workers) {
-    if (std::exchange(session.needs_report, false)) {
-      output.report_requests.push_back(session.NextReportRequest(this->epoch));
-    }
-  }
+  this->RequestReports(now, output);
   output.question = this->advice.NextQuestion(now);
   this->tasks.DropFinished(this->state);
   if (!this->begun.empty()) {
@@ -646,6 +642,36 @@
   return output;
 }
 
+void Scheduler::RequestReports(SteadyTime now, SchedulerOutput& output) {
+  for (const WorkerId& id : std::exchange(this->report_wanted, {})) {
+    if (WorkerSession* session = this->FindSession(id)) {
+      session->report_asked_at = now;
+      output.report_requests.push_back(session->NextReportRequest(this->epoch));
+    }
+  }
+}
+
+// Asks the workers of a step's tasks for reports where the last one is too old
+// to tell whether a task is at work.
+void Scheduler::AskWhoIsAtWork(const jobs::StepId& step, SteadyTime now) {
+  const jobs::TaskId first{step, 0};
+  const jobs::StepSpec* spec = this->state.FindStep(first);
+  for (std::uint32_t index = 0; spec != nullptr && index < spec->count;
+       ++index) {
+    const TaskMemory* memory = this->tasks.Find({step, index});
+    WorkerSession* session = memory == nullptr || !memory->placed
+                                 ? nullptr
+                                 : this->FindSession(memory->placed->first);
+    const bool is_stale =
+        session != nullptr && session->is_answering() &&
+        now - session->last_answer > this->settings.fresh_report / 2 &&
+        now - session->report_asked_at > this->settings.fresh_report / 2;
+    if (is_stale) {
+      this->report_wanted.insert(session->worker().id);
+    }
+  }
+}
+
 void Scheduler::LapseSilentWorkers(SteadyTime now) {
   this->uncertain.clear();
   for (auto& [id, session] : this->workers) {
@@ -703,6 +729,10 @@
       output.commands.emplace_back(jobs::ForgetWorker{id, true});
     }
   }
+  if (now - this->looked_for_gone < this->settings.judge_interval) {
+    return;
+  }
+  this->looked_for_gone = now;
   std::map<WorkerId, std::uint64_t> gone;
   for (const auto& [id, session] : this->workers) {
     const bool is_gone =
@@ -795,15 +825,23 @@
 // Long-running tasks leave instances that are to be taken away; others end by
 // themselves.
 void Scheduler::EvacuateCordoned(SteadyTime now) {
+  if (this->cordoned.empty()) {
+    return;
+  }
   for (auto& [id, session] : this->workers) {
     if (!session.is_cordoned) {
       continue;
     }
     for (auto& [key, run] : session.runs()) {
       const jobs::StepSpec* step = this->state.FindStep(run.task);
-      if (step != nullptr && step->is_long_running &&
-          run.phase == RunPhase::kRunning && this->MayTakeAway(run.task, now) &&
-          this->HasPlaceElsewhere(run.task)) {
+      const bool should_leave = step != nullptr && step->is_long_running &&
+                                run.phase == RunPhase::kRunning;
+      if (!should_leave) {
+        continue;
+      }
+      if (!this->MayTakeAway(run.task, now)) {
+        this->AskWhoIsAtWork(run.task.step, now);
+      } else if (this->HasPlaceElsewhere(run.task)) {
         session.BeginStop(run, now);
         this->notes.Add("run-evacuated", run.task, run.number, id,
                         "its instance is to be taken away");
@@ -825,6 +863,8 @@
     // by the time the stop arrives, so its budget counts all the same.
     if (this->MayTakeAway(straggler.run->task, now)) {
       this->GiveUp(straggler, now);
+    } else {
+      this->AskWhoIsAtWork(straggler.run->task.step, now);
     }
   }
 }
@@ -888,9 +928,12 @@
     session.has_unsettled_runs = true;
     const bool is_unconfirmed = run.phase == RunPhase::kOrdered &&
                                 now - run.ordered_at > kUnconfirmedTime;
-    if (is_unconfirmed &&
-        (!run.is_budgeted || this->MayTakeAway(run.task, now))) {
-      session.BeginStop(run, now);
+    if (is_unconfirmed) {
+      if (!run.is_budgeted || this->MayTakeAway(run.task, now)) {
+        session.BeginStop(run, now);
+      } else {
+        this->AskWhoIsAtWork(run.task.step, now);
+      }
     }
     if (run.phase == RunPhase::kStopping && now >= run.stop_due) {
       this->StopRun(session, run, now, output);
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -249,6 +249,8 @@
   void SyncWorker(const WorkerId& id, SteadyTime now);
   void EndReplacedWorker(const WorkerId& worker);
   void EndOtherLives(const WorkerSession& answering);
+  void RequestReports(SteadyTime now, SchedulerOutput& output);
+  void AskWhoIsAtWork(const jobs::StepId& step, SteadyTime now);
   void LapseSilentWorkers(SteadyTime now);
   void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
   void EvacuateCordoned(SteadyTime now);
@@ -336,6 +338,9 @@
   Stragglers stragglers;
   DemandMeter demand;
   SteadyTime judged_at{};
+  SteadyTime looked_for_gone{};
+  // Workers to be asked for a report beside the renewals.
+  std::set<WorkerId> report_wanted;
   bool needs_plan = true;
   EventNotes notes;
 };
--- a/libraries/scheduler/worker_health.cc
+++ b/libraries/scheduler/worker_health.cc
@@ -80,6 +80,8 @@
   constexpr int kMostDoublings = 8;
   record.quarantines = std::min(record.quarantines + 1, kMostDoublings);
   record.quarantined_until = now + time;
+  this->latest_set_aside =
+      std::max(this->latest_set_aside, record.quarantined_until);
   record.failures.clear();
   record.successes.clear();
 }
@@ -137,14 +139,21 @@
 
 void WorkerHealth::NoteSlow(const WorkerId& worker, SteadyTime now) {
   this->workers[worker].slow_until = now + kSlowTime;
+  this->latest_set_aside = std::max(this->latest_set_aside, now + kSlowTime);
 }
 
 bool WorkerHealth::IsQuarantined(const WorkerId& worker, SteadyTime now) const {
+  if (!this->MayHaveSetAside(now)) {
+    return false;
+  }
   const auto found = this->workers.find(worker);
   return found != this->workers.end() && now < found->second.quarantined_until;
 }
 
 bool WorkerHealth::IsSlow(const WorkerId& worker, SteadyTime now) const {
+  if (!this->MayHaveSetAside(now)) {
+    return false;
+  }
   const auto found = this->workers.find(worker);
   return found != this->workers.end() && now < found->second.slow_until;
 }
--- a/libraries/scheduler/worker_health.h
+++ b/libraries/scheduler/worker_health.h
@@ -61,6 +61,10 @@
   bool IsSlow(const WorkerId& worker, SteadyTime now) const;
 
  private:
+  // False for sure if no worker is kept from work or known to be slow.
+  bool MayHaveSetAside(SteadyTime now) const {
+    return now < this->latest_set_aside;
+  }
   struct Failure {
     SteadyTime at;
     JobId job;
@@ -79,6 +83,8 @@
   void DropOld(Record& record, SteadyTime now);
   bool IsBad(const Record& record) const;
 
+  // When the last worker that is set aside now is so no more.
+  SteadyTime latest_set_aside{};
   std::unordered_map<WorkerId, Record> workers;
   // Where tasks of a job failed lately.
   std::map<JobId, std::set<WorkerId>> failed_on;
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -24,7 +24,26 @@
   this->bound = now + stretched + settings.margin;
 }
 
-RenewOrder WorkerSession::NextRenewal(LeaderEpoch epoch, SteadyTime now) {
+Milliseconds WorkerSession::RenewalWait(std::size_t workers) const {
+  const bool is_shared = this->serving_count > 0 && this->filler_count > 0;
+  if (is_shared) {
+    return this->settings.shared_renewal_wait;
+  }
+  const Milliseconds shortest = this->known_runs.empty()
+                                    ? this->settings.idle_renewal_wait
+                                    : this->settings.renewal_wait;
+  constexpr std::int64_t kSecond = 1'000;
+  const Milliseconds paced(static_cast<std::int64_t>(workers) * kSecond /
+                           this->settings.most_renewals_a_second);
+  // Leases may be shorter than usual on some platforms.
+  const Milliseconds longest =
+      std::min(this->settings.longest_renewal_wait, this->settings.length / 3);
+  return std::max(shortest, std::min(paced, longest));
+}
+
+RenewOrder WorkerSession::NextRenewal(LeaderEpoch epoch,
+                                      std::size_t workers,
+                                      SteadyTime now) {
   RenewOrder order{.worker = this->description.id,
                    .address = this->description.address,
                    .epoch = epoch,
@@ -40,10 +59,7 @@
   if (this->clock && this->has_answered && this->failures == 0 &&
       !has_run_out) {
     order.lease_end = this->GrantLease(now);
-    const bool is_shared = this->serving_count > 0 && this->filler_count > 0;
-    order.wait = is_shared                  ? this->settings.shared_renewal_wait
-                 : this->known_runs.empty() ? this->settings.idle_renewal_wait
-                                            : this->settings.renewal_wait;
+    order.wait = this->RenewalWait(workers);
   }
   return order;
 }
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -2,6 +2,7 @@
 #ifndef LIBRARIES_SCHEDULER_WORKER_SESSION_H_
 #define LIBRARIES_SCHEDULER_WORKER_SESSION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -33,6 +34,12 @@
   // The same where runs that fill stand beside runs that serve: their pace
   // follows the reports.
   Milliseconds shared_renewal_wait{500};
+  // A leader of many workers lets each of them wait longer, so that all
+  // together answer no more often than this a second while nothing ends: a
+  // renewal costs it some 70 microseconds.
+  std::int64_t most_renewals_a_second = 600;
+  // Bounds that, so that a lease outlasts two lost renewals.
+  Milliseconds longest_renewal_wait{2'000};
   // Workers' clocks may run slow by this many thousandths.
   std::int64_t slow_clock_permille = 20;
   // Added to every bound for timers that fire late.
@@ -92,8 +99,11 @@
   // Takes in a change that the worker announced.
   void Update(const jobs::Worker& worker) { this->description = worker; }
 
-  // The next renewal; it also extends the bound on what may run there.
-  RenewOrder NextRenewal(LeaderEpoch epoch, SteadyTime now);
+  // The next renewal for one of `workers`; it also extends the bound on what may
+  // run there.
+  RenewOrder NextRenewal(LeaderEpoch epoch,
+                         std::size_t workers,
+                         SteadyTime now);
 
   // The lease end that an order sent now may carry, and extends the bound. Only
   // after the clock is known.
@@ -172,10 +182,12 @@
 
   // Nothing is started there, since its instance is to be taken away.
   bool is_cordoned = false;
+  // It was known to be slow when this turn of the scheduler began.
+  bool is_slow = false;
   // How fast fillers may work there.
   PaceState filler_pace;
-  // A stop was answered, and only a report tells how its run ended.
-  bool needs_report = false;
+  // A report was asked for beside the renewals, to see what is at work there.
+  SteadyTime report_asked_at{};
   // Takes in that the ends that came right after this number are on record.
   void NoteRecorded(std::uint64_t after);
 
@@ -188,6 +200,8 @@
   SteadyTime last_answer{};
 
  private:
+  // How long the worker may keep the next renewal's answer back.
+  Milliseconds RenewalWait(std::size_t workers) const;
   // What the worker's clock shows at least. Only after it is known.
   WorkerTime ClockAt(SteadyTime now) const;
 
