--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -616,8 +616,11 @@
   }
 }
 
-SchedulerOutput Scheduler::Plan(SteadyTime now, WallTime wall_now) {
+SchedulerOutput Scheduler::Plan(SteadyTime now,
+                                WallTime wall_now,
+                                std::size_t most_starts) {
   this->needs_plan = false;
+  this->starts_left = most_starts;
   SchedulerOutput output;
   this->LapseSilentWorkers(now);
   this->placement.BeginTurn(this->workers, now);
@@ -954,6 +957,10 @@
 void Scheduler::StartDue(SteadyTime now,
                          WallTime wall_now,
                          SchedulerOutput& output) {
+  if (this->starts_left == 0) {
+    this->needs_plan = true;
+    return;
+  }
   std::set<std::uint64_t> unplaced;
   const std::vector<DueOccurrence> order = this->waiting.Order(now, wall_now);
   for (const DueOccurrence& due : order) {
@@ -1076,7 +1083,7 @@
     if (!NeedsStart(job, task, this->tasks.Find(task))) {
       continue;
     }
-    if (!may_have_place) {
+    if (!may_have_place || this->starts_left == 0) {
       return false;
     }
     WorkerSession* session = this->ChooseWorker(job, task);
@@ -1156,7 +1163,7 @@
     }
     run = std::max(run, this->NextRun(job, task));
   }
-  if (this->MayRunUnseen(job) ||
+  if (this->starts_left == 0 || this->MayRunUnseen(job) ||
       !this->placement.HasRoom(job.service, Placement::CountedNeed(step))) {
     return false;
   }
@@ -1188,6 +1195,7 @@
                         RunNumber run,
                         SteadyTime now,
                         SchedulerOutput& output) {
+  this->starts_left -= std::min<std::size_t>(this->starts_left, 1);
   const WorkerTime lease_end = session.GrantLease(now);
   const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
   session.AddRun(Run{.task = task,
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -2,7 +2,9 @@
 #ifndef LIBRARIES_SCHEDULER_SCHEDULER_H_
 #define LIBRARIES_SCHEDULER_SCHEDULER_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -108,6 +110,9 @@
 // be done comes out.
 class Scheduler {
  public:
+  static constexpr std::size_t kAnyNumber =
+      std::numeric_limits<std::size_t>::max();
+
   // Begins a leadership at `now`. Tasks of jobs that are active now may run
   // somewhere already.
   Scheduler(const jobs::JobsState& state,
@@ -162,8 +167,11 @@
   // Takes in that a worker's life is over.
   void EndWorker(const WorkerId& worker, const std::string& reason);
 
-  // Decides what is to be done now.
-  SchedulerOutput Plan(SteadyTime now, WallTime wall_now);
+  // Decides what is to be done now, with at most `most_starts` starts; what is
+  // left waits for the next call. A gang starts whole or not at all.
+  SchedulerOutput Plan(SteadyTime now,
+                       WallTime wall_now,
+                       std::size_t most_starts = kAnyNumber);
 
   // True if something came in since the last Plan that it should look at.
   bool is_dirty() const { return this->needs_plan; }
@@ -337,6 +345,8 @@
   Placement placement;
   Stragglers stragglers;
   DemandMeter demand;
+  // Starts that this call of Plan may still order.
+  std::size_t starts_left = kAnyNumber;
   SteadyTime judged_at{};
   SteadyTime looked_for_gone{};
   // Workers to be asked for a report beside the renewals.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -28,6 +28,18 @@
 constexpr Milliseconds kEndsPause{15};
 // After a renewal that got no answer, before the next.
 constexpr Milliseconds kRenewalPause{150};
+// A new leader asks all workers what they run, in slices: a thousand calls and
+// their connections at once keep its loop from its heartbeats for longer than
+// its followers wait.
+constexpr std::size_t kRenewalsOfSlice = 50;
+constexpr Milliseconds kSlicePause{10};
+// Starts that one pass orders: some ten milliseconds of a third of a core, so
+// that heartbeats and answers get their turn in between.
+constexpr std::size_t kMostStartsOfPass = 100;
+// Starts that may be unanswered at once. A leader that is late reads answers
+// late, so this keeps it from ordering more than it can follow; a rack that
+// went dark takes some hundred of them until its silence is noticed.
+constexpr std::size_t kMostOpenStarts = 400;
 
 // Where a job is, in a request's path: its queue and its id.
 struct JobAddress {
@@ -95,6 +107,12 @@
 void JobController::RegisterMetrics() {
   this->metrics.SetGauge("sumac_is_leading",
                          [this] { return this->is_leading() ? 1.0 : 0.0; });
+  this->metrics.SetGauge("sumac_open_starts", [this] {
+    return static_cast<double>(this->open_starts);
+  });
+  this->metrics.SetGauge("sumac_late_seconds", [this] {
+    return std::chrono::duration<double>(this->admission.lateness()).count();
+  });
   this->metrics.SetGauge("sumac_is_disk_full", [this] {
     return this->host->is_disk_full() ? 1.0 : 0.0;
   });
@@ -168,6 +186,7 @@
 
 void JobController::Tick() {
   const SteadyTime now = this->clock.SteadyNow();
+  this->NoteLateness(now);
   this->host->Tick(now);
   this->FollowLeadership(now);
   if (this->scheduler && now - this->last_plan >= kIdlePlanInterval) {
@@ -175,6 +194,17 @@
   }
 }
 
+void JobController::NoteLateness(SteadyTime now) {
+  const bool is_first = this->next_tick == SteadyTime{};
+  const Milliseconds late =
+      is_first ? Milliseconds(0)
+               : std::max(now - this->next_tick, Milliseconds(0));
+  this->next_tick = now + kTickInterval;
+  this->admission.NoteLateness(late);
+  this->metrics.Observe("sumac_loop_late_seconds",
+                        std::chrono::duration<double>(late).count());
+}
+
 void JobController::FollowLeadership(SteadyTime now) {
   const bool is_leader =
       this->host->replica().role() == replication::Role::kLeader;
@@ -395,6 +425,15 @@
     return fleet::Answer{.code = ResultCode::kOverloaded,
                          .message = "too many jobs wait or run"};
   }
+  if (!this->open_submissions.contains(address->job) &&
+      !this->admission.Take()) {
+    this->metrics.Count("sumac_refusals_total{reason=\"late\"}");
+    return fleet::Answer{
+        .code = ResultCode::kOverloaded,
+        .message = StrCat("this controller is ",
+                          this->admission.lateness().count(), " ms late"),
+        .document = {{"retry_after_ms", this->admission.RetryAfter().count()}}};
+  }
   this->open_submissions.insert(address->job);
   return this
       ->Propose(
@@ -529,8 +568,10 @@
                                  return this->TakeRenewal(worker, answer);
                                },
                            .forget = this->worker_calls.forget});
+  std::size_t begun = 0;
   for (const auto& [worker, session] : this->scheduler->sessions()) {
-    this->renewals->Begin(worker);
+    const auto slices = static_cast<std::int64_t>(begun++ / kRenewalsOfSlice);
+    this->renewals->Begin(worker, slices * kSlicePause);
   }
 }
 
@@ -666,7 +707,8 @@
   scheduler::SchedulerOutput output;
   {
     const auto measured = this->work_times.Measure(Work::kSchedule);
-    output = this->scheduler->Plan(this->last_plan, this->clock.Now());
+    output = this->scheduler->Plan(this->last_plan, this->clock.Now(),
+                                   this->StartsOfPass());
   }
   const auto measured = this->work_times.Measure(Work::kOrder);
   this->LogEvents(output.events);
@@ -682,6 +724,14 @@
   if (output.question) {
     this->AskForAdvice(*output.question);
   }
+  if (output.orders.size() >= kMostStartsOfPass) {
+    this->SchedulePlan();
+  }
+}
+
+std::size_t JobController::StartsOfPass() const {
+  const std::size_t open = std::min(this->open_starts, kMostOpenStarts);
+  return std::min(kMostStartsOfPass, kMostOpenStarts - open);
 }
 
 void JobController::NotePass(std::chrono::steady_clock::duration took) {
@@ -741,7 +791,12 @@
     return;
   }
   const Term term = this->term_watch.term();
-  this->tasks.add(this->worker_calls.send(order).then(
+  const bool is_start = std::holds_alternative<scheduler::StartOrder>(order);
+  this->open_starts += static_cast<std::size_t>(is_start);
+  auto closed = kj::defer([this, is_start] {
+    this->open_starts -= static_cast<std::size_t>(is_start);
+  });
+  this->tasks.add(this->worker_calls.send(order).attach(kj::mv(closed)).then(
       [this, term, order](const scheduler::OrderAnswer& answer) {
         if (!this->scheduler || this->term_watch.term() != term) {
           return;
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -21,6 +21,7 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/requests.h"
 #include "libraries/maintenance/instance_calls.h"
+#include "libraries/scheduler/admission.h"
 #include "libraries/scheduler/pass_pacer.h"
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_calls.h"
@@ -89,6 +90,7 @@
   void RegisterMetrics();
   kj::Promise<void> TickLoop();
   void Tick();
+  void NoteLateness(SteadyTime now);
   void FollowLeadership(SteadyTime now);
   void BeginLeadership();
   void StartDeciding();
@@ -122,6 +124,7 @@
   void CommitEnds();
   void SchedulePlan();
   void Plan();
+  std::size_t StartsOfPass() const;
   void NotePass(std::chrono::steady_clock::duration took);
   void SendOrder(const scheduler::Order& order);
   void RequestReport(const scheduler::RenewOrder& order);
@@ -149,6 +152,11 @@
   std::multiset<JobId> open_submissions;
   SteadyTime last_maintenance{};
   SteadyTime last_plan{};
+  // When the next tick is due.
+  SteadyTime next_tick{};
+  scheduler::Admission admission;
+  // Starts that were sent and are not answered.
+  std::size_t open_starts = 0;
   scheduler::PassPacer pass_pacer;
   // Workers of which something was committed since the last pass.
   std::set<WorkerId> changed_workers;
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -57,6 +57,10 @@
 constexpr Milliseconds kControllerDrain{1'000};
 // What is left of the time to stop when requests in hand are given up.
 constexpr Milliseconds kStopReserve{500};
+// However much the event loop has to do, it looks at its timers and sockets
+// after this many steps, some milliseconds of a third of a core: heartbeats and
+// answers that have come must not wait behind a burst of orders.
+constexpr unsigned kMostEventsBetweenPolls = 500;
 constexpr std::uint64_t kMostCallerBody = 256U << 10;
 constexpr std::uint64_t kMostControlBody = 4U << 20;
 
@@ -457,6 +461,7 @@
   }
   signal(SIGPIPE, SIG_IGN);
   kj::AsyncIoContext io = kj::setupAsyncIo();
+  io.waitScope.setBusyPollInterval(kMostEventsBetweenPolls);
   NodeDaemon daemon(settings, path, shares, io);
   absl::Status status = daemon.Start();
   if (!status.ok()) {
--- a/services/sumacd/worker_renewals.cc
+++ b/services/sumacd/worker_renewals.cc
@@ -25,10 +25,14 @@
   }
 }
 
-void WorkerRenewals::Begin(const WorkerId& worker) {
+void WorkerRenewals::Begin(const WorkerId& worker, Milliseconds pause) {
   const auto [renewal, is_new] = this->renewals.try_emplace(worker);
   if (is_new) {
-    renewal->second.loop = this->Loop(worker).eagerlyEvaluate(nullptr);
+    renewal->second.loop = this->timer.afterDelay(ToKj(pause))
+                               .then([this, worker] {
+                                 return this->Loop(worker);
+                               })
+                               .eagerlyEvaluate(nullptr);
   }
 }
 
--- a/services/sumacd/worker_renewals.h
+++ b/services/sumacd/worker_renewals.h
@@ -57,8 +57,8 @@
   WorkerRenewals(const WorkerRenewals&) = delete;
   WorkerRenewals& operator=(const WorkerRenewals&) = delete;
 
-  // Begins to renew a worker, unless it is renewed already.
-  void Begin(const WorkerId& worker);
+  // Begins to renew a worker after a pause, unless it is renewed already.
+  void Begin(const WorkerId& worker, Milliseconds pause = Milliseconds(0));
   // Ends the loops of the workers for which `is_known` is false.
   void DropUnknown(const std::function<bool(const WorkerId&)>& is_known);
 
