--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -28,6 +28,8 @@
 constexpr Milliseconds kEndsPause{15};
 // After a renewal that got no answer, before the next.
 constexpr Milliseconds kRenewalPause{150};
+// A leader says this often how busy it is.
+constexpr Milliseconds kLoadLineInterval{2'000};
 // A new leader asks all workers what they run, in slices: a thousand calls and
 // their connections at once keep its loop from its heartbeats for longer than
 // its followers wait.
@@ -201,8 +203,37 @@
                : std::max(now - this->next_tick, Milliseconds(0));
   this->next_tick = now + kTickInterval;
   this->admission.NoteLateness(late);
+  this->most_late = std::max(this->most_late, late);
   this->metrics.Observe("sumac_loop_late_seconds",
                         std::chrono::duration<double>(late).count());
+  if (this->is_leading() && now - this->load_logged >= kLoadLineInterval) {
+    this->LogLoad(now);
+  }
+}
+
+// A line by which an operator tells a leader that is late from one that has
+// nothing to do, and what it is late with.
+void JobController::LogLoad(SteadyTime now) {
+  nlohmann::json busy = nlohmann::json::object();
+  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
+    const auto spent = this->work_times.Spent(part);
+    busy[std::string(WorkTimes::kNames[part])] =
+        std::chrono::duration_cast<Milliseconds>(spent -
+                                                 this->logged_work[part])
+            .count();
+    this->logged_work[part] = spent;
+  }
+  LogEvent(LogLevel::kInfo, "leader-load",
+           {{"span_ms", (now - this->load_logged).count()},
+            {"late_ms", this->admission.lateness().count()},
+            {"most_late_ms", this->most_late.count()},
+            {"busy_ms", std::move(busy)},
+            {"pass_pause_ms", this->pass_pacer.NextPause().count()},
+            {"open_starts", this->open_starts},
+            {"waiting_ends", this->waiting_ends.size()},
+            {"active_jobs", this->jobs_state.active_jobs().size()}});
+  this->load_logged = now;
+  this->most_late = Milliseconds(0);
 }
 
 void JobController::FollowLeadership(SteadyTime now) {
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -6,6 +6,7 @@
 #include <kj/async.h>
 #include <kj/timer.h>
 
+#include <array>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -91,6 +92,7 @@
   kj::Promise<void> TickLoop();
   void Tick();
   void NoteLateness(SteadyTime now);
+  void LogLoad(SteadyTime now);
   void FollowLeadership(SteadyTime now);
   void BeginLeadership();
   void StartDeciding();
@@ -155,6 +157,11 @@
   // When the next tick is due.
   SteadyTime next_tick{};
   scheduler::Admission admission;
+  // Since the last line about the load.
+  SteadyTime load_logged{};
+  Milliseconds most_late{0};
+  std::array<std::chrono::duration<double>, WorkTimes::kNames.size()>
+      logged_work{};
   // Starts that were sent and are not answered.
   std::size_t open_starts = 0;
   scheduler::PassPacer pass_pacer;
