--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -157,22 +157,23 @@
     }
   }
   const std::uint64_t own_generation = ++this->generation;
-  auto opening = this->network.parseAddress(this->remote_address)
-                     .then([](kj::Own<kj::NetworkAddress>&& address) {
-                       auto connected = address->connect();
-                       return connected.attach(kj::mv(address));
-                     })
-                     .then([this, own_generation, place = std::move(place)](
-                               kj::Own<kj::AsyncIoStream>&& stream) mutable {
-                       auto open = kj::refcounted<Open>();
-                       open->place = std::move(place);
-                       open->client = kj::newHttpClient(this->headers, *stream);
-                       open->stream = kj::mv(stream);
-                       if (own_generation == this->generation) {
-                         this->current = kj::addRef(*open);
-                       }
-                       return kj::Own<Open>(kj::mv(open));
-                     });
+  auto opening =
+      this->network.parseAddress(this->remote_address)
+          .then([](kj::Own<kj::NetworkAddress>&& address) {
+            auto connected = address->connect();
+            return connected.attach(kj::mv(address));
+          })
+          .then([this, own_generation, place = std::move(place)](
+                    kj::Own<kj::AsyncIoStream>&& stream) mutable {
+            auto open = kj::refcounted<Open>();
+            open->place = std::move(place);
+            open->stream = kj::heap<WholeRequestStream>(kj::mv(stream));
+            open->client = kj::newHttpClient(this->headers, *open->stream);
+            if (own_generation == this->generation) {
+              this->current = kj::addRef(*open);
+            }
+            return kj::Own<Open>(kj::mv(open));
+          });
   auto forked = opening.fork();
   auto branch = forked.addBranch();
   this->connecting = kj::mv(forked);
@@ -189,6 +190,9 @@
   for (const auto& [name, value] : request.headers) {
     sent_headers.add(kj::str(name), kj::str(value));
   }
+  if (!request.body.empty()) {
+    open->stream->HoldNextWrite();
+  }
   auto call = open->client->request(request.method, request.path, sent_headers,
                                     request.body.size());
   auto written = request.body.empty() ? kj::Promise<void>(kj::READY_NOW)
--- a/libraries/http/async_connection.h
+++ b/libraries/http/async_connection.h
@@ -18,6 +18,7 @@
 
 #include "libraries/base/time.h"
 #include "libraries/http/connection_budget.h"
+#include "libraries/http/whole_request_stream.h"
 
 namespace sumac::http {
 
@@ -87,7 +88,7 @@
  private:
   // An open connection; requests under way keep it alive.
   struct Open : kj::Refcounted {
-    kj::Own<kj::AsyncIoStream> stream;
+    kj::Own<WholeRequestStream> stream;
     kj::Own<kj::HttpClient> client;
     std::optional<ConnectionBudget::Place> place;
     bool is_used = false;
--- a/libraries/scheduler/admission.cc
+++ b/libraries/scheduler/admission.cc
@@ -27,9 +27,9 @@
   const Milliseconds left = this->settings.none_from - this->smoothed;
   const Milliseconds range =
       this->settings.none_from - this->settings.all_up_to;
-  return std::clamp(static_cast<double>(left.count()) /
-                        static_cast<double>(range.count()),
-                    0.0, 1.0);
+  return std::clamp(
+      static_cast<double>(left.count()) / static_cast<double>(range.count()),
+      0.0, 1.0);
 }
 
 bool Admission::Take() {
--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -46,10 +46,9 @@
     return false;
   }
   const std::vector<jobs::Resources>& failed = pool->second.failed_needs;
-  return std::none_of(failed.begin(), failed.end(),
-                      [&](const jobs::Resources& other) {
-                        return need.Holds(other);
-                      });
+  return std::none_of(
+      failed.begin(), failed.end(),
+      [&](const jobs::Resources& other) { return need.Holds(other); });
 }
 
 // In a rush hundreds of steps wait for a full pool, and each of them would look
@@ -57,11 +56,10 @@
 void Placement::NoteFailure(const PlacementRequest& request) const {
   const jobs::StepSpec& step = request.step();
   // The members of a gang hold room for each other while they are placed.
-  const bool is_plain = step.required_label.empty() && !step.is_gang &&
-                        step.most_per_worker == 0 &&
-                        request.rack.value().empty() &&
-                        request.other_than.value().empty() &&
-                        request.advice == nullptr;
+  const bool is_plain =
+      step.required_label.empty() && !step.is_gang &&
+      step.most_per_worker == 0 && request.rack.value().empty() &&
+      request.other_than.value().empty() && request.advice == nullptr;
   const auto pool = this->pools.find(request.job->service);
   if (!is_plain || pool == this->pools.end()) {
     return;
@@ -70,9 +68,8 @@
   constexpr std::size_t kMostNeeds = 8;
   std::vector<jobs::Resources>& failed = pool->second.failed_needs;
   const jobs::Resources need = CountedNeed(step);
-  std::erase_if(failed, [&](const jobs::Resources& other) {
-    return other.Holds(need);
-  });
+  std::erase_if(
+      failed, [&](const jobs::Resources& other) { return other.Holds(need); });
   if (failed.size() < kMostNeeds) {
     failed.push_back(need);
   }
@@ -153,8 +150,8 @@
                                         : 0;
     // The smaller the better: not where it failed, not on a slow worker, near
     // its data, little to disturb, tight fit.
-    const std::tuple rank(
-        has_failed_there, session->is_slow, is_far, disturbed, session->Room().millicores - need.millicores);
+    const std::tuple rank(has_failed_there, session->is_slow, is_far, disturbed,
+                          session->Room().millicores - need.millicores);
     if (best == nullptr || rank < best_rank) {
       best = session;
       best_rank = rank;
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -677,7 +677,9 @@
 
 void Scheduler::LapseSilentWorkers(SteadyTime now) {
   this->uncertain.clear();
+  this->run_count = 0;
   for (auto& [id, session] : this->workers) {
+    this->run_count += session.runs().size();
     const bool is_lapsed = session.IsLapsed(now);
     if (is_lapsed && (session.is_adopted() || !session.runs().empty())) {
       this->ReleaseAll(session, "its lease is over");
@@ -857,7 +859,8 @@
 // on a worker of which nothing bad is known.
 void Scheduler::GiveUpStragglers(SteadyTime now) {
   if (!this->settings.leaves_bad_workers ||
-      now - this->judged_at < this->settings.judge_interval) {
+      now - this->judged_at <
+          this->ScaledToRuns(this->settings.judge_interval)) {
     return;
   }
   this->judged_at = now;
@@ -884,6 +887,12 @@
       straggler.pace == RunPace::kStalled ? "it stands still" : "it is slow");
 }
 
+Milliseconds Scheduler::ScaledToRuns(Milliseconds interval) const {
+  const std::size_t parts =
+      this->run_count / this->settings.runs_of_interval + 1;
+  return interval * static_cast<std::int64_t>(parts);
+}
+
 bool Scheduler::IsWanted(const Run& run) const {
   const jobs::Job* job = this->state.FindJob(run.task.step.job);
   return job != nullptr && job->is_active() &&
@@ -893,8 +902,8 @@
 // Marks runs whose job or task has finished as ones that have to go.
 void Scheduler::FindUnwanted(SteadyTime now) {
   const bool has_news = this->seen_finish_count != this->state.finish_count();
-  if (!has_news ||
-      now - this->looked_for_unwanted < this->settings.unwanted_interval) {
+  if (!has_news || now - this->looked_for_unwanted <
+                       this->ScaledToRuns(this->settings.unwanted_interval)) {
     return;
   }
   this->looked_for_unwanted = now;
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -55,7 +55,7 @@
   // Runs that do not get on are given up and started elsewhere, and workers
   // that fail tasks or stand still get none for a while.
   bool leaves_bad_workers = true;
-  // Runs are judged this often.
+  // Runs are judged this often, and the more seldom the more there are.
   Milliseconds judge_interval{100};
   // A run of a task is given up this often at most.
   std::uint32_t most_moves = 2;
@@ -67,9 +67,11 @@
   // which something changed.
   Milliseconds full_look_interval{1'000};
   // After jobs have finished, before all runs are looked at for theirs. Small
-  // beside the time that a stop may take, and it keeps the cost of a look, some
-  // tenths of a millisecond with 4,000 runs, to a hundredth of a core.
+  // beside the time that a stop may take; the more runs there are, the longer.
   Milliseconds unwanted_interval{50};
+  // For as many runs the two intervals above hold; a look at all of them costs
+  // some 0.2 microseconds a run, so that this keeps it to a hundredth of a core.
+  std::size_t runs_of_interval = 1'000;
 };
 
 using Order = std::variant<StartOrder, StopOrder, PaceOrder>;
@@ -270,6 +272,7 @@
     session.is_cordoned = this->cordoned.contains(session.worker().instance);
   }
   bool IsWanted(const Run& run) const;
+  Milliseconds ScaledToRuns(Milliseconds interval) const;
   void FindUnwanted(SteadyTime now);
   void StopUnwanted(SteadyTime now, SchedulerOutput& output);
   void StopUnsettled(WorkerSession& session,
@@ -345,6 +348,8 @@
   Placement placement;
   Stragglers stragglers;
   DemandMeter demand;
+  // Runs that were known when this call of Plan began.
+  std::size_t run_count = 0;
   // Starts that this call of Plan may still order.
   std::size_t starts_left = kAnyNumber;
   SteadyTime judged_at{};
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -17,6 +17,10 @@
 constexpr Milliseconds kListInterval{2'000};
 // Without a wave it only shows instances that others added or took away.
 constexpr Milliseconds kQuietListInterval{15'000};
+// For as many instances; with more the planners look the more seldom, so that
+// they take the same part of the loop, some 3 % at 350 instances. Moves and
+// maintenance take seconds.
+constexpr std::int64_t kInstancesOfInterval = 400;
 // While a worker fails to answer, the list tells whether its instance is up.
 constexpr Milliseconds kLifeCheckInterval{250};
 constexpr std::int64_t kPermille = 1'000;
@@ -72,7 +76,11 @@
       tasks(*this) {}
 
 void InstanceKeeper::Plan(WallTime wall_now, SteadyTime now) {
-  if (now - this->last_plan < kPlanInterval || this->open_commands > 0) {
+  const auto instances =
+      static_cast<std::int64_t>(this->scheduler.sessions().size());
+  const Milliseconds interval =
+      std::max(kPlanInterval, kPlanInterval * instances / kInstancesOfInterval);
+  if (now - this->last_plan < interval || this->open_commands > 0) {
     return;
   }
   this->last_plan = now;
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -35,13 +35,14 @@
 // its followers wait.
 constexpr std::size_t kRenewalsOfSlice = 50;
 constexpr Milliseconds kSlicePause{10};
-// Starts that one pass orders: some ten milliseconds of a third of a core, so
-// that heartbeats and answers get their turn in between.
-constexpr std::size_t kMostStartsOfPass = 100;
+// Starts that one pass orders: some 25 ms of a third of a core. A pass that
+// ordered a whole backlog of thousands at once would hold memory and
+// connections for all of them before the first answer is read.
+constexpr std::size_t kMostStartsOfPass = 250;
 // Starts that may be unanswered at once. A leader that is late reads answers
 // late, so this keeps it from ordering more than it can follow; a rack that
 // went dark takes some hundred of them until its silence is noticed.
-constexpr std::size_t kMostOpenStarts = 400;
+constexpr std::size_t kMostOpenStarts = 600;
 
 // Where a job is, in a request's path: its queue and its id.
 struct JobAddress {
@@ -827,16 +828,18 @@
   auto closed = kj::defer([this, is_start] {
     this->open_starts -= static_cast<std::size_t>(is_start);
   });
-  this->tasks.add(this->worker_calls.send(order).attach(kj::mv(closed)).then(
-      [this, term, order](const scheduler::OrderAnswer& answer) {
-        if (!this->scheduler || this->term_watch.term() != term) {
-          return;
-        }
-        this->scheduler->TakeAnswer(order, answer, this->clock.SteadyNow());
-        if (this->scheduler->is_dirty()) {
-          this->SchedulePlan();
-        }
-      }));
+  this->tasks.add(
+      this->worker_calls.send(order)
+          .attach(kj::mv(closed))
+          .then([this, term, order](const scheduler::OrderAnswer& answer) {
+            if (!this->scheduler || this->term_watch.term() != term) {
+              return;
+            }
+            this->scheduler->TakeAnswer(order, answer, this->clock.SteadyNow());
+            if (this->scheduler->is_dirty()) {
+              this->SchedulePlan();
+            }
+          }));
 }
 
 void JobController::LogEvents(
--- a/services/sumacd/worker_renewals.cc
+++ b/services/sumacd/worker_renewals.cc
@@ -28,11 +28,10 @@
 void WorkerRenewals::Begin(const WorkerId& worker, Milliseconds pause) {
   const auto [renewal, is_new] = this->renewals.try_emplace(worker);
   if (is_new) {
-    renewal->second.loop = this->timer.afterDelay(ToKj(pause))
-                               .then([this, worker] {
-                                 return this->Loop(worker);
-                               })
-                               .eagerlyEvaluate(nullptr);
+    renewal->second.loop =
+        this->timer.afterDelay(ToKj(pause))
+            .then([this, worker] { return this->Loop(worker); })
+            .eagerlyEvaluate(nullptr);
   }
 }
 
