--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -203,7 +203,7 @@
       is_first ? Milliseconds(0)
                : std::max(now - this->next_tick, Milliseconds(0));
   this->next_tick = now + kTickInterval;
-  this->admission.NoteLateness(late);
+  this->ProbeQueue(now);
   this->most_late = std::max(this->most_late, late);
   this->metrics.Observe("sumac_loop_late_seconds",
                         std::chrono::duration<double>(late).count());
@@ -212,6 +212,21 @@
   }
 }
 
+// Timers are looked at in the middle of a long queue, so that one that fires in
+// time says little. What is queued now runs after all that is queued already,
+// and tells how long a request that has come waits.
+void JobController::ProbeQueue(SteadyTime now) {
+  if (std::exchange(this->is_probing_queue, true)) {
+    return;
+  }
+  this->tasks.add(kj::evalLater([this, now] {
+    this->is_probing_queue = false;
+    const Milliseconds late = this->clock.SteadyNow() - now;
+    this->admission.NoteLateness(late);
+    this->most_late = std::max(this->most_late, late);
+  }));
+}
+
 // A line by which an operator tells a leader that is late from one that has
 // nothing to do, and what it is late with.
 void JobController::LogLoad(SteadyTime now) {
@@ -659,7 +674,7 @@
     return;
   }
   this->are_ends_scheduled = true;
-  this->tasks.add(kj::evalLast([this] {
+  this->tasks.add(kj::evalLater([this] {
     this->are_ends_scheduled = false;
     this->CommitEnds();
   }));
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -92,6 +92,7 @@
   kj::Promise<void> TickLoop();
   void Tick();
   void NoteLateness(SteadyTime now);
+  void ProbeQueue(SteadyTime now);
   void LogLoad(SteadyTime now);
   void FollowLeadership(SteadyTime now);
   void BeginLeadership();
@@ -156,6 +157,7 @@
   SteadyTime last_plan{};
   // When the next tick is due.
   SteadyTime next_tick{};
+  bool is_probing_queue = false;
   scheduler::Admission admission;
   // Since the last line about the load.
   SteadyTime load_logged{};
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -370,15 +370,16 @@
   }
 }
 
-// Puts the pump after everything else that is due in this turn of the event
-// loop, so that all of a turn's proposals share one write to the disk and one
-// message to each replica.
+// Puts the pump after everything that is queued in the event loop now, so that
+// all these proposals share one write to the disk and one message to each
+// replica. It must not wait until nothing is queued: on a busy leader that
+// comes too seldom.
 void ReplicaHost::SchedulePump() {
   if (this->is_pump_scheduled) {
     return;
   }
   this->is_pump_scheduled = true;
-  this->tasks.add(kj::evalLast([this] {
+  this->tasks.add(kj::evalLater([this] {
     this->is_pump_scheduled = false;
     this->Pump();
   }));
