--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -76,13 +76,13 @@
 absl::StatusOr<std::unique_ptr<JobController>> JobController::Create(
     const NodeSettings& settings,
     Peers& peers,
-    kj::Timer& timer,
+    kj::AsyncIoProvider& provider,
     http::Metrics& metrics,
     jobs::DeclarationDecoder decoder,
     scheduler::WorkerCalls worker_calls,
     maintenance::InstanceCalls instance_calls) {
   std::unique_ptr<JobController> controller(
-      new JobController(settings, timer, metrics, std::move(decoder),
+      new JobController(settings, provider, metrics, std::move(decoder),
                         std::move(worker_calls), std::move(instance_calls)));
   JobController* self = controller.get();
   const ReplicaHostSettings host{.process = settings.process(),
@@ -101,8 +101,8 @@
   callbacks.begin_snapshot = [self](LogIndex index) {
     self->snapshot_writer->Begin(index, self->jobs_state.record());
   };
-  controller->host =
-      TRY(ReplicaHost::Create(host, peers, timer, std::move(callbacks)));
+  controller->host = TRY(ReplicaHost::Create(host, peers, controller->timer,
+                                             std::move(callbacks)));
   controller->RegisterMetrics();
   return controller;
 }
@@ -154,14 +154,15 @@
 }
 
 JobController::JobController(const NodeSettings& settings,
-                             kj::Timer& timer,
+                             kj::AsyncIoProvider& provider,
                              http::Metrics& metrics,
                              jobs::DeclarationDecoder decoder,
                              scheduler::WorkerCalls worker_calls,
                              maintenance::InstanceCalls instance_calls)
     : settings(settings),
-      timer(timer),
+      timer(provider.getTimer()),
       metrics(metrics),
+      loop_probe(provider),
       worker_calls(std::move(worker_calls)),
       instance_calls(std::move(instance_calls)),
       jobs_state(std::move(decoder)),
@@ -198,12 +199,9 @@
 }
 
 void JobController::NoteLateness(SteadyTime now) {
-  const bool is_first = this->next_tick == SteadyTime{};
-  const Milliseconds late =
-      is_first ? Milliseconds(0)
-               : std::max(now - this->next_tick, Milliseconds(0));
-  this->next_tick = now + kTickInterval;
-  this->ProbeQueue(now);
+  const Milliseconds late = this->loop_probe.Lateness();
+  this->loop_probe.Send();
+  this->admission.NoteLateness(late);
   this->most_late = std::max(this->most_late, late);
   this->metrics.Observe("sumac_loop_late_seconds",
                         std::chrono::duration<double>(late).count());
@@ -212,21 +210,6 @@
   }
 }
 
-// Timers are looked at in the middle of a long queue, so that one that fires in
-// time says little. What is queued now runs after all that is queued already,
-// and tells how long a request that has come waits.
-void JobController::ProbeQueue(SteadyTime now) {
-  if (std::exchange(this->is_probing_queue, true)) {
-    return;
-  }
-  this->tasks.add(kj::evalLater([this, now] {
-    this->is_probing_queue = false;
-    const Milliseconds late = this->clock.SteadyNow() - now;
-    this->admission.NoteLateness(late);
-    this->most_late = std::max(this->most_late, late);
-  }));
-}
-
 // A line by which an operator tells a leader that is late from one that has
 // nothing to do, and what it is late with.
 void JobController::LogLoad(SteadyTime now) {
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -27,6 +27,7 @@
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_calls.h"
 #include "services/sumacd/instance_keeper.h"
+#include "services/sumacd/loop_probe.h"
 #include "services/sumacd/node_settings.h"
 #include "services/sumacd/peers.h"
 #include "services/sumacd/replica_host.h"
@@ -46,7 +47,7 @@
   static absl::StatusOr<std::unique_ptr<JobController>> Create(
       const NodeSettings& settings,
       Peers& peers,
-      kj::Timer& timer,
+      kj::AsyncIoProvider& provider,
       http::Metrics& metrics,
       jobs::DeclarationDecoder decoder,
       scheduler::WorkerCalls worker_calls,
@@ -80,7 +81,7 @@
   };
 
   JobController(const NodeSettings& settings,
-                kj::Timer& timer,
+                kj::AsyncIoProvider& provider,
                 http::Metrics& metrics,
                 jobs::DeclarationDecoder decoder,
                 scheduler::WorkerCalls worker_calls,
@@ -92,7 +93,6 @@
   kj::Promise<void> TickLoop();
   void Tick();
   void NoteLateness(SteadyTime now);
-  void ProbeQueue(SteadyTime now);
   void LogLoad(SteadyTime now);
   void FollowLeadership(SteadyTime now);
   void BeginLeadership();
@@ -137,6 +137,7 @@
   const NodeSettings& settings;
   kj::Timer& timer;
   http::Metrics& metrics;
+  LoopProbe loop_probe;
   SystemClock clock;
   WorkTimes work_times;
   scheduler::WorkerCalls worker_calls;
@@ -155,9 +156,6 @@
   std::multiset<JobId> open_submissions;
   SteadyTime last_maintenance{};
   SteadyTime last_plan{};
-  // When the next tick is due.
-  SteadyTime next_tick{};
-  bool is_probing_queue = false;
   scheduler::Admission admission;
   // Since the last line about the load.
   SteadyTime load_logged{};
--- /dev/null
+++ b/services/sumacd/loop_probe.cc
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/loop_probe.h"
+
+#include <algorithm>
+
+#include "libraries/log/json_log.h"
+
+namespace sumac::daemon {
+
+LoopProbe::LoopProbe(kj::AsyncIoProvider& provider)
+    : pipe(provider.newOneWayPipe()), tasks(*this) {
+  this->tasks.add(this->ReadLoop());
+}
+
+void LoopProbe::Send() {
+  if (this->is_open) {
+    return;
+  }
+  this->is_open = true;
+  this->sent_at = this->clock.SteadyNow();
+  this->tasks.add(this->pipe.out->write(&this->sent, 1));
+}
+
+Milliseconds LoopProbe::Lateness() const {
+  const Milliseconds waiting =
+      this->is_open ? this->clock.SteadyNow() - this->sent_at : Milliseconds(0);
+  return std::max(this->last, waiting);
+}
+
+kj::Promise<void> LoopProbe::ReadLoop() {
+  return this->pipe.in->read(&this->received, 1).then([this] {
+    this->last = this->clock.SteadyNow() - this->sent_at;
+    this->is_open = false;
+    return this->ReadLoop();
+  });
+}
+
+void LoopProbe::taskFailed(kj::Exception&& exception) {
+  LogEvent(LogLevel::kError, "task-failed",
+           {{"error", exception.getDescription().cStr()}});
+}
+
+}  // namespace sumac::daemon
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -221,7 +221,7 @@
     return this->advice.Ask(question);
   };
   this->controller = TRY(JobController::Create(
-      this->settings, this->peers, this->timer, this->metrics,
+      this->settings, this->peers, *this->io.provider, this->metrics,
       platform::ReadDeclaration, std::move(calls),
       this->settings.instances_door.empty() ? maintenance::InstanceCalls()
                                             : this->instances.Calls()));
