--- a/libraries/base/kj_timeout.h
+++ b/libraries/base/kj_timeout.h
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "libraries/base/kj_time.h"
+#include "libraries/base/read_lateness.h"
 #include "libraries/base/response_limit.h"
 
 namespace sumac {
@@ -22,7 +23,7 @@
   return timer.afterDelay(ToKj(wait))
       .then([&timer, limit]() mutable -> kj::Promise<void> {
         const std::optional<Milliseconds> more =
-            limit.WaitMore(SystemClock().SteadyNow());
+            limit.WaitMore(SystemClock().SteadyNow(), ReadLateness());
         if (!more) {
           return kj::READY_NOW;
         }
--- a/libraries/base/response_limit.h
+++ b/libraries/base/response_limit.h
@@ -21,12 +21,15 @@
   ResponseLimit(Milliseconds limit, SteadyTime now) : due(now + limit) {}
 
   // Asked whenever a timer has fired: how long to wait on, or nothing if the
-  // answer is missing.
-  std::optional<Milliseconds> WaitMore(SteadyTime now) {
-    const Milliseconds late = now - this->due;
-    if (late < Milliseconds(0)) {
-      return -late;
+  // answer is missing. `read_lateness` is how long what has come waits until
+  // the loop reads it.
+  std::optional<Milliseconds> WaitMore(
+      SteadyTime now,
+      Milliseconds read_lateness = Milliseconds(0)) {
+    if (now < this->due) {
+      return this->due - now;
     }
+    const Milliseconds late = std::max(now - this->due, read_lateness);
     // NOTE: The first timer says nothing, however punctual: a loop that stood
     // still may come back right at the limit.
     const bool had_round = this->rounds > 0 && late < kPunctual;
--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -23,10 +23,12 @@
              std::string_view::npos;
 }
 
-// NOTE: The kernel's own shortage shows as a plain failure with this text.
+constexpr std::string_view kNoPlace = "no connection to spare";
+
+// NOTE: A timeout has the same type, and says that the other side is silent.
 bool IsShortage(const kj::Exception& exception) {
   const std::string_view text = exception.getDescription().cStr();
-  return exception.getType() == kj::Exception::Type::OVERLOADED ||
+  return text.find(kNoPlace) != std::string_view::npos ||
          text.find("Too many open files") != std::string_view::npos;
 }
 
@@ -153,7 +155,7 @@
   if (this->budget != nullptr) {
     place = this->budget->Take();
     if (!place) {
-      return KJ_EXCEPTION(OVERLOADED, "no connection to spare");
+      return KJ_EXCEPTION(FAILED, kNoPlace.data());
     }
   }
   const std::uint64_t own_generation = ++this->generation;
--- a/services/sumacd/loop_probe.cc
+++ b/services/sumacd/loop_probe.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "libraries/base/read_lateness.h"
 #include "libraries/log/json_log.h"
 
 namespace sumac::daemon {
@@ -13,6 +14,7 @@
 }
 
 void LoopProbe::Send() {
+  ReadLateness() = this->Lateness();
   if (this->is_open) {
     return;
   }
--- a/services/sumacd/loop_probe.h
+++ b/services/sumacd/loop_probe.h
@@ -20,7 +20,8 @@
  public:
   explicit LoopProbe(kj::AsyncIoProvider& provider);
 
-  // Sends a byte, unless the last one has not arrived yet.
+  // Sends a byte, unless the last one has not arrived yet, and tells the
+  // thread's time limits how late the loop reads (ReadLateness).
   void Send();
 
   // How late the last byte arrived, or how long the one that is on its way has
--- a/tests/libraries/base/response_limit_test.cc
+++ b/tests/libraries/base/response_limit_test.cc
@@ -40,6 +40,18 @@
   EXPECT_FALSE(limit.WaitMore(fired + Milliseconds(121)));
 }
 
+// The timers of a busy loop were punctual to 30 ms while what had come lay in
+// its sockets for 420 ms: it looks at its timers between any two sockets. A
+// renewal's answer may be 400 ms late, so sound workers counted as silent.
+TEST(ResponseLimitTest, ALoopThatReadsLateGetsMoreRoundsForAPunctualTimer) {
+  ResponseLimit limit(kLimit, kBegin);
+  SteadyTime fired = kBegin + kLimit;
+  EXPECT_EQ(limit.WaitMore(fired, Milliseconds(420)), Milliseconds(250));
+  fired += Milliseconds(250);
+  EXPECT_EQ(limit.WaitMore(fired, Milliseconds(200)), Milliseconds(200));
+  EXPECT_FALSE(limit.WaitMore(fired + Milliseconds(200), Milliseconds(2)));
+}
+
 // A process that was stopped for long does not wait for as long again, and one
 // that is always late gives up at last.
 TEST(ResponseLimitTest, TheRoundsAreBounded) {
--- a/tests/libraries/http/connection_budget_test.cc
+++ b/tests/libraries/http/connection_budget_test.cc
@@ -97,6 +97,39 @@
             CallOutcome::kNotSent);
 }
 
+// A network on which nobody ever answers.
+class SilentNetwork : public kj::Network {
+ public:
+  kj::Promise<kj::Own<kj::NetworkAddress>> parseAddress(
+      kj::StringPtr /*address*/,
+      kj::uint /*port*/) override {
+    return kj::NEVER_DONE;
+  }
+  kj::Own<kj::NetworkAddress> getSockaddr(const void* /*address*/,
+                                          kj::uint /*length*/) override {
+    KJ_UNIMPLEMENTED("not used");
+  }
+  kj::Own<kj::Network> restrictPeers(
+      kj::ArrayPtr<const kj::StringPtr> /*allow*/,
+      kj::ArrayPtr<const kj::StringPtr> /*deny*/) override {
+    KJ_UNIMPLEMENTED("not used");
+  }
+};
+
+// Silence must not pass for a want of connections: a worker that is cut off
+// would never be missed.
+TEST(ConnectionBudgetTest,
+     AConnectionThatNobodyAcceptsIsSilenceAndNotAShortage) {
+  auto parts = std::make_unique<Parts>(1);
+  SilentNetwork network;
+  AsyncConnection connection(network, parts->io.provider->getTimer(),
+                             *parts->headers, Parts::kAddress, &parts->budget);
+  EXPECT_EQ(connection.Call({.path = "/ok"}, Milliseconds(50))
+                .wait(parts->io.waitScope)
+                .outcome,
+            CallOutcome::kNoAnswer);
+}
+
 TEST(ConnectionBudgetTest, ACallWhoseTurnComesTooLateIsNotSent) {
   auto parts = std::make_unique<Parts>(1);
   AsyncConnection& connection = *parts->connections[0];
