--- a/libraries/scheduler/admission.cc
+++ b/libraries/scheduler/admission.cc
@@ -32,6 +32,13 @@
       0.0, 1.0);
 }
 
+std::size_t Admission::OpenStarts() const {
+  const auto range = static_cast<double>(this->settings.most_open_starts -
+                                         this->settings.fewest_open_starts);
+  return this->settings.fewest_open_starts +
+         static_cast<std::size_t>(range * this->Share());
+}
+
 bool Admission::Take() {
   this->credit = std::min(this->credit + this->Share(), 1.0);
   if (this->credit < 1.0) {
--- a/libraries/scheduler/admission.h
+++ b/libraries/scheduler/admission.h
@@ -2,18 +2,26 @@
 #ifndef LIBRARIES_SCHEDULER_ADMISSION_H_
 #define LIBRARIES_SCHEDULER_ADMISSION_H_
 
+#include <cstddef>
+
 #include "libraries/base/time.h"
 
 namespace sumac::scheduler {
 
 // From which lateness of its own loop a leader turns new jobs away.
 struct AdmissionSettings {
-  // Up to this every job is taken. A rush that the leader gets over makes its
-  // timers some tens of milliseconds late.
-  Milliseconds all_up_to{120};
-  // From here on none is: followers wait 450 ms for a heartbeat, and a leader
-  // that loses its place to a rush serves nobody for seconds.
-  Milliseconds none_from{360};
+  // Up to this every job is taken. A rush that the leader gets over makes it
+  // some tens of milliseconds late.
+  Milliseconds all_up_to{80};
+  // From here on none is. Followers wait 450 ms for a heartbeat, and a leader
+  // that loses its place to a rush serves nobody for seconds; an order counts as
+  // unanswered after 400 ms, and settling it costs more than it did.
+  Milliseconds none_from{250};
+  // Starts that may be unanswered at once: on a leader that is in time, and on
+  // one that is as late as above. A rack that went dark takes some hundred of
+  // them until its silence is noticed.
+  std::size_t most_open_starts = 600;
+  std::size_t fewest_open_starts = 16;
   // When a caller who was refused should come back: a rush that makes a leader
   // a little late is over in the one time, one that fills it in the other.
   Milliseconds short_retry{1'000};
@@ -28,13 +36,17 @@
  public:
   explicit Admission(AdmissionSettings settings = {}) : settings(settings) {}
 
-  // Takes in how late a timer of the loop fired.
+  // Takes in how long what has come waited until the loop read it.
   void NoteLateness(Milliseconds late);
 
   // Decides about one new job; the jobs that are taken are spread evenly over
   // those that come.
   bool Take();
 
+  // How many starts may be unanswered now: a late leader starts less, and keeps
+  // what runs.
+  std::size_t OpenStarts() const;
+
   // When a caller who is refused now should come back.
   Milliseconds RetryAfter() const;
 
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -39,10 +39,6 @@
 // ordered a whole backlog of thousands at once would hold memory and
 // connections for all of them before the first answer is read.
 constexpr std::size_t kMostStartsOfPass = 250;
-// Starts that may be unanswered at once. A leader that is late reads answers
-// late, so this keeps it from ordering more than it can follow; a rack that
-// went dark takes some hundred of them until its silence is noticed.
-constexpr std::size_t kMostOpenStarts = 600;
 
 // Where a job is, in a request's path: its queue and its id.
 struct JobAddress {
@@ -760,8 +756,8 @@
 }
 
 std::size_t JobController::StartsOfPass() const {
-  const std::size_t open = std::min(this->open_starts, kMostOpenStarts);
-  return std::min(kMostStartsOfPass, kMostOpenStarts - open);
+  const std::size_t most = this->admission.OpenStarts();
+  return std::min(kMostStartsOfPass, most - std::min(this->open_starts, most));
 }
 
 void JobController::NotePass(std::chrono::steady_clock::duration took) {
--- a/tests/libraries/http/connection_budget_test.cc
+++ b/tests/libraries/http/connection_budget_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <kj/async-io.h>
+#include <kj/debug.h>
 
 #include <cstddef>
 #include <memory>
