--- a/libraries/scheduler/admission.cc
+++ b/libraries/scheduler/admission.cc
@@ -6,10 +6,13 @@
 namespace sumac::scheduler {
 namespace {
 
-// A new reading counts for a quarter when the loop gets later, so that one
-// stall refuses nobody, and for an eighth when it gets better.
-constexpr int kRise = 4;
+// A new reading counts for a half when the loop gets later, since a sudden rush
+// fills it within two or three readings, and for an eighth when it gets better.
+constexpr int kRise = 2;
 constexpr int kFall = 8;
+// Jobs that a leader which is in time takes in a row before it looks at the
+// share again, so that one stall refuses nobody.
+constexpr double kBurst = 4;
 
 }  // namespace
 
@@ -40,7 +43,9 @@
 }
 
 bool Admission::Take() {
-  this->credit = std::min(this->credit + this->Share(), 1.0);
+  const double share = this->Share();
+  const double most = 1.0 + (kBurst - 1.0) * share;
+  this->credit = std::min(this->credit + share, most);
   if (this->credit < 1.0) {
     return false;
   }
--- a/libraries/scheduler/admission.h
+++ b/libraries/scheduler/admission.h
@@ -59,7 +59,7 @@
   AdmissionSettings settings;
   Milliseconds smoothed{0};
   // Jobs that may be taken before the next one is refused.
-  double credit = 1;
+  double credit = 4;
 };
 
 }  // namespace sumac::scheduler
