Scheduler, Sumacd: Serve more workers than there are connections

With more workers than half of its connections a leader waits between renewals itself, instead of letting each worker hold an answer and a connection; the others find an idle connection meanwhile.

--- a/libraries/scheduler/admission.h
+++ b/libraries/scheduler/admission.h
@@ -14,8 +14,8 @@
   // some tens of milliseconds late.
   Milliseconds all_up_to{80};
   // From here on none is. Followers wait 450 ms for a heartbeat, and a leader
-  // that loses its place to a rush serves nobody for seconds; an order counts as
-  // unanswered after 400 ms, and settling it costs more than it did.
+  // that loses its place to a rush serves nobody for seconds; an order counts
+  // as unanswered after 400 ms, and settling it costs more than it did.
   Milliseconds none_from{250};
   // Starts that may be unanswered at once: on a leader that is in time, and on
   // one that is as late as above. A rack that went dark takes some hundred of
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -70,7 +70,8 @@
   // beside the time that a stop may take; the more runs there are, the longer.
   Milliseconds unwanted_interval{50};
   // For as many runs the two intervals above hold; a look at all of them costs
-  // some 0.2 microseconds a run, so that this keeps it to a hundredth of a core.
+  // some 0.2 microseconds a run, so that this keeps it to a hundredth of a
+  // core.
   std::size_t runs_of_interval = 1'000;
 };
 
--- a/libraries/scheduler/worker_calls.h
+++ b/libraries/scheduler/worker_calls.h
@@ -4,7 +4,9 @@
 
 #include <kj/async.h>
 
+#include <cstddef>
 #include <functional>
+#include <limits>
 
 #include "libraries/base/names.h"
 #include "libraries/scheduler/scheduler.h"
@@ -26,6 +28,9 @@
   std::function<kj::Promise<OrderAnswer>(const Order&)> send;
   // Asks the placement policy.
   std::function<kj::Promise<AdviceAnswer>(const AdviceQuestion&)> advise;
+  // How many workers may keep an answer back at once: each of them takes a
+  // connection for that time.
+  std::size_t most_waiting = std::numeric_limits<std::size_t>::max();
   // The worker's life is over.
   std::function<void(const WorkerId&)> forget;
 };
--- a/libraries/scheduler/worker_messages.h
+++ b/libraries/scheduler/worker_messages.h
@@ -30,6 +30,8 @@
   std::optional<WorkerTime> lease_end;
   // How long the worker may keep the answer back while no run ends.
   Milliseconds wait{0};
+  // How long the leader waits after the answer, before the next renewal.
+  Milliseconds pause{0};
 };
 
 // Starts one run of a task.
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -59,7 +59,8 @@
   if (this->clock && this->has_answered && this->failures == 0 &&
       !has_run_out) {
     order.lease_end = this->GrantLease(now);
-    order.wait = this->RenewalWait(workers);
+    const bool waits_here = workers > this->settings.most_waiting;
+    (waits_here ? order.pause : order.wait) = this->RenewalWait(workers);
   }
   return order;
 }
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -38,7 +39,10 @@
   // together answer no more often than this a second while nothing ends: a
   // renewal costs it some 70 microseconds.
   std::int64_t most_renewals_a_second = 600;
-  // Bounds that, so that a lease outlasts two lost renewals.
+  // With more workers than this the leader waits between renewals instead of
+  // the workers, since it has no connection for each of them.
+  std::size_t most_waiting = std::numeric_limits<std::size_t>::max();
+  // Bounds the wait, so that a lease outlasts two lost renewals.
   Milliseconds longest_renewal_wait{2'000};
   // Workers' clocks may run slow by this many thousandths.
   std::int64_t slow_clock_permille = 20;
@@ -99,8 +103,8 @@
   // Takes in a change that the worker announced.
   void Update(const jobs::Worker& worker) { this->description = worker; }
 
-  // The next renewal for one of `workers`; it also extends the bound on what may
-  // run there.
+  // The next renewal for one of `workers`; it also extends the bound on what
+  // may run there.
   RenewOrder NextRenewal(LeaderEpoch epoch,
                          std::size_t workers,
                          SteadyTime now);
--- a/services/sumacd/worker_renewals.cc
+++ b/services/sumacd/worker_renewals.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/worker_renewals.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "libraries/base/kj_time.h"
@@ -58,21 +59,23 @@
     return kj::READY_NOW;
   }
   return this->host.renew(*order)
-      .then([this, worker](const scheduler::RenewAnswer& answer) {
-        return this->TakeAnswer(worker, answer);
+      .then([this, worker,
+             pause = order->pause](const scheduler::RenewAnswer& answer) {
+        return this->TakeAnswer(worker, answer, pause);
       })
       .then([this, worker] { return this->Loop(worker); });
 }
 
 kj::Promise<void> WorkerRenewals::TakeAnswer(
     const WorkerId& worker,
-    const scheduler::RenewAnswer& answer) {
+    const scheduler::RenewAnswer& answer,
+    Milliseconds least_pause) {
   RenewalOutcome outcome = this->host.take(worker, answer);
   const std::shared_ptr<OpenRecords>& open = this->renewals.at(worker).open;
   KJ_IF_MAYBE (recorded, outcome.recorded) {
     this->AwaitRecord(open, kj::mv(*recorded));
   }
-  const Milliseconds pause = outcome.pause;
+  const Milliseconds pause = std::max(outcome.pause, least_pause);
   return this->AwaitSettled(*open).then([this, pause]() -> kj::Promise<void> {
     if (pause == Milliseconds(0)) {
       return kj::READY_NOW;
--- a/services/sumacd/worker_renewals.h
+++ b/services/sumacd/worker_renewals.h
@@ -78,7 +78,8 @@
 
   kj::Promise<void> Loop(const WorkerId& worker);
   kj::Promise<void> TakeAnswer(const WorkerId& worker,
-                               const scheduler::RenewAnswer& answer);
+                               const scheduler::RenewAnswer& answer,
+                               Milliseconds least_pause);
   void AwaitRecord(const std::shared_ptr<OpenRecords>& open,
                    kj::Promise<void> recorded);
   kj::Promise<void> AwaitSettled(OpenRecords& open);
