Sumacd, Http: Give a leader's load a class of its own, and doors a safe end

Found in reading the diff: a door that goes with a request under way noted the connection as idle after its place was gone; a connection that ends was taken off the list only once the loop had nothing else to do; a connection that kept its place when asked to give way was asked by an empty function the next time.

--- a/libraries/http/async_connection.h
+++ b/libraries/http/async_connection.h
@@ -74,6 +74,10 @@
                   const kj::HttpHeaderTable& headers,
                   std::string address,
                   ConnectionBudget* budget = nullptr);
+  // What is open may outlive it for a moment, but must not call it any more.
+  ~AsyncConnection() { this->MarkBusy(); }
+  AsyncConnection(const AsyncConnection&) = delete;
+  AsyncConnection& operator=(const AsyncConnection&) = delete;
 
   // Sends a request and waits for its answer for up to `limit` from when its
   // turn came, the time to connect included. The promise never fails.
--- a/libraries/http/async_door.cc
+++ b/libraries/http/async_door.cc
@@ -45,6 +45,10 @@
       : door(door), number(number), place(std::move(place)) {
     this->NoteIdle();
   }
+  // A request under way ends here and notes so, which needs the place.
+  ~Session() { this->served = nullptr; }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
 
   bool is_refused() const { return !this->place.has_value(); }
 
@@ -61,6 +65,7 @@
         .attach(kj::defer([this] { this->NoteIdle(); }));
   }
 
+  // Serves the connection until it ends.
   kj::Promise<void> served = nullptr;
 
  private:
@@ -157,7 +162,7 @@
   this->sessions.emplace(number, kj::mv(session));
   const auto ended = [this, number] {
     // Not from within the promise that ends with it.
-    this->tasks.add(kj::evalLast([this, number] { this->End(number); }));
+    this->tasks.add(kj::evalLater([this, number] { this->End(number); }));
   };
   // A connection that breaks off concerns only its caller.
   added.served = this->server->listenHttp(kj::mv(stream))
--- a/libraries/http/connection_budget.cc
+++ b/libraries/http/connection_budget.cc
@@ -10,8 +10,11 @@
 
 std::optional<ConnectionBudget::Place> ConnectionBudget::Take() {
   if (this->open_count >= this->limit && !this->idle_connections.empty()) {
-    const IdleConnection oldest = std::move(this->idle_connections.front());
-    oldest.close();
+    // Should it not give its place back, the next one is tried the next time.
+    IdleList& idle = this->idle_connections;
+    idle.splice(idle.end(), idle, idle.begin());
+    const std::function<void()> close = idle.back().close;
+    close();
     ++this->closed_count;
   }
   if (this->open_count >= this->limit) {
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -28,17 +28,11 @@
 constexpr Milliseconds kEndsPause{15};
 // After a renewal that got no answer, before the next.
 constexpr Milliseconds kRenewalPause{150};
-// A leader says this often how busy it is.
-constexpr Milliseconds kLoadLineInterval{2'000};
 // A new leader asks all workers what they run, in slices: a thousand calls and
 // their connections at once keep its loop from its heartbeats for longer than
 // its followers wait.
 constexpr std::size_t kRenewalsOfSlice = 50;
 constexpr Milliseconds kSlicePause{10};
-// Starts that one pass orders: some 25 ms of a third of a core. A pass that
-// ordered a whole backlog of thousands at once would hold memory and
-// connections for all of them before the first answer is read.
-constexpr std::size_t kMostStartsOfPass = 250;
 
 // Where a job is, in a request's path: its queue and its id.
 struct JobAddress {
@@ -106,12 +100,6 @@
 void JobController::RegisterMetrics() {
   this->metrics.SetGauge("sumac_is_leading",
                          [this] { return this->is_leading() ? 1.0 : 0.0; });
-  this->metrics.SetGauge("sumac_open_starts", [this] {
-    return static_cast<double>(this->open_starts);
-  });
-  this->metrics.SetGauge("sumac_late_seconds", [this] {
-    return std::chrono::duration<double>(this->admission.lateness()).count();
-  });
   this->metrics.SetGauge("sumac_is_disk_full", [this] {
     return this->host->is_disk_full() ? 1.0 : 0.0;
   });
@@ -141,12 +129,6 @@
                      : 0.0;
         });
   }
-  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
-    this->metrics.SetCounter(
-        StrCat("sumac_busy_seconds_total{part=\"", WorkTimes::kNames[part],
-               "\"}"),
-        [this, part] { return this->work_times.Spent(part).count(); });
-  }
 }
 
 JobController::JobController(const NodeSettings& settings,
@@ -158,7 +140,7 @@
     : settings(settings),
       timer(provider.getTimer()),
       metrics(metrics),
-      loop_probe(provider),
+      load(provider, metrics),
       worker_calls(std::move(worker_calls)),
       instance_calls(std::move(instance_calls)),
       jobs_state(std::move(decoder)),
@@ -186,49 +168,19 @@
 
 void JobController::Tick() {
   const SteadyTime now = this->clock.SteadyNow();
-  this->NoteLateness(now);
+  this->load.Measure();
   this->host->Tick(now);
   this->FollowLeadership(now);
-  if (this->scheduler && now - this->last_plan >= kIdlePlanInterval) {
+  if (!this->scheduler) {
+    return;
+  }
+  if (now - this->last_plan >= kIdlePlanInterval) {
     this->Plan();
   }
-}
-
-void JobController::NoteLateness(SteadyTime now) {
-  const Milliseconds late = this->loop_probe.Lateness();
-  this->loop_probe.Send();
-  this->admission.NoteLateness(late);
-  this->most_late = std::max(this->most_late, late);
-  this->metrics.Observe("sumac_loop_late_seconds",
-                        std::chrono::duration<double>(late).count());
-  if (this->is_leading() && now - this->load_logged >= kLoadLineInterval) {
-    this->LogLoad(now);
-  }
-}
-
-// A line by which an operator tells a leader that is late from one that has
-// nothing to do, and what it is late with.
-void JobController::LogLoad(SteadyTime now) {
-  nlohmann::json busy = nlohmann::json::object();
-  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
-    const auto spent = this->work_times.Spent(part);
-    busy[std::string(WorkTimes::kNames[part])] =
-        std::chrono::duration_cast<Milliseconds>(spent -
-                                                 this->logged_work[part])
-            .count();
-    this->logged_work[part] = spent;
-  }
-  LogEvent(LogLevel::kInfo, "leader-load",
-           {{"span_ms", (now - this->load_logged).count()},
-            {"late_ms", this->admission.lateness().count()},
-            {"most_late_ms", this->most_late.count()},
-            {"busy_ms", std::move(busy)},
-            {"pass_pause_ms", this->pass_pacer.NextPause().count()},
-            {"open_starts", this->open_starts},
-            {"waiting_ends", this->waiting_ends.size()},
-            {"active_jobs", this->jobs_state.active_jobs().size()}});
-  this->load_logged = now;
-  this->most_late = Milliseconds(0);
+  this->load.LogIfDue({.waiting_ends = this->waiting_ends.size(),
+                       .active_jobs = this->jobs_state.active_jobs().size(),
+                       .pass_pause = this->pass_pacer.NextPause()},
+                      now);
 }
 
 void JobController::FollowLeadership(SteadyTime now) {
@@ -299,6 +251,7 @@
                                     .move_time = times.move_time()},
       this->settings.process(), now);
   this->BeginRenewals();
+  this->load.BeginSpan(now);
   LogEvent(LogLevel::kInfo, "leads",
            {{"term", this->term_watch.term().value()},
             {"epoch", this->jobs_state.epoch().value()},
@@ -320,7 +273,7 @@
 }
 
 fleet::Answer JobController::Apply(const std::string& payload) {
-  const auto measured = this->work_times.Measure(Work::kApply);
+  const auto measured = this->load.work_times.Measure(Work::kApply);
   const auto stamped = FromCbor<jobs::StampedCommand>(payload, "log");
   if (!stamped.ok()) {
     LogEvent(LogLevel::kError, "log-entry-malformed",
@@ -423,7 +376,7 @@
   if (!this->host->MayAct() || !this->scheduler) {
     return this->host->NotLeaderAnswer();
   }
-  const auto measured = this->work_times.Measure(Work::kAnswer);
+  const auto measured = this->load.work_times.Measure(Work::kAnswer);
   return std::visit([this](const auto& body) { return this->Serve(body); },
                     request);
 }
@@ -452,14 +405,13 @@
     return fleet::Answer{.code = ResultCode::kOverloaded,
                          .message = "too many jobs wait or run"};
   }
-  if (!this->open_submissions.contains(address->job) &&
-      !this->admission.Take()) {
+  if (!this->open_submissions.contains(address->job) && !this->load.TakeJob()) {
     this->metrics.Count("sumac_refusals_total{reason=\"late\"}");
     return fleet::Answer{
         .code = ResultCode::kOverloaded,
-        .message = StrCat("this controller is ",
-                          this->admission.lateness().count(), " ms late"),
-        .document = {{"retry_after_ms", this->admission.RetryAfter().count()}}};
+        .message = StrCat("this controller is ", this->load.lateness().count(),
+                          " ms late"),
+        .document = {{"retry_after_ms", this->load.RetryAfter().count()}}};
   }
   this->open_submissions.insert(address->job);
   return this
@@ -629,7 +581,7 @@
     const WorkerId& worker,
     const scheduler::RenewReport& report,
     SteadyTime now) {
-  const auto measured = this->work_times.Measure(Work::kReport);
+  const auto measured = this->load.work_times.Measure(Work::kReport);
   return this->scheduler->TakeReport(worker, report, now);
 }
 
@@ -728,16 +680,16 @@
   this->last_plan = this->clock.SteadyNow();
   this->SyncWorkers();
   {
-    const auto measured = this->work_times.Measure(Work::kInstances);
+    const auto measured = this->load.work_times.Measure(Work::kInstances);
     this->keeper->Plan(this->clock.Now(), this->last_plan);
   }
   scheduler::SchedulerOutput output;
   {
-    const auto measured = this->work_times.Measure(Work::kSchedule);
+    const auto measured = this->load.work_times.Measure(Work::kSchedule);
     output = this->scheduler->Plan(this->last_plan, this->clock.Now(),
-                                   this->StartsOfPass());
+                                   this->load.StartsOfTurn());
   }
-  const auto measured = this->work_times.Measure(Work::kOrder);
+  const auto measured = this->load.work_times.Measure(Work::kOrder);
   this->LogEvents(output.events);
   for (const scheduler::Order& order : output.orders) {
     this->SendOrder(order);
@@ -751,16 +703,11 @@
   if (output.question) {
     this->AskForAdvice(*output.question);
   }
-  if (output.orders.size() >= kMostStartsOfPass) {
+  if (output.orders.size() >= LeaderLoad::kMostStartsOfTurn) {
     this->SchedulePlan();
   }
 }
 
-std::size_t JobController::StartsOfPass() const {
-  const std::size_t most = this->admission.OpenStarts();
-  return std::min(kMostStartsOfPass, most - std::min(this->open_starts, most));
-}
-
 void JobController::NotePass(std::chrono::steady_clock::duration took) {
   this->metrics.Observe("sumac_pass_seconds",
                         std::chrono::duration<double>(took).count());
@@ -818,23 +765,20 @@
     return;
   }
   const Term term = this->term_watch.term();
-  const bool is_start = std::holds_alternative<scheduler::StartOrder>(order);
-  this->open_starts += static_cast<std::size_t>(is_start);
-  auto closed = kj::defer([this, is_start] {
-    this->open_starts -= static_cast<std::size_t>(is_start);
-  });
+  kj::Promise<scheduler::OrderAnswer> answered = this->worker_calls.send(order);
+  if (std::holds_alternative<scheduler::StartOrder>(order)) {
+    answered = answered.attach(this->load.CountStart());
+  }
   this->tasks.add(
-      this->worker_calls.send(order)
-          .attach(kj::mv(closed))
-          .then([this, term, order](const scheduler::OrderAnswer& answer) {
-            if (!this->scheduler || this->term_watch.term() != term) {
-              return;
-            }
-            this->scheduler->TakeAnswer(order, answer, this->clock.SteadyNow());
-            if (this->scheduler->is_dirty()) {
-              this->SchedulePlan();
-            }
-          }));
+      answered.then([this, term, order](const scheduler::OrderAnswer& answer) {
+        if (!this->scheduler || this->term_watch.term() != term) {
+          return;
+        }
+        this->scheduler->TakeAnswer(order, answer, this->clock.SteadyNow());
+        if (this->scheduler->is_dirty()) {
+          this->SchedulePlan();
+        }
+      }));
 }
 
 void JobController::LogEvents(
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -6,7 +6,6 @@
 #include <kj/async.h>
 #include <kj/timer.h>
 
-#include <array>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -22,18 +21,16 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/requests.h"
 #include "libraries/maintenance/instance_calls.h"
-#include "libraries/scheduler/admission.h"
 #include "libraries/scheduler/pass_pacer.h"
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_calls.h"
 #include "services/sumacd/instance_keeper.h"
-#include "services/sumacd/loop_probe.h"
+#include "services/sumacd/leader_load.h"
 #include "services/sumacd/node_settings.h"
 #include "services/sumacd/peers.h"
 #include "services/sumacd/replica_host.h"
 #include "services/sumacd/snapshot_writer.h"
 #include "services/sumacd/term_watch.h"
-#include "services/sumacd/work_times.h"
 #include "services/sumacd/worker_renewals.h"
 
 namespace sumac::daemon {
@@ -92,8 +89,6 @@
   void RegisterMetrics();
   kj::Promise<void> TickLoop();
   void Tick();
-  void NoteLateness(SteadyTime now);
-  void LogLoad(SteadyTime now);
   void FollowLeadership(SteadyTime now);
   void BeginLeadership();
   void StartDeciding();
@@ -127,7 +122,6 @@
   void CommitEnds();
   void SchedulePlan();
   void Plan();
-  std::size_t StartsOfPass() const;
   void NotePass(std::chrono::steady_clock::duration took);
   void SendOrder(const scheduler::Order& order);
   void RequestReport(const scheduler::RenewOrder& order);
@@ -137,9 +131,8 @@
   const NodeSettings& settings;
   kj::Timer& timer;
   http::Metrics& metrics;
-  LoopProbe loop_probe;
+  LeaderLoad load;
   SystemClock clock;
-  WorkTimes work_times;
   scheduler::WorkerCalls worker_calls;
   maintenance::InstanceCalls instance_calls;
   jobs::JobsState jobs_state;
@@ -156,14 +149,6 @@
   std::multiset<JobId> open_submissions;
   SteadyTime last_maintenance{};
   SteadyTime last_plan{};
-  scheduler::Admission admission;
-  // Since the last line about the load.
-  SteadyTime load_logged{};
-  Milliseconds most_late{0};
-  std::array<std::chrono::duration<double>, WorkTimes::kNames.size()>
-      logged_work{};
-  // Starts that were sent and are not answered.
-  std::size_t open_starts = 0;
   scheduler::PassPacer pass_pacer;
   // Workers of which something was committed since the last pass.
   std::set<WorkerId> changed_workers;
--- /dev/null
+++ b/services/sumacd/leader_load.cc
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/leader_load.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "libraries/base/text.h"
+#include "libraries/log/json_log.h"
+
+namespace sumac::daemon {
+namespace {
+
+// A leader says this often how busy it is: some ten lines of a rush.
+constexpr Milliseconds kLineInterval{2'000};
+
+double InSeconds(Milliseconds time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+}  // namespace
+
+LeaderLoad::LeaderLoad(kj::AsyncIoProvider& provider, http::Metrics& metrics)
+    : metrics(metrics), probe(provider) {
+  this->metrics.SetGauge("sumac_open_starts", [this] {
+    return static_cast<double>(this->open_starts);
+  });
+  this->metrics.SetGauge("sumac_late_seconds",
+                         [this] { return InSeconds(this->lateness()); });
+  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
+    this->metrics.SetCounter(
+        StrCat("sumac_busy_seconds_total{part=\"", WorkTimes::kNames[part],
+               "\"}"),
+        [this, part] { return this->work_times.Spent(part).count(); });
+  }
+}
+
+void LeaderLoad::Measure() {
+  const Milliseconds late = this->probe.Lateness();
+  this->probe.Send();
+  this->admission.NoteLateness(late);
+  this->most_late = std::max(this->most_late, late);
+  this->metrics.Observe("sumac_loop_late_seconds", InSeconds(late));
+}
+
+void LeaderLoad::BeginSpan(SteadyTime now) {
+  this->span_began = now;
+  this->most_late = Milliseconds(0);
+  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
+    this->logged_work[part] = this->work_times.Spent(part);
+  }
+}
+
+void LeaderLoad::LogIfDue(const LeaderQueues& queues, SteadyTime now) {
+  if (now - this->span_began < kLineInterval) {
+    return;
+  }
+  nlohmann::json busy = nlohmann::json::object();
+  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
+    const auto spent = this->work_times.Spent(part) - this->logged_work[part];
+    busy[std::string(WorkTimes::kNames[part])] =
+        std::chrono::duration_cast<Milliseconds>(spent).count();
+  }
+  LogEvent(LogLevel::kInfo, "leader-load",
+           {{"span_ms", (now - this->span_began).count()},
+            {"late_ms", this->lateness().count()},
+            {"most_late_ms", this->most_late.count()},
+            {"busy_ms", std::move(busy)},
+            {"pass_pause_ms", queues.pass_pause.count()},
+            {"open_starts", this->open_starts},
+            {"waiting_ends", queues.waiting_ends},
+            {"active_jobs", queues.active_jobs}});
+  this->BeginSpan(now);
+}
+
+std::size_t LeaderLoad::StartsOfTurn() const {
+  const std::size_t most = this->admission.OpenStarts();
+  const std::size_t open = std::min(this->open_starts, most);
+  return std::min(kMostStartsOfTurn, most - open);
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/leader_load.h
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_LEADER_LOAD_H_
+#define SERVICES_SUMACD_LEADER_LOAD_H_
+
+#include <kj/async-io.h>
+#include <kj/common.h>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+
+#include "libraries/base/time.h"
+#include "libraries/http/metrics.h"
+#include "libraries/scheduler/admission.h"
+#include "services/sumacd/loop_probe.h"
+#include "services/sumacd/work_times.h"
+
+namespace sumac::daemon {
+
+// What a leader's line about its load tells beside what LeaderLoad knows.
+struct LeaderQueues {
+  // Ends of runs that wait for their commit.
+  std::size_t waiting_ends = 0;
+  std::size_t active_jobs = 0;
+  // Between two turns of the scheduler.
+  Milliseconds pass_pause{0};
+};
+
+// How busy a controller's event loop is, and how much new work it may take for
+// that. Says so in its metrics and, while it leads, in a line now and then.
+// Belongs to the core's event loop.
+class LeaderLoad {
+ public:
+  LeaderLoad(kj::AsyncIoProvider& provider, http::Metrics& metrics);
+
+  // Measures how late the loop reads; called at each tick.
+  void Measure();
+
+  // Begins the span of the next line, with a new leadership.
+  void BeginSpan(SteadyTime now);
+  // Writes the line if it is due.
+  void LogIfDue(const LeaderQueues& queues, SteadyTime now);
+
+  // Decides about one new job; see Admission.
+  bool TakeJob() { return this->admission.Take(); }
+  Milliseconds RetryAfter() const { return this->admission.RetryAfter(); }
+  Milliseconds lateness() const { return this->admission.lateness(); }
+
+  // How many starts the next turn of the scheduler may order.
+  std::size_t StartsOfTurn() const;
+  // Counts a start as unanswered until the result goes.
+  auto CountStart() {
+    ++this->open_starts;
+    return kj::defer([this] { --this->open_starts; });
+  }
+
+  // Starts that one turn orders at most: some 25 ms of a third of a core. A
+  // turn that ordered a whole backlog of thousands at once would hold memory
+  // and connections for all of them before the first answer is read.
+  static constexpr std::size_t kMostStartsOfTurn = 250;
+
+  // The parts of the loop's work.
+  WorkTimes work_times;
+
+ private:
+  http::Metrics& metrics;
+  LoopProbe probe;
+  scheduler::Admission admission;
+  // Starts that were sent and are not answered.
+  std::size_t open_starts = 0;
+  // Since the last line.
+  SteadyTime span_began{};
+  Milliseconds most_late{0};
+  std::array<std::chrono::duration<double>, WorkTimes::kNames.size()>
+      logged_work{};
+};
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_LEADER_LOAD_H_
--- a/tests/libraries/http/connection_budget_test.cc
+++ b/tests/libraries/http/connection_budget_test.cc
@@ -38,6 +38,19 @@
   EXPECT_EQ(budget.closed(), 1U);
 }
 
+// A connection that is closed late must not be asked in vain for ever.
+TEST(ConnectionBudgetTest, OneThatKeepsItsPlaceDoesNotKeepOthersFromGivingWay) {
+  ConnectionBudget budget(2);
+  std::optional<ConnectionBudget::Place> stubborn = budget.Take();
+  std::optional<ConnectionBudget::Place> other = budget.Take();
+  int asked = 0;
+  stubborn->MarkIdle([&] { ++asked; });
+  other->MarkIdle([&] { other.reset(); });
+  EXPECT_FALSE(budget.Take().has_value());
+  EXPECT_TRUE(budget.Take().has_value());
+  EXPECT_EQ(asked, 1);
+}
+
 // As many servers as a leader has workers, and connections with one budget.
 struct Parts {
   explicit Parts(std::size_t most)
@@ -201,5 +214,30 @@
   EXPECT_EQ(first.wait(parts->io.waitScope).status, 200U);
 }
 
+// A process that stops closes its doors with requests under way; each of them
+// gives its place back.
+TEST(ConnectionBudgetTest, ADoorMayGoWithARequestUnderWay) {
+  auto parts = std::make_unique<Parts>(Parts::kConnections);
+  auto door = std::make_unique<AsyncDoor>(
+      parts->io.provider->getTimer(),
+      DoorSettings{.address = "127.0.7.34:18737", .most_connections = 4},
+      [](const DoorRequest&) -> kj::Promise<DoorReply> {
+        return kj::NEVER_DONE;
+      });
+  door->Listen(parts->io.provider->getNetwork()).wait(parts->io.waitScope);
+  AsyncConnection caller(parts->io.provider->getNetwork(),
+                         parts->io.provider->getTimer(), *parts->headers,
+                         "127.0.7.34:18737");
+  kj::Promise<CallReply> call =
+      caller.Call({.path = "/ok"}, kLimit).eagerlyEvaluate(nullptr);
+  while (door->open_requests() == 0) {
+    parts->io.provider->getTimer()
+        .afterDelay(1 * kj::MILLISECONDS)
+        .wait(parts->io.waitScope);
+  }
+  door.reset();
+  EXPECT_EQ(call.wait(parts->io.waitScope).outcome, CallOutcome::kNoAnswer);
+}
+
 }  // namespace
 }  // namespace sumac::http
