Sumacd, Scheduler: Keep one copy of a load's figures and of a burst

From reading the whole diff once more; behaviour stays. The burst that admission allows stood twice, as a constant and as a first credit: it is a setting of AdmissionSettings now.

--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -25,7 +25,9 @@
 
 constexpr std::string_view kNoPlace = "no connection to spare";
 
-// NOTE: A timeout has the same type, and says that the other side is silent.
+// True if this process had no descriptor for the connection.
+// NOTE: Told by the text: kj's type for it is also that of a timeout, which
+// says that the other side is silent.
 bool IsShortage(const kj::Exception& exception) {
   const std::string_view text = exception.getDescription().cStr();
   return text.find(kNoPlace) != std::string_view::npos ||
--- a/libraries/http/async_door.cc
+++ b/libraries/http/async_door.cc
@@ -109,7 +109,7 @@
   this->server = kj::heap<kj::HttpServer>(
       timer, *this->header_table,
       [this](kj::AsyncIoStream& /*connection*/) -> kj::Own<kj::HttpService> {
-        // The sessions own themselves; the server only calls them.
+        // The door owns the sessions; the server only calls them.
         Session& newest = *this->sessions.rbegin()->second;
         return kj::Own<kj::HttpService>(&newest, kj::NullDisposer::instance);
       },
--- a/libraries/scheduler/admission.cc
+++ b/libraries/scheduler/admission.cc
@@ -10,9 +10,6 @@
 // fills it within two or three readings, and for an eighth when it gets better.
 constexpr int kRise = 2;
 constexpr int kFall = 8;
-// Jobs that a leader which is in time takes in a row before it looks at the
-// share again, so that one stall refuses nobody.
-constexpr double kBurst = 4;
 
 }  // namespace
 
@@ -44,7 +41,7 @@
 
 bool Admission::Take() {
   const double share = this->Share();
-  const double most = 1.0 + (kBurst - 1.0) * share;
+  const double most = 1.0 + (this->settings.burst - 1.0) * share;
   this->credit = std::min(this->credit + share, most);
   if (this->credit < 1.0) {
     return false;
--- a/libraries/scheduler/admission.h
+++ b/libraries/scheduler/admission.h
@@ -22,6 +22,9 @@
   // them until its silence is noticed.
   std::size_t most_open_starts = 600;
   std::size_t fewest_open_starts = 16;
+  // Jobs that a leader which is in time takes in a row before it looks at the
+  // share again, so that one stall refuses nobody.
+  double burst = 4;
   // When a caller who was refused should come back: a rush that makes a leader
   // a little late is over in the one time, one that fills it in the other.
   Milliseconds short_retry{1'000};
@@ -59,7 +62,7 @@
   AdmissionSettings settings;
   Milliseconds smoothed{0};
   // Jobs that may be taken before the next one is refused.
-  double credit = 4;
+  double credit = this->settings.burst;
 };
 
 }  // namespace sumac::scheduler
--- a/services/sumacd/leader_load.cc
+++ b/services/sumacd/leader_load.cc
@@ -2,6 +2,7 @@
 #include "services/sumacd/leader_load.h"
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -46,9 +47,7 @@
 void LeaderLoad::BeginSpan(SteadyTime now) {
   this->span_began = now;
   this->most_late = Milliseconds(0);
-  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
-    this->logged_work[part] = this->work_times.Spent(part);
-  }
+  this->logged_work = this->work_times;
 }
 
 void LeaderLoad::LogIfDue(const LeaderQueues& queues, SteadyTime now) {
@@ -57,7 +56,8 @@
   }
   nlohmann::json busy = nlohmann::json::object();
   for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
-    const auto spent = this->work_times.Spent(part) - this->logged_work[part];
+    const auto spent =
+        this->work_times.Spent(part) - this->logged_work.Spent(part);
     busy[std::string(WorkTimes::kNames[part])] =
         std::chrono::duration_cast<Milliseconds>(spent).count();
   }
--- a/services/sumacd/leader_load.h
+++ b/services/sumacd/leader_load.h
@@ -5,8 +5,6 @@
 #include <kj/async-io.h>
 #include <kj/common.h>
 
-#include <array>
-#include <chrono>
 #include <cstddef>
 
 #include "libraries/base/time.h"
@@ -71,8 +69,8 @@
   // Since the last line.
   SteadyTime span_began{};
   Milliseconds most_late{0};
-  std::array<std::chrono::duration<double>, WorkTimes::kNames.size()>
-      logged_work{};
+  // As they were then.
+  WorkTimes logged_work;
 };
 
 }  // namespace sumac::daemon
