Scheduler, Sumacd: Show what waits, who is refused and which jobs get the starts

The lines about a leader's load could not tell a backlog from a late loop, nor starts for jobs that can be in time from starts for those that are late.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -25,6 +25,20 @@
 
 }  // namespace
 
+void StartCounts::Count(Lateness lateness) {
+  switch (lateness) {
+    case Lateness::kInTime:
+      ++this->in_time;
+      break;
+    case Lateness::kLate:
+      ++this->late;
+      break;
+    case Lateness::kWorthless:
+      ++this->worthless;
+      break;
+  }
+}
+
 Scheduler::Scheduler(const jobs::JobsState& state,
                      SchedulerSettings settings,
                      SteadyTime now)
@@ -1047,7 +1061,7 @@
         !job.IsStepReady(due.occurrence, step)) {
       continue;
     }
-    const Candidate candidate{due.job, due.occurrence, step};
+    const Candidate candidate{due.job, due.occurrence, step, due.lateness};
     const bool is_placed = job.spec.steps[step].is_gang
                                ? this->StartGang(candidate, now, output)
                                : this->StartStep(candidate, now, output);
@@ -1205,6 +1219,7 @@
                         SteadyTime now,
                         SchedulerOutput& output) {
   this->starts_left -= std::min<std::size_t>(this->starts_left, 1);
+  this->starts_ordered.Count(candidate.lateness);
   const WorkerTime lease_end = session.GrantLease(now);
   const jobs::StepSpec& step = candidate.job->spec.steps[candidate.step];
   session.AddRun(Run{.task = task,
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -97,6 +97,15 @@
   WorkerId worker;
 };
 
+// How many starts a leader has ordered, by how late their jobs were then.
+struct StartCounts {
+  std::uint64_t in_time = 0;
+  std::uint64_t late = 0;
+  std::uint64_t worthless = 0;
+
+  void Count(Lateness lateness);
+};
+
 // Ends that a worker reported and that must be on record before the worker is
 // told so.
 struct EndsToRecord {
@@ -192,6 +201,10 @@
   // How many accepted jobs of a queue have not begun.
   std::uint64_t CountPending(const QueueName& queue) const;
 
+  // How many jobs wait for a start, as of the last turn.
+  std::size_t waiting_count() const { return this->waiting.size(); }
+  const StartCounts& start_counts() const { return this->starts_ordered; }
+
   // Why steps that are due have no place, as of the last review.
   const WaitingTable& waiting_table() const { return this->waiting_steps; }
 
@@ -209,6 +222,7 @@
     const jobs::Job* job = nullptr;
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
+    Lateness lateness = Lateness::kInTime;
   };
   // A worker that is being forgotten: when to ask for the record (again), and
   // its last announcement.
@@ -353,6 +367,7 @@
   std::size_t run_count = 0;
   // Starts that this call of Plan may still order.
   std::size_t starts_left = kAnyNumber;
+  StartCounts starts_ordered;
   SteadyTime judged_at{};
   SteadyTime looked_for_gone{};
   // Workers to be asked for a report beside the renewals.
--- a/libraries/scheduler/waiting_jobs.cc
+++ b/libraries/scheduler/waiting_jobs.cc
@@ -50,9 +50,11 @@
     for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
                                        job->DueAt(occurrence) <= wall_now;
          ++occurrence) {
-      order.emplace_back(UrgencyOf(*job, occurrence, queue, this->run_times,
-                                   this->orders_by_slack, wall_now),
-                         DueOccurrence{job, occurrence});
+      const Urgency urgency =
+          UrgencyOf(*job, occurrence, queue, this->run_times,
+                    this->orders_by_slack, wall_now);
+      order.emplace_back(urgency,
+                         DueOccurrence{job, occurrence, urgency.lateness});
     }
   }
   std::sort(order.begin(), order.end(),
--- a/libraries/scheduler/waiting_jobs.h
+++ b/libraries/scheduler/waiting_jobs.h
@@ -10,6 +10,7 @@
 #include "libraries/base/time.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/scheduler/run_times.h"
+#include "libraries/scheduler/urgency.h"
 
 namespace sumac::scheduler {
 
@@ -17,6 +18,8 @@
 struct DueOccurrence {
   const jobs::Job* job = nullptr;
   std::uint32_t occurrence = 0;
+  // Whether it could still be in time when it was ordered.
+  Lateness lateness = Lateness::kInTime;
 };
 
 // The active jobs of which a task may have to be started, and their order.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -179,6 +179,8 @@
   }
   this->load.LogIfDue({.waiting_ends = this->waiting_ends.size(),
                        .active_jobs = this->jobs_state.active_jobs().size(),
+                       .waiting_jobs = this->scheduler->waiting_count(),
+                       .starts = this->scheduler->start_counts(),
                        .pass_pause = this->pass_pacer.NextPause()},
                       now);
 }
@@ -251,7 +253,7 @@
                                     .move_time = times.move_time()},
       this->settings.process(), now);
   this->BeginRenewals();
-  this->load.BeginSpan(now);
+  this->load.BeginLeadership(now);
   LogEvent(LogLevel::kInfo, "leads",
            {{"term", this->term_watch.term().value()},
             {"epoch", this->jobs_state.epoch().value()},
@@ -709,6 +711,7 @@
 }
 
 void JobController::NotePass(std::chrono::steady_clock::duration took) {
+  this->load.CountTurn();
   this->metrics.Observe("sumac_pass_seconds",
                         std::chrono::duration<double>(took).count());
   this->pass_pacer.NotePass(
--- a/services/sumacd/leader_load.cc
+++ b/services/sumacd/leader_load.cc
@@ -44,9 +44,23 @@
   this->metrics.Observe("sumac_loop_late_seconds", InSeconds(late));
 }
 
+bool LeaderLoad::TakeJob() {
+  const bool is_taken = this->admission.Take();
+  ++(is_taken ? this->taken_jobs : this->refused_jobs);
+  return is_taken;
+}
+
+void LeaderLoad::BeginLeadership(SteadyTime now) {
+  this->logged_starts = {};
+  this->BeginSpan(now);
+}
+
 void LeaderLoad::BeginSpan(SteadyTime now) {
   this->span_began = now;
   this->most_late = Milliseconds(0);
+  this->turns = 0;
+  this->taken_jobs = 0;
+  this->refused_jobs = 0;
   this->logged_work = this->work_times;
 }
 
@@ -69,7 +83,17 @@
             {"pass_pause_ms", queues.pass_pause.count()},
             {"open_starts", this->open_starts},
             {"waiting_ends", queues.waiting_ends},
-            {"active_jobs", queues.active_jobs}});
+            {"active_jobs", queues.active_jobs},
+            {"waiting_jobs", queues.waiting_jobs},
+            {"turns", this->turns},
+            {"taken_jobs", this->taken_jobs},
+            {"refused_jobs", this->refused_jobs},
+            {"starts",
+             {{"in_time", queues.starts.in_time - this->logged_starts.in_time},
+              {"late", queues.starts.late - this->logged_starts.late},
+              {"worthless",
+               queues.starts.worthless - this->logged_starts.worthless}}}});
+  this->logged_starts = queues.starts;
   this->BeginSpan(now);
 }
 
--- a/services/sumacd/leader_load.h
+++ b/services/sumacd/leader_load.h
@@ -6,10 +6,12 @@
 #include <kj/common.h>
 
 #include <cstddef>
+#include <cstdint>
 
 #include "libraries/base/time.h"
 #include "libraries/http/metrics.h"
 #include "libraries/scheduler/admission.h"
+#include "libraries/scheduler/scheduler.h"
 #include "services/sumacd/loop_probe.h"
 #include "services/sumacd/work_times.h"
 
@@ -20,6 +22,9 @@
   // Ends of runs that wait for their commit.
   std::size_t waiting_ends = 0;
   std::size_t active_jobs = 0;
+  std::size_t waiting_jobs = 0;
+  // Ordered since the leadership began.
+  scheduler::StartCounts starts;
   // Between two turns of the scheduler.
   Milliseconds pass_pause{0};
 };
@@ -34,13 +39,15 @@
   // Measures how late the loop reads; called at each tick.
   void Measure();
 
-  // Begins the span of the next line, with a new leadership.
-  void BeginSpan(SteadyTime now);
+  // Begins the span of the first line, with a new leadership.
+  void BeginLeadership(SteadyTime now);
   // Writes the line if it is due.
   void LogIfDue(const LeaderQueues& queues, SteadyTime now);
 
   // Decides about one new job; see Admission.
-  bool TakeJob() { return this->admission.Take(); }
+  bool TakeJob();
+  // Counts a turn of the scheduler.
+  void CountTurn() { ++this->turns; }
   Milliseconds RetryAfter() const { return this->admission.RetryAfter(); }
   Milliseconds lateness() const { return this->admission.lateness(); }
 
@@ -61,6 +68,8 @@
   WorkTimes work_times;
 
  private:
+  void BeginSpan(SteadyTime now);
+
   http::Metrics& metrics;
   LoopProbe probe;
   scheduler::Admission admission;
@@ -69,8 +78,12 @@
   // Since the last line.
   SteadyTime span_began{};
   Milliseconds most_late{0};
+  std::uint64_t turns = 0;
+  std::uint64_t taken_jobs = 0;
+  std::uint64_t refused_jobs = 0;
   // As they were then.
   WorkTimes logged_work;
+  scheduler::StartCounts logged_starts;
 };
 
 }  // namespace sumac::daemon
