Scheduler: Give scarce starts to jobs that can be in time, and turn callers away last

Cause: priority came before lateness, and the most pressing job first, so that in a rush half of the starts went to jobs that were late, and the others were started when they could only just be in time. The loop's lateness closed the door at the same point as the window of starts, so that callers were refused while nothing waited (refused_jobs 129, waiting_jobs 3), came back after a second or two and cost as much as if in time. Now: in time, late, worthless before priority; what has begun first, then the newest; late jobs get starts only from a leader that has time to spare; the window of starts closes from 40 to 160 ms, the door from 110 to 250 ms.

--- a/libraries/scheduler/admission.h
+++ b/libraries/scheduler/admission.h
@@ -19,14 +19,20 @@
   double ShareAt(Milliseconds late) const;
 };
 
-// From which lateness of its own loop a leader takes on less work.
+// From which lateness of its own loop a leader takes on less work. What earns
+// least goes first, so that the window of starts holds the lateness before
+// callers are turned away.
 struct AdmissionSettings {
-  // Starts for jobs that can't be in time any more.
-  LatenessRange late_starts{Milliseconds(80), Milliseconds(250)};
+  // Starts for jobs that can't be in time any more: only on a leader that has
+  // time to spare. On an idle one the loop is 0 to 5 ms late.
+  LatenessRange late_starts{Milliseconds(10), Milliseconds(60)};
   // Starts.
-  LatenessRange starts{Milliseconds(80), Milliseconds(250)};
-  // New jobs.
-  LatenessRange jobs{Milliseconds(80), Milliseconds(250)};
+  LatenessRange starts{Milliseconds(40), Milliseconds(160)};
+  // New jobs. Taking one costs a twentieth of what its starts and ends cost,
+  // and the leader chooses best among those that it knows. Followers wait 450
+  // ms for a heartbeat, and a leader that loses its place to a rush serves
+  // nobody for seconds.
+  LatenessRange jobs{Milliseconds(110), Milliseconds(250)};
   // Starts that may be unanswered at once: on a leader that is in time, and on
   // one that is as late as above. A rack that went dark takes some hundred of
   // them until its silence is noticed.
--- a/libraries/scheduler/urgency.cc
+++ b/libraries/scheduler/urgency.cc
@@ -6,6 +6,9 @@
 
 // A late job earns a little until it has taken three times its time.
 constexpr int kWorthlessAfter = 3;
+// What comes to a job's run times on a busy leader: starts and reports that
+// wait, and the commit of its ends.
+constexpr Milliseconds kUsualDelay{400};
 
 }  // namespace
 
@@ -19,7 +22,9 @@
                                                        : Lateness::kLate;
     return urgency;
   }
-  urgency.slack = (this->late_from - wall_now).count();
+  const Milliseconds slack = this->late_from - wall_now;
+  urgency.is_new = this->is_new;
+  urgency.rank = this->is_new ? -slack.count() : slack.count();
   return urgency;
 }
 
@@ -43,7 +48,8 @@
       queue->latency_target;
   const Milliseconds left = run_times.RemainingChain(job, occurrence);
   basis.is_timeless = false;
-  basis.late_from = due + objective - left;
+  basis.is_new = !job.has_begun && job.occurrences.empty();
+  basis.late_from = due + objective - left - kUsualDelay;
   basis.worthless_from = due + kWorthlessAfter * objective - left;
   return basis;
 }
--- a/libraries/scheduler/urgency.h
+++ b/libraries/scheduler/urgency.h
@@ -15,12 +15,23 @@
 // not worth anything any more.
 enum class Lateness { kInTime, kLate, kWorthless };
 
-// What decides which job goes first; the smaller the earlier.
+// What decides which job goes first; the smaller the earlier. A job that can't
+// be in time any more goes after one that can, whatever their priorities: with
+// more work than starts it would take the other one's chance for next to
+// nothing.
 struct Urgency {
-  std::uint32_t priority = 0;
   Lateness lateness = Lateness::kInTime;
-  // How long the job can still wait, in milliseconds.
-  std::int64_t slack = 0;
+  std::uint32_t priority = 0;
+  // Jobs that have begun go first: the work that was done for them is lost to
+  // their callers if they end late.
+  bool is_new = false;
+  // Of those the most pressing goes first, and of new ones the one with the
+  // most time left. A rush that brings more than can be started must make some
+  // late; with the most pressing first every job waits until it can only just
+  // be in time, and any delay from then on makes it late (0.81 of what was
+  // asked was earned, and 0.83 with the newest first, mean of five simulated
+  // days).
+  std::int64_t rank = 0;
   std::uint64_t sequence = 0;
 
   auto operator<=>(const Urgency&) const = default;
@@ -35,6 +46,7 @@
   // It has a step that lasts, or jobs go in the order in which they came: it is
   // never late.
   bool is_timeless = true;
+  bool is_new = false;
   // From these times on it can't be in time, and is not worth anything.
   WallTime late_from{};
   WallTime worthless_from{};
