--- a/tests/libraries/scheduler/crowded_leader_test.cc
+++ b/tests/libraries/scheduler/crowded_leader_test.cc
@@ -131,5 +131,21 @@
   EXPECT_EQ(fleet.problem, "");
 }
 
+// A job that can't be in time waits while the leader has no time to spare, and
+// starts as soon as it has.
+TEST(CrowdedLeaderTest, ALateJobWaitsForALeaderWithTimeToSpare) {
+  FakeFleet fleet(2);
+  fleet.PassTime(Milliseconds(500));
+  fleet.Submit("job", {.count = 1, .estimate = Milliseconds(100)});
+  const WallTime late =
+      WallTime(fleet.now.time_since_epoch()) + Milliseconds(60'000);
+  const auto plan = [&](StartAllowance allowed) {
+    return StartsOf(fleet.scheduler->Plan(fleet.now, late, allowed)).size();
+  };
+  EXPECT_EQ(plan({.all = 5, .late = 0}), 0U);
+  EXPECT_EQ(plan({.all = 5, .late = 1}), 1U);
+  EXPECT_EQ(fleet.scheduler->start_counts().worthless, 1U);
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
