Scheduler, Sumacd: Bound the backlog of jobs that wait for a start

More than can be begun in 6 s at the best rate of late is now refused at once, with when to come back, and no queue for another's backlog.

--- /dev/null
+++ b/libraries/scheduler/backlog.cc
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/backlog.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace sumac::scheduler {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+constexpr Milliseconds kSecond{1'000};
+
+}  // namespace
+
+void Backlog::NoteFinished(SteadyTime now) {
+  const Milliseconds passed = now - this->second_began;
+  if (passed >= kSecond) {
+    const double kept = this->best * std::pow(this->settings.kept_a_second,
+                                              Seconds(passed).count());
+    this->best = std::max(static_cast<double>(this->in_second), kept);
+    this->second_began = now;
+    this->in_second = 0;
+  }
+  ++this->in_second;
+}
+
+double Backlog::BestRate() const {
+  return std::max(this->best, static_cast<double>(this->in_second));
+}
+
+bool Backlog::IsFull(const WaitingCounts& waiting) const {
+  const double most =
+      std::max(static_cast<double>(this->settings.always_taken),
+               this->BestRate() * Seconds(this->settings.longest_wait).count());
+  const double share =
+      most / static_cast<double>(std::max<std::size_t>(waiting.queues, 1));
+  return static_cast<double>(waiting.of_all) >= most &&
+         static_cast<double>(waiting.of_queue) >= share;
+}
+
+Milliseconds Backlog::RetryAfter(const WaitingCounts& waiting) const {
+  const Seconds until_begun(static_cast<double>(waiting.of_all) /
+                            std::max(this->BestRate(), 1.0));
+  return std::clamp(std::chrono::duration_cast<Milliseconds>(until_begun),
+                    this->settings.shortest_retry,
+                    this->settings.longest_retry);
+}
+
+}  // namespace sumac::scheduler
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -200,6 +200,9 @@
 
   // How many jobs wait for a start, as of the last turn.
   std::size_t waiting_count() const { return this->waiting.size(); }
+  WaitingCounts CountWaitingFor(const QueueName& queue) const {
+    return this->waiting.CountFor(queue);
+  }
   const StartCounts& start_counts() const { return this->starts_ordered; }
 
   // Why steps that are due have no place, as of the last review.
--- a/libraries/scheduler/waiting_jobs.cc
+++ b/libraries/scheduler/waiting_jobs.cc
@@ -58,11 +58,13 @@
   this->Gather(now);
   std::vector<std::pair<Urgency, DueOccurrence>> order;
   order.reserve(this->waiting.size());
+  this->counts.clear();
   for (auto& [sequence, known] : this->waiting) {
     const jobs::Job* job = this->FindActive(sequence);
     if (job == nullptr) {
       continue;
     }
+    ++this->counts[job->queue];
     for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
                                        job->DueAt(occurrence) <= wall_now;
          ++occurrence) {
@@ -84,6 +86,13 @@
   return due;
 }
 
+WaitingCounts WaitingJobs::CountFor(const QueueName& queue) const {
+  const auto found = this->counts.find(queue);
+  return {.of_queue = found == this->counts.end() ? 0 : found->second,
+          .of_all = this->waiting.size(),
+          .queues = this->counts.size()};
+}
+
 void WaitingJobs::Settle(const std::set<std::uint64_t>& unplaced,
                          WallTime wall_now) {
   std::erase_if(this->waiting, [&](const auto& item) {
--- a/libraries/scheduler/waiting_jobs.h
+++ b/libraries/scheduler/waiting_jobs.h
@@ -10,6 +10,7 @@
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
 #include "libraries/jobs/jobs_state.h"
+#include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/run_times.h"
 #include "libraries/scheduler/urgency.h"
 
@@ -54,6 +55,8 @@
   void Settle(const std::set<std::uint64_t>& unplaced, WallTime wall_now);
 
   std::size_t size() const { return this->waiting.size(); }
+  // How many jobs waited when they were last ordered, as seen from one queue.
+  WaitingCounts CountFor(const QueueName& queue) const;
 
  private:
   const jobs::Job* FindActive(std::uint64_t sequence) const;
@@ -69,6 +72,7 @@
   // By the jobs' numbers, with the urgency of each occurrence that was due;
   // none where it has to be worked out (again).
   std::map<std::uint64_t, std::vector<UrgencyBasis>> waiting;
+  std::map<QueueName, std::size_t> counts;
   // Jobs numbered from here on have not been looked at.
   std::uint64_t next_job = 0;
   SteadyTime looked_at_all{};
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -334,6 +334,7 @@
     if (job == nullptr || job->is_active()) {
       continue;
     }
+    this->backlog.NoteFinished(this->clock.SteadyNow());
     const Milliseconds took = job->finished_at - job->accepted_at;
     this->metrics.Observe("sumac_job_seconds",
                           std::chrono::duration<double>(took).count());
@@ -385,6 +386,41 @@
                     request);
 }
 
+// The refusal of one more job of the queue, or nothing if it is taken.
+std::optional<fleet::Answer> JobController::RefuseIfOverloaded(
+    const QueueName& queue) {
+  const auto refuse = [this](const char* reason, std::string message,
+                             Milliseconds retry_after) {
+    this->metrics.Count(
+        StrCat("sumac_refusals_total{reason=\"", reason, "\"}"));
+    this->load.CountJob(false);
+    return fleet::Answer{.code = ResultCode::kOverloaded,
+                         .message = std::move(message),
+                         .document = {{"retry_after_ms", retry_after.count()}}};
+  };
+  if (this->jobs_state.active_jobs().size() + this->open_submissions.size() >=
+      this->settings.policy.most_active_jobs) {
+    return refuse("overload", "too many jobs wait or run",
+                  this->load.RetryAfter());
+  }
+  const scheduler::WaitingCounts waiting =
+      this->scheduler->CountWaitingFor(queue);
+  if (this->backlog.IsFull(waiting)) {
+    return refuse("backlog",
+                  StrCat(waiting.of_all, " jobs wait for a start, ",
+                         waiting.of_queue, " of them of this queue"),
+                  this->backlog.RetryAfter(waiting));
+  }
+  if (!this->load.TakesJob()) {
+    return refuse("late",
+                  StrCat("this controller is ", this->load.lateness().count(),
+                         " ms late"),
+                  this->load.RetryAfter());
+  }
+  this->load.CountJob(true);
+  return std::nullopt;
+}
+
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::SubmitAt& request) {
   const auto address =
       Resolve(this->jobs_state.declaration(), request.host, request.path);
@@ -402,20 +438,10 @@
   }
   // NOTE: A refusal promises that the job never runs, so it may not be given to
   // one that is on its way.
-  if (!this->open_submissions.contains(address->job) &&
-      this->jobs_state.active_jobs().size() + this->open_submissions.size() >=
-          this->settings.policy.most_active_jobs) {
-    this->metrics.Count("sumac_refusals_total{reason=\"overload\"}");
-    return fleet::Answer{.code = ResultCode::kOverloaded,
-                         .message = "too many jobs wait or run"};
-  }
-  if (!this->open_submissions.contains(address->job) && !this->load.TakeJob()) {
-    this->metrics.Count("sumac_refusals_total{reason=\"late\"}");
-    return fleet::Answer{
-        .code = ResultCode::kOverloaded,
-        .message = StrCat("this controller is ", this->load.lateness().count(),
-                          " ms late"),
-        .document = {{"retry_after_ms", this->load.RetryAfter().count()}}};
+  if (!this->open_submissions.contains(address->job)) {
+    if (auto refusal = this->RefuseIfOverloaded(address->queue->name)) {
+      return *std::move(refusal);
+    }
   }
   this->open_submissions.insert(address->job);
   return this
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -21,6 +21,7 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/requests.h"
 #include "libraries/maintenance/instance_calls.h"
+#include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/loop_pacer.h"
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_calls.h"
@@ -102,6 +103,7 @@
   kj::Promise<fleet::Answer> Propose(jobs::Command command);
   void ProposeInBackground(jobs::Command command);
 
+  std::optional<fleet::Answer> RefuseIfOverloaded(const QueueName& queue);
   kj::Promise<fleet::Answer> Serve(const jobs::SubmitAt& request);
   kj::Promise<fleet::Answer> Serve(const jobs::ShowAt& request);
   kj::Promise<fleet::Answer> Serve(const jobs::CancelAt& request);
@@ -152,6 +154,7 @@
   SteadyTime last_plan{};
   scheduler::LoopPacer loop_pacer;
   CommitRounds commit_rounds;
+  scheduler::Backlog backlog;
   // Workers of which something was committed since the last pass.
   std::set<WorkerId> changed_workers;
   bool has_applied = false;
--- a/services/sumacd/leader_load.cc
+++ b/services/sumacd/leader_load.cc
@@ -44,12 +44,6 @@
   this->metrics.Observe("sumac_loop_late_seconds", InSeconds(late));
 }
 
-bool LeaderLoad::TakeJob() {
-  const bool is_taken = this->admission.Take();
-  ++(is_taken ? this->taken_jobs : this->refused_jobs);
-  return is_taken;
-}
-
 void LeaderLoad::BeginLeadership(SteadyTime now) {
   this->logged_starts = {};
   this->BeginSpan(now);
--- a/services/sumacd/leader_load.h
+++ b/services/sumacd/leader_load.h
@@ -45,7 +45,11 @@
   void LogIfDue(const LeaderQueues& queues, SteadyTime now);
 
   // Decides about one new job; see Admission.
-  bool TakeJob();
+  bool TakesJob() { return this->admission.Take(); }
+  // Counts a job that was taken or refused, for whatever reason.
+  void CountJob(bool is_taken) {
+    ++(is_taken ? this->taken_jobs : this->refused_jobs);
+  }
   // Counts a turn of the scheduler.
   void CountTurn() { ++this->turns; }
   Milliseconds RetryAfter() const { return this->admission.RetryAfter(); }
