Scheduler: Let the backlog be worth ten seconds of starts

A bound of 6 s and 200 jobs refused callers in the first seconds of a rush, while instances still moved.

--- a/libraries/scheduler/backlog.h
+++ b/libraries/scheduler/backlog.h
@@ -12,12 +12,14 @@
 // How many jobs may wait for a start.
 struct BacklogSettings {
   // The leader takes no more jobs than can be begun within this at the best
-  // rate of late. Callers' jobs take some three seconds and are in time within
-  // five; the bound is also how long a backlog goes on after a rush.
-  Milliseconds longest_wait{6'000};
+  // rate of late. Callers' jobs take some three seconds, and one that takes
+  // three times as long is worth nothing to its caller. The bound is also how
+  // long a backlog goes on after a rush.
+  Milliseconds longest_wait{10'000};
   // It takes so many in any case: the first seconds of a rush, in which
-  // instances still move to a pool and the best rate is not known yet.
-  std::size_t always_taken = 200;
+  // instances still move to a pool and the best rate is not known yet. A leader
+  // of a third of a core begins them within some five seconds.
+  std::size_t always_taken = 500;
   // What is left of the best rate after a second in which it was not reached: a
   // half after 14 s, some turns of a queue's demand.
   double kept_a_second = 0.95;
