--- a/libraries/scheduler/admission.h
+++ b/libraries/scheduler/admission.h
@@ -26,7 +26,8 @@
   // Starts for jobs that can't be in time any more: only on a leader that has
   // time to spare. On an idle one the loop is 0 to 5 ms late.
   LatenessRange late_starts{Milliseconds(10), Milliseconds(60)};
-  // Starts.
+  // Starts for the others. An order counts as unanswered after 400 ms, and
+  // settling it costs more than it did.
   LatenessRange starts{Milliseconds(40), Milliseconds(160)};
   // New jobs. Taking one costs a twentieth of what its starts and ends cost,
   // and the leader chooses best among those that it knows. Followers wait 450
--- a/libraries/scheduler/backlog.h
+++ b/libraries/scheduler/backlog.h
@@ -57,12 +57,14 @@
   Milliseconds RetryAfter(const WaitingCounts& waiting) const;
 
  private:
-  // Jobs a second.
+  // The jobs a second that can be begun, by what finished.
   double BestRate() const;
 
   BacklogSettings settings;
+  // The second that is being counted, and the jobs that finished in it.
   SteadyTime second_began{};
   std::uint64_t in_second = 0;
+  // The most that finished in a second of late, jobs a second.
   double best = 0;
 };
 
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -200,6 +200,7 @@
 
   // How many jobs wait for a start, as of the last turn.
   std::size_t waiting_count() const { return this->waiting.size(); }
+  // The same, as seen from one queue.
   WaitingCounts CountWaitingFor(const QueueName& queue) const {
     return this->waiting.CountFor(queue);
   }
@@ -369,6 +370,7 @@
   std::size_t run_count = 0;
   // What is left of the starts that this call of Plan may order.
   StartAllowance starts_left;
+  // Since the leadership began.
   StartCounts starts_ordered;
   SteadyTime judged_at{};
   SteadyTime looked_for_gone{};
--- a/libraries/scheduler/urgency.h
+++ b/libraries/scheduler/urgency.h
@@ -41,6 +41,9 @@
 // task of the job begins or a step is done, so that a pass need not work it out
 // for every job that waits.
 struct UrgencyBasis {
+  // The job's urgency as of a time.
+  Urgency At(WallTime wall_now) const;
+
   std::uint32_t priority = 0;
   std::uint64_t sequence = 0;
   // It has a step that lasts, or jobs go in the order in which they came: it is
@@ -50,8 +53,6 @@
   // From these times on it can't be in time, and is not worth anything.
   WallTime late_from{};
   WallTime worthless_from{};
-
-  Urgency At(WallTime wall_now) const;
 };
 
 // Without `orders_by_slack` jobs of one priority go in the order in which they
--- a/libraries/scheduler/waiting_jobs.h
+++ b/libraries/scheduler/waiting_jobs.h
@@ -60,6 +60,7 @@
 
  private:
   const jobs::Job* FindActive(std::uint64_t sequence) const;
+  // What is known of an occurrence's urgency; works it out if it is not.
   const UrgencyBasis& BasisOf(const jobs::Job& job,
                               std::uint32_t occurrence,
                               std::vector<UrgencyBasis>& known) const;
@@ -72,6 +73,7 @@
   // By the jobs' numbers, with the urgency of each occurrence that was due;
   // none where it has to be worked out (again).
   std::map<std::uint64_t, std::vector<UrgencyBasis>> waiting;
+  // Jobs that waited when they were last ordered, by queue.
   std::map<QueueName, std::size_t> counts;
   // Jobs numbered from here on have not been looked at.
   std::uint64_t next_job = 0;
