Sumacd, Tests: Show tasks that a new leader starts and ends with its first orders (red)

On the large fleet long-running tasks are ended beyond what their step may miss, right after a change of leader during a wave.

--- /dev/null
+++ b/tests/services/sumacd/instance_orders_test.cc
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: Apache-2.0
+// Long-running tasks of a step that may miss some were ended by orders about
+// their instances while as many others of the step were away already. It came
+// right after a change of leader in the middle of a maintenance wave: the new
+// leader started tasks on instances that the one before had emptied, and three
+// seconds later it ended these tasks with orders of that wave.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libraries/maintenance/capacity_planner.h"
+#include "libraries/maintenance/maintenance_planner.h"
+#include "services/sumacd/instance_facts.h"
+#include "tests/libraries/scheduler/fake_fleet.h"
+
+namespace sumac::daemon {
+namespace {
+
+using jobs::MaintenanceState;
+
+const WaveId kWave("1");
+const InstanceName kEmptied("m0");
+const std::string kEmptiedWorker("w0");
+constexpr Milliseconds kTurn{50};
+// Longer than a new leader gives no orders, and than its first orders take.
+constexpr Milliseconds kFirstSeconds{5'000};
+
+// Leaders of a fake fleet whose planners look at its instances every turn. The
+// orders that they give are kept and not carried out.
+class InstanceOrdersTest : public testing::Test {
+ protected:
+  InstanceOrdersTest() : fleet(3) {
+    // The pool needs all that it has, so nothing is moved.
+    this->demand[ServiceName("previews")].fewest_instances = 3;
+    this->BeginPlanners();
+  }
+
+  void BeginPlanners() {
+    this->waves.emplace(maintenance::MaintenanceSettings(), ProcessName("c"),
+                        this->fleet.state.epoch(), this->fleet.now);
+    this->capacity.emplace(maintenance::CapacitySettings(), ProcessName("c"),
+                           this->fleet.state.epoch(), this->fleet.now);
+  }
+
+  // As a leader does it: first the planners of instances, then the scheduler.
+  void PassTime(Milliseconds time) {
+    for (Milliseconds passed{0}; passed < time; passed += kTurn) {
+      this->Look();
+      this->fleet.PassTime(kTurn);
+    }
+  }
+
+  void Look() {
+    const auto facts = GatherInstanceFacts(*this->fleet.scheduler);
+    maintenance::MaintenanceOutput output = this->waves->Plan(
+        this->fleet.state, facts, this->wall(), this->fleet.now);
+    maintenance::CapacityOutput moves =
+        this->capacity->Plan(this->fleet.state, facts, this->demand,
+                             output.cordoned, this->wall(), this->fleet.now);
+    output.cordoned.merge(moves.cordoned);
+    this->fleet.scheduler->SetCordoned(std::move(output.cordoned));
+    for (jobs::Command& command : output.commands) {
+      this->fleet.Commit(std::move(command));
+    }
+    for (const maintenance::InstanceOrder& order : output.orders) {
+      this->Take(order);
+    }
+  }
+
+  void Take(const maintenance::InstanceOrder& order) {
+    for (const auto& [id, worker] : this->fleet.all_workers()) {
+      if (worker.description.instance == order.instance) {
+        this->ended_tasks += worker.running().size();
+      }
+    }
+    this->orders.push_back(order);
+  }
+
+  void ChangeLeader() {
+    this->fleet.ChangeLeader();
+    this->BeginPlanners();
+  }
+
+  WallTime wall() const { return WallTime(this->fleet.now.time_since_epoch()); }
+
+  // Three tasks that last, one on each worker; one may be away at a time.
+  void SubmitLasting() {
+    this->fleet.Submit("lasting", jobs::StepSpec{.count = 3,
+                                                 .most_per_worker = 1,
+                                                 .is_long_running = true,
+                                                 .has_disruption_budget = true,
+                                                 .disruption_budget = 1});
+  }
+  // One of them has left the first worker, whose maintenance is on record.
+  void LetTheFirstWorkerBeEmptied() {
+    this->fleet.Commit(
+        jobs::StartWave{kWave, {kEmptied}, Milliseconds(20'000), 1});
+    this->fleet.Commit(jobs::RecordMaintenance{
+        kWave, kEmptied, MaintenanceState::kOrdered, WorkerId(kEmptiedWorker)});
+  }
+  std::size_t RunsOfTheFirstWorker() const {
+    return this->fleet.all_workers()
+        .at(WorkerId(kEmptiedWorker))
+        .running()
+        .size();
+  }
+
+  scheduler::FakeFleet fleet;
+  std::optional<maintenance::MaintenancePlanner> waves;
+  std::optional<maintenance::CapacityPlanner> capacity;
+  std::map<ServiceName, jobs::ServiceDemand> demand;
+  std::vector<maintenance::InstanceOrder> orders;
+  // What ran on the instances of the orders when these were given.
+  std::size_t ended_tasks = 0;
+};
+
+TEST_F(InstanceOrdersTest, ANewLeaderLeavesAnInstanceEmptyThatMayBeMaintained) {
+  this->PassTime(Milliseconds(500));
+  this->LetTheFirstWorkerBeEmptied();
+  this->ChangeLeader();
+  this->SubmitLasting();
+  this->PassTime(kFirstSeconds);
+  EXPECT_EQ(this->RunsOfTheFirstWorker(), 0U);
+  ASSERT_EQ(this->orders.size(), 1U);
+  EXPECT_EQ(this->ended_tasks, 0U);
+}
+
+TEST_F(InstanceOrdersTest, AnOrderOnRecordWaitsForTheTasksThatRunThere) {
+  this->PassTime(Milliseconds(500));
+  this->SubmitLasting();
+  this->PassTime(Milliseconds(2'000));
+  ASSERT_EQ(this->RunsOfTheFirstWorker(), 1U);
+  this->LetTheFirstWorkerBeEmptied();
+  this->ChangeLeader();
+  // There is no place but this one, so nothing can leave it.
+  this->PassTime(kFirstSeconds);
+  EXPECT_EQ(this->ended_tasks, 0U);
+  EXPECT_TRUE(this->orders.empty());
+}
+
+// The order may have been carried out, or be carried out any moment.
+TEST_F(InstanceOrdersTest, ANewLeaderLeavesAnInstanceEmptyThatMayBeMoved) {
+  this->PassTime(Milliseconds(500));
+  this->fleet.Commit(jobs::RecordMoves{.instances = {kEmptied}});
+  this->ChangeLeader();
+  this->SubmitLasting();
+  this->PassTime(Milliseconds(2'000));
+  EXPECT_EQ(this->RunsOfTheFirstWorker(), 0U);
+}
+
+}  // namespace
+}  // namespace sumac::daemon
