Maintenance, Tests: Show instances that are taken for gone too early (red)

A wave is told to be done though one of its instances had no maintenance.

AnInstanceThatIsGoneIsDone gave the planner one list, from before its first look at the wave, and took that for proof that the instance is gone: just what callers saw go wrong. It gives two lists from after the first look now, and still wants the instance to be over; the new tests hold that fewer or earlier lists don't suffice.

--- a/tests/libraries/maintenance/maintenance_planner_test.cc
+++ b/tests/libraries/maintenance/maintenance_planner_test.cc
@@ -60,6 +60,23 @@
   MaintenanceState StateOf(const std::string& name) const {
     return this->state.waves().at(kWave).instances.at(InstanceName(name)).state;
   }
+  // A whole list that was asked for at `asked_at` and comes now.
+  void TakeList(const std::vector<std::string>& names,
+                SteadyTime /*asked_at*/) {
+    std::vector<ListedInstance> rows;
+    rows.reserve(names.size());
+    for (const std::string& name : names) {
+      rows.push_back({.name = InstanceName(name), .state = InstanceState::kUp});
+    }
+    this->planner.TakeList(rows, this->now);
+  }
+  // Lists that are asked for now and answered at once, with a look after each.
+  void LookWithLists(const std::vector<std::string>& names, int lists) {
+    for (int list = 0; list < lists; ++list) {
+      this->TakeList(names, this->now);
+      this->Look();
+    }
+  }
   void LetTheInstanceComeBack(const std::string& name) {
     this->facts[InstanceName(name)] =
         InstanceFacts{.worker = WorkerId("next-" + name)};
@@ -181,8 +198,64 @@
 
 TEST_F(MaintenancePlannerTest, AnInstanceThatIsGoneIsDone) {
   this->StartWave({InstanceName("m1")}, 1);
-  this->planner.TakeList({}, this->now);
   this->Look();
+  this->LookWithLists({}, 2);
+  EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kOver);
+}
+
+// A wave was told to be done while one of its instances had never been ordered
+// down. The instance was the fiftieth and appeared 0.4 to 0.9 s before the wave
+// was declared: the last list of instances before that, at 3.391 s, has 49
+// rows, the next one, at 4.270 s, has 50.
+TEST_F(MaintenancePlannerTest, AnInstanceThatAppearedAfterTheListIsMaintained) {
+  this->AddInstance("m2", 500);
+  this->TakeList({"m2"}, this->now);
+  this->StartWave({InstanceName("m1"), InstanceName("m2")}, 1);
+  this->Look();
+  EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kWaiting);
+  this->LookWithLists({"m1", "m2"}, 2);
+  const auto orders = this->LookForOrders();
+  ASSERT_FALSE(orders.empty());
+  EXPECT_EQ(orders[0].instance.value(), "m1");
+}
+
+TEST_F(MaintenancePlannerTest, AListAskedForBeforeTheWaveShowsNobodyAsGone) {
+  const SteadyTime before = this->now;
+  this->StartWave({InstanceName("m1")}, 1);
+  this->Look();
+  this->TakeList({}, before);
+  this->Look();
+  this->TakeList({}, before);
+  this->Look();
+  EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kWaiting);
+}
+
+// A list is read page by page, and a row that moves to a page that was read
+// before is in none of them.
+TEST_F(MaintenancePlannerTest, AnInstanceThatOneListLacksIsNotGone) {
+  // No orders yet.
+  this->now = SteadyTime(Milliseconds(1'500));
+  this->StartWave({InstanceName("m1")}, 1);
+  this->Look();
+  for (int round = 0; round < 2; ++round) {
+    this->LookWithLists({"m1"}, 1);
+    this->LookWithLists({}, 1);
+    EXPECT_NE(this->StateOf("m1"), MaintenanceState::kOver);
+  }
+}
+
+TEST_F(MaintenancePlannerTest, AnInstanceUnderWayThatOneListLacksIsNotBack) {
+  this->AddInstance("m1");
+  this->StartWave({InstanceName("m1")}, 1);
+  const auto orders = this->LookForOrders();
+  ASSERT_EQ(orders.size(), 1U);
+  this->Answer(orders[0], InstanceResult::kDone);
+  this->facts.clear();
+  this->now += Milliseconds(3'000);
+  this->LookWithLists({"m1"}, 1);
+  this->LookWithLists({}, 1);
+  EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kBegun);
+  this->LookWithLists({}, 1);
   EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kOver);
 }
 
