Maintenance: Believe that an instance is gone only by two lists from after its wave

Cause: the planner took a waiting instance for gone if no worker of it was known and the last list of instances lacked it. An instance that joined after that list and just before the wave was declared met both, and was recorded as over at the first look. By reading, the same shape stood in three other places: a missing row ended a maintenance under way, a list was dated by its answer and not by when it was asked for, and a list is read page by page, so that a row may be in none of its pages. The last also let a worker in doubt be taken for dead, and its tasks start elsewhere, by one list.

InstanceListing now holds what lists show: one is gone only if two lists in a row lack it, both asked for since the moment from which it is known to have existed. Waves, the check of workers in doubt and the planner of pools use it. A list from before a move no longer undoes what the move made known: the instance counted as nobody's for up to 15 s (a test, red before).

Why an instance counts as done has a line, maintenance-over.

It lets two go, and still wants the order for the new one.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -26,19 +26,23 @@
       epoch(epoch),
       began_at(now) {}
 
-void CapacityPlanner::TakeList(const std::vector<ListedInstance>& instances,
-                               SteadyTime /*now*/) {
-  std::map<InstanceName, ServiceName> listed;
+void CapacityPlanner::TakeList(const InstanceListing& listing) {
+  const SteadyTime asked_at = listing.asked_at().value_or(SteadyTime{});
+  std::map<InstanceName, Place> listed;
   this->labels.clear();
-  for (const ListedInstance& instance : instances) {
-    this->labels[instance.name] = instance.labels;
-    const auto known = this->idle.find(instance.name);
-    if (instance.state == InstanceState::kUp) {
-      listed[instance.name] = instance.service;
-    } else if (instance.state == InstanceState::kMoving &&
-               known != this->idle.end()) {
-      // Where this leader sent it.
+  for (const auto& [name, instance] : listing.rows()) {
+    this->labels[name] = instance.labels;
+    const auto known = this->idle.find(name);
+    // NOTE: A list that was asked for before a move was taken shows the pool
+    // before it; until the next one the instance would count as nobody's.
+    const bool is_known_better = known != this->idle.end() &&
+                                 (instance.state == InstanceState::kMoving ||
+                                  (instance.state == InstanceState::kUp &&
+                                   known->second.known_at >= asked_at));
+    if (is_known_better) {
       listed.insert(*known);
+    } else if (instance.state == InstanceState::kUp) {
+      listed[name] = Place{instance.service, asked_at};
     }
   }
   this->idle = std::move(listed);
@@ -146,7 +150,8 @@
                                 name);
     }
   }
-  for (const auto& [name, service] : this->idle) {
+  for (const auto& [name, place] : this->idle) {
+    const ServiceName& service = place.service;
     const bool is_free = !facts.contains(name) && !busy.contains(name) &&
                          !this->moves.contains(name) &&
                          IsHeadroom(state, service);
@@ -493,7 +498,7 @@
     case InstanceResult::kDone:
       move.is_taken = true;
       move.taken_at = now;
-      this->idle[order.instance] = move.to;
+      this->idle[order.instance] = Place{move.to, now};
       if (!move.worker.value().empty()) {
         commands.emplace_back(jobs::ForgetWorker{move.worker, true});
       }
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -68,8 +68,8 @@
                       WallTime wall_now,
                       SteadyTime now);
 
-  // Takes in a whole list of the platform's instances.
-  void TakeList(const std::vector<ListedInstance>& instances, SteadyTime now);
+  // Takes in that there is a new list of the platform's instances.
+  void TakeList(const InstanceListing& listing);
 
   // Takes in what became of an order, and gives what is to be committed.
   std::vector<jobs::Command> TakeResult(const InstanceOrder& order,
@@ -189,8 +189,13 @@
   std::map<InstanceName, Move> moves;
   // Of every instance that was listed or has a worker; they stay with it.
   LabelNeeds::Labels labels;
+  // The pool of an instance, and when that was last known to be so.
+  struct Place {
+    ServiceName service;
+    SteadyTime known_at{};
+  };
   // Instances of pools that are off, as listed or moved there since.
-  std::map<InstanceName, ServiceName> idle;
+  std::map<InstanceName, Place> idle;
   std::map<ServiceName, SteadyTime> surplus_since;
 };
 
--- /dev/null
+++ b/libraries/maintenance/instance_listing.h
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_MAINTENANCE_INSTANCE_LISTING_H_
+#define LIBRARIES_MAINTENANCE_INSTANCE_LISTING_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/maintenance/instance_messages.h"
+
+namespace sumac::maintenance {
+
+// What the platform's lists of instances show. A list is read page by page
+// while instances come and go, so that it may lack one that is there all the
+// time: absence is believed only if two lists in a row show it, and only for
+// the time since the first of them was asked for. Pure.
+class InstanceListing {
+ public:
+  // Takes in a whole list whose first page was asked for at `asked_at`.
+  void Take(std::vector<ListedInstance> instances, SteadyTime asked_at);
+
+  // The rows of the last list, and those of the one before that it lacks.
+  const std::map<InstanceName, ListedInstance>& rows() const {
+    return this->known;
+  }
+  // The row of an instance in the last list; nothing where it has none.
+  const ListedInstance* Find(const InstanceName& name) const;
+
+  // When the last list was asked for; nothing before the first.
+  std::optional<SteadyTime> asked_at() const { return this->last_asked_at; }
+
+  // True if an instance that existed at `since` doesn't any more.
+  bool IsGone(const InstanceName& name, SteadyTime since) const;
+
+ private:
+  std::map<InstanceName, ListedInstance> known;
+  // Rows of `known` that the last list lacks.
+  std::set<InstanceName> missed;
+  std::optional<SteadyTime> last_asked_at;
+  std::optional<SteadyTime> asked_before_at;
+};
+
+}  // namespace sumac::maintenance
+
+#endif  // LIBRARIES_MAINTENANCE_INSTANCE_LISTING_H_
--- a/libraries/maintenance/maintenance_planner.cc
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/base/text.h"
+
 namespace sumac::maintenance {
 
 using jobs::MaintenanceState;
@@ -22,25 +24,18 @@
                      [](const auto& wave) { return !wave.second.is_done(); });
 }
 
-void MaintenancePlanner::TakeList(std::vector<ListedInstance> instances,
-                                  SteadyTime now) {
-  this->listed.clear();
-  for (ListedInstance& instance : instances) {
-    const InstanceName name = instance.name;
-    this->listed.emplace(name, std::move(instance));
-  }
-  this->listed_at = now;
-}
-
 MaintenanceOutput MaintenancePlanner::Plan(
     const jobs::JobsState& state,
     const std::map<InstanceName, InstanceFacts>& facts,
+    const InstanceListing& listing,
     WallTime wall_now,
     SteadyTime now) {
   MaintenanceOutput output;
   for (const auto& [id, wave] : state.waves()) {
-    if (!wave.is_done()) {
-      this->PlanWave(wave, facts, wall_now, now, output);
+    if (wave.is_done()) {
+      this->first_looks.erase(id);
+    } else {
+      this->PlanWave(wave, {facts, listing}, wall_now, now, output);
     }
   }
   for (const auto& [name, cordon] : this->cordons) {
@@ -71,12 +66,14 @@
       needed + 1, 1, static_cast<std::int64_t>(wave.most_at_once)));
 }
 
-void MaintenancePlanner::PlanWave(
-    const jobs::Wave& wave,
-    const std::map<InstanceName, InstanceFacts>& facts,
-    WallTime wall_now,
-    SteadyTime now,
-    MaintenanceOutput& output) {
+void MaintenancePlanner::PlanWave(const jobs::Wave& wave,
+                                  const Sight& sight,
+                                  WallTime wall_now,
+                                  SteadyTime now,
+                                  MaintenanceOutput& output) {
+  const auto& facts = sight.facts;
+  const SteadyTime first_look =
+      this->first_looks.try_emplace(wave.id, now).first->second;
   const bool may_order = !this->has_been_fenced &&
                          now - this->began_at > this->settings.holder_pause;
   std::uint32_t on_their_way = wave.CountDown();
@@ -90,20 +87,26 @@
       if (may_order) {
         this->FollowOrdered(wave, name, facts, now, output);
       }
-    } else if (instance.state == MaintenanceState::kBegun &&
-               this->IsBack(name, instance, facts, now)) {
-      output.commands.emplace_back(
-          jobs::RecordMaintenance{wave.id, name, MaintenanceState::kOver, {}});
+    } else if (instance.state == MaintenanceState::kBegun) {
+      std::string reason = this->WhyOver(name, instance, sight, now);
+      if (!reason.empty()) {
+        RecordOver(wave, name, std::move(reason), output);
+      }
     } else if (instance.state == MaintenanceState::kWaiting) {
       const auto known = facts.find(name);
-      const bool is_gone = known == facts.end() && this->listed_at &&
-                           !this->listed.contains(name);
-      if (is_gone) {
-        output.commands.emplace_back(jobs::RecordMaintenance{
-            wave.id, name, MaintenanceState::kOver, {}});
+      // NOTE: A wave names instances that exist when it is declared. One may be
+      // so new that no worker of it was heard of and that a list from before
+      // the wave lacks it: it would be left out, and the wave be told to be
+      // done.
+      if (known == facts.end() && sight.listing.IsGone(name, first_look)) {
+        RecordOver(wave, name, "it is gone: no list shows it", output);
         this->cordons.erase(name);
         continue;
       }
+      if (known == facts.end() && !sight.listing.rows().contains(name)) {
+        // The next list tells.
+        continue;
+      }
       if (this->cordons.contains(name)) {
         ++on_their_way;
       } else if (known != facts.end() && known->second.is_moving) {
@@ -192,35 +195,44 @@
 
 // An instance is back once another worker than before answers there, or, where
 // none ran, once the platform lists it as out of its maintenance.
-bool MaintenancePlanner::IsBack(
+std::string MaintenancePlanner::WhyOver(
     const InstanceName& name,
     const jobs::InstanceMaintenance& maintenance,
-    const std::map<InstanceName, InstanceFacts>& facts,
+    const Sight& sight,
     SteadyTime now) const {
   // A worker that began just before the maintenance may announce itself late.
   const auto order = this->open_orders.find(name);
-  const SteadyTime begun_at = order == this->open_orders.end()
-                                  ? this->began_at
-                                  : order->second.begun_at;
+  const bool is_own = order != this->open_orders.end();
+  const SteadyTime begun_at = is_own ? order->second.begun_at : this->began_at;
   if (now - begun_at < this->settings.maintenance_time) {
-    return false;
+    return "";
   }
-  const auto known = facts.find(name);
-  if (known != facts.end() && !known->second.is_only_announced &&
+  const auto known = sight.facts.find(name);
+  if (known != sight.facts.end() && !known->second.is_only_announced &&
       known->second.worker != maintenance.worker) {
-    return true;
+    return StrCat("worker ", known->second.worker.value(), " answers there");
   }
-  const auto open = this->open_orders.find(name);
-  const bool is_list_newer =
-      this->listed_at &&
-      (open == this->open_orders.end() || *this->listed_at > open->second.due);
-  if (!is_list_newer) {
-    return false;
+  // The platform may list what it was ordered a moment later.
+  const SteadyTime since = is_own ? order->second.due : this->began_at;
+  if (sight.listing.IsGone(name, since)) {
+    return "it is gone: no list shows it";
   }
-  const auto row = this->listed.find(name);
-  return row == this->listed.end() ||
-         (maintenance.worker.value().empty() &&
-          row->second.state != InstanceState::kInMaintenance);
+  const ListedInstance* row = sight.listing.Find(name);
+  const bool is_listed_as_back = row != nullptr &&
+                                 row->state != InstanceState::kInMaintenance &&
+                                 sight.listing.asked_at() > since;
+  return maintenance.worker.value().empty() && is_listed_as_back
+             ? StrCat("it is listed as ", NameOf(row->state))
+             : "";
+}
+
+void MaintenancePlanner::RecordOver(const jobs::Wave& wave,
+                                    const InstanceName& name,
+                                    std::string reason,
+                                    MaintenanceOutput& output) {
+  output.commands.emplace_back(
+      jobs::RecordMaintenance{wave.id, name, MaintenanceState::kOver, {}});
+  output.notes.push_back({wave.id, name, std::move(reason)});
 }
 
 std::vector<jobs::Command> MaintenancePlanner::TakeResult(
--- a/libraries/maintenance/maintenance_planner.h
+++ b/libraries/maintenance/maintenance_planner.h
@@ -14,6 +14,7 @@
 #include "libraries/base/time.h"
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/jobs_state.h"
+#include "libraries/maintenance/instance_listing.h"
 #include "libraries/maintenance/instance_messages.h"
 
 namespace sumac::maintenance {
@@ -57,11 +58,19 @@
   bool is_moving = false;
 };
 
+// Why an instance of a wave counts as done, for the log.
+struct InstanceNote {
+  WaveId wave;
+  InstanceName instance;
+  std::string reason;
+};
+
 struct MaintenanceOutput {
   // Nothing may be started on these any more.
   std::set<InstanceName> cordoned;
   std::vector<jobs::Command> commands;
   std::vector<InstanceOrder> orders;
+  std::vector<InstanceNote> notes;
 };
 
 // Decides, for the leader, which instances of a maintenance wave go next: it
@@ -76,12 +85,10 @@
 
   MaintenanceOutput Plan(const jobs::JobsState& state,
                          const std::map<InstanceName, InstanceFacts>& facts,
+                         const InstanceListing& listing,
                          WallTime wall_now,
                          SteadyTime now);
 
-  // Takes in a whole list of the platform's instances.
-  void TakeList(std::vector<ListedInstance> instances, SteadyTime now);
-
   // Takes in what became of an order, and gives what is to be committed.
   std::vector<jobs::Command> TakeResult(const jobs::JobsState& state,
                                         const InstanceOrder& order,
@@ -109,8 +116,14 @@
     SteadyTime begun_at{};
   };
 
+  // What is known of instances in one look.
+  struct Sight {
+    const std::map<InstanceName, InstanceFacts>& facts;
+    const InstanceListing& listing;
+  };
+
   void PlanWave(const jobs::Wave& wave,
-                const std::map<InstanceName, InstanceFacts>& facts,
+                const Sight& sight,
                 WallTime wall_now,
                 SteadyTime now,
                 MaintenanceOutput& output);
@@ -122,10 +135,16 @@
                      const std::map<InstanceName, InstanceFacts>& facts,
                      SteadyTime now,
                      MaintenanceOutput& output);
-  bool IsBack(const InstanceName& name,
-              const jobs::InstanceMaintenance& maintenance,
-              const std::map<InstanceName, InstanceFacts>& facts,
-              SteadyTime now) const;
+  // Why an instance whose maintenance has begun counts as done; empty while it
+  // doesn't.
+  std::string WhyOver(const InstanceName& name,
+                      const jobs::InstanceMaintenance& maintenance,
+                      const Sight& sight,
+                      SteadyTime now) const;
+  static void RecordOver(const jobs::Wave& wave,
+                         const InstanceName& name,
+                         std::string reason,
+                         MaintenanceOutput& output);
   std::uint32_t WantedAtOnce(const jobs::Wave& wave, WallTime wall_now) const;
 
   MaintenanceSettings settings;
@@ -137,8 +156,8 @@
   std::map<InstanceName, OpenOrder> open_orders;
   // Instances whose order this leader is the first to give.
   std::set<InstanceName> own_orders;
-  std::map<InstanceName, ListedInstance> listed;
-  std::optional<SteadyTime> listed_at;
+  // When this leader first looked at each wave that is under way.
+  std::map<WaveId, SteadyTime> first_looks;
 };
 
 }  // namespace sumac::maintenance
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -47,11 +47,16 @@
 }
 
 std::map<InstanceName, scheduler::InstanceLife> LivesOf(
-    const std::vector<maintenance::ListedInstance>& instances) {
+    const maintenance::InstanceListing& listing) {
   std::map<InstanceName, scheduler::InstanceLife> lives;
-  for (const maintenance::ListedInstance& instance : instances) {
-    lives[instance.name] = scheduler::InstanceLife{
-        instance.state == maintenance::InstanceState::kUp, instance.worker};
+  for (const auto& [name, instance] : listing.rows()) {
+    const maintenance::ListedInstance* row = listing.Find(name);
+    // One that only the last list lacks may be up as before.
+    lives[name] =
+        row == nullptr
+            ? scheduler::InstanceLife{.is_up = true, .worker = {}}
+            : scheduler::InstanceLife{
+                  row->state == maintenance::InstanceState::kUp, row->worker};
   }
   return lives;
 }
@@ -96,7 +101,13 @@
     facts[name].is_moving = true;
   }
   maintenance::MaintenanceOutput output =
-      this->waves.Plan(this->state, facts, wall_now, now);
+      this->waves.Plan(this->state, facts, this->listing, wall_now, now);
+  for (const maintenance::InstanceNote& note : output.notes) {
+    LogEvent(LogLevel::kInfo, "maintenance-over",
+             {{"instance", note.instance.value()},
+              {"wave", note.wave.value()},
+              {"reason", note.reason}});
+  }
   this->PlanCapacity(facts, output, now);
   this->scheduler.SetCordoned(std::move(output.cordoned));
   this->Commit(std::move(output.commands));
@@ -204,11 +215,10 @@
         }
         this->is_listing = false;
         this->LogList();
-        const SteadyTime now = this->clock.SteadyNow();
-        this->scheduler.TakeInstanceLives(LivesOf(this->pages),
+        this->listing.Take(std::move(this->pages), this->last_list);
+        this->scheduler.TakeInstanceLives(LivesOf(this->listing),
                                           this->last_list);
-        this->capacity.TakeList(this->pages, now);
-        this->waves.TakeList(std::move(this->pages), now);
+        this->capacity.TakeList(this->listing);
         return kj::READY_NOW;
       });
 }
--- a/services/sumacd/instance_keeper.h
+++ b/services/sumacd/instance_keeper.h
@@ -15,6 +15,7 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/maintenance/capacity_planner.h"
 #include "libraries/maintenance/instance_calls.h"
+#include "libraries/maintenance/instance_listing.h"
 #include "libraries/maintenance/maintenance_planner.h"
 #include "libraries/scheduler/scheduler.h"
 
@@ -70,6 +71,7 @@
   SteadyTime last_list{};
   bool is_listing = false;
   std::vector<maintenance::ListedInstance> pages;
+  maintenance::InstanceListing listing;
   // Commands that are not committed yet; the next look waits for them.
   std::size_t open_commands = 0;
   kj::TaskSet tasks;
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -69,7 +69,12 @@
                       .service = kOff,
                       .state = InstanceState::kUp});
     }
-    this->planner.TakeList(list, this->now);
+    this->TakeList(list);
+  }
+  // A list that is asked for and comes now.
+  void TakeList(std::vector<ListedInstance> rows) {
+    this->listing.Take(std::move(rows), this->now);
+    this->planner.TakeList(this->listing);
   }
   // One look; what it wants committed is committed, and it looks again for the
   // orders that follow.
@@ -106,6 +111,7 @@
   CapacityPlanner planner{CapacitySettings(), ProcessName("c1"), LeaderEpoch(1),
                           SteadyTime(Milliseconds(1'000))};
   std::map<InstanceName, InstanceFacts> facts;
+  InstanceListing listing;
   std::map<ServiceName, jobs::ServiceDemand> demand;
   std::set<InstanceName> busy;
 };
@@ -228,9 +234,8 @@
   const InstanceName moved = output.orders[0].instance;
   this->planner.TakeResult(output.orders[0], InstanceResult::kDone, this->now);
   this->facts.erase(moved);
-  this->planner.TakeList(
-      {{.name = moved, .service = kQuiet, .state = InstanceState::kMoving}},
-      this->now);
+  this->TakeList(
+      {{.name = moved, .service = kQuiet, .state = InstanceState::kMoving}});
   this->demand[kBusy].short_millicores = 2 * kCores;
   this->now += CapacitySettings().move_time / 2;
   EXPECT_TRUE(this->Plan().orders.empty());
@@ -240,6 +245,31 @@
   EXPECT_EQ(again.orders[0].instance, moved);
 }
 
+// A list was asked for before a move and came after it. It shows the pool that
+// the instance has left, which took it for one that is not off until the next
+// list, 15 s later.
+TEST_F(CapacityPlannerTest, AListFromBeforeAMoveDoesNotUndoIt) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 3);
+  this->AddIdle(0);
+  this->demand[kQuiet] = {};
+  this->Plan();
+  this->now += CapacitySettings().surplus_time;
+  const SteadyTime asked_at = this->now;
+  const CapacityOutput output = this->Plan();
+  ASSERT_EQ(PoolsOf(output), std::vector<std::string>{"off"});
+  const InstanceName moved = output.orders[0].instance;
+  this->planner.TakeResult(output.orders[0], InstanceResult::kDone, this->now);
+  this->facts.erase(moved);
+  this->listing.Take(
+      {{.name = moved, .service = kQuiet, .state = InstanceState::kUp}},
+      asked_at);
+  this->planner.TakeList(this->listing);
+  this->demand[kBusy].short_millicores = 2 * kCores;
+  this->now += CapacitySettings().move_time;
+  EXPECT_EQ(PoolsOf(this->Plan()), std::vector<std::string>{"busy"});
+}
+
 // An announcement of an earlier life that comes while the instance moves was
 // taken for its arrival: the instance was no longer cordoned.
 TEST_F(CapacityPlannerTest, AnAnnouncementWithoutAnAnswerIsNoArrival) {
@@ -285,15 +315,14 @@
 TEST_F(CapacityPlannerTest, APoolTakesInstancesThatHaveTheLabel) {
   this->AddInstances(kBusy, 2);
   this->AddInstances(kQuiet, 2);
-  this->planner.TakeList({{.name = InstanceName("idle0"),
-                           .service = kOff,
-                           .state = InstanceState::kUp,
-                           .labels = {"a"}},
-                          {.name = InstanceName("idle1"),
-                           .service = kOff,
-                           .state = InstanceState::kUp,
-                           .labels = {"b"}}},
-                         this->now);
+  this->TakeList({{.name = InstanceName("idle0"),
+                   .service = kOff,
+                   .state = InstanceState::kUp,
+                   .labels = {"a"}},
+                  {.name = InstanceName("idle1"),
+                   .service = kOff,
+                   .state = InstanceState::kUp,
+                   .labels = {"b"}}});
   this->demand[kQuiet] = {};
   this->Demand(kBusy, "b", 1'000);
   const CapacityOutput output = this->Plan();
--- /dev/null
+++ b/tests/libraries/maintenance/instance_listing_test.cc
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/maintenance/instance_listing.h"
+
+#include <gtest/gtest.h>
+
+namespace sumac::maintenance {
+namespace {
+
+const InstanceName kOne("m1");
+const InstanceName kOther("m2");
+
+SteadyTime At(std::int64_t milliseconds) {
+  return SteadyTime(Milliseconds(milliseconds));
+}
+
+std::vector<ListedInstance> Rows(const std::vector<InstanceName>& names) {
+  std::vector<ListedInstance> rows;
+  rows.reserve(names.size());
+  for (const InstanceName& name : names) {
+    rows.push_back({.name = name, .state = InstanceState::kUp});
+  }
+  return rows;
+}
+
+TEST(InstanceListingTest, NobodyIsGoneBeforeTwoLists) {
+  InstanceListing listing;
+  EXPECT_FALSE(listing.IsGone(kOne, At(0)));
+  listing.Take({}, At(10));
+  EXPECT_FALSE(listing.IsGone(kOne, At(0)));
+  listing.Take({}, At(20));
+  EXPECT_TRUE(listing.IsGone(kOne, At(0)));
+}
+
+TEST(InstanceListingTest, BothListsMustBeAskedForSinceThen) {
+  InstanceListing listing;
+  listing.Take({}, At(10));
+  listing.Take({}, At(20));
+  EXPECT_FALSE(listing.IsGone(kOne, At(10)));
+  EXPECT_TRUE(listing.IsGone(kOne, At(9)));
+}
+
+TEST(InstanceListingTest, ARowIsKeptOverOneListThatLacksIt) {
+  InstanceListing listing;
+  listing.Take(Rows({kOne, kOther}), At(10));
+  listing.Take(Rows({kOther}), At(20));
+  EXPECT_TRUE(listing.rows().contains(kOne));
+  EXPECT_EQ(listing.Find(kOne), nullptr);
+  EXPECT_FALSE(listing.IsGone(kOne, At(0)));
+  listing.Take(Rows({kOther}), At(30));
+  EXPECT_FALSE(listing.rows().contains(kOne));
+  EXPECT_TRUE(listing.IsGone(kOne, At(0)));
+  EXPECT_NE(listing.Find(kOther), nullptr);
+}
+
+TEST(InstanceListingTest, ARowThatComesAndGoesIsNeverGone) {
+  InstanceListing listing;
+  for (int round = 0; round < 6; ++round) {
+    listing.Take(Rows(round % 2 == 0 ? std::vector{kOne} : std::vector{kOther}),
+                 At(round));
+    EXPECT_FALSE(listing.IsGone(kOne, At(-1)));
+  }
+}
+
+}  // namespace
+}  // namespace sumac::maintenance
--- a/tests/libraries/maintenance/maintenance_planner_test.cc
+++ b/tests/libraries/maintenance/maintenance_planner_test.cc
@@ -33,8 +33,8 @@
   // One look; what it wants committed is committed.
   std::vector<InstanceOrder> Look() {
     this->now += Milliseconds(100);
-    MaintenanceOutput output =
-        this->planner.Plan(this->state, this->facts, this->wall(), this->now);
+    MaintenanceOutput output = this->planner.Plan(
+        this->state, this->facts, this->listing, this->wall(), this->now);
     this->cordoned = output.cordoned;
     for (jobs::Command& command : output.commands) {
       this->Commit(std::move(command));
@@ -61,18 +61,19 @@
     return this->state.waves().at(kWave).instances.at(InstanceName(name)).state;
   }
   // A whole list that was asked for at `asked_at` and comes now.
-  void TakeList(const std::vector<std::string>& names,
-                SteadyTime /*asked_at*/) {
+  void TakeList(const std::vector<std::string>& names, SteadyTime asked_at) {
     std::vector<ListedInstance> rows;
     rows.reserve(names.size());
     for (const std::string& name : names) {
       rows.push_back({.name = InstanceName(name), .state = InstanceState::kUp});
     }
-    this->planner.TakeList(rows, this->now);
+    this->listing.Take(rows, asked_at);
   }
-  // Lists that are asked for now and answered at once, with a look after each.
+  // Lists that are asked for from now on and answered at once, with a look
+  // after each.
   void LookWithLists(const std::vector<std::string>& names, int lists) {
     for (int list = 0; list < lists; ++list) {
+      this->now += Milliseconds(1);
       this->TakeList(names, this->now);
       this->Look();
     }
@@ -87,6 +88,7 @@
   MaintenancePlanner planner{MaintenanceSettings(), ProcessName("c1"),
                              LeaderEpoch(1), SteadyTime(Milliseconds(1'000))};
   std::map<InstanceName, InstanceFacts> facts;
+  InstanceListing listing;
   std::set<InstanceName> cordoned;
 };
 
@@ -210,7 +212,7 @@
 TEST_F(MaintenancePlannerTest, AnInstanceThatAppearedAfterTheListIsMaintained) {
   this->AddInstance("m2", 500);
   this->TakeList({"m2"}, this->now);
-  this->StartWave({InstanceName("m1"), InstanceName("m2")}, 1);
+  this->StartWave({InstanceName("m1"), InstanceName("m2")}, 2);
   this->Look();
   EXPECT_EQ(this->StateOf("m1"), MaintenanceState::kWaiting);
   this->LookWithLists({"m1", "m2"}, 2);
@@ -279,7 +281,7 @@
   }
   this->AddInstance("a");
   this->AddInstance("b");
-  this->planner.TakeList(list, this->now);
+  this->listing.Take(list, this->now);
   this->StartWave(names, 3, Milliseconds(60'000));
   std::set<InstanceName> ordered;
   for (int look = 0; look < 5; ++look) {
--- a/tests/services/sumacd/instance_orders_test.cc
+++ b/tests/services/sumacd/instance_orders_test.cc
@@ -68,7 +68,7 @@
   void Look() {
     const auto facts = GatherInstanceFacts(*this->fleet.scheduler);
     maintenance::MaintenanceOutput output = this->waves->Plan(
-        this->fleet.state, facts, this->wall(), this->fleet.now);
+        this->fleet.state, facts, {}, this->wall(), this->fleet.now);
     maintenance::CapacityOutput moves =
         this->capacity->Plan(this->fleet.state, facts, this->demand,
                              output.cordoned, this->wall(), this->fleet.now);
