Platform, Jobs, Http: Tell the lives of a worker that keeps its name apart

A worker may start again under the name that it had. It was taken for the life before: its announcements were thrown away until they outnumbered the earlier ones, acknowledgements of the earlier life's ends made it forget its own, and starts that were meant for the earlier life ran on it.

On record a later life ends the one before; an earlier one is not believed after it. Each new connection to a worker that tells its start is asked first whose it is, by a renewal that neither extends nor acknowledges; a connection ends with its process, so no order, lease or acknowledgement reaches another life.

Records of the version before are read as before: they have no name, and the identity is taken for it.

--- a/libraries/base/names.h
+++ b/libraries/base/names.h
@@ -17,6 +17,8 @@
 using DataCentre = StrongType<std::string, struct DataCentreTag>;
 using Rack = StrongType<std::string, struct RackTag>;
 using QueueName = StrongType<std::string, struct QueueNameTag>;
+// How the platform names a worker's process. One that starts again may keep it.
+using WorkerName = StrongType<std::string, struct WorkerNameTag>;
 // One life of a worker's process on an instance; never used again.
 using WorkerId = StrongType<std::string, struct WorkerIdTag>;
 using WaveId = StrongType<std::string, struct WaveIdTag>;
--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -117,7 +117,7 @@
         attempt->was_used = open->is_used;
         attempt->generation = this->generation;
         open->is_used = true;
-        return this->Send(kj::mv(open), request);
+        return this->SendChecked(kj::mv(open), request);
       });
   return TimeoutAfter(this->timer, limit, kj::mv(called))
       .catch_([this, attempt, &request, limit,
@@ -184,6 +184,35 @@
   return kj::mv(branch);
 }
 
+kj::Promise<CallReply> AsyncConnection::SendChecked(
+    kj::Own<Open> open,
+    const CallRequest& request) {
+  if (!request.check || open->is_checked) {
+    return this->Send(kj::mv(open), request);
+  }
+  const PeerCheck& check = *request.check;
+  auto question = kj::heap<CallRequest>(CallRequest{
+      .path = check.path, .headers = check.headers, .body = check.body});
+  auto asked = this->Send(kj::addRef(*open), *question);
+  return asked.attach(kj::mv(question))
+      .then([this, &request, open = kj::mv(open)](
+                CallReply&& reply) mutable -> kj::Promise<CallReply> {
+        switch (request.check->judge(reply)) {
+          case PeerVerdict::kExpected:
+            open->is_checked = true;
+            return this->Send(kj::mv(open), request);
+          case PeerVerdict::kOther:
+            this->Drop(this->generation);
+            return CallReply{.outcome = CallOutcome::kOtherPeer,
+                             .error = "another process is there"};
+          case PeerVerdict::kUnclear:
+            break;
+        }
+        this->Drop(this->generation);
+        return CallReply{.error = "the process there did not identify itself"};
+      });
+}
+
 kj::Promise<CallReply> AsyncConnection::Send(kj::Own<Open> open,
                                              const CallRequest& request) {
   kj::HttpHeaders sent_headers(this->headers);
--- a/libraries/http/async_connection.h
+++ b/libraries/http/async_connection.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,6 +34,9 @@
   // This process sent nothing: it has no connection to spare, or the request's
   // turn came too late. It says nothing about the other side.
   kNotSent,
+  // Another process than the expected one is at the address; it was not sent
+  // the request.
+  kOtherPeer,
 };
 
 // The answer to one call.
@@ -47,6 +51,21 @@
   std::string error;
 };
 
+// What an answer tells about the process that gave it.
+enum class PeerVerdict { kExpected, kOther, kUnclear };
+
+// Finds out whether the expected process is at the other end of a connection
+// that was just opened. A connection ends with its process, so this holds as
+// long as the connection: what is sent over it reaches no later process at the
+// address.
+struct PeerCheck {
+  // The request that asks; it must do no harm to another process.
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  std::function<PeerVerdict(const CallReply&)> judge;
+};
+
 // One request.
 struct CallRequest {
   kj::HttpMethod method = kj::HttpMethod::POST;
@@ -60,6 +79,8 @@
   // Its turn must come within this after the call, or it is not sent; 0 for
   // whenever it comes.
   Milliseconds longest_wait{0};
+  // Goes first on a new connection; empty to trust any process there.
+  std::optional<PeerCheck> check;
 };
 
 // A kept HTTP/1.1 connection to one address on the event loop. A request goes
@@ -96,6 +117,8 @@
     kj::Own<kj::HttpClient> client;
     std::optional<ConnectionBudget::Place> place;
     bool is_used = false;
+    // The expected process is at the other end.
+    bool is_checked = false;
 
     // Lets kj hand the connection to several waiters.
     kj::Own<Open> addRef() { return kj::addRef(*this); }
@@ -115,6 +138,8 @@
                              Milliseconds limit,
                              bool is_second);
   kj::Promise<kj::Own<Open>> Connect();
+  kj::Promise<CallReply> SendChecked(kj::Own<Open> open,
+                                     const CallRequest& request);
   kj::Promise<CallReply> Send(kj::Own<Open> open, const CallRequest& request);
   void Drop(std::uint64_t failed_generation);
 
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -63,7 +63,15 @@
   this->active.clear();
   this->finished.clear();
   this->by_id.clear();
+  this->present_lives.clear();
   ++this->finishes;
+  for (auto& [id, worker] : this->own_record.workers) {
+    if (worker.name.value().empty()) {
+      // An earlier version took a worker's name for its life.
+      worker.name = WorkerName(id.value());
+    }
+    this->present_lives[worker.name] = id;
+  }
   for (const auto& [id, job] : this->own_record.jobs) {
     this->by_id[id] = &job;
     if (job.is_active()) {
@@ -91,6 +99,46 @@
   return found == this->own_record.workers.end() ? nullptr : &found->second;
 }
 
+const Worker* JobsState::FindPresentLife(const WorkerName& name) const {
+  const auto found = this->present_lives.find(name);
+  return found == this->present_lives.end() ? nullptr
+                                            : this->FindWorker(found->second);
+}
+
+// The life that a command is about, which may name just the worker. What a
+// worker says as it leaves may come after it has started again: only a life
+// that had said that it would leave is ended by it.
+const Worker* JobsState::LifeToForget(const ForgetWorker& command) const {
+  if (const Worker* worker = this->FindWorker(command.worker)) {
+    return worker;
+  }
+  const Worker* present =
+      this->FindPresentLife(WorkerName(command.worker.value()));
+  return present != nullptr && present->is_draining ? present : nullptr;
+}
+
+std::set<WorkerId> JobsState::WorkersTouchedBy(const Command& command) const {
+  std::set<WorkerId> touched;
+  const auto add = [&touched](const Worker* worker) {
+    if (worker != nullptr) {
+      touched.insert(worker->id);
+    }
+  };
+  if (const auto* record = std::get_if<RecordWorker>(&command)) {
+    touched.insert(record->worker.id);
+    add(this->FindPresentLife(record->worker.name));
+  } else if (const auto* forget = std::get_if<ForgetWorker>(&command)) {
+    touched.insert(forget->worker);
+    add(this->LifeToForget(*forget));
+  }
+  return touched;
+}
+
+void JobsState::EndLife(const WorkerId& worker, WallTime at) {
+  this->own_record.ended_workers.emplace(worker, at);
+  this->own_record.workers.erase(worker);
+}
+
 fleet::Answer JobsState::Take(const BeginEpoch& /*command*/, WallTime /*at*/) {
   this->own_record.epoch = this->own_record.epoch.Next();
   return fleet::Answer{.document = {{"epoch", this->own_record.epoch.value()}}};
@@ -140,29 +188,62 @@
   job.most_attempts = queue->most_attempts;
 }
 
-fleet::Answer JobsState::Take(const RecordWorker& command, WallTime /*at*/) {
+fleet::Answer JobsState::Take(const RecordWorker& command, WallTime at) {
   if (this->own_record.ended_workers.contains(command.worker.id)) {
     return fleet::Answer::Success("its life is over");
   }
+  Worker announced = command.worker;
+  if (announced.name.value().empty()) {
+    announced.name = WorkerName(announced.id.value());
+  }
+  const Worker* present = this->FindPresentLife(announced.name);
+  if (present != nullptr && present->id != announced.id) {
+    if (!announced.tells_start()) {
+      return fleet::Answer{
+          .code = ResultCode::kStaleReport,
+          .message = StrCat("a life of ", announced.name.value(),
+                            " that tells its start is known")};
+    }
+    if (!announced.IsLaterThan(*present)) {
+      return fleet::Answer::Success("a later life of it is known");
+    }
+    this->EndLife(WorkerId(present->id), at);
+  }
+  this->present_lives[announced.name] = announced.id;
   Worker& worker = this->own_record.workers[command.worker.id];
-  if (command.worker.sequence < worker.sequence) {
+  if (announced.sequence < worker.sequence) {
     return fleet::Answer::Success("an older announcement changes nothing");
   }
   // A worker that said it leaves never takes that back.
   const bool was_draining = worker.is_draining;
-  worker = command.worker;
+  worker = std::move(announced);
   worker.is_draining = worker.is_draining || was_draining;
   return fleet::Answer::Success("recorded");
 }
 
 fleet::Answer JobsState::Take(const ForgetWorker& command, WallTime at) {
-  if (command.is_over) {
-    this->own_record.ended_workers.emplace(command.worker, at);
-  } else if (const Worker* worker = this->FindWorker(command.worker);
-             worker != nullptr && worker->sequence > command.sequence) {
+  const Worker* worker = this->LifeToForget(command);
+  const bool is_by_name =
+      worker == nullptr &&
+      this->FindPresentLife(WorkerName(command.worker.value())) != nullptr;
+  if (is_by_name) {
+    return fleet::Answer::Success("the present life has not said it leaves");
+  }
+  if (!command.is_over && worker != nullptr &&
+      worker->sequence > command.sequence) {
     return fleet::Answer::Success("it was heard of since");
   }
-  this->own_record.workers.erase(command.worker);
+  const WorkerId id = worker == nullptr ? command.worker : worker->id;
+  if (worker != nullptr) {
+    const auto present = this->present_lives.find(worker->name);
+    if (present != this->present_lives.end() && present->second == id) {
+      this->present_lives.erase(present);
+    }
+  }
+  if (command.is_over) {
+    this->EndLife(id, at);
+  }
+  this->own_record.workers.erase(id);
   return fleet::Answer::Success("forgotten");
 }
 
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -109,6 +109,11 @@
   // What was asked of a task's step; nothing if there is no such task.
   const StepSpec* FindStep(const TaskId& task) const;
   const Worker* FindWorker(const WorkerId& id) const;
+  // The present life of this name; nothing if none is known.
+  const Worker* FindPresentLife(const WorkerName& name) const;
+  // The workers that a command records, ends or replaces; to be asked before it
+  // is applied.
+  std::set<WorkerId> WorkersTouchedBy(const Command& command) const;
   // The jobs that are active, in the order in which they were accepted.
   const std::map<std::uint64_t, const Job*>& active_jobs() const {
     return this->active;
@@ -137,6 +142,8 @@
   void FollowDeclaration(Job& job) const;
   void DropOldRecords(WallTime now);
   void SweepInstanceRecords(WallTime now);
+  const Worker* LifeToForget(const ForgetWorker& command) const;
+  void EndLife(const WorkerId& worker, WallTime at);
   void Reindex();
 
   DeclarationDecoder decoder;
@@ -144,6 +151,8 @@
   JobsDeclaration declared;
   std::uint64_t finishes = 1;
   std::map<std::uint64_t, const Job*> active;
+  // The present life of each worker, by its name.
+  std::unordered_map<WorkerName, WorkerId> present_lives;
   // Every job; a lookup by name is frequent.
   std::unordered_map<JobId, const Job*> by_id;
   // Finished jobs by the time of their end, to be dropped in that order.
--- a/libraries/jobs/worker.h
+++ b/libraries/jobs/worker.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "libraries/base/names.h"
+#include "libraries/base/time.h"
 #include "libraries/jobs/resources.h"
 
 namespace sumac::jobs {
@@ -17,6 +18,12 @@
 // anything may run there.
 struct Worker {
   WorkerId id;
+  // Its lives share it.
+  WorkerName name;
+  // When this life began, by the worker's time of day; the epoch if it doesn't
+  // tell. Of two lives with one name the one that began later is the present
+  // one.
+  WallTime born{};
   // The instance that it runs on; the instance outlives it.
   InstanceName instance;
   ServiceName service;
@@ -32,6 +39,11 @@
   // Grows with each announcement of this life, so that a late one is known.
   std::uint64_t sequence = 0;
 
+  bool tells_start() const { return this->born != WallTime{}; }
+  // True if this life shows that the other one, of the same name, is over.
+  bool IsLaterThan(const Worker& other) const {
+    return this->born > other.born;
+  }
   bool has_label(std::string_view label) const {
     return std::find(this->labels.begin(), this->labels.end(), label) !=
            this->labels.end();
@@ -40,6 +52,8 @@
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("id", self.id);
+    visitor.Field("name", self.name);
+    visitor.Field("born", self.born);
     visitor.Field("instance", self.instance);
     visitor.Field("service", self.service);
     visitor.Field("data_centre", self.data_centre);
--- a/libraries/maintenance/instance_messages.h
+++ b/libraries/maintenance/instance_messages.h
@@ -26,7 +26,7 @@
   // instance.
   std::vector<std::string> labels;
   // The worker that runs there; empty if none does.
-  WorkerId worker;
+  WorkerName worker;
 };
 
 // One page of the platform's list of instances.
--- a/libraries/scheduler/event_notes.cc
+++ b/libraries/scheduler/event_notes.cc
@@ -16,11 +16,11 @@
                      RunNumber run,
                      const WorkerId& worker,
                      std::string reason) {
-  this->AddStep(std::move(what), std::move(reason), false,
+  this->AddText(std::move(what), std::move(reason), false,
                 StrCat(task.ToText(), "#", run.value(), "@", worker.value()));
 }
 
-void EventNotes::AddStep(std::string what,
+void EventNotes::AddText(std::string what,
                          std::string reason,
                          bool is_alarm,
                          std::string text) {
--- a/libraries/scheduler/event_notes.h
+++ b/libraries/scheduler/event_notes.h
@@ -32,8 +32,8 @@
            const WorkerId& worker,
            std::string reason);
 
-  // Notes something about a step, as a text that names it.
-  void AddStep(std::string what,
+  // Notes something that is not about single runs, as a text that tells it.
+  void AddText(std::string what,
                std::string reason,
                bool is_alarm,
                std::string text);
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -81,7 +81,7 @@
   if (worker == nullptr) {
     this->over.erase(id);
     this->forgotten.erase(id);
-    this->EndWorker(id, "its life is over");
+    this->EndLife(id);
     return;
   }
   const auto forgetting = this->forgotten.find(id);
@@ -100,6 +100,23 @@
   this->MarkCordoned(session->second);
 }
 
+// Ends a life that is not on record any more, or is no present one.
+void Scheduler::EndLife(const WorkerId& worker) {
+  const WorkerSession* session = this->FindSession(worker);
+  const jobs::Worker* next =
+      session == nullptr ? nullptr
+                         : this->state.FindPresentLife(session->worker().name);
+  if (next == nullptr) {
+    this->EndWorker(worker, "its life is over");
+    return;
+  }
+  this->notes.AddText("worker-restarted", "it started again under its name",
+                      false,
+                      StrCat(worker.value(), " with ", session->runs().size(),
+                             " runs, now ", next->id.value()));
+  this->EndWorker(worker, "its worker started again");
+}
+
 // Ends the other lives on the instance of one that has just answered. An
 // announcement may outlive its sender and come after that of the next life, so
 // being heard of last proves nothing. An answer to a call that was sent after
@@ -728,9 +745,9 @@
       continue;
     }
     const auto life = lives.find(instance);
-    const bool is_over =
-        life == lives.end() || !life->second.is_up ||
-        (!life->second.worker.value().empty() && life->second.worker != id);
+    const bool is_over = life == lives.end() || !life->second.is_up ||
+                         (!life->second.worker.value().empty() &&
+                          life->second.worker != session.worker().name);
     if (is_over) {
       dead.push_back(id);
     }
@@ -1047,7 +1064,7 @@
   const std::string& label = job.spec.steps[step.step].required_label;
   if (news != WaitingNews::kNone) {
     const bool is_alarm = news == WaitingNews::kWaitsWithoutNeed;
-    this->notes.AddStep(is_alarm ? "feasible-not-placed" : "step-waits",
+    this->notes.AddText(is_alarm ? "feasible-not-placed" : "step-waits",
                         std::string(NameOf(cause.reason)), is_alarm,
                         StrCat(step.ToText(), ": ", tasks, " tasks",
                                label.empty() ? "" : " that require ", label,
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -93,8 +93,8 @@
 // What the platform says of one instance.
 struct InstanceLife {
   bool is_up = false;
-  // The worker that runs there; empty if that is not known.
-  WorkerId worker;
+  // The worker that runs there, of whichever life; empty if that is not known.
+  WorkerName worker;
 };
 
 // How many starts a leader has ordered, by how late their jobs were then.
@@ -273,6 +273,7 @@
   TaskMemory& CheckpointOf(const jobs::TaskId& task,
                            const jobs::StepSpec& step);
   void SyncWorker(const WorkerId& id, SteadyTime now);
+  void EndLife(const WorkerId& worker);
   void EndReplacedWorker(const WorkerId& worker);
   void EndOtherLives(const WorkerSession& answering);
   void RequestReports(SteadyTime now, SchedulerOutput& output);
--- a/libraries/scheduler/worker_messages.h
+++ b/libraries/scheduler/worker_messages.h
@@ -157,6 +157,8 @@
 // A worker's answer to a RenewOrder.
 struct RenewReport {
   WorkerTime clock;
+  // When the life that tells it began, if it says so.
+  std::optional<WallTime> born;
   std::vector<RunningReport> running;
   std::vector<EndReport> ended;
   // The list of ends is full: the worker may have more that it has not listed.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -295,11 +295,7 @@
   if (!this->scheduler) {
     return;
   }
-  if (const auto* record = std::get_if<jobs::RecordWorker>(&command)) {
-    this->changed_workers.insert(record->worker.id);
-  } else if (const auto* forget = std::get_if<jobs::ForgetWorker>(&command)) {
-    this->changed_workers.insert(forget->worker);
-  }
+  this->changed_workers.merge(this->jobs_state.WorkersTouchedBy(command));
 }
 
 // The active jobs that a command may finish; while another controller leads,
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -49,12 +49,7 @@
 }
 
 fleet::Answer FakeFleet::Commit(jobs::Command command) {
-  std::set<WorkerId> changed;
-  if (const auto* record = std::get_if<jobs::RecordWorker>(&command)) {
-    changed.insert(record->worker.id);
-  } else if (const auto* forget = std::get_if<jobs::ForgetWorker>(&command)) {
-    changed.insert(forget->worker);
-  }
+  const std::set<WorkerId> changed = this->state.WorkersTouchedBy(command);
   fleet::Answer answer = this->state.Apply(jobs::StampedCommand{
       WallTime(this->now.time_since_epoch()), std::move(command)});
   if (this->scheduler) {
@@ -87,6 +82,33 @@
   return added;
 }
 
+FakeWorker& FakeFleet::StartAgain(const std::string& id) {
+  FakeWorker& before = this->worker(id);
+  before.Crash();
+  jobs::Worker next = before.description;
+  const std::string name =
+      next.name.value().empty() ? next.id.value() : next.name.value();
+  next.name = WorkerName(name);
+  next.born = std::max(WallTime(this->now.time_since_epoch()),
+                       next.born + Milliseconds(1));
+  next.id = WorkerId(StrCat(name, "#", next.born.time_since_epoch().count()));
+  next.sequence = 1;
+  next.is_draining = false;
+  // Its clock starts anew.
+  const Milliseconds offset = -this->now.time_since_epoch();
+  FakeWorker& added =
+      this->workers.emplace(next.id, FakeWorker(next, offset, 0)).first->second;
+  added.stop_time = before.stop_time;
+  this->Commit(jobs::RecordWorker{next});
+  return added;
+}
+
+void FakeFleet::AnnounceAgain(const std::string& id) {
+  jobs::Worker& description = this->worker(id).description;
+  description.sequence += 1;
+  this->Commit(jobs::RecordWorker{description});
+}
+
 void FakeFleet::MoveClipsTo(const std::string& service) {
   this->Commit(jobs::Declare{++this->declared_version, service});
 }
@@ -159,7 +181,7 @@
   for (const auto& [id, worker] : this->workers) {
     InstanceLife& life = lives[worker.description.instance];
     if (worker.is_up) {
-      life = InstanceLife{true, id};
+      life = InstanceLife{true, worker.description.name};
     }
   }
   this->scheduler->TakeInstanceLives(lives, this->now);
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -41,6 +41,10 @@
                         const std::string& instance,
                         const std::string& rack = "r1",
                         const std::string& service = "previews");
+  // The process of a worker dies and starts again under its name.
+  FakeWorker& StartAgain(const std::string& id);
+  // An announcement of a life that is over comes now.
+  void AnnounceAgain(const std::string& id);
   // Declares that the queue of clips belongs to this service from now on.
   void MoveClipsTo(const std::string& service);
 
--- a/tests/libraries/scheduler/run_history.cc
+++ b/tests/libraries/scheduler/run_history.cc
@@ -8,14 +8,28 @@
 constexpr Milliseconds kStopTime{100};
 constexpr int kFailings = 3;
 
-constexpr std::array kNames = {
-    "submit",         "change-leader", "cut",
-    "heal",           "restart",       "announce-late",
-    "lose-orders",    "lose-reports",  "delay-answers",
-    "fail",           "work",          "commit",
-    "stop-slowly",    "refuse-starts", "refuse-stops",
-    "hide-instances", "move-queue",    "resend",
-    "submit-lasting", "cordon"};
+constexpr std::array kNames = {"submit",
+                               "change-leader",
+                               "cut",
+                               "heal",
+                               "restart",
+                               "announce-late",
+                               "lose-orders",
+                               "lose-reports",
+                               "delay-answers",
+                               "fail",
+                               "work",
+                               "commit",
+                               "stop-slowly",
+                               "refuse-starts",
+                               "refuse-stops",
+                               "hide-instances",
+                               "move-queue",
+                               "resend",
+                               "submit-lasting",
+                               "cordon",
+                               "start-again",
+                               "announce-earlier"};
 
 }  // namespace
 
@@ -92,6 +106,12 @@
   this->lives.at(number) = life;
 }
 
+void RunHistory::StartAgain(int number) {
+  std::string& life = this->lives.at(number);
+  this->earlier_lives.push_back(life);
+  life = this->fleet.StartAgain(life).description.id.value();
+}
+
 // The first announcement of an earlier life on the instance, which is over.
 void RunHistory::AnnounceLate(const FakeWorker& present) {
   const std::string life = "late" + std::to_string(this->next_life++);
@@ -135,6 +155,15 @@
     case Kind::kRestart:
       this->Restart(happening.worker);
       break;
+    case Kind::kStartAgain:
+      this->StartAgain(happening.worker);
+      break;
+    case Kind::kAnnounceEarlier:
+      if (!this->earlier_lives.empty()) {
+        this->fleet.AnnounceAgain(this->earlier_lives.at(
+            static_cast<std::size_t>(amount) % this->earlier_lives.size()));
+      }
+      break;
     case Kind::kAnnounceLate:
       this->AnnounceLate(worker);
       break;
--- a/tests/libraries/scheduler/run_history.h
+++ b/tests/libraries/scheduler/run_history.h
@@ -40,6 +40,8 @@
   kResend,
   kSubmitLasting,
   kCordon,
+  kStartAgain,
+  kAnnounceEarlier,
 };
 
 struct Happening {
@@ -85,6 +87,7 @@
   void SubmitLasting(int amount);
   void Cordon(const FakeWorker& worker, bool is_cordoned);
   void Restart(int number);
+  void StartAgain(int number);
   void AnnounceLate(const FakeWorker& present);
   void Refuse(std::optional<OrderResult>& refusal, int amount);
 
@@ -96,6 +99,8 @@
   int next_life = 0;
   std::vector<JobId> lasting_jobs;
   std::set<InstanceName> cordoned;
+  // Lives that were followed by another of their name.
+  std::vector<std::string> earlier_lives;
   // The life on each instance now.
   std::array<std::string, kHistoryWorkers> lives = {"w0", "w1", "w2"};
 };
--- a/tests/libraries/scheduler/run_uniqueness_property_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_property_test.cc
@@ -94,6 +94,14 @@
   Check(kinds, Leases::kLong);
 }
 
+RC_GTEST_PROP(RunUniquenessPropertyTest, OneRunWhereWorkersStartAgain, ()) {
+  std::vector<Kind> kinds = FaultyKinds();
+  kinds.insert(kinds.end(),
+               {Kind::kStartAgain, Kind::kStartAgain, Kind::kStartAgain,
+                Kind::kAnnounceEarlier, Kind::kResend});
+  Check(kinds, *rc::gen::element(Leases::kLong, Leases::kShort));
+}
+
 RC_GTEST_PROP(RunUniquenessPropertyTest, BudgetsHoldInAnyHistory, ()) {
   std::vector<Kind> kinds = CommonKinds();
   kinds.insert(kinds.end(),
@@ -104,7 +112,8 @@
 
 RC_GTEST_PROP(RunUniquenessPropertyTest, OneRunInAnyHistory, ()) {
   std::vector<Kind> kinds = FaultyKinds();
-  kinds.insert(kinds.end(), {Kind::kMoveQueue, Kind::kResend});
+  kinds.insert(kinds.end(), {Kind::kMoveQueue, Kind::kResend, Kind::kStartAgain,
+                             Kind::kAnnounceEarlier});
   Check(kinds, *rc::gen::element(Leases::kLong, Leases::kShort));
 }
 
--- a/tests/libraries/scheduler/run_uniqueness_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_test.cc
@@ -270,5 +270,52 @@
   EXPECT_EQ(fleet.job("job").state, jobs::JobState::kDone);
 }
 
+// A worker starts again under its name, at once, while a leader changes, or
+// after its lease. What ran there is started once more, also there; the new
+// life's ends are acknowledged by its own numbers.
+class RestartTest : public testing::TestWithParam<Milliseconds> {};
+
+TEST_P(RestartTest, WhatRanThereRunsOnceMore) {
+  FakeFleet fleet(1);
+  RunLedger ledger;
+  PassTime(fleet, ledger, Milliseconds(100));
+  fleet.Submit("first", {.count = 3});
+  PassTime(fleet, ledger, Milliseconds(2'000));
+  ASSERT_EQ(fleet.job("first").state, jobs::JobState::kDone);
+  fleet.work = Milliseconds(1'000);
+  fleet.Submit("second", {.count = 3});
+  AwaitStarts(fleet, ledger, 6);
+  fleet.worker("w0").Crash();
+  PassTime(fleet, ledger, GetParam());
+  const std::string next = fleet.StartAgain("w0").description.id.value();
+  PassTime(fleet, ledger, Milliseconds(5'000));
+  EXPECT_EQ(ledger.problem, "");
+  EXPECT_EQ(fleet.starts, 9U);
+  EXPECT_EQ(fleet.job("second").state, jobs::JobState::kDone);
+  EXPECT_EQ(fleet.worker(next).acknowledged_ends(), 3U);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         RestartTest,
+                         testing::Values(Milliseconds(0),
+                                         Milliseconds(1'000),
+                                         Milliseconds(9'000)));
+
+TEST(RunUniquenessTest, ARestartDuringAChangeOfLeaderIsNoticed) {
+  FakeFleet fleet(2);
+  RunLedger ledger;
+  PassTime(fleet, ledger, Milliseconds(100));
+  fleet.Submit("job", {.count = 4});
+  AwaitStarts(fleet, ledger, 4);
+  fleet.ChangeLeader();
+  fleet.StartAgain("w0");
+  PassTime(fleet, ledger, Milliseconds(100));
+  fleet.AnnounceAgain("w0");
+  PassTime(fleet, ledger, Milliseconds(9'000));
+  EXPECT_EQ(ledger.problem, "");
+  EXPECT_EQ(fleet.job("job").state, jobs::JobState::kDone);
+  EXPECT_EQ(fleet.state.workers().size(), 2U);
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -239,8 +239,8 @@
   fleet.PassTime(Milliseconds(1'000));
   ASSERT_TRUE(fleet.scheduler->NeedsLifeCheck());
   fleet.scheduler->TakeInstanceLives(
-      {{InstanceName("m0"), {true, WorkerId("w0")}},
-       {InstanceName("m9"), {false, WorkerId()}}},
+      {{InstanceName("m0"), {true, WorkerName("w0")}},
+       {InstanceName("m9"), {false, WorkerName()}}},
       asked_at);
   EXPECT_TRUE(fleet.scheduler->sessions().contains(WorkerId("w9")));
 }
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -61,20 +61,21 @@
 }
 
 TEST(WireCodecTest, AsksForAdviceAndReadsIt) {
-  EXPECT_EQ(nlohmann::json::parse(WriteAdviceQuestion(
-                {.step = {JobId("5c0e7a21d94b36f8"), 0, 1},
-                 .workers = {WorkerId("i-1"), WorkerId("i-2")}})),
+  const scheduler::AdviceQuestion question{
+      .step = {JobId("5c0e7a21d94b36f8"), 0, 1},
+      .workers = {WorkerId("i-1"), WorkerId("i-2")}};
+  EXPECT_EQ(nlohmann::json::parse(WriteAdviceQuestion(question)),
             nlohmann::json::parse(
                 R"({"step":"5c0e7a21d94b36f8.0.1","workers":["i-1","i-2"]})"));
-  const auto answer =
-      ReadAdviceAnswer(R"({"successes":[["i-2","c81e"]],"validity_ms":3000})");
+  const auto answer = ReadAdviceAnswer(
+      question, R"({"successes":[["i-2","c81e"]],"validity_ms":3000})");
   ASSERT_TRUE(answer.ok());
   EXPECT_TRUE(answer->is_answered);
   EXPECT_EQ(answer->validity, Milliseconds(3'000));
   EXPECT_EQ(answer->tickets,
             (std::map<WorkerId, std::string>{{WorkerId("i-2"), "c81e"}}));
-  EXPECT_FALSE(ReadAdviceAnswer(R"({"successes":3})").ok());
-  EXPECT_FALSE(ReadAdviceAnswer("[]").ok());
+  EXPECT_FALSE(ReadAdviceAnswer(question, R"({"successes":3})").ok());
+  EXPECT_FALSE(ReadAdviceAnswer(question, "[]").ok());
 }
 
 TEST(WireCodecTest, TheLongestPrefixTakesTheRequest) {
@@ -148,7 +149,7 @@
 
 TEST(WireCodecTest, ReadsAnAnnouncement) {
   const auto worker = ReadAnnouncement(
-      WorkerId("i-1"),
+      WorkerName("i-1"),
       R"({"service":"previews","address":"10.0.0.1:80","zone":"z","machine":"m-1","state":"draining",
           "capacity":{"cpu":16000,"mem_mb":32768,"gpu":2},"labels":["a","r1-3"],"seq":4,
           "version":"v1","slots":8})");
@@ -162,7 +163,7 @@
   for (const char* body :
        {"{}", R"({"service":"s","address":"a","state":"sleeping"})",
         R"({"service":1,"address":"a","state":"ready"})"}) {
-    EXPECT_EQ(CodeOf(ReadAnnouncement(WorkerId("i"), body).status()),
+    EXPECT_EQ(CodeOf(ReadAnnouncement(WorkerName("i"), body).status()),
               ResultCode::kBadRequest)
         << body;
   }
--- a/tests/platform/worker_lives_test.cc
+++ b/tests/platform/worker_lives_test.cc
@@ -50,7 +50,7 @@
 }
 
 absl::StatusOr<jobs::Worker> ReadText(const std::string& text) {
-  return ReadAnnouncement(WorkerId(kName), text);
+  return ReadAnnouncement(WorkerName(kName), text);
 }
 
 jobs::Worker Announced(std::optional<std::int64_t> born,
