Scheduler: Let older jobs wait only for workers that an earlier leader used

Callers saw long-running tasks away for up to 16 s in a rush (LOST), while room came free all the time.

Cause: a job that was accepted before the present leader began waits until every worker of its service has told what runs there, since one of its tasks may run there unseen. That counted also workers that joined long after: in a rush pools grow by an instance every few moments, so that some worker had always not answered yet, and new jobs took each place that came free.

Only workers that were on record when the leadership began count now.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -46,6 +46,7 @@
       settings(settings),
       epoch(state.epoch()),
       first_own_sequence(state.record().next_sequence),
+      began_at(now),
       waiting(state,
               this->run_times,
               settings.orders_by_slack,
@@ -716,7 +717,11 @@
       this->ReleaseAll(session, "its lease is over");
       session.Reset();
     }
-    if (!is_lapsed && !session.is_adopted()) {
+    // NOTE: Workers join all the time while pools grow. One that was put on
+    // record under this leader has had no orders from another, and must not
+    // make all older jobs of its service wait.
+    const bool is_inherited = session.began_at() == this->began_at;
+    if (is_inherited && !is_lapsed && !session.is_adopted()) {
       this->uncertain.insert(session.worker().service);
     }
   }
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -344,7 +344,10 @@
   std::uint64_t first_own_sequence;
   Sessions workers;
   TaskTable tasks;
-  // Services of which some worker has not told yet what runs there.
+  // When the leadership began.
+  SteadyTime began_at;
+  // Services of which some worker that an earlier leader used has not told yet
+  // what runs there.
   std::set<ServiceName> uncertain;
   std::set<InstanceName> cordoned;
   // Jobs of which a task has begun, until the record is asked for.
