Stand-ins, Tests: Let workers start again under their names

The stand-in worker can tell its start and keep its name; two of three worker processes of the soak do so, through the proxy that delays and cuts their announcements, starts and reports.

--- a/tests/processes/jobs.sh
+++ b/tests/processes/jobs.sh
@@ -99,6 +99,27 @@
 check "$victim comes back with an empty disk and votes again" until_true 20 is_voter "$victim" 2
 check "and knows the declaration" [ "$(version_at "${victim#c}")" = 2 ]
 
+# Workers that start again under their names while jobs run there.
+start_named() {
+  start_other named "$bin/task_workers_stand_in" --count 2 --ip 127.0.1.22 --controls "$controls" --work-ms 600 --names-stay --process named
+}
+start_named
+check "workers that keep their names are used" until_true 10 ctl_finds '[.document[] | select(.id | test("named-")) | select(.state == "ready")] | length == 2' n1 workers
+named_jobs=()
+for number in $(seq 1 6); do
+  id=$(new_job)
+  named_jobs+=("$id")
+  check "job $number is accepted before their restart" until_true 3 submitted n1 "$id" 12
+done
+signal_process named KILL
+start_named
+for id in "${named_jobs[@]}"; do
+  check "job $id is done over their restart" until_true 15 state_is n2 "$id" done
+done
+check "the leader says that they started again" until_true 5 grep -qh '"event":"worker-restarted"' "$work"/c*/out.txt
+check "and uses the new lives" until_true 10 ctl_finds '[.document[] | select(.id | test("named-")) | select(.state == "ready")] | length == 2' n1 workers
+signal_process named KILL
+
 # A leader that is no seed must be found too. With c1 and c2 silent one of the others leads, and c3 can
 # hand over only to one that is no seed.
 leads_now() { [ "$(grep -hE '"event":"(leads|leads-no-more|started)"' "$work/$1/out.txt" | tail -1 | jq -r .event)" = leads ]; }
--- a/tests/processes/soak.sh
+++ b/tests/processes/soak.sh
@@ -77,7 +77,9 @@
 
 start_process() {
   case "$1" in
-    w*) start_other "$1" "$bin/task_workers_stand_in" --count "$workers_each" --ip "$network.3${1#w}" \
+    # Those of w1 have a new name in each life, the others keep theirs.
+    w*) start_other "$1" "$bin/task_workers_stand_in" $([ "$1" = w1 ] || echo --names-stay) \
+      --count "$workers_each" --ip "$network.3${1#w}" \
       --listen-ip "$network.5${1#w}" --controls "$controls" --work-ms 400 --millicores 2000 \
       --leave-ms 2500 --process "$1" --log "$work/events-$1" ;;
     *) start_other "$1" "$bin/sumacd" --settings "$work/$1/settings.json" ;;
--- a/tests/stand_ins/task_worker.cc
+++ b/tests/stand_ins/task_worker.cc
@@ -100,8 +100,10 @@
                        {"worker", this->settings.description.id.value()}});
         return this->controls[this->next_control % this->controls.size()]->Call(
             {.method = kj::HttpMethod::DELETE,
-             .path =
-                 StrCat("/instances/", this->settings.description.id.value())},
+             .path = StrCat("/instances/", this->Name()),
+             .body = this->tells_start()
+                         ? nlohmann::json({{"born", this->Born()}}).dump()
+                         : std::string()},
             kCallLimit);
       })
       .ignoreResult();
@@ -162,28 +164,40 @@
   }
 }
 
+const std::string& TaskWorker::Name() const {
+  return this->tells_start() ? this->settings.description.name.value()
+                             : this->settings.description.id.value();
+}
+
+std::int64_t TaskWorker::Born() const {
+  return this->settings.description.born.time_since_epoch().count();
+}
+
 std::string TaskWorker::Announcement() {
   const jobs::Worker& about = this->settings.description;
-  return nlohmann::json({{"service", about.service.value()},
-                         {"address", about.address},
-                         {"zone", about.data_centre.value()},
-                         {"machine", about.instance.value()},
-                         {"state", this->is_leaving ? "draining" : "ready"},
+  nlohmann::json announcement =
+      nlohmann::json({{"service", about.service.value()},
+                      {"address", about.address},
+                      {"zone", about.data_centre.value()},
+                      {"machine", about.instance.value()},
+                      {"state", this->is_leaving ? "draining" : "ready"},
 
-                         {"capacity",
-                          {{"cpu", about.capacity.millicores},
-                           {"mem_mb", about.capacity.memory_mb},
-                           {"gpu", 0}}},
-                         {"labels", about.labels},
-                         {"seq", ++this->sequence}})
-      .dump();
+                      {"capacity",
+                       {{"cpu", about.capacity.millicores},
+                        {"mem_mb", about.capacity.memory_mb},
+                        {"gpu", 0}}},
+                      {"labels", about.labels},
+                      {"seq", ++this->sequence}});
+  if (this->tells_start()) {
+    announcement["born"] = this->Born();
+  }
+  return announcement.dump();
 }
 
 kj::Promise<void> TaskWorker::AnnounceLoop() {
-  http::CallRequest request{
-      .method = kj::HttpMethod::PUT,
-      .path = StrCat("/instances/", this->settings.description.id.value()),
-      .body = this->Announcement()};
+  http::CallRequest request{.method = kj::HttpMethod::PUT,
+                            .path = StrCat("/instances/", this->Name()),
+                            .body = this->Announcement()};
   http::AsyncConnection& control =
       *this->controls[this->next_control % this->controls.size()];
   return control.Call(std::move(request), kCallLimit)
@@ -207,8 +221,7 @@
     return http::DoorReply{.status = kUnavailable};
   }
   const auto expected = request.headers.find(kExpectedWorkerHeader);
-  if (expected != request.headers.end() &&
-      expected->second != this->settings.description.id.value()) {
+  if (expected != request.headers.end() && expected->second != this->Name()) {
     return http::DoorReply{.status = kMisdirected};
   }
   nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
@@ -306,6 +319,9 @@
   nlohmann::json reply = {{"clock_ms", report->clock.value()},
                           {"running", nlohmann::json::array()},
                           {"ended", nlohmann::json::array()}};
+  if (this->tells_start()) {
+    reply["born"] = this->Born();
+  }
   for (const auto& running : report->running) {
     reply["running"].push_back({running.task.ToText(), running.run.value(),
                                 running.checkpoint, running.percent,
--- a/tests/stand_ins/task_worker.h
+++ b/tests/stand_ins/task_worker.h
@@ -76,6 +76,11 @@
       SteadyTime now,
       const std::map<jobs::TaskId, scheduler::FakeWorker::Running>& earlier);
   std::string Announcement();
+  // As it is known on the wire; a worker that tells its start keeps its name
+  // over its lives.
+  const std::string& Name() const;
+  bool tells_start() const { return this->settings.description.tells_start(); }
+  std::int64_t Born() const;
 
   kj::Network& network;
   kj::Timer& timer;
--- a/tests/stand_ins/task_workers_main.cc
+++ b/tests/stand_ins/task_workers_main.cc
@@ -66,6 +66,8 @@
       "this process's name, for the log and the names of workers");
   add("leave-ms", options::value<int>()->default_value(0),
       "on SIGTERM workers announce that they leave, and go after this");
+  add("names-stay", options::bool_switch(),
+      "workers keep their names when the process starts again");
   add("millicores", options::value<int>()->default_value(16'000));
   options::variables_map arguments;
   options::store(
@@ -89,6 +91,8 @@
   const std::string prefix = process.empty() ? service : process;
   for (int number = 0; number < arguments["count"].as<int>(); ++number) {
     sumac::stand_ins::TaskWorker::Settings settings;
+    // A new life's clock need not go on from where the last one's stood.
+    settings.clock_offset = kClockStep * (getpid() % kClockSteps);
     settings.description = {
         .id = sumac::WorkerId(sumac::StrCat(prefix, "-", number, "-",
                                             static_cast<long>(getpid()))),
@@ -100,6 +104,17 @@
         .capacity = {.millicores = arguments["millicores"].as<int>(),
                      .memory_mb = 32'000},
         .labels = {"a", sumac::StrCat("r", number / 4)}};
+    if (arguments["names-stay"].as<bool>()) {
+      settings.description.name =
+          sumac::WorkerName(sumac::StrCat(prefix, "-", number));
+      settings.description.born = sumac::SystemClock().Now();
+      settings.description.id = sumac::WorkerId(
+          sumac::StrCat(prefix, "-", number, "#",
+                        settings.description.born.time_since_epoch().count()));
+      // The clock of each life starts anew.
+      settings.clock_offset =
+          -sumac::SystemClock().SteadyNow().time_since_epoch();
+    }
     const auto listen_ip = arguments["listen-ip"].as<std::string>();
     if (!listen_ip.empty()) {
       settings.listen_address = sumac::StrCat(
@@ -107,8 +122,6 @@
     }
     settings.process = process;
     settings.leave_time = leave_time;
-    // A new life's clock need not go on from where the last one's stood.
-    settings.clock_offset = kClockStep * (getpid() % kClockSteps);
     settings.controls = SplitAtCommas(arguments["controls"].as<std::string>());
     settings.work = sumac::Milliseconds(arguments["work-ms"].as<int>());
     workers.push_back(std::make_unique<sumac::stand_ins::TaskWorker>(
