Sumacd, Maintenance: Plan instances on while commits are open, and record each move

Instances came to a pool seconds after its turn had begun where processor time is short: their planner waited for its own commits, of which a busy leader has one open nearly always. Now it looks on; a command that is being committed is not proposed again.

With that a fault showed: a second move of an instance within half a minute went out on the record of the first, which is too old to keep a next leader away from the instance. Each move has a record of its own now; the test failed before. Two tests of moves relied on the old order of things: they let the look pass at which the earlier move is over, and want the same.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -457,12 +457,21 @@
     const bool is_empty =
         known == facts.end() ||
         (known->second.budgeted_runs == 0 && known->second.other_runs == 0);
+    Move& followed = item->second;
     const auto record = state.record().moves.find(name);
-    const bool is_recorded = record != state.record().moves.end() &&
-                             record->second.epoch == this->epoch;
+    const bool has_record = record != state.record().moves.end();
+    if (!std::exchange(followed.is_followed, true) && has_record) {
+      followed.earlier = record->second;
+    }
+    // NOTE: The record of an earlier move of the instance is too old to keep a
+    // next leader away from it.
+    const bool is_recorded =
+        has_record && record->second.epoch == this->epoch &&
+        !(followed.earlier && followed.earlier->at == record->second.at);
     const bool is_due =
         !move.is_taken && !move.is_under_way && is_empty && now >= move.due;
-    if (is_due && !is_recorded) {
+    if (is_due && !is_recorded && now >= followed.record_due) {
+      followed.record_due = now + this->settings.retry;
       to_record.instances.push_back(name);
       if (!move.worker.value().empty()) {
         to_record.workers[name] = move.worker;
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -91,6 +91,11 @@
     bool is_taken = false;
     SteadyTime taken_at{};
     SteadyTime due{};
+    // Its record was asked for; until when that is waited for.
+    SteadyTime record_due{};
+    // The record of an earlier move of the instance, if there was one.
+    std::optional<jobs::MoveRecord> earlier;
+    bool is_followed = false;
   };
   // What is known of one pool in one look.
   struct Pool {
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libraries/base/text.h"
+#include "libraries/codec/json_writer.h"
 #include "libraries/log/json_log.h"
 #include "services/sumacd/instance_facts.h"
 
@@ -85,7 +86,7 @@
       static_cast<std::int64_t>(this->scheduler.sessions().size());
   const Milliseconds interval =
       std::max(kPlanInterval, kPlanInterval * instances / kInstancesOfInterval);
-  if (now - this->last_plan < interval || this->open_commands > 0) {
+  if (now - this->last_plan < interval) {
     return;
   }
   this->last_plan = now;
@@ -154,12 +155,18 @@
              : this->waves.TakeResult(this->state, order, result, now);
 }
 
+// NOTE: The planners look on while their commands are being committed, and want
+// the same until it is on record: in a rush commits take so long that waiting
+// for them would put the moves off that the rush needs.
 void InstanceKeeper::Commit(std::vector<jobs::Command> commands) {
   for (jobs::Command& command : commands) {
-    ++this->open_commands;
+    const std::string key = ToCbor(jobs::StampedCommand{{}, command});
+    if (!this->open_commands.insert(key).second) {
+      continue;
+    }
     this->tasks.add(this->host.propose(std::move(command))
-                        .then([this](const fleet::Answer& /*answer*/) {
-                          --this->open_commands;
+                        .then([this, key](const fleet::Answer& /*answer*/) {
+                          this->open_commands.erase(key);
                         }));
   }
 }
--- a/services/sumacd/instance_keeper.h
+++ b/services/sumacd/instance_keeper.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,8 +73,8 @@
   bool is_listing = false;
   std::vector<maintenance::ListedInstance> pages;
   maintenance::InstanceListing listing;
-  // Commands that are not committed yet; the next look waits for them.
-  std::size_t open_commands = 0;
+  // Commands that are being committed, as their bytes; none is proposed twice.
+  std::set<std::string> open_commands;
   kj::TaskSet tasks;
 };
 
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -240,6 +240,9 @@
   this->now += CapacitySettings().move_time / 2;
   EXPECT_TRUE(this->Plan().orders.empty());
   this->now += CapacitySettings().move_time / 2;
+  // It has arrived by this look, and the next move is recorded with the one
+  // after.
+  this->Look();
   const CapacityOutput again = this->Plan();
   ASSERT_EQ(PoolsOf(again), std::vector<std::string>{"busy"});
   EXPECT_EQ(again.orders[0].instance, moved);
@@ -267,9 +270,35 @@
   this->planner.TakeList(this->listing);
   this->demand[kBusy].short_millicores = 2 * kCores;
   this->now += CapacitySettings().move_time;
+  this->Look();
   EXPECT_EQ(PoolsOf(this->Plan()), std::vector<std::string>{"busy"});
 }
 
+// The record of a move keeps the next leader away from its instance for some
+// seconds. A second move of an instance went out on the record of the first.
+TEST_F(CapacityPlannerTest, EachMoveOfAnInstanceIsRecordedBeforeItsOrder) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 3);
+  this->AddIdle(0);
+  this->demand[kQuiet] = {};
+  this->Plan();
+  this->now += CapacitySettings().surplus_time;
+  const CapacityOutput output = this->Plan();
+  ASSERT_EQ(PoolsOf(output), std::vector<std::string>{"off"});
+  const InstanceName moved = output.orders[0].instance;
+  this->planner.TakeResult(output.orders[0], InstanceResult::kDone, this->now);
+  this->facts.erase(moved);
+  this->demand[kBusy].short_millicores = 2 * kCores;
+  this->now += CapacitySettings().move_time;
+  const WallTime second_at = this->wall();
+  std::vector<InstanceOrder> orders;
+  for (int look = 0; look < 5 && orders.empty(); ++look) {
+    orders = this->Look().orders;
+  }
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_GT(this->state.record().moves.at(moved).at, second_at);
+}
+
 // An announcement of an earlier life that comes while the instance moves was
 // taken for its arrival: the instance was no longer cordoned.
 TEST_F(CapacityPlannerTest, AnAnnouncementWithoutAnAnswerIsNoArrival) {
