Sumacd, Maintenance: Look at instances five times a second while a commit is open

At 350 workers twenty looks a second are a tenth of the leader's time there. While commands of its own are open it looks every 200 ms now. The two readings of one thing in FollowMoves have one name, and what tells a move's record from an earlier one stands by itself.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -87,13 +87,13 @@
                               SteadyTime now) const {
   const auto record = state.record().moves.find(name);
   return record == state.record().moves.end() ||
-         !this->IsRecent(record->second, wall_now, now);
+         !this->MayBeUnderWay(record->second, wall_now, now);
 }
 
 // True if an order of an earlier leader may be under way.
-bool CapacityPlanner::IsRecent(const jobs::MoveRecord& record,
-                               WallTime wall_now,
-                               SteadyTime now) const {
+bool CapacityPlanner::MayBeUnderWay(const jobs::MoveRecord& record,
+                                    WallTime wall_now,
+                                    SteadyTime now) const {
   // NOTE: Two leaders' clocks may differ by seconds, so what counts is twice
   // the pause.
   return now - this->began_at <= this->settings.holder_pause &&
@@ -114,7 +114,7 @@
     const bool may_end =
         known != facts.end() && (record.worker.value().empty() ||
                                  record.worker == known->second.worker);
-    if (may_end && this->IsRecent(record, wall_now, now)) {
+    if (may_end && this->MayBeUnderWay(record, wall_now, now)) {
       output.cordoned.insert(name);
     }
   }
@@ -433,6 +433,20 @@
            .since = now};
 }
 
+// True once this very move is on record. The record of an earlier move of the
+// instance is too old to keep a next leader away from it.
+bool CapacityPlanner::IsRecorded(const jobs::JobsState& state,
+                                 const InstanceName& name,
+                                 Move& move) const {
+  const auto record = state.record().moves.find(name);
+  const bool has_record = record != state.record().moves.end();
+  if (!std::exchange(move.is_followed, true) && has_record) {
+    move.earlier_record = record->second;
+  }
+  return has_record && record->second.epoch == this->epoch &&
+         !(move.earlier_record && move.earlier_record->at == record->second.at);
+}
+
 void CapacityPlanner::FollowMoves(
     const jobs::JobsState& state,
     const std::map<InstanceName, InstanceFacts>& facts,
@@ -440,7 +454,7 @@
     CapacityOutput& output) {
   jobs::RecordMoves to_record;
   for (auto item = this->moves.begin(); item != this->moves.end();) {
-    const auto& [name, move] = *item;
+    auto& [name, move] = *item;
     const auto known = facts.find(name);
     // Where instances are off no worker appears.
     const bool has_arrived =
@@ -457,28 +471,18 @@
     const bool is_empty =
         known == facts.end() ||
         (known->second.budgeted_runs == 0 && known->second.other_runs == 0);
-    Move& followed = item->second;
-    const auto record = state.record().moves.find(name);
-    const bool has_record = record != state.record().moves.end();
-    if (!std::exchange(followed.is_followed, true) && has_record) {
-      followed.earlier = record->second;
-    }
-    // NOTE: The record of an earlier move of the instance is too old to keep a
-    // next leader away from it.
-    const bool is_recorded =
-        has_record && record->second.epoch == this->epoch &&
-        !(followed.earlier && followed.earlier->at == record->second.at);
+    const bool is_recorded = this->IsRecorded(state, name, move);
     const bool is_due =
         !move.is_taken && !move.is_under_way && is_empty && now >= move.due;
-    if (is_due && !is_recorded && now >= followed.record_due) {
-      followed.record_due = now + this->settings.retry;
+    if (is_due && !is_recorded && now >= move.record_due) {
+      move.record_due = now + this->settings.retry;
       to_record.instances.push_back(name);
       if (!move.worker.value().empty()) {
         to_record.workers[name] = move.worker;
       }
     }
     if (is_due && is_recorded) {
-      item->second.is_under_way = true;
+      move.is_under_way = true;
       output.orders.push_back(InstanceOrder{.instance = name,
                                             .pool = move.to,
                                             .holder = this->holder,
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -91,10 +91,11 @@
     bool is_taken = false;
     SteadyTime taken_at{};
     SteadyTime due{};
-    // Its record was asked for; until when that is waited for.
+    // When to ask for its record (again).
     SteadyTime record_due{};
-    // The record of an earlier move of the instance, if there was one.
-    std::optional<jobs::MoveRecord> earlier;
+    // What was on record of an earlier move of the instance when this one was
+    // first followed.
+    std::optional<jobs::MoveRecord> earlier_record;
     bool is_followed = false;
   };
   // What is known of one pool in one look.
@@ -108,6 +109,9 @@
     std::vector<std::pair<std::int64_t, InstanceName>> movable;
   };
 
+  bool IsRecorded(const jobs::JobsState& state,
+                  const InstanceName& name,
+                  Move& move) const;
   void FollowMoves(const jobs::JobsState& state,
                    const std::map<InstanceName, InstanceFacts>& facts,
                    SteadyTime now,
@@ -152,9 +156,9 @@
                const InstanceName& name,
                WallTime wall_now,
                SteadyTime now) const;
-  bool IsRecent(const jobs::MoveRecord& record,
-                WallTime wall_now,
-                SteadyTime now) const;
+  bool MayBeUnderWay(const jobs::MoveRecord& record,
+                     WallTime wall_now,
+                     SteadyTime now) const;
   void CordonEarlierMoves(const jobs::JobsState& state,
                           const std::map<InstanceName, InstanceFacts>& facts,
                           WallTime wall_now,
--- a/libraries/maintenance/maintenance_planner.cc
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -88,9 +88,8 @@
         this->FollowOrdered(wave, name, facts, now, output);
       }
     } else if (instance.state == MaintenanceState::kBegun) {
-      std::string reason = this->WhyOver(name, instance, sight, now);
-      if (!reason.empty()) {
-        RecordOver(wave, name, std::move(reason), output);
+      if (auto reason = this->WhyOver(name, instance, sight, now)) {
+        RecordOver(wave, name, *std::move(reason), output);
       }
     } else if (instance.state == MaintenanceState::kWaiting) {
       const auto known = facts.find(name);
@@ -195,7 +194,7 @@
 
 // An instance is back once another worker than before answers there, or, where
 // none ran, once the platform lists it as out of its maintenance.
-std::string MaintenancePlanner::WhyOver(
+std::optional<std::string> MaintenancePlanner::WhyOver(
     const InstanceName& name,
     const jobs::InstanceMaintenance& maintenance,
     const Sight& sight,
@@ -205,7 +204,7 @@
   const bool is_own = order != this->open_orders.end();
   const SteadyTime begun_at = is_own ? order->second.begun_at : this->began_at;
   if (now - begun_at < this->settings.maintenance_time) {
-    return "";
+    return std::nullopt;
   }
   const auto known = sight.facts.find(name);
   if (known != sight.facts.end() && !known->second.is_only_announced &&
@@ -221,9 +220,10 @@
   const bool is_listed_as_back = row != nullptr &&
                                  row->state != InstanceState::kInMaintenance &&
                                  sight.listing.asked_at() > since;
-  return maintenance.worker.value().empty() && is_listed_as_back
-             ? StrCat("it is listed as ", NameOf(row->state))
-             : "";
+  if (!maintenance.worker.value().empty() || !is_listed_as_back) {
+    return std::nullopt;
+  }
+  return StrCat("it is listed as ", NameOf(row->state));
 }
 
 void MaintenancePlanner::RecordOver(const jobs::Wave& wave,
--- a/libraries/maintenance/maintenance_planner.h
+++ b/libraries/maintenance/maintenance_planner.h
@@ -135,12 +135,13 @@
                      const std::map<InstanceName, InstanceFacts>& facts,
                      SteadyTime now,
                      MaintenanceOutput& output);
-  // Why an instance whose maintenance has begun counts as done; empty while it
-  // doesn't.
-  std::string WhyOver(const InstanceName& name,
-                      const jobs::InstanceMaintenance& maintenance,
-                      const Sight& sight,
-                      SteadyTime now) const;
+  // Why an instance whose maintenance has begun counts as done; nothing while
+  // it doesn't.
+  std::optional<std::string> WhyOver(
+      const InstanceName& name,
+      const jobs::InstanceMaintenance& maintenance,
+      const Sight& sight,
+      SteadyTime now) const;
   static void RecordOver(const jobs::Wave& wave,
                          const InstanceName& name,
                          std::string reason,
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr Milliseconds kPlanInterval{50};
+// While commands of its own are being committed, which is nearly always in a
+// rush: a look costs the loop more than a millisecond then, and what it wants
+// hardly changes before they are on record.
+constexpr Milliseconds kBusyPlanInterval{200};
 // The list is fetched this often while a wave is under way. Each fetch has a
 // price, and what changes fast is seen from the workers.
 constexpr Milliseconds kListInterval{2'000};
@@ -84,8 +88,10 @@
 void InstanceKeeper::Plan(WallTime wall_now, SteadyTime now) {
   const auto instances =
       static_cast<std::int64_t>(this->scheduler.sessions().size());
+  const Milliseconds shortest =
+      this->open_commands.empty() ? kPlanInterval : kBusyPlanInterval;
   const Milliseconds interval =
-      std::max(kPlanInterval, kPlanInterval * instances / kInstancesOfInterval);
+      std::max(shortest, kPlanInterval * instances / kInstancesOfInterval);
   if (now - this->last_plan < interval) {
     return;
   }
