Maintenance: Renew the record of a move beside its order, not before it

In a rush instances go from pool to pool within seconds, and each wait makes them late for the turn.

The first move of an instance under a leader waits for its record as ever; a later one goes out at once, and its record is renewed beside it. What is left open: a leader that ends within the commit of that record leaves the earlier one.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -433,18 +433,29 @@
            .since = now};
 }
 
-// True once this very move is on record. The record of an earlier move of the
-// instance is too old to keep a next leader away from it.
-bool CapacityPlanner::IsRecorded(const jobs::JobsState& state,
-                                 const InstanceName& name,
-                                 Move& move) const {
+// True if this leader has a move of the instance on record, so that the order
+// may go out.
+bool CapacityPlanner::HasRecord(const jobs::JobsState& state,
+                                const InstanceName& name) const {
   const auto record = state.record().moves.find(name);
-  const bool has_record = record != state.record().moves.end();
-  if (!std::exchange(move.is_followed, true) && has_record) {
-    move.earlier_record = record->second;
+  return record != state.record().moves.end() &&
+         record->second.epoch == this->epoch;
+}
+
+// True if what is on record is an earlier move of the instance. It names
+// another worker and soon is too old to keep a next leader away from the
+// instance.
+bool CapacityPlanner::IsRecordOld(const jobs::JobsState& state,
+                                  const InstanceName& name,
+                                  Move& move) const {
+  if (!this->HasRecord(state, name)) {
+    return true;
+  }
+  const jobs::MoveRecord& record = state.record().moves.at(name);
+  if (!std::exchange(move.is_followed, true)) {
+    move.earlier_record = record;
   }
-  return has_record && record->second.epoch == this->epoch &&
-         !(move.earlier_record && move.earlier_record->at == record->second.at);
+  return move.earlier_record && move.earlier_record->at == record.at;
 }
 
 void CapacityPlanner::FollowMoves(
@@ -471,17 +482,21 @@
     const bool is_empty =
         known == facts.end() ||
         (known->second.budgeted_runs == 0 && known->second.other_runs == 0);
-    const bool is_recorded = this->IsRecorded(state, name, move);
     const bool is_due =
         !move.is_taken && !move.is_under_way && is_empty && now >= move.due;
-    if (is_due && !is_recorded && now >= move.record_due) {
+    const bool is_record_wanted =
+        is_due && this->IsRecordOld(state, name, move);
+    if (is_record_wanted && now >= move.record_due) {
       move.record_due = now + this->settings.retry;
       to_record.instances.push_back(name);
       if (!move.worker.value().empty()) {
         to_record.workers[name] = move.worker;
       }
     }
-    if (is_due && is_recorded) {
+    // NOTE: Instances go from pool to pool within seconds in a rush. An order
+    // that waited for a record of its own each time would come too late for the
+    // turn; the first move of an instance under a leader waits.
+    if (is_due && this->HasRecord(state, name)) {
       move.is_under_way = true;
       output.orders.push_back(InstanceOrder{.instance = name,
                                             .pool = move.to,
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -109,9 +109,10 @@
     std::vector<std::pair<std::int64_t, InstanceName>> movable;
   };
 
-  bool IsRecorded(const jobs::JobsState& state,
-                  const InstanceName& name,
-                  Move& move) const;
+  bool HasRecord(const jobs::JobsState& state, const InstanceName& name) const;
+  bool IsRecordOld(const jobs::JobsState& state,
+                   const InstanceName& name,
+                   Move& move) const;
   void FollowMoves(const jobs::JobsState& state,
                    const std::map<InstanceName, InstanceFacts>& facts,
                    SteadyTime now,
