Maintenance: Use workers on instances that were off when their move was recorded

A new leader kept every instance empty whose move an earlier one had on record without a worker. An instance that was off has none, and a worker there came after the move. The test failed before.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -112,8 +112,7 @@
   for (const auto& [name, record] : state.record().moves) {
     const auto known = facts.find(name);
     const bool may_end =
-        known != facts.end() && (record.worker.value().empty() ||
-                                 record.worker == known->second.worker);
+        known != facts.end() && record.worker == known->second.worker;
     if (may_end && this->MayBeUnderWay(record, wall_now, now)) {
       output.cordoned.insert(name);
     }
--- a/tests/services/sumacd/instance_orders_test.cc
+++ b/tests/services/sumacd/instance_orders_test.cc
@@ -156,13 +156,25 @@
 // The order of the leader before may be carried out any moment.
 TEST_F(InstanceOrdersTest, ANewLeaderLeavesAnInstanceEmptyThatMayBeMoved) {
   this->PassTime(Milliseconds(500));
-  this->fleet.Commit(jobs::RecordMoves{.instances = {kEmptied}});
+  this->fleet.Commit(
+      jobs::RecordMoves{.instances = {kEmptied},
+                        .workers = {{kEmptied, WorkerId(kEmptiedWorker)}}});
   this->ChangeLeader();
   this->SubmitLasting();
   this->PassTime(Milliseconds(2'000));
   EXPECT_EQ(this->RunsOfTheFirstWorker(), 0U);
 }
 
+// An instance that was off when its move was recorded has a worker since then.
+TEST_F(InstanceOrdersTest, AWorkerOnAnInstanceThatWasOffIsUsed) {
+  this->PassTime(Milliseconds(500));
+  this->fleet.Commit(jobs::RecordMoves{.instances = {kEmptied}});
+  this->ChangeLeader();
+  this->SubmitLasting();
+  this->PassTime(Milliseconds(2'000));
+  EXPECT_EQ(this->RunsOfTheFirstWorker(), 1U);
+}
+
 // Where the order was carried out another worker runs, and can be used.
 TEST_F(InstanceOrdersTest, AWorkerThatBeganAfterTheMoveIsUsed) {
   this->PassTime(Milliseconds(500));
