Platform, Maintenance: Read the list of instances row by row

One row that another writer had spoilt made the whole list unreadable, each time, and an instance in a state that has no name here counted as down, so that its worker in doubt was taken for dead and its tasks were started elsewhere.

A row that can't be read leaves its instance in an unknown state, from which nothing follows: it is neither down, nor back, nor spare. A row without a name may be that of any instance, so that such a list shows nobody as gone or dead. Their number is in the line instances-listed.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -37,6 +37,7 @@
     // before it; until the next one the instance would count as nobody's.
     const bool is_known_better = known != this->idle.end() &&
                                  (instance.state == InstanceState::kMoving ||
+                                  instance.state == InstanceState::kUnknown ||
                                   (instance.state == InstanceState::kUp &&
                                    known->second.known_at >= asked_at));
     if (is_known_better) {
--- a/libraries/maintenance/instance_listing.cc
+++ b/libraries/maintenance/instance_listing.cc
@@ -6,7 +6,8 @@
 namespace sumac::maintenance {
 
 void InstanceListing::Take(std::vector<ListedInstance> instances,
-                           SteadyTime asked_at) {
+                           SteadyTime asked_at,
+                           bool has_nameless_rows) {
   std::map<InstanceName, ListedInstance> before =
       std::exchange(this->known, {});
   for (const InstanceName& name : this->missed) {
@@ -22,6 +23,8 @@
       this->missed.insert(name);
     }
   }
+  this->is_before_incomplete =
+      std::exchange(this->is_last_incomplete, has_nameless_rows);
   this->asked_before_at = this->last_asked_at;
   this->last_asked_at = asked_at;
 }
@@ -34,8 +37,8 @@
 }
 
 bool InstanceListing::IsGone(const InstanceName& name, SteadyTime since) const {
-  return this->asked_before_at && *this->asked_before_at > since &&
-         !this->known.contains(name);
+  return this->is_complete() && this->asked_before_at &&
+         *this->asked_before_at > since && !this->known.contains(name);
 }
 
 }  // namespace sumac::maintenance
--- a/libraries/maintenance/instance_messages.h
+++ b/libraries/maintenance/instance_messages.h
@@ -3,6 +3,7 @@
 #define LIBRARIES_MAINTENANCE_INSTANCE_MESSAGES_H_
 
 #include <array>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -13,7 +14,15 @@
 namespace sumac::maintenance {
 
 // What an instance does now, as the platform lists it.
-enum class InstanceState { kUp, kMoving, kInMaintenance, kDown };
+enum class InstanceState {
+  kUp,
+  kMoving,
+  kInMaintenance,
+  kDown,
+  // Its row can't be read, or names a state that is not known here: nothing
+  // follows from it.
+  kUnknown,
+};
 
 // One instance as the platform lists it.
 struct ListedInstance {
@@ -32,6 +41,8 @@
 // One page of the platform's list of instances.
 struct InstancePage {
   std::vector<ListedInstance> instances;
+  // Rows that don't tell which instance they are about.
+  std::size_t nameless_rows = 0;
   // Asks for the next page; empty after the last.
   std::string next_token;
 };
@@ -78,6 +89,7 @@
       EnumName<maintenance::InstanceState>{kMoving, "moving"},
       EnumName<maintenance::InstanceState>{kInMaintenance, "in-maintenance"},
       EnumName<maintenance::InstanceState>{kDown, "down"},
+      EnumName<maintenance::InstanceState>{kUnknown, "unknown"},
   };
 };
 
--- a/libraries/maintenance/maintenance_planner.cc
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -217,9 +217,9 @@
     return "it is gone: no list shows it";
   }
   const ListedInstance* row = sight.listing.Find(name);
-  const bool is_listed_as_back = row != nullptr &&
-                                 row->state != InstanceState::kInMaintenance &&
-                                 sight.listing.asked_at() > since;
+  const bool is_listed_as_back =
+      row != nullptr && row->state != InstanceState::kInMaintenance &&
+      row->state != InstanceState::kUnknown && sight.listing.asked_at() > since;
   if (!maintenance.worker.value().empty() || !is_listed_as_back) {
     return std::nullopt;
   }
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -56,9 +56,12 @@
   std::map<InstanceName, scheduler::InstanceLife> lives;
   for (const auto& [name, instance] : listing.rows()) {
     const maintenance::ListedInstance* row = listing.Find(name);
-    // One that only the last list lacks may be up as before.
+    // One that only the last list lacks, or whose row tells nothing, may be up
+    // as before.
+    const bool is_unclear =
+        row == nullptr || row->state == maintenance::InstanceState::kUnknown;
     lives[name] =
-        row == nullptr
+        is_unclear
             ? scheduler::InstanceLife{.is_up = true, .worker = {}}
             : scheduler::InstanceLife{
                   row->state == maintenance::InstanceState::kUp, row->worker};
@@ -208,6 +211,7 @@
   this->is_listing = true;
   this->last_list = now;
   this->pages.clear();
+  this->nameless_rows = 0;
   this->tasks.add(this->FetchPages(""));
 }
 
@@ -221,6 +225,7 @@
           this->is_listing = false;
           return kj::READY_NOW;
         }
+        this->nameless_rows += page->nameless_rows;
         std::move(page->instances.begin(), page->instances.end(),
                   std::back_inserter(this->pages));
         if (!page->next_token.empty()) {
@@ -228,9 +233,13 @@
         }
         this->is_listing = false;
         this->LogList();
-        this->listing.Take(std::move(this->pages), this->last_list);
-        this->scheduler.TakeInstanceLives(LivesOf(this->listing),
-                                          this->last_list);
+        this->listing.Take(std::move(this->pages), this->last_list,
+                           this->nameless_rows > 0);
+        if (!this->listing.has_nameless_rows()) {
+          // A row that can't be read may be that of any worker.
+          this->scheduler.TakeInstanceLives(LivesOf(this->listing),
+                                            this->last_list);
+        }
         this->capacity.TakeList(this->listing);
         return kj::READY_NOW;
       });
@@ -242,7 +251,8 @@
   for (const maintenance::ListedInstance& instance : this->pages) {
     ++counts[StrCat(instance.service.value(), "/", NameOf(instance.state))];
   }
-  LogEvent(LogLevel::kInfo, "instances-listed", {{"counts", counts}});
+  LogEvent(LogLevel::kInfo, "instances-listed",
+           {{"counts", counts}, {"nameless_rows", this->nameless_rows}});
 }
 
 void InstanceKeeper::taskFailed(kj::Exception&& exception) {
--- a/services/sumacd/instance_keeper.h
+++ b/services/sumacd/instance_keeper.h
@@ -72,6 +72,8 @@
   SteadyTime last_list{};
   bool is_listing = false;
   std::vector<maintenance::ListedInstance> pages;
+  // Rows of these pages that don't tell which instance they are about.
+  std::size_t nameless_rows = 0;
   maintenance::InstanceListing listing;
   // Commands that are being committed, as their bytes; none is proposed twice.
   std::set<std::string> open_commands;
--- a/tests/libraries/maintenance/instance_listing_test.cc
+++ b/tests/libraries/maintenance/instance_listing_test.cc
@@ -52,6 +52,19 @@
   EXPECT_NE(listing.Find(kOther), nullptr);
 }
 
+// A row without a name may be that of any instance.
+TEST(InstanceListingTest, ListsWithNamelessRowsShowNobodyAsGone) {
+  InstanceListing listing;
+  listing.Take({}, At(10), true);
+  listing.Take({}, At(20));
+  EXPECT_FALSE(listing.IsGone(kOne, At(0)));
+  listing.Take({}, At(30));
+  EXPECT_TRUE(listing.IsGone(kOne, At(0)));
+  listing.Take({}, At(40), true);
+  EXPECT_TRUE(listing.has_nameless_rows());
+  EXPECT_FALSE(listing.IsGone(kOne, At(0)));
+}
+
 TEST(InstanceListingTest, ARowThatComesAndGoesIsNeverGone) {
   InstanceListing listing;
   for (int round = 0; round < 6; ++round) {
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -264,6 +264,29 @@
   EXPECT_EQ(ReadInstanceResult(500, ""), kUnknown);
 }
 
+// One row that another writer had spoilt made the whole list of instances
+// unreadable, again and again; and an instance in a state without a name here
+// counted as down, so that its worker's tasks were started elsewhere.
+TEST(WireCodecTest, ARowThatCannotBeReadSpoilsNoOther) {
+  const auto page = ReadInstancePage(
+      R"({"machines":[{"machine":"m-1","pool":"p","state":"up","id":"i-1"},
+          {"machine":"m-2","pool":7,"state":"up"},{"machine":"m-3","pool":"p","state":"resting"},
+          {"machine":"m-4"},{"machine":9,"pool":"p","state":"up"},{"pool":"p","state":"up"},
+          7,null,[],{"machine":"m-5","pool":"p","state":"down","capacity":[]},
+          {"machine":"m-6","pool":"p","state":"down"}],"next_token":""})");
+  ASSERT_TRUE(page.ok()) << page.status();
+  using enum maintenance::InstanceState;
+  const std::map<std::string, maintenance::InstanceState> expected = {
+      {"m-1", kUp},      {"m-2", kUnknown}, {"m-3", kUnknown},
+      {"m-4", kUnknown}, {"m-5", kUnknown}, {"m-6", kDown}};
+  std::map<std::string, maintenance::InstanceState> read;
+  for (const maintenance::ListedInstance& instance : page->instances) {
+    read[instance.name.value()] = instance.state;
+  }
+  EXPECT_EQ(read, expected);
+  EXPECT_EQ(page->nameless_rows, 5U);
+}
+
 TEST(WireCodecTest, ReadsAWave) {
   const auto wave = ReadWave(
       R"({"wave":1,"machines":["m-1","m-2"],"ramp_s":2.5,"max_count":3})");
