--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -95,6 +95,25 @@
     }
     return output;
   }
+  // Lets a pool have one instance too many, which is ordered off and taken
+  // away.
+  InstanceName SwitchOneOff() {
+    this->AddInstances(kBusy, 2);
+    this->AddInstances(kQuiet, 3);
+    this->AddIdle(0);
+    this->demand[kQuiet] = {};
+    this->Plan();
+    this->now += CapacitySettings().surplus_time;
+    const CapacityOutput output = this->Plan();
+    EXPECT_EQ(PoolsOf(output), std::vector<std::string>{"off"});
+    if (output.orders.empty()) {
+      return InstanceName();
+    }
+    const InstanceOrder& order = output.orders.front();
+    this->planner.TakeResult(order, InstanceResult::kDone, this->now);
+    this->facts.erase(order.instance);
+    return order.instance;
+  }
   WallTime wall() const { return WallTime(this->now.time_since_epoch()); }
   // The pools that the orders of a plan name.
   static std::vector<std::string> PoolsOf(const CapacityOutput& output) {
@@ -223,17 +242,7 @@
 // the platform takes no further order about it before it has arrived.
 TEST_F(CapacityPlannerTest,
        AnInstanceThatWasJustSwitchedOffIsUsedOnceItArrived) {
-  this->AddInstances(kBusy, 2);
-  this->AddInstances(kQuiet, 3);
-  this->AddIdle(0);
-  this->demand[kQuiet] = {};
-  this->Plan();
-  this->now += CapacitySettings().surplus_time;
-  const CapacityOutput output = this->Plan();
-  ASSERT_EQ(PoolsOf(output), std::vector<std::string>{"off"});
-  const InstanceName moved = output.orders[0].instance;
-  this->planner.TakeResult(output.orders[0], InstanceResult::kDone, this->now);
-  this->facts.erase(moved);
+  const InstanceName moved = this->SwitchOneOff();
   this->TakeList(
       {{.name = moved, .service = kQuiet, .state = InstanceState::kMoving}});
   this->demand[kBusy].short_millicores = 2 * kCores;
@@ -249,18 +258,8 @@
 // the instance has left, which took it for one that is not off until the next
 // list, 15 s later.
 TEST_F(CapacityPlannerTest, AListFromBeforeAMoveDoesNotUndoIt) {
-  this->AddInstances(kBusy, 2);
-  this->AddInstances(kQuiet, 3);
-  this->AddIdle(0);
-  this->demand[kQuiet] = {};
-  this->Plan();
-  this->now += CapacitySettings().surplus_time;
   const SteadyTime asked_at = this->now;
-  const CapacityOutput output = this->Plan();
-  ASSERT_EQ(PoolsOf(output), std::vector<std::string>{"off"});
-  const InstanceName moved = output.orders[0].instance;
-  this->planner.TakeResult(output.orders[0], InstanceResult::kDone, this->now);
-  this->facts.erase(moved);
+  const InstanceName moved = this->SwitchOneOff();
   this->listing.Take(
       {{.name = moved, .service = kQuiet, .state = InstanceState::kUp}},
       asked_at);
@@ -274,17 +273,7 @@
 // seconds, and what it starts away from the worker that ends. A second move of
 // an instance left that of the first on record.
 TEST_F(CapacityPlannerTest, EachMoveOfAnInstanceIsRecorded) {
-  this->AddInstances(kBusy, 2);
-  this->AddInstances(kQuiet, 3);
-  this->AddIdle(0);
-  this->demand[kQuiet] = {};
-  this->Plan();
-  this->now += CapacitySettings().surplus_time;
-  const CapacityOutput output = this->Plan();
-  ASSERT_EQ(PoolsOf(output), std::vector<std::string>{"off"});
-  const InstanceName moved = output.orders[0].instance;
-  this->planner.TakeResult(output.orders[0], InstanceResult::kDone, this->now);
-  this->facts.erase(moved);
+  const InstanceName moved = this->SwitchOneOff();
   this->demand[kBusy].short_millicores = 2 * kCores;
   this->now += CapacitySettings().move_time;
   const WallTime second_at = this->wall();
