--- a/tests/services/sumacd/leader_search_test.cc
+++ b/tests/services/sumacd/leader_search_test.cc
@@ -85,6 +85,42 @@
   }
 }
 
+// A caller got 503 for a job 0.1 s after it had asked, and 25 s later the job
+// ran. Its entry had asked a leader that lost its place before it could say how
+// the submission ended; the next leader, which did not know the job yet, was
+// overloaded, and its refusal was passed on as the answer. A refusal says that
+// the request has not run, and holds for the controller that gives it.
+TEST_F(LeaderSearchTest, ARefusalAfterAnUnansweredTryLeavesTheOutcomeOpen) {
+  for (const ResultCode unanswered :
+       {ResultCode::kTimeout, ResultCode::kUnreachable}) {
+    for (const ResultCode refusal :
+         {ResultCode::kOverloaded, ResultCode::kNothingDeclared}) {
+      this->asked.clear();
+      const fleet::Answer answer =
+          this->Run([this, unanswered, refusal](
+                        const ProcessName& /*process*/,
+                        Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+            return fleet::Answer{.code = this->asked.size() == 1 ? unanswered
+                                                                 : refusal};
+          });
+      EXPECT_EQ(answer.code, ResultCode::kTimeout);
+    }
+  }
+}
+
+// Without an open try it is the answer, at once.
+TEST_F(LeaderSearchTest, ARefusalOfTheLeaderIsTheAnswer) {
+  const fleet::Answer answer =
+      this->Run([this](const ProcessName& /*process*/,
+                       Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+        return fleet::Answer{.code = this->asked.size() == 1
+                                         ? ResultCode::kNotLeader
+                                         : ResultCode::kOverloaded};
+      });
+  EXPECT_EQ(answer.code, ResultCode::kOverloaded);
+  EXPECT_EQ(this->asked.size(), 2U);
+}
+
 TEST_F(LeaderSearchTest, ATryThatFailsIsNoAnswer) {
   const fleet::Answer answer =
       this->Run([this](const ProcessName& /*process*/,
