Sumacd: Leave the outcome open when a refusal follows a try without an answer

Cause: an entry that looks for the leader passed the first final answer on. Where an earlier try had ended without an answer, by a leader that lost its place, the next leader does not know the job as long as the log it took over is not committed anew; it was overloaded and refused. A refusal speaks for the controller that gives it.

A refusal for the moment (429 or 503) after an open try is now answered at once as unknown (504), with which callers ask again under the same id.

--- a/services/sumacd/leader_search.cc
+++ b/services/sumacd/leader_search.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libraries/base/kj_time.h"
+#include "libraries/base/result_code.h"
 #include "libraries/base/text.h"
 
 namespace sumac::daemon {
@@ -25,6 +26,23 @@
          answer.code != ResultCode::kNoLeader;
 }
 
+// True if the request was turned away for the moment and has not run.
+bool IsRefusal(const fleet::Answer& answer) {
+  constexpr int kTooMany = 429;
+  constexpr int kUnavailable = 503;
+  const ResultInfo& info = InfoFor(answer.code);
+  return info.effect == RunEffect::kNotRun &&
+         (info.http_status == kTooMany || info.http_status == kUnavailable);
+}
+
+// NOTE: A controller speaks for itself when it refuses. One that was asked
+// before and lost its place may have the request in its log, and the next
+// leader, which does not know it yet, may still come to carry it out.
+fleet::Answer OutcomeOpen(const std::string& refusal) {
+  return {.code = ResultCode::kTimeout,
+          .message = StrCat("an earlier try got no answer; then: ", refusal)};
+}
+
 }  // namespace
 
 kj::Promise<fleet::Answer> LeaderSearch::Run(Attempt attempt,
@@ -64,7 +82,9 @@
                 fleet::Answer&& answer) mutable -> kj::Promise<fleet::Answer> {
         this->NoteAnswer(process, answer);
         if (IsFinal(answer)) {
-          return kj::mv(answer);
+          return progress.is_open && IsRefusal(answer)
+                     ? OutcomeOpen(answer.message)
+                     : kj::mv(answer);
         }
         progress.is_open = progress.is_open ||
                            answer.code == ResultCode::kUnreachable ||
