Sumacd, Scheduler: Say how late waiting jobs are, and why callers are refused

The line leader-load told how many jobs wait, but not how many of them could still be in time, and how many callers were refused, but not why. So it could not tell a door that is shut by stale jobs from one that is shut by the loop.

--- /dev/null
+++ b/libraries/scheduler/refusal_reason.h
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_SCHEDULER_REFUSAL_REASON_H_
+#define LIBRARIES_SCHEDULER_REFUSAL_REASON_H_
+
+#include <string_view>
+
+namespace sumac::scheduler {
+
+// Why a new job was refused.
+enum class RefusalReason {
+  // The declared number of jobs is active.
+  kOverload,
+  // More jobs wait than can be begun.
+  kBacklog,
+  // The leader's loop is late.
+  kLate,
+};
+
+constexpr std::string_view NameOf(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kOverload:
+      return "overload";
+    case RefusalReason::kBacklog:
+      return "backlog";
+    case RefusalReason::kLate:
+      return "late";
+  }
+  return "";
+}
+
+}  // namespace sumac::scheduler
+
+#endif  // LIBRARIES_SCHEDULER_REFUSAL_REASON_H_
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -25,20 +25,6 @@
 
 }  // namespace
 
-void StartCounts::Count(Lateness lateness) {
-  switch (lateness) {
-    case Lateness::kInTime:
-      ++this->in_time;
-      break;
-    case Lateness::kLate:
-      ++this->late;
-      break;
-    case Lateness::kWorthless:
-      ++this->worthless;
-      break;
-  }
-}
-
 Scheduler::Scheduler(const jobs::JobsState& state,
                      SchedulerSettings settings,
                      SteadyTime now)
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -27,6 +27,7 @@
 #include "libraries/scheduler/start_allowance.h"
 #include "libraries/scheduler/stragglers.h"
 #include "libraries/scheduler/task_table.h"
+#include "libraries/scheduler/urgency.h"
 #include "libraries/scheduler/waiting_jobs.h"
 #include "libraries/scheduler/waiting_table.h"
 #include "libraries/scheduler/worker_health.h"
@@ -97,15 +98,6 @@
   WorkerName worker;
 };
 
-// How many starts a leader has ordered, by how late their jobs were then.
-struct StartCounts {
-  std::uint64_t in_time = 0;
-  std::uint64_t late = 0;
-  std::uint64_t worthless = 0;
-
-  void Count(Lateness lateness);
-};
-
 // Ends that a worker reported and that must be on record before the worker is
 // told so.
 struct EndsToRecord {
@@ -204,7 +196,12 @@
   WaitingCounts CountWaitingFor(const QueueName& queue) const {
     return this->waiting.CountFor(queue);
   }
-  const StartCounts& start_counts() const { return this->starts_ordered; }
+  // How late they were then.
+  const LatenessCounts& waiting_counts() const {
+    return this->waiting.lateness_counts();
+  }
+  // Starts ordered since the leadership began.
+  const LatenessCounts& start_counts() const { return this->starts_ordered; }
 
   // Why steps that are due have no place, as of the last review.
   const WaitingTable& waiting_table() const { return this->waiting_steps; }
@@ -375,7 +372,7 @@
   // What is left of the starts that this call of Plan may order.
   StartAllowance starts_left;
   // Since the leadership began.
-  StartCounts starts_ordered;
+  LatenessCounts starts_ordered;
   SteadyTime judged_at{};
   SteadyTime looked_for_gone{};
   // Workers to be asked for a report beside the renewals.
--- a/libraries/scheduler/urgency.cc
+++ b/libraries/scheduler/urgency.cc
@@ -12,6 +12,26 @@
 
 }  // namespace
 
+void LatenessCounts::Count(Lateness lateness) {
+  switch (lateness) {
+    case Lateness::kInTime:
+      ++this->in_time;
+      break;
+    case Lateness::kLate:
+      ++this->late;
+      break;
+    case Lateness::kWorthless:
+      ++this->worthless;
+      break;
+  }
+}
+
+LatenessCounts LatenessCounts::operator-(const LatenessCounts& other) const {
+  return {.in_time = this->in_time - other.in_time,
+          .late = this->late - other.late,
+          .worthless = this->worthless - other.worthless};
+}
+
 Urgency UrgencyBasis::At(WallTime wall_now) const {
   Urgency urgency{.priority = this->priority, .sequence = this->sequence};
   if (this->is_timeless) {
--- a/libraries/scheduler/urgency.h
+++ b/libraries/scheduler/urgency.h
@@ -15,6 +15,16 @@
 // not worth anything any more.
 enum class Lateness { kInTime, kLate, kWorthless };
 
+// How many of something there are, by how late their jobs are.
+struct LatenessCounts {
+  std::uint64_t in_time = 0;
+  std::uint64_t late = 0;
+  std::uint64_t worthless = 0;
+
+  void Count(Lateness lateness);
+  LatenessCounts operator-(const LatenessCounts& other) const;
+};
+
 // What decides which job goes first; the smaller the earlier. A job that can't
 // be in time any more goes after one that can, whatever their priorities: with
 // more work than starts it would take the other one's chance for next to
--- a/libraries/scheduler/waiting_jobs.cc
+++ b/libraries/scheduler/waiting_jobs.cc
@@ -59,6 +59,7 @@
   std::vector<std::pair<Urgency, DueOccurrence>> order;
   order.reserve(this->waiting.size());
   this->counts.clear();
+  this->lateness = {};
   for (auto& [sequence, known] : this->waiting) {
     const jobs::Job* job = this->FindActive(sequence);
     if (job == nullptr) {
@@ -70,6 +71,7 @@
          ++occurrence) {
       const Urgency urgency =
           this->BasisOf(*job, occurrence, known).At(wall_now);
+      this->lateness.Count(urgency.lateness);
       order.emplace_back(urgency,
                          DueOccurrence{job, occurrence, urgency.lateness});
     }
--- a/libraries/scheduler/waiting_jobs.h
+++ b/libraries/scheduler/waiting_jobs.h
@@ -57,6 +57,8 @@
   std::size_t size() const { return this->waiting.size(); }
   // How many jobs waited when they were last ordered, as seen from one queue.
   WaitingCounts CountFor(const QueueName& queue) const;
+  // How late the occurrences were that were last ordered.
+  const LatenessCounts& lateness_counts() const { return this->lateness; }
 
  private:
   const jobs::Job* FindActive(std::uint64_t sequence) const;
@@ -75,6 +77,8 @@
   std::map<std::uint64_t, std::vector<UrgencyBasis>> waiting;
   // Jobs that waited when they were last ordered, by queue.
   std::map<QueueName, std::size_t> counts;
+  // Their occurrences that were due, by lateness.
+  LatenessCounts lateness;
   // Jobs numbered from here on have not been looked at.
   std::uint64_t next_job = 0;
   SteadyTime looked_at_all{};
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -179,6 +179,7 @@
   this->load.LogIfDue({.waiting_ends = this->waiting_ends.size(),
                        .active_jobs = this->jobs_state.active_jobs().size(),
                        .waiting_jobs = this->scheduler->waiting_count(),
+                       .waiting = this->scheduler->waiting_counts(),
                        .starts = this->scheduler->start_counts(),
                        .pass_pause = this->loop_pacer.PassPause()},
                       now);
@@ -385,35 +386,33 @@
 // The refusal of one more job of the queue, or nothing if it is taken.
 std::optional<fleet::Answer> JobController::RefuseIfOverloaded(
     const QueueName& queue) {
-  const auto refuse = [this](const char* reason, std::string message,
-                             Milliseconds retry_after) {
-    this->metrics.Count(
-        StrCat("sumac_refusals_total{reason=\"", reason, "\"}"));
-    this->load.CountJob(false);
+  const auto refuse = [this](scheduler::RefusalReason reason,
+                             std::string message, Milliseconds retry_after) {
+    this->load.CountRefusal(reason);
     return fleet::Answer{.code = ResultCode::kOverloaded,
                          .message = std::move(message),
                          .document = {{"retry_after_ms", retry_after.count()}}};
   };
   if (this->jobs_state.active_jobs().size() + this->open_submissions.size() >=
       this->settings.policy.most_active_jobs) {
-    return refuse("overload", "too many jobs wait or run",
-                  this->load.RetryAfter());
+    return refuse(scheduler::RefusalReason::kOverload,
+                  "too many jobs wait or run", this->load.RetryAfter());
   }
   const scheduler::WaitingCounts waiting =
       this->scheduler->CountWaitingFor(queue);
   if (this->backlog.IsFull(waiting)) {
-    return refuse("backlog",
+    return refuse(scheduler::RefusalReason::kBacklog,
                   StrCat(waiting.of_all, " jobs wait for a start, ",
                          waiting.of_queue, " of them of this queue"),
                   this->backlog.RetryAfter(waiting));
   }
   if (!this->load.TakesJob()) {
-    return refuse("late",
+    return refuse(scheduler::RefusalReason::kLate,
                   StrCat("this controller is ", this->load.lateness().count(),
                          " ms late"),
                   this->load.RetryAfter());
   }
-  this->load.CountJob(true);
+  this->load.CountTakenJob();
   return std::nullopt;
 }
 
--- a/services/sumacd/leader_load.cc
+++ b/services/sumacd/leader_load.cc
@@ -19,6 +19,12 @@
   return std::chrono::duration<double>(time).count();
 }
 
+nlohmann::json InJson(const scheduler::LatenessCounts& counts) {
+  return {{"in_time", counts.in_time},
+          {"late", counts.late},
+          {"worthless", counts.worthless}};
+}
+
 }  // namespace
 
 LeaderLoad::LeaderLoad(kj::AsyncIoProvider& provider, http::Metrics& metrics)
@@ -54,10 +60,16 @@
   this->most_late = Milliseconds(0);
   this->turns = 0;
   this->taken_jobs = 0;
-  this->refused_jobs = 0;
+  this->refused_jobs.clear();
   this->logged_work = this->work_times;
 }
 
+void LeaderLoad::CountRefusal(scheduler::RefusalReason reason) {
+  ++this->refused_jobs[reason];
+  this->metrics.Count(
+      StrCat("sumac_refusals_total{reason=\"", NameOf(reason), "\"}"));
+}
+
 void LeaderLoad::LogIfDue(const LeaderQueues& queues, SteadyTime now) {
   if (now - this->span_began < kLineInterval) {
     return;
@@ -69,6 +81,10 @@
     busy[std::string(WorkTimes::kNames[part])] =
         std::chrono::duration_cast<Milliseconds>(spent).count();
   }
+  nlohmann::json refused = nlohmann::json::object();
+  for (const auto& [reason, count] : this->refused_jobs) {
+    refused[std::string(NameOf(reason))] = count;
+  }
   LogEvent(LogLevel::kInfo, "leader-load",
            {{"span_ms", (now - this->span_began).count()},
             {"late_ms", this->lateness().count()},
@@ -81,12 +97,9 @@
             {"waiting_jobs", queues.waiting_jobs},
             {"turns", this->turns},
             {"taken_jobs", this->taken_jobs},
-            {"refused_jobs", this->refused_jobs},
-            {"starts",
-             {{"in_time", queues.starts.in_time - this->logged_starts.in_time},
-              {"late", queues.starts.late - this->logged_starts.late},
-              {"worthless",
-               queues.starts.worthless - this->logged_starts.worthless}}}});
+            {"refused_jobs", std::move(refused)},
+            {"waiting", InJson(queues.waiting)},
+            {"starts", InJson(queues.starts - this->logged_starts)}});
   this->logged_starts = queues.starts;
   this->BeginSpan(now);
 }
--- a/services/sumacd/leader_load.h
+++ b/services/sumacd/leader_load.h
@@ -7,10 +7,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 
 #include "libraries/base/time.h"
 #include "libraries/http/metrics.h"
 #include "libraries/scheduler/admission.h"
+#include "libraries/scheduler/refusal_reason.h"
 #include "libraries/scheduler/scheduler.h"
 #include "services/sumacd/loop_probe.h"
 #include "services/sumacd/work_times.h"
@@ -23,8 +25,10 @@
   std::size_t waiting_ends = 0;
   std::size_t active_jobs = 0;
   std::size_t waiting_jobs = 0;
+  // Of these, by whether they can still be in time.
+  scheduler::LatenessCounts waiting;
   // Ordered since the leadership began.
-  scheduler::StartCounts starts;
+  scheduler::LatenessCounts starts;
   // Between two turns of the scheduler.
   Milliseconds pass_pause{0};
 };
@@ -46,10 +50,8 @@
 
   // Decides about one new job; see Admission.
   bool TakesJob() { return this->admission.Take(); }
-  // Counts a job that was taken or refused, for whatever reason.
-  void CountJob(bool is_taken) {
-    ++(is_taken ? this->taken_jobs : this->refused_jobs);
-  }
+  void CountTakenJob() { ++this->taken_jobs; }
+  void CountRefusal(scheduler::RefusalReason reason);
   // Counts a turn of the scheduler.
   void CountTurn() { ++this->turns; }
   Milliseconds RetryAfter() const { return this->admission.RetryAfter(); }
@@ -81,10 +83,10 @@
   Milliseconds most_late{0};
   std::uint64_t turns = 0;
   std::uint64_t taken_jobs = 0;
-  std::uint64_t refused_jobs = 0;
+  std::map<scheduler::RefusalReason, std::uint64_t> refused_jobs;
   // As they were then.
   WorkTimes logged_work;
-  scheduler::StartCounts logged_starts;
+  scheduler::LatenessCounts logged_starts;
 };
 
 }  // namespace sumac::daemon
