Scheduler, Sumacd: Refuse a job that would begin too late, and count from its caller's first try

Cause: the door bounded how many jobs wait, ten seconds of starts and whatever their lateness. Jobs that had turned late are started last, so they filled the backlog and shut the door on callers who could be in time. And the time of a job ran from its acceptance: a caller who had been refused and came back passed for one with all his time left, and took the place of one who had.

Now StartForecast predicts, by the rate at which a queue's jobs are begun, how long one more would wait, and the door refuses it at once if that is more than half of what it can spare; jobs that are late already count only against others that are late. RefusedCallers remembers when a caller was first refused, and the job's record carries for how long (SubmitJob::waited), so that its order, lateness and the door go by the caller's own clock. The bound on the whole backlog stays. It works since whatever limits the rate, the leader's time or room, shows in it.

--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -80,12 +80,15 @@
   JobId job;
   QueueName queue;
   JobSpec spec;
+  // For how long its caller had been refused before.
+  Milliseconds waited{0};
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("job", self.job);
     visitor.Required("queue", self.queue);
     visitor.Required("spec", self.spec);
+    visitor.Field("waited_ms", self.waited);
   }
 };
 
--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -82,6 +82,8 @@
   // Jobs are numbered in the order in which they were accepted.
   std::uint64_t sequence = 0;
   WallTime accepted_at{};
+  // For how long its caller had been refused before that.
+  Milliseconds waited{0};
   JobState state = JobState::kActive;
   // A task of it has begun.
   bool has_begun = false;
@@ -97,15 +99,14 @@
   bool is_active() const { return this->state == JobState::kActive; }
 
   bool has_long_running_step() const {
-    return std::any_of(
-        this->spec.steps.begin(), this->spec.steps.end(),
-        [](const StepSpec& step) { return step.is_long_running; });
+    return this->spec.has_long_running_step();
   }
 
-  // When an occurrence may start.
+  // When an occurrence may start; the time in which it is to be done runs from
+  // then.
   WallTime DueAt(std::uint32_t occurrence) const {
     return this->spec.repeats == 0
-               ? this->accepted_at
+               ? this->accepted_at - this->waited
                : this->spec.first_due + this->spec.interval * occurrence;
   }
 
@@ -136,6 +137,7 @@
     visitor.Field("spec", self.spec);
     visitor.Field("sequence", self.sequence);
     visitor.Field("accepted_at", self.accepted_at);
+    visitor.Field("waited_ms", self.waited);
     visitor.Field("state", self.state);
     visitor.Field("has_begun", self.has_begun);
     visitor.Field("finished_at", self.finished_at);
--- a/libraries/jobs/job_spec.h
+++ b/libraries/jobs/job_spec.h
@@ -2,6 +2,7 @@
 #ifndef LIBRARIES_JOBS_JOB_SPEC_H_
 #define LIBRARIES_JOBS_JOB_SPEC_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -87,6 +88,12 @@
     return this->repeats == 0 ? 1 : this->repeats;
   }
 
+  bool has_long_running_step() const {
+    return std::any_of(
+        this->steps.begin(), this->steps.end(),
+        [](const StepSpec& step) { return step.is_long_running; });
+  }
+
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("text", self.text);
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -265,6 +265,7 @@
   job.spec = command.spec;
   job.sequence = this->own_record.next_sequence++;
   job.accepted_at = at;
+  job.waited = command.waited;
   this->active[job.sequence] = &job;
   this->by_id[job.id] = &job;
   return fleet::Answer::Success("accepted");
--- a/libraries/scheduler/refusal_reason.h
+++ b/libraries/scheduler/refusal_reason.h
@@ -12,6 +12,8 @@
   kOverload,
   // More jobs wait than can be begun.
   kBacklog,
+  // It would begin too late to be in time.
+  kTooLate,
   // The leader's loop is late.
   kLate,
 };
@@ -22,6 +24,8 @@
       return "overload";
     case RefusalReason::kBacklog:
       return "backlog";
+    case RefusalReason::kTooLate:
+      return "too_late";
     case RefusalReason::kLate:
       return "late";
   }
--- a/libraries/scheduler/run_times.cc
+++ b/libraries/scheduler/run_times.cc
@@ -40,17 +40,19 @@
 }
 
 template <typename IsDone>
-Milliseconds RunTimes::Chain(const jobs::Job& job, IsDone is_done) const {
+Milliseconds RunTimes::Chain(const QueueName& queue,
+                             const jobs::JobSpec& spec,
+                             IsDone is_done) const {
   std::vector<Milliseconds> ends;
   Milliseconds longest{0};
-  for (std::uint32_t number = 0; number < job.spec.steps.size(); ++number) {
-    const jobs::StepSpec& step = job.spec.steps[number];
+  for (std::uint32_t number = 0; number < spec.steps.size(); ++number) {
+    const jobs::StepSpec& step = spec.steps[number];
     Milliseconds start{0};
     for (const std::uint32_t earlier : step.after) {
       start = std::max(start, ends[earlier]);
     }
     const Milliseconds own =
-        is_done(number) ? Milliseconds(0) : this->Expect(job.queue, step);
+        is_done(number) ? Milliseconds(0) : this->Expect(queue, step);
     ends.push_back(start + own);
     longest = std::max(longest, ends.back());
   }
@@ -59,13 +61,14 @@
 
 Milliseconds RunTimes::RemainingChain(const jobs::Job& job,
                                       std::uint32_t occurrence) const {
-  return this->Chain(job, [&](std::uint32_t step) {
+  return this->Chain(job.queue, job.spec, [&](std::uint32_t step) {
     return job.IsStepDone(occurrence, step);
   });
 }
 
-Milliseconds RunTimes::WholeChain(const jobs::Job& job) const {
-  return this->Chain(job, [](std::uint32_t) { return false; });
+Milliseconds RunTimes::WholeChain(const QueueName& queue,
+                                  const jobs::JobSpec& spec) const {
+  return this->Chain(queue, spec, [](std::uint32_t) { return false; });
 }
 
 }  // namespace sumac::scheduler
--- a/libraries/scheduler/run_times.h
+++ b/libraries/scheduler/run_times.h
@@ -29,7 +29,8 @@
   Milliseconds RemainingChain(const jobs::Job& job,
                               std::uint32_t occurrence) const;
   // The same for all steps.
-  Milliseconds WholeChain(const jobs::Job& job) const;
+  Milliseconds WholeChain(const QueueName& queue,
+                          const jobs::JobSpec& spec) const;
 
  private:
   struct Seen {
@@ -38,7 +39,9 @@
   };
 
   template <typename IsDone>
-  Milliseconds Chain(const jobs::Job& job, IsDone is_done) const;
+  Milliseconds Chain(const QueueName& queue,
+                     const jobs::JobSpec& spec,
+                     IsDone is_done) const;
 
   std::map<QueueName, Seen> queues;
 };
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -994,9 +994,13 @@
   }
   std::set<std::uint64_t> unplaced;
   const std::vector<DueOccurrence> order = this->waiting.Order(now, wall_now);
+  this->forecast.NoteWaiting(this->waiting.waiting_of_queues());
   for (const DueOccurrence& due : order) {
+    const std::size_t orders = output.orders.size();
     if (!this->MayStart(due.lateness) || !this->StartSteps(due, now, output)) {
       unplaced.insert(due.job->sequence);
+    } else if (due.is_new && output.orders.size() > orders) {
+      this->forecast.NoteBegun(due.job->queue, now);
     }
   }
   this->ReviewWaiting(order, unplaced, now);
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -25,6 +25,7 @@
 #include "libraries/scheduler/run_times.h"
 #include "libraries/scheduler/sharing.h"
 #include "libraries/scheduler/start_allowance.h"
+#include "libraries/scheduler/start_forecast.h"
 #include "libraries/scheduler/stragglers.h"
 #include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/urgency.h"
@@ -196,6 +197,16 @@
   WaitingCounts CountWaitingFor(const QueueName& queue) const {
     return this->waiting.CountFor(queue);
   }
+  // Predicts when a new job of a queue begins.
+  StartForecast& start_forecast() { return this->forecast; }
+  // How long a new job of the queue can wait for its start; see TimeToSpare.
+  std::optional<Milliseconds> TimeToSpareFor(
+      const jobs::QueueDeclaration& queue,
+      const jobs::JobSpec& spec) const {
+    return this->settings.orders_by_slack
+               ? TimeToSpare(queue, spec, this->run_times)
+               : std::nullopt;
+  }
   // How late they were then.
   const LatenessCounts& waiting_counts() const {
     return this->waiting.lateness_counts();
@@ -359,6 +370,7 @@
   SteadyTime looked_for_unwanted{};
   RunTimes run_times;
   WaitingJobs waiting;
+  StartForecast forecast;
   WaitingTable waiting_steps;
   NearWait near_wait;
   WorkerHealth health;
--- /dev/null
+++ b/libraries/scheduler/start_forecast.cc
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/start_forecast.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace sumac::scheduler {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+}  // namespace
+
+void StartForecast::NoteBegun(const QueueName& queue, SteadyTime now) {
+  Queue& known = this->queues[queue];
+  known.begun.push_back(now);
+  known.waiting.timely_new -=
+      std::min<std::size_t>(known.waiting.timely_new, 1);
+}
+
+void StartForecast::NoteTaken(const QueueName& queue) {
+  ++this->queues[queue].waiting.timely_new;
+}
+
+void StartForecast::NoteWaiting(
+    const std::map<QueueName, QueueWaiting>& waiting) {
+  for (auto& [name, queue] : this->queues) {
+    queue.waiting = {};
+  }
+  for (const auto& [name, jobs] : waiting) {
+    this->queues[name].waiting = jobs;
+  }
+}
+
+double StartForecast::RateOf(Queue& queue, SteadyTime now) const {
+  while (!queue.begun.empty() &&
+         now - queue.begun.front() > this->settings.window) {
+    queue.begun.pop_front();
+  }
+  return std::max(1.0, static_cast<double>(queue.begun.size()) /
+                           Seconds(this->settings.window).count());
+}
+
+bool StartForecast::IsTooLate(const QueueName& queue,
+                              Milliseconds to_spare,
+                              SteadyTime now) {
+  Queue& known = this->queues[queue];
+  const bool is_late = to_spare < Milliseconds(0);
+  const std::size_t before =
+      known.waiting.timely_new + (is_late ? known.waiting.late : 0);
+  if (before < this->settings.always_taken) {
+    return false;
+  }
+  const Seconds wait(static_cast<double>(before) / this->RateOf(known, now));
+  return wait > Seconds(to_spare) * this->settings.used_share;
+}
+
+Milliseconds StartForecast::RetryAfter(const QueueName& queue, SteadyTime now) {
+  Queue& known = this->queues[queue];
+  const Seconds gap(1.0 / this->RateOf(known, now));
+  known.last_return = std::clamp(
+      known.last_return + std::chrono::ceil<Milliseconds>(gap),
+      now + this->settings.shortest_retry, now + this->settings.longest_retry);
+  return known.last_return - now;
+}
+
+}  // namespace sumac::scheduler
--- a/libraries/scheduler/urgency.cc
+++ b/libraries/scheduler/urgency.cc
@@ -10,6 +10,14 @@
 // wait, and the commit of its ends.
 constexpr Milliseconds kUsualDelay{400};
 
+// By when a job is to be done, from when it was due.
+Milliseconds ObjectiveOf(const jobs::QueueDeclaration& queue,
+                         Milliseconds chain) {
+  return Milliseconds(static_cast<std::int64_t>(
+             static_cast<double>(chain.count()) * queue.stretch)) +
+         queue.latency_target;
+}
+
 }  // namespace
 
 void LatenessCounts::Count(Lateness lateness) {
@@ -48,6 +56,16 @@
   return urgency;
 }
 
+std::optional<Milliseconds> TimeToSpare(const jobs::QueueDeclaration& queue,
+                                        const jobs::JobSpec& spec,
+                                        const RunTimes& run_times) {
+  if (spec.repeats > 0 || spec.has_long_running_step()) {
+    return std::nullopt;
+  }
+  const Milliseconds chain = run_times.WholeChain(queue.name, spec);
+  return ObjectiveOf(queue, chain) - chain - kUsualDelay;
+}
+
 UrgencyBasis UrgencyBasisOf(const jobs::Job& job,
                             std::uint32_t occurrence,
                             const jobs::QueueDeclaration* queue,
@@ -62,10 +80,8 @@
     return basis;
   }
   const WallTime due = job.DueAt(occurrence);
-  const auto chain = static_cast<double>(run_times.WholeChain(job).count());
   const Milliseconds objective =
-      Milliseconds(static_cast<std::int64_t>(chain * queue->stretch)) +
-      queue->latency_target;
+      ObjectiveOf(*queue, run_times.WholeChain(job.queue, job.spec));
   const Milliseconds left = run_times.RemainingChain(job, occurrence);
   basis.is_timeless = false;
   basis.is_new = !job.has_begun && job.occurrences.empty();
--- a/libraries/scheduler/urgency.h
+++ b/libraries/scheduler/urgency.h
@@ -3,6 +3,7 @@
 #define LIBRARIES_SCHEDULER_URGENCY_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "libraries/base/time.h"
 #include "libraries/jobs/declaration.h"
@@ -66,6 +67,12 @@
   WallTime worthless_from{};
 };
 
+// How long a new job of the queue can wait for its start and still be in time;
+// nothing if it is never late. Negative if it can't be in time.
+std::optional<Milliseconds> TimeToSpare(const jobs::QueueDeclaration& queue,
+                                        const jobs::JobSpec& spec,
+                                        const RunTimes& run_times);
+
 // Without `orders_by_slack` jobs of one priority go in the order in which they
 // came. `queue` is the job's queue as declared now, or nothing.
 UrgencyBasis UrgencyBasisOf(const jobs::Job& job,
--- a/libraries/scheduler/waiting_jobs.cc
+++ b/libraries/scheduler/waiting_jobs.cc
@@ -60,6 +60,7 @@
   order.reserve(this->waiting.size());
   this->counts.clear();
   this->lateness = {};
+  this->of_queues.clear();
   for (auto& [sequence, known] : this->waiting) {
     const jobs::Job* job = this->FindActive(sequence);
     if (job == nullptr) {
@@ -72,8 +73,14 @@
       const Urgency urgency =
           this->BasisOf(*job, occurrence, known).At(wall_now);
       this->lateness.Count(urgency.lateness);
-      order.emplace_back(urgency,
-                         DueOccurrence{job, occurrence, urgency.lateness});
+      if (urgency.lateness != Lateness::kInTime) {
+        ++this->of_queues[job->queue].late;
+      } else if (urgency.is_new) {
+        ++this->of_queues[job->queue].timely_new;
+      }
+      order.emplace_back(
+          urgency,
+          DueOccurrence{job, occurrence, urgency.lateness, urgency.is_new});
     }
   }
   std::sort(order.begin(), order.end(),
--- a/libraries/scheduler/waiting_jobs.h
+++ b/libraries/scheduler/waiting_jobs.h
@@ -12,6 +12,7 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/run_times.h"
+#include "libraries/scheduler/start_forecast.h"
 #include "libraries/scheduler/urgency.h"
 
 namespace sumac::scheduler {
@@ -22,6 +23,8 @@
   std::uint32_t occurrence = 0;
   // Whether it could still be in time when it was ordered.
   Lateness lateness = Lateness::kInTime;
+  // No task of it had begun.
+  bool is_new = false;
 };
 
 // The active jobs of which a task may have to be started, and their order.
@@ -59,6 +62,10 @@
   WaitingCounts CountFor(const QueueName& queue) const;
   // How late the occurrences were that were last ordered.
   const LatenessCounts& lateness_counts() const { return this->lateness; }
+  // The jobs that waited then, by queue; without those that are never late.
+  const std::map<QueueName, QueueWaiting>& waiting_of_queues() const {
+    return this->of_queues;
+  }
 
  private:
   const jobs::Job* FindActive(std::uint64_t sequence) const;
@@ -79,6 +86,7 @@
   std::map<QueueName, std::size_t> counts;
   // Their occurrences that were due, by lateness.
   LatenessCounts lateness;
+  std::map<QueueName, QueueWaiting> of_queues;
   // Jobs numbered from here on have not been looked at.
   std::uint64_t next_job = 0;
   SteadyTime looked_at_all{};
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -385,10 +385,15 @@
 
 // The refusal of one more job of the queue, or nothing if it is taken.
 std::optional<fleet::Answer> JobController::RefuseIfOverloaded(
-    const QueueName& queue) {
-  const auto refuse = [this](scheduler::RefusalReason reason,
-                             std::string message, Milliseconds retry_after) {
+    const jobs::QueueDeclaration& queue,
+    const JobId& job,
+    const jobs::JobSpec& spec) {
+  const SteadyTime now = this->clock.SteadyNow();
+  const auto refuse = [this, &job, now](scheduler::RefusalReason reason,
+                                        std::string message,
+                                        Milliseconds retry_after) {
     this->load.CountRefusal(reason);
+    this->refused_callers.Note(job, now);
     return fleet::Answer{.code = ResultCode::kOverloaded,
                          .message = std::move(message),
                          .document = {{"retry_after_ms", retry_after.count()}}};
@@ -399,19 +404,28 @@
                   "too many jobs wait or run", this->load.RetryAfter());
   }
   const scheduler::WaitingCounts waiting =
-      this->scheduler->CountWaitingFor(queue);
+      this->scheduler->CountWaitingFor(queue.name);
   if (this->backlog.IsFull(waiting)) {
     return refuse(scheduler::RefusalReason::kBacklog,
                   StrCat(waiting.of_all, " jobs wait for a start, ",
                          waiting.of_queue, " of them of this queue"),
                   this->backlog.RetryAfter(waiting));
   }
+  scheduler::StartForecast& forecast = this->scheduler->start_forecast();
+  const auto to_spare = this->scheduler->TimeToSpareFor(queue, spec);
+  const Milliseconds waited = this->refused_callers.WaitedOf(job, now);
+  if (to_spare && forecast.IsTooLate(queue.name, *to_spare - waited, now)) {
+    return refuse(scheduler::RefusalReason::kTooLate,
+                  "it would begin too late behind those that wait",
+                  forecast.RetryAfter(queue.name, now));
+  }
   if (!this->load.TakesJob()) {
     return refuse(scheduler::RefusalReason::kLate,
                   StrCat("this controller is ", this->load.lateness().count(),
                          " ms late"),
                   this->load.RetryAfter());
   }
+  forecast.NoteTaken(queue.name);
   this->load.CountTakenJob();
   return std::nullopt;
 }
@@ -434,14 +448,17 @@
   // NOTE: A refusal promises that the job never runs, so it may not be given to
   // one that is on its way.
   if (!this->open_submissions.contains(address->job)) {
-    if (auto refusal = this->RefuseIfOverloaded(address->queue->name)) {
+    if (auto refusal = this->RefuseIfOverloaded(*address->queue, address->job,
+                                                request.spec)) {
       return *std::move(refusal);
     }
   }
   this->open_submissions.insert(address->job);
   return this
-      ->Propose(
-          jobs::SubmitJob{address->job, address->queue->name, request.spec})
+      ->Propose(jobs::SubmitJob{address->job, address->queue->name,
+                                request.spec,
+                                this->refused_callers.WaitedOf(
+                                    address->job, this->clock.SteadyNow())})
       .then([this, job = address->job,
              queue = address->queue->name](fleet::Answer&& answer) {
         LogEvent(LogLevel::kInfo,
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -23,6 +23,7 @@
 #include "libraries/maintenance/instance_calls.h"
 #include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/loop_pacer.h"
+#include "libraries/scheduler/refused_callers.h"
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_calls.h"
 #include "services/sumacd/commit_rounds.h"
@@ -103,7 +104,10 @@
   kj::Promise<fleet::Answer> Propose(jobs::Command command);
   void ProposeInBackground(jobs::Command command);
 
-  std::optional<fleet::Answer> RefuseIfOverloaded(const QueueName& queue);
+  std::optional<fleet::Answer> RefuseIfOverloaded(
+      const jobs::QueueDeclaration& queue,
+      const JobId& job,
+      const jobs::JobSpec& spec);
   kj::Promise<fleet::Answer> Serve(const jobs::SubmitAt& request);
   kj::Promise<fleet::Answer> Serve(const jobs::ShowAt& request);
   kj::Promise<fleet::Answer> Serve(const jobs::CancelAt& request);
@@ -155,6 +159,7 @@
   scheduler::LoopPacer loop_pacer;
   CommitRounds commit_rounds;
   scheduler::Backlog backlog;
+  scheduler::RefusedCallers refused_callers;
   // Workers of which something was committed since the last pass.
   std::set<WorkerId> changed_workers;
   bool has_applied = false;
--- a/tests/libraries/scheduler/rush_replay.cc
+++ b/tests/libraries/scheduler/rush_replay.cc
@@ -28,10 +28,8 @@
 constexpr milliseconds kOneWay{1};
 constexpr milliseconds kTick{20};
 constexpr seconds kCalm{10};
-constexpr seconds kRush{10};
 constexpr seconds kDrain{60};
 constexpr double kCalmCalls = 15;
-constexpr double kRushCalls = 110;
 
 constexpr std::size_t kWorkers = 300;
 constexpr std::uint32_t kWidth = 8;
@@ -65,8 +63,8 @@
 const QueueName RushReplay::kUrgent("urgent");
 const QueueName RushReplay::kPatient("patient");
 
-RushReplay::RushReplay(double processor_share)
-    : processor_share(processor_share),
+RushReplay::RushReplay(RushSettings settings)
+    : settings(settings),
       state([](std::string_view /*document*/) { return Declared(); }),
       waiting(state, run_times, true, Milliseconds(1'000)),
       workers(kWorkers) {
@@ -78,8 +76,8 @@
 }
 
 void RushReplay::Work(Instant cost) {
-  this->now +=
-      std::chrono::duration_cast<Instant>(cost / this->processor_share);
+  this->now += std::chrono::duration_cast<Instant>(
+      cost / this->settings.processor_share);
 }
 
 SteadyTime RushReplay::Now() const {
@@ -92,7 +90,8 @@
 
 void RushReplay::Run() {
   this->SendCalls(Instant(0), kCalm, kCalmCalls);
-  this->SendCalls(kCalm, kCalm + kRush, kRushCalls);
+  this->SendCalls(kCalm, kCalm + this->settings.rush,
+                  this->settings.rush_calls_a_second);
   this->At(kTick, [this] { this->Probe(kTick); });
   while (!this->events.empty()) {
     const Event event = this->events.top();
@@ -108,7 +107,7 @@
       std::chrono::duration_cast<Milliseconds>(this->now - due));
   this->pacer.NoteLateness(this->admission.lateness());
   const Instant next = std::max(due + kTick, this->now);
-  if (next < kCalm + kRush + kDrain) {
+  if (next < kCalm + this->settings.rush + kDrain) {
     this->At(next, [this, next] { this->Probe(next); });
   }
   this->SchedulePass();
@@ -131,16 +130,6 @@
 // A caller that is refused comes back when it was told to.
 void RushReplay::Submit(const JobId& id) {
   Call& call = this->calls.at(id);
-  if (!this->admission.Take()) {
-    this->Work(kRefusalCost);
-    ++this->refused;
-    if (++call.tries < kMostTries) {
-      this->At(this->now + this->admission.RetryAfter(),
-               [this, id] { this->Submit(id); });
-    }
-    return;
-  }
-  this->Work(kSubmitCost);
   jobs::JobSpec spec{.text = "text"};
   for (std::uint32_t number = 0; number < call.steps; ++number) {
     jobs::StepSpec step{.count = kWidth,
@@ -151,7 +140,52 @@
     }
     spec.steps.push_back(std::move(step));
   }
-  this->Commit(jobs::SubmitJob{id, call.queue, std::move(spec)});
+  if (auto retry_after = this->RefuseAtDoor(call, spec)) {
+    return this->Refuse(call, *retry_after);
+  }
+  if (!this->admission.Take()) {
+    return this->Refuse(call, this->admission.RetryAfter());
+  }
+  this->Work(kSubmitCost);
+  call.is_taken = true;
+  this->forecast.NoteTaken(call.queue);
+  this->Commit(
+      jobs::SubmitJob{id, call.queue, std::move(spec),
+                      this->refused_callers.WaitedOf(id, this->Now())});
+}
+
+// When the caller should come back, or nothing if the door lets the job in.
+std::optional<Milliseconds> RushReplay::RefuseAtDoor(
+    const Call& call,
+    const jobs::JobSpec& spec) {
+  if (!this->settings.has_door) {
+    return std::nullopt;
+  }
+  const WaitingCounts waiting = this->waiting.CountFor(call.queue);
+  if (this->backlog.IsFull(waiting)) {
+    return this->backlog.RetryAfter(waiting);
+  }
+  const auto to_spare = TimeToSpare(
+      *this->state.declaration().FindQueue(call.queue), spec, this->run_times);
+  const Milliseconds waited =
+      this->refused_callers.WaitedOf(call.id, this->Now());
+  if (to_spare &&
+      this->forecast.IsTooLate(call.queue, *to_spare - waited, this->Now())) {
+    return this->forecast.RetryAfter(call.queue, this->Now());
+  }
+  return std::nullopt;
+}
+
+void RushReplay::Refuse(Call& call, Milliseconds retry_after) {
+  this->Work(kRefusalCost);
+  ++this->refused;
+  if (this->settings.has_door) {
+    this->refused_callers.Note(call.id, this->Now());
+  }
+  if (++call.tries < kMostTries) {
+    this->At(this->now + retry_after,
+             [this, id = call.id] { this->Submit(id); });
+  }
 }
 
 void RushReplay::Commit(jobs::Command command) {
@@ -189,6 +223,7 @@
   }
   const auto objective =
       std::chrono::duration_cast<Instant>(chain * kStretch) + kLatencyTarget;
+  this->backlog.NoteFinished(this->Now());
   call.is_in_time = this->now - call.first_sent <= objective;
 }
 
@@ -204,12 +239,17 @@
   this->Work(kPassCost);
   StartAllowance left = this->admission.AllowStarts(this->open_starts);
   std::set<std::uint64_t> unplaced;
-  for (const DueOccurrence& due :
-       this->waiting.Order(this->Now(), this->WallNow())) {
+  const std::vector<DueOccurrence> order =
+      this->waiting.Order(this->Now(), this->WallNow());
+  this->forecast.NoteWaiting(this->waiting.waiting_of_queues());
+  for (const DueOccurrence& due : order) {
+    const std::size_t started_before = this->started.size();
     bool is_all_placed = true;
     this->StartSteps(due, left, is_all_placed);
     if (!is_all_placed) {
       unplaced.insert(due.job->sequence);
+    } else if (due.is_new && this->started.size() > started_before) {
+      this->forecast.NoteBegun(due.job->queue, this->Now());
     }
   }
   this->waiting.Settle(unplaced, this->WallNow());
@@ -286,6 +326,13 @@
   this->Commit(jobs::RecordEnds{std::move(ended)});
 }
 
+double RushReplay::Taken() const {
+  const auto taken =
+      std::count_if(this->calls.begin(), this->calls.end(),
+                    [](const auto& call) { return call.second.is_taken; });
+  return static_cast<double>(taken) / static_cast<double>(this->calls.size());
+}
+
 double RushReplay::InTime(const QueueName& queue) const {
   double all = 0;
   double in_time = 0;
--- a/tests/libraries/scheduler/rush_replay.h
+++ b/tests/libraries/scheduler/rush_replay.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -16,12 +17,25 @@
 #include "libraries/base/time.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/scheduler/admission.h"
+#include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/loop_pacer.h"
+#include "libraries/scheduler/refused_callers.h"
 #include "libraries/scheduler/run_times.h"
+#include "libraries/scheduler/start_forecast.h"
 #include "libraries/scheduler/waiting_jobs.h"
 
 namespace sumac::scheduler {
 
+struct RushSettings {
+  // The share of the processor time that keeps up with a rush of 110 calls a
+  // second.
+  double processor_share = 1.0;
+  double rush_calls_a_second = 110;
+  std::chrono::seconds rush{10};
+  // Jobs are refused for what waits before them, too.
+  bool has_door = false;
+};
+
 // Replays a rush against the decisions of a leader that has too little
 // processor time: which jobs it takes, how many starts it orders and for which
 // jobs, and how long it gathers work. The leader is one event loop that does
@@ -30,10 +44,9 @@
 // same figures in every run.
 class RushReplay {
  public:
-  // With this share of the processor time that keeps up with the rush.
-  explicit RushReplay(double processor_share);
+  explicit RushReplay(RushSettings settings);
 
-  // Lets ten calm seconds, ten of the rush and the time until all is done pass.
+  // Lets ten calm seconds, the rush and the time until all is done pass.
   void Run();
 
   // The share of the queue's jobs that were done in time, counted from when
@@ -42,6 +55,9 @@
   // How many answers said that a job was not taken.
   std::uint64_t refusals() const { return this->refused; }
 
+  // The share of all calls that were answered with success.
+  double Taken() const;
+
   static const QueueName kUrgent;
   static const QueueName kPatient;
 
@@ -64,6 +80,7 @@
     Instant first_sent{};
     int tries = 0;
     Instant longest_chain{};
+    bool is_taken = false;
     bool is_in_time = false;
   };
   struct Worker {
@@ -79,6 +96,9 @@
   void Probe(Instant due);
   void SendCalls(Instant from, Instant to, double calls_a_second);
   void Submit(const JobId& id);
+  std::optional<Milliseconds> RefuseAtDoor(const Call& call,
+                                           const jobs::JobSpec& spec);
+  void Refuse(Call& call, Milliseconds retry_after);
   void Commit(jobs::Command command);
   void CommitRound();
   void SchedulePass();
@@ -91,12 +111,15 @@
   void Report(std::size_t worker);
   void NoteFinished(const JobId& id);
 
-  double processor_share;
+  RushSettings settings;
   std::mt19937_64 random{7};
   jobs::JobsState state;
   RunTimes run_times;
   WaitingJobs waiting;
   Admission admission;
+  Backlog backlog;
+  StartForecast forecast;
+  RefusedCallers refused_callers;
   LoopPacer pacer;
   Instant now{};
   std::priority_queue<Event> events;
--- a/tests/libraries/scheduler/rush_replay_test.cc
+++ b/tests/libraries/scheduler/rush_replay_test.cc
@@ -26,7 +26,7 @@
 };
 
 Shares ReplayWith(double processor_share) {
-  RushReplay replay(processor_share);
+  RushReplay replay({.processor_share = processor_share});
   replay.Run();
   return {.urgent = replay.InTime(RushReplay::kUrgent),
           .patient = replay.InTime(RushReplay::kPatient),
--- /dev/null
+++ b/tests/libraries/scheduler/start_forecast_test.cc
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/start_forecast.h"
+
+#include <gtest/gtest.h>
+
+namespace sumac::scheduler {
+namespace {
+
+const QueueName kQueue("clips");
+constexpr Milliseconds kToSpare{1'000};
+constexpr Milliseconds kLate{-1};
+
+class StartForecastTest : public testing::Test {
+ protected:
+  // Lets so many jobs begin in the last second.
+  void Begin(int count) {
+    for (int number = 0; number < count; ++number) {
+      this->forecast.NoteBegun(kQueue, this->now);
+    }
+  }
+  void Wait(std::size_t timely_new, std::size_t late = 0) {
+    this->forecast.NoteWaiting(
+        {{kQueue, {.timely_new = timely_new, .late = late}}});
+  }
+  bool IsTooLate(Milliseconds to_spare) {
+    return this->forecast.IsTooLate(kQueue, to_spare, this->now);
+  }
+
+  StartForecast forecast;
+  SteadyTime now{Milliseconds(10'000)};
+};
+
+TEST_F(StartForecastTest, AJobIsTooLateBehindMoreThanAreBegunInHalfItsTime) {
+  this->Begin(100);
+  this->Wait(49);
+  EXPECT_FALSE(this->IsTooLate(kToSpare));
+  this->Wait(51);
+  EXPECT_TRUE(this->IsTooLate(kToSpare));
+  EXPECT_FALSE(this->IsTooLate(2 * kToSpare));
+}
+
+TEST_F(StartForecastTest, AFewAreTakenWhileTheRateIsNotKnown) {
+  this->Wait(15);
+  EXPECT_FALSE(this->IsTooLate(kToSpare));
+  this->Wait(16);
+  EXPECT_TRUE(this->IsTooLate(kToSpare));
+}
+
+TEST_F(StartForecastTest, JobsTakenAndBegunSinceTheLastPassCount) {
+  this->Wait(15);
+  this->forecast.NoteTaken(kQueue);
+  EXPECT_TRUE(this->IsTooLate(kToSpare));
+  this->Begin(1);
+  EXPECT_FALSE(this->IsTooLate(kToSpare));
+}
+
+// Late jobs that wait shut the door on nobody but those who are late, too.
+TEST_F(StartForecastTest, LateJobsStandOnlyInTheWayOfLateOnes) {
+  this->Begin(100);
+  this->Wait(10, 1'000);
+  EXPECT_FALSE(this->IsTooLate(kToSpare));
+  EXPECT_TRUE(this->IsTooLate(kLate));
+  this->Wait(10, 5);
+  EXPECT_FALSE(this->IsTooLate(kLate));
+}
+
+TEST_F(StartForecastTest, TheRateIsThatOfTheLastSecond) {
+  this->Begin(100);
+  this->Wait(40);
+  EXPECT_FALSE(this->IsTooLate(kToSpare));
+  this->now += Milliseconds(1'100);
+  EXPECT_TRUE(this->IsTooLate(kToSpare));
+}
+
+TEST_F(StartForecastTest, RefusedCallersReturnOneAfterTheOther) {
+  this->Begin(10);
+  EXPECT_EQ(this->forecast.RetryAfter(kQueue, this->now), Milliseconds(1'000));
+  EXPECT_EQ(this->forecast.RetryAfter(kQueue, this->now), Milliseconds(1'100));
+  for (int number = 0; number < 100; ++number) {
+    this->forecast.RetryAfter(kQueue, this->now);
+  }
+  EXPECT_EQ(this->forecast.RetryAfter(kQueue, this->now), Milliseconds(4'000));
+}
+
+}  // namespace
+}  // namespace sumac::scheduler
