--- a/tests/platform/doors_test.cc
+++ b/tests/platform/doors_test.cc
@@ -120,6 +120,14 @@
   EXPECT_GT(this->limit, Milliseconds(0));
 }
 
+// The last try of a caller who had been refused was given up after 1 ms, and
+// its caller told that the job may run.
+TEST_F(DoorsTest, ALastTryIsGivenUpBeforeALeaderCanAnswer) {
+  this->Call(kj::HttpMethod::GET, "", "120");
+  EXPECT_GE(this->limit, Milliseconds(80));
+  EXPECT_LT(this->limit, Milliseconds(120));
+}
+
 TEST_F(DoorsTest, RequestsAreCountedByTheirEnd) {
   this->Call(kj::HttpMethod::POST, kJob);
   this->answer = fleet::Answer{.code = ResultCode::kUnknownJob};
