--- a/tests/libraries/scheduler/crowded_leader_test.cc
+++ b/tests/libraries/scheduler/crowded_leader_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <variant>
 
+#include "libraries/base/text.h"
 #include "tests/libraries/scheduler/fake_fleet.h"
 
 namespace sumac::scheduler {
@@ -131,6 +132,27 @@
   EXPECT_EQ(fleet.problem, "");
 }
 
+TEST(CrowdedLeaderTest, SmallTasksTakeAllRoomBeforeALargeOneFits) {
+  FakeFleet fleet(8);
+  fleet.work = Milliseconds(1'000);
+  fleet.PassTime(Milliseconds(500));
+  int submitted = 0;
+  const auto rush = [&](Milliseconds time) {
+    for (Milliseconds passed{0}; passed < time; passed += Milliseconds(50)) {
+      fleet.Submit(StrCat("small", submitted++),
+                   {.count = 2, .need = {.millicores = 2'000}});
+      fleet.PassTime(Milliseconds(50));
+    }
+  };
+  rush(Milliseconds(2'000));
+  fleet.Submit(
+      "lasts",
+      {.count = 1, .need = {.millicores = 7'000}, .is_long_running = true});
+  rush(Milliseconds(3'000));
+  EXPECT_TRUE(fleet.job("lasts").has_begun);
+  EXPECT_EQ(fleet.problem, "");
+}
+
 // A job that can't be in time waits while the leader has no time to spare, and
 // starts as soon as it has.
 TEST(CrowdedLeaderTest, ALateJobWaitsForALeaderWithTimeToSpare) {
