Scheduler: Forget when jobs were begun also while nobody is refused

Seen in reading: the times were dropped only when a rate was asked for, which happens in a rush alone, so a leader in calm kept one for each job for good. Behaviour stays otherwise; StartForecastTest.

--- a/libraries/scheduler/refused_callers.h
+++ b/libraries/scheduler/refused_callers.h
@@ -22,8 +22,8 @@
 
 // Remembers when callers that were refused asked first, since the time in which
 // a job is to be done runs from then. Without it a caller who comes back passes
-// for one who has all his time left, and takes the place of one who has. What a
-// leader remembers ends with its leadership. Pure.
+// for one who has all his time left, and takes the place of one who has.
+// Another leader knows nothing of them. Pure.
 class RefusedCallers {
  public:
   explicit RefusedCallers(RefusedCallersSettings settings = {})
@@ -37,6 +37,7 @@
   Milliseconds WaitedOf(const JobId& job, SteadyTime now) const;
 
  private:
+  // Makes room for one more.
   void DropOld(SteadyTime now);
 
   RefusedCallersSettings settings;
--- a/libraries/scheduler/start_forecast.cc
+++ b/libraries/scheduler/start_forecast.cc
@@ -13,6 +13,7 @@
 
 void StartForecast::NoteBegun(const QueueName& queue, SteadyTime now) {
   Queue& known = this->queues[queue];
+  this->DropOld(known, now);
   known.begun.push_back(now);
   known.waiting.timely_new -=
       std::min<std::size_t>(known.waiting.timely_new, 1);
@@ -32,11 +33,15 @@
   }
 }
 
-double StartForecast::RateOf(Queue& queue, SteadyTime now) const {
+void StartForecast::DropOld(Queue& queue, SteadyTime now) const {
   while (!queue.begun.empty() &&
          now - queue.begun.front() > this->settings.window) {
     queue.begun.pop_front();
   }
+}
+
+double StartForecast::RateOf(Queue& queue, SteadyTime now) const {
+  this->DropOld(queue, now);
   return std::max(1.0, static_cast<double>(queue.begun.size()) /
                            Seconds(this->settings.window).count());
 }
--- a/libraries/scheduler/start_forecast.h
+++ b/libraries/scheduler/start_forecast.h
@@ -45,7 +45,7 @@
   // Takes in that a job of the queue has been begun.
   void NoteBegun(const QueueName& queue, SteadyTime now);
   // Takes in that a job of the queue was taken; it counts as waiting until the
-  // next NotePass.
+  // next NoteWaiting.
   void NoteTaken(const QueueName& queue);
   // Takes in what waits now.
   void NoteWaiting(const std::map<QueueName, QueueWaiting>& waiting);
@@ -68,6 +68,7 @@
     SteadyTime last_return{};
   };
 
+  void DropOld(Queue& queue, SteadyTime now) const;
   // The jobs a second that were begun of late, 1 at least.
   double RateOf(Queue& queue, SteadyTime now) const;
 
