--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -6,12 +6,6 @@
 #include <utility>
 
 namespace sumac::scheduler {
-namespace {
-
-// One worker of so many is reserved at most, so that short tasks go on.
-constexpr std::size_t kWorkersOfReservation = 8;
-
-}  // namespace
 
 void Placement::BeginTurn(Sessions& sessions, SteadyTime now) {
   this->now = now;
@@ -20,10 +14,8 @@
     pool.quarantined.clear();
     pool.most_room = {};
     pool.failed_needs.clear();
-    pool.reserved = 0;
   }
   for (auto& [id, session] : sessions) {
-    session.is_reserved = false;
     if (session.is_cordoned || !session.IsUsable(now)) {
       continue;
     }
@@ -93,13 +85,10 @@
 
 bool Placement::Fits(const PlacementRequest& request,
                      const WorkerSession& session) {
-  return session.Room().Holds(CountedNeed(request.step())) &&
-         MayHold(request, session);
-}
-
-bool Placement::MayHold(const PlacementRequest& request,
-                        const WorkerSession& session) {
   const jobs::StepSpec& step = request.step();
+  if (!session.Room().Holds(CountedNeed(step))) {
+    return false;
+  }
   const jobs::Worker& worker = session.worker();
   if (worker.id == request.other_than ||
       (!request.rack.value().empty() && worker.rack != request.rack) ||
@@ -142,8 +131,7 @@
   WorkerSession* best = nullptr;
   std::tuple<bool, bool, bool, std::uint32_t, std::int64_t> best_rank;
   for (WorkerSession* session : this->WorkersOf(request.job->service)) {
-    if (!Fits(request, *session) ||
-        (session->is_reserved && !step.is_long_running)) {
+    if (!Fits(request, *session)) {
       continue;
     }
     const jobs::Worker& worker = session->worker();
@@ -175,29 +163,6 @@
   return best;
 }
 
-void Placement::Reserve(const PlacementRequest& request) {
-  const auto pool = this->pools.find(request.job->service);
-  if (pool == this->pools.end() ||
-      pool->second.reserved * kWorkersOfReservation >=
-          pool->second.workers.size()) {
-    return;
-  }
-  const jobs::Resources need = CountedNeed(request.step());
-  WorkerSession* best = nullptr;
-  for (WorkerSession* session : pool->second.workers) {
-    const bool may_fit = !session->is_reserved && MayHold(request, *session) &&
-                         session->RoomBesideLongRunning().Holds(need);
-    if (may_fit && (best == nullptr ||
-                    session->Room().memory_mb > best->Room().memory_mb)) {
-      best = session;
-    }
-  }
-  if (best != nullptr) {
-    best->is_reserved = true;
-    ++pool->second.reserved;
-  }
-}
-
 const std::vector<WorkerSession*>& Placement::WorkersOf(
     const ServiceName& service) const {
   static const std::vector<WorkerSession*> kNone;
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -56,12 +56,6 @@
   // The best worker for the task, or nothing if none has room.
   WorkerSession* Choose(const PlacementRequest& request) const;
 
-  // Keeps a worker that will have room for a long-running task, once the short
-  // ones there have ended, from further short ones in this turn. Short tasks
-  // take what room comes free as it comes, so that a large one would never find
-  // enough of it.
-  void Reserve(const PlacementRequest& request);
-
   // True if the worker is near the task's data, or its place does not matter.
   static bool IsNear(const jobs::StepSpec& step, const jobs::Worker& worker);
   // True if some good worker near the task's data will have room for it once
@@ -96,13 +90,9 @@
     // Needs for which this turn found no room on any worker. Rooms only shrink
     // within a turn, so nothing that needs as much finds any.
     mutable std::vector<jobs::Resources> failed_needs;
-    std::size_t reserved = 0;
   };
 
   void NoteFailure(const PlacementRequest& request) const;
-  // True if nothing but its present runs keeps the worker from the task.
-  static bool MayHold(const PlacementRequest& request,
-                      const WorkerSession& session);
 
   const WorkerHealth& health;
   SteadyTime now{};
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -303,7 +303,6 @@
       .is_serving = step != nullptr && step->latency_target > Milliseconds(0),
       .is_filler = step != nullptr && step->is_filler,
       .is_budgeted = step != nullptr && step->has_disruption_budget,
-      .is_long_running = step != nullptr && step->is_long_running,
       .ordered_at = now,
       .settled_at =
           now + this->settings.longest_stop + this->settings.lease.margin,
@@ -1125,19 +1124,13 @@
     if (!NeedsStart(job, task, this->tasks.Find(task))) {
       continue;
     }
-    if (!this->MayStart(candidate.lateness)) {
+    if (!may_have_place || !this->MayStart(candidate.lateness)) {
       return false;
     }
-    WorkerSession* session =
-        may_have_place ? this->ChooseWorker(job, task) : nullptr;
+    WorkerSession* session = this->ChooseWorker(job, task);
     if (session == nullptr) {
       // Tasks of one step are alike: if one finds no room, none does.
-      if (step.is_long_running) {
-        this->placement.Reserve({.job = &job, .task = task});
-      }
-      if (may_have_place) {
-        this->AskForAdvice(candidate, task, now);
-      }
+      this->AskForAdvice(candidate, task, now);
       return false;
     }
     if (this->WaitsForNear(job, task, session->worker(), now)) {
@@ -1264,7 +1257,6 @@
                      .is_serving = step.latency_target > Milliseconds(0),
                      .is_filler = step.is_filler,
                      .is_budgeted = step.has_disruption_budget,
-                     .is_long_running = step.is_long_running,
                      .ordered_at = now,
                      .start_expires = lease_end,
                      .percent_changed_at = now});
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -185,16 +185,6 @@
   return room;
 }
 
-jobs::Resources WorkerSession::RoomBesideLongRunning() const {
-  jobs::Resources room = this->description.capacity;
-  for (const auto& [key, run] : this->known_runs) {
-    if (run.is_long_running && run.phase != RunPhase::kStopping) {
-      room.Subtract(run.need);
-    }
-  }
-  return room;
-}
-
 std::uint32_t WorkerSession::CountOf(const jobs::StepId& step) const {
   const auto found = this->step_counts.find(step);
   return found == this->step_counts.end() ? 0 : found->second;
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -70,7 +70,6 @@
   bool is_filler = false;
   // Its step has a disruption budget.
   bool is_budgeted = false;
-  bool is_long_running = false;
   SteadyTime ordered_at{};
   // Of a run that was adopted: an earlier leader may have stopped it just
   // before, and it is listed as running while the stop takes its time. Only a
@@ -178,8 +177,6 @@
 
   // What is left for further tasks.
   jobs::Resources Room() const;
-  // What would be left if only its long-running tasks ran there.
-  jobs::Resources RoomBesideLongRunning() const;
   // How many tasks of a step run there.
   std::uint32_t CountOf(const jobs::StepId& step) const;
 
@@ -191,8 +188,6 @@
   bool is_cordoned = false;
   // It was known to be slow when this turn of the scheduler began.
   bool is_slow = false;
-  // In this turn of the scheduler it is kept for a long-running task.
-  bool is_reserved = false;
   // How fast fillers may work there.
   PaceState filler_pace;
   // A report was asked for beside the renewals, to see what is at work there.
