--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -207,7 +207,7 @@
                ? TimeToSpare(queue, spec, this->run_times)
                : std::nullopt;
   }
-  // How late they were then.
+  // How many of those that waited were late, as of the last pass.
   const LatenessCounts& waiting_counts() const {
     return this->waiting.lateness_counts();
   }
