Scheduler: Say which worker's life ended, by which evidence, and with which runs

From the lines alone nobody could tell a task that crashes its workers (H1) from one that is merely placed on the next worker to crash (H2), or from a leader that ends sound workers (H3): `run-gone` has the runs of several workers in one line, without ages.

`worker-crashed` (an alarm, counted by reason on the metrics page) names the worker, its instance, the evidence and the runs that began last, with the time from their order to the worker's silence; `worker-ended` is the same for ends that are planned. The evidence is typed (LifeEnd) in place of texts.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -16,6 +16,8 @@
 // Another life at a worker's address is reported by its next announcement; runs
 // that nobody confirms nor denies are stopped after this.
 constexpr Milliseconds kUnconfirmedTime{1'500};
+// Runs that the line about a life's end tells one by one.
+constexpr std::size_t kRunsOfLifeEnd = 6;
 
 // The first epoch of a group is 1 and its runs count from 1.
 RunNumber FirstRunOf(LeaderEpoch epoch) {
@@ -68,7 +70,7 @@
   if (worker == nullptr) {
     this->over.erase(id);
     this->forgotten.erase(id);
-    this->EndLife(id);
+    this->EndLife(id, now);
     return;
   }
   const auto forgetting = this->forgotten.find(id);
@@ -78,7 +80,7 @@
   }
   this->forgotten.erase(id);
   if (this->over.contains(id)) {
-    this->EndWorker(id, "another life began on its instance");
+    this->EndWorker(id, LifeEnd::kReplacedOnInstance, now);
     return;
   }
   const auto [session, is_new] = this->workers.try_emplace(
@@ -88,27 +90,27 @@
 }
 
 // Ends a life that is not on record any more, or is no present one.
-void Scheduler::EndLife(const WorkerId& worker) {
+void Scheduler::EndLife(const WorkerId& worker, SteadyTime now) {
   const WorkerSession* session = this->FindSession(worker);
   const jobs::Worker* next =
       session == nullptr ? nullptr
                          : this->state.FindPresentLife(session->worker().name);
   if (next == nullptr) {
-    this->EndWorker(worker, "its life is over");
+    this->EndWorker(worker, LifeEnd::kPlanned, now);
     return;
   }
   this->notes.AddText("worker-restarted", "it started again under its name",
                       false,
                       StrCat(worker.value(), " with ", session->runs().size(),
                              " runs, now ", next->id.value()));
-  this->EndWorker(worker, "its worker started again");
+  this->EndWorker(worker, LifeEnd::kRestarted, now);
 }
 
 // Ends the other lives on the instance of one that has just answered. An
 // announcement may outlive its sender and come after that of the next life, so
 // being heard of last proves nothing. An answer to a call that was sent after
 // another life was heard of does: lives follow each other.
-void Scheduler::EndOtherLives(const WorkerSession& answering) {
+void Scheduler::EndOtherLives(const WorkerSession& answering, SteadyTime now) {
   const jobs::Worker& worker = answering.worker();
   if (worker.instance.value().empty()) {
     return;
@@ -122,7 +124,7 @@
   }
   for (const WorkerId& id : ended) {
     this->over.try_emplace(id);
-    this->EndWorker(id, "another life began on its instance");
+    this->EndWorker(id, LifeEnd::kReplacedOnInstance, now);
   }
 }
 
@@ -159,7 +161,7 @@
     session.NoteAnswer(now);
   }
   if (is_adopting) {
-    this->EndOtherLives(session);
+    this->EndOtherLives(session, now);
   }
   EndsToRecord ends = this->TakeEnds(session, report, now);
   this->TakeRunning(session, report, is_adopting, now);
@@ -365,7 +367,7 @@
   }
   session->NoteFailure(now);
   if (result == OrderResult::kOtherLife) {
-    this->EndReplacedWorker(worker);
+    this->EndReplacedWorker(worker, now);
   }
   this->needs_plan = true;
 }
@@ -391,7 +393,7 @@
   if (const auto* start = std::get_if<StartOrder>(&order)) {
     this->TakeStartAnswer(*start, answer, now);
   } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
-    this->TakeStopAnswer(*stop, answer);
+    this->TakeStopAnswer(*stop, answer, now);
   } else if (const auto* pace = std::get_if<PaceOrder>(&order)) {
     WorkerSession* session = this->FindSession(pace->worker);
     if (session != nullptr) {
@@ -452,7 +454,7 @@
       this->ReleaseRun(session, order.task, order.run, "fenced off");
       break;
     case OrderResult::kOtherLife:
-      this->EndReplacedWorker(order.worker);
+      this->EndReplacedWorker(order.worker, now);
       break;
     case OrderResult::kUnreachable:
       session.NoteFailure(now);
@@ -498,13 +500,14 @@
 }
 
 void Scheduler::TakeStopAnswer(const StopOrder& order,
-                               const OrderAnswer& answer) {
+                               const OrderAnswer& answer,
+                               SteadyTime now) {
   WorkerSession* session = this->FindSession(order.worker);
   if (session == nullptr) {
     return;
   }
   if (answer.result == OrderResult::kOtherLife) {
-    this->EndReplacedWorker(order.worker);
+    this->EndReplacedWorker(order.worker, now);
     return;
   }
   Run* run = session->FindRun(order.task, order.run);
@@ -559,21 +562,61 @@
   }
 }
 
-void Scheduler::EndWorker(const WorkerId& worker, const std::string& reason) {
+void Scheduler::EndWorker(const WorkerId& worker, LifeEnd end, SteadyTime now) {
   const auto found = this->workers.find(worker);
   if (found == this->workers.end()) {
     return;
   }
-  this->ReleaseAll(found->second, reason);
+  this->NoteLifeEnd(found->second, end, now);
+  this->ReleaseAll(found->second, std::string(TextOf(end)));
   this->health.Forget(worker);
   this->workers.erase(found);
   this->needs_plan = true;
 }
 
+// True if nothing planned explains the end: neither had the worker said that it
+// would leave, nor was an order that ends it on record.
+bool Scheduler::IsCrash(const WorkerSession& session, LifeEnd end) const {
+  const jobs::Worker& worker = session.worker();
+  const auto move = this->state.record().moves.find(worker.instance);
+  const bool is_ordered = move != this->state.record().moves.end() &&
+                          move->second.worker == worker.id;
+  return IsUnexplained(end) && !worker.is_draining && !is_ordered;
+}
+
+// Tells which runs a life took with it, those that began last first.
+void Scheduler::NoteLifeEnd(const WorkerSession& session,
+                            LifeEnd end,
+                            SteadyTime now) {
+  if (session.runs().empty()) {
+    return;
+  }
+  const SteadyTime ended_at = std::min(session.SilentSince(now), now);
+  std::vector<const Run*> latest;
+  for (const auto& [key, run] : session.runs()) {
+    latest.push_back(&run);
+  }
+  std::sort(latest.begin(), latest.end(), [](const Run* one, const Run* other) {
+    return one->ordered_at > other->ordered_at;
+  });
+  latest.resize(std::min(latest.size(), kRunsOfLifeEnd));
+  std::string text =
+      StrCat(session.worker().id.value(), " on ",
+             session.worker().instance.value(), " with ", session.runs().size(),
+             " runs, silent for ", (now - ended_at).count(), " ms; the latest");
+  for (const Run* run : latest) {
+    StrAppend(&text, " ", run->task.ToText(), "#", run->number.value(), " (",
+              (ended_at - run->ordered_at).count(), " ms)");
+  }
+  const bool is_crash = this->IsCrash(session, end);
+  this->notes.AddText(is_crash ? "worker-crashed" : "worker-ended",
+                      std::string(TextOf(end)), is_crash, std::move(text));
+}
+
 // An address goes to another life only once the one before is over.
-void Scheduler::EndReplacedWorker(const WorkerId& worker) {
+void Scheduler::EndReplacedWorker(const WorkerId& worker, SteadyTime now) {
   this->over.try_emplace(worker);
-  this->EndWorker(worker, "another life is at its address");
+  this->EndWorker(worker, LifeEnd::kReplacedAtAddress, now);
 }
 
 void Scheduler::ReleaseRun(WorkerSession& session,
@@ -744,7 +787,7 @@
     }
   }
   for (const WorkerId& id : dead) {
-    this->EndWorker(id, "the platform lists its instance as down");
+    this->EndWorker(id, LifeEnd::kListedAsDown, asked_at);
     this->over.try_emplace(id);
   }
 }
@@ -772,7 +815,7 @@
   // NOTE: From here on the worker gets no orders, also if it answers again
   // before the command is committed: later leaders would not know of its runs.
   for (const auto& [id, sequence] : gone) {
-    this->EndWorker(id, "it has been silent for long");
+    this->EndWorker(id, LifeEnd::kSilent, now);
     this->forgotten[id] = {.ask_at = now, .sequence = sequence};
   }
   for (auto& [id, forgetting] : this->forgotten) {
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -19,6 +19,7 @@
 #include "libraries/jobs/task_id.h"
 #include "libraries/scheduler/demand_meter.h"
 #include "libraries/scheduler/event_notes.h"
+#include "libraries/scheduler/life_end.h"
 #include "libraries/scheduler/near_wait.h"
 #include "libraries/scheduler/placement.h"
 #include "libraries/scheduler/placement_advice.h"
@@ -166,8 +167,8 @@
   void TakeInstanceLives(const std::map<InstanceName, InstanceLife>& lives,
                          SteadyTime asked_at);
 
-  // Takes in that a worker's life is over.
-  void EndWorker(const WorkerId& worker, const std::string& reason);
+  // Takes in that a worker's life is over, as of `now`.
+  void EndWorker(const WorkerId& worker, LifeEnd end, SteadyTime now);
 
   // Decides what is to be done now, with no more starts than allowed; what is
   // left waits for the next call. A gang starts whole or not at all.
@@ -265,7 +266,9 @@
                    Run& run,
                    const std::string& reason,
                    SteadyTime now);
-  void TakeStopAnswer(const StopOrder& order, const OrderAnswer& answer);
+  void TakeStopAnswer(const StopOrder& order,
+                      const OrderAnswer& answer,
+                      SteadyTime now);
   void ReleaseRun(WorkerSession& session,
                   const jobs::TaskId& task,
                   RunNumber run,
@@ -281,9 +284,11 @@
   TaskMemory& CheckpointOf(const jobs::TaskId& task,
                            const jobs::StepSpec& step);
   void SyncWorker(const WorkerId& id, SteadyTime now);
-  void EndLife(const WorkerId& worker);
-  void EndReplacedWorker(const WorkerId& worker);
-  void EndOtherLives(const WorkerSession& answering);
+  void EndLife(const WorkerId& worker, SteadyTime now);
+  void EndReplacedWorker(const WorkerId& worker, SteadyTime now);
+  void EndOtherLives(const WorkerSession& answering, SteadyTime now);
+  bool IsCrash(const WorkerSession& session, LifeEnd end) const;
+  void NoteLifeEnd(const WorkerSession& session, LifeEnd end, SteadyTime now);
   void RequestReports(SteadyTime now, SchedulerOutput& output);
   void AskWhoIsAtWork(const jobs::StepId& step, SteadyTime now);
   void LapseSilentWorkers(SteadyTime now);
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -129,6 +129,9 @@
   void NoteAnswer(SteadyTime now);
   // Takes in that a renewal or an order failed.
   void NoteFailure(SteadyTime now) {
+    if (this->failures == 0) {
+      this->first_failure = now;
+    }
     ++this->failures;
     this->last_failure = now;
   }
@@ -142,6 +145,10 @@
   }
   // True if it failed to answer and nothing shows yet whether it still runs.
   bool is_in_doubt() const { return this->failures > 0; }
+  // When it first failed to answer; `now` if it answered last.
+  SteadyTime SilentSince(SteadyTime now) const {
+    return this->failures > 0 ? this->first_failure : now;
+  }
   // When this session began.
   SteadyTime began_at() const { return this->session_began; }
   // True if nothing can run there any more since the lease is over.
@@ -213,6 +220,8 @@
   LeaseSettings settings;
   bool has_answered = false;
   int failures = 0;
+  // Of those since its last answer, the first.
+  SteadyTime first_failure{};
   SteadyTime last_failure{};
   SteadyTime session_began;
   SteadyTime bound;
