--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -494,6 +494,7 @@
                                    this->now);
       if (found->second.running().size() > before) {
         this->CheckStart(*start);
+        this->CrashLater(*start);
       }
     } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
       answer = found->second.Stop(*stop, this->now);
@@ -542,8 +543,36 @@
   return true;
 }
 
+// The task's worker dies if it is the kind that does so.
+void FakeFleet::CrashLater(const StartOrder& order) {
+  if (!this->crashes(order)) {
+    return;
+  }
+  this->At(this->now + this->crash_after, [this, order] {
+    FakeWorker& worker = this->workers.at(order.worker);
+    const auto running = worker.running().find(order.task);
+    if (!worker.is_up || running == worker.running().end() ||
+        running->second.run != order.run) {
+      return;
+    }
+    for (const auto& [task, run] : worker.running()) {
+      ++this->crash_counts[task];
+    }
+    worker.Crash();
+    this->At(this->now + this->restart_time,
+             [this, id = order.worker.value()] { this->StartAgain(id); });
+  });
+}
+
 void FakeFleet::CheckStart(const StartOrder& order) {
   ++this->starts;
+  constexpr std::uint32_t kMostCrashes = 3;
+  constexpr std::uint32_t kMostStartsAfter = 2;
+  if (this->CountCrashes(order.task) >= kMostCrashes &&
+      ++this->starts_after_limit[order.task] > kMostStartsAfter) {
+    this->problem = StrCat(order.task.ToText(),
+                           " was started again and again under crashes");
+  }
   const jobs::Job* job = this->state.FindJob(order.task.step.job);
   if (job == nullptr) {
     this->problem = "a task of an unknown job was started";
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -58,6 +58,11 @@
   const jobs::Job& job(const std::string& id) const {
     return *this->state.FindJob(JobId(id));
   }
+  // How many workers have crashed under a task since it first started.
+  std::uint32_t CountCrashes(const jobs::TaskId& task) const {
+    const auto found = this->crash_counts.find(task);
+    return found == this->crash_counts.end() ? 0 : found->second;
+  }
   // The workers that run a task of the job now.
   std::vector<std::string> WorkersOf(const std::string& job) const;
   std::size_t CountRunning(const std::string& job) const {
@@ -117,6 +122,13 @@
   std::function<bool(const StartOrder&)> fails = [](const StartOrder&) {
     return false;
   };
+  // Whether a task crashes the worker that starts it, and how long after its
+  // start; the worker starts again under its name after `restart_time`.
+  std::function<bool(const StartOrder&)> crashes = [](const StartOrder&) {
+    return false;
+  };
+  Milliseconds crash_after{10};
+  Milliseconds restart_time{2'000};
   // The same for tasks that last, where it is set.
   std::optional<Milliseconds> lasting_work;
   std::uint64_t starts = 0;
@@ -162,6 +174,7 @@
   void RequestReport(const RenewOrder& order);
   void Advise(const AdviceQuestion& question);
   void CheckStart(const StartOrder& order);
+  void CrashLater(const StartOrder& order);
   void NoteEnds(const std::vector<jobs::RunEnd>& ends);
   bool AreEarlierStepsDone(const jobs::Job& job, const jobs::TaskId& task);
   void CheckRunning();
@@ -173,6 +186,9 @@
   std::set<jobs::TaskId> done_tasks;
   std::map<jobs::TaskId, std::set<RunNumber>> failed_runs;
   std::map<WorkerId, FakeWorker> workers;
+  // Workers that crashed under a task, and its starts after the third.
+  std::map<jobs::TaskId, std::uint32_t> crash_counts;
+  std::map<jobs::TaskId, std::uint32_t> starts_after_limit;
   std::vector<Event> events;
   std::set<WorkerId> renewing;
   Generation generation = 0;
