Jobs, Scheduler: Count the workers that crash under a task, and give it up

What callers saw: two tasks that crash each worker that starts them were started again at once, on another worker each time, for 90 s; each start took 4 to 19 other runs with it, and over a tenth of the queue's requests failed.

Cause: attempts were counted only from ends that a worker reports. A worker that crashes reports nothing; its runs were dropped from the leader's memory and nothing of them was put on record.

Now a life that ends without an announcement or an order on record is a crash, and the runs it took with it go on record with the end of the life, in one command and each once. A task waits for that record before its next start, so that every leader knows of all crashes before it. After three workers, or two that accuse this task alone, its job fails with the workers named. Until then a task that may be the cause is tried on a worker of its own: the one with the fewest runs, one worker in four at a time, for as long as what crashes a worker as it starts would take; a crash then accuses one task. A start without an answer accuses nobody, long-running tasks that had been at work for 5 s are not blamed, and no task waits longer than a second for its trial, so that a crash of a whole pool holds nobody up.

Not covered: a crash that a leader did not learn of before it lost its place is not counted (one for each change of leader).

--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -14,6 +14,7 @@
 #include "libraries/base/time.h"
 #include "libraries/codec/describe.h"
 #include "libraries/jobs/job_spec.h"
+#include "libraries/jobs/task_crashes.h"
 #include "libraries/jobs/task_id.h"
 #include "libraries/jobs/worker.h"
 
@@ -65,12 +66,16 @@
   // Where its life is not over: its last announcement that was known. A later
   // one shows that it came back, and it stays.
   std::uint64_t sequence = 0;
+  // Where it crashed: the runs that this may be put down to. Each is counted
+  // once, however often it is recorded.
+  std::vector<CrashedRun> crashed_runs;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("worker", self.worker);
     visitor.Field("is_over", self.is_over);
     visitor.Field("sequence", self.sequence);
+    visitor.Field("crashed_runs", self.crashed_runs);
   }
 };
 
--- a/libraries/jobs/job.cc
+++ b/libraries/jobs/job.cc
@@ -51,6 +51,13 @@
   });
 }
 
+const TaskCrashes* Job::FindCrashes(const TaskId& task) const {
+  const auto found = std::find_if(
+      this->crashes.begin(), this->crashes.end(),
+      [&task](const TaskCrashes& known) { return known.task == task; });
+  return found == this->crashes.end() ? nullptr : &*found;
+}
+
 bool Job::HasTask(const TaskId& task) const {
   return task.step.job == this->id &&
          task.step.occurrence < this->spec.occurrences() &&
--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -12,6 +12,7 @@
 #include "libraries/base/time.h"
 #include "libraries/codec/describe.h"
 #include "libraries/jobs/job_spec.h"
+#include "libraries/jobs/task_crashes.h"
 #include "libraries/jobs/task_id.h"
 
 namespace sumac::jobs {
@@ -95,6 +96,8 @@
   std::map<std::uint32_t, OccurrenceProgress> occurrences;
   // Tasks that were done when it finished.
   std::uint64_t finished_tasks = 0;
+  // The tasks under which workers crashed; most jobs have none.
+  std::vector<TaskCrashes> crashes;
 
   bool is_active() const { return this->state == JobState::kActive; }
 
@@ -124,6 +127,8 @@
   bool IsStepDone(std::uint32_t occurrence, std::uint32_t step) const;
   // True if the steps that `step` waits for are done.
   bool IsStepReady(std::uint32_t occurrence, std::uint32_t step) const;
+  // The crashes under a task; nothing for none.
+  const TaskCrashes* FindCrashes(const TaskId& task) const;
   // True if the job has a task of this name.
   bool HasTask(const TaskId& task) const;
 
@@ -144,6 +149,7 @@
     visitor.Field("reason", self.reason);
     visitor.Field("occurrences", self.occurrences);
     visitor.Field("finished_tasks", self.finished_tasks);
+    visitor.Field("crashes", self.crashes);
   }
 };
 
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -222,6 +222,9 @@
 }
 
 fleet::Answer JobsState::Take(const ForgetWorker& command, WallTime at) {
+  for (const CrashedRun& run : command.crashed_runs) {
+    this->TakeCrash(command.worker, run, at);
+  }
   const Worker* worker = this->LifeToForget(command);
   const bool is_by_name =
       worker == nullptr &&
@@ -346,6 +349,38 @@
   }
 }
 
+bool JobsState::IsCrashSettled(const CrashedRun& run) const {
+  const Job* job = this->FindJob(run.task.step.job);
+  if (job == nullptr || !job->is_active() || !job->HasTask(run.task) ||
+      job->ProgressOf(run.task).is_done) {
+    return true;
+  }
+  const TaskCrashes* crashes = job->FindCrashes(run.task);
+  return crashes != nullptr && crashes->Has(run.run);
+}
+
+void JobsState::TakeCrash(const WorkerId& worker,
+                          const CrashedRun& run,
+                          WallTime at) {
+  if (this->IsCrashSettled(run)) {
+    return;
+  }
+  Job& job = this->own_record.jobs.at(run.task.step.job);
+  auto known = std::find_if(
+      job.crashes.begin(), job.crashes.end(),
+      [&run](const TaskCrashes& crashes) { return crashes.task == run.task; });
+  if (known == job.crashes.end()) {
+    known = job.crashes.insert(known, TaskCrashes{.task = run.task});
+  }
+  known->crashes.push_back(TaskCrash{worker, run, at});
+  if (known->IsOverLimit()) {
+    this->Finish(job, JobState::kFailed,
+                 StrCat(known->crashes.size(), " workers crashed under task ",
+                        run.task.ToText(), ": ", known->ToText()),
+                 at);
+  }
+}
+
 // A gang's members share their runs: one end as done counts for all, and a run
 // fails once however many members report it.
 void JobsState::TakeGangEnd(Job& job,
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -114,6 +114,9 @@
   // The workers that a command records, ends or replaces; to be asked before it
   // is applied.
   std::set<WorkerId> WorkersTouchedBy(const Command& command) const;
+  // True if this crash needs no record any more: it is on record, or its job
+  // has finished.
+  bool IsCrashSettled(const CrashedRun& run) const;
   // The jobs that are active, in the order in which they were accepted.
   const std::map<std::uint64_t, const Job*>& active_jobs() const {
     return this->active;
@@ -133,6 +136,7 @@
   fleet::Answer Take(const RecordMoves& command, WallTime at);
 
   void TakeEnd(const RunEnd& end, WallTime at);
+  void TakeCrash(const WorkerId& worker, const CrashedRun& run, WallTime at);
   void TakeGangEnd(Job& job,
                    const RunEnd& end,
                    StepProgress& step,
--- /dev/null
+++ b/libraries/jobs/task_crashes.cc
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/jobs/task_crashes.h"
+
+#include <algorithm>
+
+#include "libraries/base/text.h"
+
+namespace sumac::jobs {
+
+bool TaskCrashes::Has(const RunNumber& run) const {
+  return std::any_of(
+      this->crashes.begin(), this->crashes.end(),
+      [&run](const TaskCrash& crash) { return crash.run.run == run; });
+}
+
+bool TaskCrashes::IsOverLimit() const {
+  if (this->crashes.size() >= kMost) {
+    return true;
+  }
+  return this->crashes.size() >= kMostOfOnlySuspect &&
+         this->crashes.back().run.is_only_suspect &&
+         std::all_of(
+             this->crashes.begin(), this->crashes.end(),
+             [](const TaskCrash& crash) { return crash.run.has_begun; });
+}
+
+bool TaskCrashes::IsSuspect() const {
+  return this->crashes.size() > 1 ||
+         (!this->crashes.empty() &&
+          this->crashes.back().run.survived < kSuspectTime);
+}
+
+std::string TaskCrashes::ToText() const {
+  std::string text;
+  for (const TaskCrash& crash : this->crashes) {
+    StrAppend(&text, text.empty() ? "" : ", ", "worker ", crash.worker.value(),
+              " at ", crash.at.time_since_epoch().count());
+  }
+  return text;
+}
+
+}  // namespace sumac::jobs
--- /dev/null
+++ b/libraries/scheduler/crashed_runs.cc
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "libraries/scheduler/crashed_runs.h"
+
+#include <algorithm>
+
+namespace sumac::scheduler {
+namespace {
+
+// A long-running task outlives many of its workers, whatever they crash of; one
+// that was at work for so long there has not crashed this one.
+constexpr Milliseconds kSoundTime{5'000};
+
+bool HasCrashesOnRecord(const jobs::JobsState& state,
+                        const jobs::TaskId& task) {
+  const jobs::Job* job = state.FindJob(task.step.job);
+  return job != nullptr && job->FindCrashes(task) != nullptr;
+}
+
+// Of the runs that began shortly before the crash, those of tasks with earlier
+// crashes are the suspects, or else all of them. Marks the one that is alone.
+void MarkOnlySuspect(const jobs::JobsState& state,
+                     std::vector<jobs::CrashedRun>& runs) {
+  std::vector<jobs::CrashedRun*> late;
+  std::vector<jobs::CrashedRun*> repeated;
+  for (jobs::CrashedRun& run : runs) {
+    if (run.survived >= jobs::TaskCrashes::kSuspectTime) {
+      continue;
+    }
+    late.push_back(&run);
+    if (HasCrashesOnRecord(state, run.task)) {
+      repeated.push_back(&run);
+    }
+  }
+  const std::vector<jobs::CrashedRun*>& suspects =
+      repeated.empty() ? late : repeated;
+  if (suspects.size() == 1) {
+    suspects.front()->is_only_suspect = true;
+  }
+}
+
+}  // namespace
+
+std::vector<jobs::CrashedRun> FindCrashedRuns(const WorkerSession& session,
+                                              const jobs::JobsState& state) {
+  std::vector<jobs::CrashedRun> crashed;
+  for (const auto& [key, run] : session.runs()) {
+    const jobs::StepSpec* step = state.FindStep(run.task);
+    const Milliseconds survived =
+        std::max(session.last_answer - run.ordered_at, Milliseconds(0));
+    const bool is_sound =
+        step != nullptr && step->is_long_running && survived >= kSoundTime;
+    if (step != nullptr && !is_sound) {
+      crashed.push_back(
+          jobs::CrashedRun{.task = run.task,
+                           .run = run.number,
+                           .has_begun = run.confirmed_clock.has_value(),
+                           .survived = survived});
+    }
+  }
+  MarkOnlySuspect(state, crashed);
+  return crashed;
+}
+
+}  // namespace sumac::scheduler
--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -6,12 +6,20 @@
 #include <utility>
 
 namespace sumac::scheduler {
+namespace {
+
+// One worker in so many of a service, and one at least, is risked at a time on
+// tasks that may crash it.
+constexpr std::size_t kWorkersOfTrial = 4;
+
+}  // namespace
 
 void Placement::BeginTurn(Sessions& sessions, SteadyTime now) {
   this->now = now;
   for (auto& [service, pool] : this->pools) {
     pool.workers.clear();
     pool.quarantined.clear();
+    pool.trials = 0;
     pool.most_room = {};
     pool.failed_needs.clear();
   }
@@ -20,6 +28,10 @@
       continue;
     }
     Pool& pool = this->pools[session.worker().service];
+    if (session.trials() > 0) {
+      ++pool.trials;
+      continue;
+    }
     session.is_slow = this->health.IsSlow(id, now);
     (this->health.IsQuarantined(id, now) ? pool.quarantined : pool.workers)
         .push_back(&session);
@@ -51,15 +63,26 @@
       [&](const jobs::Resources& other) { return need.Holds(other); });
 }
 
+bool Placement::HasTrialPlace(const ServiceName& service) const {
+  const auto pool = this->pools.find(service);
+  if (pool == this->pools.end()) {
+    return false;
+  }
+  const std::size_t workers = pool->second.workers.size() + pool->second.trials;
+  return pool->second.trials <
+         std::max<std::size_t>(workers / kWorkersOfTrial, 1);
+}
+
 // In a rush hundreds of steps wait for a full pool, and each of them would look
 // at every worker in every turn.
 void Placement::NoteFailure(const PlacementRequest& request) const {
   const jobs::StepSpec& step = request.step();
   // The members of a gang hold room for each other while they are placed.
-  const bool is_plain =
-      step.required_label.empty() && !step.is_gang &&
-      step.most_per_worker == 0 && request.rack.value().empty() &&
-      request.other_than.value().empty() && request.advice == nullptr;
+  const bool is_plain = step.required_label.empty() && !step.is_gang &&
+                        step.most_per_worker == 0 &&
+                        request.rack.value().empty() &&
+                        request.other_than.value().empty() &&
+                        request.advice == nullptr && !request.is_on_trial;
   const auto pool = this->pools.find(request.job->service);
   if (!is_plain || pool == this->pools.end()) {
     return;
@@ -86,7 +109,7 @@
 bool Placement::Fits(const PlacementRequest& request,
                      const WorkerSession& session) {
   const jobs::StepSpec& step = request.step();
-  if (!session.Room().Holds(CountedNeed(step))) {
+  if (session.trials() > 0 || !session.Room().Holds(CountedNeed(step))) {
     return false;
   }
   const jobs::Worker& worker = session.worker();
@@ -129,7 +152,8 @@
   const jobs::StepSpec& step = request.step();
   const jobs::Resources need = CountedNeed(step);
   WorkerSession* best = nullptr;
-  std::tuple<bool, bool, bool, std::uint32_t, std::int64_t> best_rank;
+  std::tuple<bool, bool, std::size_t, bool, std::uint32_t, std::int64_t>
+      best_rank;
   for (WorkerSession* session : this->WorkersOf(request.job->service)) {
     if (!Fits(request, *session)) {
       continue;
@@ -148,9 +172,12 @@
                                     : step.latency_target > Milliseconds(0)
                                         ? session->filler_runs()
                                         : 0;
-    // The smaller the better: not where it failed, not on a slow worker, near
-    // its data, little to disturb, tight fit.
-    const std::tuple rank(has_failed_there, session->is_slow, is_far, disturbed,
+    const std::size_t at_risk =
+        request.is_on_trial ? session->runs().size() : 0;
+    // The smaller the better: not where it failed, not on a slow worker, little
+    // to lose, near its data, little to disturb, tight fit.
+    const std::tuple rank(has_failed_there, session->is_slow, at_risk, is_far,
+                          disturbed,
                           session->Room().millicores - need.millicores);
     if (best == nullptr || rank < best_rank) {
       best = session;
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -28,6 +28,8 @@
   Rack rack;
   // Not on this worker, where it is not empty.
   WorkerId other_than;
+  // It may crash its worker, and goes where the fewest runs are lost with it.
+  bool is_on_trial = false;
   // Only workers that the queue's placement policy admits; nothing for a queue
   // without one.
   const PlacementAdvice* advice = nullptr;
@@ -77,6 +79,11 @@
   // True if nothing is known against the worker.
   bool IsGood(const WorkerSession& session) const;
 
+  // True if one more worker of the service may be risked on a trial.
+  bool HasTrialPlace(const ServiceName& service) const;
+  // Takes in that a trial began on a worker of the service in this turn.
+  void NoteTrial(const ServiceName& service) { ++this->pools[service].trials; }
+
   // What a task of the step takes of its worker's room.
   static jobs::Resources CountedNeed(const jobs::StepSpec& step);
 
@@ -85,6 +92,8 @@
     std::vector<WorkerSession*> workers;
     // Those that are kept from work because of how their runs went.
     std::vector<WorkerSession*> quarantined;
+    // Workers with a run on trial.
+    std::size_t trials = 0;
     // The most that one worker had left of each resource when the turn began.
     jobs::Resources most_room;
     // Needs for which this turn found no room on any worker. Rooms only shrink
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -6,6 +6,7 @@
 
 #include "libraries/base/text.h"
 #include "libraries/base/verify.h"
+#include "libraries/scheduler/crashed_runs.h"
 
 namespace sumac::scheduler {
 namespace {
@@ -68,7 +69,7 @@
 void Scheduler::SyncWorker(const WorkerId& id, SteadyTime now) {
   const jobs::Worker* worker = this->state.FindWorker(id);
   if (worker == nullptr) {
-    this->over.erase(id);
+    this->SettleCrashes(id);
     this->forgotten.erase(id);
     this->EndLife(id, now);
     return;
@@ -79,7 +80,7 @@
     return;
   }
   this->forgotten.erase(id);
-  if (this->over.contains(id)) {
+  if (this->ended.Has(id)) {
     this->EndWorker(id, LifeEnd::kReplacedOnInstance, now);
     return;
   }
@@ -123,7 +124,7 @@
     }
   }
   for (const WorkerId& id : ended) {
-    this->over.try_emplace(id);
+    this->ended.Note(id);
     this->EndWorker(id, LifeEnd::kReplacedOnInstance, now);
   }
 }
@@ -264,6 +265,9 @@
       run->phase = RunPhase::kRunning;
       run->confirmed_clock = report.clock;
     }
+    if (now - run->ordered_at >= jobs::TaskCrashes::kSuspectTime) {
+      session.EndTrial(*run);
+    }
     const jobs::StepSpec* step = this->state.FindStep(running.task);
     if (!running.checkpoint.empty() && step != nullptr) {
       this->CheckpointOf(running.task, *step).checkpoint = running.checkpoint;
@@ -568,6 +572,9 @@
     return;
   }
   this->NoteLifeEnd(found->second, end, now);
+  if (this->IsCrash(found->second, end)) {
+    this->TakeCrash(found->second, now);
+  }
   this->ReleaseAll(found->second, std::string(TextOf(end)));
   this->health.Forget(worker);
   this->workers.erase(found);
@@ -584,6 +591,39 @@
   return IsUnexplained(end) && !worker.is_draining && !is_ordered;
 }
 
+// NOTE: The tasks wait until the crash is on record, so that each start of any
+// leader knows of all crashes before it.
+void Scheduler::TakeCrash(const WorkerSession& session, SteadyTime now) {
+  std::vector<jobs::CrashedRun> runs = FindCrashedRuns(session, this->state);
+  std::erase_if(runs, [this](const jobs::CrashedRun& run) {
+    return this->state.IsCrashSettled(run);
+  });
+  if (runs.empty()) {
+    return;
+  }
+  for (const jobs::CrashedRun& run : runs) {
+    TaskMemory& memory = this->tasks.Get(run.task);
+    ++memory.open_crashes;
+    memory.crashed_at = now;
+    memory.trial_wanted_at.reset();
+    this->notes.Add("run-crashed", run.task, run.run, session.worker().id,
+                    run.is_only_suspect ? "only suspect"
+                    : run.survived < jobs::TaskCrashes::kSuspectTime
+                        ? "suspect"
+                        : "bystander");
+  }
+  this->ended.Note(session.worker().id, std::move(runs));
+}
+
+void Scheduler::SettleCrashes(const WorkerId& worker) {
+  for (const jobs::CrashedRun& run : this->ended.Settle(worker, this->state)) {
+    if (TaskMemory* memory = this->tasks.Find(run.task)) {
+      --memory->open_crashes;
+    }
+    this->waiting.Reconsider(run.task.step.job);
+  }
+}
+
 // Tells which runs a life took with it, those that began last first.
 void Scheduler::NoteLifeEnd(const WorkerSession& session,
                             LifeEnd end,
@@ -615,7 +655,7 @@
 
 // An address goes to another life only once the one before is over.
 void Scheduler::EndReplacedWorker(const WorkerId& worker, SteadyTime now) {
-  this->over.try_emplace(worker);
+  this->ended.Note(worker);
   this->EndWorker(worker, LifeEnd::kReplacedAtAddress, now);
 }
 
@@ -741,6 +781,7 @@
   this->run_count = 0;
   for (auto& [id, session] : this->workers) {
     this->run_count += session.runs().size();
+    this->FollowTrials(session, now);
     const bool is_lapsed = session.IsLapsed(now);
     if (is_lapsed && (session.is_adopted() || !session.runs().empty())) {
       this->ReleaseAll(session, "its lease is over");
@@ -756,6 +797,22 @@
   }
 }
 
+// A run that a report shows after some time has not crashed its worker; the
+// report is asked for, since a renewal may take longer.
+void Scheduler::FollowTrials(WorkerSession& session, SteadyTime now) {
+  static constexpr Milliseconds kTime = jobs::TaskCrashes::kSuspectTime;
+  if (session.trials() == 0 || now - session.report_asked_at < kTime) {
+    return;
+  }
+  const bool is_over = std::any_of(
+      session.runs().begin(), session.runs().end(), [now](const auto& run) {
+        return run.second.is_on_trial && now - run.second.ordered_at >= kTime;
+      });
+  if (is_over) {
+    this->report_wanted.insert(session.worker().id);
+  }
+}
+
 bool Scheduler::NeedsLifeCheck() const {
   return std::any_of(this->workers.begin(), this->workers.end(),
                      [](const auto& worker) {
@@ -788,16 +845,14 @@
   }
   for (const WorkerId& id : dead) {
     this->EndWorker(id, LifeEnd::kListedAsDown, asked_at);
-    this->over.try_emplace(id);
+    this->ended.Note(id);
   }
 }
 
 void Scheduler::ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output) {
-  for (auto& [id, ask_again_at] : this->over) {
-    if (now >= ask_again_at) {
-      ask_again_at = now + this->settings.forget_retry;
-      output.commands.emplace_back(jobs::ForgetWorker{id, true});
-    }
+  for (jobs::Command& command :
+       this->ended.TakeDue(now, this->settings.forget_retry)) {
+    output.commands.emplace_back(std::move(command));
   }
   if (now - this->looked_for_gone < this->settings.judge_interval) {
     return;
@@ -879,11 +934,13 @@
 }
 
 WorkerSession* Scheduler::ChooseWorker(const jobs::Job& job,
-                                       const jobs::TaskId& task) const {
+                                       const jobs::TaskId& task,
+                                       bool is_on_trial) const {
   return this->placement.Choose(
       PlacementRequest{.job = &job,
                        .task = task,
                        .memory = this->tasks.Find(task),
+                       .is_on_trial = is_on_trial,
                        .advice = this->AdviceFor(job)});
 }
 
@@ -1163,6 +1220,7 @@
   const bool may_have_place =
       !this->MayRunUnseen(job) &&
       this->placement.HasRoom(job.service, Placement::CountedNeed(step));
+  bool is_all_placed = true;
   for (task.index = 0; task.index < step.count; ++task.index) {
     if (!NeedsStart(job, task, this->tasks.Find(task))) {
       continue;
@@ -1170,7 +1228,13 @@
     if (!may_have_place || !this->MayStart(candidate.lateness)) {
       return false;
     }
-    WorkerSession* session = this->ChooseWorker(job, task);
+    const TrialTurn trial = this->JudgeTrial(job, task, now);
+    if (trial == TrialTurn::kLater) {
+      is_all_placed = false;
+      continue;
+    }
+    WorkerSession* session =
+        this->ChooseWorker(job, task, trial == TrialTurn::kNow);
     if (session == nullptr) {
       // Tasks of one step are alike: if one finds no room, none does.
       this->AskForAdvice(candidate, task, now);
@@ -1179,10 +1243,43 @@
     if (this->WaitsForNear(job, task, session->worker(), now)) {
       return false;
     }
-    this->StartOn(*session, candidate, task, this->NextRun(job, task), now,
-                  output);
+    const RunNumber run = this->NextRun(job, task);
+    this->StartOn(*session, candidate, task, run, now, output);
+    if (trial == TrialTurn::kNow) {
+      session->BeginTrial(*session->FindRun(task, run));
+      this->placement.NoteTrial(job.service);
+      this->notes.Add("run-on-trial", task, run, session->worker().id,
+                      "its worker crashed before");
+    }
   }
-  return true;
+  return is_all_placed;
+}
+
+// A task that may crash its worker is tried on one of its own, so that a second
+// crash accuses one task and takes little else with it. Members of a gang can
+// only start together, and are not.
+Scheduler::TrialTurn Scheduler::JudgeTrial(const jobs::Job& job,
+                                           const jobs::TaskId& task,
+                                           SteadyTime now) {
+  const jobs::TaskCrashes* crashes = job.FindCrashes(task);
+  if (crashes == nullptr || !crashes->IsSuspect()) {
+    return TrialTurn::kNone;
+  }
+  TaskMemory& memory = this->tasks.Get(task);
+  const bool is_repeated = crashes->crashes.size() > 1;
+  const bool is_paused = memory.crashed_at &&
+                         now - *memory.crashed_at < this->settings.crash_pause;
+  if (is_repeated && is_paused) {
+    return TrialTurn::kLater;
+  }
+  const SteadyTime wanted_at = memory.trial_wanted_at.value_or(now);
+  memory.trial_wanted_at = wanted_at;
+  const bool has_waited = now - wanted_at >= this->settings.longest_trial_wait;
+  if (this->placement.HasTrialPlace(job.service) &&
+      (is_repeated || !has_waited)) {
+    return TrialTurn::kNow;
+  }
+  return has_waited ? TrialTurn::kNone : TrialTurn::kLater;
 }
 
 // True if the task should rather wait for room near its data than start on this
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -18,6 +18,7 @@
 #include "libraries/jobs/service_demand.h"
 #include "libraries/jobs/task_id.h"
 #include "libraries/scheduler/demand_meter.h"
+#include "libraries/scheduler/ended_lives.h"
 #include "libraries/scheduler/event_notes.h"
 #include "libraries/scheduler/life_end.h"
 #include "libraries/scheduler/near_wait.h"
@@ -64,6 +65,12 @@
   std::uint32_t most_moves = 2;
   // A worker that has been silent for this long after its lease is forgotten.
   Milliseconds forget_after{10'000};
+  // A task that crashed two workers is not started for so long after the
+  // second.
+  Milliseconds crash_pause{500};
+  // A task that may crash its worker waits no longer than this for a worker to
+  // be tried on, so that a crash of a whole pool holds nobody up.
+  Milliseconds longest_trial_wait{1'000};
   // Before the record that a worker's life is over is asked for again.
   Milliseconds forget_retry{1'000};
   // All active jobs are looked at this often, and in between only those of
@@ -234,6 +241,8 @@
     std::uint32_t step = 0;
     Lateness lateness = Lateness::kInTime;
   };
+  // Whether a task goes on trial with its next start.
+  enum class TrialTurn { kNone, kNow, kLater };
   // A worker that is being forgotten: when to ask for the record (again), and
   // its last announcement.
   struct Forgetting {
@@ -288,6 +297,8 @@
   void EndReplacedWorker(const WorkerId& worker, SteadyTime now);
   void EndOtherLives(const WorkerSession& answering, SteadyTime now);
   bool IsCrash(const WorkerSession& session, LifeEnd end) const;
+  void TakeCrash(const WorkerSession& session, SteadyTime now);
+  void SettleCrashes(const WorkerId& worker);
   void NoteLifeEnd(const WorkerSession& session, LifeEnd end, SteadyTime now);
   void RequestReports(SteadyTime now, SchedulerOutput& output);
   void AskWhoIsAtWork(const jobs::StepId& step, SteadyTime now);
@@ -295,7 +306,8 @@
   void ForgetGoneWorkers(SteadyTime now, SchedulerOutput& output);
   void EvacuateCordoned(SteadyTime now);
   WorkerSession* ChooseWorker(const jobs::Job& job,
-                              const jobs::TaskId& task) const;
+                              const jobs::TaskId& task,
+                              bool is_on_trial = false) const;
   bool HasPlaceElsewhere(const jobs::TaskId& task) const;
   bool IsAtWork(const jobs::TaskId& task, SteadyTime now) const;
   void MarkCordoned(WorkerSession& session) const {
@@ -325,6 +337,10 @@
   bool StartStep(const Candidate& candidate,
                  SteadyTime now,
                  SchedulerOutput& output);
+  TrialTurn JudgeTrial(const jobs::Job& job,
+                       const jobs::TaskId& task,
+                       SteadyTime now);
+  void FollowTrials(WorkerSession& session, SteadyTime now);
   bool WaitsForNear(const jobs::Job& job,
                     const jobs::TaskId& task,
                     const jobs::Worker& worker,
@@ -365,10 +381,9 @@
   std::set<InstanceName> cordoned;
   // Jobs of which a task has begun, until the record is asked for.
   std::set<JobId> begun;
-  // Lives that are over for certain, until that is on record, and when to ask
-  // for the record (again).
-  std::map<WorkerId, SteadyTime> over;
-  // The same for workers that have been silent for long and may come back.
+  EndedLives ended;
+  // Workers that have been silent for long and may come back, until that is on
+  // record.
   std::map<WorkerId, Forgetting> forgotten;
   // How many jobs had finished when all runs were last looked at, and when.
   std::uint64_t seen_finish_count = 0;
--- a/libraries/scheduler/task_table.h
+++ b/libraries/scheduler/task_table.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "libraries/base/names.h"
+#include "libraries/base/time.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/task_id.h"
 
@@ -26,6 +27,13 @@
   std::uint32_t known_runs = 0;
   // Runs that ended done or failed and whose record is not committed yet.
   std::uint32_t open_ends = 0;
+  // Runs that a worker's crash took with it and whose record is not committed
+  // yet.
+  std::uint32_t open_crashes = 0;
+  // When such a crash was last taken in.
+  std::optional<SteadyTime> crashed_at;
+  // Since when it could have started, but for its trial.
+  std::optional<SteadyTime> trial_wanted_at;
   // A run ended done.
   bool has_done_run = false;
   RunNumber last_run;
@@ -37,10 +45,11 @@
   // Workers on which it failed; others are tried first.
   std::set<WorkerId> failed_on;
 
-  // True while nothing may be started: a run may exist, or an end is not on
-  // record yet.
+  // True while nothing may be started: a run may exist, or an end or a crash is
+  // not on record yet.
   bool is_unsettled() const {
-    return this->known_runs > 0 || this->open_ends > 0 || this->has_done_run;
+    return this->known_runs > 0 || this->open_ends > 0 ||
+           this->open_crashes > 0 || this->has_done_run;
   }
 };
 
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -136,6 +136,7 @@
   this->used = {};
   this->serving_count = 0;
   this->filler_count = 0;
+  this->trial_count = 0;
 }
 
 Run* WorkerSession::FindRun(const jobs::TaskId& task, RunNumber number) {
@@ -157,6 +158,16 @@
   return place->second;
 }
 
+void WorkerSession::BeginTrial(Run& run) {
+  this->trial_count += static_cast<std::uint32_t>(!run.is_on_trial);
+  run.is_on_trial = true;
+}
+
+void WorkerSession::EndTrial(Run& run) {
+  this->trial_count -= static_cast<std::uint32_t>(run.is_on_trial);
+  run.is_on_trial = false;
+}
+
 void WorkerSession::BeginStop(Run& run, SteadyTime due) {
   run.phase = RunPhase::kStopping;
   run.stop_due = due;
@@ -168,6 +179,7 @@
   if (found == this->known_runs.end()) {
     return false;
   }
+  this->EndTrial(found->second);
   this->used.Subtract(found->second.need);
   this->serving_count -= static_cast<std::uint32_t>(found->second.is_serving);
   this->filler_count -= static_cast<std::uint32_t>(found->second.is_filler);
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -70,6 +70,8 @@
   bool is_filler = false;
   // Its step has a disruption budget.
   bool is_budgeted = false;
+  // Its task may crash its worker; nothing else is started there meanwhile.
+  bool is_on_trial = false;
   SteadyTime ordered_at{};
   // Of a run that was adopted: an earlier leader may have stopped it just
   // before, and it is listed as running while the stop takes its time. Only a
@@ -175,6 +177,11 @@
   Run& AddRun(const Run& run);
   // False if the run was not known.
   bool RemoveRun(const jobs::TaskId& task, RunNumber number);
+  // Puts one of its runs on trial, and ends that.
+  void BeginTrial(Run& run);
+  void EndTrial(Run& run);
+  // How many of its runs are on trial.
+  std::uint32_t trials() const { return this->trial_count; }
   // Marks one of its runs as one that has to go; the stop is sent at `due`.
   void BeginStop(Run& run, SteadyTime due);
   // True if some run there may be waiting for its confirmation or its stop.
@@ -234,6 +241,7 @@
   jobs::Resources used;
   std::uint32_t serving_count = 0;
   std::uint32_t filler_count = 0;
+  std::uint32_t trial_count = 0;
 };
 
 }  // namespace sumac::scheduler
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -321,6 +321,12 @@
       ended.insert(end.task.step.job);
     }
     std::for_each(ended.begin(), ended.end(), add);
+  } else if (const auto* forget = std::get_if<jobs::ForgetWorker>(&command)) {
+    std::set<JobId> crashed;
+    for (const jobs::CrashedRun& run : forget->crashed_runs) {
+      crashed.insert(run.task.step.job);
+    }
+    std::for_each(crashed.begin(), crashed.end(), add);
   }
   return jobs;
 }
--- a/tests/libraries/jobs/jobs_state_test.cc
+++ b/tests/libraries/jobs/jobs_state_test.cc
@@ -281,5 +281,76 @@
   }
 }
 
+// The crash of a worker under the first task of a job.
+ForgetWorker CrashOf(const std::string& job,
+                     std::uint64_t run,
+                     bool is_only_suspect) {
+  return ForgetWorker{
+      .worker = WorkerId("w" + std::to_string(run)),
+      .is_over = true,
+      .crashed_runs = {CrashedRun{.task = {{JobId(job), 0, 0}, 0},
+                                  .run = RunNumber(run),
+                                  .has_begun = true,
+                                  .is_only_suspect = is_only_suspect}}};
+}
+
+TEST_F(JobsStateTest, ACrashThatIsRecordedAgainCountsOnce) {
+  this->Submit("j", {{.count = 2}});
+  for (int time = 0; time < 5; ++time) {
+    this->Do(CrashOf("j", 1, true));
+  }
+  EXPECT_EQ(this->StateOf("j"), JobState::kActive);
+  EXPECT_EQ(this->state.FindJob(JobId("j"))->crashes.front().crashes.size(), 1);
+}
+
+TEST_F(JobsStateTest, ATaskUnderWhichThreeWorkersCrashedFailsItsJob) {
+  this->Submit("j", {{.count = 2}});
+  this->Do(CrashOf("j", 1, false));
+  this->Do(CrashOf("j", 2, false));
+  EXPECT_EQ(this->StateOf("j"), JobState::kActive);
+  this->Do(CrashOf("j", 3, false));
+  EXPECT_EQ(this->StateOf("j"), JobState::kFailed);
+  EXPECT_EQ(
+      this->state.FindJob(JobId("j"))->reason,
+      "3 workers crashed under task j.0.0.0: worker w1 at 1000003, worker "
+      "w2 at 1000004, worker w3 at 1000005");
+}
+
+TEST_F(JobsStateTest, TheOnlySuspectOfTwoCrashesFailsItsJob) {
+  this->Submit("j", {{.count = 2}});
+  this->Do(CrashOf("j", 1, false));
+  this->Do(CrashOf("j", 2, true));
+  EXPECT_EQ(this->StateOf("j"), JobState::kFailed);
+}
+
+TEST_F(JobsStateTest, AStartWithoutAnAnswerAccusesNobodyOfTwoCrashes) {
+  this->Submit("j", {{.count = 2}});
+  this->Do(CrashOf("j", 1, true));
+  ForgetWorker unanswered = CrashOf("j", 2, true);
+  unanswered.crashed_runs.front().has_begun = false;
+  this->Do(unanswered);
+  EXPECT_EQ(this->StateOf("j"), JobState::kActive);
+}
+
+TEST_F(JobsStateTest, CrashesSurviveASnapshot) {
+  this->Submit("j", {{.count = 2}});
+  this->Do(CrashOf("j", 1, false));
+  this->Do(CrashOf("j", 2, false));
+  ASSERT_TRUE(this->state.Load(ToCbor(this->state.record())).ok());
+  this->Do(CrashOf("j", 2, false));
+  EXPECT_EQ(this->StateOf("j"), JobState::kActive);
+  this->Do(CrashOf("j", 3, false));
+  EXPECT_EQ(this->StateOf("j"), JobState::kFailed);
+}
+
+TEST_F(JobsStateTest, ACrashUnderADoneTaskCountsNothing) {
+  this->Submit("j", {{.count = 2}});
+  this->End("j", 0, 0, RunOutcome::kDone);
+  this->Do(CrashOf("j", 2, true));
+  EXPECT_TRUE(this->state.FindJob(JobId("j"))->crashes.empty());
+  EXPECT_FALSE(this->state.IsCrashSettled(
+      CrashedRun{.task = {{JobId("j"), 0, 0}, 1}, .run = RunNumber(1)}));
+}
+
 }  // namespace
 }  // namespace sumac::jobs
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -495,6 +495,15 @@
       if (found->second.running().size() > before) {
         this->CheckStart(*start);
         this->CrashLater(*start);
+        if (this->loses_answers_of_crashes && this->crashes(*start)) {
+          this->At(this->now + kOrderLimit, [this, order, sent_in] {
+            if (sent_in == this->generation) {
+              this->scheduler->TakeAnswer(
+                  order, {.result = OrderResult::kUnknown}, this->now);
+            }
+          });
+          return;
+        }
       }
     } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
       answer = found->second.Stop(*stop, this->now);
@@ -543,24 +552,29 @@
   return true;
 }
 
+void FakeFleet::CrashWorker(const WorkerId& id) {
+  FakeWorker& worker = this->workers.at(id);
+  for (const auto& [task, run] : worker.running()) {
+    ++this->crash_counts[task];
+  }
+  worker.Crash();
+  this->At(this->now + this->restart_time,
+           [this, name = id.value()] { this->StartAgain(name); });
+}
+
 // The task's worker dies if it is the kind that does so.
 void FakeFleet::CrashLater(const StartOrder& order) {
   if (!this->crashes(order)) {
     return;
   }
   this->At(this->now + this->crash_after, [this, order] {
-    FakeWorker& worker = this->workers.at(order.worker);
+    const FakeWorker& worker = this->workers.at(order.worker);
     const auto running = worker.running().find(order.task);
-    if (!worker.is_up || running == worker.running().end() ||
-        running->second.run != order.run) {
-      return;
-    }
-    for (const auto& [task, run] : worker.running()) {
-      ++this->crash_counts[task];
+    const bool is_there = worker.is_up && running != worker.running().end() &&
+                          running->second.run == order.run;
+    if (is_there) {
+      this->CrashWorker(order.worker);
     }
-    worker.Crash();
-    this->At(this->now + this->restart_time,
-             [this, id = order.worker.value()] { this->StartAgain(id); });
   });
 }
 
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -43,6 +43,9 @@
                         const std::string& service = "previews");
   // The process of a worker dies and starts again under its name.
   FakeWorker& StartAgain(const std::string& id);
+  // The process of a worker dies under its tasks, and starts again under its
+  // name after `restart_time`.
+  void CrashWorker(const WorkerId& id);
   // An announcement of a life that is over comes now.
   void AnnounceAgain(const std::string& id);
   // Declares that the queue of clips belongs to this service from now on.
@@ -128,6 +131,8 @@
     return false;
   };
   Milliseconds crash_after{10};
+  // The start of such a task gets no answer.
+  bool loses_answers_of_crashes = false;
   Milliseconds restart_time{2'000};
   // The same for tasks that last, where it is set.
   std::optional<Milliseconds> lasting_work;
