--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -341,7 +341,12 @@
     const Milliseconds took = job->finished_at - job->accepted_at;
     this->metrics.Observe("sumac_job_seconds",
                           std::chrono::duration<double>(took).count());
-    LogEvent(LogLevel::kInfo, "job-finished",
+    const bool is_given_up =
+        job->state == jobs::JobState::kFailed && !job->crashes.empty();
+    if (is_given_up) {
+      this->metrics.Count("sumac_jobs_given_up_total{reason=\"crashes\"}");
+    }
+    LogEvent(is_given_up ? LogLevel::kWarning : LogLevel::kInfo, "job-finished",
              {{"job", id.value()},
               {"queue", job->queue.value()},
               {"state", NameOf(job->state)},
--- a/services/sumacd/job_queries.cc
+++ b/services/sumacd/job_queries.cc
@@ -55,6 +55,73 @@
   return rows;
 }
 
+// The crashes under the job's tasks, as decisions about it.
+Rows DescribeCrashes(const jobs::Job& job) {
+  Rows rows = Rows::array();
+  for (const jobs::TaskCrashes& task : job.crashes) {
+    for (const jobs::TaskCrash& crash : task.crashes) {
+      const std::string name = task.task.ToText();
+      const jobs::CrashedRun& run = crash.run;
+      Rows inputs = Rows::array();
+      inputs.push_back({{"name", "worker"}, {"value", crash.worker.value()}});
+      inputs.push_back(
+          {{"name", "run"}, {"value", std::to_string(run.run.value())}});
+      inputs.push_back({{"name", "survived-ms"},
+                        {"value", std::to_string(run.survived.count())}});
+      inputs.push_back(
+          {{"name", "has-begun"}, {"value", run.has_begun ? "true" : "false"}});
+      inputs.push_back({{"name", "is-only-suspect"},
+                        {"value", run.is_only_suspect ? "true" : "false"}});
+      rows.push_back({{"id", StrCat(name, "#", run.run.value())},
+                      {"at", crash.at.time_since_epoch().count()},
+                      {"sentence", StrCat("worker ", crash.worker.value(),
+                                          " crashed under task ", name)},
+                      {"subject_kind", "task"},
+                      {"subject", name},
+                      {"outcome", "counted"},
+                      {"rule", "worker-crash"},
+                      {"inputs", std::move(inputs)}});
+    }
+  }
+  return rows;
+}
+
+// What was decided about a job: the crashes that were counted, and its end.
+fleet::Answer ShowWhyJob(const JobSources& sources, const std::string& name) {
+  const jobs::Job* job = sources.state.FindJob(JobId(name));
+  if (job == nullptr) {
+    return {.code = ResultCode::kUnknownName,
+            .message = StrCat("no job ", name, " is known")};
+  }
+  Rows rows = DescribeCrashes(*job);
+  if (!job->is_active()) {
+    rows.push_back({{"id", name},
+                    {"at", job->finished_at.time_since_epoch().count()},
+                    {"sentence", job->reason},
+                    {"subject_kind", "job"},
+                    {"subject", name},
+                    {"outcome", NameOf(job->state)},
+                    {"rule", "job-finished"}});
+  }
+  return {.document = std::move(rows)};
+}
+
+// The workers that crashed under a step's tasks, for people.
+std::string CrashesOf(const JobSources& sources, const jobs::StepId& step) {
+  const jobs::Job* job = sources.state.FindJob(step.job);
+  std::string text;
+  if (job == nullptr) {
+    return text;
+  }
+  for (const jobs::TaskCrashes& task : job->crashes) {
+    if (task.task.step == step) {
+      StrAppend(&text, text.empty() ? "" : "; ", task.task.ToText(), ": ",
+                task.ToText());
+    }
+  }
+  return text;
+}
+
 fleet::Answer ShowJobs(const JobSources& sources, const std::string& name) {
   if (!name.empty()) {
     const jobs::Job* job = sources.state.FindJob(JobId(name));
@@ -65,6 +132,7 @@
     Rows document = DescribeJob(sources, *job);
     document["spec"] = ToJson(job->spec);
     document["runs"] = DescribeRuns(sources, job->id);
+    document["crashes"] = DescribeCrashes(*job);
     return {.document = std::move(document)};
   }
   Rows rows = Rows::array();
@@ -167,7 +235,8 @@
                     {"without_room", cause.without_room},
                     {"not_admitted", cause.not_admitted},
                     {"places", cause.places},
-                    {"is_feasible", cause.is_feasible}});
+                    {"is_feasible", cause.is_feasible},
+                    {"crashes", CrashesOf(sources, step)}});
   }
   return {.document = std::move(rows)};
 }
@@ -216,6 +285,9 @@
   if (kind == "jobs") {
     return ShowJobs(sources, name);
   }
+  if (kind == "why-job") {
+    return ShowWhyJob(sources, name);
+  }
   if (kind == "workers") {
     return ShowWorkers(sources, name, now);
   }
--- a/services/sumacd/node_operator_service.cc
+++ b/services/sumacd/node_operator_service.cc
@@ -143,7 +143,12 @@
   return RefuseMethod(context);
 }
 kj::Promise<void> NodeOperatorService::why(WhyContext context) {
-  return RefuseMethod(context);
+  auto params = context.getParams();
+  const std::string kind = wire::ToString(params.getKind());
+  return ReplyWith(context,
+                   this->link.Ask(jobs::Show{StrCat("why-", kind),
+                                             wire::ToString(params.getName())},
+                                  kOperatorLimit));
 }
 kj::Promise<void> NodeOperatorService::changeController(
     ChangeControllerContext context) {
