Base, HTTP: Count the time of a suspension in every age

What callers would see: a leader whose machine was suspended for some seconds wakes and sends the orders that it had in hand, although another leads.

Cause: SystemClock::SteadyNow() read a clock that stands still while the machine is suspended, so leases, terms and ages were as young as before; and an order that waited for its turn, or for its connection, was measured by the event loop's time, which stands still as well.

Now the steady time is CLOCK_BOOTTIME, and a call looks at it right before the request leaves.

--- a/libraries/base/time.h
+++ b/libraries/base/time.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <ctime>
 
 namespace sumac {
 
@@ -14,7 +15,8 @@
 using WallTime = std::chrono::sys_time<Milliseconds>;
 
 // Time of one process since some start; for timeouts and leases that one
-// process measures alone.
+// process measures alone. It goes on while the machine is suspended, as the
+// other machines' time does.
 using SteadyTime =
     std::chrono::time_point<std::chrono::steady_clock, Milliseconds>;
 
@@ -36,9 +38,14 @@
   }
 
   // The steady time.
+  // NOTE: Not std::chrono::steady_clock, which stands still while the machine
+  // is suspended: a leader that wakes would believe in leases that have ended.
   SteadyTime SteadyNow() const {
-    return std::chrono::time_point_cast<Milliseconds>(
-        std::chrono::steady_clock::now());
+    std::timespec reading{};
+    clock_gettime(CLOCK_BOOTTIME, &reading);
+    return SteadyTime(std::chrono::duration_cast<Milliseconds>(
+        std::chrono::seconds(reading.tv_sec) +
+        std::chrono::nanoseconds(reading.tv_nsec)));
   }
 };
 
--- a/libraries/http/async_connection.cc
+++ b/libraries/http/async_connection.cc
@@ -34,6 +34,11 @@
          text.find("Too many open files") != std::string_view::npos;
 }
 
+CallReply TooLate() {
+  return CallReply{.outcome = CallOutcome::kNotSent,
+                   .error = "its turn came too late"};
+}
+
 }  // namespace
 
 AsyncConnection::AsyncConnection(kj::Network& network,
@@ -47,24 +52,28 @@
       remote_address(std::move(address)),
       budget(budget) {}
 
+// NOTE: Not by the event loop's time, which stands still while the machine is
+// suspended.
+bool AsyncConnection::Pending::IsTooLate() const {
+  return this->request.longest_wait > Milliseconds(0) &&
+         SystemClock().SteadyNow() - this->called_at >
+             this->request.longest_wait;
+}
+
 kj::Promise<CallReply> AsyncConnection::Call(CallRequest request,
                                              Milliseconds limit) {
-  auto kept = kj::heap<CallRequest>(std::move(request));
-  const CallRequest& sent = *kept;
-  const kj::TimePoint called_at = this->timer.now();
+  auto call =
+      kj::heap<Pending>(Pending{std::move(request), SystemClock().SteadyNow()});
+  const Pending& pending = *call;
   return this->AwaitTurn()
-      .then([this, &sent, limit, called_at]() -> kj::Promise<CallReply> {
+      .then([this, &pending, limit]() -> kj::Promise<CallReply> {
         auto turn = kj::defer([this] { this->EndTurn(); });
-        const bool is_too_late =
-            sent.longest_wait > Milliseconds(0) &&
-            this->timer.now() - called_at > ToKj(sent.longest_wait);
-        if (is_too_late) {
-          return CallReply{.outcome = CallOutcome::kNotSent,
-                           .error = "its turn came too late"};
+        if (pending.IsTooLate()) {
+          return TooLate();
         }
-        return this->Try(sent, limit, false).attach(kj::mv(turn));
+        return this->Try(pending, limit, false).attach(kj::mv(turn));
       })
-      .attach(kj::mv(kept));
+      .attach(kj::mv(call));
 }
 
 kj::Promise<void> AsyncConnection::AwaitTurn() {
@@ -107,27 +116,35 @@
   }
 }
 
-kj::Promise<CallReply> AsyncConnection::Try(const CallRequest& request,
+kj::Promise<CallReply> AsyncConnection::Try(const Pending& call,
                                             Milliseconds limit,
                                             bool is_second) {
   auto attempt = std::make_shared<Attempt>();
   auto called =
-      this->Connect().then([this, attempt, &request](kj::Own<Open>&& open) {
+      this->Connect().then([this, attempt, &call](kj::Own<Open>&& open) {
         attempt->has_connected = true;
         attempt->was_used = open->is_used;
         attempt->generation = this->generation;
         open->is_used = true;
-        return this->SendChecked(kj::mv(open), request);
+        return this->SendChecked(kj::mv(open), call);
       });
   return TimeoutAfter(this->timer, limit, kj::mv(called))
-      .catch_([this, attempt, &request, limit,
+      .then([is_second](CallReply&& reply) {
+        // The first copy may have arrived.
+        if (is_second && reply.outcome == CallOutcome::kNotSent) {
+          reply.outcome = CallOutcome::kNoAnswer;
+        }
+        return kj::mv(reply);
+      })
+      .catch_([this, attempt, &call, limit,
                is_second](kj::Exception&& exception) -> kj::Promise<CallReply> {
         this->Drop(attempt->has_connected ? attempt->generation
                                           : this->generation);
-        const bool may_repeat = request.is_idempotent && attempt->was_used &&
-                                IsDisconnect(exception) && !is_second;
+        const bool may_repeat = call.request.is_idempotent &&
+                                attempt->was_used && IsDisconnect(exception) &&
+                                !is_second;
         if (may_repeat) {
-          return this->Try(request, limit, true).then([](CallReply&& reply) {
+          return this->Try(call, limit, true).then([](CallReply&& reply) {
             reply.is_repeated = true;
             return kj::mv(reply);
           });
@@ -184,23 +201,22 @@
   return kj::mv(branch);
 }
 
-kj::Promise<CallReply> AsyncConnection::SendChecked(
-    kj::Own<Open> open,
-    const CallRequest& request) {
-  if (!request.check || open->is_checked) {
-    return this->Send(kj::mv(open), request);
+kj::Promise<CallReply> AsyncConnection::SendChecked(kj::Own<Open> open,
+                                                    const Pending& call) {
+  if (!call.request.check || open->is_checked) {
+    return this->SendInTime(kj::mv(open), call);
   }
-  const PeerCheck& check = *request.check;
+  const PeerCheck& check = *call.request.check;
   auto question = kj::heap<CallRequest>(CallRequest{
       .path = check.path, .headers = check.headers, .body = check.body});
   auto asked = this->Send(kj::addRef(*open), *question);
   return asked.attach(kj::mv(question))
-      .then([this, &request, open = kj::mv(open)](
+      .then([this, &call, open = kj::mv(open)](
                 CallReply&& reply) mutable -> kj::Promise<CallReply> {
-        switch (request.check->judge(reply)) {
+        switch (call.request.check->judge(reply)) {
           case PeerVerdict::kExpected:
             open->is_checked = true;
-            return this->Send(kj::mv(open), request);
+            return this->SendInTime(kj::mv(open), call);
           case PeerVerdict::kOther:
             this->Drop(this->generation);
             return CallReply{.outcome = CallOutcome::kOtherPeer,
@@ -213,6 +229,16 @@
       });
 }
 
+// The way to here may have taken long: a connection was opened and asked, and
+// the machine may have been suspended meanwhile.
+kj::Promise<CallReply> AsyncConnection::SendInTime(kj::Own<Open> open,
+                                                   const Pending& call) {
+  if (call.IsTooLate()) {
+    return TooLate();
+  }
+  return this->Send(kj::mv(open), call.request);
+}
+
 kj::Promise<CallReply> AsyncConnection::Send(kj::Own<Open> open,
                                              const CallRequest& request) {
   kj::HttpHeaders sent_headers(this->headers);
--- a/libraries/http/async_connection.h
+++ b/libraries/http/async_connection.h
@@ -76,8 +76,8 @@
   // to have been closed while it was idle is replaced and the request sent
   // again.
   bool is_idempotent = false;
-  // Its turn must come within this after the call, or it is not sent; 0 for
-  // whenever it comes.
+  // It must leave within this after the call, or it is not sent; 0 for whenever
+  // its turn comes.
   Milliseconds longest_wait{0};
   // Goes first on a new connection; empty to trust any process there.
   std::optional<PeerCheck> check;
@@ -123,6 +123,14 @@
     // Lets kj hand the connection to several waiters.
     kj::Own<Open> addRef() { return kj::addRef(*this); }
   };
+  // A call with the time at which it was made.
+  struct Pending {
+    CallRequest request;
+    SteadyTime called_at{};
+
+    // True if it must not leave any more.
+    bool IsTooLate() const;
+  };
   struct Attempt {
     bool has_connected = false;
     // The connection had served an earlier request.
@@ -134,12 +142,12 @@
   void EndTurn();
   void MarkIdle();
   void MarkBusy();
-  kj::Promise<CallReply> Try(const CallRequest& request,
+  kj::Promise<CallReply> Try(const Pending& call,
                              Milliseconds limit,
                              bool is_second);
   kj::Promise<kj::Own<Open>> Connect();
-  kj::Promise<CallReply> SendChecked(kj::Own<Open> open,
-                                     const CallRequest& request);
+  kj::Promise<CallReply> SendChecked(kj::Own<Open> open, const Pending& call);
+  kj::Promise<CallReply> SendInTime(kj::Own<Open> open, const Pending& call);
   kj::Promise<CallReply> Send(kj::Own<Open> open, const CallRequest& request);
   void Drop(std::uint64_t failed_generation);
 
