--- a/libraries/base/kj_keep_alive.h
+++ b/libraries/base/kj_keep_alive.h
@@ -3,6 +3,7 @@
 #define LIBRARIES_BASE_KJ_KEEP_ALIVE_H_
 
 #include <kj/async-io.h>
+#include <kj/exception.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -22,7 +23,13 @@
   static constexpr int kProbes = 3;
   static constexpr Milliseconds kUnacknowledgedTime{8'000};
 
-  // Sets it up for one connection.
+  // Sets it up for one connection; the error if it can't be. Such a connection
+  // serves all the same.
+  static kj::Maybe<kj::Exception> TryApply(kj::AsyncIoStream& stream) {
+    return kj::runCatchingExceptions([&stream] { Apply(stream); });
+  }
+
+ private:
   static void Apply(kj::AsyncIoStream& stream) {
     Set(stream, SOL_SOCKET, SO_KEEPALIVE, 1);
     Set(stream, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(kIdleTime.count()));
@@ -33,7 +40,6 @@
         static_cast<int>(kUnacknowledgedTime.count()));
   }
 
- private:
   static void Set(kj::AsyncIoStream& stream, int level, int option, int value) {
     stream.setsockopt(level, option, &value, sizeof(value));
   }
--- a/libraries/http/async_door.cc
+++ b/libraries/http/async_door.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <optional>
 
+#include "libraries/base/kj_keep_alive.h"
 #include "libraries/base/kj_time.h"
 #include "libraries/base/result_code.h"
 #include "libraries/base/text.h"
@@ -154,7 +155,14 @@
   });
 }
 
+// NOTE: The server's own limits end with a request's head: a caller that falls
+// silent within its body, or reads no answer, would be kept for good.
 void AsyncDoor::Serve(kj::Own<kj::AsyncIoStream> stream) {
+  KJ_IF_MAYBE (error, KeepAlive::TryApply(*stream)) {
+    LogEvent(LogLevel::kWarning, "connection-not-probed",
+             {{"door", this->settings.address},
+              {"error", error->getDescription().cStr()}});
+  }
   const std::uint64_t number = this->next_session++;
   auto session = kj::heap<Session>(*this, number, this->budget.Take());
   this->refusing += static_cast<std::size_t>(session->is_refused());
--- a/libraries/rpc/door.cc
+++ b/libraries/rpc/door.cc
@@ -37,9 +37,7 @@
 kj::Promise<void> Door::Accept() {
   return this->receiver->accept().then(
       [this](kj::Own<kj::AsyncIoStream>&& stream) {
-        // A connection that can't be probed serves all the same.
-        KJ_IF_MAYBE (error, kj::runCatchingExceptions(
-                                [&] { KeepAlive::Apply(*stream); })) {
+        KJ_IF_MAYBE (error, KeepAlive::TryApply(*stream)) {
           LogEvent(LogLevel::kWarning, "connection-not-probed",
                    {{"error", error->getDescription().cStr()}});
         }
