--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -14,6 +14,10 @@
 constexpr Milliseconds kOrderLimit{600};
 constexpr Milliseconds kRenewalPause{150};
 constexpr Milliseconds kLatestReport{400};
+// Workers announce themselves this often, and a capacity that has shrunk counts
+// so long after the change: the time to be in touch again and one announcement.
+constexpr Milliseconds kBeat{1'500};
+constexpr Milliseconds kShrinkSlack{4'500};
 constexpr const char* kService = "previews";
 constexpr const char* kOtherService = "thumbs";
 
@@ -578,7 +582,44 @@
   });
 }
 
+void FakeFleet::ChangeCapacity(const WorkerId& id,
+                               const jobs::Resources& capacity) {
+  jobs::Worker& description = this->workers.at(id).description;
+  this->shrunk_from[id] = {description.capacity, this->now};
+  description.capacity = capacity;
+  description.sequence += 1;
+  std::uniform_int_distribution<std::int64_t> until_beat(0, kBeat.count());
+  this->At(this->now + Milliseconds(until_beat(this->random)),
+           [this, announced = description] {
+             this->Commit(jobs::RecordWorker{announced});
+           });
+}
+
+// What runs on a worker, also what is being stopped, fits into its capacity;
+// one that has just shrunk counts some time later.
+void FakeFleet::CheckRoom(const WorkerId& id) {
+  const FakeWorker& worker = this->workers.at(id);
+  jobs::Resources room = worker.description.capacity;
+  const auto shrunk = this->shrunk_from.find(id);
+  if (shrunk != this->shrunk_from.end() &&
+      this->now - shrunk->second.second <= kShrinkSlack) {
+    const jobs::Resources& before = shrunk->second.first;
+    room.millicores = std::max(room.millicores, before.millicores);
+    room.memory_mb = std::max(room.memory_mb, before.memory_mb);
+    room.accelerators = std::max(room.accelerators, before.accelerators);
+  }
+  for (const auto& [task, running] : worker.running()) {
+    if (const jobs::StepSpec* step = this->state.FindStep(task)) {
+      room.Subtract(Placement::CountedNeed(*step));
+    }
+  }
+  if (!room.Holds({})) {
+    this->problem = StrCat(id.value(), " holds more than its capacity");
+  }
+}
+
 void FakeFleet::CheckStart(const StartOrder& order) {
+  this->CheckRoom(order.worker);
   ++this->starts;
   constexpr std::uint32_t kMostCrashes = 3;
   constexpr std::uint32_t kMostStartsAfter = 2;
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -46,6 +46,8 @@
   // The process of a worker dies under its tasks, and starts again under its
   // name after `restart_time`.
   void CrashWorker(const WorkerId& id);
+  // A worker's capacity changes while it runs; its next announcement tells so.
+  void ChangeCapacity(const WorkerId& id, const jobs::Resources& capacity);
   // An announcement of a life that is over comes now.
   void AnnounceAgain(const std::string& id);
   // Declares that the queue of clips belongs to this service from now on.
@@ -179,6 +181,7 @@
   void RequestReport(const RenewOrder& order);
   void Advise(const AdviceQuestion& question);
   void CheckStart(const StartOrder& order);
+  void CheckRoom(const WorkerId& id);
   void CrashLater(const StartOrder& order);
   void NoteEnds(const std::vector<jobs::RunEnd>& ends);
   bool AreEarlierStepsDone(const jobs::Job& job, const jobs::TaskId& task);
@@ -191,6 +194,8 @@
   std::set<jobs::TaskId> done_tasks;
   std::map<jobs::TaskId, std::set<RunNumber>> failed_runs;
   std::map<WorkerId, FakeWorker> workers;
+  // What a worker had before its capacity shrank, and when it did.
+  std::map<WorkerId, std::pair<jobs::Resources, SteadyTime>> shrunk_from;
   // Workers that crashed under a task, and its starts after the third.
   std::map<jobs::TaskId, std::uint32_t> crash_counts;
   std::map<jobs::TaskId, std::uint32_t> starts_after_limit;
