--- a/tests/processes/jobs.sh
+++ b/tests/processes/jobs.sh
@@ -84,6 +84,18 @@
   check "job $id is done" until_true 15 state_is n2 "$id" done
 done
 
+# A job whose tasks crash the workers that start them, beside jobs that are sound.
+crashing=$(new_job)
+beside=$(new_job)
+check "a job is accepted" until_true 3 submitted n1 "$beside" 12
+check "and one that crashes its workers" until_true 3 submitted n2 "$crashing" 1 crashing
+check "it is given up" until_true 30 state_is n1 "$crashing" failed
+check "the job beside it is done" until_true 20 state_is n2 "$beside" done
+check "the crashes are named" ctl_finds '.document | map(select(.rule == "worker-crash")) | length >= 2 and length <= 3' n1 why job "$crashing"
+expect "and so is the end" "$(jq -r '.document[-1].outcome' "$work/ctl.json")" failed
+check "operators are warned" grep -qh '"event":"worker-crashed"' "$work"/c*/out.txt
+check "workers are back" until_true 10 ctl_finds '.document | length == 6 and all(.state == "ready")' n1 workers
+
 rm -rf "$work/$victim/data"
 write_node "$victim" controller false
 start_node "$victim"
--- a/tests/processes/nodes.sh
+++ b/tests/processes/nodes.sh
@@ -29,10 +29,10 @@
 job_url() { echo "http://$(node_ip "$1"):8624/clips/$2"; }
 new_job() { head -c 8 /dev/urandom | od -An -tx1 | tr -d ' \n'; }
 call() { curl -s --max-time 5 -H "Host: desk.example" -o "$work/body" -w '%{http_code}' "$@"; }
-# submit ENTRY ID COUNT: prints the status.
+# submit ENTRY ID COUNT [TEXT]: prints the status.
 submit() {
   call -X POST -H 'Sumacstack-Deadline-Ms: 3000' "$(job_url "$1" "$2")" \
-    -d "{\"spec\":\"x\",\"steps\":[{\"count\":$3,\"cpu\":500,\"mem_mb\":10,\"estimate_ms\":200},{\"count\":1,\"cpu\":500,\"after\":[0]}]}"
+    -d "{\"spec\":\"${4:-x}\",\"steps\":[{\"count\":$3,\"cpu\":500,\"mem_mb\":10,\"estimate_ms\":200},{\"count\":1,\"cpu\":500,\"after\":[0]}]}"
 }
 submitted() { [ "$(submit "$@")" = 200 ]; }
 state_is() { call "$(job_url "$1" "$2")" >/dev/null && [ "$(jq -r .state "$work/body")" = "$3" ]; }
--- a/tests/stand_ins/task_worker.cc
+++ b/tests/stand_ins/task_worker.cc
@@ -17,6 +17,11 @@
 // A job whose text this is has tasks that last until they are stopped.
 constexpr const char* kLastingSpec = "lasting";
 constexpr Milliseconds kLastingWork{3'600'000};
+// A job whose text this is has tasks that crash the workers that start them: so
+// long after the start, and for so long.
+constexpr const char* kCrashingSpec = "crashing";
+constexpr Milliseconds kCrashDelay{10};
+constexpr Milliseconds kRestartTime{700};
 // How far apart leases and ends are looked at.
 constexpr Milliseconds kTickInterval{10};
 constexpr Milliseconds kAnnounceInterval{500};
@@ -194,7 +199,41 @@
   return announcement.dump();
 }
 
+kj::Promise<void> TaskWorker::Crash() {
+  return this->timer.afterDelay(ToKj(kCrashDelay))
+      .then([this] {
+        this->Tick(this->clock.SteadyNow());
+        this->worker.Crash();
+        ++this->life;
+        this->log.Add({{"event", "gone"},
+                       {"worker", this->settings.description.id.value()}});
+        return this->timer.afterDelay(ToKj(kRestartTime));
+      })
+      .then([this] { this->BeginNextLife(); });
+}
+
+void TaskWorker::BeginNextLife() {
+  jobs::Worker& description = this->settings.description;
+  description.id =
+      WorkerId(StrCat(description.instance.value(), "-life-", this->life));
+  this->worker =
+      scheduler::FakeWorker(description, this->settings.clock_offset, 0);
+  this->sequence = 0;
+  this->logged_end = 0;
+  this->logged_acknowledgement = 0;
+  this->logged_lapse = {};
+  this->log.Add({{"event", "life"},
+                 {"worker", description.id.value()},
+                 {"address", description.address},
+                 {"process", this->settings.process}});
+}
+
 kj::Promise<void> TaskWorker::AnnounceLoop() {
+  if (!this->worker.is_up) {
+    return this->timer.afterDelay(ToKj(kHoldStep)).then([this] {
+      return this->AnnounceLoop();
+    });
+  }
   http::CallRequest request{.method = kj::HttpMethod::PUT,
                             .path = StrCat("/instances/", this->Name()),
                             .body = this->Announcement()};
@@ -233,7 +272,7 @@
   }
   if (request.path == "/hold") {
     const Milliseconds wait(body.value("wait_ms", 0));
-    return this->Hold(std::move(body), now + wait);
+    return this->Hold(std::move(body), now + wait, this->life);
   }
   constexpr std::uint32_t kNotFound = 404;
   return http::DoorReply{.status = kNotFound};
@@ -271,6 +310,9 @@
                    {"run", order.run.value()},
                    {"epoch", order.epoch.value()},
                    {"lasting", is_lasting}});
+    if (body.value("spec", "") == kCrashingSpec) {
+      this->crashing = this->Crash().eagerlyEvaluate(nullptr);
+    }
   }
   return this->OrderReply(answer);
 }
@@ -289,7 +331,11 @@
 
 // Answers once a run has ended, or the time to wait is over.
 kj::Promise<http::DoorReply> TaskWorker::Hold(nlohmann::json body,
-                                              SteadyTime until) {
+                                              SteadyTime until,
+                                              int asked_life) {
+  if (asked_life != this->life) {
+    return http::DoorReply{.status = kUnavailable};
+  }
   const SteadyTime now = this->clock.SteadyNow();
   this->Tick(now);
   scheduler::RenewOrder order;
@@ -312,8 +358,8 @@
   }
   if (report->ended.empty() && now < until) {
     return this->timer.afterDelay(ToKj(kHoldStep))
-        .then([this, body = std::move(body), until]() mutable {
-          return this->Hold(std::move(body), until);
+        .then([this, body = std::move(body), until, asked_life]() mutable {
+          return this->Hold(std::move(body), until, asked_life);
         });
   }
   nlohmann::json reply = {{"clock_ms", report->clock.value()},
--- a/tests/stand_ins/task_worker.h
+++ b/tests/stand_ins/task_worker.h
@@ -63,9 +63,16 @@
 
  private:
   kj::Promise<http::DoorReply> Handle(const http::DoorRequest& request);
-  kj::Promise<http::DoorReply> Hold(nlohmann::json body, SteadyTime until);
+  kj::Promise<http::DoorReply> Hold(nlohmann::json body,
+                                    SteadyTime until,
+                                    int asked_life);
   http::DoorReply Start(const nlohmann::json& body);
   http::DoorReply Stop(const nlohmann::json& body);
+  // All that runs there is lost; after a while another life begins at its
+  // address. Only for a worker that does not tell its start: the connections of
+  // one that does would have to end with it.
+  kj::Promise<void> Crash();
+  void BeginNextLife();
   http::DoorReply OrderReply(const scheduler::OrderAnswer& answer) const;
   kj::Promise<void> AnnounceLoop();
   kj::Promise<void> TickLoop();
@@ -101,6 +108,8 @@
   scheduler::WorkerTime logged_lapse;
   std::uint64_t start_count = 0;
   std::uint64_t done_count = 0;
+  int life = 0;
+  kj::Promise<void> crashing = nullptr;
 };
 
 }  // namespace sumac::stand_ins
