--- a/tests/libraries/base/suspended_machine_test.cc
+++ b/tests/libraries/base/suspended_machine_test.cc
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 #include <kj/async-io.h>
 
+#include <memory>
+
 #include "libraries/base/time.h"
 #include "libraries/http/async_connection.h"
 #include "libraries/http/async_door.h"
@@ -12,16 +14,41 @@
 
 constexpr Milliseconds kSuspended{10'000};
 constexpr Milliseconds kLimit{300};
+constexpr Milliseconds kLongestWait{1'000};
 constexpr const char* kAddress = "127.0.7.38:18738";
 
-// A door that leaves the path /hang unanswered.
-kj::Promise<http::DoorReply> AnswerUnlessHanging(
-    const http::DoorRequest& request) {
-  if (request.path == "/hang") {
-    return kj::NEVER_DONE;
+// A connection to a door that leaves the path /hang unanswered.
+struct Parts {
+  Parts()
+      : io(kj::setupAsyncIo()),
+        headers(this->builder.build()),
+        door(this->io.provider->getTimer(),
+             http::DoorSettings{.address = kAddress},
+             [this](const http::DoorRequest& request) {
+               return this->Answer(request);
+             }),
+        connection(this->io.provider->getNetwork(),
+                   this->io.provider->getTimer(),
+                   *this->headers,
+                   kAddress) {
+    this->door.Listen(this->io.provider->getNetwork()).wait(this->io.waitScope);
+  }
+
+  kj::Promise<http::DoorReply> Answer(const http::DoorRequest& request) {
+    ++this->arrived;
+    if (request.path == "/hang") {
+      return kj::NEVER_DONE;
+    }
+    return http::DoorReply{.body = "{}"};
   }
-  return http::DoorReply{.body = "{}"};
-}
+
+  kj::AsyncIoContext io;
+  kj::HttpHeaderTable::Builder builder;
+  kj::Own<kj::HttpHeaderTable> headers;
+  int arrived = 0;
+  http::AsyncDoor door;
+  http::AsyncConnection connection;
+};
 
 TEST(SuspendedMachineTest, TheTimeOfASuspensionCounts) {
   const SystemClock clock;
@@ -31,49 +58,27 @@
 }
 
 TEST(SuspendedMachineTest, AnOrderThatWaitedThroughASuspensionIsNotSent) {
-  kj::AsyncIoContext io = kj::setupAsyncIo();
-  kj::HttpHeaderTable::Builder builder;
-  const kj::Own<kj::HttpHeaderTable> headers = builder.build();
-  int arrived = 0;
-  http::AsyncDoor door(io.provider->getTimer(),
-                       http::DoorSettings{.address = kAddress},
-                       [&arrived](const http::DoorRequest& request) {
-                         ++arrived;
-                         return AnswerUnlessHanging(request);
-                       });
-  door.Listen(io.provider->getNetwork()).wait(io.waitScope);
-  http::AsyncConnection connection(io.provider->getNetwork(),
-                                   io.provider->getTimer(), *headers, kAddress);
-  kj::Promise<http::CallReply> hanging =
-      connection.Call({.path = "/hang"}, kLimit);
-  kj::Promise<http::CallReply> order = connection.Call(
-      {.path = "/order", .longest_wait = Milliseconds(1'000)}, kLimit);
+  auto parts = std::make_unique<Parts>();
+  auto hanging = parts->connection.Call({.path = "/hang"}, kLimit);
+  auto order = parts->connection.Call(
+      {.path = "/order", .longest_wait = kLongestWait}, kLimit);
   PassSuspended(kSuspended);
-  EXPECT_EQ(hanging.wait(io.waitScope).outcome, http::CallOutcome::kNoAnswer);
-  EXPECT_EQ(order.wait(io.waitScope).outcome, http::CallOutcome::kNotSent);
-  EXPECT_EQ(arrived, 1);
+  EXPECT_EQ(hanging.wait(parts->io.waitScope).outcome,
+            http::CallOutcome::kNoAnswer);
+  EXPECT_EQ(order.wait(parts->io.waitScope).outcome,
+            http::CallOutcome::kNotSent);
+  EXPECT_EQ(parts->arrived, 1);
 }
 
 // The order's turn has come, and its connection is being opened.
 TEST(SuspendedMachineTest, AnOrderIsNotSentOverAConnectionOpenedMeanwhile) {
-  kj::AsyncIoContext io = kj::setupAsyncIo();
-  kj::HttpHeaderTable::Builder builder;
-  const kj::Own<kj::HttpHeaderTable> headers = builder.build();
-  int arrived = 0;
-  http::AsyncDoor door(io.provider->getTimer(),
-                       http::DoorSettings{.address = kAddress},
-                       [&arrived](const http::DoorRequest& request) {
-                         ++arrived;
-                         return AnswerUnlessHanging(request);
-                       });
-  door.Listen(io.provider->getNetwork()).wait(io.waitScope);
-  http::AsyncConnection connection(io.provider->getNetwork(),
-                                   io.provider->getTimer(), *headers, kAddress);
-  kj::Promise<http::CallReply> order = connection.Call(
-      {.path = "/order", .longest_wait = Milliseconds(1'000)}, kLimit);
+  auto parts = std::make_unique<Parts>();
+  auto order = parts->connection.Call(
+      {.path = "/order", .longest_wait = kLongestWait}, kLimit);
   PassSuspended(kSuspended);
-  EXPECT_EQ(order.wait(io.waitScope).outcome, http::CallOutcome::kNotSent);
-  EXPECT_EQ(arrived, 0);
+  EXPECT_EQ(order.wait(parts->io.waitScope).outcome,
+            http::CallOutcome::kNotSent);
+  EXPECT_EQ(parts->arrived, 0);
 }
 
 }  // namespace
