Scheduler: Keep the neighbours of a crashing task apart from it

Cause: twelve of its tasks shared a worker with the other one. Only one or two suspects are tried at a time; the others waited a second for their turn and then started as usual, packed onto one worker with the culprit again, and again, until three workers had crashed under them as well and their job failed.

Now a suspect that waited too long for its trial still goes to the worker with the fewest runs, so that few meet again, and one under which two workers crashed waits 2.5 s for its trial. Evidence: NeighboursMeetTheSameTaskUntilTheyFailToo shows it without processes ("3 workers crashed under task good.0.0.4", with and without the platform's list), failed before and passes; all other scheduler tests pass but for the known red one.

--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -82,7 +82,7 @@
                         step.most_per_worker == 0 &&
                         request.rack.value().empty() &&
                         request.other_than.value().empty() &&
-                        request.advice == nullptr && !request.is_on_trial;
+                        request.advice == nullptr && !request.is_suspect;
   const auto pool = this->pools.find(request.job->service);
   if (!is_plain || pool == this->pools.end()) {
     return;
@@ -172,8 +172,7 @@
                                     : step.latency_target > Milliseconds(0)
                                         ? session->filler_runs()
                                         : 0;
-    const std::size_t at_risk =
-        request.is_on_trial ? session->runs().size() : 0;
+    const std::size_t at_risk = request.is_suspect ? session->runs().size() : 0;
     // The smaller the better: not where it failed, not on a slow worker, little
     // to lose, near its data, little to disturb, tight fit.
     const std::tuple rank(has_failed_there, session->is_slow, at_risk, is_far,
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -29,7 +29,7 @@
   // Not on this worker, where it is not empty.
   WorkerId other_than;
   // It may crash its worker, and goes where the fewest runs are lost with it.
-  bool is_on_trial = false;
+  bool is_suspect = false;
   // Only workers that the queue's placement policy admits; nothing for a queue
   // without one.
   const PlacementAdvice* advice = nullptr;
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -935,12 +935,12 @@
 
 WorkerSession* Scheduler::ChooseWorker(const jobs::Job& job,
                                        const jobs::TaskId& task,
-                                       bool is_on_trial) const {
+                                       bool is_suspect) const {
   return this->placement.Choose(
       PlacementRequest{.job = &job,
                        .task = task,
                        .memory = this->tasks.Find(task),
-                       .is_on_trial = is_on_trial,
+                       .is_suspect = is_suspect,
                        .advice = this->AdviceFor(job)});
 }
 
@@ -1234,7 +1234,7 @@
       continue;
     }
     WorkerSession* session =
-        this->ChooseWorker(job, task, trial == TrialTurn::kNow);
+        this->ChooseWorker(job, task, trial != TrialTurn::kNone);
     if (session == nullptr) {
       // Tasks of one step are alike: if one finds no room, none does.
       this->AskForAdvice(candidate, task, now);
@@ -1274,12 +1274,14 @@
   }
   const SteadyTime wanted_at = memory.trial_wanted_at.value_or(now);
   memory.trial_wanted_at = wanted_at;
-  const bool has_waited = now - wanted_at >= this->settings.longest_trial_wait;
+  const bool has_waited =
+      now - wanted_at >= (is_repeated ? this->settings.longest_repeated_wait
+                                      : this->settings.longest_trial_wait);
   if (this->placement.HasTrialPlace(job.service) &&
       (is_repeated || !has_waited)) {
     return TrialTurn::kNow;
   }
-  return has_waited ? TrialTurn::kNone : TrialTurn::kLater;
+  return has_waited ? TrialTurn::kApart : TrialTurn::kLater;
 }
 
 // True if the task should rather wait for room near its data than start on this
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -71,6 +71,9 @@
   // A task that may crash its worker waits no longer than this for a worker to
   // be tried on, so that a crash of a whole pool holds nobody up.
   Milliseconds longest_trial_wait{1'000};
+  // The same for a task under which two workers crashed: there are few, and a
+  // third crash may end their jobs.
+  Milliseconds longest_repeated_wait{2'500};
   // Before the record that a worker's life is over is asked for again.
   Milliseconds forget_retry{1'000};
   // All active jobs are looked at this often, and in between only those of
@@ -241,8 +244,9 @@
     std::uint32_t step = 0;
     Lateness lateness = Lateness::kInTime;
   };
-  // Whether a task goes on trial with its next start.
-  enum class TrialTurn { kNone, kNow, kLater };
+  // Whether a task goes on trial with its next start. One that waited too long
+  // for it starts apart from others, as far as there are workers.
+  enum class TrialTurn { kNone, kNow, kLater, kApart };
   // A worker that is being forgotten: when to ask for the record (again), and
   // its last announcement.
   struct Forgetting {
@@ -307,7 +311,7 @@
   void EvacuateCordoned(SteadyTime now);
   WorkerSession* ChooseWorker(const jobs::Job& job,
                               const jobs::TaskId& task,
-                              bool is_on_trial = false) const;
+                              bool is_suspect = false) const;
   bool HasPlaceElsewhere(const jobs::TaskId& task) const;
   bool IsAtWork(const jobs::TaskId& task, SteadyTime now) const;
   void MarkCordoned(WorkerSession& session) const {
--- a/tests/libraries/scheduler/crashing_task_test.cc
+++ b/tests/libraries/scheduler/crashing_task_test.cc
@@ -76,6 +76,24 @@
             std::string::npos);
 }
 
+TEST_F(CrashingTaskTest, NeighboursMeetTheSameTaskUntilTheyFailToo) {
+  for (const bool lists_instances : {false, true}) {
+    FakeFleet small(6);
+    small.crashes = CrashesItsWorker;
+    small.restart_time = Milliseconds(700);
+    small.lists_instances = lists_instances;
+    small.PassTime(Milliseconds(100));
+    const jobs::Resources need{.millicores = 500, .memory_mb = 10};
+    small.Submit("good", {.count = 12, .need = need});
+    small.PassTime(Milliseconds(50));
+    small.Submit("bad", {.count = 1, .need = need});
+    small.PassTime(Milliseconds(20'000));
+    EXPECT_EQ(small.job("bad").state, jobs::JobState::kFailed);
+    EXPECT_EQ(small.job("good").state, jobs::JobState::kDone)
+        << small.job("good").reason;
+  }
+}
+
 TEST_F(CrashingTaskTest, ATaskWhoseStartsGetNoAnswerIsStartedWithoutEnd) {
   this->fleet.loses_answers_of_crashes = true;
   this->fleet.Submit("bad", {.count = 1});
