Jobs: Say truly when a run is the only suspect of a crash

The comment left out that a task with earlier crashes is suspected before others that had just begun.

--- a/libraries/jobs/task_crashes.h
+++ b/libraries/jobs/task_crashes.h
@@ -20,7 +20,8 @@
   // The worker had said that it began. Otherwise the start got no answer, and
   // may not have arrived.
   bool has_begun = false;
-  // Every other run there had been at work for a while before the crash.
+  // It alone of those that had just begun there has earlier crashes on record,
+  // or none has any and no other had just begun.
   bool is_only_suspect = false;
   // For how long the worker had been heard of since the run was ordered.
   Milliseconds survived{0};
