Load: Name the leader's processor time and count its work

A leader's line told wall time for six kinds of work; a third of its time had no name, processor time was not told at all, and nothing counted moves, renewals and ends of workers beside the starts. So "short of time" and "short of room" looked alike.

No change of logic.

--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -186,6 +186,7 @@
         this->TakeResult(order, maintenance::InstanceResult::kRefused));
     return;
   }
+  this->host.count_order();
   this->tasks.add(this->calls.send(order).then(
       [this, order](maintenance::InstanceResult result) {
         LogEvent(LogLevel::kInfo, "instance-ordered",
--- a/services/sumacd/instance_keeper.h
+++ b/services/sumacd/instance_keeper.h
@@ -33,6 +33,8 @@
     std::function<kj::Promise<fleet::Answer>(jobs::Command)> propose;
     // True while this leader's lease holds.
     std::function<bool()> may_act;
+    // Counts an order about an instance that leaves.
+    std::function<void()> count_order = [] {};
   };
 
   InstanceKeeper(const jobs::JobsState& state,
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -86,6 +86,7 @@
   };
   callbacks.after_pass = [self] { self->AfterPass(); };
   callbacks.begin_snapshot = [self](LogIndex index) {
+    const auto measured = self->load.work_times.Measure(Work::kSnapshot);
     self->snapshot_writer->Begin(index, self->jobs_state.record());
   };
   controller->host = TRY(ReplicaHost::Create(host, peers, controller->timer,
@@ -168,7 +169,10 @@
   const SteadyTime now = this->clock.SteadyNow();
   this->load.Measure();
   this->loop_pacer.NoteLateness(this->load.lateness());
-  this->host->Tick(now);
+  {
+    const auto measured = this->load.work_times.Measure(Work::kReplicate);
+    this->host->Tick(now);
+  }
   this->FollowLeadership(now);
   if (!this->scheduler) {
     return;
@@ -240,11 +244,13 @@
       .maintenance_time = times.maintenance_time()};
   this->keeper = std::make_unique<InstanceKeeper>(
       this->jobs_state, *this->scheduler, this->instance_calls,
-      InstanceKeeper::Host{.propose =
-                               [this](jobs::Command command) {
-                                 return this->Propose(std::move(command));
-                               },
-                           .may_act = [this] { return this->host->MayAct(); }},
+      InstanceKeeper::Host{
+          .propose =
+              [this](jobs::Command command) {
+                return this->Propose(std::move(command));
+              },
+          .may_act = [this] { return this->host->MayAct(); },
+          .count_order = [this] { this->load.CountPiece(Piece::kMove); }},
       maintenance,
       maintenance::CapacitySettings{.is_on = policy.moves,
                                     .holder_pause = times.instance_lease,
@@ -284,6 +290,9 @@
   }
   this->has_applied = true;
   this->NoteChangedWorker(stamped->command);
+  if (std::holds_alternative<jobs::ForgetWorker>(stamped->command)) {
+    this->load.CountPiece(Piece::kWorkerEnd);
+  }
   const std::vector<JobId> touched = this->ActiveJobsOf(stamped->command);
   fleet::Answer answer = this->jobs_state.Apply(*stamped);
   this->LogFinished(touched);
@@ -594,20 +603,26 @@
 
 void JobController::BeginRenewals() {
   this->renewals.emplace(
-      this->timer,
-      WorkerRenewals::Host{.may_act = [this] { return this->host->MayAct(); },
-                           .next =
-                               [this](const WorkerId& worker) {
-                                 return this->scheduler->NextRenewal(
-                                     worker, this->clock.SteadyNow());
-                               },
-                           .renew = this->worker_calls.renew,
-                           .take =
-                               [this](const WorkerId& worker,
-                                      const scheduler::RenewAnswer& answer) {
-                                 return this->TakeRenewal(worker, answer);
-                               },
-                           .forget = this->worker_calls.forget});
+      this->timer, WorkerRenewals::Host{
+                       .may_act = [this] { return this->host->MayAct(); },
+                       .next =
+                           [this](const WorkerId& worker) {
+                             return this->scheduler->NextRenewal(
+                                 worker, this->clock.SteadyNow());
+                           },
+                       .renew =
+                           [this](const scheduler::RenewOrder& order) {
+                             this->load.CountPiece(Piece::kRenewal);
+                             const auto measured =
+                                 this->load.work_times.Measure(Work::kRenewal);
+                             return this->worker_calls.renew(order);
+                           },
+                       .take =
+                           [this](const WorkerId& worker,
+                                  const scheduler::RenewAnswer& answer) {
+                             return this->TakeRenewal(worker, answer);
+                           },
+                       .forget = this->worker_calls.forget});
   std::size_t begun = 0;
   for (const auto& [worker, session] : this->scheduler->sessions()) {
     const auto slices = static_cast<std::int64_t>(begun++ / kRenewalsOfSlice);
@@ -641,6 +656,7 @@
     const scheduler::RenewReport& report,
     SteadyTime now) {
   const auto measured = this->load.work_times.Measure(Work::kReport);
+  this->load.CountPiece(Piece::kReport);
   return this->scheduler->TakeReport(worker, report, now);
 }
 
@@ -826,6 +842,9 @@
   }
   const Term term = this->term_watch.term();
   kj::Promise<scheduler::OrderAnswer> answered = this->worker_calls.send(order);
+  this->load.CountPiece(std::holds_alternative<scheduler::StartOrder>(order)
+                            ? Piece::kStart
+                            : Piece::kStop);
   if (std::holds_alternative<scheduler::StartOrder>(order)) {
     answered = answered.attach(this->load.CountStart());
   }
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -62,6 +62,7 @@
   // Takes in a message of another replica; see ReplicaHost.
   kj::Promise<std::vector<replication::Message>> Receive(
       replication::Message message) {
+    const auto measured = this->load.work_times.Measure(Work::kReplicate);
     return this->host->Receive(std::move(message));
   }
   absl::Status Join(const replication::NodeId& node) {
--- a/services/sumacd/leader_load.cc
+++ b/services/sumacd/leader_load.cc
@@ -8,6 +8,7 @@
 
 #include "libraries/base/text.h"
 #include "libraries/log/json_log.h"
+#include "services/sumacd/processor_time.h"
 
 namespace sumac::daemon {
 namespace {
@@ -19,6 +20,10 @@
   return std::chrono::duration<double>(time).count();
 }
 
+std::int64_t InMilliseconds(std::chrono::duration<double> time) {
+  return std::chrono::round<Milliseconds>(time).count();
+}
+
 nlohmann::json InJson(const scheduler::LatenessCounts& counts) {
   return {{"in_time", counts.in_time},
           {"late", counts.late},
@@ -40,6 +45,14 @@
                "\"}"),
         [this, part] { return this->work_times.Spent(part).count(); });
   }
+  for (std::size_t piece = 0; piece < kPieceNames.size(); ++piece) {
+    this->metrics.SetCounter(
+        StrCat("sumac_pieces_total{kind=\"", kPieceNames[piece], "\"}"),
+        [this, piece] { return static_cast<double>(this->pieces[piece]); });
+  }
+  this->metrics.SetCounter("sumac_processor_seconds_total", [] {
+    return std::chrono::duration<double>(ProcessProcessorTime()).count();
+  });
 }
 
 void LeaderLoad::Measure() {
@@ -62,6 +75,34 @@
   this->taken_jobs = 0;
   this->refused_jobs.clear();
   this->logged_work = this->work_times;
+  this->logged_pieces = this->pieces;
+  this->logged_loop_time = ThreadProcessorTime();
+  this->logged_process_time = ProcessProcessorTime();
+}
+
+// The parts of the loop's work, and what of its processor time none of them
+// names.
+nlohmann::json LeaderLoad::DescribeWork() const {
+  nlohmann::json busy = nlohmann::json::object();
+  std::chrono::duration<double> named{0};
+  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
+    const auto spent =
+        this->work_times.Spent(part) - this->logged_work.Spent(part);
+    named += spent;
+    busy[std::string(WorkTimes::kNames[part])] = InMilliseconds(spent);
+  }
+  const auto loop = ThreadProcessorTime() - this->logged_loop_time;
+  busy["unnamed"] = InMilliseconds(loop - named);
+  return busy;
+}
+
+nlohmann::json LeaderLoad::DescribePieces() const {
+  nlohmann::json counts = nlohmann::json::object();
+  for (std::size_t piece = 0; piece < kPieceNames.size(); ++piece) {
+    counts[std::string(kPieceNames[piece])] =
+        this->pieces[piece] - this->logged_pieces[piece];
+  }
+  return counts;
 }
 
 void LeaderLoad::CountRefusal(scheduler::RefusalReason reason) {
@@ -74,13 +115,6 @@
   if (now - this->span_began < kLineInterval) {
     return;
   }
-  nlohmann::json busy = nlohmann::json::object();
-  for (std::size_t part = 0; part < WorkTimes::kNames.size(); ++part) {
-    const auto spent =
-        this->work_times.Spent(part) - this->logged_work.Spent(part);
-    busy[std::string(WorkTimes::kNames[part])] =
-        std::chrono::duration_cast<Milliseconds>(spent).count();
-  }
   nlohmann::json refused = nlohmann::json::object();
   for (const auto& [reason, count] : this->refused_jobs) {
     refused[std::string(NameOf(reason))] = count;
@@ -89,7 +123,12 @@
            {{"span_ms", (now - this->span_began).count()},
             {"late_ms", this->lateness().count()},
             {"most_late_ms", this->most_late.count()},
-            {"busy_ms", std::move(busy)},
+            {"loop_ms",
+             InMilliseconds(ThreadProcessorTime() - this->logged_loop_time)},
+            {"process_ms", InMilliseconds(ProcessProcessorTime() -
+                                          this->logged_process_time)},
+            {"busy_ms", this->DescribeWork()},
+            {"pieces", this->DescribePieces()},
             {"pass_pause_ms", queues.pass_pause.count()},
             {"open_starts", this->open_starts},
             {"waiting_ends", queues.waiting_ends},
--- a/services/sumacd/leader_load.h
+++ b/services/sumacd/leader_load.h
@@ -5,15 +5,19 @@
 #include <kj/async-io.h>
 #include <kj/common.h>
 
+#include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string_view>
 
 #include "libraries/base/time.h"
 #include "libraries/http/metrics.h"
 #include "libraries/scheduler/admission.h"
 #include "libraries/scheduler/refusal_reason.h"
 #include "libraries/scheduler/scheduler.h"
+#include "nlohmann/json.hpp"
 #include "services/sumacd/loop_probe.h"
 #include "services/sumacd/work_times.h"
 
@@ -33,6 +37,11 @@
   Milliseconds pass_pause{0};
 };
 
+// Work that is counted by its pieces, since each piece has its price.
+enum class Piece { kRenewal, kReport, kStart, kStop, kMove, kWorkerEnd };
+inline constexpr std::array<std::string_view, 6> kPieceNames = {
+    "renewals", "reports", "starts", "stops", "moves", "workers_ended"};
+
 // How busy a controller's event loop is, and how much new work it may take for
 // that. Says so in its metrics and, while it leads, in a line now and then.
 // Belongs to the core's event loop.
@@ -54,6 +63,9 @@
   void CountRefusal(scheduler::RefusalReason reason);
   // Counts a turn of the scheduler.
   void CountTurn() { ++this->turns; }
+  void CountPiece(Piece piece) {
+    ++this->pieces[static_cast<std::size_t>(piece)];
+  }
   Milliseconds RetryAfter() const { return this->admission.RetryAfter(); }
   Milliseconds lateness() const { return this->admission.lateness(); }
 
@@ -72,6 +84,8 @@
 
  private:
   void BeginSpan(SteadyTime now);
+  nlohmann::json DescribeWork() const;
+  nlohmann::json DescribePieces() const;
 
   http::Metrics& metrics;
   LoopProbe probe;
@@ -84,9 +98,13 @@
   std::uint64_t turns = 0;
   std::uint64_t taken_jobs = 0;
   std::map<scheduler::RefusalReason, std::uint64_t> refused_jobs;
+  std::array<std::uint64_t, kPieceNames.size()> pieces{};
   // As they were then.
   WorkTimes logged_work;
   scheduler::LatenessCounts logged_starts;
+  std::array<std::uint64_t, kPieceNames.size()> logged_pieces{};
+  std::chrono::nanoseconds logged_loop_time{0};
+  std::chrono::nanoseconds logged_process_time{0};
 };
 
 }  // namespace sumac::daemon
--- a/services/sumacd/work_times.h
+++ b/services/sumacd/work_times.h
@@ -5,7 +5,9 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
+#include <utility>
 
 #include "libraries/base/scope_guard.h"
 
@@ -25,6 +27,12 @@
   kSchedule,
   // Encoding orders and handing them to their connections.
   kOrder,
+  // Asking workers for renewals, without taking in what they report.
+  kRenewal,
+  // Taking in what other replicas send, and heartbeats.
+  kReplicate,
+  // Copying the state for a snapshot.
+  kSnapshot,
 };
 
 // How long one event loop was busy with each part of its work. The loop has a
@@ -32,15 +40,20 @@
 // the machine takes the processor away.
 class WorkTimes {
  public:
-  static constexpr std::array<std::string_view, 6> kNames = {
-      "answer", "apply", "report", "instances", "schedule", "order"};
+  static constexpr std::array<std::string_view, 9> kNames = {
+      "answer", "apply",   "report",    "instances", "schedule",
+      "order",  "renewal", "replicate", "snapshot"};
 
-  // Adds the time until the scope ends to a part.
+  // Adds the time until the scope ends to a part, without that of scopes
+  // within, and counts it.
   [[nodiscard]] auto Measure(Work work) {
     const auto began = std::chrono::steady_clock::now();
-    return ScopeGuard([this, work, began] {
-      this->spent[static_cast<std::size_t>(work)] +=
-          std::chrono::steady_clock::now() - began;
+    const auto within_outer = std::exchange(this->within, {});
+    return ScopeGuard([this, work, began, within_outer] {
+      const auto took = std::chrono::steady_clock::now() - began;
+      this->spent[static_cast<std::size_t>(work)] += took - this->within;
+      ++this->counts[static_cast<std::size_t>(work)];
+      this->within = within_outer + took;
     });
   }
 
@@ -48,9 +61,14 @@
   std::chrono::duration<double> Spent(std::size_t part) const {
     return this->spent.at(part);
   }
+  // How often it was measured.
+  std::uint64_t Count(std::size_t part) const { return this->counts.at(part); }
 
  private:
   std::array<std::chrono::steady_clock::duration, kNames.size()> spent{};
+  std::array<std::uint64_t, kNames.size()> counts{};
+  // Of the scopes that ended within the innermost open one.
+  std::chrono::steady_clock::duration within{};
 };
 
 }  // namespace sumac::daemon
