Relay: Let the other controllers make the leader's calls to workers

Cause: one event loop makes every call to 1,100 workers beside everything else, and has 0.42 of a core; four other controllers are idle.

Change: libraries/relay. The leader's calls (renewals, reports, starts, stops, paces) go to the other controllers in batches over the peers' connections; those make them over connections of their own and give the answers back in batches. A call leaves a relay before the end of the leader's lease, on the relay's own clock, or not at all; what a lost relay had is unknown (kRelayLost) and says nothing against a worker; a worker that a relay does not reach is asked through another one.

--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -229,13 +229,17 @@
 }
 
 bool Replica::HoldsLease(SteadyTime now) const {
+  return this->LeaseEnd(now).has_value();
+}
+
+std::optional<SteadyTime> Replica::LeaseEnd(SteadyTime now) const {
   if (this->current_role != Role::kLeader || this->has_sent_timeout_now) {
-    return false;
+    return std::nullopt;
   }
-  const SteadyTime acknowledged =
-      this->leading->QuorumAcknowledgedAt(this->membership(), now);
-  return now < acknowledged + this->settings.election_timeout -
-                   this->settings.clock_drift_margin;
+  const SteadyTime end =
+      this->leading->QuorumAcknowledgedAt(this->membership(), now) +
+      this->settings.election_timeout - this->settings.clock_drift_margin;
+  return now < end ? std::optional(end) : std::nullopt;
 }
 
 bool Replica::is_ready_to_lead() const {
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -77,6 +77,9 @@
   // True while this replica leads and its lease holds at `now`: no other leader
   // can have committed anything. Every action outside and every read checks it.
   bool HoldsLease(SteadyTime now) const;
+  // When the lease ends that this replica has as of `now`; nothing if it has
+  // none.
+  std::optional<SteadyTime> LeaseEnd(SteadyTime now) const;
 
   // True once a leader has applied an entry of its own term, so that its state
   // is complete.
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -366,7 +366,9 @@
                                    OrderResult result,
                                    SteadyTime now) {
   WorkerSession* session = this->FindSession(worker);
-  if (session == nullptr || result == OrderResult::kNotSent) {
+  const bool says_nothing =
+      result == OrderResult::kNotSent || result == OrderResult::kRelayLost;
+  if (session == nullptr || says_nothing) {
     return;
   }
   session->NoteFailure(now);
@@ -474,6 +476,7 @@
       this->SettleStart(session, *run, "refused as old", now);
       break;
     case OrderResult::kUnknown:
+    case OrderResult::kRelayLost:
       this->SettleStart(session, *run, "unanswered", now);
       break;
   }
--- a/libraries/scheduler/worker_messages.h
+++ b/libraries/scheduler/worker_messages.h
@@ -32,6 +32,8 @@
   Milliseconds wait{0};
   // How long the leader waits after the answer, before the next renewal.
   Milliseconds pause{0};
+  // It leaves this process within this, or not at all; 0 for any time.
+  Milliseconds longest_wait{0};
 };
 
 // Starts one run of a task.
@@ -48,6 +50,8 @@
   std::string checkpoint;
   // The placement policy's admission; empty where the queue has none.
   std::string ticket;
+  // As in RenewOrder.
+  Milliseconds longest_wait{0};
 };
 
 // Stops one run, and keeps it from starting if it has not.
@@ -57,6 +61,8 @@
   LeaderEpoch epoch;
   jobs::TaskId task;
   RunNumber run;
+  // As in RenewOrder.
+  Milliseconds longest_wait{0};
 };
 
 // Lets a run work, and disturb its neighbours, at a share of its full speed.
@@ -67,6 +73,8 @@
   jobs::TaskId task;
   RunNumber run;
   std::uint32_t percent = 100;
+  // As in RenewOrder.
+  Milliseconds longest_wait{0};
 };
 
 // What became of an order.
@@ -93,6 +101,9 @@
   kNotSent,
   // No answer: it may have been carried out or may still be.
   kUnknown,
+  // As kUnknown, and it says nothing about the worker: the relay that had it is
+  // gone.
+  kRelayLost,
 };
 
 struct OrderAnswer {
--- a/schemas/peer.capnp
+++ b/schemas/peer.capnp
@@ -3,6 +3,7 @@
 @0xe3a4c55d17f08b63;
 
 using Cxx = import "/capnp/c++.capnp";
+using Relaying = import "relay.capnp";
 $Cxx.namespace("sumac::wire");
 
 # An answer between processes; document is CBOR, since it may hold bytes that are no text.
@@ -42,4 +43,7 @@
   # One request about jobs, workers or waves (CBOR, libraries/jobs/requests.h), answered by the
   # controller that leads; others answer notLeader with the leader's address as message.
   ask @12 (request :Data) -> (result :PeerResult);
+  # Asks a controller to make calls to workers for the leader of this epoch, whose answers go to
+  # `answers`. dataCentre is the relay's; clockMs is its steady clock.
+  openRelay @13 (epoch :UInt64, answers :Relaying.RelayAnswers) -> (result :PeerResult, relay :Relaying.Relay, dataCentre :Text, clockMs :Int64);
 }
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -67,10 +67,12 @@
     http::Metrics& metrics,
     jobs::DeclarationDecoder decoder,
     scheduler::WorkerCalls worker_calls,
+    RelayWorkers relay_workers,
     maintenance::InstanceCalls instance_calls) {
   std::unique_ptr<JobController> controller(
-      new JobController(settings, provider, metrics, std::move(decoder),
-                        std::move(worker_calls), std::move(instance_calls)));
+      new JobController(settings, provider, metrics, std::move(decoder), peers,
+                        std::move(worker_calls), std::move(relay_workers),
+                        std::move(instance_calls)));
   JobController* self = controller.get();
   const ReplicaHostSettings host{.process = settings.process(),
                                  .data_folder = settings.data_folder,
@@ -114,6 +116,10 @@
   this->metrics.SetGauge("sumac_active_jobs", [this] {
     return static_cast<double>(this->jobs_state.active_jobs().size());
   });
+  this->metrics.SetGauge("sumac_relays", [this] {
+    return this->relayed ? static_cast<double>(this->relayed->open_relays())
+                         : 0.0;
+  });
   this->metrics.SetGauge("sumac_applied_index", [this] {
     return static_cast<double>(this->host->applied_index().value());
   });
@@ -133,14 +139,18 @@
                              kj::AsyncIoProvider& provider,
                              http::Metrics& metrics,
                              jobs::DeclarationDecoder decoder,
+                             Peers& peers,
                              scheduler::WorkerCalls worker_calls,
+                             RelayWorkers relay_workers,
                              maintenance::InstanceCalls instance_calls)
     : settings(settings),
       timer(provider.getTimer()),
       metrics(metrics),
       load(provider, metrics),
       commit_rounds(provider.getTimer()),
+      peers(peers),
       worker_calls(std::move(worker_calls)),
+      relay_workers(std::move(relay_workers)),
       instance_calls(std::move(instance_calls)),
       jobs_state(std::move(decoder)),
       tasks(*this) {
@@ -185,7 +195,9 @@
                        .waiting_jobs = this->scheduler->waiting_count(),
                        .waiting = this->scheduler->waiting_counts(),
                        .starts = this->scheduler->start_counts(),
-                       .pass_pause = this->loop_pacer.PassPause()},
+                       .pass_pause = this->loop_pacer.PassPause(),
+                       .relays = this->relayed->open_relays(),
+                       .relayed = this->relayed->TotalCounts()},
                       now);
 }
 
@@ -205,6 +217,7 @@
   if (now - this->last_maintenance >= kMaintenanceInterval) {
     this->last_maintenance = now;
     this->host->MaintainMembership(now);
+    this->SyncRelays(now);
   }
 }
 
@@ -258,6 +271,7 @@
                                     .surplus_time = policy.surplus_time,
                                     .move_time = times.move_time()},
       this->settings.process(), now);
+  this->BeginRelays();
   this->BeginRenewals();
   this->load.BeginLeadership(now);
   LogEvent(LogLevel::kInfo, "leads",
@@ -273,6 +287,7 @@
            {{"term", this->term_watch.term().value()}});
   this->term_watch.End();
   this->renewals.reset();
+  this->relayed.reset();
   this->keeper.reset();
   this->scheduler.reset();
   this->changed_workers.clear();
@@ -601,6 +616,56 @@
   }
 }
 
+void JobController::BeginRelays() {
+  this->relayed.emplace(
+      this->worker_calls, this->timer, this->jobs_state.epoch(),
+      relay::RelayedCalls::Host{
+          .find =
+              [this](const ProcessName& controller) {
+                return this->peers.Find(controller);
+              },
+          .lease_end = [this] { return this->host->ActsUntil(); },
+          .data_centre_of =
+              [this](const WorkerId& id) {
+                const jobs::Worker* worker = this->jobs_state.FindWorker(id);
+                return worker == nullptr ? DataCentre() : worker->data_centre;
+              }});
+  this->SyncRelays(this->clock.SteadyNow());
+}
+
+void JobController::SyncRelays(SteadyTime now) {
+  if (!this->relayed || !this->settings.policy.relays) {
+    return;
+  }
+  const replication::Membership& membership =
+      this->host->replica().membership();
+  std::set<ProcessName> controllers;
+  for (const auto* members : {&membership.voters, &membership.learners}) {
+    for (const replication::NodeId& member : *members) {
+      controllers.insert(replication::ProcessOf(member));
+    }
+  }
+  controllers.erase(this->settings.process());
+  this->relayed->Sync(controllers, now);
+}
+
+absl::StatusOr<wire::Relay::Client> JobController::OpenRelay(
+    LeaderEpoch epoch,
+    wire::RelayAnswers::Client answers) {
+  if (this->is_leading() || epoch < this->jobs_state.epoch()) {
+    return MakeError(
+        ResultCode::kWrongState,
+        StrCat("epoch ", this->jobs_state.epoch().value(), " is known here",
+               this->is_leading() ? ", and it leads" : ""));
+  }
+  LogEvent(LogLevel::kInfo, "relays-for-leader", {{"epoch", epoch.value()}});
+  return wire::Relay::Client(kj::heap<relay::RelayService>(
+      this->relay_workers(), kj::mv(answers), epoch, this->timer,
+      relay::RelayService::Host{.is_current = [this](LeaderEpoch own) {
+        return own >= this->jobs_state.epoch();
+      }}));
+}
+
 void JobController::BeginRenewals() {
   this->renewals.emplace(
       this->timer, WorkerRenewals::Host{
@@ -615,14 +680,17 @@
                              this->load.CountPiece(Piece::kRenewal);
                              const auto measured =
                                  this->load.work_times.Measure(Work::kRenewal);
-                             return this->worker_calls.renew(order);
+                             return this->relayed->Renew(order);
                            },
                        .take =
                            [this](const WorkerId& worker,
                                   const scheduler::RenewAnswer& answer) {
                              return this->TakeRenewal(worker, answer);
                            },
-                       .forget = this->worker_calls.forget});
+                       .forget =
+                           [this](const WorkerId& worker) {
+                             this->relayed->Forget(worker);
+                           }});
   std::size_t begun = 0;
   for (const auto& [worker, session] : this->scheduler->sessions()) {
     const auto slices = static_cast<std::int64_t>(begun++ / kRenewalsOfSlice);
@@ -794,7 +862,7 @@
 // A report beside the renewals; what it tells is taken in like theirs.
 void JobController::RequestReport(const scheduler::RenewOrder& order) {
   const Term term = this->term_watch.term();
-  this->tasks.add(this->worker_calls.request_report(order).then(
+  this->tasks.add(this->relayed->RequestReport(order).then(
       [this, term, worker = order.worker](
           const scheduler::RenewAnswer& answer) -> kj::Promise<void> {
         const bool is_ours = this->scheduler && this->term_watch.term() == term;
@@ -841,7 +909,7 @@
     return;
   }
   const Term term = this->term_watch.term();
-  kj::Promise<scheduler::OrderAnswer> answered = this->worker_calls.send(order);
+  kj::Promise<scheduler::OrderAnswer> answered = this->relayed->Send(order);
   this->load.CountPiece(std::holds_alternative<scheduler::StartOrder>(order)
                             ? Piece::kStart
                             : Piece::kStop);
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -7,6 +7,7 @@
 #include <kj/timer.h>
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,6 +22,8 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/requests.h"
 #include "libraries/maintenance/instance_calls.h"
+#include "libraries/relay/relay_service.h"
+#include "libraries/relay/relayed_calls.h"
 #include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/loop_pacer.h"
 #include "libraries/scheduler/refused_callers.h"
@@ -43,6 +46,9 @@
 // loop.
 class JobController : private kj::TaskSet::ErrorHandler {
  public:
+  // Makes the connections to workers of one relay.
+  using RelayWorkers = std::function<relay::OwnedWorkerCalls()>;
+
   // Opens the data folder and starts the replica.
   static absl::StatusOr<std::unique_ptr<JobController>> Create(
       const NodeSettings& settings,
@@ -51,6 +57,7 @@
       http::Metrics& metrics,
       jobs::DeclarationDecoder decoder,
       scheduler::WorkerCalls worker_calls,
+      RelayWorkers relay_workers,
       maintenance::InstanceCalls instance_calls);
 
   // Runs until the process ends.
@@ -69,6 +76,14 @@
     return this->host->Join(node);
   }
   absl::Status HandOver() { return this->host->HandOver(); }
+
+  // Makes calls to workers for the leader of `epoch` from now on. kWrongState
+  // while this controller leads or knows a later leadership.
+  absl::StatusOr<wire::Relay::Client> OpenRelay(
+      LeaderEpoch epoch,
+      wire::RelayAnswers::Client answers);
+  const DataCentre& data_centre() const { return this->settings.data_centre; }
+
   bool is_leading() const { return this->scheduler.has_value(); }
   const jobs::JobsState& state() const { return this->jobs_state; }
   const ReplicaHost& replica_host() const { return *this->host; }
@@ -85,7 +100,9 @@
                 kj::AsyncIoProvider& provider,
                 http::Metrics& metrics,
                 jobs::DeclarationDecoder decoder,
+                Peers& peers,
                 scheduler::WorkerCalls worker_calls,
+                RelayWorkers relay_workers,
                 maintenance::InstanceCalls instance_calls);
 
   void taskFailed(kj::Exception&& exception) override;
@@ -118,6 +135,8 @@
   kj::Promise<fleet::Answer> Serve(const jobs::Show& request);
 
   void SyncWorkers();
+  void BeginRelays();
+  void SyncRelays(SteadyTime now);
   void BeginRenewals();
   RenewalOutcome TakeRenewal(const WorkerId& worker,
                              const scheduler::RenewAnswer& answer);
@@ -141,7 +160,9 @@
   http::Metrics& metrics;
   LeaderLoad load;
   SystemClock clock;
+  Peers& peers;
   scheduler::WorkerCalls worker_calls;
+  RelayWorkers relay_workers;
   maintenance::InstanceCalls instance_calls;
   jobs::JobsState jobs_state;
   std::unique_ptr<ReplicaHost> host;
@@ -152,6 +173,7 @@
   std::optional<scheduler::Scheduler> scheduler;
   std::unique_ptr<InstanceKeeper> keeper;
   // Present as long as the scheduler.
+  std::optional<relay::RelayedCalls> relayed;
   std::optional<WorkerRenewals> renewals;
   // Jobs whose acceptance was proposed and is not decided; resends stand twice.
   std::multiset<JobId> open_submissions;
--- a/services/sumacd/leader_load.cc
+++ b/services/sumacd/leader_load.cc
@@ -30,6 +30,14 @@
           {"worthless", counts.worthless}};
 }
 
+nlohmann::json InJson(const relay::RelayCounts& counts) {
+  return {{"calls", counts.calls},
+          {"batches", counts.batches},
+          {"answers", counts.answers},
+          {"answer_batches", counts.answer_batches},
+          {"lost", counts.lost}};
+}
+
 }  // namespace
 
 LeaderLoad::LeaderLoad(kj::AsyncIoProvider& provider, http::Metrics& metrics)
@@ -65,6 +73,7 @@
 
 void LeaderLoad::BeginLeadership(SteadyTime now) {
   this->logged_starts = {};
+  this->logged_relayed = {};
   this->BeginSpan(now);
 }
 
@@ -138,8 +147,11 @@
             {"taken_jobs", this->taken_jobs},
             {"refused_jobs", std::move(refused)},
             {"waiting", InJson(queues.waiting)},
-            {"starts", InJson(queues.starts - this->logged_starts)}});
+            {"starts", InJson(queues.starts - this->logged_starts)},
+            {"relays", queues.relays},
+            {"relayed", InJson(queues.relayed - this->logged_relayed)}});
   this->logged_starts = queues.starts;
+  this->logged_relayed = queues.relayed;
   this->BeginSpan(now);
 }
 
--- a/services/sumacd/leader_load.h
+++ b/services/sumacd/leader_load.h
@@ -14,6 +14,7 @@
 
 #include "libraries/base/time.h"
 #include "libraries/http/metrics.h"
+#include "libraries/relay/relay_messages.h"
 #include "libraries/scheduler/admission.h"
 #include "libraries/scheduler/refusal_reason.h"
 #include "libraries/scheduler/scheduler.h"
@@ -35,6 +36,10 @@
   scheduler::LatenessCounts starts;
   // Between two turns of the scheduler.
   Milliseconds pass_pause{0};
+  // Controllers that make calls to workers for this one, and what they did
+  // since the leadership began.
+  std::size_t relays = 0;
+  relay::RelayCounts relayed;
 };
 
 // Work that is counted by its pieces, since each piece has its price.
@@ -102,6 +107,7 @@
   // As they were then.
   WorkTimes logged_work;
   scheduler::LatenessCounts logged_starts;
+  relay::RelayCounts logged_relayed;
   std::array<std::uint64_t, kPieceNames.size()> logged_pieces{};
   std::chrono::nanoseconds logged_loop_time{0};
   std::chrono::nanoseconds logged_process_time{0};
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -131,6 +131,7 @@
 
  private:
   absl::Status StartController();
+  relay::OwnedWorkerCalls MakeRelayWorkers();
   absl::Status StartEntry();
   std::size_t EntryConnections() const;
   void ShowConnections(const std::string& kind,
@@ -223,6 +224,7 @@
   this->controller = TRY(JobController::Create(
       this->settings, this->peers, *this->io.provider, this->metrics,
       platform::ReadDeclaration, std::move(calls),
+      [this] { return this->MakeRelayWorkers(); },
       this->settings.instances_door.empty() ? maintenance::InstanceCalls()
                                             : this->instances.Calls()));
   this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
@@ -240,6 +242,14 @@
       });
 }
 
+// The connections of a relay go with it, and share the budget of all.
+relay::OwnedWorkerCalls NodeDaemon::MakeRelayWorkers() {
+  auto client = std::make_shared<platform::WorkerClient>(
+      this->io.provider->getNetwork(), this->timer, &this->worker_connections);
+  scheduler::WorkerCalls calls = client->Calls();
+  return {std::move(client), std::move(calls)};
+}
+
 absl::Status NodeDaemon::StartEntry() {
   this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
                                           this->timer, nullptr);
--- a/services/sumacd/node_peer_service.cc
+++ b/services/sumacd/node_peer_service.cc
@@ -40,4 +40,19 @@
       });
 }
 
+kj::Promise<void> NodePeerService::openRelay(OpenRelayContext context) {
+  auto params = context.getParams();
+  auto results = context.getResults();
+  absl::StatusOr<wire::Relay::Client> relay = this->controller.OpenRelay(
+      LeaderEpoch(params.getEpoch()), params.getAnswers());
+  rpc::WriteAnswer(fleet::Answer::FromOutcome(relay.status(), "relays"),
+                   results.initResult());
+  if (relay.ok()) {
+    results.setRelay(*std::move(relay));
+    results.setDataCentre(this->controller.data_centre().value());
+    results.setClockMs(SystemClock().SteadyNow().time_since_epoch().count());
+  }
+  return kj::READY_NOW;
+}
+
 }  // namespace sumac::daemon
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -58,6 +58,8 @@
 struct PolicySettings {
   // Instances follow demand from pool to pool.
   bool moves = true;
+  // A leader has the other controllers make its calls to workers.
+  bool relays = true;
   // Jobs that can still be in time go first, the most pressing before the
   // others.
   bool order_by_slack = true;
@@ -79,6 +81,7 @@
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("moves", self.moves);
+    visitor.Field("relays", self.relays);
     visitor.Field("order_by_slack", self.order_by_slack);
     visitor.Field("forecast", self.forecast);
     visitor.Field("leave_bad_workers", self.leave_bad_workers);
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -148,9 +148,15 @@
 }
 
 bool ReplicaHost::MayAct() const {
-  return !this->has_full_disk && this->replica_core->is_ready_to_lead() &&
-         this->last_applied >= this->replica_core->leader_start() &&
-         this->replica_core->HoldsLease(this->clock.SteadyNow());
+  return this->ActsUntil().has_value();
+}
+
+std::optional<SteadyTime> ReplicaHost::ActsUntil() const {
+  const bool is_ready =
+      !this->has_full_disk && this->replica_core->is_ready_to_lead() &&
+      this->last_applied >= this->replica_core->leader_start();
+  return is_ready ? this->replica_core->LeaseEnd(this->clock.SteadyNow())
+                  : std::nullopt;
 }
 
 Milliseconds ReplicaHost::WriteAge(SteadyTime now) const {
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -100,6 +100,8 @@
   // True while this controller may answer for the committed state and act on
   // it.
   bool MayAct() const;
+  // Until when it may do so; nothing if it may not.
+  std::optional<SteadyTime> ActsUntil() const;
 
   // Takes a replica in as a learner. kNotLeader, or kWrongState while another
   // change is under way.
