Tests: Let relays make the leader's calls in random histories

No test held the orders of a leader against a relay that is paused, dies or loses its workers. FakeRelays stands between the fleet and its workers: a call leaves before it expires or not at all, what has left may be carried out up to 4 s later whatever becomes of the relay and the leader, and the workers' relays are chosen by RelayRoutes itself. Three properties use it: one run of a task where relays make the calls, the same beside all other faults, and the budgets.

FakeFleet::CarryOut is the former body of Execute. Not modelled: a second copy of a call by a relay, and orders with a ticket.

--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -129,6 +129,9 @@
   this->led_since = this->now;
   this->scheduler.reset();
   this->renewing.clear();
+  if (this->carrier) {
+    this->carrier->change_leader();
+  }
   this->Commit(jobs::BeginEpoch{});
   this->scheduler.emplace(this->state, this->settings, this->now);
 }
@@ -167,6 +170,9 @@
   for (const Event& event : due) {
     event.happen();
   }
+  if (this->carrier) {
+    this->carrier->step();
+  }
   this->AnnounceUnknown();
   if (this->scheduler) {
     if (this->renews) {
@@ -214,18 +220,17 @@
 void FakeFleet::Renew(const WorkerId& id) {
   auto order = this->scheduler->NextRenewal(id, this->now);
   const Generation sent_in = this->generation;
-  const auto finish = [this, id, sent_in](Milliseconds pause) {
-    this->At(this->now + pause, [this, id, sent_in] {
-      if (sent_in == this->generation) {
-        this->renewing.erase(id);
-      }
-    });
+  const auto finish = [this, id](Milliseconds pause) {
+    this->EndRenewalLater(id, pause);
   };
   const auto found = this->workers.find(id);
   if (!order || found == this->workers.end()) {
     finish(kRenewalPause);
     return;
   }
+  if (this->CarryRenewal(*order)) {
+    return;
+  }
   if (!this->Reaches(id) || !found->second.is_up) {
     const bool is_refused =
         !found->second.is_cut || found->second.is_cut_with_resets;
@@ -263,6 +268,51 @@
   finish(Milliseconds(20) + delay);
 }
 
+// The next renewal leaves after this.
+void FakeFleet::EndRenewalLater(const WorkerId& id, Milliseconds pause) {
+  this->At(this->now + pause, [this, id, sent_in = this->generation] {
+    if (sent_in == this->generation) {
+      this->renewing.erase(id);
+    }
+  });
+}
+
+bool FakeFleet::CarryRenewal(const RenewOrder& order) {
+  const Generation sent_in = this->generation;
+  const WorkerId& id = order.worker;
+  const auto fail = [this, id, sent_in](OrderResult result) {
+    if (sent_in == this->generation) {
+      this->scheduler->TakeRenewalFailure(id, result, this->now);
+      this->EndRenewalLater(id, kRenewalPause);
+    }
+  };
+  const auto take = [this, id, sent_in](const RenewReport& report) {
+    if (sent_in == this->generation) {
+      this->TakeReport(id, report);
+      this->EndRenewalLater(id, Milliseconds(20));
+    }
+  };
+  const auto carry_out = [this, order, fail, take]() -> std::function<void()> {
+    FakeWorker& present = this->workers.at(order.worker);
+    std::uniform_int_distribution<std::uint32_t> draw(0, 999);
+    if (present.is_cut && !present.is_cut_with_resets) {
+      return {};
+    }
+    if (present.is_cut || !present.is_up) {
+      return [fail] { fail(OrderResult::kUnreachable); };
+    }
+    const auto report = present.Renew(order, this->now);
+    if (draw(this->random) < this->lost_report_permille) {
+      return {};
+    }
+    if (!report) {
+      return [fail] { fail(OrderResult::kFenced); };
+    }
+    return [take, report = *report] { take(report); };
+  };
+  return this->carrier && this->carrier->carry(id, {carry_out, fail});
+}
+
 void FakeFleet::RenewAgain(const WorkerId& id) {
   const auto order = this->scheduler->NextRenewal(id, this->now);
   if (!order) {
@@ -395,7 +445,32 @@
   }
 }
 
+bool FakeFleet::CarryReportRequest(const RenewOrder& order) {
+  const auto carry_out =
+      [this, order, sent_in = this->generation]() -> std::function<void()> {
+    FakeWorker& present = this->workers.at(order.worker);
+    std::uniform_int_distribution<std::uint32_t> draw(0, 999);
+    if (present.is_cut || !present.is_up) {
+      return {};
+    }
+    const auto report = present.Renew(order, this->now);
+    if (!report || draw(this->random) < this->lost_report_permille) {
+      return {};
+    }
+    return [this, id = order.worker, report = *report, sent_in] {
+      if (sent_in == this->generation) {
+        this->TakeReport(id, report);
+      }
+    };
+  };
+  return this->carrier &&
+         this->carrier->carry(order.worker, {carry_out, [](OrderResult) {}});
+}
+
 void FakeFleet::RequestReport(const RenewOrder& order) {
+  if (this->CarryReportRequest(order)) {
+    return;
+  }
   const auto found = this->workers.find(order.worker);
   std::uniform_int_distribution<std::uint32_t> draw(0, 999);
   if (!this->Reaches(order.worker) || !found->second.is_up ||
@@ -425,7 +500,32 @@
   });
 }
 
+bool FakeFleet::CarryOrder(const Order& order) {
+  const WorkerId id =
+      std::visit([](const auto& body) { return body.worker; }, order);
+  const auto answer = [this, order,
+                       sent_in = this->generation](const OrderAnswer& told) {
+    if (sent_in == this->generation) {
+      this->DeliverAnswer(order, told);
+    }
+  };
+  const auto carry_out = [this, order, answer]() -> std::function<void()> {
+    const std::optional<OrderAnswer> told = this->CarryOut(order);
+    if (!told || told->result == OrderResult::kUnknown) {
+      return {};
+    }
+    return [answer, told = *told] { answer(told); };
+  };
+  const auto fail = [answer](OrderResult result) {
+    answer({.result = result});
+  };
+  return this->carrier && this->carrier->carry(id, {carry_out, fail});
+}
+
 void FakeFleet::Send(const Order& order) {
+  if (this->CarryOrder(order)) {
+    return;
+  }
   std::uniform_int_distribution<std::uint32_t> draw(0, 999);
   const Generation sent_in = this->generation;
   if (this->resent_permille > 0 && draw(this->random) < this->resent_permille) {
@@ -481,51 +581,60 @@
                         bool is_answered,
                         Generation sent_in,
                         bool is_second) {
+  std::optional<OrderAnswer> answer = this->CarryOut(order);
+  if (!answer) {
+    this->At(this->now + kOrderLimit, [this, order, sent_in] {
+      if (sent_in == this->generation) {
+        this->scheduler->TakeAnswer(order, {.result = OrderResult::kUnknown},
+                                    this->now);
+      }
+    });
+    return;
+  }
+  if (is_second && !this->believes_second_copies &&
+      answer->result != OrderResult::kDone &&
+      answer->result != OrderResult::kOtherLife) {
+    answer->result = OrderResult::kUnknown;
+  }
+  if (is_answered && sent_in == this->generation) {
+    this->DeliverAnswer(order, *answer);
+  }
+}
+
+std::optional<OrderAnswer> FakeFleet::CarryOut(const Order& order) {
   const WorkerId id =
       std::visit([](const auto& body) { return body.worker; }, order);
   OrderAnswer answer{.result = OrderResult::kUnknown};
   const auto found = this->workers.find(id);
-  if (found != this->workers.end() && this->Reaches(id)) {
-    if (!found->second.is_up) {
-      answer.result = OrderResult::kUnreachable;
-    } else if (const auto* start = std::get_if<StartOrder>(&order)) {
-      const std::size_t before = found->second.running().size();
-      const jobs::Job* job = this->state.FindJob(start->task.step.job);
-      const jobs::StepSpec step = job == nullptr
-                                      ? jobs::StepSpec()
-                                      : job->spec.steps[start->task.step.step];
-      const Milliseconds length = step.is_long_running
-                                      ? this->lasting_work.value_or(this->work)
-                                      : this->work;
-      answer = found->second.Start(*start, length, this->fails(*start), step,
-                                   this->now);
-      if (found->second.running().size() > before) {
-        this->CheckStart(*start);
-        this->CrashLater(*start);
-        if (this->loses_answers_of_crashes && this->crashes(*start)) {
-          this->At(this->now + kOrderLimit, [this, order, sent_in] {
-            if (sent_in == this->generation) {
-              this->scheduler->TakeAnswer(
-                  order, {.result = OrderResult::kUnknown}, this->now);
-            }
-          });
-          return;
-        }
+  if (found == this->workers.end() || !this->Reaches(id)) {
+    return answer;
+  }
+  if (!found->second.is_up) {
+    answer.result = OrderResult::kUnreachable;
+  } else if (const auto* start = std::get_if<StartOrder>(&order)) {
+    const std::size_t before = found->second.running().size();
+    const jobs::Job* job = this->state.FindJob(start->task.step.job);
+    const jobs::StepSpec step = job == nullptr
+                                    ? jobs::StepSpec()
+                                    : job->spec.steps[start->task.step.step];
+    const Milliseconds length = step.is_long_running
+                                    ? this->lasting_work.value_or(this->work)
+                                    : this->work;
+    answer = found->second.Start(*start, length, this->fails(*start), step,
+                                 this->now);
+    if (found->second.running().size() > before) {
+      this->CheckStart(*start);
+      this->CrashLater(*start);
+      if (this->loses_answers_of_crashes && this->crashes(*start)) {
+        return std::nullopt;
       }
-    } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
-      answer = found->second.Stop(*stop, this->now);
-    } else if (const auto* pace = std::get_if<PaceOrder>(&order)) {
-      answer = found->second.Pace(*pace);
     }
+  } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
+    answer = found->second.Stop(*stop, this->now);
+  } else if (const auto* pace = std::get_if<PaceOrder>(&order)) {
+    answer = found->second.Pace(*pace);
   }
-  if (is_second && !this->believes_second_copies &&
-      answer.result != OrderResult::kDone &&
-      answer.result != OrderResult::kOtherLife) {
-    answer.result = OrderResult::kUnknown;
-  }
-  if (is_answered && sent_in == this->generation) {
-    this->DeliverAnswer(order, answer);
-  }
+  return answer;
 }
 
 // A gang's members share their runs and ends.
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -17,6 +17,25 @@
 
 namespace sumac::scheduler {
 
+// A call of a leader to a worker that another process makes.
+struct CarriedCall {
+  // Has the worker carry it out; what hands its answer to the leader, or
+  // nothing if no answer comes back.
+  std::function<std::function<void()>()> carry_out;
+  // Tells the leader what became of it instead.
+  std::function<void(OrderResult)> fail;
+};
+
+// What stands between a leader and its workers.
+struct CallCarrier {
+  // Takes a call; false if the leader makes it by itself.
+  std::function<bool(const WorkerId&, const CarriedCall&)> carry;
+  // Lets everything due happen.
+  std::function<void()> step;
+  // Another leader takes over.
+  std::function<void()> change_leader;
+};
+
 // One leader with its scheduler, some workers and a network that loses, delays
 // and repeats, all on one fake clock. It checks on every start and end what
 // must always hold.
@@ -82,6 +101,8 @@
   // that is never started.
   SchedulerSettings settings{.full_look_interval = Milliseconds(3'600'000)};
   SteadyTime now{Milliseconds(1'000)};
+  // Makes the leader's calls where it is set.
+  std::optional<CallCarrier> carrier;
   // The share of orders whose answer is lost and that are carried out 0 to 4 s
   // late, in thousandths.
   std::uint32_t late_permille = 0;
@@ -156,6 +177,12 @@
   void SendRenewals();
   void CheckLives();
   void Renew(const WorkerId& id);
+  void EndRenewalLater(const WorkerId& id, Milliseconds pause);
+  bool CarryRenewal(const RenewOrder& order);
+  bool CarryReportRequest(const RenewOrder& order);
+  bool CarryOrder(const Order& order);
+  // Has a worker carry an order out; nothing if its answer is lost.
+  std::optional<OrderAnswer> CarryOut(const Order& order);
   void RenewAgain(const WorkerId& id);
   void Plan();
   void Send(const Order& order);
--- a/tests/libraries/scheduler/run_history.cc
+++ b/tests/libraries/scheduler/run_history.cc
@@ -29,7 +29,11 @@
                                "submit-lasting",
                                "cordon",
                                "start-again",
-                               "announce-earlier"};
+                               "announce-earlier",
+                               "pause-relay",
+                               "lose-relay",
+                               "cut-relay",
+                               "move-calls"};
 
 }  // namespace
 
@@ -39,7 +43,8 @@
              << happening.pause_ms << " ms";
 }
 
-RunHistory::RunHistory(std::uint64_t seed) : fleet(kHistoryWorkers, seed) {
+RunHistory::RunHistory(std::uint64_t seed)
+    : seed(seed), fleet(kHistoryWorkers, seed) {
   this->fleet.AddWorker("t0", "m9", "r1", "thumbs");
   this->fleet.announce_interval = Milliseconds(500);
   this->fleet.renews_at_once = true;
@@ -64,6 +69,17 @@
   this->fleet.ChangeLeader();
 }
 
+void RunHistory::UseRelays() {
+  this->relays.emplace(this->seed);
+  this->fleet.carrier = CallCarrier{
+      .carry =
+          [this](const WorkerId& worker, const CarriedCall& call) {
+            return this->relays->Carry(worker, call, this->fleet.now);
+          },
+      .step = [this] { this->relays->Step(this->fleet.now); },
+      .change_leader = [this] { this->relays->ChangeLeader(this->fleet.now); }};
+}
+
 void RunHistory::PassTime(Milliseconds time) {
   for (Milliseconds passed{0}; passed < time && this->problem().empty();
        passed += kStep) {
@@ -128,6 +144,26 @@
   }
 }
 
+void RunHistory::HarmRelay(const Happening& happening) {
+  constexpr int kHalf = 50;
+  const std::size_t relay =
+      static_cast<std::size_t>(happening.amount) % FakeRelays::kCount;
+  const bool is_much = happening.amount >= kHalf;
+  if (!this->relays) {
+    return;
+  }
+  if (happening.kind == Kind::kLoseRelay) {
+    this->relays->Lose(relay, this->fleet.now);
+  } else if (happening.kind == Kind::kMoveCalls) {
+    this->relays->Move(this->LifeOn(happening.worker).description.id,
+                       this->fleet.now);
+  } else if (happening.kind == Kind::kPauseRelay) {
+    is_much ? this->relays->Pause(relay) : this->relays->GoOn(relay);
+  } else {
+    is_much ? this->relays->CutOff(relay) : this->relays->Heal(relay);
+  }
+}
+
 void RunHistory::Happen(const Happening& happening) {
   constexpr int kHalf = 50;
   constexpr std::uint32_t kFactor = 10;
@@ -211,6 +247,12 @@
       this->fleet.resent_permille = is_much ? permille : 0;
       this->fleet.resend_after = Milliseconds(1 + amount);
       break;
+    case Kind::kPauseRelay:
+    case Kind::kLoseRelay:
+    case Kind::kCutRelay:
+    case Kind::kMoveCalls:
+      this->HarmRelay(happening);
+      break;
   }
   this->PassTime(Milliseconds(happening.pause_ms));
 }
@@ -226,6 +268,11 @@
     this->LifeOn(number).start_refusal.reset();
     this->LifeOn(number).stop_refusal.reset();
   }
+  for (std::size_t relay = 0; this->relays && relay < FakeRelays::kCount;
+       ++relay) {
+    this->relays->GoOn(relay);
+    this->relays->Heal(relay);
+  }
   this->cordoned.clear();
   this->fleet.scheduler->SetCordoned({});
   for (const JobId& job : this->lasting_jobs) {
--- a/tests/libraries/scheduler/run_history.h
+++ b/tests/libraries/scheduler/run_history.h
@@ -12,6 +12,7 @@
 
 #include "tests/libraries/scheduler/budget_ledger.h"
 #include "tests/libraries/scheduler/fake_fleet.h"
+#include "tests/libraries/scheduler/fake_relays.h"
 #include "tests/libraries/scheduler/run_ledger.h"
 
 namespace sumac::scheduler {
@@ -42,6 +43,10 @@
   kCordon,
   kStartAgain,
   kAnnounceEarlier,
+  kPauseRelay,
+  kLoseRelay,
+  kCutRelay,
+  kMoveCalls,
 };
 
 struct Happening {
@@ -66,6 +71,9 @@
   // Short leases and a short memory for silent workers, so that both run out.
   void ShortenLeases();
 
+  // Most calls go through relays from now on.
+  void UseRelays();
+
   // Lets it happen, and the time after it pass.
   void Happen(const Happening& happening);
 
@@ -81,6 +89,10 @@
   }
   // How many tasks with a disruption budget were stopped.
   std::uint64_t budgeted_stops() const { return this->budgets.stops; }
+  // How many calls were carried out after the leader had given them up.
+  std::uint64_t late_calls() const {
+    return this->relays ? this->relays->late_calls() : 0;
+  }
 
  private:
   FakeWorker& LifeOn(int number);
@@ -89,9 +101,12 @@
   void Restart(int number);
   void StartAgain(int number);
   void AnnounceLate(const FakeWorker& present);
+  void HarmRelay(const Happening& happening);
   void Refuse(std::optional<OrderResult>& refusal, int amount);
 
+  std::uint64_t seed;
   FakeFleet fleet;
+  std::optional<FakeRelays> relays;
   RunLedger ledger;
   BudgetLedger budgets;
   Failing failing = Failing::kNone;
--- a/tests/libraries/scheduler/run_uniqueness_property_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_property_test.cc
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -31,6 +33,17 @@
   return kinds;
 }
 
+// What happens to relays, as often as all else of `kinds` together.
+std::vector<Kind> WithRelayKinds(std::vector<Kind> kinds) {
+  constexpr std::array kOfRelays = {Kind::kPauseRelay, Kind::kLoseRelay,
+                                    Kind::kCutRelay, Kind::kMoveCalls};
+  const std::size_t others = kinds.size();
+  for (std::size_t added = 0; added < others; ++added) {
+    kinds.push_back(kOfRelays.at(added % kOfRelays.size()));
+  }
+  return kinds;
+}
+
 rc::Gen<std::vector<Happening>> GenerateHistory(
     const std::vector<Kind>& kinds) {
   constexpr int kWhole = 100;
@@ -50,12 +63,18 @@
 }
 
 enum class Leases { kLong, kShort };
+enum class Calls { kByTheLeader, kByRelays };
 
-void Check(const std::vector<Kind>& kinds, Leases leases) {
+void Check(const std::vector<Kind>& kinds,
+           Leases leases,
+           Calls calls = Calls::kByTheLeader) {
   RunHistory history(*rc::gen::inRange<std::uint64_t>(1, 1'000'000));
   if (leases == Leases::kShort) {
     history.ShortenLeases();
   }
+  if (calls == Calls::kByRelays) {
+    history.UseRelays();
+  }
   for (const Happening& happening : *GenerateHistory(kinds)) {
     history.Happen(happening);
     if (!history.problem().empty()) {
@@ -68,6 +87,7 @@
   }
   RC_ASSERT(history.is_finished());
   RC_CLASSIFY(history.budgeted_stops() > 0, "stopped within a budget");
+  RC_CLASSIFY(history.late_calls() > 0, "calls carried out after all");
 }
 
 RC_GTEST_PROP(RunUniquenessPropertyTest, OneRunWhereLeadersChange, ()) {
@@ -117,5 +137,25 @@
   Check(kinds, *rc::gen::element(Leases::kLong, Leases::kShort));
 }
 
+RC_GTEST_PROP(RunUniquenessPropertyTest, OneRunWhereRelaysMakeTheCalls, ()) {
+  Check(WithRelayKinds(CommonKinds()), Leases::kLong, Calls::kByRelays);
+}
+
+RC_GTEST_PROP(RunUniquenessPropertyTest, OneRunWhereMuchFailsBesideRelays, ()) {
+  std::vector<Kind> kinds = FaultyKinds();
+  kinds.insert(kinds.end(),
+               {Kind::kStartAgain, Kind::kAnnounceEarlier, Kind::kMoveQueue});
+  Check(WithRelayKinds(kinds), *rc::gen::element(Leases::kLong, Leases::kShort),
+        Calls::kByRelays);
+}
+
+RC_GTEST_PROP(RunUniquenessPropertyTest, BudgetsHoldWhereRelaysMakeCalls, ()) {
+  std::vector<Kind> kinds = CommonKinds();
+  kinds.insert(kinds.end(),
+               {Kind::kSubmitLasting, Kind::kSubmitLasting, Kind::kCordon,
+                Kind::kCordon, Kind::kRestart, Kind::kLoseReports});
+  Check(WithRelayKinds(kinds), Leases::kLong, Calls::kByRelays);
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
