Tests: A call lost with its relay says nothing against the worker

Two examples for the result kRelayLost: renewals that are lost with their relays put no worker in doubt and end no lease, and a start that is lost is settled by a stop before its task goes elsewhere.

--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <variant>
 
 #include "tests/libraries/scheduler/fake_fleet.h"
 
@@ -1044,5 +1045,55 @@
   EXPECT_EQ(fleet.problem, "");
 }
 
+// A relay that is gone is no silence of its workers, however often it goes.
+TEST(SchedulerTest, ARenewalLostWithItsRelaySaysNothingAgainstTheWorker) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 1});
+  fleet.PassTime(Milliseconds(300));
+  ASSERT_EQ(fleet.WorkersOf("job"), std::vector<std::string>{"w0"});
+  const WorkerId worker("w0");
+  const auto& session = fleet.scheduler->sessions().at(worker);
+  fleet.renews = false;
+  fleet.PassTime(fleet.settings.lease.length + Milliseconds(2'000));
+  for (int lost = 0; lost < 3; ++lost) {
+    fleet.scheduler->TakeRenewalFailure(worker, OrderResult::kRelayLost,
+                                        fleet.now);
+    fleet.PassTime(Milliseconds(500));
+  }
+  EXPECT_TRUE(session.is_answering());
+  EXPECT_FALSE(session.is_in_doubt());
+  EXPECT_FALSE(session.IsLapsed(fleet.now));
+  EXPECT_EQ(session.runs().size(), 1U);
+  EXPECT_EQ(fleet.starts, 1U);
+  fleet.scheduler->TakeRenewalFailure(worker, OrderResult::kUnknown, fleet.now);
+  EXPECT_FALSE(session.is_answering());
+}
+
+// The start may have left the relay before it went, and may still be carried
+// out.
+TEST(SchedulerTest, AStartLostWithItsRelayIsStoppedBeforeItsTaskGoesElsewhere) {
+  FakeFleet fleet(2);
+  fleet.PassTime(Milliseconds(500));
+  fleet.Submit("job", {.count = 1});
+  const auto plan = [&] {
+    return fleet.scheduler->Plan(fleet.now,
+                                 WallTime(fleet.now.time_since_epoch()));
+  };
+  const SchedulerOutput first = plan();
+  ASSERT_EQ(first.orders.size(), 1U);
+  const auto* start = std::get_if<StartOrder>(&first.orders[0]);
+  ASSERT_NE(start, nullptr);
+  fleet.scheduler->TakeAnswer(first.orders[0],
+                              {.result = OrderResult::kRelayLost}, fleet.now);
+  const SchedulerOutput next = plan();
+  ASSERT_EQ(next.orders.size(), 1U);
+  const auto* stop = std::get_if<StopOrder>(&next.orders[0]);
+  ASSERT_NE(stop, nullptr);
+  EXPECT_EQ(stop->run, start->run);
+  EXPECT_EQ(stop->worker, start->worker);
+  EXPECT_TRUE(fleet.scheduler->sessions().at(start->worker).is_answering());
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
