Scheduler: Judge the age of a report by the worker's clock

A disruption budget counts the other tasks of a step as at work by reports of the last 1.2 s, but a report counted from when it was read. One that waited 2 s for a late loop, or lay in a relay that was paused (the leader gives a relay up only seconds after a call), was taken for new, and so was one from before the stop that an earlier leader had ordered (Run::settled_at). Both could take a task away while another one of its step was away already.

WorkerSession::reported_at is when the report was made at the latest, by the best reading of the worker's clock and the most that clocks may run slow; it is never later than the reading, so nothing is allowed that was not allowed before.

Before: AReportReadLateDoesNotShowThatATaskIsAtWork failed (reports 2 s old let a task be taken away).

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -154,9 +154,9 @@
   if (!session.IsNewest(report.clock)) {
     return {};
   }
-  session.NoteReport(report.clock);
   const bool is_adopting = !session.is_adopted();
   session.NoteClock(report.clock, now);
+  session.NoteReport(report.clock, now);
   // With ends left out nobody knows yet what became of its runs.
   if (!is_adopting || !report.has_more_ends) {
     session.NoteAnswer(now);
@@ -771,7 +771,7 @@
                                  : this->FindSession(memory->placed->first);
     const bool is_stale =
         session != nullptr && session->is_answering() &&
-        now - session->last_answer > this->settings.fresh_report / 2 &&
+        now - session->reported_at() > this->settings.fresh_report / 2 &&
         now - session->report_asked_at > this->settings.fresh_report / 2;
     if (is_stale) {
       this->report_wanted.insert(session->worker().id);
@@ -912,13 +912,13 @@
   // An answer that is still to come may tell of an end: 0.9 s before an
   // evacuation leases had ended that its leader took for work by reports 2.3 s
   // old.
-  if (now - session->second.last_answer > this->settings.fresh_report) {
+  if (now - session->second.reported_at() > this->settings.fresh_report) {
     return false;
   }
   const auto run = session->second.runs().find({task, number});
   return run != session->second.runs().end() &&
          run->second.phase == RunPhase::kRunning &&
-         session->second.last_answer >= run->second.settled_at &&
+         session->second.reported_at() >= run->second.settled_at &&
          run->second.percent >= kWholePercent;
 }
 
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -106,6 +106,18 @@
   }
 }
 
+void WorkerSession::NoteReport(WorkerTime report_clock, SteadyTime now) {
+  this->last_report = report_clock;
+  // Slow clocks count less than what has passed.
+  const auto [reading, read_at] = *this->clock;
+  const Milliseconds since(report_clock.value() - reading.value());
+  const Milliseconds longest =
+      since > Milliseconds(0)
+          ? since * kPermille / (kPermille - this->settings.slow_clock_permille)
+          : since;
+  this->last_report_made_at = std::min(now, read_at + longest);
+}
+
 void WorkerSession::NoteAnswer(SteadyTime now) {
   this->has_answered = true;
   this->failures = 0;
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -123,7 +123,11 @@
   bool IsNewest(WorkerTime report_clock) const {
     return report_clock >= this->last_report;
   }
-  void NoteReport(WorkerTime report_clock) { this->last_report = report_clock; }
+  // Takes in that a report was read now; only after its clock was.
+  void NoteReport(WorkerTime report_clock, SteadyTime now);
+  // When the worker made the last report, at the latest: one that waited to be
+  // read tells of an earlier time.
+  SteadyTime reported_at() const { return this->last_report_made_at; }
 
   // Takes in the clock of an answer.
   void NoteClock(WorkerTime clock, SteadyTime now);
@@ -232,8 +236,9 @@
   SteadyTime last_failure{};
   SteadyTime session_began;
   SteadyTime bound;
-  // The clock of the last report.
+  // The clock of the last report, and what that was here at the latest.
   WorkerTime last_report;
+  SteadyTime last_report_made_at{};
   // The latest reading of the worker's clock and when it came.
   std::optional<std::pair<WorkerTime, SteadyTime>> clock;
   std::map<std::pair<jobs::TaskId, RunNumber>, Run> known_runs;
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <variant>
 
 #include "tests/libraries/scheduler/fake_fleet.h"
@@ -988,6 +989,35 @@
   EXPECT_TRUE(fleet.scheduler->MayTakeAway(task, fleet.now));
 }
 
+// A report waited for its relay, or for its leader's loop, and told of a time
+// before another task's stop.
+TEST(SchedulerTest, AReportReadLateDoesNotShowThatATaskIsAtWork) {
+  FakeFleet fleet(2);
+  fleet.work = Milliseconds(60'000);
+  fleet.Submit("job", {.count = 2,
+                       .most_per_worker = 1,
+                       .is_long_running = true,
+                       .has_disruption_budget = true,
+                       .disruption_budget = 1});
+  fleet.PassTime(Milliseconds(3'000));
+  const jobs::TaskId task{{JobId("job"), 0, 0}, 0};
+  ASSERT_TRUE(fleet.scheduler->MayTakeAway(task, fleet.now));
+  fleet.renews = false;
+  std::map<WorkerId, RenewReport> reports;
+  for (const auto& [id, session] : fleet.scheduler->sessions()) {
+    const auto report =
+        fleet.worker(id.value())
+            .Renew(session.NextReportRequest(fleet.state.epoch()), fleet.now);
+    ASSERT_TRUE(report);
+    reports.emplace(id, *report);
+  }
+  fleet.PassTime(Milliseconds(2'000));
+  for (const auto& [id, report] : reports) {
+    fleet.scheduler->TakeReport(id, report, fleet.now);
+  }
+  EXPECT_FALSE(fleet.scheduler->MayTakeAway(task, fleet.now));
+}
+
 // A leader changed while the worker of a job's only tasks was silent. Whether
 // the job had begun was in the memory of the leader before, so callers who had
 // been shown "running" were shown "queued" for as long.
