Sumacd: Fetch a long list of instances more seldom while a worker is silent

While a worker fails to answer, the whole list was fetched and read every 250 ms whatever its length; the planners beside it are paced by the number of instances. The interval now grows in the same way, from 250 ms at up to 400 instances to 1 s at 1,600 and more. The bound keeps what the check is for: what ran on an instance that is down starts elsewhere after a second, and not after the six of its lease. Up to 400 instances nothing changes.

InstanceListingPaceTest counts the lists of 5 s on a manual clock with an immediate answer: 20, 10 and 5 with 3, 800 and 4,000 instances.

--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -29,6 +29,9 @@
 constexpr std::int64_t kInstancesOfInterval = 400;
 // While a worker fails to answer, the list tells whether its instance is up.
 constexpr Milliseconds kLifeCheckInterval{250};
+// A longer list is fetched the more seldom, but often enough that what ran on
+// an instance that is down starts elsewhere long before its lease is over.
+constexpr Milliseconds kLongestLifeCheckInterval{1'000};
 
 std::string_view NameOfResult(maintenance::InstanceResult result) {
   using enum maintenance::InstanceResult;
@@ -51,6 +54,12 @@
   return "?";
 }
 
+Milliseconds LifeCheckInterval(std::size_t instances) {
+  return std::clamp(kLifeCheckInterval * static_cast<std::int64_t>(instances) /
+                        kInstancesOfInterval,
+                    kLifeCheckInterval, kLongestLifeCheckInterval);
+}
+
 std::map<InstanceName, scheduler::InstanceLife> LivesOf(
     const maintenance::InstanceListing& listing) {
   std::map<InstanceName, scheduler::InstanceLife> lives;
@@ -201,7 +210,8 @@
 
 void InstanceKeeper::RefreshList(SteadyTime now) {
   const Milliseconds interval =
-      this->scheduler.NeedsLifeCheck() ? kLifeCheckInterval
+      this->scheduler.NeedsLifeCheck()
+          ? LifeCheckInterval(this->scheduler.sessions().size())
       : maintenance::MaintenancePlanner::NeedsList(this->state)
           ? kListInterval
           : kQuietListInterval;
--- a/tests/services/sumacd/instance_keeper_test.cc
+++ b/tests/services/sumacd/instance_keeper_test.cc
@@ -93,6 +93,78 @@
   EXPECT_TRUE(this->IsCordoned("w1"));
 }
 
+// A leader that reads lists of the instances of a fleet, one of whose workers
+// is silent.
+class ListedFleet {
+ public:
+  explicit ListedFleet(std::size_t workers)
+      : fleet(workers),
+        keeper(this->fleet.state,
+               *this->fleet.scheduler,
+               this->Calls(),
+               InstanceKeeper::Host{.propose =
+                                        [](const jobs::Command&) {
+                                          return kj::Promise<fleet::Answer>(
+                                              kj::NEVER_DONE);
+                                        },
+                                    .may_act = [] { return true; }},
+               maintenance::MaintenanceSettings(),
+               maintenance::CapacitySettings{.is_on = false},
+               ProcessName("c"),
+               this->fleet.now) {
+    this->fleet.scheduler->TakeRenewalFailure(
+        WorkerId("w0"), scheduler::OrderResult::kUnknown, this->fleet.now);
+  }
+
+  void PassTime(Milliseconds time) {
+    constexpr Milliseconds kStep{50};
+    for (Milliseconds passed{0}; passed < time; passed += kStep) {
+      this->fleet.now += kStep;
+      this->keeper.Plan(WallTime(this->fleet.now.time_since_epoch()),
+                        this->fleet.now);
+      this->scope.poll();
+    }
+  }
+
+  int lists = 0;
+
+ private:
+  maintenance::InstanceCalls Calls() {
+    return {
+        .list =
+            [this](const std::string&) {
+              ++this->lists;
+              return kj::evalLater(
+                  []() -> absl::StatusOr<maintenance::InstancePage> {
+                    return maintenance::InstancePage();
+                  });
+            },
+        .send =
+            [](const maintenance::InstanceOrder&) {
+              return kj::Promise<maintenance::InstanceResult>(kj::NEVER_DONE);
+            }};
+  }
+
+  kj::EventLoop loop;
+  kj::WaitScope scope{this->loop};
+  scheduler::FakeFleet fleet;
+  InstanceKeeper keeper;
+};
+
+int CountLists(std::size_t workers) {
+  ListedFleet fleet(workers);
+  fleet.PassTime(Milliseconds(5'000));
+  return fleet.lists;
+}
+
+// One pace for all sizes let the lists of a large fleet crowd out other work.
+TEST(InstanceListingPaceTest,
+     ALongListIsFetchedMoreSeldomWhileAWorkerIsSilent) {
+  EXPECT_EQ(CountLists(3), 20);
+  EXPECT_EQ(CountLists(800), 10);
+  EXPECT_EQ(CountLists(4'000), 5);
+}
+
 TEST_F(InstanceKeeperTest, ItProposesNothingTwiceThatIsBeingCommitted) {
   this->StartWave("1", "m0");
   for (int look = 0; look < 5; ++look) {
