Sumacd, Scheduler, Maintenance: Do no work for listed instances in no doubt

For each list the leader built what it says of every instance, though only those of silent workers are looked at; it also built a text and found its count for every row to log how many are in which state, and dropped and copied the labels of all instances.

Scheduler::InstancesInDoubt names the instances that are asked about, and the keeper looks only these up; one without a row is now told as not up, which ends its worker's life as a missing one did. A list without any row still tells nothing, and a list with a row that names no instance neither (both in CheckLives). Rows are counted by pool and state before texts are made; labels that stay are copied over. InstanceListing, which keeps the last two lists, is left as it is.

InstanceListingLivesTest guards what must not change: one list may lack an instance, two don't; an unknown state and an empty list end no life, and an instance that is down does.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -29,7 +29,9 @@
 void CapacityPlanner::TakeList(const InstanceListing& listing) {
   const SteadyTime asked_at = listing.asked_at().value_or(SteadyTime{});
   std::map<InstanceName, Place> listed;
-  this->labels.clear();
+  std::erase_if(this->labels, [&listing](const auto& known) {
+    return !listing.rows().contains(known.first);
+  });
   for (const auto& [name, instance] : listing.rows()) {
     this->labels[name] = instance.labels;
     const auto known = this->idle.find(name);
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -824,6 +824,16 @@
                      });
 }
 
+std::set<InstanceName> Scheduler::InstancesInDoubt() const {
+  std::set<InstanceName> instances;
+  for (const auto& [id, session] : this->workers) {
+    if (session.is_in_doubt() && !session.worker().instance.value().empty()) {
+      instances.insert(session.worker().instance);
+    }
+  }
+  return instances;
+}
+
 void Scheduler::TakeInstanceLives(
     const std::map<InstanceName, InstanceLife>& lives,
     SteadyTime asked_at) {
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -171,9 +171,11 @@
   // True while some worker fails to answer, so that it is of use to know
   // whether its instance is up.
   bool NeedsLifeCheck() const;
-  // Takes in what the platform, asked at `asked_at`, says of all instances. The
-  // life of a worker that fails to answer is over if its instance was down or
-  // gone, or ran another one.
+  // The instances of all workers that fail to answer.
+  std::set<InstanceName> InstancesInDoubt() const;
+  // Takes in what the platform, asked at `asked_at`, says of the instances in
+  // doubt, or of more. The life of a worker that fails to answer is over if its
+  // instance was down or gone, or ran another one.
   void TakeInstanceLives(const std::map<InstanceName, InstanceLife>& lives,
                          SteadyTime asked_at);
 
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -60,20 +60,25 @@
                     kLifeCheckInterval, kLongestLifeCheckInterval);
 }
 
+// What the list says of these instances.
 std::map<InstanceName, scheduler::InstanceLife> LivesOf(
-    const maintenance::InstanceListing& listing) {
+    const maintenance::InstanceListing& listing,
+    const std::set<InstanceName>& instances) {
   std::map<InstanceName, scheduler::InstanceLife> lives;
-  for (const auto& [name, instance] : listing.rows()) {
+  for (const InstanceName& name : instances) {
+    scheduler::InstanceLife& life = lives[name];
     const maintenance::ListedInstance* row = listing.Find(name);
     // One that only the last list lacks, or whose row tells nothing, may be up
     // as before.
     const bool is_unclear =
-        row == nullptr || row->state == maintenance::InstanceState::kUnknown;
-    lives[name] =
-        is_unclear
-            ? scheduler::InstanceLife{.is_up = true, .worker = {}}
-            : scheduler::InstanceLife{
-                  row->state == maintenance::InstanceState::kUp, row->worker};
+        row == nullptr ? listing.rows().contains(name)
+                       : row->state == maintenance::InstanceState::kUnknown;
+    if (is_unclear) {
+      life.is_up = true;
+    } else if (row != nullptr) {
+      life = {.is_up = row->state == maintenance::InstanceState::kUp,
+              .worker = row->worker};
+    }
   }
   return lives;
 }
@@ -246,21 +251,33 @@
         this->LogList();
         this->listing.Take(std::move(this->pages), this->last_list,
                            this->nameless_rows > 0);
-        if (!this->listing.has_nameless_rows()) {
-          // A row that can't be read may be that of any worker.
-          this->scheduler.TakeInstanceLives(LivesOf(this->listing),
-                                            this->last_list);
-        }
+        this->CheckLives();
         this->capacity.TakeList(this->listing);
         return kj::READY_NOW;
       });
 }
 
+void InstanceKeeper::CheckLives() {
+  // A row that can't be read may be that of any worker, and a platform without
+  // any instance has lost its list, not its instances.
+  if (this->listing.has_nameless_rows() || this->listing.rows().empty()) {
+    return;
+  }
+  const std::set<InstanceName> instances = this->scheduler.InstancesInDoubt();
+  this->scheduler.TakeInstanceLives(LivesOf(this->listing, instances),
+                                    this->last_list);
+}
+
 // One line a list: how many instances of each pool are in which state.
 void InstanceKeeper::LogList() const {
-  std::map<std::string, std::size_t> counts;
+  std::map<std::pair<std::string_view, maintenance::InstanceState>, std::size_t>
+      instances;
   for (const maintenance::ListedInstance& instance : this->pages) {
-    ++counts[StrCat(instance.service.value(), "/", NameOf(instance.state))];
+    ++instances[{instance.service.value(), instance.state}];
+  }
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [kind, count] : instances) {
+    counts[StrCat(kind.first, "/", NameOf(kind.second))] = count;
   }
   LogEvent(LogLevel::kInfo, "instances-listed",
            {{"counts", counts}, {"nameless_rows", this->nameless_rows}});
--- a/services/sumacd/instance_keeper.h
+++ b/services/sumacd/instance_keeper.h
@@ -60,6 +60,7 @@
   void Commit(std::vector<jobs::Command> commands);
   void Send(const maintenance::InstanceOrder& order);
   void RefreshList(SteadyTime now);
+  void CheckLives();
   void LogList() const;
   kj::Promise<void> FetchPages(std::string token);
 
--- a/tests/services/sumacd/instance_keeper_test.cc
+++ b/tests/services/sumacd/instance_keeper_test.cc
@@ -125,6 +125,12 @@
       this->scope.poll();
     }
   }
+  // Lists of late show these rows.
+  bool IsAlive(std::vector<maintenance::ListedInstance> rows) {
+    this->listed = std::move(rows);
+    this->PassTime(kTurn);
+    return this->fleet.scheduler->sessions().contains(WorkerId("w0"));
+  }
 
   int lists = 0;
 
@@ -135,8 +141,8 @@
             [this](const std::string&) {
               ++this->lists;
               return kj::evalLater(
-                  []() -> absl::StatusOr<maintenance::InstancePage> {
-                    return maintenance::InstancePage();
+                  [this]() -> absl::StatusOr<maintenance::InstancePage> {
+                    return maintenance::InstancePage{.instances = this->listed};
                   });
             },
         .send =
@@ -148,6 +154,7 @@
   kj::EventLoop loop;
   kj::WaitScope scope{this->loop};
   scheduler::FakeFleet fleet;
+  std::vector<maintenance::ListedInstance> listed;
   InstanceKeeper keeper;
 };
 
@@ -165,6 +172,29 @@
   EXPECT_EQ(CountLists(4'000), 5);
 }
 
+maintenance::ListedInstance Row(const std::string& name,
+                                maintenance::InstanceState state) {
+  return {.name = InstanceName(name), .state = state};
+}
+
+TEST(InstanceListingLivesTest, OnlyTwoListsWithoutAnInstanceEndItsLife) {
+  using enum maintenance::InstanceState;
+  const maintenance::ListedInstance other = Row("m1", kDown);
+  ListedFleet fleet(2);
+  EXPECT_TRUE(fleet.IsAlive({}));
+  EXPECT_TRUE(fleet.IsAlive({other, Row("m0", kUp)}));
+  EXPECT_TRUE(fleet.IsAlive({other, Row("m0", kUnknown)}));
+  EXPECT_TRUE(fleet.IsAlive({other}));
+  EXPECT_FALSE(fleet.IsAlive({other}));
+}
+
+TEST(InstanceListingLivesTest, AnInstanceThatIsDownEndsItsWorkersLife) {
+  using enum maintenance::InstanceState;
+  ListedFleet fleet(2);
+  EXPECT_TRUE(fleet.IsAlive({Row("m0", kUp), Row("m1", kDown)}));
+  EXPECT_FALSE(fleet.IsAlive({Row("m0", kDown), Row("m1", kUp)}));
+}
+
 TEST_F(InstanceKeeperTest, ItProposesNothingTwiceThatIsBeingCommitted) {
   this->StartWave("1", "m0");
   for (int look = 0; look < 5; ++look) {
