Benchmarks: Measure the scheduler under load

decision_bench covered routing and the planner, not the scheduler, whose passes are a seventh of the leader's processor time.

It now plays 11 s of a busy leader on a fake clock with 50, 350, 1,100 and 6,400 workers: jobs that wait, starts of which a tenth is refused, reports, ends, and workers that end and begin. It prints time and allocations for one pass, answer, report, renewal and move, instructions where the system counts them (not on the machine of this commit), and a fingerprint of all orders, so that a change that should decide nothing anew can show it.

--- a/benchmarks/decision_bench.cc
+++ b/benchmarks/decision_bench.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 
+#include "benchmarks/scheduler_load.h"
 #include "libraries/base/text.h"
 #include "libraries/codec/json_writer.h"
 #include "libraries/fleet/fleet_machine.h"
@@ -168,6 +169,12 @@
             << std::endl;
 }
 
+void MeasureScheduler(int workers) {
+  SchedulerLoad load(workers);
+  load.Run();
+  std::cout << load.ToJson().dump() << std::endl;
+}
+
 }  // namespace
 }  // namespace sumac::benchmarks
 
@@ -185,5 +192,8 @@
     sumac::benchmarks::MeasureRouting(*charts, size);
     sumac::benchmarks::MeasureFleet(*charts, size);
   }
+  for (const int workers : {50, 350, 1'100, 6'400}) {
+    sumac::benchmarks::MeasureScheduler(workers);
+  }
   return 0;
 }
--- a/meta/bench.sh
+++ b/meta/bench.sh
@@ -197,7 +197,7 @@
   stop_group
 }
 
-# What one decision costs at 50, 500 and 6,400 targets.
+# What one decision costs at 50, 500 and 6,400 targets, and a pass of the scheduler at 50 to 6,400 workers.
 bench_decisions() { "$bin/decision_bench" charts; }
 
 label_line() { jq -c --arg bench "$1" '{bench: $bench} + .'; }
