Scheduler: Stop counting a step's places once it has enough

The review of steps that wait counted, for each of up to 128 steps, the places on all workers of the fleet, to know whether there is one (or one for each member of a gang).

It stops at the first worker that settles it. The answer is the same: places are only added up. decision_bench's fingerprint of all orders is unchanged. Allocations as before.

--- a/libraries/scheduler/waiting_cause.cc
+++ b/libraries/scheduler/waiting_cause.cc
@@ -28,13 +28,15 @@
 }
 
 bool IsFeasible(const jobs::StepSpec& step, const Placement::Sessions& fleet) {
+  const std::uint32_t wanted = step.is_gang ? step.count : 1;
   std::uint32_t places = 0;
-  for (const auto& [id, session] : fleet) {
-    if (HasLabel(step, session.worker())) {
-      places += CountPlaces(step, session.worker().capacity, 0);
+  return std::any_of(fleet.begin(), fleet.end(), [&](const auto& item) {
+    const jobs::Worker& worker = item.second.worker();
+    if (HasLabel(step, worker)) {
+      places += CountPlaces(step, worker.capacity, 0);
     }
-  }
-  return places >= (step.is_gang ? step.count : 1);
+    return places >= wanted;
+  });
 }
 
 // Counts the worker under the first wish that excludes it.
