Scheduler: Find the lives on an instance without a look at all workers

The first answer of each worker looked at every worker of the fleet for others on its instance, and compared their instances' names. Moves of instances bring such answers by the hundred a second.

The scheduler now keeps the workers of each instance.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -86,10 +86,23 @@
   }
   const auto [session, is_new] = this->workers.try_emplace(
       id, WorkerSession(*worker, this->settings.lease, now));
+  if (!is_new) {
+    this->ForgetLife(session->second.worker());
+  }
   session->second.Update(*worker);
+  this->lives_of[worker->instance].insert(id);
   this->MarkCordoned(session->second);
 }
 
+// Takes a worker from the lives of its instance.
+void Scheduler::ForgetLife(const jobs::Worker& worker) {
+  const auto lives = this->lives_of.find(worker.instance);
+  lives->second.erase(worker.id);
+  if (lives->second.empty()) {
+    this->lives_of.erase(lives);
+  }
+}
+
 // Ends a life that is not on record any more, or is no present one.
 void Scheduler::EndLife(const WorkerId& worker, SteadyTime now) {
   const WorkerSession* session = this->FindSession(worker);
@@ -117,9 +130,9 @@
     return;
   }
   std::vector<WorkerId> ended;
-  for (const auto& [id, session] : this->workers) {
-    if (id != worker.id && session.worker().instance == worker.instance &&
-        session.began_at() <= answering.began_at()) {
+  for (const WorkerId& id : this->lives_of.at(worker.instance)) {
+    if (id != worker.id &&
+        this->workers.at(id).began_at() <= answering.began_at()) {
       ended.push_back(id);
     }
   }
@@ -580,6 +593,7 @@
   }
   this->ReleaseAll(found->second, std::string(TextOf(end)));
   this->health.Forget(worker);
+  this->ForgetLife(found->second.worker());
   this->workers.erase(found);
   this->needs_plan = true;
 }
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -299,6 +300,7 @@
   TaskMemory& CheckpointOf(const jobs::TaskId& task,
                            const jobs::StepSpec& step);
   void SyncWorker(const WorkerId& id, SteadyTime now);
+  void ForgetLife(const jobs::Worker& worker);
   void EndLife(const WorkerId& worker, SteadyTime now);
   void EndReplacedWorker(const WorkerId& worker, SteadyTime now);
   void EndOtherLives(const WorkerSession& answering, SteadyTime now);
@@ -378,6 +380,8 @@
   // ran before.
   std::uint64_t first_own_sequence;
   Sessions workers;
+  // The workers that are known on each instance.
+  std::unordered_map<InstanceName, std::set<WorkerId>> lives_of;
   TaskTable tasks;
   // When the leadership began.
   SteadyTime began_at;
