Scheduler: Take in a report without copying its tasks' names

Each report built a tree of the runs that it lists, with a copy of each task's name, to find those that it doesn't; it looked each run's step up although few runs tell a checkpoint; and a new run was copied four times.

A run now holds the number of the report that listed it last, and is moved into its session.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -272,6 +272,7 @@
     if (running.percent != run->percent) {
       run->percent_changed_at = now;
     }
+    run->seen_in_report = session.report_count();
     run->percent = running.percent;
     run->load = running.load;
     if (run->phase == RunPhase::kOrdered) {
@@ -281,8 +282,10 @@
     if (now - run->ordered_at >= jobs::TaskCrashes::kSuspectTime) {
       session.EndTrial(*run);
     }
-    const jobs::StepSpec* step = this->state.FindStep(running.task);
-    if (!running.checkpoint.empty() && step != nullptr) {
+    if (running.checkpoint.empty()) {
+      continue;
+    }
+    if (const jobs::StepSpec* step = this->state.FindStep(running.task)) {
       this->CheckpointOf(running.task, *step).checkpoint = running.checkpoint;
     }
   }
@@ -326,12 +329,13 @@
       .settled_at =
           now + this->settings.longest_stop + this->settings.lease.margin,
       .confirmed_clock = report.clock,
+      .seen_in_report = session.report_count(),
       .percent = running.percent,
       .percent_changed_at = now,
       .load = running.load,
       .pace = std::nullopt,
       .stop_due = now};
-  session.AddRun(run);
+  session.AddRun(std::move(run));
   if (step != nullptr) {
     TaskMemory& memory = this->tasks.Get(running.task);
     memory.last_run = std::max(memory.last_run, running.run);
@@ -350,13 +354,9 @@
 
 // Runs that the worker neither runs nor lists as ended.
 void Scheduler::TakeMissing(WorkerSession& session, const RenewReport& report) {
-  std::set<std::pair<jobs::TaskId, RunNumber>> present;
-  for (const RunningReport& running : report.running) {
-    present.emplace(running.task, running.run);
-  }
   std::vector<std::pair<jobs::TaskId, RunNumber>> gone;
   for (const auto& [key, run] : session.runs()) {
-    if (present.contains(key)) {
+    if (run.seen_in_report == session.report_count()) {
       continue;
     }
     const bool has_vanished =
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -108,6 +108,7 @@
 
 void WorkerSession::NoteReport(WorkerTime report_clock, SteadyTime now) {
   this->last_report = report_clock;
+  ++this->reports;
   // Slow clocks count less than what has passed.
   const auto [reading, read_at] = *this->clock;
   const Milliseconds since(report_clock.value() - reading.value());
@@ -156,18 +157,20 @@
   return found == this->known_runs.end() ? nullptr : &found->second;
 }
 
-Run& WorkerSession::AddRun(const Run& run) {
-  const std::pair key(run.task, run.number);
-  auto [place, is_new] = this->known_runs.try_emplace(key, run);
+Run& WorkerSession::AddRun(Run run) {
+  std::pair key(run.task, run.number);
+  auto [place, is_new] =
+      this->known_runs.try_emplace(std::move(key), std::move(run));
+  Run& added = place->second;
   if (is_new) {
-    this->used.Add(place->second.need);
-    ++this->step_counts[key.first.step];
-    this->serving_count += static_cast<std::uint32_t>(run.is_serving);
-    this->filler_count += static_cast<std::uint32_t>(run.is_filler);
+    this->used.Add(added.need);
+    ++this->step_counts[added.task.step];
+    this->serving_count += static_cast<std::uint32_t>(added.is_serving);
+    this->filler_count += static_cast<std::uint32_t>(added.is_filler);
     this->has_unsettled_runs =
-        this->has_unsettled_runs || run.phase != RunPhase::kRunning;
+        this->has_unsettled_runs || added.phase != RunPhase::kRunning;
   }
-  return place->second;
+  return added;
 }
 
 void WorkerSession::BeginTrial(Run& run) {
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -82,6 +82,8 @@
   WorkerTime start_expires;
   // The worker's clock when it confirmed the start.
   std::optional<WorkerTime> confirmed_clock;
+  // The last report that listed it as running, by its number.
+  std::uint64_t seen_in_report = 0;
   std::uint32_t percent = 0;
   // When a report last showed another percent than the one before.
   SteadyTime percent_changed_at{};
@@ -128,6 +130,8 @@
   // When the worker made the last report, at the latest: one that waited to be
   // read tells of an earlier time.
   SteadyTime reported_at() const { return this->last_report_made_at; }
+  // How many reports were taken; the number of the last one.
+  std::uint64_t report_count() const { return this->reports; }
 
   // Takes in the clock of an answer.
   void NoteClock(WorkerTime clock, SteadyTime now);
@@ -178,7 +182,7 @@
     return this->known_runs;
   }
   Run* FindRun(const jobs::TaskId& task, RunNumber number);
-  Run& AddRun(const Run& run);
+  Run& AddRun(Run run);
   // False if the run was not known.
   bool RemoveRun(const jobs::TaskId& task, RunNumber number);
   // Puts one of its runs on trial, and ends that.
@@ -239,6 +243,7 @@
   // The clock of the last report, and what that was here at the latest.
   WorkerTime last_report;
   SteadyTime last_report_made_at{};
+  std::uint64_t reports = 0;
   // The latest reading of the worker's clock and when it came.
   std::optional<std::pair<WorkerTime, SteadyTime>> clock;
   std::map<std::pair<jobs::TaskId, RunNumber>, Run> known_runs;
