Scheduler: Keep jobs without a place in an array for the turn

A turn put each job that found no place into a tree, one piece of memory each, and looked each waiting job up among the active ones twice.

They are now gathered in an array that is sorted once, and active jobs are found in one walk beside the waiting ones, since both are ordered by number.

--- /dev/null
+++ b/libraries/scheduler/job_numbers.h
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_SCHEDULER_JOB_NUMBERS_H_
+#define LIBRARIES_SCHEDULER_JOB_NUMBERS_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace sumac::scheduler {
+
+// A set of jobs, by their numbers, that is first filled and then asked. A set
+// of the standard library would take memory for each of them in each turn.
+class JobNumbers {
+ public:
+  explicit JobNumbers(std::size_t expected) { this->all.reserve(expected); }
+
+  void Add(std::uint64_t number) { this->all.push_back(number); }
+  // To be called between the last Add and the first contains.
+  void Sort() { std::sort(this->all.begin(), this->all.end()); }
+  bool contains(std::uint64_t number) const {
+    return std::binary_search(this->all.begin(), this->all.end(), number);
+  }
+
+ private:
+  std::vector<std::uint64_t> all;
+};
+
+}  // namespace sumac::scheduler
+
+#endif  // LIBRARIES_SCHEDULER_JOB_NUMBERS_H_
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -1119,17 +1119,18 @@
     this->needs_plan = true;
     return;
   }
-  std::set<std::uint64_t> unplaced;
   const std::vector<DueOccurrence> order = this->waiting.Order(now, wall_now);
+  JobNumbers unplaced(order.size());
   this->forecast.NoteWaiting(this->waiting.waiting_of_queues());
   for (const DueOccurrence& due : order) {
     const std::size_t orders = output.orders.size();
     if (!this->MayStart(due.lateness) || !this->StartSteps(due, now, output)) {
-      unplaced.insert(due.job->sequence);
+      unplaced.Add(due.job->sequence);
     } else if (due.is_new && output.orders.size() > orders) {
       this->forecast.NoteBegun(due.job->queue, now);
     }
   }
+  unplaced.Sort();
   this->ReviewWaiting(order, unplaced, now);
   this->waiting.Settle(unplaced, wall_now);
 }
@@ -1142,7 +1143,7 @@
 
 // Finds out, now and then, why the most urgent of the steps that wait do so.
 void Scheduler::ReviewWaiting(const std::vector<DueOccurrence>& due,
-                              const std::set<std::uint64_t>& unplaced,
+                              const JobNumbers& unplaced,
                               SteadyTime now) {
   if (!this->waiting_steps.IsDue(now)) {
     return;
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -21,6 +21,7 @@
 #include "libraries/scheduler/demand_meter.h"
 #include "libraries/scheduler/ended_lives.h"
 #include "libraries/scheduler/event_notes.h"
+#include "libraries/scheduler/job_numbers.h"
 #include "libraries/scheduler/life_end.h"
 #include "libraries/scheduler/near_wait.h"
 #include "libraries/scheduler/placement.h"
@@ -336,7 +337,7 @@
                SchedulerOutput& output);
   void StartDue(SteadyTime now, WallTime wall_now, SchedulerOutput& output);
   void ReviewWaiting(const std::vector<DueOccurrence>& due,
-                     const std::set<std::uint64_t>& unplaced,
+                     const JobNumbers& unplaced,
                      SteadyTime now);
   void ReviewStep(const Candidate& candidate, SteadyTime now);
   bool StartSteps(const DueOccurrence& due,
--- a/libraries/scheduler/waiting_jobs.cc
+++ b/libraries/scheduler/waiting_jobs.cc
@@ -8,12 +8,6 @@
 
 namespace sumac::scheduler {
 
-const jobs::Job* WaitingJobs::FindActive(std::uint64_t sequence) const {
-  const auto& active = this->state.active_jobs();
-  const auto found = active.find(sequence);
-  return found == active.end() ? nullptr : found->second;
-}
-
 void WaitingJobs::Reconsider(const JobId& id) {
   const jobs::Job* job = this->state.FindJob(id);
   if (job != nullptr && job->is_active()) {
@@ -61,8 +55,9 @@
   this->counts.clear();
   this->lateness = {};
   this->of_queues.clear();
+  ActiveJobs active(this->state);
   for (auto& [sequence, known] : this->waiting) {
-    const jobs::Job* job = this->FindActive(sequence);
+    const jobs::Job* job = active.Find(sequence);
     if (job == nullptr) {
       continue;
     }
@@ -102,18 +97,4 @@
           .queues = this->counts.size()};
 }
 
-void WaitingJobs::Settle(const std::set<std::uint64_t>& unplaced,
-                         WallTime wall_now) {
-  std::erase_if(this->waiting, [&](const auto& item) {
-    const std::uint64_t sequence = item.first;
-    const jobs::Job* job = this->FindActive(sequence);
-    if (job == nullptr) {
-      return true;
-    }
-    const bool are_all_due =
-        job->DueAt(job->spec.occurrences() - 1) <= wall_now;
-    return are_all_due && !unplaced.contains(sequence);
-  });
-}
-
 }  // namespace sumac::scheduler
--- a/libraries/scheduler/waiting_jobs.h
+++ b/libraries/scheduler/waiting_jobs.h
@@ -55,7 +55,15 @@
 
   // Takes in which of the ordered jobs, by their numbers, still lack a place
   // for some task; the others wait no longer.
-  void Settle(const std::set<std::uint64_t>& unplaced, WallTime wall_now);
+  template <typename Numbers = std::set<std::uint64_t>>
+  void Settle(const Numbers& unplaced, WallTime wall_now) {
+    ActiveJobs active(this->state);
+    std::erase_if(this->waiting, [&](const auto& item) {
+      const jobs::Job* job = active.Find(item.first);
+      return job == nullptr ||
+             (AreAllDue(*job, wall_now) && !unplaced.contains(item.first));
+    });
+  }
 
   std::size_t size() const { return this->waiting.size(); }
   // How many jobs waited when they were last ordered, as seen from one queue.
@@ -68,7 +76,32 @@
   }
 
  private:
-  const jobs::Job* FindActive(std::uint64_t sequence) const;
+  // Looks active jobs up by their numbers, in rising order, at the cost of one
+  // walk.
+  class ActiveJobs {
+   public:
+    explicit ActiveJobs(const jobs::JobsState& state)
+        : next(state.active_jobs().begin()), end(state.active_jobs().end()) {}
+
+    // Nothing if the job is not active.
+    const jobs::Job* Find(std::uint64_t sequence) {
+      while (this->next != this->end && this->next->first < sequence) {
+        ++this->next;
+      }
+      return this->next != this->end && this->next->first == sequence
+                 ? this->next->second
+                 : nullptr;
+    }
+
+   private:
+    std::map<std::uint64_t, const jobs::Job*>::const_iterator next;
+    std::map<std::uint64_t, const jobs::Job*>::const_iterator end;
+  };
+
+  // True if each occurrence of the job is due.
+  static bool AreAllDue(const jobs::Job& job, WallTime wall_now) {
+    return job.DueAt(job.spec.occurrences() - 1) <= wall_now;
+  }
   // What is known of an occurrence's urgency; works it out if it is not.
   const UrgencyBasis& BasisOf(const jobs::Job& job,
                               std::uint32_t occurrence,
