Scheduler: Look a worker's pool up once and not in each turn

Each turn hashed the name of the service of each worker to find its pool.

A worker's session holds the number of its pool from its first turn on, until an announcement changes the worker. decision_bench's fingerprint of all orders is unchanged. Load of decision_bench with 350 workers, by callgrind: all passes 250 million instructions before, 232 after. With 1,100 workers a pass took 0.73, 0.76 and 0.75 ms before, 0.70, 0.70 and 0.72 ms after (in turn, beside other work).

--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -16,7 +16,7 @@
 
 void Placement::BeginTurn(Sessions& sessions, SteadyTime now) {
   this->now = now;
-  for (auto& [service, pool] : this->pools) {
+  for (Pool& pool : this->pools) {
     pool.workers.clear();
     pool.quarantined.clear();
     pool.trials = 0;
@@ -27,7 +27,7 @@
     if (session.is_cordoned || !session.IsUsable(now)) {
       continue;
     }
-    Pool& pool = this->pools[session.worker().service];
+    Pool& pool = this->PoolOf(session);
     if (session.trials() > 0) {
       ++pool.trials;
       continue;
@@ -36,7 +36,7 @@
     (this->health.IsQuarantined(id, now) ? pool.quarantined : pool.workers)
         .push_back(&session);
   }
-  for (auto& [service, pool] : this->pools) {
+  for (Pool& pool : this->pools) {
     // A pool of which nothing good is left uses what it has.
     if (pool.workers.empty()) {
       pool.workers.swap(pool.quarantined);
@@ -51,26 +51,48 @@
   }
 }
 
+Placement::Pool& Placement::PoolOf(const ServiceName& service) {
+  const auto [number, is_new] =
+      this->pool_numbers.try_emplace(service, this->pools.size());
+  if (is_new) {
+    this->pools.emplace_back();
+  }
+  return this->pools[number->second];
+}
+
+Placement::Pool& Placement::PoolOf(WorkerSession& session) {
+  if (!session.pool_number) {
+    this->PoolOf(session.worker().service);
+    session.pool_number = this->pool_numbers.at(session.worker().service);
+  }
+  return this->pools[*session.pool_number];
+}
+
+const Placement::Pool* Placement::FindPool(const ServiceName& service) const {
+  const auto number = this->pool_numbers.find(service);
+  return number == this->pool_numbers.end() ? nullptr
+                                            : &this->pools[number->second];
+}
+
 bool Placement::HasRoom(const ServiceName& service,
                         const jobs::Resources& need) const {
-  const auto pool = this->pools.find(service);
-  if (pool == this->pools.end() || !pool->second.most_room.Holds(need)) {
+  const Pool* pool = this->FindPool(service);
+  if (pool == nullptr || !pool->most_room.Holds(need)) {
     return false;
   }
-  const std::vector<jobs::Resources>& failed = pool->second.failed_needs;
+  const std::vector<jobs::Resources>& failed = pool->failed_needs;
   return std::none_of(
       failed.begin(), failed.end(),
       [&](const jobs::Resources& other) { return need.Holds(other); });
 }
 
 bool Placement::HasTrialPlace(const ServiceName& service) const {
-  const auto pool = this->pools.find(service);
-  if (pool == this->pools.end()) {
+  const Pool* pool = this->FindPool(service);
+  if (pool == nullptr) {
     return false;
   }
-  const std::size_t workers = pool->second.workers.size() + pool->second.trials;
-  return pool->second.trials <
-         std::max<std::size_t>(workers / kWorkersOfTrial, 1);
+  const std::size_t workers = pool->workers.size() + pool->trials;
+  return pool->trials < std::max<std::size_t>(workers / kWorkersOfTrial, 1);
 }
 
 // In a rush hundreds of steps wait for a full pool, and each of them would look
@@ -83,13 +105,13 @@
                         request.rack.value().empty() &&
                         request.other_than.value().empty() &&
                         request.advice == nullptr && !request.is_suspect;
-  const auto pool = this->pools.find(request.job->service);
-  if (!is_plain || pool == this->pools.end()) {
+  const Pool* pool = is_plain ? this->FindPool(request.job->service) : nullptr;
+  if (pool == nullptr) {
     return;
   }
   // A few suffice: what asks for less is noted as it fails.
   constexpr std::size_t kMostNeeds = 8;
-  std::vector<jobs::Resources>& failed = pool->second.failed_needs;
+  std::vector<jobs::Resources>& failed = pool->failed_needs;
   const jobs::Resources need = CountedNeed(step);
   std::erase_if(
       failed, [&](const jobs::Resources& other) { return other.Holds(need); });
@@ -192,8 +214,8 @@
 const std::vector<WorkerSession*>& Placement::WorkersOf(
     const ServiceName& service) const {
   static const std::vector<WorkerSession*> kNone;
-  const auto pool = this->pools.find(service);
-  return pool == this->pools.end() ? kNone : pool->second.workers;
+  const Pool* pool = this->FindPool(service);
+  return pool == nullptr ? kNone : pool->workers;
 }
 
 std::vector<WorkerId> Placement::ListRoom(
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -2,6 +2,7 @@
 #ifndef LIBRARIES_SCHEDULER_PLACEMENT_H_
 #define LIBRARIES_SCHEDULER_PLACEMENT_H_
 
+#include <cstddef>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -82,7 +83,7 @@
   // True if one more worker of the service may be risked on a trial.
   bool HasTrialPlace(const ServiceName& service) const;
   // Takes in that a trial began on a worker of the service in this turn.
-  void NoteTrial(const ServiceName& service) { ++this->pools[service].trials; }
+  void NoteTrial(const ServiceName& service) { ++this->PoolOf(service).trials; }
 
   // What a task of the step takes of its worker's room.
   static jobs::Resources CountedNeed(const jobs::StepSpec& step);
@@ -101,12 +102,18 @@
     mutable std::vector<jobs::Resources> failed_needs;
   };
 
+  // The pool of a service, made if it is new.
+  Pool& PoolOf(const ServiceName& service);
+  Pool& PoolOf(WorkerSession& session);
+  // Nothing for a service that had no worker yet.
+  const Pool* FindPool(const ServiceName& service) const;
   void NoteFailure(const PlacementRequest& request) const;
 
   const WorkerHealth& health;
   SteadyTime now{};
   // Emptied in each turn and kept, so that a turn allocates nothing.
-  std::unordered_map<ServiceName, Pool> pools;
+  std::vector<Pool> pools;
+  std::unordered_map<ServiceName, std::size_t> pool_numbers;
 };
 
 }  // namespace sumac::scheduler
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -105,7 +105,10 @@
 
   const jobs::Worker& worker() const { return this->description; }
   // Takes in a change that the worker announced.
-  void Update(const jobs::Worker& worker) { this->description = worker; }
+  void Update(const jobs::Worker& worker) {
+    this->description = worker;
+    this->pool_number.reset();
+  }
 
   // The next renewal for one of `workers`; it also extends the bound on what
   // may run there.
@@ -210,6 +213,8 @@
   bool is_cordoned = false;
   // It was known to be slow when this turn of the scheduler began.
   bool is_slow = false;
+  // The number of its service's pool, once Placement has looked it up.
+  std::optional<std::size_t> pool_number;
   // How fast fillers may work there.
   PaceState filler_pace;
   // A report was asked for beside the renewals, to see what is at work there.
