Benchmarks: Let the runs of the scheduler's load get on

All runs were reported as finished, so that the judgement of their progress left out most of what a leader does for it. Short ones now report how far they are.

--- a/benchmarks/scheduler_load.cc
+++ b/benchmarks/scheduler_load.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kWorkersPerWaitingJob = 4;
 constexpr int kWorkersPerLastingJob = 12;
 constexpr Milliseconds kReportPause{600};
+constexpr Milliseconds kShortestRun{700};
+constexpr Milliseconds kLongestRun{1'300};
 constexpr int kRefusedPercent = 10;
 
 QueueName QueueOf(int service) {
@@ -32,6 +34,16 @@
   return ServiceName(StrCat("service-", service));
 }
 
+// How far a run is that ends then; one that lasts is at work.
+std::uint32_t PercentOf(SteadyTime ends_at, SteadyTime now) {
+  constexpr std::int64_t kWhole = 100;
+  const std::int64_t left =
+      ends_at == SteadyTime::max()
+          ? 0
+          : kWhole * (ends_at - now).count() / kLongestRun.count();
+  return static_cast<std::uint32_t>(kWhole - std::min(left, kWhole));
+}
+
 jobs::JobsDeclaration Declared() {
   std::vector<jobs::QueueDeclaration> queues;
   std::vector<jobs::ServiceDeclaration> services;
@@ -232,8 +244,9 @@
   scheduler::RenewReport report{.clock = this->ClockOf(target),
                                 .ended = target.ended};
   for (const auto& [key, ends_at] : target.running) {
-    report.running.push_back(
-        {.task = key.first, .run = key.second, .percent = 100});
+    report.running.push_back({.task = key.first,
+                              .run = key.second,
+                              .percent = PercentOf(ends_at, now)});
   }
   const scheduler::EndsToRecord ends = this->meters->report.Measure([&] {
     return this->scheduler->TakeReport(target.worker.id, report, now);
@@ -289,7 +302,8 @@
 scheduler::OrderAnswer SchedulerLoad::Start(
     const scheduler::StartOrder& order) {
   std::uniform_int_distribution<int> percent(1, 100);
-  std::uniform_int_distribution<std::int64_t> work(700, 1'300);
+  std::uniform_int_distribution<std::int64_t> work(kShortestRun.count(),
+                                                   kLongestRun.count());
   Target& target = this->targets.at(order.worker);
   const scheduler::WorkerTime now = this->ClockOf(target);
   if (percent(this->random) <= kRefusedPercent) {
