Scheduler: Judge runs by what the session holds first

The judgement of all runs looked each run's job up twice, by the hash of its name, also for runs that are at work or at their end and of which nothing can be said.

Those are left out first, and the job is looked up once.

--- a/libraries/scheduler/stragglers.cc
+++ b/libraries/scheduler/stragglers.cc
@@ -5,6 +5,11 @@
 #include <set>
 
 namespace sumac::scheduler {
+namespace {
+
+constexpr std::int64_t kWholePercent = 100;
+
+}  // namespace
 
 std::vector<Straggler> Stragglers::Find(Sessions& sessions, SteadyTime now) {
   std::vector<Straggler> found;
@@ -22,10 +27,17 @@
                                                   const Run& run) const {
   // A long-running task takes about this long until it is at work.
   constexpr Milliseconds kLongRunningStart{1'500};
+  // Most are told by what the session holds, before their jobs are looked up.
+  const bool is_at_its_end = run.percent >= kWholePercent;
+  if (run.phase != RunPhase::kRunning || run.is_filler || is_at_its_end) {
+    return std::nullopt;
+  }
   const jobs::Job* job = this->state.FindJob(run.task.step.job);
-  const jobs::StepSpec* step = this->state.FindStep(run.task);
-  if (run.phase != RunPhase::kRunning || step == nullptr || step->is_gang ||
-      step->is_filler) {
+  if (job == nullptr || !job->HasTask(run.task)) {
+    return std::nullopt;
+  }
+  const jobs::StepSpec* step = &job->spec.steps[run.task.step.step];
+  if (step->is_gang) {
     return std::nullopt;
   }
   return RunProgress{
@@ -98,7 +110,6 @@
     return false;
   }
   if (pace != RunPace::kStalled) {
-    constexpr std::int64_t kWholePercent = 100;
     const std::int64_t percent = std::max<std::int64_t>(run.percent, 1);
     const Milliseconds left =
         progress.elapsed * (kWholePercent - percent) / percent;
