Codec: Write and read CBOR without a tree

Change: CborWriter writes a described record straight into its bytes; CborReader finds the fields of a record in the bytes. Whatever is not as our writer writes it is read once more by way of a tree, with the same results and errors as before.

Tests: CborTest (what is written holds the same as a tree; bytes of both writers are read without a tree; damaged bytes read as by a tree, 3,000 cases; deep nesting and sizes beyond the bytes).

--- a/libraries/codec/json_reader.h
+++ b/libraries/codec/json_reader.h
@@ -13,6 +13,7 @@
 #include "libraries/base/error.h"
 #include "libraries/base/text.h"
 #include "libraries/codec/describe.h"
+#include "libraries/codec/map_key.h"
 #include "nlohmann/json.hpp"
 
 namespace sumac {
@@ -173,25 +174,6 @@
   }
 }
 
-// The number inside a map's key that is one, bare or as a strong type.
-template <typename Key>
-struct KeyNumber {
-  using Type = void;
-};
-template <std::integral Key>
-struct KeyNumber<Key> {
-  using Type = Key;
-};
-template <IsStrongType Key>
-requires std::integral<typename Key::ValueType>
-struct KeyNumber<Key> {
-  using Type = typename Key::ValueType;
-};
-template <typename Key>
-using NumberOf = typename KeyNumber<Key>::Type;
-template <typename Key>
-inline constexpr bool kHasNumberKey = !std::is_void_v<NumberOf<Key>>;
-
 template <typename T>
 void ReadMap(const nlohmann::json& json,
              T& map,
@@ -205,17 +187,9 @@
   map.clear();
   for (const auto& [text, item] : json.items()) {
     typename T::key_type key{};
-    if constexpr (std::is_same_v<typename T::key_type, std::string>) {
-      key = text;
-    } else if constexpr (kHasNumberKey<typename T::key_type>) {
-      NumberOf<typename T::key_type> number{};
-      if (!ParseNumber(text, &number)) {
-        context.Fail(path, text, "a whole number as key");
-        return;
-      }
-      key = typename T::key_type(number);
-    } else {
-      key = typename T::key_type(text);
+    if (!ParseKey(text, key)) {
+      context.Fail(path, text, "a whole number as key");
+      return;
     }
     ReadValue(item, map[key], StrCat(path, "/", text), limits, context);
   }
@@ -322,16 +296,6 @@
 absl::StatusOr<nlohmann::json> ParseCbor(std::string_view bytes,
                                          std::string_view source);
 
-// Reads a T from CBOR that one of our own processes wrote.
-template <typename T>
-absl::StatusOr<T> FromCbor(std::string_view bytes, std::string_view source) {
-  absl::StatusOr<nlohmann::json> json = ParseCbor(bytes, source);
-  if (!json.ok()) {
-    return json.status();
-  }
-  return FromJson<T>(*json, source, UnknownKeys::kIgnore);
-}
-
 }  // namespace sumac
 
 #endif  // LIBRARIES_CODEC_JSON_READER_H_
--- a/libraries/codec/json_writer.h
+++ b/libraries/codec/json_writer.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "libraries/codec/describe.h"
+#include "libraries/codec/map_key.h"
 #include "nlohmann/json.hpp"
 
 namespace sumac {
@@ -43,18 +44,6 @@
   nlohmann::json& object;
 };
 
-// The text of a map's key.
-template <typename Key>
-std::string KeyText(const Key& key) {
-  if constexpr (IsStrongType<Key>) {
-    return KeyText(key.value());
-  } else if constexpr (std::integral<Key>) {
-    return std::to_string(key);
-  } else {
-    return std::string(key);
-  }
-}
-
 }  // namespace internal
 
 template <typename T>
@@ -99,15 +88,6 @@
   }
 }
 
-// The compact binary form (CBOR, RFC 8949) of `value`, for the log, snapshots
-// and messages.
-template <typename T>
-std::string ToCbor(const T& value) {
-  std::string bytes;
-  nlohmann::json::to_cbor(ToJson(value), bytes);
-  return bytes;
-}
-
 }  // namespace sumac
 
 #endif  // LIBRARIES_CODEC_JSON_WRITER_H_
--- a/libraries/fleet/fleet_machine.cc
+++ b/libraries/fleet/fleet_machine.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <variant>
 
-#include "libraries/codec/json_writer.h"
+#include "libraries/codec/cbor_writer.h"
 
 namespace sumac::fleet {
 namespace {
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -7,7 +7,7 @@
 #include "libraries/base/error.h"
 #include "libraries/base/text.h"
 #include "libraries/base/try.h"
-#include "libraries/codec/json_reader.h"
+#include "libraries/codec/cbor_reader.h"
 
 namespace sumac::jobs {
 namespace {
--- a/services/sumacd/instance_keeper.cc
+++ b/services/sumacd/instance_keeper.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "libraries/base/text.h"
-#include "libraries/codec/json_writer.h"
+#include "libraries/codec/cbor_writer.h"
 #include "libraries/log/json_log.h"
 #include "services/sumacd/instance_facts.h"
 
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -10,8 +10,8 @@
 #include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
 #include "libraries/base/try.h"
-#include "libraries/codec/json_reader.h"
-#include "libraries/codec/json_writer.h"
+#include "libraries/codec/cbor_reader.h"
+#include "libraries/codec/cbor_writer.h"
 #include "libraries/log/json_log.h"
 #include "services/sumacd/job_queries.h"
 
--- a/services/sumacd/jobs_link.cc
+++ b/services/sumacd/jobs_link.cc
@@ -4,7 +4,7 @@
 #include <memory>
 #include <utility>
 
-#include "libraries/codec/json_writer.h"
+#include "libraries/codec/cbor_writer.h"
 #include "libraries/rpc/call.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
--- a/services/sumacd/leader_link.cc
+++ b/services/sumacd/leader_link.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libraries/base/text.h"
+#include "libraries/codec/cbor_writer.h"
 #include "libraries/codec/json_reader.h"
 #include "libraries/codec/json_writer.h"
 #include "libraries/rpc/call.h"
--- a/services/sumacd/node_peer_service.cc
+++ b/services/sumacd/node_peer_service.cc
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/node_peer_service.h"
 
-#include "libraries/codec/json_reader.h"
+#include "libraries/codec/cbor_reader.h"
 #include "libraries/rpc/answer_codec.h"
 #include "libraries/wire/replication_codec.h"
 #include "services/sumacd/serve_replicate.h"
--- a/services/sumacd/peer_service.cc
+++ b/services/sumacd/peer_service.cc
@@ -4,7 +4,8 @@
 #include <utility>
 
 #include "libraries/base/text.h"
-#include "libraries/codec/json_reader.h"
+#include "libraries/codec/cbor_reader.h"
+#include "libraries/codec/cbor_writer.h"
 #include "libraries/codec/json_writer.h"
 #include "libraries/rpc/answer_codec.h"
 #include "libraries/wire/replication_codec.h"
--- a/services/sumacd/snapshot_writer.h
+++ b/services/sumacd/snapshot_writer.h
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "libraries/base/names.h"
-#include "libraries/codec/json_writer.h"
+#include "libraries/codec/cbor_writer.h"
 
 namespace sumac::daemon {
 
--- a/services/sumacd/view_follower.cc
+++ b/services/sumacd/view_follower.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "libraries/base/kj_time.h"
-#include "libraries/codec/json_reader.h"
+#include "libraries/codec/cbor_reader.h"
 #include "libraries/log/json_log.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
--- a/tests/libraries/codec/json_test.cc
+++ b/tests/libraries/codec/json_test.cc
@@ -11,6 +11,8 @@
 
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
+#include "libraries/codec/cbor_reader.h"
+#include "libraries/codec/cbor_writer.h"
 #include "libraries/codec/json_reader.h"
 #include "libraries/codec/json_writer.h"
 
--- a/tests/libraries/fleet/fleet_harness.cc
+++ b/tests/libraries/fleet/fleet_harness.cc
@@ -5,8 +5,8 @@
 
 #include "libraries/base/text.h"
 #include "libraries/base/verify.h"
-#include "libraries/codec/json_reader.h"
-#include "libraries/codec/json_writer.h"
+#include "libraries/codec/cbor_reader.h"
+#include "libraries/codec/cbor_writer.h"
 
 namespace sumac::fleet {
 namespace {
--- a/tests/libraries/jobs/jobs_state_test.cc
+++ b/tests/libraries/jobs/jobs_state_test.cc
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "libraries/base/error.h"
-#include "libraries/codec/json_writer.h"
+#include "libraries/codec/cbor_writer.h"
 
 namespace sumac::jobs {
 namespace {
