--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -157,7 +157,7 @@
   return found == this->known_runs.end() ? nullptr : &found->second;
 }
 
-Run& WorkerSession::AddRun(Run run) {
+Run& WorkerSession::AddRun(Run&& run) {
   std::pair key(run.task, run.number);
   auto [place, is_new] =
       this->known_runs.try_emplace(std::move(key), std::move(run));
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -185,7 +185,7 @@
     return this->known_runs;
   }
   Run* FindRun(const jobs::TaskId& task, RunNumber number);
-  Run& AddRun(Run run);
+  Run& AddRun(Run&& run);
   // False if the run was not known.
   bool RemoveRun(const jobs::TaskId& task, RunNumber number);
   // Puts one of its runs on trial, and ends that.
--- a/tests/libraries/relay/relay_link_test.cc
+++ b/tests/libraries/relay/relay_link_test.cc
@@ -172,6 +172,7 @@
   constexpr int kOrders = 50;
   this->Open();
   std::vector<kj::Promise<RelayAnswer>> answers;
+  answers.reserve(kOrders);
   for (int count = 0; count < kOrders; ++count) {
     answers.push_back(this->link->Call(Stop(), kLimit));
   }
--- a/tests/platform/plain_instance_page_test.cc
+++ b/tests/platform/plain_instance_page_test.cc
@@ -115,11 +115,15 @@
     const int copies = luck == 0 ? 0 : luck == 1 ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
       const bool is_strange = *rc::gen::inRange(0, 100) < strange;
-      text +=
-          separator + *GenSpace() + "\"" + key + "\"" + *GenSpace() + ":" +
-          *GenSpace() +
-          (is_strange ? *rc::gen::elementOf(StrangeValues()) : GoodValue(key)) +
-          *GenSpace();
+      const std::string before_name = *GenSpace();
+      const std::string after_name = *GenSpace();
+      const std::string before_value = *GenSpace();
+      const std::string value = is_strange
+                                    ? *rc::gen::elementOf(StrangeValues())
+                                    : GoodValue(key);
+      text.append(separator).append(before_name).append("\"").append(key);
+      text.append("\"").append(after_name).append(":").append(before_value);
+      text.append(value).append(*GenSpace());
       separator = ",";
     }
   }
