--- a/tests/platform/plain_instance_page_test.cc
+++ b/tests/platform/plain_instance_page_test.cc
@@ -118,9 +118,8 @@
       const std::string before_name = *GenSpace();
       const std::string after_name = *GenSpace();
       const std::string before_value = *GenSpace();
-      const std::string value = is_strange
-                                    ? *rc::gen::elementOf(StrangeValues())
-                                    : GoodValue(key);
+      const std::string value =
+          is_strange ? *rc::gen::elementOf(StrangeValues()) : GoodValue(key);
       text.append(separator).append(before_name).append("\"").append(key);
       text.append("\"").append(after_name).append(":").append(before_value);
       text.append(value).append(*GenSpace());
