Fleet: Keep the digest of an operator's command as it was

What operators would have seen: a change that was acknowledged before an update and sent again after it is refused as another command under its request id; while versions are mixed, replicas could apply one entry to different states. Cause: the digest is the command's bytes, and the writer without a tree puts keys in another order than the sorted tree did. Found by the reviewer, by reading; the test that fixes the digest was written with the mend and not run without it.

--- a/libraries/fleet/fleet_machine.cc
+++ b/libraries/fleet/fleet_machine.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <variant>
 
-#include "libraries/codec/cbor_writer.h"
+#include "libraries/codec/json_writer.h"
 
 namespace sumac::fleet {
 namespace {
@@ -23,7 +23,11 @@
 std::string DigestOf(const Command& command) {
   Command without_name = command;
   without_name.identity = OperatorIdentity{};
-  return ToCbor(without_name);
+  // NOTE: By way of a tree, which sorts the keys: digests are kept in snapshots
+  // and compared by replicas of other versions.
+  std::string digest;
+  nlohmann::json::to_cbor(ToJson(without_name), digest);
+  return digest;
 }
 
 // The kept answer for a resend, or the error for an id that another command
--- a/tests/libraries/fleet/instances_test.cc
+++ b/tests/libraries/fleet/instances_test.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <gtest/gtest.h>
 
+#include "libraries/codec/json_writer.h"
 #include "libraries/fleet/budget.h"
 #include "libraries/fleet/view.h"
 #include "tests/libraries/fleet/fleet_harness.h"
@@ -191,6 +192,21 @@
             PoolName("q"));
 }
 
+// A resend may come to a replica of another version, or after an update.
+TEST_F(InstancesTest, TheDigestOfACommandIsThatOfItsTreeWithSortedKeys) {
+  ASSERT_TRUE(this->Operate(InstanceRequest::kDrain, "m1", "", "id").is_ok());
+  std::string digest;
+  nlohmann::json::to_cbor(
+      ToJson(OperateInstance{
+          {}, InstanceRequest::kDrain, InstanceName("m1"), PoolName()}),
+      digest);
+  EXPECT_EQ(this->state()
+                .record()
+                .operator_answers.at(OperatorRequestId("id"))
+                .command_digest,
+            digest);
+}
+
 TEST_F(InstancesTest, ARequestIdUsedForAnotherCommandIsRefused) {
   EXPECT_TRUE(this->Operate(InstanceRequest::kDrain, "m1", "", "id").is_ok());
   EXPECT_EQ(this->Operate(InstanceRequest::kDrain, "m2", "", "id").code,
