--- a/libraries/codec/cbor_reader.h
+++ b/libraries/codec/cbor_reader.h
@@ -133,10 +133,12 @@
   for (std::uint64_t position = 0; position < head->number; ++position) {
     const std::optional<std::string_view> text = cursor.ReadText();
     typename T::key_type key{};
+    typename T::mapped_type item{};
     if (!text || !ParseKey(std::string(*text), key) ||
-        !ReadCborValue(cursor, map[key], limits)) {
+        !ReadCborValue(cursor, item, limits)) {
       return false;
     }
+    map.insert_or_assign(std::move(key), std::move(item));
   }
   return true;
 }
