--- a/libraries/relay/relay_codec.cc
+++ b/libraries/relay/relay_codec.cc
@@ -302,7 +302,7 @@
                    .body = *std::move(body)};
 }
 
-void WriteAnswers(const std::vector<RelayAnswer>& answers,
+void WriteAnswers(std::span<const RelayAnswer> answers,
                   wire::RelayedAnswers::Builder builder) {
   auto list = builder.initAnswers(answers.size());
   for (unsigned place = 0; place < answers.size(); ++place) {
--- a/libraries/relay/relay_codec.h
+++ b/libraries/relay/relay_codec.h
@@ -2,6 +2,7 @@
 #ifndef LIBRARIES_RELAY_RELAY_CODEC_H_
 #define LIBRARIES_RELAY_RELAY_CODEC_H_
 
+#include <span>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,7 @@
                                    const std::vector<std::string>& texts,
                                    LeaderEpoch epoch);
 
-void WriteAnswers(const std::vector<RelayAnswer>& answers,
+void WriteAnswers(std::span<const RelayAnswer> answers,
                   wire::RelayedAnswers::Builder builder);
 
 // An answer; one that tells what is not known here, as of a later version,
--- a/libraries/relay/relay_link.cc
+++ b/libraries/relay/relay_link.cc
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/relay/relay_link.h"
 
-#include <algorithm>
 #include <utility>
 #include <variant>
 
 #include "libraries/base/kj_time.h"
+#include "libraries/base/read_lateness.h"
 #include "libraries/log/json_log.h"
 #include "libraries/relay/relay_codec.h"
 #include "libraries/rpc/answer_codec.h"
@@ -22,9 +22,14 @@
 // Renewals wait this long for others, so that a batch carries several; orders
 // leave at once.
 constexpr Milliseconds kGatherTime{10};
-// Beyond the time that a call takes its worker, for the way to the relay and
-// its turn there, and for a leader that reads late.
+// Beyond the time that a call takes its worker, twice if its connection turns
+// out to be closed, for the way to the relay and its turn there.
 constexpr Milliseconds kAnswerSlack{2'000};
+constexpr int kTries = 2;
+// Without calls the relay's clock is read this often.
+constexpr Milliseconds kClockInterval{1'000};
+// A message of some hundred kilobytes; the largest that is taken is 64 MiB.
+constexpr std::size_t kMostCallsOfBatch = 512;
 
 bool IsOrder(const CallBody& body) {
   return !std::holds_alternative<RenewCall>(body) &&
@@ -118,7 +123,9 @@
   this->relay = kj::mv(new_relay);
   this->relay_data_centre = std::move(data_centre);
   this->relay_clock = RelayClock();
-  this->relay_clock.NoteReading(reading, this->clock.SteadyNow());
+  this->clock_read_at = this->clock.SteadyNow();
+  this->answered_at = this->clock_read_at;
+  this->relay_clock.NoteReading(reading, this->clock_read_at);
   this->state = State::kOpen;
   LogEvent(LogLevel::kInfo, "relay-opened",
            {{"relay", this->channel.address()},
@@ -153,24 +160,45 @@
   }
 }
 
+// NOTE: A loop that reads late may have the answers in its sockets, unread.
 void RelayLink::CheckOpenCalls(SteadyTime now) {
-  const bool is_overdue =
-      std::any_of(this->open.begin(), this->open.end(),
-                  [now](const auto& item) { return item.second.due < now; });
-  if (is_overdue) {
-    this->Close("a call was not answered in time");
+  std::vector<std::uint64_t> overdue;
+  for (const auto& [id, call] : this->open) {
+    if (call.due + ReadLateness() >= now) {
+      continue;
+    }
+    if (this->answered_at <= call.made_at) {
+      this->Close("a call was not answered in time");
+      return;
+    }
+    overdue.push_back(id);
+  }
+  for (const std::uint64_t id : overdue) {
+    this->LoseCall(id);
+  }
+  if (this->is_open() && now - this->clock_read_at >= kClockInterval) {
+    KJ_IF_MAYBE (present, this->relay) {
+      this->SendBatch(*present, {});
+    }
   }
 }
 
+// One call without an answer among others that were answered says nothing
+// against the relay.
+void RelayLink::LoseCall(std::uint64_t id) {
+  ++this->done.lost;
+  this->Fulfill({id, scheduler::OrderResult::kRelayLost});
+}
+
 kj::Promise<RelayAnswer> RelayLink::Call(CallBody body, Milliseconds limit) {
   if (!this->is_open()) {
     return RelayAnswer{0, scheduler::OrderResult::kNotSent};
   }
   const std::uint64_t id = ++this->last_id;
+  const SteadyTime now = this->clock.SteadyNow();
   auto paf = kj::newPromiseAndFulfiller<RelayAnswer>();
-  this->open.emplace(id,
-                     OpenCall{kj::mv(paf.fulfiller),
-                              this->clock.SteadyNow() + limit + kAnswerSlack});
+  this->open.emplace(id, OpenCall{kj::mv(paf.fulfiller), now,
+                                  now + kTries * limit + kAnswerSlack});
   this->Enqueue(std::move(body), id);
   return kj::mv(paf.promise);
 }
@@ -212,7 +240,7 @@
   const std::optional<SteadyTime> lease_end = this->host.lease_end();
   KJ_IF_MAYBE (present, this->relay) {
     if (lease_end) {
-      this->SendBatch(*present, *lease_end);
+      this->SendQueue(*present, *lease_end);
       return;
     }
   }
@@ -225,21 +253,35 @@
   }
 }
 
-void RelayLink::SendBatch(wire::Relay::Client& present, SteadyTime lease_end) {
+void RelayLink::SendQueue(wire::Relay::Client& present, SteadyTime lease_end) {
   const std::optional<RelayTime> expires =
       this->relay_clock.EarliestAt(lease_end, this->clock.SteadyNow());
   if (!expires) {
     this->Close("its clock is not known any more");
     return;
   }
-  for (RelayCall& call : this->queue) {
+  std::vector<RelayCall> batch;
+  for (RelayCall& call : std::exchange(this->queue, {})) {
     call.expires = *expires;
+    batch.push_back(std::move(call));
+    if (batch.size() == kMostCallsOfBatch) {
+      this->SendBatch(present, batch);
+      batch.clear();
+    }
   }
+  if (!batch.empty()) {
+    this->SendBatch(present, batch);
+  }
+}
+
+// Without calls it only reads the relay's clock.
+void RelayLink::SendBatch(wire::Relay::Client& present,
+                          const std::vector<RelayCall>& calls) {
   auto request = present.carryRequest();
-  WriteCalls(this->queue, request.initCalls());
-  this->done.calls += this->queue.size();
+  WriteCalls(calls, request.initCalls());
+  this->done.calls += calls.size();
   ++this->done.batches;
-  this->queue.clear();
+  this->clock_read_at = this->clock.SteadyNow();
   auto carried =
       this->channel.Guard(kRelayLimit, request.send().then([](auto&& response) {
         return RelayTime(response.getClockMs());
@@ -260,10 +302,14 @@
 void RelayLink::Take(wire::RelayedAnswers::Reader answers) {
   this->relay_clock.NoteReading(RelayTime(answers.getClockMs()),
                                 this->clock.SteadyNow());
+  this->answered_at = this->clock.SteadyNow();
   ++this->done.answer_batches;
-  for (const auto answer : answers.getAnswers()) {
+  for (const auto item : answers.getAnswers()) {
     ++this->done.answers;
-    this->Fulfill(ReadAnswer(answer));
+    RelayAnswer answer = ReadAnswer(item);
+    answer.is_refused_by_relay =
+        answer.result == scheduler::OrderResult::kNotSent;
+    this->Fulfill(std::move(answer));
   }
 }
 
--- a/libraries/relay/relay_link.h
+++ b/libraries/relay/relay_link.h
@@ -46,7 +46,8 @@
 
   // Asks the controller to be a relay, unless it is one or was asked of late.
   void OpenIfDue(SteadyTime now);
-  // Gives up the relay if a call is overdue.
+  // Gives up calls that are overdue, and the relay if it has answered none
+  // since; keeps its clock known while there are no calls.
   void CheckOpenCalls(SteadyTime now);
 
   bool is_open() const { return this->state == State::kOpen; }
@@ -66,6 +67,7 @@
   class AnswerSink;
   struct OpenCall {
     kj::Own<kj::PromiseFulfiller<RelayAnswer>> fulfiller;
+    SteadyTime made_at{};
     // Without an answer by then the relay is at fault.
     SteadyTime due{};
   };
@@ -80,7 +82,10 @@
   void ScheduleFlush(bool is_urgent);
   void Flush();
   void FailQueued();
-  void SendBatch(wire::Relay::Client& relay, SteadyTime lease_end);
+  void SendQueue(wire::Relay::Client& relay, SteadyTime lease_end);
+  void SendBatch(wire::Relay::Client& relay,
+                 const std::vector<RelayCall>& calls);
+  void LoseCall(std::uint64_t id);
   void Take(wire::RelayedAnswers::Reader answers);
   void Fulfill(RelayAnswer&& answer);
 
@@ -95,6 +100,9 @@
   SteadyTime opened_at{};
   DataCentre relay_data_centre;
   RelayClock relay_clock;
+  SteadyTime clock_read_at{};
+  // When it last answered calls.
+  SteadyTime answered_at{};
   kj::Maybe<wire::Relay::Client> relay;
   // Takes the answers of this opening.
   AnswerSink* sink = nullptr;
--- a/libraries/relay/relay_messages.h
+++ b/libraries/relay/relay_messages.h
@@ -54,6 +54,9 @@
   std::optional<scheduler::WorkerTime> clock;
   // Only of a renewal or a report that went through.
   std::unique_ptr<scheduler::RenewReport> report;
+  // The relay itself did not send it: its time was over, or the relay had no
+  // connection to spare.
+  bool is_refused_by_relay = false;
 };
 
 // The work that relays have done.
--- a/libraries/relay/relay_routes.cc
+++ b/libraries/relay/relay_routes.cc
@@ -53,8 +53,10 @@
                               std::size_t relay,
                               SteadyTime now) {
   const auto route = this->routes.find(worker);
-  // An answer of the relay before says nothing about the present one.
-  if (route != this->routes.end() && route->second.relay == relay) {
+  // An answer of the relay before says nothing about the present one, nor do
+  // further answers of one burst.
+  if (route != this->routes.end() && route->second.relay == relay &&
+      route->second.version != 0) {
     ++route->second.failures;
     route->second.failed_at = now;
     route->second.version = 0;
--- a/libraries/relay/relay_service.cc
+++ b/libraries/relay/relay_service.cc
@@ -2,6 +2,7 @@
 #include "libraries/relay/relay_service.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -16,6 +17,8 @@
 // Answers leave at once, but for those that come within this after others: a
 // batch costs the leader more than an answer in it.
 constexpr Milliseconds kGatherTime{10};
+// A report may list hundreds of ends, and a message is taken up to 64 MiB.
+constexpr std::size_t kMostAnswersOfBatch = 256;
 
 }  // namespace
 
@@ -129,8 +132,10 @@
   auto request = this->answers.takeRequest();
   auto batch = request.initAnswers();
   batch.setClockMs(this->flushed_at.time_since_epoch().count());
-  WriteAnswers(this->queue, batch);
-  this->queue.clear();
+  const std::size_t count = std::min(this->queue.size(), kMostAnswersOfBatch);
+  const auto end = this->queue.begin() + static_cast<std::ptrdiff_t>(count);
+  WriteAnswers({this->queue.data(), count}, batch);
+  this->queue.erase(this->queue.begin(), end);
   this->is_batch_open = true;
   this->tasks.add(request.send().ignoreResult().then(
       [this] {
--- a/libraries/relay/relayed_calls.cc
+++ b/libraries/relay/relayed_calls.cc
@@ -10,10 +10,13 @@
 // Time limits of a worker's answer, as its relay applies them.
 constexpr Milliseconds kOrderLimit{400};
 
-// True if the worker may have kept silent.
-bool IsUnanswered(scheduler::OrderResult result) {
-  return result == scheduler::OrderResult::kUnknown ||
-         result == scheduler::OrderResult::kUnreachable;
+// True if another way to the worker may do better: it may have kept silent, or
+// the relay did not do its part.
+bool HasFailed(const RelayAnswer& answer) {
+  return answer.result == scheduler::OrderResult::kUnknown ||
+         answer.result == scheduler::OrderResult::kUnreachable ||
+         answer.result == scheduler::OrderResult::kRelayLost ||
+         answer.is_refused_by_relay;
 }
 
 CallBody ToBody(const scheduler::Order& order) {
@@ -98,7 +101,7 @@
                                             std::size_t number) {
   return link.Call(std::move(body), limit)
       .then([kept = this->routes, worker, number](RelayAnswer&& answer) {
-        if (IsUnanswered(answer.result)) {
+        if (HasFailed(answer)) {
           kept->NoteFailure(worker, number, SystemClock().SteadyNow());
         }
         return std::move(answer);
