Relay: Let a leader with few workers make its calls by itself

Cause: the way by a relay takes an answer up to some 20 ms longer and moves bytes between data centres, and a leader of 48 workers has time to spare.

The process test relays asks for relays with its 40 workers.

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -617,6 +617,7 @@
 }
 
 void JobController::BeginRelays() {
+  this->uses_relays = false;
   this->relayed.emplace(
       this->worker_calls, this->timer, this->jobs_state.epoch(),
       relay::RelayedCalls::Host{
@@ -637,9 +638,18 @@
   if (!this->relayed || !this->settings.policy.relays) {
     return;
   }
+  // Half as many end it, so that workers that come and go do not open and close
+  // relays.
+  const std::size_t workers = this->jobs_state.workers().size();
+  const std::size_t wanted = this->settings.policy.relays_from_workers;
+  this->uses_relays = workers >= (this->uses_relays ? wanted / 2 : wanted);
   const replication::Membership& membership =
       this->host->replica().membership();
   std::set<ProcessName> controllers;
+  if (!this->uses_relays) {
+    this->relayed->Sync(controllers, now);
+    return;
+  }
   for (const auto* members : {&membership.voters, &membership.learners}) {
     for (const replication::NodeId& member : *members) {
       controllers.insert(replication::ProcessOf(member));
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -174,6 +174,8 @@
   std::unique_ptr<InstanceKeeper> keeper;
   // Present as long as the scheduler.
   std::optional<relay::RelayedCalls> relayed;
+  // It has enough workers for relays.
+  bool uses_relays = false;
   std::optional<WorkerRenewals> renewals;
   // Jobs whose acceptance was proposed and is not decided; resends stand twice.
   std::multiset<JobId> open_submissions;
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -60,6 +60,9 @@
   bool moves = true;
   // A leader has the other controllers make its calls to workers.
   bool relays = true;
+  // It makes them itself while it has fewer workers: with few, the way by a
+  // relay costs answers more time than the leader gains.
+  std::size_t relays_from_workers = 100;
   // Jobs that can still be in time go first, the most pressing before the
   // others.
   bool order_by_slack = true;
@@ -82,6 +85,8 @@
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("moves", self.moves);
     visitor.Field("relays", self.relays);
+    visitor.Field("relays_from_workers", self.relays_from_workers,
+                  Limits{0, 1'000'000});
     visitor.Field("order_by_slack", self.order_by_slack);
     visitor.Field("forecast", self.forecast);
     visitor.Field("leave_bad_workers", self.leave_bad_workers);
--- a/tests/processes/relays.sh
+++ b/tests/processes/relays.sh
@@ -10,8 +10,15 @@
 entries=(n1)
 source "$(dirname "${BASH_SOURCE[0]}")/nodes.sh"
 
+# use_relays NAME: with as few workers as here, too.
+use_relays() {
+  jq '.policy = {relays_from_workers: 10}' "$work/$1/settings.json" >"$work/$1/settings.next"
+  mv "$work/$1/settings.next" "$work/$1/settings.json"
+}
+
 for name in "${controllers[@]}" "${entries[@]}"; do
   write_node "$name" "$(role_of "$name")" true
+  use_relays "$name"
   start_node "$name"
 done
 manifest 1
@@ -75,6 +82,7 @@
 accept_jobs 3 "after that"
 are_done
 write_node "$victim" controller false
+use_relays "$victim"
 start_node "$victim"
 check "it makes calls once it is back" until_true 15 others_call
 
