Relay: Close the leader's own connections to workers that relays carry

What was seen: with the bound on few workers, the process test relays failed ("the leader holds none"): the connections that the leader had opened before its relays stayed open beside theirs, and took descriptors. Cause: nothing told the leader's own client that its workers had gone to a relay. They are forgotten with the first call that goes another way; calls under way keep theirs.

--- a/libraries/relay/relayed_calls.cc
+++ b/libraries/relay/relayed_calls.cc
@@ -86,12 +86,18 @@
 // The link that carries the calls to a worker; nothing if the leader makes them
 // by itself.
 RelayLink* RelayedCalls::FindLink(const WorkerId& worker, std::size_t& number) {
-  if (this->routes->empty()) {
+  number = this->routes->empty()
+               ? RelayRoutes::kLeader
+               : this->routes->Find(worker, this->host.data_centre_of(worker),
+                                    this->clock.SteadyNow());
+  if (number == RelayRoutes::kLeader) {
+    this->own_workers.insert(worker);
     return nullptr;
   }
-  number = this->routes->Find(worker, this->host.data_centre_of(worker),
-                              this->clock.SteadyNow());
-  return number == RelayRoutes::kLeader ? nullptr : this->links[number];
+  if (this->own_workers.erase(worker) > 0) {
+    this->own.forget(worker);
+  }
+  return this->links[number];
 }
 
 kj::Promise<RelayAnswer> RelayedCalls::Call(const WorkerId& worker,
@@ -164,6 +170,7 @@
 
 void RelayedCalls::Forget(const WorkerId& worker) {
   this->routes->Forget(worker);
+  this->own_workers.erase(worker);
   this->own.forget(worker);
   for (const auto& [controller, relay] : this->relays) {
     relay.link->Forget(worker);
--- a/libraries/relay/relayed_calls.h
+++ b/libraries/relay/relayed_calls.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <unordered_set>
 #include <vector>
 
 #include "libraries/base/names.h"
@@ -86,6 +87,8 @@
   SystemClock clock;
   // Answers that are under way may outlive this by a moment.
   std::shared_ptr<RelayRoutes> routes = std::make_shared<RelayRoutes>();
+  // Workers to which the leader itself may have connections.
+  std::unordered_set<WorkerId> own_workers;
   std::map<ProcessName, Relay> relays;
   // The links by their numbers; nothing for those that are gone.
   std::vector<RelayLink*> links;
