Scheduler: Count no crash for a run that may have ended during a cut

Callers saw a job fail, "2 workers crashed under task ...", although its task was not there when the workers crashed. A worker that is cut off goes on; its run ends, by itself or with its lease, and nobody hears of it. If the worker then crashes, the leader took the time from the start order to the last message (under 250 ms) as proof that the task had just begun, and the task as the only suspect: two of these end a job.

A crash now says whether calls had timed out since the worker's last message; such a crash is counted, but not as one that certainly was under the task. Refused connections are no time-outs: a process that is killed refuses them at once.

CrashingTaskTest.ACrashAfterACutDoesNotProveThatTheRunWasStillThere: failed before (job failed instead of done), passes now; the 17 tests of the suite pass.

--- a/libraries/jobs/task_crashes.cc
+++ b/libraries/jobs/task_crashes.cc
@@ -16,7 +16,8 @@
 std::size_t TaskCrashes::CountConfirmed() const {
   const auto confirmed = std::count_if(
       this->crashes.begin(), this->crashes.end(), [](const TaskCrash& crash) {
-        return crash.run.has_begun && crash.run.survived < kSuspectTime;
+        return crash.run.has_begun && !crash.run.may_have_ended &&
+               crash.run.survived < kSuspectTime;
       });
   return static_cast<std::size_t>(confirmed);
 }
--- a/libraries/jobs/task_crashes.h
+++ b/libraries/jobs/task_crashes.h
@@ -27,6 +27,9 @@
   // The time from the start order of the run to the last message from the
   // worker.
   Milliseconds survived{0};
+  // True if calls to the worker had timed out since that message, so that the
+  // run may have ended before the crash.
+  bool may_have_ended = false;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -35,6 +38,7 @@
     visitor.Field("has_begun", self.has_begun);
     visitor.Field("is_only_suspect", self.is_only_suspect);
     visitor.Field("survived_ms", self.survived);
+    visitor.Field("may_have_ended", self.may_have_ended);
   }
 };
 
--- a/libraries/scheduler/crashed_runs.cc
+++ b/libraries/scheduler/crashed_runs.cc
@@ -56,7 +56,8 @@
           jobs::CrashedRun{.task = run.task,
                            .run = run.number,
                            .has_begun = run.confirmed_clock.has_value(),
-                           .survived = survived});
+                           .survived = survived,
+                           .may_have_ended = session.has_timed_out()});
     }
   }
   MarkOnlySuspect(state, crashed);
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -396,7 +396,7 @@
   if (session == nullptr || is_inconclusive) {
     return;
   }
-  session->RecordFailure(now);
+  session->RecordFailure(now, result == OrderResult::kUnknown);
   if (result == OrderResult::kOtherIncarnation) {
     this->EndIncarnationAtAddress(worker, now);
   }
@@ -490,7 +490,7 @@
       this->EndIncarnationAtAddress(order.worker, now);
       break;
     case OrderResult::kUnreachable:
-      session.RecordFailure(now);
+      session.RecordFailure(now, false);
       this->ReleaseRun(session, order.task, order.run, "nobody listens there");
       break;
     case OrderResult::kNotSent:
--- a/libraries/scheduler/worker_session.cc
+++ b/libraries/scheduler/worker_session.cc
@@ -127,6 +127,7 @@
 void WorkerSession::RecordAnswer(SteadyTime now) {
   this->has_answered = true;
   this->failures = 0;
+  this->timed_out = false;
   this->last_answer = now;
 }
 
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -149,11 +149,13 @@
   void RecordClock(WorkerTime clock, SteadyTime now);
   // Records that the worker answered.
   void RecordAnswer(SteadyTime now);
-  // Records that a renewal or an order failed.
-  void RecordFailure(SteadyTime now) {
+  // Records that a renewal or an order failed. `is_timeout` if nothing answered
+  // at all, so that the worker may only be cut off.
+  void RecordFailure(SteadyTime now, bool is_timeout) {
     if (this->failures == 0) {
       this->first_failure = now;
     }
+    this->timed_out = this->timed_out || is_timeout;
     ++this->failures;
     this->last_failure = now;
   }
@@ -173,6 +175,9 @@
   SteadyTime SilentSince(SteadyTime now) const {
     return this->failures > 0 ? this->first_failure : now;
   }
+  // Returns true if a call to the worker has timed out since its last answer.
+  // Its runs may have ended without a report, by themselves or by their lease.
+  bool has_timed_out() const { return this->timed_out; }
   // The time at which this session began.
   SteadyTime began_at() const { return this->session_began; }
   // Returns true if the lease is over, so that nothing can be running there any
@@ -257,6 +262,7 @@
   LeaseSettings settings;
   bool has_answered = false;
   int failures = 0;
+  bool timed_out = false;
   // The time of the first failure since the worker's last answer.
   SteadyTime first_failure{};
   SteadyTime last_failure{};
--- a/services/sumacd/job_queries.cc
+++ b/services/sumacd/job_queries.cc
@@ -71,6 +71,8 @@
                         {"value", std::to_string(run.survived.count())}});
       inputs.push_back(
           {{"name", "has-begun"}, {"value", run.has_begun ? "true" : "false"}});
+      inputs.push_back({{"name", "may-have-ended"},
+                        {"value", run.may_have_ended ? "true" : "false"}});
       inputs.push_back({{"name", "is-only-suspect"},
                         {"value", run.is_only_suspect ? "true" : "false"}});
       rows.push_back({{"id", StrCat(name, "#", run.run.value())},
--- a/tests/libraries/scheduler/crashing_task_test.cc
+++ b/tests/libraries/scheduler/crashing_task_test.cc
@@ -200,6 +200,29 @@
   EXPECT_EQ(this->CountRecorded("good"), 0);
 }
 
+// A run that ended while its worker was cut off is not reported if the worker
+// then crashes.
+TEST_F(CrashingTaskTest, ACrashAfterACutDoesNotProveThatTheRunWasStillThere) {
+  this->fleet.work = Milliseconds(800);
+  this->fleet.Submit("good", {.count = 1});
+  for (int crash = 0; crash < 2; ++crash) {
+    for (int step = 0; step < 500 && this->fleet.CountRunning("good") == 0;
+         ++step) {
+      this->fleet.PassTime(Milliseconds(10));
+    }
+    this->fleet.PassTime(Milliseconds(100));
+    ASSERT_EQ(this->fleet.CountRunning("good"), 1);
+    const WorkerId worker(this->fleet.WorkersOf("good").front());
+    this->fleet.worker(worker.value()).is_cut = true;
+    this->fleet.PassTime(Milliseconds(1'500));
+    this->fleet.CrashWorker(worker);
+    this->fleet.worker(worker.value()).is_cut = false;
+  }
+  this->fleet.PassTime(Milliseconds(10'000));
+  EXPECT_EQ(this->StateOf("good"), jobs::JobState::kDone);
+  EXPECT_EQ(this->fleet.CountCrashes(FirstTaskOf("good")), 0);
+}
+
 TEST_F(CrashingTaskTest, AChangeOfLeaderIsNoCrash) {
   this->fleet.work = Milliseconds(60'000);
   this->fleet.Submit("good", {.count = 8});
