Scheduler: Take no adopted run for one that has just begun

Callers saw a job fail for two crashes of workers where its task had run on one of them, and for a second in which it had long gone on or ended.

Cause: a leader that adopts a run does not know when it began and takes its own first report as the start. A crash within 250 ms of that, as when a worker crashes under another task right after a change of leader, made every adopted run there a suspect.

The time is now a lower bound of 250 ms for an adopted run: a task that crashes its worker does so before another leader can adopt it.

CrashingTaskTest.AnAdoptedRunIsNoSuspectOfALaterCrash: failed before, passes; 18 tests of the suite pass.

--- a/libraries/scheduler/crashed_runs.cc
+++ b/libraries/scheduler/crashed_runs.cc
@@ -11,6 +11,16 @@
 // cause of its crash.
 constexpr Milliseconds kUnsuspiciousTime{5'000};
 
+// Returns a lower bound of how long a run had gone on when its worker last
+// answered. The start of an adopted run is unknown, but a task that crashes its
+// worker does so before another leader can adopt it.
+Milliseconds SurvivedTime(const WorkerSession& session, const Run& run) {
+  const Milliseconds known =
+      std::max(session.last_answer - run.ordered_at, Milliseconds(0));
+  return run.is_adopted ? std::max(known, jobs::TaskCrashes::kSuspectTime)
+                        : known;
+}
+
 bool HasCommittedCrashes(const jobs::JobsState& state,
                          const jobs::TaskId& task) {
   const jobs::Job* job = state.FindJob(task.step.job);
@@ -47,8 +57,7 @@
   std::vector<jobs::CrashedRun> crashed;
   for (const auto& [key, run] : session.runs()) {
     const jobs::StepSpec* step = state.FindStep(run.task);
-    const Milliseconds survived =
-        std::max(session.last_answer - run.ordered_at, Milliseconds(0));
+    const Milliseconds survived = SurvivedTime(session, run);
     const bool is_unsuspicious = step != nullptr && step->is_long_running &&
                                  survived >= kUnsuspiciousTime;
     if (step != nullptr && !is_unsuspicious) {
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -220,8 +220,7 @@
     result.up_to = end.number;
     const Run* known_run = session.FindRun(end.task, end.run);
     const bool was_known = known_run != nullptr;
-    if (was_known && end.cause == EndCause::kDone &&
-        known_run->start_expires > WorkerTime(0)) {
+    if (was_known && end.cause == EndCause::kDone && !known_run->is_adopted) {
       this->RecordRunTime(*known_run, now);
     }
     const bool is_final =
@@ -336,6 +335,7 @@
       .is_filler = step != nullptr && step->is_filler,
       .is_budgeted = step != nullptr && step->has_disruption_budget,
       .ordered_at = now,
+      .is_adopted = true,
       .settled_at =
           now + this->settings.max_stop_time + this->settings.lease.margin,
       .confirmed_clock = report.clock,
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -76,6 +76,9 @@
   // else is started on that worker during a trial.
   bool is_on_trial = false;
   SteadyTime ordered_at{};
+  // True if an earlier leader ordered the run; `ordered_at` is then the time at
+  // which this leader first saw it.
+  bool is_adopted = false;
   // For an adopted run: only a report made at or after this time shows that the
   // run continues. An earlier leader may have stopped it just before, and a run
   // is reported as running until the stop takes effect.
--- a/tests/libraries/scheduler/crashing_task_test.cc
+++ b/tests/libraries/scheduler/crashing_task_test.cc
@@ -232,6 +232,22 @@
   EXPECT_EQ(this->CountRecorded("good"), 0);
 }
 
+// A leader that adopts a run does not know when it began, and must not take it
+// for one that had just begun when its worker crashed.
+TEST_F(CrashingTaskTest, AnAdoptedRunIsNoSuspectOfALaterCrash) {
+  this->fleet.work = Milliseconds(60'000);
+  this->fleet.Submit("good", {.count = 1});
+  for (int crash = 0; crash < 2; ++crash) {
+    this->fleet.PassTime(Milliseconds(3'000));
+    this->fleet.ChangeLeader();
+    this->fleet.PassTime(Milliseconds(100));
+    ASSERT_EQ(this->fleet.CountRunning("good"), 1);
+    this->fleet.CrashWorker(WorkerId(this->fleet.WorkersOf("good").front()));
+  }
+  this->fleet.PassTime(Milliseconds(3'000));
+  EXPECT_EQ(this->fleet.CountRunning("good"), 1);
+}
+
 TEST_F(CrashingTaskTest, AnOrderedMoveIsNoCrash) {
   this->fleet.work = Milliseconds(60'000);
   this->fleet.Submit("good", {.count = 1});
