Jobs, Platform: Let a customer's key open what belongs to it, and nothing else

Callers of customers were served whatever key they sent: no line read one.

A shared or repeated key, a name twice and a missing weight are refused, and no error text quotes a key (the reader of customers has errors of its own; a text that is no JSON is refused without the parser's excerpt).
- The adapter turns the header into a digest.
Every request about a job, resends too, is resolved at one place by the leader's committed declaration (jobs/caller_access): 1009 and 1010 (401), 1011 (403).
- A job belongs to its customer from its commit on.
Jobs of earlier versions and of public queues belong to nobody.
- The check of a declaration is apart from its reading: a document that an earlier version put in force must still load.

Weighed: keys decided by a copy at the entries. Cheaper for floods, but may refuse by an older version; the leader's committed state never does.

--- a/libraries/base/names.h
+++ b/libraries/base/names.h
@@ -28,6 +28,11 @@
 using IdempotencyKey = StrongType<std::string, struct IdempotencyKeyTag>;
 using OperatorRequestId = StrongType<std::string, struct OperatorRequestIdTag>;
 using CallerName = StrongType<std::string, struct CallerNameTag>;
+// Who submits jobs to queues, as the operators' declaration names them.
+using CustomerName = StrongType<std::string, struct CustomerNameTag>;
+// A digest of an API key. Keys are secrets: past the adapter that reads them
+// only their digests are handled.
+using KeyDigest = StrongType<std::string, struct KeyDigestTag>;
 using TeamName = StrongType<std::string, struct TeamNameTag>;
 
 // The number of a declaration; the first accepted one is 1.
--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -91,6 +91,8 @@
   JobSpec spec;
   // How long the caller's submissions had been refused before this one.
   Milliseconds waited{0};
+  // The customer that the job belongs to; empty for none.
+  CustomerName customer;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -98,6 +100,7 @@
     visitor.Required("queue", self.queue);
     visitor.Required("spec", self.spec);
     visitor.Field("waited_ms", self.waited);
+    visitor.Field("customer", self.customer);
   }
 };
 
--- a/libraries/jobs/declaration.cc
+++ b/libraries/jobs/declaration.cc
@@ -10,10 +10,19 @@
 
 namespace sumac::jobs {
 
-JobsDeclaration::JobsDeclaration(std::uint64_t version,
-                                 std::vector<QueueDeclaration> queues,
-                                 std::vector<ServiceDeclaration> services)
-    : own_version(version), all_queues(std::move(queues)) {
+JobsDeclaration::JobsDeclaration(
+    std::uint64_t version,
+    std::vector<QueueDeclaration> queues,
+    std::vector<ServiceDeclaration> services,
+    std::optional<std::vector<CustomerDeclaration>> customers)
+    : own_version(version),
+      all_queues(std::move(queues)),
+      is_customer_list_declared(customers.has_value()) {
+  if (customers) {
+    for (CustomerDeclaration& customer : *customers) {
+      this->AddCustomer(std::move(customer));
+    }
+  }
   for (ServiceDeclaration& service : services) {
     const ServiceName name = service.name;
     if (!this->all_services.emplace(name, std::move(service)).second) {
@@ -34,6 +43,47 @@
   }
 }
 
+void JobsDeclaration::AddCustomer(CustomerDeclaration customer) {
+  for (const KeyDigest& key : customer.keys) {
+    const auto [owner, is_new] = this->by_key.emplace(key, customer.name);
+    if (!is_new) {
+      this->shared_keys.emplace_back(owner->second, customer.name);
+    }
+  }
+  const CustomerName name = customer.name;
+  if (!this->all_customers.emplace(name, std::move(customer)).second) {
+    this->repeated_customers.push_back(name);
+  }
+}
+
+absl::Status JobsDeclaration::CheckCustomers() const {
+  const auto fail = [](const CustomerName& customer, std::string_view problem) {
+    return MakeError(ResultCode::kInvalidDeclaration,
+                     StrCat("customer ", customer.value(), ": ", problem));
+  };
+  if (!this->repeated_customers.empty()) {
+    return fail(this->repeated_customers.front(), "is declared twice");
+  }
+  if (!this->shared_keys.empty()) {
+    const auto& [one, other] = this->shared_keys.front();
+    return fail(other, one == other
+                           ? "has the same key twice"
+                           : StrCat("shares a key with ", one.value()));
+  }
+  for (const auto& [name, customer] : this->all_customers) {
+    if (name.value().empty()) {
+      return fail(name, "has no name");
+    }
+    if (!(customer.weight > 0)) {
+      return fail(name, "has no weight above 0");
+    }
+    if (!customer.quota.Holds({})) {
+      return fail(name, "has a quota below 0");
+    }
+  }
+  return absl::OkStatus();
+}
+
 absl::Status JobsDeclaration::Check() const {
   if (!this->repeated_services.empty()) {
     return MakeError(ResultCode::kInvalidDeclaration,
@@ -58,7 +108,7 @@
                  queue.host, queue.path_prefix));
     }
   }
-  return absl::OkStatus();
+  return this->CheckCustomers();
 }
 
 const QueueDeclaration* JobsDeclaration::FindByAddress(
@@ -89,4 +139,17 @@
   return found == this->all_services.end() ? nullptr : &found->second;
 }
 
+const CustomerDeclaration* JobsDeclaration::FindCustomer(
+    const CustomerName& name) const {
+  const auto found = this->all_customers.find(name);
+  return found == this->all_customers.end() ? nullptr : &found->second;
+}
+
+const CustomerDeclaration* JobsDeclaration::FindCustomerByKey(
+    const KeyDigest& key) const {
+  const auto owner = this->by_key.find(key);
+  return owner == this->by_key.end() ? nullptr
+                                     : this->FindCustomer(owner->second);
+}
+
 }  // namespace sumac::jobs
--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -73,6 +73,9 @@
 struct Job {
   JobId id;
   QueueName queue;
+  // The customer that submitted the job; empty if the queue was public, or if
+  // an earlier version accepted the job.
+  CustomerName customer;
   // The service that the queue belongs to by its last declaration.
   ServiceName service;
   // Services that the queue belonged to before; runs of the job may remain on
@@ -141,6 +144,7 @@
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Field("id", self.id);
     visitor.Field("queue", self.queue);
+    visitor.Field("customer", self.customer);
     visitor.Field("service", self.service);
     visitor.Field("former_services", self.former_services);
     visitor.Field("most_attempts", self.most_attempts);
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -161,8 +161,9 @@
 
 fleet::Answer JobsState::ApplyCommand(const Declare& command, WallTime /*at*/) {
   absl::StatusOr<JobsDeclaration> read = this->decoder(command.document);
-  if (!read.ok()) {
-    return fleet::Answer::FromStatus(read.status());
+  const absl::Status status = read.ok() ? read->Check() : read.status();
+  if (!status.ok()) {
+    return fleet::Answer::FromStatus(status);
   }
   if (const auto answer = this->AnswerIfNotNewer(command)) {
     return *answer;
@@ -272,6 +273,7 @@
   Job& job = this->own_record.jobs[command.job];
   job.id = command.job;
   job.queue = command.queue;
+  job.customer = command.customer;
   job.service = queue->service;
   job.most_attempts = queue->most_attempts;
   job.spec = command.spec;
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -24,8 +24,10 @@
 
 namespace sumac::jobs {
 
-// Parses the operators' document. Returns kInvalidDeclaration if it must not
-// come into force.
+// Parses the operators' document. Returns kInvalidDeclaration if it can't be
+// read. Whether it may come into force is for JobsDeclaration::Check to tell:
+// an earlier version may have put a document in force that fails the present
+// check, and its state must still load.
 using DeclarationDecoder =
     std::function<absl::StatusOr<JobsDeclaration>(std::string_view document)>;
 
--- a/libraries/jobs/requests.h
+++ b/libraries/jobs/requests.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "libraries/base/names.h"
+#include "libraries/jobs/caller_access.h"
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/job_spec.h"
 
@@ -23,12 +24,14 @@
   static constexpr std::string_view kTypeName = "submit-at";
   std::string host;
   std::string path;
+  Credentials credentials;
   JobSpec spec;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("host", self.host);
     visitor.Required("path", self.path);
+    visitor.Field("credentials", self.credentials);
     visitor.Required("spec", self.spec);
   }
 };
@@ -39,11 +42,13 @@
   static constexpr std::string_view kTypeName = "show-at";
   std::string host;
   std::string path;
+  Credentials credentials;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("host", self.host);
     visitor.Required("path", self.path);
+    visitor.Field("credentials", self.credentials);
   }
 };
 
@@ -52,11 +57,13 @@
   static constexpr std::string_view kTypeName = "cancel-at";
   std::string host;
   std::string path;
+  Credentials credentials;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("host", self.host);
     visitor.Required("path", self.path);
+    visitor.Field("credentials", self.credentials);
   }
 };
 
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -33,11 +33,13 @@
 constexpr std::size_t kRenewalsPerBatch = 50;
 constexpr Milliseconds kBatchPause{10};
 
-// The queue and the id of a job, as given by the path of a request. The id is
-// empty if the path names only a queue.
+// The queue and the id of a job, as given by the path of a request, and the
+// customer on whose behalf it was sent. The id is empty if the path names only
+// a queue.
 struct JobAddress {
   const jobs::QueueDeclaration* queue = nullptr;
   JobId job;
+  CustomerName customer;
 };
 
 fleet::Answer UnknownJob() {
@@ -45,21 +47,31 @@
           .message = "no job with this id is known"};
 }
 
-absl::StatusOr<JobAddress> ResolveJobAddress(
-    const jobs::JobsDeclaration& declaration,
-    const std::string& host,
-    const std::string& path) {
+// Resolves the address of a caller's request and decides whether the caller may
+// use it: every request about jobs goes through here.
+template <typename AddressedRequest>
+absl::StatusOr<JobAddress> ResolveJobAddress(const jobs::JobsState& state,
+                                             const AddressedRequest& request) {
+  const jobs::JobsDeclaration& declaration = state.declaration();
   if (declaration.version() == 0) {
     return MakeError(ResultCode::kNothingDeclared,
                      "no declaration is in force yet");
   }
-  const jobs::QueueDeclaration* queue = declaration.FindByAddress(host, path);
+  const jobs::QueueDeclaration* queue =
+      declaration.FindByAddress(request.host, request.path);
   if (queue == nullptr) {
     return MakeError(ResultCode::kUnknownQueue,
-                     StrCat("no queue at ", host, path, " in version ",
-                            declaration.version()));
+                     StrCat("no queue at ", request.host, request.path,
+                            " in version ", declaration.version()));
   }
-  return JobAddress{queue, JobId(path.substr(queue->path_prefix.size()))};
+  JobAddress address{queue,
+                     JobId(request.path.substr(queue->path_prefix.size()))};
+  address.customer =
+      TRY(jobs::AuthenticateCaller(declaration, *queue, request.credentials));
+  if (const jobs::Job* job = state.FindJob(address.job)) {
+    TRY(jobs::AuthorizeJobAccess(*queue, address.customer, *job));
+  }
+  return address;
 }
 
 }  // namespace
@@ -473,11 +485,22 @@
   return std::nullopt;
 }
 
+// Answers a request whose address was not resolved. Counts it if its key was
+// refused.
+fleet::Answer JobController::RefuseAddress(const absl::Status& status) {
+  const ResultCode code = CodeOf(status);
+  if (code == ResultCode::kNoCredentials || code == ResultCode::kUnknownKey ||
+      code == ResultCode::kForeignJob) {
+    this->metrics.Count(
+        StrCat("sumac_key_refusals_total{code=\"", InfoFor(code).name, "\"}"));
+  }
+  return fleet::Answer::FromStatus(status);
+}
+
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::SubmitAt& request) {
-  const auto address = ResolveJobAddress(this->jobs_state.declaration(),
-                                         request.host, request.path);
+  const auto address = ResolveJobAddress(this->jobs_state, request);
   if (!address.ok()) {
-    return fleet::Answer::FromStatus(address.status());
+    return this->RefuseAddress(address.status());
   }
   if (address->job.value().empty()) {
     return fleet::Answer{.code = ResultCode::kBadRequest,
@@ -502,13 +525,15 @@
       ->Propose(jobs::SubmitJob{address->job, address->queue->name,
                                 request.spec,
                                 this->refused_callers.WaitingTimeOf(
-                                    address->job, this->clock.SteadyNow())})
-      .then([this, job = address->job,
-             queue = address->queue->name](fleet::Answer&& answer) {
+                                    address->job, this->clock.SteadyNow()),
+                                address->customer})
+      .then([this, job = address->job, queue = address->queue->name,
+             customer = address->customer](fleet::Answer&& answer) {
         LogEvent(LogLevel::kInfo,
                  answer.is_ok() ? "job-accepted" : "job-not-accepted",
                  {{"job", job.value()},
                   {"queue", queue.value()},
+                  {"customer", customer.value()},
                   {"declaration", this->jobs_state.declaration().version()},
                   {"code", static_cast<int>(answer.code)},
                   {"message", answer.message}});
@@ -520,10 +545,9 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::ShowAt& request) {
-  const auto address = ResolveJobAddress(this->jobs_state.declaration(),
-                                         request.host, request.path);
+  const auto address = ResolveJobAddress(this->jobs_state, request);
   if (!address.ok()) {
-    return fleet::Answer::FromStatus(address.status());
+    return this->RefuseAddress(address.status());
   }
   if (address->job.value().empty()) {
     return fleet::Answer{.document = {{"pending", this->scheduler->CountPending(
@@ -540,10 +564,9 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::CancelAt& request) {
-  const auto address = ResolveJobAddress(this->jobs_state.declaration(),
-                                         request.host, request.path);
+  const auto address = ResolveJobAddress(this->jobs_state, request);
   if (!address.ok()) {
-    return fleet::Answer::FromStatus(address.status());
+    return this->RefuseAddress(address.status());
   }
   const jobs::Job* job = this->jobs_state.FindJob(address->job);
   if (job == nullptr) {
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -135,6 +135,7 @@
       const jobs::QueueDeclaration& queue,
       const JobId& job,
       const jobs::JobSpec& spec);
+  fleet::Answer RefuseAddress(const absl::Status& status);
   kj::Promise<fleet::Answer> Serve(const jobs::SubmitAt& request);
   kj::Promise<fleet::Answer> Serve(const jobs::ShowAt& request);
   kj::Promise<fleet::Answer> Serve(const jobs::CancelAt& request);
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -226,7 +226,7 @@
   };
   this->controller = TRY(JobController::Create(
       this->settings, this->peers, *this->io.provider, this->metrics,
-      platform::ReadDeclaration, std::move(calls),
+      platform::ParseDeclaration, std::move(calls),
       [this] { return this->MakeRelayWorkers(); },
       this->settings.instances_door.empty() ? maintenance::InstanceCalls()
                                             : this->instances.Calls()));
--- a/tests/platform/request_handlers_test.cc
+++ b/tests/platform/request_handlers_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "platform/api_key.h"
 #include "platform/wire_codec.h"
 
 namespace sumac::platform {
@@ -41,6 +42,9 @@
                                 .host = "desk.example:80",
                                 .body = body};
     request.headers["Sumacstack-Deadline-Ms"] = deadline;
+    if (!this->authorization.empty()) {
+      request.headers["Authorization"] = this->authorization;
+    }
     return handler.Handle(request).wait(this->loop_parts->scope);
   }
   http::ServerReply Control(kj::HttpMethod method,
@@ -70,10 +74,36 @@
   http::Metrics metrics;
   jobs::JobsState state;
   fleet::Answer answer;
+  // The value of the authorization header; empty for none.
+  std::string authorization;
   std::optional<jobs::Request> asked;
   Milliseconds limit{0};
 };
 
+TEST_F(RequestHandlersTest, AKeyIsPassedOnAsItsDigest) {
+  this->authorization = "Bearer key-one";
+  this->Call(kj::HttpMethod::POST, kJob);
+  EXPECT_EQ(std::get<jobs::SubmitAt>(*this->asked).credentials.key,
+            DigestOf("key-one"));
+  this->Call(kj::HttpMethod::GET);
+  EXPECT_EQ(std::get<jobs::ShowAt>(*this->asked).credentials.key,
+            DigestOf("key-one"));
+  this->Call(kj::HttpMethod::DELETE);
+  EXPECT_EQ(std::get<jobs::CancelAt>(*this->asked).credentials.key,
+            DigestOf("key-one"));
+  this->authorization.clear();
+  this->Call(kj::HttpMethod::GET);
+  EXPECT_FALSE(std::get<jobs::ShowAt>(*this->asked).credentials.is_present);
+}
+
+TEST_F(RequestHandlersTest, ARefusedKeyIsAnsweredWith401) {
+  this->answer.code = ResultCode::kUnknownKey;
+  const http::ServerReply reply = this->Call(kj::HttpMethod::GET);
+  EXPECT_EQ(reply.status, 401U);
+  ASSERT_EQ(reply.headers.size(), 1U);
+  EXPECT_EQ(reply.headers[0].first, "WWW-Authenticate");
+}
+
 TEST_F(RequestHandlersTest, AJobIsPassedOnByHostAndPath) {
   EXPECT_EQ(this->Call(kj::HttpMethod::POST, kJob).status, 200U);
   const auto& submit = std::get<jobs::SubmitAt>(*this->asked);
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -5,6 +5,7 @@
 
 #include "libraries/base/error.h"
 #include "nlohmann/json.hpp"
+#include "platform/api_key.h"
 
 namespace sumac::platform {
 namespace {
@@ -46,6 +47,65 @@
   EXPECT_TRUE(read->FindService(ServiceName("previews"))->enforces_capacity);
 }
 
+TEST(WireCodecTest, ReadsCustomers) {
+  nlohmann::json manifest = Manifest();
+  manifest["routes"][1]["public"] = true;
+  manifest["tenants"] = nlohmann::json::parse(R"([
+      {"name": "ann", "api_keys": ["key-one", "key-two"], "weight": 2.5,
+       "max_count": {"cpu": 9000, "mem_mb": 100, "gpu": 0}},
+      {"name": "bob", "weight": 1}])");
+  const auto read = ReadDeclaration(manifest.dump());
+  ASSERT_TRUE(read.ok()) << read.status();
+  EXPECT_FALSE(read->FindQueue(QueueName("clips"))->is_public);
+  EXPECT_TRUE(read->FindQueue(QueueName("deep"))->is_public);
+  const jobs::CustomerDeclaration* ann =
+      read->FindCustomerByKey(DigestOf("key-two"));
+  ASSERT_NE(ann, nullptr);
+  EXPECT_EQ(ann->name.value(), "ann");
+  EXPECT_DOUBLE_EQ(ann->weight, 2.5);
+  EXPECT_EQ(ann->quota,
+            (jobs::Resources{.millicores = 9'000, .memory_mb = 100}));
+  EXPECT_TRUE(read->FindCustomer(CustomerName("bob"))->keys.empty());
+  EXPECT_EQ(read->FindCustomerByKey(DigestOf("key-three")), nullptr);
+}
+
+TEST(WireCodecTest, NoErrorAboutADeclarationQuotesAKey) {
+  const std::string key = "pqk8bdk9eevyxq2yyaza";
+  std::vector<std::string> texts;
+  for (const char* tenants :
+       {R"({"api_keys": ["KEY"]})", R"(["KEY"])", R"("KEY")",
+        R"([{"name": ["KEY"]}])",
+        R"([{"name": "a", "weight": 1, "api_keys": "KEY"}])",
+        R"([{"name": "a", "weight": 1, "api_keys": [["KEY"]]}])",
+        R"([{"name": "a", "weight": "KEY"}])",
+        R"([{"name": "a", "weight": 1, "max_count": "KEY"}])",
+        R"([{"name": "a", "weight": 1, "max_count": {"cpu": "KEY"}}])",
+        R"([{"name": "a", "api_keys": ["KEY"]}])",
+        R"([{"name": "a", "weight": 1, "api_keys": ["KEY", "KEY"]}])",
+        R"([{"name": "a", "weight": 1, "api_keys": ["KEY"]},
+            {"name": "b", "weight": 1, "api_keys": ["KEY"]}])"}) {
+    std::string text = tenants;
+    for (std::size_t at = text.find("KEY"); at != std::string::npos;
+         at = text.find("KEY", at + key.size())) {
+      text.replace(at, 3, key);
+    }
+    nlohmann::json manifest = Manifest();
+    manifest["tenants"] = nlohmann::json::parse(text);
+    texts.push_back(manifest.dump());
+  }
+  // A text that ends within a key.
+  const std::string whole = texts.back();
+  texts.push_back(whole.substr(0, whole.find(key) + 10));
+  for (const std::string& text : texts) {
+    const auto read = ReadDeclaration(text);
+    ASSERT_FALSE(read.ok()) << text;
+    EXPECT_EQ(CodeOf(read.status()), ResultCode::kInvalidDeclaration);
+    EXPECT_EQ(read.status().message().find(key.substr(0, 8)),
+              absl::string_view::npos)
+        << read.status();
+  }
+}
+
 TEST(WireCodecTest, ReadsAPlacementPolicy) {
   nlohmann::json manifest = Manifest();
   manifest["routes"][0]["advice"] = {
