Sumacd, Sumacctl: Show customers, and keep one from filling the controller

sumacctl customers (quota, use, what a new leader has not heard of, held or not, active jobs), the customer of each job in jobs list. Jobs that a quota keeps waiting are no backlog, so nothing but the declared maximum of active jobs bounded them: one customer could fill it and have the others refused. From half of it on, a customer that is held by its quota is refused (sumac_refused reason quota).

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -32,6 +32,9 @@
 // heartbeats beyond the election timeout of its followers.
 constexpr std::size_t kRenewalsPerBatch = 50;
 constexpr Milliseconds kBatchPause{10};
+// Customers that are held by their quota submit no more jobs once the active
+// jobs exceed the declared maximum divided by this.
+constexpr std::size_t kHeldJobsDivisor = 2;
 
 // The queue and the id of a job, as given by the path of a request, and the
 // customer on whose behalf it was sent. The id is empty if the path names only
@@ -441,6 +444,7 @@
 // admitted.
 std::optional<fleet::Answer> JobController::RefuseIfOverloaded(
     const jobs::QueueDeclaration& queue,
+    const CustomerName& customer,
     const JobId& job,
     const jobs::JobSpec& spec) {
   const SteadyTime now = this->clock.SteadyNow();
@@ -453,11 +457,21 @@
                          .message = std::move(message),
                          .document = {{"retry_after_ms", retry_after.count()}}};
   };
-  if (this->jobs_state.active_jobs().size() + this->open_submissions.size() >=
-      this->settings.policy.most_active_jobs) {
+  const std::size_t active =
+      this->jobs_state.active_jobs().size() + this->open_submissions.size();
+  const std::size_t most_active = this->settings.policy.most_active_jobs;
+  if (active >= most_active) {
     return refuse(scheduler::RefusalReason::kOverload,
                   "too many jobs wait or run", this->load.RetryAfter());
   }
+  // Jobs that a quota keeps waiting are no backlog, so this alone leaves room
+  // for the jobs of other customers.
+  if (active >= most_active / kHeldJobsDivisor &&
+      this->scheduler->IsHeldByQuota(customer)) {
+    return refuse(scheduler::RefusalReason::kQuota,
+                  StrCat("the quota of ", customer.value(), " is in use"),
+                  this->load.RetryAfter());
+  }
   const scheduler::WaitingCounts waiting =
       this->scheduler->CountWaitingFor(queue.name);
   if (this->backlog.IsFull(waiting)) {
@@ -533,8 +547,8 @@
             this->RefuseIfAboveQuota(address->customer, request.spec)) {
       return *std::move(refusal);
     }
-    if (auto refusal = this->RefuseIfOverloaded(*address->queue, address->job,
-                                                request.spec)) {
+    if (auto refusal = this->RefuseIfOverloaded(
+            *address->queue, address->customer, address->job, request.spec)) {
       return *std::move(refusal);
     }
   }
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -133,6 +133,7 @@
 
   std::optional<fleet::Answer> RefuseIfOverloaded(
       const jobs::QueueDeclaration& queue,
+      const CustomerName& customer,
       const JobId& job,
       const jobs::JobSpec& spec);
   fleet::Answer RefuseAddress(const absl::Status& status);
--- a/services/sumacd/job_queries.cc
+++ b/services/sumacd/job_queries.cc
@@ -30,6 +30,7 @@
   }
   return {{"id", job.id.value()},
           {"queue", job.queue.value()},
+          {"customer", job.customer.value()},
           {"service", job.service.value()},
           {"state", StateOf(sources, job)},
           {"reason", job.reason},
@@ -266,6 +267,44 @@
   return {.document = std::move(rows)};
 }
 
+Rows DescribeResources(const jobs::Resources& resources) {
+  return {{"millicores", resources.millicores},
+          {"memory_mb", resources.memory_mb},
+          {"accelerators", resources.accelerators}};
+}
+
+// Lists the declared customers, or the one named: what they may use, what their
+// runs use, and how many jobs of theirs are active.
+fleet::Answer ShowCustomers(const JobSources& sources,
+                            const std::string& name) {
+  std::map<CustomerName, std::size_t> active;
+  for (const auto& [sequence, job] : sources.state.active_jobs()) {
+    ++active[job->customer];
+  }
+  const scheduler::QuotaLedger& ledger = sources.scheduler.quota_ledger();
+  Rows rows = Rows::array();
+  for (const auto& [customer, declared] :
+       sources.state.declaration().customers()) {
+    if (!name.empty() && customer.value() != name) {
+      continue;
+    }
+    rows.push_back(
+        {{"name", customer.value()},
+         {"keys", declared.keys.size()},
+         {"weight", declared.weight},
+         {"quota", DescribeResources(declared.quota)},
+         {"used", DescribeResources(ledger.UsedBy(customer))},
+         {"unseen", DescribeResources(ledger.UnseenOf(customer))},
+         {"is_held_by_quota", sources.scheduler.IsHeldByQuota(customer)},
+         {"active_jobs", active[customer]}});
+  }
+  if (!name.empty() && rows.empty()) {
+    return {.code = ResultCode::kUnknownName,
+            .message = StrCat("no customer ", name, " is declared")};
+  }
+  return {.document = std::move(rows)};
+}
+
 fleet::Answer ShowControllers(const JobSources& sources) {
   const replication::Membership& members = sources.replica.membership();
   Rows rows = Rows::array();
@@ -307,6 +346,9 @@
   if (kind == "queues") {
     return ShowQueues(sources);
   }
+  if (kind == "customers") {
+    return ShowCustomers(sources, name);
+  }
   if (kind == "pools") {
     return ShowPools(sources);
   }
@@ -316,7 +358,7 @@
   return {.code = ResultCode::kBadArgument,
           .message = StrCat("found kind ", kind,
                             ", allowed: jobs, workers, waiting, waves, queues, "
-                            "pools or controllers")};
+                            "pools, customers or controllers")};
 }
 
 }  // namespace sumac::daemon
