--- /dev/null
+++ b/services/sumacd/job_admission.cc
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/job_admission.h"
+
+#include <utility>
+
+#include "libraries/base/text.h"
+
+namespace sumac::daemon {
+namespace {
+
+// Customers that are held by their quota submit no more jobs once the active
+// jobs exceed the declared maximum divided by this.
+constexpr std::size_t kHeldJobsDivisor = 2;
+
+}  // namespace
+
+std::optional<fleet::Answer> JobAdmission::Refuse(
+    const JobSubmission& submission,
+    std::size_t active_jobs,
+    scheduler::Scheduler& scheduler,
+    SteadyTime now) {
+  if (submission.customer != nullptr) {
+    const absl::Status status =
+        jobs::CheckAgainstQuota(*submission.customer, submission.spec);
+    if (!status.ok()) {
+      return fleet::Answer::FromStatus(status);
+    }
+  }
+  if (auto refusal =
+          this->RefuseTooMany(submission, active_jobs, scheduler, now)) {
+    return refusal;
+  }
+  if (auto refusal = this->RefuseTooLate(submission, scheduler, now)) {
+    return refusal;
+  }
+  scheduler.start_forecast().RecordAccepted(submission.queue.name);
+  this->load.CountAcceptedJob();
+  return std::nullopt;
+}
+
+fleet::Answer JobAdmission::MakeRefusal(const JobId& job,
+                                        scheduler::RefusalReason reason,
+                                        std::string message,
+                                        Milliseconds retry_after,
+                                        SteadyTime now) {
+  this->load.CountRefusal(reason);
+  this->refused_callers.RecordRefusal(job, now);
+  return {.code = ResultCode::kOverloaded,
+          .message = std::move(message),
+          .document = {{"retry_after_ms", retry_after.count()}}};
+}
+
+// Refuses a job if too many jobs are active or wait for a start.
+std::optional<fleet::Answer> JobAdmission::RefuseTooMany(
+    const JobSubmission& submission,
+    std::size_t active_jobs,
+    const scheduler::Scheduler& scheduler,
+    SteadyTime now) {
+  using enum scheduler::RefusalReason;
+  if (active_jobs >= this->policy.most_active_jobs) {
+    return this->MakeRefusal(submission.job, kOverload,
+                             "too many jobs wait or run",
+                             this->load.RetryAfter(), now);
+  }
+  // Jobs that a quota keeps waiting are no backlog, so this alone leaves room
+  // for the jobs of other customers.
+  const bool is_held = submission.customer != nullptr &&
+                       scheduler.IsHeldByQuota(submission.customer->name);
+  if (is_held &&
+      active_jobs >= this->policy.most_active_jobs / kHeldJobsDivisor) {
+    return this->MakeRefusal(
+        submission.job, kQuota,
+        StrCat("the quota of ", submission.customer->name.value(),
+               " is in use"),
+        this->load.RetryAfter(), now);
+  }
+  const scheduler::WaitingCounts waiting =
+      scheduler.CountWaitingFor(submission.queue.name);
+  if (this->backlog.IsFull(waiting)) {
+    return this->MakeRefusal(submission.job, kBacklog,
+                             StrCat(waiting.of_all, " jobs wait for a start, ",
+                                    waiting.of_queue, " of them of this queue"),
+                             this->backlog.RetryAfter(waiting), now);
+  }
+  return std::nullopt;
+}
+
+// Refuses a job that would begin too late to be in time, or that arrives while
+// this process's event loop is late.
+std::optional<fleet::Answer> JobAdmission::RefuseTooLate(
+    const JobSubmission& submission,
+    scheduler::Scheduler& scheduler,
+    SteadyTime now) {
+  using enum scheduler::RefusalReason;
+  const QueueName& queue = submission.queue.name;
+  scheduler::StartForecast& forecast = scheduler.start_forecast();
+  const auto to_spare =
+      scheduler.TimeToSpareFor(submission.queue, submission.spec);
+  const Milliseconds waited = this->WaitingTimeOf(submission.job, now);
+  if (to_spare && forecast.IsTooLate(queue, *to_spare - waited, now)) {
+    return this->MakeRefusal(submission.job, kTooLate,
+                             "it would begin too late behind those that wait",
+                             forecast.RetryAfter(queue, now), now);
+  }
+  if (!this->load.DecideAdmission()) {
+    return this->MakeRefusal(submission.job, kLate,
+                             StrCat("this controller is ",
+                                    this->load.lateness().count(), " ms late"),
+                             this->load.RetryAfter(), now);
+  }
+  return std::nullopt;
+}
+
+}  // namespace sumac::daemon
--- /dev/null
+++ b/services/sumacd/job_admission.h
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef SERVICES_SUMACD_JOB_ADMISSION_H_
+#define SERVICES_SUMACD_JOB_ADMISSION_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/fleet/answer.h"
+#include "libraries/jobs/declaration.h"
+#include "libraries/jobs/job_spec.h"
+#include "libraries/scheduler/backlog.h"
+#include "libraries/scheduler/refusal_reason.h"
+#include "libraries/scheduler/refused_callers.h"
+#include "libraries/scheduler/scheduler.h"
+#include "services/sumacd/leader_load.h"
+#include "services/sumacd/node_settings.h"
+
+namespace sumac::daemon {
+
+// A new job that a caller submits.
+struct JobSubmission {
+  const jobs::QueueDeclaration& queue;
+  // The customer's declaration; null if the job belongs to no customer.
+  const jobs::CustomerDeclaration* customer = nullptr;
+  const JobId& job;
+  const jobs::JobSpec& spec;
+};
+
+// Decides, for the leader, whether a new job is accepted. A job that can't be
+// served is refused at once, with the time after which its caller should retry.
+class JobAdmission {
+ public:
+  JobAdmission(const PolicySettings& policy, LeaderLoad& load)
+      : policy(policy), load(load) {}
+
+  // Returns the refusal of a job, or nothing if the job is admitted.
+  // `active_jobs` is the number of accepted jobs that have not finished.
+  std::optional<fleet::Answer> Refuse(const JobSubmission& submission,
+                                      std::size_t active_jobs,
+                                      scheduler::Scheduler& scheduler,
+                                      SteadyTime now);
+
+  // Returns how long the job's submissions have been refused.
+  Milliseconds WaitingTimeOf(const JobId& job, SteadyTime now) {
+    return this->refused_callers.WaitingTimeOf(job, now);
+  }
+
+  // Records that a job has finished.
+  void RecordFinished(SteadyTime now) { this->backlog.RecordFinished(now); }
+
+ private:
+  fleet::Answer MakeRefusal(const JobId& job,
+                            scheduler::RefusalReason reason,
+                            std::string message,
+                            Milliseconds retry_after,
+                            SteadyTime now);
+  std::optional<fleet::Answer> RefuseTooMany(
+      const JobSubmission& submission,
+      std::size_t active_jobs,
+      const scheduler::Scheduler& scheduler,
+      SteadyTime now);
+  std::optional<fleet::Answer> RefuseTooLate(const JobSubmission& submission,
+                                             scheduler::Scheduler& scheduler,
+                                             SteadyTime now);
+
+  const PolicySettings& policy;
+  LeaderLoad& load;
+  scheduler::Backlog backlog;
+  scheduler::RefusedCallers refused_callers;
+};
+
+}  // namespace sumac::daemon
+
+#endif  // SERVICES_SUMACD_JOB_ADMISSION_H_
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -32,9 +32,6 @@
 // heartbeats beyond the election timeout of its followers.
 constexpr std::size_t kRenewalsPerBatch = 50;
 constexpr Milliseconds kBatchPause{10};
-// Customers that are held by their quota submit no more jobs once the active
-// jobs exceed the declared maximum divided by this.
-constexpr std::size_t kHeldJobsDivisor = 2;
 
 // The queue and the id of a job, as given by the path of a request, and the
 // customer on whose behalf it was sent. The id is empty if the path names only
@@ -167,6 +164,7 @@
       metrics(metrics),
       load(provider, metrics),
       commit_rounds(provider.getTimer()),
+      admission(settings.policy, this->load),
       peers(peers),
       worker_calls(std::move(worker_calls)),
       create_relay_calls(std::move(create_relay_calls)),
@@ -383,7 +381,7 @@
     if (job == nullptr || job->is_active()) {
       continue;
     }
-    this->backlog.RecordFinished(this->clock.SteadyNow());
+    this->admission.RecordFinished(this->clock.SteadyNow());
     const Milliseconds took = job->finished_at - job->accepted_at;
     this->metrics.Observe("sumac_job_seconds",
                           std::chrono::duration<double>(took).count());
@@ -440,79 +438,6 @@
                     request);
 }
 
-// Returns the refusal of a new job of the queue, or nothing if the job is
-// admitted.
-std::optional<fleet::Answer> JobController::RefuseIfOverloaded(
-    const jobs::QueueDeclaration& queue,
-    const CustomerName& customer,
-    const JobId& job,
-    const jobs::JobSpec& spec) {
-  const SteadyTime now = this->clock.SteadyNow();
-  const auto refuse = [this, &job, now](scheduler::RefusalReason reason,
-                                        std::string message,
-                                        Milliseconds retry_after) {
-    this->load.CountRefusal(reason);
-    this->refused_callers.RecordRefusal(job, now);
-    return fleet::Answer{.code = ResultCode::kOverloaded,
-                         .message = std::move(message),
-                         .document = {{"retry_after_ms", retry_after.count()}}};
-  };
-  const std::size_t active =
-      this->jobs_state.active_jobs().size() + this->open_submissions.size();
-  const std::size_t most_active = this->settings.policy.most_active_jobs;
-  if (active >= most_active) {
-    return refuse(scheduler::RefusalReason::kOverload,
-                  "too many jobs wait or run", this->load.RetryAfter());
-  }
-  // Jobs that a quota keeps waiting are no backlog, so this alone leaves room
-  // for the jobs of other customers.
-  if (active >= most_active / kHeldJobsDivisor &&
-      this->scheduler->IsHeldByQuota(customer)) {
-    return refuse(scheduler::RefusalReason::kQuota,
-                  StrCat("the quota of ", customer.value(), " is in use"),
-                  this->load.RetryAfter());
-  }
-  const scheduler::WaitingCounts waiting =
-      this->scheduler->CountWaitingFor(queue.name);
-  if (this->backlog.IsFull(waiting)) {
-    return refuse(scheduler::RefusalReason::kBacklog,
-                  StrCat(waiting.of_all, " jobs wait for a start, ",
-                         waiting.of_queue, " of them of this queue"),
-                  this->backlog.RetryAfter(waiting));
-  }
-  scheduler::StartForecast& forecast = this->scheduler->start_forecast();
-  const auto to_spare = this->scheduler->TimeToSpareFor(queue, spec);
-  const Milliseconds waited = this->refused_callers.WaitingTimeOf(job, now);
-  if (to_spare && forecast.IsTooLate(queue.name, *to_spare - waited, now)) {
-    return refuse(scheduler::RefusalReason::kTooLate,
-                  "it would begin too late behind those that wait",
-                  forecast.RetryAfter(queue.name, now));
-  }
-  if (!this->load.DecideAdmission()) {
-    return refuse(scheduler::RefusalReason::kLate,
-                  StrCat("this controller is ", this->load.lateness().count(),
-                         " ms late"),
-                  this->load.RetryAfter());
-  }
-  forecast.RecordAccepted(queue.name);
-  this->load.CountAcceptedJob();
-  return std::nullopt;
-}
-
-// Returns the refusal of a job that its customer's quota can never hold, or
-// nothing.
-std::optional<fleet::Answer> JobController::RefuseIfAboveQuota(
-    const CustomerName& name,
-    const jobs::JobSpec& spec) const {
-  const jobs::CustomerDeclaration* customer =
-      this->jobs_state.declaration().FindCustomer(name);
-  const absl::Status status = customer == nullptr
-                                  ? absl::OkStatus()
-                                  : jobs::CheckAgainstQuota(*customer, spec);
-  return status.ok() ? std::nullopt
-                     : std::optional(fleet::Answer::FromStatus(status));
-}
-
 // Answers a request whose address was not resolved. Counts it if its key was
 // refused.
 fleet::Answer JobController::RefuseAddress(const absl::Status& status) {
@@ -543,22 +468,25 @@
   // NOTE: A refusal promises that the job never runs, so a job whose submission
   // is being committed must not be refused.
   if (!this->open_submissions.contains(address->job)) {
-    if (auto refusal =
-            this->RefuseIfAboveQuota(address->customer, request.spec)) {
-      return *std::move(refusal);
-    }
-    if (auto refusal = this->RefuseIfOverloaded(
-            *address->queue, address->customer, address->job, request.spec)) {
+    const JobSubmission submission{
+        .queue = *address->queue,
+        .customer =
+            this->jobs_state.declaration().FindCustomer(address->customer),
+        .job = address->job,
+        .spec = request.spec};
+    const std::size_t active =
+        this->jobs_state.active_jobs().size() + this->open_submissions.size();
+    if (auto refusal = this->admission.Refuse(
+            submission, active, *this->scheduler, this->clock.SteadyNow())) {
       return *std::move(refusal);
     }
   }
   this->open_submissions.insert(address->job);
   return this
-      ->Propose(jobs::SubmitJob{address->job, address->queue->name,
-                                request.spec,
-                                this->refused_callers.WaitingTimeOf(
-                                    address->job, this->clock.SteadyNow()),
-                                address->customer})
+      ->Propose(jobs::SubmitJob{
+          address->job, address->queue->name, request.spec,
+          this->admission.WaitingTimeOf(address->job, this->clock.SteadyNow()),
+          address->customer})
       .then([this, job = address->job, queue = address->queue->name,
              customer = address->customer](fleet::Answer&& answer) {
         LogEvent(LogLevel::kInfo,
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -24,13 +24,12 @@
 #include "libraries/maintenance/instance_calls.h"
 #include "libraries/relay/relay_service.h"
 #include "libraries/relay/relayed_calls.h"
-#include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/loop_pacer.h"
-#include "libraries/scheduler/refused_callers.h"
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_calls.h"
 #include "services/sumacd/commit_rounds.h"
 #include "services/sumacd/instance_manager.h"
+#include "services/sumacd/job_admission.h"
 #include "services/sumacd/leader_load.h"
 #include "services/sumacd/node_settings.h"
 #include "services/sumacd/peers.h"
@@ -131,15 +130,7 @@
   kj::Promise<fleet::Answer> Propose(jobs::Command command);
   void ProposeInBackground(jobs::Command command);
 
-  std::optional<fleet::Answer> RefuseIfOverloaded(
-      const jobs::QueueDeclaration& queue,
-      const CustomerName& customer,
-      const JobId& job,
-      const jobs::JobSpec& spec);
   fleet::Answer RefuseAddress(const absl::Status& status);
-  std::optional<fleet::Answer> RefuseIfAboveQuota(
-      const CustomerName& name,
-      const jobs::JobSpec& spec) const;
   kj::Promise<fleet::Answer> Serve(const jobs::SubmitAt& request);
   kj::Promise<fleet::Answer> Serve(const jobs::ShowAt& request);
   kj::Promise<fleet::Answer> Serve(const jobs::CancelAt& request);
@@ -212,8 +203,7 @@
   SteadyTime last_plan{};
   scheduler::LoopPacer loop_pacer;
   CommitRounds commit_rounds;
-  scheduler::Backlog backlog;
-  scheduler::RefusedCallers refused_callers;
+  JobAdmission admission;
   // Workers that were affected by commands committed since the last planning
   // pass.
   std::set<WorkerId> changed_workers;
--- a/tests/libraries/scheduler/quota_test.cc
+++ b/tests/libraries/scheduler/quota_test.cc
@@ -58,6 +58,13 @@
     this->fleet.Submit(job, std::move(step), "clips", customer);
   }
 
+  // Cuts off the workers that run tasks of a job.
+  void CutWorkersOf(const std::string& job) {
+    for (const std::string& worker : this->fleet.WorkersOf(job)) {
+      this->fleet.worker(worker).is_cut = true;
+    }
+  }
+
   FakeFleet fleet{4};
 };
 
@@ -95,9 +102,7 @@
 TEST_F(QuotaTest, RunsOnAWorkerThatIsCutOffStillCount) {
   this->Submit("first", {.count = 3});
   this->fleet.PassTime(Milliseconds(500));
-  for (const std::string& worker : this->fleet.WorkersOf("first")) {
-    this->fleet.worker(worker).is_cut = true;
-  }
+  this->CutWorkersOf("first");
   this->Submit("second", {.count = 3});
   this->fleet.PassTime(Milliseconds(2'000));
   EXPECT_EQ(this->fleet.CountRunning("second"), 0);
@@ -108,9 +113,7 @@
 TEST_F(QuotaTest, ANewLeaderStartsNothingBesideRunsThatItHasNotHeardOf) {
   this->Submit("first", {.count = 3});
   this->fleet.PassTime(Milliseconds(500));
-  for (const std::string& worker : this->fleet.WorkersOf("first")) {
-    this->fleet.worker(worker).is_cut = true;
-  }
+  this->CutWorkersOf("first");
   this->fleet.ChangeLeader();
   this->Submit("second", {.count = 3});
   this->fleet.PassTime(Milliseconds(2'000));
@@ -122,9 +125,7 @@
 TEST_F(QuotaTest, ANewLeaderCountsRunsOfACancelledJob) {
   this->Submit("first", {.count = 3});
   this->fleet.PassTime(Milliseconds(500));
-  for (const std::string& worker : this->fleet.WorkersOf("first")) {
-    this->fleet.worker(worker).is_cut = true;
-  }
+  this->CutWorkersOf("first");
   this->fleet.Commit(jobs::CancelJob{JobId("first")});
   this->fleet.ChangeLeader();
   this->Submit("second", {.count = 3});
