Scheduler: Let jobs beyond a customer's share go after what others are owed

A customer's weight is its share when all is full, and nothing is owed for what it sends beyond that many jobs a second. Nothing read it: a customer that floods a full fleet delayed everybody's jobs, and had them refused for a backlog that was its own.

A token bucket for each customer, one second of its weight large, tells at acceptance whether a job is beyond the share. The flag is committed with the job, so that a change of leader keeps it. Such jobs go last among those that wait, are served where there is room, and count neither as backlog nor for the forecast by which others are refused; once half of the declared maximum of active jobs is in use, a customer whose share is used up is refused. A decision takes constant time.

Only this way was built; fair queueing by processor time and dominant resources were not compared.

--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -93,6 +93,7 @@
   Milliseconds waited{0};
   // The customer that the job belongs to; empty for none.
   CustomerName customer;
+  bool is_beyond_share = false;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -101,6 +102,7 @@
     visitor.Required("spec", self.spec);
     visitor.Field("waited_ms", self.waited);
     visitor.Field("customer", self.customer);
+    visitor.Field("is_beyond_share", self.is_beyond_share);
   }
 };
 
--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -76,6 +76,9 @@
   // The customer that submitted the job; empty if the queue was public, or if
   // an earlier version accepted the job.
   CustomerName customer;
+  // True if the customer had sent more jobs than its share when it sent this
+  // one.
+  bool is_beyond_share = false;
   // The service that the queue belongs to by its last declaration.
   ServiceName service;
   // Services that the queue belonged to before; runs of the job may remain on
@@ -145,6 +148,7 @@
     visitor.Field("id", self.id);
     visitor.Field("queue", self.queue);
     visitor.Field("customer", self.customer);
+    visitor.Field("is_beyond_share", self.is_beyond_share);
     visitor.Field("service", self.service);
     visitor.Field("former_services", self.former_services);
     visitor.Field("most_attempts", self.most_attempts);
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -274,6 +274,7 @@
   job.id = command.job;
   job.queue = command.queue;
   job.customer = command.customer;
+  job.is_beyond_share = command.is_beyond_share;
   job.service = queue->service;
   job.most_attempts = queue->most_attempts;
   job.spec = command.spec;
--- a/libraries/scheduler/refusal_reason.h
+++ b/libraries/scheduler/refusal_reason.h
@@ -10,8 +10,8 @@
 enum class RefusalReason {
   // The declared maximum number of jobs is active.
   kOverload,
-  // The customer's quota is in use, and many jobs are active.
-  kQuota,
+  // The customer's quota or share is used up, and many jobs are active.
+  kShare,
   // More jobs wait than can be begun.
   kBacklog,
   // The job would begin too late to be in time.
@@ -24,8 +24,8 @@
   switch (reason) {
     case RefusalReason::kOverload:
       return "overload";
-    case RefusalReason::kQuota:
-      return "quota";
+    case RefusalReason::kShare:
+      return "share";
     case RefusalReason::kBacklog:
       return "backlog";
     case RefusalReason::kTooLate:
--- a/libraries/scheduler/urgency.cc
+++ b/libraries/scheduler/urgency.cc
@@ -42,7 +42,9 @@
 }
 
 Urgency UrgencyBasis::At(WallTime wall_now) const {
-  Urgency urgency{.priority = this->priority, .sequence = this->sequence};
+  Urgency urgency{.is_beyond_share = this->is_beyond_share,
+                  .priority = this->priority,
+                  .sequence = this->sequence};
   if (this->is_never_late) {
     return urgency;
   }
@@ -72,7 +74,8 @@
                             const jobs::QueueDeclaration* queue,
                             const RunTimes& run_times,
                             bool orders_by_slack) {
-  UrgencyBasis basis{.sequence = job.sequence};
+  UrgencyBasis basis{.is_beyond_share = job.is_beyond_share,
+                     .sequence = job.sequence};
   if (queue == nullptr) {
     return basis;
   }
--- a/libraries/scheduler/urgency.h
+++ b/libraries/scheduler/urgency.h
@@ -30,6 +30,9 @@
 // be in time goes after one that can, whatever their priorities: if there is
 // more work than starts, it would take the other job's chance for little value.
 struct Urgency {
+  // Jobs beyond their customers' shares go last, whatever their lateness: they
+  // would take room that others are owed.
+  bool is_beyond_share = false;
   Lateness lateness = Lateness::kInTime;
   std::uint32_t priority = 0;
   // Jobs that have begun go first: the work already done for them is lost to
@@ -55,6 +58,7 @@
   // Returns the job's urgency at a time.
   Urgency At(WallTime wall_now) const;
 
+  bool is_beyond_share = false;
   std::uint32_t priority = 0;
   std::uint64_t sequence = 0;
   // The job is never late: it has a long-running step, or jobs go in the order
--- a/libraries/scheduler/waiting_jobs.cc
+++ b/libraries/scheduler/waiting_jobs.cc
@@ -64,7 +64,8 @@
     if (job == nullptr) {
       continue;
     }
-    const bool is_held = !held.empty() && held.contains(job->customer);
+    const bool is_held =
+        job->is_beyond_share || (!held.empty() && held.contains(job->customer));
     if (is_held) {
       ++this->held_count;
     } else {
--- a/libraries/scheduler/waiting_jobs.h
+++ b/libraries/scheduler/waiting_jobs.h
@@ -53,7 +53,8 @@
 
   // Returns the due occurrences of the waiting and new jobs, the most urgent
   // first. The jobs of the customers in `held`, which their quota keeps
-  // waiting, are no backlog and are left out of the counts.
+  // waiting, and those beyond a customer's share delay no others and are left
+  // out of the counts.
   std::vector<DueOccurrence> Order(SteadyTime now,
                                    WallTime wall_now,
                                    const std::set<CustomerName>& held = {});
@@ -125,7 +126,7 @@
   std::map<std::uint64_t, std::vector<UrgencyBasis>> waiting;
   // The number of jobs that waited when they were last ordered, by queue.
   std::map<QueueName, std::size_t> counts;
-  // The number of waiting jobs of customers that their quota holds back.
+  // The number of waiting jobs that are left out of the counts.
   std::size_t held_count = 0;
   // The lateness of their due occurrences.
   LatenessCounts lateness;
--- a/services/sumacd/job_admission.cc
+++ b/services/sumacd/job_admission.cc
@@ -8,9 +8,9 @@
 namespace sumac::daemon {
 namespace {
 
-// Customers that are held by their quota submit no more jobs once the active
-// jobs exceed the declared maximum divided by this.
-constexpr std::size_t kHeldJobsDivisor = 2;
+// Customers that have used up their quota or share submit no more jobs once the
+// active jobs exceed the declared maximum divided by this.
+constexpr std::size_t kExcessJobsDivisor = 2;
 
 }  // namespace
 
@@ -62,17 +62,18 @@
                              "too many jobs wait or run",
                              this->load.RetryAfter(), now);
   }
-  // Jobs that a quota keeps waiting are no backlog, so this alone leaves room
-  // for the jobs of other customers.
-  const bool is_held = submission.customer != nullptr &&
-                       scheduler.IsHeldByQuota(submission.customer->name);
-  if (is_held &&
-      active_jobs >= this->policy.most_active_jobs / kHeldJobsDivisor) {
-    return this->MakeRefusal(
-        submission.job, kQuota,
-        StrCat("the quota of ", submission.customer->name.value(),
-               " is in use"),
-        this->load.RetryAfter(), now);
+  // Jobs that a quota keeps waiting or that are beyond a share are no backlog,
+  // so this alone leaves room for the jobs of other customers.
+  const jobs::CustomerDeclaration* customer = submission.customer;
+  const bool may_fill =
+      customer == nullptr || (!scheduler.IsHeldByQuota(customer->name) &&
+                              !this->shares.IsUsedUp(customer, now));
+  if (!may_fill &&
+      active_jobs >= this->policy.most_active_jobs / kExcessJobsDivisor) {
+    return this->MakeRefusal(submission.job, kShare,
+                             StrCat("the quota or the share of ",
+                                    customer->name.value(), " is used up"),
+                             this->load.RetryAfter(), now);
   }
   const scheduler::WaitingCounts waiting =
       scheduler.CountWaitingFor(submission.queue.name);
--- a/services/sumacd/job_admission.h
+++ b/services/sumacd/job_admission.h
@@ -12,6 +12,7 @@
 #include "libraries/jobs/declaration.h"
 #include "libraries/jobs/job_spec.h"
 #include "libraries/scheduler/backlog.h"
+#include "libraries/scheduler/customer_shares.h"
 #include "libraries/scheduler/refusal_reason.h"
 #include "libraries/scheduler/refused_callers.h"
 #include "libraries/scheduler/scheduler.h"
@@ -43,6 +44,11 @@
                                       scheduler::Scheduler& scheduler,
                                       SteadyTime now);
 
+  // Counts an admitted job. Returns true if it is beyond its customer's share.
+  bool CountShare(const jobs::CustomerDeclaration* customer, SteadyTime now) {
+    return this->shares.CountJob(customer, now);
+  }
+
   // Returns how long the job's submissions have been refused.
   Milliseconds WaitingTimeOf(const JobId& job, SteadyTime now) {
     return this->refused_callers.WaitingTimeOf(job, now);
@@ -69,6 +75,7 @@
   const PolicySettings& policy;
   LeaderLoad& load;
   scheduler::Backlog backlog;
+  scheduler::CustomerShares shares;
   scheduler::RefusedCallers refused_callers;
 };
 
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -465,19 +465,20 @@
     // would double the work.
     return fleet::Answer::Success("accepted before");
   }
+  const SteadyTime now = this->clock.SteadyNow();
+  const jobs::CustomerDeclaration* customer =
+      this->jobs_state.declaration().FindCustomer(address->customer);
   // NOTE: A refusal promises that the job never runs, so a job whose submission
   // is being committed must not be refused.
   if (!this->open_submissions.contains(address->job)) {
-    const JobSubmission submission{
-        .queue = *address->queue,
-        .customer =
-            this->jobs_state.declaration().FindCustomer(address->customer),
-        .job = address->job,
-        .spec = request.spec};
+    const JobSubmission submission{.queue = *address->queue,
+                                   .customer = customer,
+                                   .job = address->job,
+                                   .spec = request.spec};
     const std::size_t active =
         this->jobs_state.active_jobs().size() + this->open_submissions.size();
-    if (auto refusal = this->admission.Refuse(
-            submission, active, *this->scheduler, this->clock.SteadyNow())) {
+    if (auto refusal =
+            this->admission.Refuse(submission, active, *this->scheduler, now)) {
       return *std::move(refusal);
     }
   }
@@ -485,8 +486,8 @@
   return this
       ->Propose(jobs::SubmitJob{
           address->job, address->queue->name, request.spec,
-          this->admission.WaitingTimeOf(address->job, this->clock.SteadyNow()),
-          address->customer})
+          this->admission.WaitingTimeOf(address->job, now), address->customer,
+          this->admission.CountShare(customer, now)})
       .then([this, job = address->job, queue = address->queue->name,
              customer = address->customer](fleet::Answer&& answer) {
         LogEvent(LogLevel::kInfo,
