Scheduler: Bound what may run unseen by the occurrences that are due

A new leader walked over every occurrence of the older jobs of a customer, due or not: with a worker that did not answer and a job of a thousand million occurrences its first planning pass did not end. Found by reading the diff; only occurrences that were due when the leadership began, and 10 s for clocks that differ, can have been started.

QuotaTest.ANewLeaderIsNotHeldUpByAJobWithManyOccurrences: before, no end within 20 s; passes now, with the other quota tests.

--- a/libraries/scheduler/unseen_usage.cc
+++ b/libraries/scheduler/unseen_usage.cc
@@ -9,6 +9,9 @@
 // How long a run of a job that has ended can go on at most: until its worker's
 // lease is over, with a margin for clocks that differ.
 constexpr Milliseconds kLongestRunAfterEnd{15'000};
+// How far the clock of an earlier leader may have been ahead of the time of the
+// last command.
+constexpr Milliseconds kClockMargin{10'000};
 
 // Adds what the tasks of a step need that may run unseen.
 void AddStep(const jobs::Job& job,
@@ -27,9 +30,11 @@
 }
 
 void AddJob(const jobs::Job& job,
+            WallTime due_by,
             const UnseenUsage::IsKnown& is_known,
             jobs::Resources& usage) {
-  for (std::uint32_t occurrence = 0; occurrence < job.spec.occurrences();
+  for (std::uint32_t occurrence = 0;
+       occurrence < job.spec.occurrences() && job.DueAt(occurrence) <= due_by;
        ++occurrence) {
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
       if (!job.is_active() || job.IsStepReady(occurrence, step)) {
@@ -43,7 +48,9 @@
 
 UnseenUsage::UnseenUsage(const jobs::JobsState& state,
                          std::uint64_t first_own_sequence)
-    : state(state), first_own_sequence(first_own_sequence) {
+    : state(state),
+      first_own_sequence(first_own_sequence),
+      due_by(state.record().swept_at + kClockMargin) {
   for (const auto& [id, job] : state.record().jobs) {
     const bool may_run =
         !job.customer.value().empty() &&
@@ -63,7 +70,7 @@
   std::map<CustomerName, jobs::Resources> usage;
   const auto add = [&](const jobs::Job& job) {
     if (!job.customer.value().empty() && may_run_unseen(job)) {
-      AddJob(job, is_known, usage[job.customer]);
+      AddJob(job, this->due_by, is_known, usage[job.customer]);
     }
   };
   for (const auto& [sequence, job] : this->state.active_jobs()) {
--- a/libraries/scheduler/unseen_usage.h
+++ b/libraries/scheduler/unseen_usage.h
@@ -38,6 +38,8 @@
  private:
   const jobs::JobsState& state;
   std::uint64_t first_own_sequence;
+  // Earlier leaders started no occurrence that is due later than this.
+  WallTime due_by;
   // Jobs that had failed or been cancelled shortly before this leadership, so
   // that runs of theirs may go on until they are stopped.
   std::vector<JobId> ended_jobs;
--- a/tests/libraries/scheduler/quota_test.cc
+++ b/tests/libraries/scheduler/quota_test.cc
@@ -133,6 +133,22 @@
   EXPECT_EQ(this->fleet.problem, "");
 }
 
+// Only the occurrences that are due can have been started.
+TEST_F(QuotaTest, ANewLeaderIsNotHeldUpByAJobWithManyOccurrences) {
+  this->fleet.Commit(jobs::SubmitJob{
+      .job = JobId("often"),
+      .queue = QueueName("clips"),
+      .spec = {.steps = {{.need = Cores(1)}},
+               .repeats = 1'000'000'000,
+               .first_due = WallTime(this->fleet.now.time_since_epoch()),
+               .interval = Milliseconds(3'600'000)},
+      .customer = CustomerName("ann")});
+  this->fleet.worker("w0").is_cut = true;
+  this->fleet.ChangeLeader();
+  this->fleet.PassTime(Milliseconds(10'000));
+  EXPECT_EQ(this->fleet.CountRunning("often"), 1);
+}
+
 TEST_F(QuotaTest, ALoweredQuotaStopsNothingAndStartsNothing) {
   this->Submit("first", {.count = 3});
   this->fleet.PassTime(Milliseconds(500));
