--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -29,9 +29,9 @@
   // thousandths.
   std::int64_t reserve_permille = 150;
   // The time for which a pool must have had too many instances before it gives
-  // some up: the cost of giving an instance up and getting it back, which is two
-  // moves and the work that is late meanwhile, divided by the cost of an idle
-  // instance per second.
+  // some up: the cost of giving an instance up and getting it back, which is
+  // two moves and the work that is late meanwhile, divided by the cost of an
+  // idle instance per second.
   Milliseconds surplus_time{20'000};
   // The time that the platform takes to move an instance. It accepts no further
   // order about the instance meanwhile.
