--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -81,7 +81,7 @@
   // are refused. Bounds a controller's memory.
   std::uint64_t most_active_jobs = 20'000;
   // How long a pool keeps instances that it no longer needs.
-  Milliseconds surplus_time{20'000};
+  Milliseconds surplus_time{2'500};
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
