Tests: Give process tests one call with a key and one way to ask operators

customers.sh repeated ctl and ctl_finds of jobs.sh, and redefined the call of nodes.sh twice for each use of a key. The call of nodes.sh now takes the key from caller_key, which with_key sets for what it calls, and ctl and ctl_finds stand in nodes.sh. No check changes.

--- a/tests/processes/customers.sh
+++ b/tests/processes/customers.sh
@@ -26,22 +26,12 @@
 }
 # with_key KEY FUNCTION ARGUMENT...: calls FUNCTION with the key on its HTTP calls.
 with_key() {
-  local key=$1
+  local caller_key=$1
   shift
-  call() { curl -s --max-time 5 -H "Host: desk.example" -H "Authorization: Bearer $key" -o "$work/body" -w '%{http_code}' "$@"; }
   "$@"
-  local code=$?
-  call() { curl -s --max-time 5 -H "Host: desk.example" -o "$work/body" -w '%{http_code}' "$@"; }
-  return "$code"
 }
 show() { call "$(job_url "$1" "$2")"; }
 cancel() { call -X DELETE "$(job_url "$1" "$2")"; }
-ctl() { "$bin/sumacctl" --json --operator tester --address "$(node_ip "$1"):7070" "${@:2}" >"$work/ctl.json"; }
-ctl_finds() {
-  local filter=$1
-  shift
-  ctl "$@" && jq -e "$filter" "$work/ctl.json" >/dev/null
-}
 
 for name in "${controllers[@]}" "${entries[@]}"; do
   write_node "$name" "$(role_of "$name")" true
--- a/tests/processes/jobs.sh
+++ b/tests/processes/jobs.sh
@@ -36,13 +36,6 @@
 check "an older one is taken again and changes nothing" declared 1 2
 expect "version 2 is in force at every controller" "$(version_at 1)$(version_at 2)$(version_at 3)" 222
 
-# The operators' own door: any process passes on to the leader.
-ctl() { "$bin/sumacctl" --json --operator tester --address "$(node_ip "$1"):7070" "${@:2}" >"$work/ctl.json"; }
-ctl_finds() {
-  local filter=$1
-  shift
-  ctl "$@" && jq -e "$filter" "$work/ctl.json" >/dev/null
-}
 ours=$(new_job)
 jq -n --arg id "$ours" '{id: $id, queue: "clips", spec: {text: "x", steps: [
   {count: 3, need: {millicores: 500, memory_mb: 10, accelerators: 0}, estimate_ms: 200},
--- a/tests/processes/nodes.sh
+++ b/tests/processes/nodes.sh
@@ -28,7 +28,18 @@
 
 job_url() { echo "http://$(node_ip "$1"):8624/clips/$2"; }
 new_job() { head -c 8 /dev/urandom | od -An -tx1 | tr -d ' \n'; }
-call() { curl -s --max-time 5 -H "Host: desk.example" -o "$work/body" -w '%{http_code}' "$@"; }
+# call ARGUMENT...: an HTTP call with the key in `caller_key`, if it is set; prints the status.
+call() {
+  curl -s --max-time 5 -H "Host: desk.example" ${caller_key:+-H "Authorization: Bearer $caller_key"} \
+    -o "$work/body" -w '%{http_code}' "$@"
+}
+# The operators' own door: any process passes on to the leader.
+ctl() { "$bin/sumacctl" --json --operator tester --address "$(node_ip "$1"):7070" "${@:2}" >"$work/ctl.json"; }
+ctl_finds() {
+  local filter=$1
+  shift
+  ctl "$@" && jq -e "$filter" "$work/ctl.json" >/dev/null
+}
 # submit ENTRY ID COUNT [TEXT]: prints the status.
 submit() {
   call -X POST -H 'Sumacstack-Deadline-Ms: 3000' "$(job_url "$1" "$2")" \
