Scheduler: Tell an adopted run by one field

Since is_adopted there are two signs of an adopted run: the field, and a start that expires at 0, which ReleaseMissingRuns still asked for. Both hold for the same runs: the lease end of a start order lies after the worker's clock, so it is never 0. The set behind QuotaLeft::exhausted has its accessor's name.

--- a/libraries/scheduler/demand_meter.cc
+++ b/libraries/scheduler/demand_meter.cc
@@ -23,7 +23,7 @@
   const std::int64_t taken = std::min(left, wanted);
   left -= taken;
   if (taken < wanted) {
-    this->refused.insert(job.customer);
+    this->exhausted_customers.insert(job.customer);
   }
   return taken;
 }
--- a/libraries/scheduler/demand_meter.h
+++ b/libraries/scheduler/demand_meter.h
@@ -43,12 +43,14 @@
     // Returns the part of `wanted` that the job's customer may run.
     std::int64_t Take(const jobs::Job& job, std::int64_t wanted);
     // The customers that wanted more than their quota allows.
-    const std::set<CustomerName>& exhausted() const { return this->refused; }
+    const std::set<CustomerName>& exhausted() const {
+      return this->exhausted_customers;
+    }
 
    private:
     const jobs::JobsDeclaration& declaration;
     std::map<CustomerName, std::int64_t> left;
-    std::set<CustomerName> refused;
+    std::set<CustomerName> exhausted_customers;
   };
 
   void AddOccurrence(const jobs::Job& job,
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -376,9 +376,9 @@
     }
     const bool has_vanished =
         run.confirmed_clock && *run.confirmed_clock < report.clock;
-    const bool never_starts = report.clock >= run.start_expires &&
+    const bool never_starts = !run.is_adopted &&
                               run.phase != RunPhase::kRunning &&
-                              run.start_expires > WorkerTime(0);
+                              report.clock >= run.start_expires;
     const bool is_stopped =
         run.stopped_clock && *run.stopped_clock < report.clock;
     if (has_vanished || never_starts || is_stopped) {
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -86,7 +86,8 @@
   // run continues. An earlier leader may have stopped it just before, and a run
   // is reported as running until the stop takes effect.
   SteadyTime settled_at{};
-  // The end of the lease that the start order carried. A worker that handles
+  // For a run that is not adopted: the end of the lease that the start order
+  // carried. A worker that handles
   // the order at or after this time does not start the run.
   WorkerTime start_expires;
   // The worker's clock when it confirmed the start.
