Jobs, Sumacd, Platform: Evacuate a data centre and return it to use

The use of each data centre is replicated state with a version. An order asks the leader for the version and commits a change for just that version; a copy that is delayed after that, in any process or log, changes nothing once a later order is in force. A copy that is delayed before it is told by the process having been suspended (SuspensionWatch) or by the operator's side of the connection being closed.

Nothing is started in an evacuated data centre: the predicate JobsState::IsInUse is asked by placement (through the session's mark), as a start order leaves the leader, and in a relay.

Weighed: orders that end by wall-clock time. The clocks of two machines may differ by seconds, and the version needs no clock.

--- a/libraries/base/result_code.cc
+++ b/libraries/base/result_code.cc
@@ -107,6 +107,12 @@
     ResultInfo{kStaleReport, "stale-report", 409, kNotARequest,
                "The report carries an old incarnation, operation or fencing "
                "token and was ignored."},
+    ResultInfo{kUnknownDataCentre, "unknown-data-centre", 404, kNotARequest,
+               "The settings name no such data centre, or data centres can't "
+               "be evacuated here; nothing was kept."},
+    ResultInfo{kDataCentreChanged, "data-centre-changed", 503, kNotARequest,
+               "The order about a data centre is old, or another one came "
+               "between; nothing was changed; send it again."},
     ResultInfo{kSettingsUnreadable, "settings-unreadable", 0, kNotARequest,
                "A settings or chart file can't be read or is not JSON."},
     ResultInfo{kSettingsInvalid, "settings-invalid", 0, kNotARequest,
--- a/libraries/base/result_code.h
+++ b/libraries/base/result_code.h
@@ -59,6 +59,8 @@
   kUnknownDecision = 2011,
   kBadArgument = 2012,
   kStaleReport = 2013,
+  kUnknownDataCentre = 2014,
+  kDataCentreChanged = 2015,
 
   kSettingsUnreadable = 3001,
   kSettingsInvalid = 3002,
--- a/libraries/http/async_http_server.cc
+++ b/libraries/http/async_http_server.cc
@@ -2,6 +2,7 @@
 #include "libraries/http/async_http_server.h"
 
 #include <Poco/Net/HTTPResponse.h>
+#include <sys/socket.h>
 
 #include <limits>
 #include <optional>
@@ -45,8 +46,12 @@
   // with a refusal.
   Session(AsyncHttpServer& owner,
           std::uint64_t number,
-          std::optional<ConnectionBudget::Place> place)
-      : owner(owner), number(number), place(std::move(place)) {
+          std::optional<ConnectionBudget::Place> place,
+          kj::Maybe<int> descriptor)
+      : owner(owner),
+        number(number),
+        place(std::move(place)),
+        descriptor(descriptor) {
     this->MarkPlaceIdle();
   }
   // Cancels a request in progress first, since its end marks the place as idle,
@@ -66,10 +71,14 @@
       return this->owner.Reply(response, RefusalReply());
     }
     this->place->MarkBusy();
-    return this->owner.Answer(method, url, headers, request_body, response)
+    return this->owner
+        .Answer(*this, method, url, headers, request_body, response)
         .attach(kj::defer([this] { this->MarkPlaceIdle(); }));
   }
 
+  // Returns false if the client has closed its side of the connection.
+  bool IsClientConnected() const;
+
   // The promise that serves the connection until it ends.
   kj::Promise<void> served = nullptr;
 
@@ -84,8 +93,20 @@
   AsyncHttpServer& owner;
   std::uint64_t number;
   std::optional<ConnectionBudget::Place> place;
+  // The socket, which the kj server owns until `served` is destroyed.
+  kj::Maybe<int> descriptor;
 };
 
+// NOTE: kj reports the end of the client's data only to a reader, and nobody
+// reads while a request is being answered.
+bool AsyncHttpServer::Session::IsClientConnected() const {
+  KJ_IF_MAYBE (socket, this->descriptor) {
+    char byte = 0;
+    return ::recv(*socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) != 0;
+  }
+  return true;
+}
+
 ServerReply AsyncHttpServer::Session::RefusalReply() {
   const ResultInfo& info = InfoFor(ResultCode::kCrowded);
   return ServerReply{
@@ -174,7 +195,8 @@
               {"error", error->getDescription().cStr()}});
   }
   const std::uint64_t number = this->next_session++;
-  auto session = kj::heap<Session>(*this, number, this->budget.AcquirePlace());
+  auto session = kj::heap<Session>(*this, number, this->budget.AcquirePlace(),
+                                   stream->getFd());
   this->open_refusals += static_cast<std::size_t>(session->is_refused());
   Session& added = *session;
   this->sessions.emplace(number, kj::mv(session));
@@ -212,12 +234,14 @@
   return this->server->drain();
 }
 
-kj::Promise<void> AsyncHttpServer::Answer(kj::HttpMethod method,
+kj::Promise<void> AsyncHttpServer::Answer(const Session& session,
+                                          kj::HttpMethod method,
                                           kj::StringPtr url,
                                           const kj::HttpHeaders& headers,
                                           kj::AsyncInputStream& request_body,
                                           Response& response) {
   auto request = kj::heap<ServerRequest>();
+  request->is_awaited = [&session] { return session.IsClientConnected(); };
   request->method = method;
   request->path = url.cStr();
   KJ_IF_MAYBE (host, headers.get(kj::HttpHeaderId::HOST)) {
--- a/libraries/http/async_http_server.h
+++ b/libraries/http/async_http_server.h
@@ -30,6 +30,9 @@
   // The present ones of the headers listed in AsyncServerSettings::headers.
   std::map<std::string, std::string> headers;
   std::string body;
+  // Returns false once the client has closed its side of the connection. May be
+  // called until the request is answered.
+  std::function<bool()> is_awaited;
 };
 
 // The answer to one request.
@@ -99,7 +102,8 @@
   kj::Promise<void> AwaitRefusalSlot();
   void Serve(kj::Own<kj::AsyncIoStream> stream);
   void CloseSession(std::uint64_t session);
-  kj::Promise<void> Answer(kj::HttpMethod method,
+  kj::Promise<void> Answer(const Session& session,
+                           kj::HttpMethod method,
                            kj::StringPtr url,
                            const kj::HttpHeaders& headers,
                            kj::AsyncInputStream& request_body,
--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -13,6 +13,7 @@
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
 #include "libraries/codec/describe.h"
+#include "libraries/jobs/data_centre_use.h"
 #include "libraries/jobs/job_spec.h"
 #include "libraries/jobs/task_crashes.h"
 #include "libraries/jobs/task_id.h"
@@ -230,7 +231,8 @@
                              RecordBegun,
                              StartWave,
                              RecordMaintenance,
-                             RecordMoves>;
+                             RecordMoves,
+                             ChangeDataCentre>;
 
 // A command with the wall-clock time at which the leader proposed it. The state
 // uses no other clock.
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -74,6 +74,12 @@
     }
     this->current_incarnations[worker.name] = id;
   }
+  this->evacuated.clear();
+  for (const auto& [name, data_centre] : this->own_record.data_centres) {
+    if (data_centre.use == DataCentreUse::kEvacuated) {
+      this->evacuated.insert(name);
+    }
+  }
   for (const auto& [id, job] : this->own_record.jobs) {
     this->by_id[id] = &job;
     if (job.is_active()) {
@@ -534,4 +540,37 @@
   return fleet::Answer::Success("recorded");
 }
 
+DataCentreRecord JobsState::FindDataCentre(const DataCentre& name) const {
+  const auto found = this->own_record.data_centres.find(name);
+  return found == this->own_record.data_centres.end() ? DataCentreRecord()
+                                                      : found->second;
+}
+
+fleet::Answer JobsState::ApplyCommand(const ChangeDataCentre& command,
+                                      WallTime at) {
+  DataCentreRecord data_centre = this->FindDataCentre(command.data_centre);
+  if (data_centre.use == command.use) {
+    return fleet::Answer::Success(StrCat("it is ", NameOf(command.use)));
+  }
+  if (data_centre.version != command.expected_version) {
+    return fleet::Answer{
+        .code = ResultCode::kDataCentreChanged,
+        .message = StrCat("version ", data_centre.version, " of ",
+                          command.data_centre.value(),
+                          " is in force, the order was for version ",
+                          command.expected_version)};
+  }
+  data_centre = {.use = command.use,
+                 .version = data_centre.version + 1,
+                 .changed_at = at,
+                 .requested_by = command.requested_by};
+  this->own_record.data_centres[command.data_centre] = std::move(data_centre);
+  if (command.use == DataCentreUse::kEvacuated) {
+    this->evacuated.insert(command.data_centre);
+  } else {
+    this->evacuated.erase(command.data_centre);
+  }
+  return fleet::Answer::Success(StrCat("it is ", NameOf(command.use)));
+}
+
 }  // namespace sumac::jobs
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -63,6 +63,8 @@
   std::map<InstanceName, MoveRecord> moves;
   // The time of the last sweep for old moves and ended workers.
   WallTime swept_at{};
+  // The data centres whose state operators have changed.
+  std::map<DataCentre, DataCentreRecord> data_centres;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -76,6 +78,7 @@
     visitor.Field("waves", self.waves);
     visitor.Field("moves", self.moves);
     visitor.Field("swept_at", self.swept_at);
+    visitor.Field("data_centres", self.data_centres);
   }
 };
 
@@ -106,6 +109,17 @@
     return this->own_record.workers;
   }
   const std::map<WaveId, Wave>& waves() const { return this->own_record.waves; }
+  // Returns the state of a data centre; that of one in use if operators never
+  // changed it.
+  DataCentreRecord FindDataCentre(const DataCentre& name) const;
+  // Returns true if tasks may be started in the data centre: it is not
+  // evacuated.
+  bool IsInUse(const DataCentre& name) const {
+    return !this->evacuated.contains(name);
+  }
+  const std::set<DataCentre>& evacuated_data_centres() const {
+    return this->evacuated;
+  }
   // Returns a count that grows whenever a job finishes or a snapshot is loaded.
   std::uint64_t finish_count() const { return this->finishes; }
   const Job* FindJob(const JobId& id) const;
@@ -139,6 +153,7 @@
   fleet::Answer ApplyCommand(const StartWave& command, WallTime at);
   fleet::Answer ApplyCommand(const RecordMaintenance& command, WallTime at);
   fleet::Answer ApplyCommand(const RecordMoves& command, WallTime at);
+  fleet::Answer ApplyCommand(const ChangeDataCentre& command, WallTime at);
 
   void ApplyRunEnd(const RunEnd& end, WallTime at);
   void ApplyCrash(const WorkerId& worker, const CrashedRun& run, WallTime at);
@@ -164,6 +179,7 @@
   std::unordered_map<WorkerName, WorkerId> current_incarnations;
   // Every job by its id; lookups by id are frequent.
   std::unordered_map<JobId, const Job*> by_id;
+  std::set<DataCentre> evacuated;
   // Finished jobs by the time of their end; they are removed in that order.
   std::set<std::pair<WallTime, JobId>> finished;
 };
--- a/libraries/jobs/requests.h
+++ b/libraries/jobs/requests.h
@@ -86,6 +86,18 @@
   static void Describe(Self& /*self*/, Visitor& /*visitor*/) {}
 };
 
+// Asks for the state of a data centre and its version, which an order to change
+// that state must name.
+struct ShowDataCentre {
+  static constexpr std::string_view kTypeName = "show-data-centre";
+  DataCentre data_centre;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Required("data_centre", self.data_centre);
+  }
+};
+
 // Asks whether a maintenance wave is complete.
 struct ShowWave {
   static constexpr std::string_view kTypeName = "show-wave";
@@ -117,7 +129,8 @@
                              Commit,
                              ReadDeclaration,
                              ShowWave,
-                             Show>;
+                             Show,
+                             ShowDataCentre>;
 
 }  // namespace sumac::jobs
 
--- a/libraries/relay/relay_service.cc
+++ b/libraries/relay/relay_service.cc
@@ -79,6 +79,13 @@
           body.order.longest_wait = time_left;
           this->MakeRenewal(call.id,
                             this->workers.calls.request_report(body.order));
+        } else if constexpr (std::is_same_v<Body, scheduler::StartOrder>) {
+          if (this->host.may_start_on &&
+              !this->host.may_start_on(body.worker)) {
+            this->Answer({call.id, scheduler::OrderResult::kNotSent});
+            return;
+          }
+          this->MakeOrder(call.id, std::move(body), time_left);
         } else if constexpr (!std::is_same_v<Body, ForgetCall>) {
           this->MakeOrder(call.id, std::move(body), time_left);
         }
--- a/libraries/relay/relay_service.h
+++ b/libraries/relay/relay_service.h
@@ -36,6 +36,9 @@
   struct Host {
     // Returns true while this controller knows of no later leadership.
     std::function<bool(LeaderEpoch)> is_current;
+    // Returns false if nothing may be started on the worker, as far as this
+    // controller knows; not called if empty.
+    std::function<bool(const WorkerId&)> may_start_on;
   };
 
   RelayService(OwnedWorkerCalls workers,
--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -24,7 +24,7 @@
     pool.failed_needs.clear();
   }
   for (auto& [id, session] : sessions) {
-    if (session.is_cordoned || !session.IsUsable(now)) {
+    if (session.is_cordoned || session.is_evacuated || !session.IsUsable(now)) {
       continue;
     }
     Pool& pool = this->PoolOf(session);
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -94,6 +94,7 @@
   session->second.Update(*worker);
   this->incarnations_of[worker->instance].insert(id);
   this->MarkCordoned(session->second);
+  session->second.is_evacuated = !this->state.IsInUse(worker->data_centre);
 }
 
 // Removes a worker from the known incarnations on its instance.
@@ -772,6 +773,7 @@
   this->needs_plan = false;
   this->starts_left = allowed;
   SchedulerOutput output;
+  this->SyncEvacuations();
   this->ExpireSilentWorkers(now);
   this->placement.BeginPass(this->workers, now);
   this->RemoveSilentWorkers(now, output);
@@ -977,6 +979,19 @@
   this->needs_plan = true;
 }
 
+// Marks the workers in evacuated data centres, after operators changed which
+// data centres are in use.
+void Scheduler::SyncEvacuations() {
+  const std::set<DataCentre>& evacuated = this->state.evacuated_data_centres();
+  if (evacuated == this->seen_evacuated) {
+    return;
+  }
+  this->seen_evacuated = evacuated;
+  for (auto& [id, session] : this->workers) {
+    session.is_evacuated = !this->state.IsInUse(session.worker().data_centre);
+  }
+}
+
 bool Scheduler::IsConfirmedRunning(const jobs::TaskId& task,
                                    SteadyTime now) const {
   constexpr std::uint32_t kWholePercent = 100;
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -346,6 +346,7 @@
   void ExpireSilentWorkers(SteadyTime now);
   void UpdateUnseenUsage(const jobs::Resources& capacity);
   void RemoveSilentWorkers(SteadyTime now, SchedulerOutput& output);
+  void SyncEvacuations();
   void EvacuateCordoned(SteadyTime now);
   WorkerSession* ChooseWorker(const jobs::Job& job,
                               const jobs::TaskId& task,
@@ -432,6 +433,8 @@
   // reported its runs to this leader.
   std::set<ServiceName> services_with_unseen_runs;
   std::set<InstanceName> cordoned;
+  // The evacuated data centres that the sessions' marks are based on.
+  std::set<DataCentre> seen_evacuated;
   // Jobs of which a task has begun, until the next planning pass emits the
   // command that records it.
   std::set<JobId> begun;
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -236,6 +236,9 @@
   // Whether nothing may be started there because its instance is to be taken
   // away.
   bool is_cordoned = false;
+  // Whether nothing may be started there because operators have evacuated its
+  // data centre.
+  bool is_evacuated = false;
   // Whether it was known to be slow when the current planning pass began.
   bool is_slow = false;
   // The number of its service's pool, cached by Placement.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -194,6 +194,7 @@
 
 void JobController::Tick() {
   const SteadyTime now = this->clock.SteadyNow();
+  this->suspension.RecordRunning(now);
   this->load.MeasureLateness();
   this->loop_pacer.RecordLateness(this->load.lateness());
   {
@@ -562,9 +563,41 @@
       return *std::move(answer);
     }
   }
+  if (const auto* change =
+          std::get_if<jobs::ChangeDataCentre>(&request.command)) {
+    const absl::Status status = this->CheckDataCentre(change->data_centre);
+    if (!status.ok()) {
+      return fleet::Answer::FromStatus(status);
+    }
+  }
   return this->Propose(request.command);
 }
 
+absl::Status JobController::CheckDataCentre(const DataCentre& name) const {
+  if (this->settings.platform_times.evacuation == Milliseconds(0)) {
+    return MakeError(ResultCode::kUnknownDataCentre,
+                     "the settings name no time for evacuations");
+  }
+  const std::vector<DataCentre>& known = this->settings.data_centres;
+  if (std::find(known.begin(), known.end(), name) == known.end()) {
+    return MakeError(ResultCode::kUnknownDataCentre,
+                     StrCat("no data centre ", name.value(), " is known"));
+  }
+  return absl::OkStatus();
+}
+
+kj::Promise<fleet::Answer> JobController::Serve(
+    const jobs::ShowDataCentre& request) {
+  const absl::Status status = this->CheckDataCentre(request.data_centre);
+  if (!status.ok()) {
+    return fleet::Answer::FromStatus(status);
+  }
+  const jobs::DataCentreRecord data_centre =
+      this->jobs_state.FindDataCentre(request.data_centre);
+  return fleet::Answer{.document = {{"use", NameOf(data_centre.use)},
+                                    {"version", data_centre.version}}};
+}
+
 kj::Promise<fleet::Answer> JobController::Serve(
     const jobs::ReadDeclaration& /*request*/) {
   const jobs::JobsRecord& record = this->jobs_state.record();
@@ -665,9 +698,14 @@
   LogEvent(LogLevel::kInfo, "relays-for-leader", {{"epoch", epoch.value()}});
   return wire::Relay::Client(kj::heap<relay::RelayService>(
       this->create_relay_calls(), kj::mv(answers), epoch, this->timer,
-      relay::RelayService::Host{.is_current = [this](LeaderEpoch own) {
-        return own >= this->jobs_state.epoch();
-      }}));
+      relay::RelayService::Host{.is_current =
+                                    [this](LeaderEpoch own) {
+                                      return own >= this->jobs_state.epoch();
+                                    },
+                                .may_start_on =
+                                    [this](const WorkerId& worker) {
+                                      return this->MayStartOn(worker);
+                                    }}));
 }
 
 void JobController::BeginRenewals() {
@@ -910,10 +948,18 @@
       }));
 }
 
+bool JobController::MayStartOn(const WorkerId& id) const {
+  const jobs::Worker* worker = this->jobs_state.FindWorker(id);
+  return worker == nullptr || this->jobs_state.IsInUse(worker->data_centre);
+}
+
 void JobController::SendOrder(const scheduler::Order& order) {
   // NOTE: The lease is checked right before each order is sent, since a process
   // that was suspended must send nothing when it resumes.
-  if (!this->host->MayAct()) {
+  const auto* start = std::get_if<scheduler::StartOrder>(&order);
+  const bool may_send = this->host->MayAct() &&
+                        (start == nullptr || this->MayStartOn(start->worker));
+  if (!may_send) {
     this->scheduler->HandleOrderAnswer(
         order, {.result = scheduler::OrderResult::kNotSent},
         this->clock.SteadyNow());
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -16,6 +16,7 @@
 
 #include "absl/status/statusor.h"
 #include "libraries/base/names.h"
+#include "libraries/base/suspension_watch.h"
 #include "libraries/base/time.h"
 #include "libraries/fleet/answer.h"
 #include "libraries/http/metrics.h"
@@ -83,6 +84,9 @@
       wire::RelayAnswers::Client answers);
   const DataCentre& data_centre() const { return this->settings.data_centre; }
 
+  // Tells whether this process was suspended a moment ago.
+  const SuspensionWatch& suspension_watch() const { return this->suspension; }
+
   bool is_leading() const { return this->scheduler.has_value(); }
   const jobs::JobsState& state() const { return this->jobs_state; }
   const ReplicaHost& replica_host() const { return *this->host; }
@@ -138,6 +142,9 @@
   kj::Promise<fleet::Answer> Serve(const jobs::ReadDeclaration& request);
   kj::Promise<fleet::Answer> Serve(const jobs::ShowWave& request);
   kj::Promise<fleet::Answer> Serve(const jobs::Show& request);
+  kj::Promise<fleet::Answer> Serve(const jobs::ShowDataCentre& request);
+  // Returns an error unless operators may change the use of this data centre.
+  absl::Status CheckDataCentre(const DataCentre& name) const;
 
   void SyncWorkers();
   // Creates the calls to workers of this leadership.
@@ -167,6 +174,8 @@
   void Plan();
   // Records the duration of a planning pass.
   void RecordPassDuration(std::chrono::steady_clock::duration took);
+  // Returns false if operators have evacuated the worker's data centre.
+  bool MayStartOn(const WorkerId& id) const;
   void SendOrder(const scheduler::Order& order);
   void RequestReport(const scheduler::RenewOrder& order);
   void RequestAdvice(const scheduler::AdviceQuestion& question);
@@ -177,6 +186,7 @@
   http::Metrics& metrics;
   LeaderLoad load;
   SystemClock clock;
+  SuspensionWatch suspension{this->clock.SteadyNow()};
   Peers& peers;
   scheduler::WorkerCalls worker_calls;
   RelayCallsFactory create_relay_calls;
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -31,6 +31,7 @@
 #include "platform/request_handlers.h"
 #include "platform/wire_codec.h"
 #include "platform/worker_client.h"
+#include "services/sumacd/data_centre_orders.h"
 #include "services/sumacd/job_controller.h"
 #include "services/sumacd/jobs_link.h"
 #include "services/sumacd/node_operator_service.h"
@@ -172,6 +173,7 @@
   std::unique_ptr<JobController> controller;
   std::unique_ptr<JobsLink> link;
   std::optional<platform::CallerRequestHandler> caller_adapter;
+  std::optional<DataCentreOrders> data_centre_orders;
   std::optional<platform::ControlRequestHandler> control_adapter;
   std::unique_ptr<http::AsyncHttpServer> control_listener;
   std::unique_ptr<http::AsyncHttpServer> caller_listener;
@@ -235,7 +237,15 @@
   TRY(this->ListenToPeers());
   this->background_loops.push_back(
       this->controller->Run().eagerlyEvaluate(nullptr));
-  this->control_adapter.emplace(this->AskLeader(), this->controller->state());
+  this->data_centre_orders.emplace(this->AskLeader(),
+                                   this->controller->suspension_watch());
+  this->control_adapter.emplace(
+      this->AskLeader(),
+      [this](jobs::DataCentreOrder order, Milliseconds limit) {
+        return this->data_centre_orders->Change(std::move(order), limit,
+                                                this->clock.SteadyNow());
+      },
+      this->controller->state());
   return this->OpenHttpListener(
       this->control_listener,
       http::AsyncServerSettings{.address = this->settings.control_door,
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -29,6 +29,9 @@
   // platform gives them as fractions.
   double maintenance_seconds = 2;
   double move_seconds = 1.5;
+  // The time within which an acknowledged evacuation of a data centre must be
+  // in force; 0 if operators can't order one.
+  Milliseconds evacuation{0};
 
   Milliseconds maintenance_time() const {
     return ToMilliseconds(this->maintenance_seconds);
@@ -44,6 +47,7 @@
     visitor.Field("maintenance_seconds", self.maintenance_seconds,
                   Limits{0, 600});
     visitor.Field("move_seconds", self.move_seconds, Limits{0, 600});
+    visitor.Field("evacuation_ms", self.evacuation, Limits{0, 600'000});
   }
 
  private:
@@ -118,6 +122,10 @@
   // The number of controllers that may be lost at the same time, together with
   // their disks.
   std::uint32_t tolerated_losses = 1;
+  // The number of whole data centres that may be lost at the same time.
+  std::uint32_t tolerated_data_centres = 0;
+  // The names of all data centres; empty if the settings don't tell.
+  std::vector<DataCentre> data_centres;
   // Only for controllers.
   std::string data_folder;
   std::string control_door;
@@ -153,6 +161,9 @@
     visitor.Required("seeds", self.seeds);
     visitor.Field("is_first_start", self.is_first_start);
     visitor.Field("tolerated_losses", self.tolerated_losses, Limits{0, 100});
+    visitor.Field("tolerated_data_centres", self.tolerated_data_centres,
+                  Limits{0, 100});
+    visitor.Field("data_centres", self.data_centres);
     visitor.Field("data_folder", self.data_folder);
     visitor.Field("control_door", self.control_door);
     visitor.Field("caller_door", self.caller_door);
--- a/tests/libraries/jobs/jobs_state_test.cc
+++ b/tests/libraries/jobs/jobs_state_test.cc
@@ -367,5 +367,50 @@
       CrashedRun{.task = {{JobId("j"), 0, 0}, 1}, .run = RunNumber(1)}));
 }
 
+// Returns an order that was received while the data centre had that version.
+ChangeDataCentre OrderFor(DataCentreUse use, std::uint64_t version) {
+  return {.data_centre = DataCentre("dc-a"),
+          .use = use,
+          .expected_version = version};
+}
+
+TEST_F(JobsStateTest, AnEvacuationHoldsUntilItIsWithdrawn) {
+  EXPECT_TRUE(this->state.IsInUse(DataCentre("dc-a")));
+  EXPECT_TRUE(this->Do(OrderFor(DataCentreUse::kEvacuated, 0)).is_ok());
+  EXPECT_FALSE(this->state.IsInUse(DataCentre("dc-a")));
+  EXPECT_TRUE(this->state.IsInUse(DataCentre("dc-b")));
+  // The same order again changes nothing.
+  EXPECT_TRUE(this->Do(OrderFor(DataCentreUse::kEvacuated, 0)).is_ok());
+  EXPECT_EQ(this->state.FindDataCentre(DataCentre("dc-a")).version, 1U);
+  EXPECT_TRUE(this->Do(OrderFor(DataCentreUse::kInUse, 1)).is_ok());
+  EXPECT_TRUE(this->state.IsInUse(DataCentre("dc-a")));
+}
+
+// The operator withdrew the evacuation while a copy of its order was delayed,
+// for example in a process that was suspended.
+TEST_F(JobsStateTest, ADelayedEvacuationDoesNotUndoItsWithdrawal) {
+  this->Do(OrderFor(DataCentreUse::kEvacuated, 0));
+  this->Do(OrderFor(DataCentreUse::kInUse, 1));
+  EXPECT_EQ(this->Do(OrderFor(DataCentreUse::kEvacuated, 0)).code,
+            ResultCode::kDataCentreChanged);
+  EXPECT_TRUE(this->state.IsInUse(DataCentre("dc-a")));
+}
+
+TEST_F(JobsStateTest, ADelayedWithdrawalDoesNotUndoTheNextEvacuation) {
+  this->Do(OrderFor(DataCentreUse::kEvacuated, 0));
+  this->Do(OrderFor(DataCentreUse::kInUse, 1));
+  this->Do(OrderFor(DataCentreUse::kEvacuated, 2));
+  EXPECT_EQ(this->Do(OrderFor(DataCentreUse::kInUse, 1)).code,
+            ResultCode::kDataCentreChanged);
+  EXPECT_FALSE(this->state.IsInUse(DataCentre("dc-a")));
+}
+
+TEST_F(JobsStateTest, AnEvacuationSurvivesASnapshot) {
+  this->Do(OrderFor(DataCentreUse::kEvacuated, 0));
+  ASSERT_TRUE(this->state.Load(ToCbor(this->state.record())).ok());
+  EXPECT_FALSE(this->state.IsInUse(DataCentre("dc-a")));
+  EXPECT_EQ(this->state.FindDataCentre(DataCentre("dc-a")).version, 1U);
+}
+
 }  // namespace
 }  // namespace sumac::jobs
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -92,10 +92,12 @@
 FakeWorker& FakeFleet::AddWorker(const std::string& id,
                                  const std::string& instance,
                                  const std::string& rack,
-                                 const std::string& service) {
+                                 const std::string& service,
+                                 const std::string& data_centre) {
   jobs::Worker worker{.id = WorkerId(id),
                       .instance = InstanceName(instance),
                       .service = ServiceName(service),
+                      .data_centre = DataCentre(data_centre),
                       .address = id,
                       .capacity = {.millicores = 8'000, .memory_mb = 8'000},
                       .rack = Rack(rack),
@@ -112,6 +114,15 @@
   return added;
 }
 
+void FakeFleet::ChangeDataCentre(const std::string& name,
+                                 jobs::DataCentreUse use) {
+  const DataCentre data_centre(name);
+  this->Commit(jobs::ChangeDataCentre{
+      .data_centre = data_centre,
+      .use = use,
+      .expected_version = this->state.FindDataCentre(data_centre).version});
+}
+
 FakeWorker& FakeFleet::RestartUnderName(const std::string& id) {
   FakeWorker& before = this->worker(id);
   before.Crash();
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -64,7 +64,10 @@
   FakeWorker& AddWorker(const std::string& id,
                         const std::string& instance,
                         const std::string& rack = "r1",
-                        const std::string& service = "previews");
+                        const std::string& service = "previews",
+                        const std::string& data_centre = "");
+  // Evacuates a data centre, or returns it to use.
+  void ChangeDataCentre(const std::string& name, jobs::DataCentreUse use);
   // Kills the process of a worker and restarts it under its name.
   FakeWorker& RestartUnderName(const std::string& id);
   // Kills the process of a worker because of its tasks and restarts it under
--- a/tests/platform/request_handlers_test.cc
+++ b/tests/platform/request_handlers_test.cc
@@ -50,7 +50,14 @@
   http::ServerReply Control(kj::HttpMethod method,
                             const std::string& path,
                             const std::string& body = "") {
-    ControlRequestHandler handler(this->Leader(), this->state);
+    ControlRequestHandler handler(
+        this->Leader(),
+        [this](jobs::DataCentreOrder order,
+               Milliseconds) -> kj::Promise<fleet::Answer> {
+          this->ordered = std::move(order);
+          return this->answer;
+        },
+        this->state);
     return handler
         .Handle(
             http::ServerRequest{.method = method, .path = path, .body = body})
@@ -77,6 +84,7 @@
   // The value of the authorization header; empty for none.
   std::string authorization;
   std::optional<jobs::Request> asked;
+  std::optional<jobs::DataCentreOrder> ordered;
   Milliseconds limit{0};
 };
 
@@ -104,6 +112,30 @@
   EXPECT_EQ(reply.headers[0].first, "WWW-Authenticate");
 }
 
+TEST_F(RequestHandlersTest, AnEvacuationAndItsWithdrawalArePassedOn) {
+  EXPECT_EQ(this->Control(kj::HttpMethod::POST, "/evacuate/dc-a").status, 200U);
+  EXPECT_EQ(this->ordered->data_centre, DataCentre("dc-a"));
+  EXPECT_EQ(this->ordered->use, jobs::DataCentreUse::kEvacuated);
+  EXPECT_EQ(this->Control(kj::HttpMethod::DELETE, "/evacuate/dc-a").status,
+            200U);
+  EXPECT_EQ(this->ordered->use, jobs::DataCentreUse::kInUse);
+  EXPECT_EQ(this->Control(kj::HttpMethod::GET, "/evacuate/dc-a").status, 405U);
+}
+
+// An operator's call ends at once on a 409, so an order that has to be sent
+// again is answered with 503.
+TEST_F(RequestHandlersTest,
+       AnEvacuationThatWasNotCarriedOutSaysWhetherToRetry) {
+  this->answer.code = ResultCode::kUnknownDataCentre;
+  EXPECT_EQ(this->Control(kj::HttpMethod::POST, "/evacuate/dc-x").status, 404U);
+  for (const ResultCode code :
+       {ResultCode::kDataCentreChanged, ResultCode::kNoControllerInTime}) {
+    this->answer.code = code;
+    EXPECT_EQ(this->Control(kj::HttpMethod::POST, "/evacuate/dc-a").status,
+              503U);
+  }
+}
+
 TEST_F(RequestHandlersTest, AJobIsPassedOnByHostAndPath) {
   EXPECT_EQ(this->Call(kj::HttpMethod::POST, kJob).status, 200U);
   const auto& submit = std::get<jobs::SubmitAt>(*this->asked);
--- /dev/null
+++ b/tests/services/sumacd/data_centre_orders_test.cc
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "services/sumacd/data_centre_orders.h"
+
+#include <gtest/gtest.h>
+#include <kj/async.h>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "libraries/base/error.h"
+#include "libraries/jobs/jobs_state.h"
+
+namespace sumac::daemon {
+namespace {
+
+const DataCentre kName("dc-a");
+constexpr Milliseconds kLimit{850};
+
+// Orders that go to a leader with a state of its own. `before_commit` is called
+// between the two steps of an order.
+class DataCentreOrdersTest : public testing::Test {
+ protected:
+  DataCentreOrdersTest()
+      : state([](std::string_view) { return jobs::JobsDeclaration(); }),
+        watch(SystemClock().SteadyNow()),
+        orders([this](jobs::Request request,
+                      Milliseconds) { return this->Lead(std::move(request)); },
+               this->watch) {}
+  // NOTE: Destructors of kj may throw, the destructor of a gtest fixture may
+  // not.
+  ~DataCentreOrdersTest() noexcept override {}
+
+  kj::Promise<fleet::Answer> Lead(jobs::Request request) {
+    if (const auto* show = std::get_if<jobs::ShowDataCentre>(&request)) {
+      const jobs::DataCentreRecord shown =
+          this->state.FindDataCentre(show->data_centre);
+      return fleet::Answer{
+          .document = {{"use", NameOf(shown.use)}, {"version", shown.version}}};
+    }
+    if (this->before_commit) {
+      std::exchange(this->before_commit, nullptr)();
+    }
+    ++this->commits;
+    return this->state.Apply(
+        {WallTime{}, std::get<jobs::Commit>(request).command});
+  }
+  fleet::Answer Order(jobs::DataCentreUse use, bool is_awaited = true) {
+    jobs::DataCentreOrder order{.data_centre = kName, .use = use};
+    order.is_awaited = [is_awaited] { return is_awaited; };
+    return this->orders
+        .Change(std::move(order), kLimit, SystemClock().SteadyNow())
+        .wait(this->scope);
+  }
+
+  kj::EventLoop loop;
+  kj::WaitScope scope{this->loop};
+  jobs::JobsState state;
+  SuspensionWatch watch;
+  std::function<void()> before_commit;
+  int commits = 0;
+  DataCentreOrders orders;
+};
+
+TEST_F(DataCentreOrdersTest, AnOrderIsCommittedOnce) {
+  EXPECT_TRUE(this->Order(jobs::DataCentreUse::kEvacuated).is_ok());
+  EXPECT_TRUE(this->Order(jobs::DataCentreUse::kEvacuated).is_ok());
+  EXPECT_EQ(this->commits, 1);
+  EXPECT_FALSE(this->state.IsInUse(kName));
+  EXPECT_TRUE(this->Order(jobs::DataCentreUse::kInUse).is_ok());
+  EXPECT_TRUE(this->state.IsInUse(kName));
+}
+
+// Two controllers handle opposite orders at once: the one that commits last
+// changes nothing, and says so.
+TEST_F(DataCentreOrdersTest, AnOrderThatAnotherOneOvertakesChangesNothing) {
+  this->before_commit = [this] {
+    this->state.Apply({WallTime{}, jobs::ChangeDataCentre{
+                                       .data_centre = kName,
+                                       .use = jobs::DataCentreUse::kEvacuated,
+                                       .expected_version = 0}});
+    this->state.Apply(
+        {WallTime{}, jobs::ChangeDataCentre{.data_centre = kName,
+                                            .use = jobs::DataCentreUse::kInUse,
+                                            .expected_version = 1}});
+  };
+  EXPECT_EQ(this->Order(jobs::DataCentreUse::kEvacuated).code,
+            ResultCode::kDataCentreChanged);
+  EXPECT_TRUE(this->state.IsInUse(kName));
+}
+
+TEST_F(DataCentreOrdersTest, AnOrderThatNobodyWaitsForIsNotCarriedOut) {
+  EXPECT_EQ(this->Order(jobs::DataCentreUse::kEvacuated, false).code,
+            ResultCode::kDataCentreChanged);
+  EXPECT_TRUE(this->state.IsInUse(kName));
+}
+
+TEST_F(DataCentreOrdersTest, AnOrderReadAfterASuspensionIsNotCarriedOut) {
+  this->watch.RecordRunning(SystemClock().SteadyNow() + Milliseconds(10'000));
+  EXPECT_EQ(this->Order(jobs::DataCentreUse::kEvacuated).code,
+            ResultCode::kDataCentreChanged);
+  EXPECT_EQ(this->commits, 0);
+}
+
+}  // namespace
+}  // namespace sumac::daemon
