Maintenance: Count only instances that may be used, and maintain the evacuated first

While a data centre was evacuated, its instances still counted in their pools, so that no pool grew elsewhere, and switched-off instances there were moved to pools that could not use them. The planner now leaves them out: they count for no pool and are not moved, and a move that has not been ordered yet ends with the evacuation. The data centre of an instance without a worker is read from the platform's list. After a data centre was returned to use, pools give nothing up for a while, so that no second wave of moves follows. A shortage is still met meanwhile.

A maintenance wave takes instances of evacuated data centres first and does not spread them over its ramp, because they cost no capacity. Those with long-running tasks wait like the others: draining them would keep the wave waiting.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -27,6 +27,7 @@
       began_at(now) {}
 
 void CapacityPlanner::UpdateListing(const InstanceListing& listing) {
+  this->evacuated.UpdateListing(listing);
   const SteadyTime requested_at = listing.requested_at().value_or(SteadyTime{});
   std::map<InstanceName, KnownPool> listed;
   std::erase_if(this->labels, [&listing](const auto& known) {
@@ -79,7 +80,7 @@
   this->SetWantedCounts(state, demand, pools, needs);
   this->GrowPoolsByLabel(state, pools, facts, needs, now);
   this->GrowPools(state, pools, facts, needs, now);
-  this->ShrinkPools(state, pools, facts, needs, now);
+  this->ShrinkPools(state, pools, facts, needs, wall_now, now);
   this->AdvanceMoves(state, facts, now, output);
   return output;
 }
@@ -144,7 +145,7 @@
     pool.instance_millicores =
         std::max(pool.instance_millicores, instance.millicores);
     // An instance that is about to be maintained counts as unavailable.
-    if (busy.contains(name)) {
+    if (busy.contains(name) || this->evacuated.Has(state, facts, name)) {
       continue;
     }
     ++pool.have;
@@ -159,7 +160,8 @@
     const ServiceName& service = known_pool.service;
     const bool is_free = !facts.contains(name) && !busy.contains(name) &&
                          !this->moves.contains(name) &&
-                         IsHeadroom(state, service);
+                         IsHeadroom(state, service) &&
+                         !this->evacuated.Has(state, facts, name);
     if (is_free && this->MayMove(state, name, wall_now, now)) {
       pools[service].movable.emplace_back(0, name);
       ++pools[service].have;
@@ -167,8 +169,10 @@
     }
   }
   for (const auto& [name, move] : this->moves) {
-    ++pools[move.to].have;
-    needs.Add(move.to, name);
+    if (!this->evacuated.Has(state, facts, name)) {
+      ++pools[move.to].have;
+      needs.Add(move.to, name);
+    }
   }
   for (auto& [name, pool] : pools) {
     std::sort(pool.movable.begin(), pool.movable.end());
@@ -394,13 +398,20 @@
 }
 
 // Moves empty instances from pools that have had too many for `surplus_time` to
-// a pool whose instances are switched off.
+// a pool whose instances are switched off. After the end of an evacuation that
+// time begins anew.
 void CapacityPlanner::ShrinkPools(
     const jobs::JobsState& state,
     std::map<ServiceName, Pool>& pools,
     const std::map<InstanceName, InstanceFacts>& facts,
     LabelNeeds& needs,
+    WallTime wall_now,
     SteadyTime now) {
+  if (EvacuatedInstances::HasRecentReturn(state, this->settings.return_hold,
+                                          wall_now)) {
+    this->surplus_since.clear();
+    return;
+  }
   const auto headroom = std::find_if(
       pools.begin(), pools.end(),
       [&](const auto& pool) { return IsHeadroom(state, pool.first); });
@@ -489,7 +500,11 @@
         (IsHeadroom(state, move.to) &&
          now - move.accepted_at >= this->settings.move_time);
     const bool is_overdue = now - move.since > this->settings.max_move_duration;
-    if ((move.is_accepted && has_arrived) ||
+    // A move that has not been ordered yet ends with the evacuation of the
+    // instance's data centre.
+    const bool is_cancelled = !move.is_accepted && !move.is_under_way &&
+                              this->evacuated.Has(state, facts, name);
+    if ((move.is_accepted && has_arrived) || is_cancelled ||
         (is_overdue && !move.is_under_way)) {
       item = this->moves.erase(item);
       continue;
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -13,6 +13,7 @@
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/service_demand.h"
+#include "libraries/maintenance/evacuated_instances.h"
 #include "libraries/maintenance/instance_messages.h"
 #include "libraries/maintenance/label_needs.h"
 #include "libraries/maintenance/maintenance_planner.h"
@@ -33,6 +34,10 @@
   // two moves and the work that is late meanwhile, divided by the cost of an
   // idle instance per second.
   Milliseconds surplus_time{20'000};
+  // The time for which pools give nothing up after a data centre was returned
+  // to use. Its instances may be slow at first, and the work that was late or
+  // refused meanwhile comes back.
+  Milliseconds return_hold{10'000};
   // The time that the platform takes to move an instance. It accepts no further
   // order about the instance meanwhile.
   Milliseconds move_time{1'500};
@@ -55,7 +60,9 @@
 // shifts between services, so instances follow it from pools that have too
 // many, and from and to the pools whose instances are switched off. A pool
 // whose tasks require a label is given instances that have the label, and none
-// without it for those tasks. Instances that run long-running tasks stay. Pure.
+// without it for those tasks. Instances that run long-running tasks stay.
+// Instances in evacuated data centres count for no pool and are not moved, so
+// that a pool grows from the instances elsewhere. Pure.
 class CapacityPlanner {
  public:
   CapacityPlanner(CapacitySettings settings,
@@ -198,6 +205,7 @@
                    std::map<ServiceName, Pool>& pools,
                    const std::map<InstanceName, InstanceFacts>& facts,
                    LabelNeeds& needs,
+                   WallTime wall_now,
                    SteadyTime now);
   void BeginMove(const InstanceName& name,
                  const ServiceName& from,
@@ -222,6 +230,7 @@
   // The last known pools of instances, as listed or as moved since. Instances
   // in pools that are switched off have no worker and are known only from here.
   std::map<InstanceName, KnownPool> known_pools;
+  EvacuatedInstances evacuated;
   std::map<ServiceName, SteadyTime> surplus_since;
 };
 
--- a/libraries/maintenance/instance_messages.h
+++ b/libraries/maintenance/instance_messages.h
@@ -29,6 +29,8 @@
   InstanceName name;
   // The service to whose pool the instance belongs.
   ServiceName service;
+  // Empty if the platform does not name it.
+  DataCentre data_centre;
   InstanceState state = InstanceState::kDown;
   jobs::Resources capacity;
   // The instance's kind, its rack and other labels that tasks may require. They
--- a/libraries/maintenance/maintenance_planner.cc
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -2,6 +2,7 @@
 #include "libraries/maintenance/maintenance_planner.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "libraries/base/text.h"
@@ -10,6 +11,35 @@
 
 using jobs::MaintenanceState;
 
+namespace {
+
+// The instances that may be maintained next, by the order in which they are
+// taken. Those of one kind are taken by their load.
+enum class CandidateKind {
+  // It is switched off, so that its maintenance costs no capacity.
+  kOff,
+  // Nothing is started on it during the evacuation of its data centre, so that
+  // its maintenance costs no capacity either.
+  kEvacuated,
+  kInUse,
+};
+
+CandidateKind KindOf(const std::map<InstanceName, InstanceFacts>& facts,
+                     const InstanceName& name) {
+  const auto known = facts.find(name);
+  if (known == facts.end()) {
+    return CandidateKind::kOff;
+  }
+  // NOTE: Long-running tasks may stay in an evacuated data centre. Draining
+  // them takes as long as anywhere else, and would keep other instances
+  // waiting.
+  return known->second.is_evacuated && known->second.budgeted_runs == 0
+             ? CandidateKind::kEvacuated
+             : CandidateKind::kInUse;
+}
+
+}  // namespace
+
 MaintenancePlanner::MaintenancePlanner(MaintenanceSettings settings,
                                        ProcessName holder,
                                        LeaderEpoch epoch,
@@ -78,7 +108,7 @@
   const bool may_order = !this->has_been_fenced &&
                          now - this->began_at > this->settings.takeover_pause;
   std::uint32_t in_progress = wave.CountDown();
-  std::vector<std::pair<std::int64_t, InstanceName>> candidates;
+  std::vector<std::tuple<CandidateKind, std::int64_t, InstanceName>> candidates;
   for (const auto& [name, instance] : wave.instances) {
     if (instance.state == MaintenanceState::kOrdered) {
       // NOTE: The instance is cordoned from the first planning pass on, even
@@ -114,12 +144,9 @@
       } else if (known != facts.end() && known->second.is_moving) {
         continue;
       }
-      // Instances that are switched off come first, then those with the least
-      // load.
-      constexpr std::int64_t kOff = -1;
       const std::int64_t load =
-          known == facts.end() ? kOff : known->second.load_permille;
-      candidates.emplace_back(load, name);
+          known == facts.end() ? 0 : known->second.load_permille;
+      candidates.emplace_back(KindOf(facts, name), load, name);
     }
   }
   if (!may_order) {
@@ -127,16 +154,15 @@
   }
   std::sort(candidates.begin(), candidates.end());
   const std::uint32_t wanted = this->WantedInProgress(wave, wall_now);
-  for (const auto& [load, name] : candidates) {
+  for (const auto& [kind, load, name] : candidates) {
     const auto cordon = this->cordons.find(name);
     if (cordon == this->cordons.end()) {
       const auto open = this->open_orders.find(name);
       const bool is_early =
           open != this->open_orders.end() && now < open->second.due;
-      // An instance that is switched off costs no capacity, so that only the
-      // wave's own limit applies to it.
+      // Only the wave's own limit applies to instances that cost no capacity.
       const std::uint32_t limit =
-          facts.contains(name) ? wanted : wave.most_at_once;
+          kind == CandidateKind::kInUse ? wanted : wave.most_at_once;
       if (in_progress < limit && !is_early) {
         ++in_progress;
         this->cordons.emplace(name, Cordon{now});
--- a/libraries/maintenance/maintenance_planner.h
+++ b/libraries/maintenance/maintenance_planner.h
@@ -59,6 +59,9 @@
   bool is_leaving = false;
   // True if the instance is being moved to another pool.
   bool is_moving = false;
+  // True if operators have evacuated the instance's data centre, so that
+  // nothing is started there.
+  bool is_evacuated = false;
 };
 
 // The reason for which the maintenance of an instance counts as over, for the
--- a/services/sumacd/instance_facts.cc
+++ b/services/sumacd/instance_facts.cc
@@ -28,6 +28,7 @@
       instance.millicores = worker.capacity.millicores;
       instance.labels = worker.labels;
       instance.is_leaving = worker.is_draining;
+      instance.is_evacuated = session.is_evacuated;
     }
     for (const auto& [key, run] : session.runs()) {
       ++(run.is_budgeted ? instance.budgeted_runs : instance.other_runs);
--- a/tests/platform/plain_instance_page_test.cc
+++ b/tests/platform/plain_instance_page_test.cc
@@ -103,6 +103,9 @@
   if (key == "id") {
     return *rc::gen::element<std::string>("null", "\"i-1\"", "\"i-27\"");
   }
+  if (key == "zone") {
+    return *rc::gen::element<std::string>("null", "\"z-a\"", "\"z-b\"", "12");
+  }
   return *rc::gen::element<std::string>("\"x\"", "12", "{\"a\":[1,null]}");
 }
 
@@ -180,6 +183,7 @@
     const maintenance::ListedInstance& other = expected.instances[row];
     RC_ASSERT(one.name == other.name);
     RC_ASSERT(one.service == other.service);
+    RC_ASSERT(one.data_centre == other.data_centre);
     RC_ASSERT(one.state == other.state);
     RC_ASSERT(one.capacity == other.capacity);
     RC_ASSERT(one.labels == other.labels);
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -347,6 +347,22 @@
   EXPECT_EQ(page->nameless_rows, 5U);
 }
 
+// A row whose data centre cannot be read is as usable as before.
+TEST(WireCodecTest, ReadsTheDataCentreOfAnInstance) {
+  const auto page = ReadInstancePage(
+      R"({"machines":[{"machine":"m-1","pool":"p","state":"up","zone":"z-a"},
+          {"machine":"m-2","pool":"p","state":"up","zone":null},
+          {"machine":"m-3","pool":"p","state":"up","zone":7},
+          {"machine":"m-4","pool":"p","state":"up"}],"next_token":""})");
+  ASSERT_TRUE(page.ok()) << page.status();
+  std::vector<std::string> data_centres;
+  for (const maintenance::ListedInstance& instance : page->instances) {
+    data_centres.push_back(instance.data_centre.value());
+    EXPECT_EQ(instance.state, maintenance::InstanceState::kUp);
+  }
+  EXPECT_EQ(data_centres, (std::vector<std::string>{"z-a", "", "", ""}));
+}
+
 TEST(WireCodecTest, ReadsAWave) {
   const auto wave = ReadWave(
       R"({"wave":1,"machines":["m-1","m-2"],"ramp_s":2.5,"max_count":3})");
