Scheduler: Let waiting, refusals and lasting tasks follow an evacuation

A step that would have a place without the evacuation is listed under the reason evacuated, with the number of workers and places there; it is no longer feasible by workers that may not be used. Text and reasons are the same as before where nothing is evacuated.

The rates by which new jobs are admitted were measured with the capacity before the evacuation: the best rate of finished jobs halves only in 14 s. Both rates are scaled, once, by the share of the capacity that is left.

Long-running tasks stay in an evacuated data centre, because a move interrupts a task that would continue otherwise. The setting policy.move_evacuated_tasks moves them, one at a time, as their budgets and the room elsewhere allow; gangs stay.

--- a/libraries/scheduler/backlog.cc
+++ b/libraries/scheduler/backlog.cc
@@ -19,15 +19,28 @@
     const double kept =
         this->best *
         std::pow(this->settings.retained_per_second, Seconds(passed).count());
-    this->best = std::max(static_cast<double>(this->finished_in_second), kept);
+    this->best = std::max(this->CurrentRate(), kept);
     this->second_began = now;
     this->finished_in_second = 0;
   }
   ++this->finished_in_second;
 }
 
+void Backlog::ScaleRate(double left, SteadyTime now) {
+  this->best *= left;
+  const bool is_scaled = now < this->scaled_until;
+  this->scale = is_scaled ? this->scale * left : left;
+  this->scaled_until = now + this->settings.longest_job;
+}
+
+double Backlog::CurrentRate() const {
+  const double share =
+      this->second_began < this->scaled_until ? this->scale : 1;
+  return static_cast<double>(this->finished_in_second) * share;
+}
+
 double Backlog::BestRate() const {
-  return std::max(this->best, static_cast<double>(this->finished_in_second));
+  return std::max(this->best, this->CurrentRate());
 }
 
 bool Backlog::IsFull(const WaitingCounts& waiting) const {
--- a/libraries/scheduler/backlog.h
+++ b/libraries/scheduler/backlog.h
@@ -25,6 +25,9 @@
   // reached: to one half after 14 s, which spans a few cycles of a queue's
   // demand.
   double retained_per_second = 0.95;
+  // How long jobs keep finishing, after a loss of capacity, that had begun with
+  // more of it.
+  Milliseconds longest_job{3'000};
   // The earliest and latest time after which a refused caller should retry.
   Milliseconds shortest_retry{1'000};
   Milliseconds longest_retry{4'000};
@@ -52,6 +55,9 @@
   // Records that a job has finished.
   void RecordFinished(SteadyTime now);
 
+  // Scales the best rate, of which only this share is possible from now on.
+  void ScaleRate(double left, SteadyTime now);
+
   // Returns true if one more job of a queue would wait too long.
   bool IsFull(const WaitingCounts& waiting) const;
 
@@ -63,6 +69,9 @@
   // Returns the number of jobs a second that can be begun, derived from the
   // jobs that finished.
   double BestRate() const;
+  // Returns the rate in the second that is being counted, without what only the
+  // capacity before a loss made possible.
+  double CurrentRate() const;
 
   BacklogSettings settings;
   // The start of the second that is being counted, and the jobs finished in it.
@@ -70,6 +79,10 @@
   std::uint64_t finished_in_second = 0;
   // The highest recent rate of finished jobs, in jobs a second.
   double best = 0;
+  // The share of the finished jobs that counts, for seconds that begin before
+  // `scaled_until`.
+  double scale = 1;
+  SteadyTime scaled_until{};
 };
 
 }  // namespace sumac::scheduler
--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -16,6 +16,7 @@
 
 void Placement::BeginPass(Sessions& sessions, SteadyTime now) {
   this->now = now;
+  this->evacuated.clear();
   for (Pool& pool : this->pools) {
     pool.workers.clear();
     pool.quarantined.clear();
@@ -24,7 +25,11 @@
     pool.failed_needs.clear();
   }
   for (auto& [id, session] : sessions) {
-    if (session.is_cordoned || session.is_evacuated || !session.IsUsable(now)) {
+    if (session.is_cordoned || !session.IsUsable(now)) {
+      continue;
+    }
+    if (session.is_evacuated) {
+      this->evacuated.push_back(&session);
       continue;
     }
     Pool& pool = this->PoolOf(session);
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -72,6 +72,11 @@
   std::set<Rack> RacksOf(const ServiceName& service) const;
   const std::vector<WorkerSession*>& WorkersOf(
       const ServiceName& service) const;
+  // The workers, of all services, that would accept work if their data centres
+  // were not evacuated.
+  const std::vector<const WorkerSession*>& EvacuatedWorkers() const {
+    return this->evacuated;
+  }
   // Returns the workers that have room for the task, regardless of any
   // placement policy, those with the most room first.
   std::vector<WorkerId> ListWorkersWithRoom(
@@ -122,6 +127,7 @@
   SteadyTime now{};
   // Cleared in each pass but kept, so that a pass allocates no memory.
   std::vector<Pool> pools;
+  std::vector<const WorkerSession*> evacuated;
   std::unordered_map<ServiceName, std::size_t> pool_numbers;
 };
 
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -987,8 +987,24 @@
     return;
   }
   this->seen_evacuated = evacuated;
+  CapacityLoss loss;
   for (auto& [id, session] : this->workers) {
-    session.is_evacuated = !this->state.IsInUse(session.worker().data_centre);
+    const jobs::Worker& worker = session.worker();
+    const bool was_usable = !session.is_evacuated;
+    session.is_evacuated = !this->state.IsInUse(worker.data_centre);
+    loss.Add(worker.service, worker.capacity.millicores, was_usable,
+             !session.is_evacuated);
+  }
+  this->HandleCapacityLoss(loss);
+}
+
+// Lowers the rates by which new jobs are admitted. They were measured with the
+// capacity before the evacuation.
+void Scheduler::HandleCapacityLoss(const CapacityLoss& loss) {
+  this->capacity_left *= loss.LeftOfAll();
+  for (const jobs::QueueDeclaration& queue :
+       this->state.declaration().queues()) {
+    this->forecast.ScaleRate(queue.name, loss.LeftOf(queue.service));
   }
 }
 
@@ -1047,34 +1063,72 @@
   return job != nullptr && this->ChooseWorker(*job, task) != nullptr;
 }
 
-// Moves long-running tasks off cordoned instances; other tasks end by
-// themselves.
+// Moves long-running tasks off cordoned instances and, if the settings say so,
+// out of evacuated data centres; other tasks end by themselves.
 void Scheduler::EvacuateCordoned(SteadyTime now) {
-  if (this->cordoned.empty()) {
+  const bool leaves_evacuated =
+      this->settings.moves_evacuated_tasks && !this->seen_evacuated.empty();
+  if (this->cordoned.empty() && !leaves_evacuated) {
     return;
   }
   for (auto& [id, session] : this->workers) {
-    if (!session.is_cordoned) {
-      continue;
-    }
-    for (auto& [key, run] : session.runs()) {
-      const jobs::StepSpec* step = this->state.FindStep(run.task);
-      const bool should_leave = step != nullptr && step->is_long_running &&
-                                run.phase == RunPhase::kRunning;
-      if (!should_leave) {
-        continue;
-      }
-      if (!this->MayDisrupt(run.task, now)) {
-        this->RequestStepReports(run.task.step, now);
-      } else if (this->HasPlaceElsewhere(run.task)) {
-        session.BeginStop(run, now);
-        this->collected_events.Add("run-evacuated", run.task, run.number, id,
-                                   "its instance is to be taken away");
+    if (session.is_cordoned) {
+      for (auto& [key, run] : session.runs()) {
+        this->MoveRun(session, run, "its instance is to be taken away", now);
       }
+    } else if (leaves_evacuated && session.is_evacuated) {
+      this->MoveOutOfEvacuated(session, now);
+    }
+  }
+}
+
+// Moves one long-running task off a worker in an evacuated data centre, unless
+// another was moved a moment ago. Otherwise all of them would be between two
+// places at once and compete for the same room.
+void Scheduler::MoveOutOfEvacuated(WorkerSession& session, SteadyTime now) {
+  for (auto& [key, run] : session.runs()) {
+    const bool is_due = !this->last_evacuation_move ||
+                        now - *this->last_evacuation_move >=
+                            this->settings.evacuation_move_interval;
+    if (!is_due) {
+      return;
+    }
+    const jobs::StepSpec* step = this->state.FindStep(run.task);
+    // A gang would have to start again as a whole.
+    const bool is_gang = step != nullptr && step->is_gang;
+    if (!is_gang &&
+        this->MoveRun(session, run, "its data centre is evacuated", now)) {
+      this->last_evacuation_move = now;
     }
   }
 }
 
+// Stops a run of a long-running task, so that the task starts again elsewhere,
+// if its disruption budget allows it and there is a place. Returns true if the
+// run was stopped.
+bool Scheduler::MoveRun(WorkerSession& session,
+                        Run& run,
+                        std::string_view reason,
+                        SteadyTime now) {
+  const jobs::StepSpec* step = this->state.FindStep(run.task);
+  const bool should_leave = step != nullptr && step->is_long_running &&
+                            run.phase == RunPhase::kRunning;
+  if (!should_leave) {
+    return false;
+  }
+  if (!this->MayDisrupt(run.task, now)) {
+    this->RequestStepReports(run.task.step, now);
+    return false;
+  }
+  if (!this->HasPlaceElsewhere(run.task)) {
+    return false;
+  }
+  session.BeginStop(run, now);
+  this->collected_events.Add("run-evacuated", run.task, run.number,
+                             session.worker().id, std::string(reason));
+  return true;
+}
+
 // Stops runs that are stalled or slow, so that their tasks start again on a
 // worker with no known problem.
 void Scheduler::GiveUpStragglers(SteadyTime now) {
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -8,7 +8,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -18,6 +20,7 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/service_demand.h"
 #include "libraries/jobs/task_id.h"
+#include "libraries/scheduler/capacity_loss.h"
 #include "libraries/scheduler/demand_meter.h"
 #include "libraries/scheduler/ended_incarnations.h"
 #include "libraries/scheduler/event_collector.h"
@@ -66,6 +69,12 @@
   // The minimum interval between two scans for stragglers and silent workers.
   // The interval between scans for stragglers grows with the number of runs.
   Milliseconds straggler_interval{100};
+  // Whether long-running tasks are moved out of evacuated data centres by their
+  // checkpoints. Each move interrupts a task that would continue otherwise, so
+  // it pays only if the data centre is going to be switched off.
+  bool moves_evacuated_tasks = false;
+  // The minimum interval between two such moves.
+  Milliseconds evacuation_move_interval{250};
   // The maximum number of times that a run of the same task is given up.
   std::uint32_t max_moves = 2;
   // How long a worker may stay silent, after its lease is over, before its
@@ -233,6 +242,9 @@
   }
   // The forecast of when a new job of a queue begins.
   StartForecast& start_forecast() { return this->forecast; }
+  // Returns the share of the fleet's capacity that evacuations since the last
+  // call left; 1 if there was none.
+  double TakeCapacityLeft() { return std::exchange(this->capacity_left, 1); }
   // Returns how long a new job of the queue can wait for its start and still be
   // in time; see TimeToSpare.
   std::optional<Milliseconds> TimeToSpareFor(
@@ -347,7 +359,13 @@
   void UpdateUnseenUsage(const jobs::Resources& capacity);
   void RemoveSilentWorkers(SteadyTime now, SchedulerOutput& output);
   void SyncEvacuations();
+  void HandleCapacityLoss(const CapacityLoss& loss);
   void EvacuateCordoned(SteadyTime now);
+  void MoveOutOfEvacuated(WorkerSession& session, SteadyTime now);
+  bool MoveRun(WorkerSession& session,
+               Run& run,
+               std::string_view reason,
+               SteadyTime now);
   WorkerSession* ChooseWorker(const jobs::Job& job,
                               const jobs::TaskId& task,
                               bool is_suspect = false) const;
@@ -435,6 +453,9 @@
   std::set<InstanceName> cordoned;
   // The evacuated data centres that the sessions' marks are based on.
   std::set<DataCentre> seen_evacuated;
+  double capacity_left = 1;
+  // When a task was last moved out of an evacuated data centre.
+  std::optional<SteadyTime> last_evacuation_move;
   // Jobs of which a task has begun, until the next planning pass emits the
   // command that records it.
   std::set<JobId> begun;
--- a/libraries/scheduler/start_forecast.cc
+++ b/libraries/scheduler/start_forecast.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace sumac::scheduler {
 namespace {
@@ -23,6 +24,19 @@
   ++this->queues[queue].waiting.new_in_time;
 }
 
+void StartForecast::ScaleRate(const QueueName& queue, double left) {
+  const auto known = this->queues.find(queue);
+  if (known == this->queues.end()) {
+    return;
+  }
+  std::deque<SteadyTime>& begun = known->second.begun;
+  const auto kept = static_cast<std::size_t>(
+      std::ceil(static_cast<double>(begun.size()) * left));
+  while (begun.size() > kept) {
+    begun.pop_front();
+  }
+}
+
 void StartForecast::UpdateWaiting(
     const std::map<QueueName, QueueWaiting>& waiting) {
   for (auto& [name, queue] : this->queues) {
--- a/libraries/scheduler/start_forecast.h
+++ b/libraries/scheduler/start_forecast.h
@@ -47,6 +47,9 @@
   // Records that a job of the queue was accepted. It counts as waiting until
   // the next UpdateWaiting.
   void RecordAccepted(const QueueName& queue);
+  // Scales the measured rate of a queue, of which only this share is possible
+  // from now on.
+  void ScaleRate(const QueueName& queue, double left);
   // Replaces the numbers of waiting jobs.
   void UpdateWaiting(const std::map<QueueName, QueueWaiting>& waiting);
 
--- a/libraries/scheduler/waiting_cause.cc
+++ b/libraries/scheduler/waiting_cause.cc
@@ -33,7 +33,7 @@
   std::uint32_t places = 0;
   return std::any_of(fleet.begin(), fleet.end(), [&](const auto& item) {
     const jobs::Worker& worker = item.second.worker();
-    if (HasLabel(step, worker)) {
+    if (!item.second.is_evacuated && HasLabel(step, worker)) {
       places += CountPlaces(step, worker.capacity, 0);
     }
     return places >= wanted;
@@ -66,7 +66,41 @@
   }
 }
 
+// Counts a worker in an evacuated data centre that could hold a task of the
+// step.
+void CountEvacuated(const PlacementRequest& request,
+                    const WorkerSession& session,
+                    WaitingCause& cause) {
+  const jobs::StepSpec& step = request.step();
+  const jobs::Worker& worker = session.worker();
+  const bool could_hold = worker.service == request.job->service &&
+                          HasLabel(step, worker) &&
+                          worker.capacity.Holds(Placement::CountedNeed(step));
+  if (could_hold) {
+    ++cause.evacuated;
+    cause.evacuated_places = std::min(
+        step.count, cause.evacuated_places +
+                        CountPlaces(step, session.Room(),
+                                    session.CountTasksOf(request.task.step)));
+  }
+}
+
+// True if the step, or its gang, would have a place or at least a worker that
+// could hold it without the evacuation.
+bool IsHeldByEvacuation(const jobs::StepSpec& step, const WaitingCause& cause) {
+  const std::uint32_t able =
+      cause.at_limit + cause.without_room + cause.not_admitted;
+  const std::uint32_t wanted = step.is_gang ? step.count : 1;
+  const bool has_worker = cause.places > 0 || able > 0;
+  return (!has_worker && cause.evacuated > 0) ||
+         (cause.places < wanted &&
+          cause.places + cause.evacuated_places >= wanted);
+}
+
 WaitingReason ReasonOf(const jobs::StepSpec& step, const WaitingCause& cause) {
+  if (IsHeldByEvacuation(step, cause)) {
+    return WaitingReason::kEvacuated;
+  }
   if (cause.workers == 0) {
     return WaitingReason::kNoWorker;
   }
@@ -90,6 +124,8 @@
       return "may-run-unseen";
     case WaitingReason::kQuota:
       return "quota";
+    case WaitingReason::kEvacuated:
+      return "evacuated";
     case WaitingReason::kNoWorker:
       return "no-worker";
     case WaitingReason::kLabel:
@@ -111,11 +147,15 @@
 }
 
 std::string WaitingCause::ToText() const {
-  return StrCat(this->workers, " workers: ", this->without_label,
-                " without the label, ", this->too_small, " too small, ",
-                this->at_limit, " at the limit, ", this->without_room,
-                " without room, ", this->not_admitted,
-                " not admitted; room for ", this->places);
+  return StrCat(
+      this->workers, " workers: ", this->without_label, " without the label, ",
+      this->too_small, " too small, ", this->at_limit, " at the limit, ",
+      this->without_room, " without room, ", this->not_admitted,
+      " not admitted; room for ", this->places,
+      this->evacuated == 0
+          ? ""
+          : StrCat("; in evacuated data centres: ", this->evacuated,
+                   " workers with room for ", this->evacuated_places));
 }
 
 WaitingCause FindWaitingCause(const PlacementRequest& request,
@@ -133,6 +173,9 @@
     free += session->Room().millicores;
     CountWorker(request, *session, now, cause);
   }
+  for (const WorkerSession* session : placement.EvacuatedWorkers()) {
+    CountEvacuated(request, *session, cause);
+  }
   cause.reason =
       may_run_unseen ? WaitingReason::kUnseen : ReasonOf(request.step(), cause);
   cause.is_feasible = IsFeasible(request.step(), fleet);
--- a/libraries/scheduler/waiting_cause.h
+++ b/libraries/scheduler/waiting_cause.h
@@ -18,6 +18,9 @@
   kUnseen,
   // The customer's quota has no room for a task of the step, or for its gang.
   kQuota,
+  // Only workers in evacuated data centres could hold a task of the step, or
+  // have room for one now.
+  kEvacuated,
   // No worker of the step's service accepts work.
   kNoWorker,
   // No worker of the step's service has the required label.
@@ -39,10 +42,10 @@
 };
 
 inline constexpr std::array kWaitingReasons{
-    WaitingReason::kUnseen, WaitingReason::kQuota,    WaitingReason::kNoWorker,
-    WaitingReason::kLabel,  WaitingReason::kTooSmall, WaitingReason::kLimit,
-    WaitingReason::kRoom,   WaitingReason::kPolicy,   WaitingReason::kGang,
-    WaitingReason::kNear};
+    WaitingReason::kUnseen,   WaitingReason::kQuota, WaitingReason::kEvacuated,
+    WaitingReason::kNoWorker, WaitingReason::kLabel, WaitingReason::kTooSmall,
+    WaitingReason::kLimit,    WaitingReason::kRoom,  WaitingReason::kPolicy,
+    WaitingReason::kGang,     WaitingReason::kNear};
 
 std::string_view NameOf(WaitingReason reason);
 
@@ -56,11 +59,17 @@
   std::uint32_t at_limit = 0;
   std::uint32_t without_room = 0;
   std::uint32_t not_admitted = 0;
+  // The workers of the service in evacuated data centres that could hold a task
+  // of the step if they were idle, and the number of tasks for which they have
+  // room now. They are not among `workers`.
+  std::uint32_t evacuated = 0;
+  std::uint32_t evacuated_places = 0;
   // The number of tasks (or members of a gang) for which there is room now, up
   // to the step's count.
   std::uint32_t places = 0;
-  // Whether the workers of the whole fleet, of any service and with nothing
-  // running, could hold the step: one task of it, or a whole gang.
+  // Whether the workers of the whole fleet, of any service, with nothing
+  // running and not in an evacuated data centre, could hold the step: one task
+  // of it, or a whole gang.
   bool is_feasible = false;
   // Whether at least half of the processor capacity of the service's workers is
   // free.
--- a/services/sumacd/job_admission.cc
+++ b/services/sumacd/job_admission.cc
@@ -26,6 +26,10 @@
       return fleet::Answer::FromStatus(status);
     }
   }
+  const double left = scheduler.TakeCapacityLeft();
+  if (left < 1) {
+    this->backlog.ScaleRate(left, now);
+  }
   if (auto refusal =
           this->RefuseTooMany(submission, active_jobs, scheduler, now)) {
     return refusal;
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -264,6 +264,7 @@
   const PolicySettings& policy = this->settings.policy;
   scheduler_settings.orders_by_slack = policy.order_by_slack;
   scheduler_settings.avoids_bad_workers = policy.leave_bad_workers;
+  scheduler_settings.moves_evacuated_tasks = policy.move_evacuated_tasks;
   if (!policy.forecast) {
     scheduler_settings.forecast.horizon = Milliseconds(0);
   }
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -86,6 +86,9 @@
   std::uint64_t most_active_jobs = 20'000;
   // How long a pool keeps instances that it no longer needs.
   Milliseconds surplus_time{2'500};
+  // Moves long-running tasks out of evacuated data centres. If false, they stay
+  // until something else ends their runs, and lose nothing.
+  bool move_evacuated_tasks = false;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -100,6 +103,7 @@
     visitor.Field("most_active_jobs", self.most_active_jobs,
                   Limits{1, 10'000'000});
     visitor.Field("surplus_ms", self.surplus_time, Limits{0, 600'000});
+    visitor.Field("move_evacuated_tasks", self.move_evacuated_tasks);
   }
 };
 
--- a/tests/libraries/scheduler/backlog_test.cc
+++ b/tests/libraries/scheduler/backlog_test.cc
@@ -63,5 +63,33 @@
       this->backlog.IsFull({.of_queue = 100, .of_all = 1'000, .queues = 2}));
 }
 
+// Half of the capacity is lost while jobs finish at the rate of all of it. The
+// best rate of the past would admit, for many seconds, twice what can be begun.
+TEST_F(BacklogTest, ALossOfCapacityLowersTheBestRateAtOnce) {
+  this->Finish(200, 4);
+  EXPECT_FALSE(this->IsFull(1'900));
+  this->backlog.ScaleRate(0.5, this->now);
+  EXPECT_TRUE(this->IsFull(1'010));
+  EXPECT_FALSE(this->IsFull(900));
+  // Jobs that had begun before the loss still finish.
+  this->Finish(200, 2);
+  EXPECT_TRUE(this->IsFull(1'010));
+  // The rate that the capacity left allows counts in full.
+  this->Finish(100, 2);
+  EXPECT_FALSE(this->IsFull(900));
+  this->Finish(100, 10);
+  EXPECT_FALSE(this->IsFull(900));
+  EXPECT_TRUE(this->IsFull(1'010));
+}
+
+TEST_F(BacklogTest, TheRateRisesWithTheCapacity) {
+  this->Finish(200, 4);
+  this->backlog.ScaleRate(0.5, this->now);
+  this->Finish(100, 5);
+  EXPECT_TRUE(this->IsFull(1'010));
+  this->Finish(200, 3);
+  EXPECT_FALSE(this->IsFull(1'900));
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
--- a/tests/libraries/scheduler/start_forecast_test.cc
+++ b/tests/libraries/scheduler/start_forecast_test.cc
@@ -83,5 +83,18 @@
   EXPECT_EQ(this->forecast.RetryAfter(kQueue, this->now), Milliseconds(4'000));
 }
 
+// The rate was measured with capacity that was lost since.
+TEST_F(StartForecastTest, ALossOfCapacityLowersTheRateAtOnce) {
+  this->Begin(100);
+  this->Wait(40);
+  EXPECT_FALSE(this->IsTooLate(kToSpare));
+  this->forecast.ScaleRate(kQueue, 0.5);
+  EXPECT_TRUE(this->IsTooLate(kToSpare));
+  this->Wait(24);
+  EXPECT_FALSE(this->IsTooLate(kToSpare));
+  this->forecast.ScaleRate(kQueue, 1);
+  EXPECT_FALSE(this->IsTooLate(kToSpare));
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
