Maintenance: Divide scarce instances fairly between pools

A pool gave instances up only beyond what it needed, and in a rush it needs more than there are.

If the pools together need more instances than there are, each one's need is limited to its part by max-min fairness; the minimum of a pool and instances with long-running tasks stay. Ruled out: the order in which pools are asked (GrowPools takes only surplus, whatever the order).

CapacityPlannerTest.APoolThatAsksFirstDoesNotKeepWhatALaterOneNeeds failed before (no move), and passes.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/maintenance/fair_division.h"
+
 namespace sumac::maintenance {
 namespace {
 
@@ -77,6 +79,7 @@
   std::map<ServiceName, Pool> pools =
       this->CountPools(state, facts, busy, needs, wall_now, now);
   this->SetWantedCounts(state, demand, pools, needs);
+  this->LimitToFairParts(state, pools);
   this->GrowPoolsByLabel(state, pools, facts, needs, now);
   this->GrowPools(state, pools, facts, needs, now);
   this->ShrinkPools(state, pools, facts, needs, now);
@@ -245,6 +248,26 @@
   }
 }
 
+// Limits what each pool needs to its fair part, if the pools together need more
+// instances than there are. Instances with long-running tasks stay anyway.
+void CapacityPlanner::LimitToFairParts(
+    const jobs::JobsState& state,
+    std::map<ServiceName, Pool>& pools) const {
+  std::int64_t instances = 0;
+  std::map<ServiceName, std::int64_t> wants;
+  for (const auto& [name, pool] : pools) {
+    instances += pool.have;
+    if (!IsHeadroom(state, name)) {
+      wants[name] = pool.want;
+    }
+  }
+  for (const auto& [name, part] : DivideFairly(wants, instances)) {
+    // A pool keeps its minimum number of instances in any case.
+    pools[name].want = std::max(
+        part, std::min(wants[name], this->settings.min_instances_per_pool));
+  }
+}
+
 // Moves instances to pools whose tasks require their labels. Instances that are
 // switched off are moved first.
 void CapacityPlanner::GrowPoolsByLabel(
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -148,6 +148,17 @@
   EXPECT_TRUE(output.cordoned.contains(InstanceName("idle0")));
 }
 
+// Two services rush one after the other, and together they need more instances
+// than there are.
+TEST_F(CapacityPlannerTest, APoolThatAsksFirstDoesNotKeepWhatALaterOneNeeds) {
+  this->AddInstances(kBusy, 10);
+  this->AddInstances(kQuiet, 2);
+  this->demand[kBusy].short_millicores = 20 * kCores;
+  this->demand[kQuiet].short_millicores = 20 * kCores;
+  EXPECT_EQ(PoolsOf(this->Plan()),
+            (std::vector<std::string>{"quiet", "quiet", "quiet", "quiet"}));
+}
+
 TEST_F(CapacityPlannerTest, AnInstanceWithLongRunningTasksStays) {
   this->AddInstances(kBusy, 2);
   this->AddInstances(kQuiet, 3);
