--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -248,8 +248,11 @@
   }
 }
 
-// Limits what each pool needs to its fair part, if the pools together need more
-// instances than there are. Instances with long-running tasks stay anyway.
+// Limits what each pool needs to its fair part while another pool starves: the
+// pools together need more instances than there are, and one has less than half
+// of its part. Instances with long-running tasks stay anyway. In other rushes
+// the pools keep what they have, since every move costs the work of some
+// seconds.
 void CapacityPlanner::LimitToFairParts(
     const jobs::JobsState& state,
     std::map<ServiceName, Pool>& pools) const {
@@ -261,7 +264,16 @@
       wants[name] = pool.want;
     }
   }
-  for (const auto& [name, part] : DivideFairly(wants, instances)) {
+  const std::map<ServiceName, std::int64_t> parts =
+      DivideFairly(wants, instances);
+  const bool is_any_starving =
+      std::any_of(parts.begin(), parts.end(), [&pools](const auto& part) {
+        return 2 * pools.at(part.first).have < part.second;
+      });
+  if (!is_any_starving) {
+    return;
+  }
+  for (const auto& [name, part] : parts) {
     // A pool keeps its minimum number of instances in any case.
     pools[name].want = std::max(
         part, std::min(wants[name], this->settings.min_instances_per_pool));
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -159,6 +159,14 @@
             (std::vector<std::string>{"quiet", "quiet", "quiet", "quiet"}));
 }
 
+TEST_F(CapacityPlannerTest, APoolWithHalfOfItsPartTakesNoneFromTheOthers) {
+  this->AddInstances(kBusy, 8);
+  this->AddInstances(kQuiet, 4);
+  this->demand[kBusy].short_millicores = 20 * kCores;
+  this->demand[kQuiet].short_millicores = 20 * kCores;
+  EXPECT_TRUE(this->Plan().orders.empty());
+}
+
 TEST_F(CapacityPlannerTest, AnInstanceWithLongRunningTasksStays) {
   this->AddInstances(kBusy, 2);
   this->AddInstances(kQuiet, 3);
