Scheduler: Spread what lasts over data centres, and blame no task for the loss of one

Where the loss of a data centre is tolerated, tasks that last or have a disruption budget are placed apart, members of a gang together (the loss of one member ends all), and short tasks stay packed. Most workers of a data centre that fall silent or end within 3 s are one loss: their ends are no crashes of their tasks. A new leader ends inherited workers whose instance is listed as down before a call to them has failed.

With tolerated_data_centres = 0 nothing changes.

Replication, Sumacd: the plan of voters knows data centres; controllers ask each other where they run.

--- a/libraries/replication/membership_plan.cc
+++ b/libraries/replication/membership_plan.cc
@@ -3,67 +3,271 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
+
+#include "libraries/replication/voter_spread.h"
 
 namespace sumac::replication {
+namespace {
 
-ProcessName ProcessOf(const NodeId& node) {
-  return ProcessName(node.value().substr(0, node.value().rfind('.')));
-}
+// Plans one step of a group of known health.
+class Planner {
+ public:
+  Planner(const Membership& members,
+          const std::map<NodeId, MemberHealth>& health,
+          std::size_t wanted_voters,
+          std::size_t tolerated_data_centres)
+      : members(members),
+        health(health),
+        wanted_voters(wanted_voters),
+        tolerated(tolerated_data_centres),
+        is_spread(wanted_voters > 0 && tolerated_data_centres > 0) {}
+  Planner(const Planner&) = delete;
+  Planner& operator=(const Planner&) = delete;
 
-Membership WithLearner(Membership members, const NodeId& node) {
-  std::erase_if(members.learners, [&](const NodeId& learner) {
-    return ProcessOf(learner) == ProcessOf(node);
+  std::optional<Membership> PlanNext() const;
+
+ private:
+  MemberHealth HealthOf(const NodeId& node) const {
+    const auto found = this->health.find(node);
+    return found == this->health.end() ? MemberHealth{} : found->second;
+  }
+  VoterSpread SpreadAfter(const NodeId* removed, const NodeId* added) const;
+  const NodeId* FindVoterOfSameProcess(const NodeId& learner) const;
+  const NodeId* FindLostVoter(const NodeId* successor) const;
+  std::vector<NodeId> OrderLearners() const;
+  bool AreVotersWell() const;
+  std::optional<Membership> PlanForLearners() const;
+  std::optional<Membership> PlanSpread() const;
+  std::optional<Membership> WithoutSurplusVoter() const;
+  Membership WithPromoted(const NodeId& learner) const;
+  Membership WithoutVoter(const NodeId& voter) const;
+
+  const Membership& members;
+  const std::map<NodeId, MemberHealth>& health;
+  std::size_t wanted_voters;
+  std::size_t tolerated;
+  // Whether the voters are to be spread over data centres.
+  bool is_spread;
+};
+
+// Returns the spread of the voters without `removed` and with `added`, each if
+// it isn't null.
+VoterSpread Planner::SpreadAfter(const NodeId* removed,
+                                 const NodeId* added) const {
+  if (!this->is_spread) {
+    return {};
+  }
+  std::set<NodeId> voters = this->members.voters;
+  if (removed != nullptr) {
+    voters.erase(*removed);
+  }
+  if (added != nullptr) {
+    voters.insert(*added);
+  }
+  return SpreadOf(voters, [this](const NodeId& node) {
+    return this->HealthOf(node).data_centre;
   });
-  members.learners.insert(node);
-  return members;
 }
 
-std::optional<Membership> PlanNextMembers(
-    const Membership& members,
-    const std::map<NodeId, MemberHealth>& health,
-    std::size_t wanted_voters) {
-  const auto health_of = [&](const NodeId& node) {
-    const auto found = health.find(node);
-    return found == health.end() ? MemberHealth{} : found->second;
-  };
-  const bool has_room =
-      wanted_voters == 0 || members.voters.size() < wanted_voters;
-  const auto lost = std::find_if(
-      members.voters.begin(), members.voters.end(),
-      [&](const NodeId& voter) { return health_of(voter).is_lost; });
-  Membership next = members;
-  for (const NodeId& learner : members.learners) {
-    if (!health_of(learner).is_caught_up) {
+Membership Planner::WithPromoted(const NodeId& learner) const {
+  Membership next = this->members;
+  next.learners.erase(learner);
+  next.voters.insert(learner);
+  return next;
+}
+
+Membership Planner::WithoutVoter(const NodeId& voter) const {
+  Membership next = this->members;
+  next.voters.erase(voter);
+  return next;
+}
+
+const NodeId* Planner::FindVoterOfSameProcess(const NodeId& learner) const {
+  const auto found =
+      std::find_if(this->members.voters.begin(), this->members.voters.end(),
+                   [&](const NodeId& voter) {
+                     return ProcessOf(voter) == ProcessOf(learner);
+                   });
+  return found == this->members.voters.end() ? nullptr : &*found;
+}
+
+// Returns the lost voter that is best replaced by `successor`, or null.
+const NodeId* Planner::FindLostVoter(const NodeId* successor) const {
+  const NodeId* best = nullptr;
+  VoterSpread best_spread;
+  for (const NodeId& voter : this->members.voters) {
+    if (!this->HealthOf(voter).is_lost) {
       continue;
     }
-    const auto old = std::find_if(
-        members.voters.begin(), members.voters.end(), [&](const NodeId& voter) {
-          return ProcessOf(voter) == ProcessOf(learner);
-        });
-    if (old == members.voters.end() && has_room) {
-      next.learners.erase(learner);
-      next.voters.insert(learner);
-      return next;
+    const VoterSpread spread = this->SpreadAfter(&voter, successor);
+    if (best == nullptr || spread < best_spread) {
+      best = &voter;
+      best_spread = spread;
     }
-    if (old == members.voters.end() && lost != members.voters.end()) {
-      next.voters.erase(*lost);
-      return next;
+  }
+  return best;
+}
+
+// Returns the learners, those that lead to the best spread first.
+std::vector<NodeId> Planner::OrderLearners() const {
+  std::vector<NodeId> order(this->members.learners.begin(),
+                            this->members.learners.end());
+  if (this->is_spread) {
+    const auto spread_with = [this](const NodeId& learner) {
+      return this->SpreadAfter(this->FindLostVoter(&learner), &learner);
+    };
+    std::stable_sort(order.begin(), order.end(),
+                     [&](const NodeId& one, const NodeId& other) {
+                       return spread_with(one) < spread_with(other);
+                     });
+  }
+  return order;
+}
+
+// Returns true if every voter is well and its data centre is known, so that
+// the group can bear an exchange.
+bool Planner::AreVotersWell() const {
+  return std::all_of(this->members.voters.begin(), this->members.voters.end(),
+                     [this](const NodeId& voter) {
+                       const MemberHealth health = this->HealthOf(voter);
+                       return health.is_caught_up && !health.is_silent &&
+                              !health.is_lost &&
+                              !health.data_centre.value().empty();
+                     });
+}
+
+// Promotes a learner that has caught up, or removes the voter whose place it
+// is to take.
+std::optional<Membership> Planner::PlanForLearners() const {
+  const bool has_room = this->wanted_voters == 0 ||
+                        this->members.voters.size() < this->wanted_voters;
+  for (const NodeId& learner : this->OrderLearners()) {
+    if (!this->HealthOf(learner).is_caught_up) {
+      continue;
+    }
+    const NodeId* old = this->FindVoterOfSameProcess(learner);
+    if (old == nullptr && has_room) {
+      return this->WithPromoted(learner);
+    }
+    const NodeId* lost = this->FindLostVoter(&learner);
+    if (old == nullptr && lost != nullptr) {
+      return this->WithoutVoter(*lost);
     }
     // A voter that still answers is not replaced: two processes under one name
     // are a mistake that an operator has to resolve.
-    if (old != members.voters.end() && health_of(*old).is_silent) {
-      next.voters.erase(*old);
+    if (old != nullptr && this->HealthOf(*old).is_silent) {
+      return this->WithoutVoter(*old);
+    }
+  }
+  return std::nullopt;
+}
+
+// Removes a voter beyond the wanted number.
+std::optional<Membership> Planner::WithoutSurplusVoter() const {
+  const NodeId* best = this->FindLostVoter(nullptr);
+  if (best == nullptr && !this->AreVotersWell()) {
+    return std::nullopt;
+  }
+  VoterSpread best_spread;
+  for (const NodeId& voter : this->members.voters) {
+    if (this->HealthOf(voter).is_leader || this->HealthOf(voter).is_lost) {
+      continue;
+    }
+    const VoterSpread spread = this->SpreadAfter(&voter, nullptr);
+    if (best == nullptr ||
+        (!this->HealthOf(*best).is_lost && spread < best_spread)) {
+      best = &voter;
+      best_spread = spread;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  Membership next = this->WithoutVoter(*best);
+  // A voter that is well remains at hand as a learner.
+  if (!this->HealthOf(*best).is_lost) {
+    next.learners.insert(*best);
+  }
+  return next;
+}
+
+// Takes one step of the exchange of a voter for a learner that improves the
+// spread.
+std::optional<Membership> Planner::PlanSpread() const {
+  if (this->members.voters.size() > this->wanted_voters) {
+    return this->WithoutSurplusVoter();
+  }
+  if (this->members.voters.size() < this->wanted_voters ||
+      !this->AreVotersWell()) {
+    return std::nullopt;
+  }
+  const VoterSpread present = this->SpreadAfter(nullptr, nullptr);
+  if (SurvivesLoss(present, this->tolerated)) {
+    return std::nullopt;
+  }
+  for (const NodeId& learner : this->OrderLearners()) {
+    const MemberHealth health = this->HealthOf(learner);
+    if (!health.is_caught_up || health.data_centre.value().empty() ||
+        this->FindVoterOfSameProcess(learner) != nullptr) {
+      continue;
+    }
+    const bool improves =
+        std::any_of(this->members.voters.begin(), this->members.voters.end(),
+                    [&](const NodeId& voter) {
+                      return !this->HealthOf(voter).is_leader &&
+                             this->SpreadAfter(&voter, &learner) < present;
+                    });
+    if (improves) {
+      return this->WithPromoted(learner);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Membership> Planner::PlanNext() const {
+  if (auto next = this->PlanForLearners()) {
+    return next;
+  }
+  if (this->is_spread) {
+    if (auto next = this->PlanSpread()) {
       return next;
     }
   }
-  const auto lost_learner = std::find_if(
-      members.learners.begin(), members.learners.end(),
-      [&](const NodeId& learner) { return health_of(learner).is_lost; });
-  if (wanted_voters > 0 && lost_learner != members.learners.end()) {
+  const auto lost_learner =
+      std::find_if(this->members.learners.begin(), this->members.learners.end(),
+                   [this](const NodeId& learner) {
+                     return this->HealthOf(learner).is_lost;
+                   });
+  if (this->wanted_voters > 0 && lost_learner != this->members.learners.end()) {
+    Membership next = this->members;
     next.learners.erase(*lost_learner);
     return next;
   }
   return std::nullopt;
 }
 
+}  // namespace
+
+ProcessName ProcessOf(const NodeId& node) {
+  return ProcessName(node.value().substr(0, node.value().rfind('.')));
+}
+
+Membership WithLearner(Membership members, const NodeId& node) {
+  std::erase_if(members.learners, [&](const NodeId& learner) {
+    return ProcessOf(learner) == ProcessOf(node);
+  });
+  members.learners.insert(node);
+  return members;
+}
+
+std::optional<Membership> PlanNextMembers(
+    const Membership& members,
+    const std::map<NodeId, MemberHealth>& health,
+    std::size_t wanted_voters,
+    std::size_t tolerated_data_centres) {
+  return Planner(members, health, wanted_voters, tolerated_data_centres)
+      .PlanNext();
+}
+
 }  // namespace sumac::replication
--- a/libraries/replication/membership_plan.h
+++ b/libraries/replication/membership_plan.h
@@ -18,6 +18,10 @@
   bool is_silent = false;
   // True if it has not answered for so long that it is considered lost.
   bool is_lost = false;
+  // True for the leader itself.
+  bool is_leader = false;
+  // Where it runs; empty if this is not known.
+  DataCentre data_centre;
 };
 
 // Returns the name of the process in which a replica runs; a node id has the
@@ -37,10 +41,18 @@
 // they replace voters that are lost, and lost learners are removed. With 0,
 // every learner that has caught up is promoted. Each step changes at most one
 // voter.
+//
+// With `tolerated_data_centres` and `wanted_voters` above 0 the voters are also
+// spread over data centres: of several learners the one that improves the
+// spread most is promoted. While the loss of that many data centres would take
+// a majority and every voter is well, a learner that improves the spread is
+// promoted beyond the wanted number; then the voter without which the spread is
+// best becomes a learner, though never the leader.
 std::optional<Membership> PlanNextMembers(
     const Membership& members,
     const std::map<NodeId, MemberHealth>& health,
-    std::size_t wanted_voters = 0);
+    std::size_t wanted_voters = 0,
+    std::size_t tolerated_data_centres = 0);
 
 }  // namespace sumac::replication
 
--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -176,7 +176,8 @@
   const jobs::StepSpec& step = request.step();
   const jobs::Resources need = CountedNeed(step);
   WorkerSession* best = nullptr;
-  std::tuple<bool, bool, std::size_t, bool, std::uint32_t, std::int64_t>
+  std::tuple<bool, bool, std::size_t, bool, std::uint32_t, std::uint32_t,
+             std::int64_t>
       best_rank;
   for (WorkerSession* session : this->WorkersOf(request.job->service)) {
     if (!Fits(request, *session)) {
@@ -197,12 +198,16 @@
                                         ? session->filler_runs()
                                         : 0;
     const std::size_t at_risk = request.is_suspect ? session->runs().size() : 0;
+    const std::uint32_t domain =
+        request.spread == nullptr ? 0
+                                  : request.spread->RankOf(worker.data_centre);
     // The smallest rank wins. The criteria, the most important first: the task
     // has not failed on the worker, the worker is not slow, few runs are lost
-    // if it crashes, the task's data is near, few runs are disturbed, little
-    // room is left over.
+    // if it crashes, the task's data is near, the loss of a data centre leaves
+    // many of the step's tasks, few runs are disturbed, little room is left
+    // over.
     const std::tuple rank(has_failed_there, session->is_slow, at_risk, is_far,
-                          disturbed,
+                          domain, disturbed,
                           session->Room().millicores - need.millicores);
     if (best == nullptr || rank < best_rank) {
       best = session;
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -12,6 +12,7 @@
 #include "libraries/base/time.h"
 #include "libraries/jobs/job.h"
 #include "libraries/jobs/resources.h"
+#include "libraries/scheduler/data_centre_spread.h"
 #include "libraries/scheduler/placement_advice.h"
 #include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/worker_health.h"
@@ -35,6 +36,8 @@
   // If not null, only workers that the queue's placement policy admits are
   // considered; null for a queue without a policy.
   const PlacementAdvice* advice = nullptr;
+  // If not null, ranks data centres by where the step's other tasks are.
+  const DataCentreSpread* spread = nullptr;
 
   const jobs::StepSpec& step() const {
     return this->job->spec.steps[this->task.step.step];
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -38,6 +38,7 @@
       first_own_sequence(state.record().next_sequence),
       unseen_usage(state, this->first_own_sequence),
       began_at(now),
+      lost_data_centres(settings.tolerated_data_centres),
       waiting(state,
               this->run_times,
               settings.orders_by_slack,
@@ -95,6 +96,21 @@
   this->incarnations_of[worker->instance].insert(id);
   this->MarkCordoned(session->second);
   session->second.is_evacuated = !this->state.IsInUse(worker->data_centre);
+  this->CheckDataCentre(*worker);
+}
+
+// Logs the first worker that names a data centre that no settings hold. The
+// worker is used like any other, but its data centre is no failure domain.
+void Scheduler::CheckDataCentre(const jobs::Worker& worker) {
+  const std::set<DataCentre>& known = this->settings.data_centres;
+  if (this->settings.tolerated_data_centres == 0 || known.empty() ||
+      known.contains(worker.data_centre) ||
+      !this->unknown_data_centres.insert(worker.data_centre).second) {
+    return;
+  }
+  this->collected_events.AddText(
+      "unknown-data-centre", "no settings hold it", true,
+      StrCat(worker.id.value(), " names \"", worker.data_centre.value(), "\""));
 }
 
 // Removes a worker from the known incarnations on its instance.
@@ -610,6 +626,12 @@
   if (found == this->workers.end()) {
     return;
   }
+  if (this->lost_data_centres.is_on() &&
+      this->IsUnplanned(found->second, end)) {
+    this->lost_data_centres.RecordEnd(found->second.worker().data_centre,
+                                      found->second.SilentSince(now));
+    this->TakeCensus({worker}, now);
+  }
   this->LogIncarnationEnd(found->second, end, now);
   if (this->IsCrash(found->second, end)) {
     this->RecordCrash(found->second, now);
@@ -623,8 +645,8 @@
 
 // Returns true if no planned action explains the end: the worker had not
 // announced that it would leave, and no order that ends it is committed.
-bool Scheduler::IsCrash(const WorkerSession& session,
-                        IncarnationEnd end) const {
+bool Scheduler::IsUnplanned(const WorkerSession& session,
+                            IncarnationEnd end) const {
   const jobs::Worker& worker = session.worker();
   const auto move = this->state.record().moves.find(worker.instance);
   const bool is_ordered = move != this->state.record().moves.end() &&
@@ -632,6 +654,50 @@
   return IsUnexplained(end) && !worker.is_draining && !is_ordered;
 }
 
+// Returns true if a task may have caused the end: nothing planned explains it,
+// and the worker's data centre was not lost as a whole.
+bool Scheduler::IsCrash(const WorkerSession& session,
+                        IncarnationEnd end) const {
+  return this->IsUnplanned(session, end) &&
+         !this->lost_data_centres.IsLost(session.worker().data_centre);
+}
+
+// Counts the workers of each data centre and those that are gone: they fail to
+// answer, or the platform lists their instance as down, gone, or with another
+// worker. `ending` are left out, since their ends are recorded already.
+void Scheduler::TakeCensus(const std::set<WorkerId>& ending, SteadyTime now) {
+  this->last_census = now;
+  std::map<DataCentre, DataCentreCensus> census;
+  const std::set<DataCentre>& known = this->settings.data_centres;
+  for (const auto& [id, session] : this->workers) {
+    const DataCentre& name = session.worker().data_centre;
+    if (ending.contains(id) || (!known.empty() && !known.contains(name))) {
+      continue;
+    }
+    DataCentreCensus& counts = census[name];
+    ++counts.workers;
+    if (session.is_possibly_down()) {
+      counts.silent_since.push_back(session.SilentSince(now));
+    } else if (this->listed_as_over.contains(id)) {
+      counts.silent_since.push_back(now);
+    }
+  }
+  for (const DataCentreChange& change :
+       this->lost_data_centres.HandleCensus(census, now)) {
+    this->LogDataCentreChange(change);
+  }
+}
+
+void Scheduler::LogDataCentreChange(const DataCentreChange& change) {
+  this->collected_events.AddText(
+      change.is_lost ? "data-centre-lost" : "data-centre-back",
+      change.is_lost ? "most of its workers fell silent together"
+                     : "most of its workers answer again or are gone for good",
+      change.is_lost,
+      StrCat(change.data_centre.value(), ": ", change.gone, " of ",
+             change.workers, " workers are gone"));
+}
+
 // Records the crash of a worker for the tasks that were running there.
 // NOTE: These tasks are not started until the crash is committed, so that each
 // start by any leader is decided with all earlier crashes known.
@@ -775,6 +841,10 @@
   SchedulerOutput output;
   this->SyncEvacuations();
   this->ExpireSilentWorkers(now);
+  if (this->lost_data_centres.is_on() &&
+      now - this->last_census >= this->settings.straggler_interval) {
+    this->TakeCensus({}, now);
+  }
   this->placement.BeginPass(this->workers, now);
   this->RemoveSilentWorkers(now, output);
   this->EvacuateCordoned(now);
@@ -842,8 +912,7 @@
     // NOTE: Workers join continuously while pools grow. A worker that was first
     // recorded under this leader has had no orders from another one, so it must
     // not make all older jobs of its service wait.
-    const bool is_inherited = session.began_at() == this->began_at;
-    if (is_inherited && !is_expired && !session.is_adopted()) {
+    if (this->IsInherited(session) && !is_expired && !session.is_adopted()) {
       this->services_with_unseen_runs.insert(session.worker().service);
       unseen_capacity.Add(session.worker().capacity);
     }
@@ -885,6 +954,10 @@
 }
 
 bool Scheduler::NeedsInstanceCheck() const {
+  if (this->lost_data_centres.is_on() &&
+      !this->services_with_unseen_runs.empty()) {
+    return true;
+  }
   return std::any_of(this->workers.begin(), this->workers.end(),
                      [](const auto& worker) {
                        return worker.second.is_possibly_down() &&
@@ -892,10 +965,10 @@
                      });
 }
 
-std::set<InstanceName> Scheduler::PossiblyDownInstances() const {
+std::set<InstanceName> Scheduler::InstancesToCheck() const {
   std::set<InstanceName> instances;
   for (const auto& [id, session] : this->workers) {
-    if (session.is_possibly_down() &&
+    if ((session.is_possibly_down() || this->lost_data_centres.is_on()) &&
         !session.worker().instance.value().empty()) {
       instances.insert(session.worker().instance);
     }
@@ -911,21 +984,37 @@
     // instances.
     return;
   }
+  const bool tolerates_loss = this->lost_data_centres.is_on();
   std::vector<WorkerId> dead;
+  this->listed_as_over.clear();
   for (const auto& [id, session] : this->workers) {
     const InstanceName& instance = session.worker().instance;
-    if (instance.value().empty() || !session.is_possibly_down() ||
-        session.began_at() >= asked_at) {
+    if (instance.value().empty() || session.began_at() >= asked_at ||
+        (!session.is_possibly_down() && !tolerates_loss)) {
       continue;
     }
     const auto status = statuses.find(instance);
     const bool is_over = status == statuses.end() || !status->second.is_up ||
                          (!status->second.worker.value().empty() &&
                           status->second.worker != session.worker().name);
-    if (is_over) {
+    if (!is_over) {
+      continue;
+    }
+    this->listed_as_over.insert(id);
+    // The worker was known before the list was requested, so an instance that
+    // is down has gone down since then, and nothing runs there any more.
+    const bool is_unseen_and_down =
+        tolerates_loss && this->IsInherited(session) && !session.is_adopted() &&
+        status != statuses.end() && status->second.is_down;
+    if (session.is_possibly_down() || is_unseen_and_down) {
       dead.push_back(id);
     }
   }
+  // The workers of a lost data centre are recognised as such before the first
+  // of them ends, so that none of their tasks is suspected.
+  if (tolerates_loss && !this->listed_as_over.empty()) {
+    this->TakeCensus({}, asked_at);
+  }
   for (const WorkerId& id : dead) {
     this->EndIncarnation(id, IncarnationEnd::kListedAsDown, asked_at);
     this->ended_incarnations.Add(id);
@@ -1031,15 +1120,40 @@
   return away < step->disruption_budget;
 }
 
+// Returns where the tasks of a step are, if their data centres matter.
+std::optional<DataCentreSpread> Scheduler::SpreadOf(
+    const jobs::StepId& step) const {
+  const jobs::StepSpec* spec = this->settings.tolerated_data_centres == 0
+                                   ? nullptr
+                                   : this->state.FindStep({step, 0});
+  if (spec == nullptr || WishFor(*spec) == DataCentreWish::kNone) {
+    return std::nullopt;
+  }
+  DataCentreSpread spread(WishFor(*spec), this->settings.data_centres);
+  for (std::uint32_t index = 0; index < spec->count; ++index) {
+    const TaskMemory* memory = this->tasks.Find({step, index});
+    if (memory == nullptr || !memory->placed) {
+      continue;
+    }
+    const auto session = this->workers.find(memory->placed->first);
+    if (session != this->workers.end()) {
+      spread.Add(session->second.worker().data_centre);
+    }
+  }
+  return spread;
+}
+
 WorkerSession* Scheduler::ChooseWorker(const jobs::Job& job,
                                        const jobs::TaskId& task,
-                                       bool is_suspect) const {
+                                       bool is_suspect,
+                                       const DataCentreSpread* spread) const {
   return this->placement.Choose(
       PlacementRequest{.job = &job,
                        .task = task,
                        .memory = this->tasks.Find(task),
                        .is_suspect = is_suspect,
-                       .advice = this->AdviceFor(job)});
+                       .advice = this->AdviceFor(job),
+                       .spread = spread});
 }
 
 bool Scheduler::HasPlaceElsewhere(const jobs::TaskId& task) const {
@@ -1351,6 +1465,7 @@
       !this->MayRunUnseen(job) &&
       this->placement.HasRoom(job.service, Placement::CountedNeed(step));
   bool is_all_placed = true;
+  std::optional<DataCentreSpread> spread;
   for (task.index = 0; task.index < step.count; ++task.index) {
     if (!NeedsStart(job, task, this->tasks.Find(task))) {
       continue;
@@ -1366,8 +1481,11 @@
       is_all_placed = false;
       continue;
     }
-    WorkerSession* session =
-        this->ChooseWorker(job, task, trial != TrialDecision::kNone);
+    if (!spread) {
+      spread = this->SpreadOf(task.step);
+    }
+    WorkerSession* session = this->ChooseWorker(
+        job, task, trial != TrialDecision::kNone, spread ? &*spread : nullptr);
     if (session == nullptr) {
       // Tasks of one step have the same needs: if there is no room for one,
       // there is none for the others.
@@ -1379,6 +1497,9 @@
     }
     const RunNumber run = this->NextRun(job, task);
     this->StartRunOn(*session, candidate, task, run, now, output);
+    if (spread) {
+      spread->Add(session->worker().data_centre);
+    }
     if (trial == TrialDecision::kNow) {
       session->BeginTrial(*session->FindRun(task, run));
       this->placement.RecordTrial(job.service);
@@ -1446,16 +1567,21 @@
   std::vector<WorkerSession*> places;
   jobs::TaskId task{{candidate.job->id, candidate.occurrence, candidate.step},
                     0};
+  std::optional<DataCentreSpread> spread = this->SpreadOf(task.step);
   for (; task.index < step.count; ++task.index) {
     WorkerSession* session = this->placement.Choose(
         PlacementRequest{.job = candidate.job,
                          .task = task,
                          .memory = this->tasks.Find(task),
                          .rack = rack,
-                         .advice = this->AdviceFor(*candidate.job)});
+                         .advice = this->AdviceFor(*candidate.job),
+                         .spread = spread ? &*spread : nullptr});
     if (session == nullptr) {
       break;
     }
+    if (spread) {
+      spread->Add(session->worker().data_centre);
+    }
     // Reserves the room while the other members are placed.
     session->AddRun(Run{.task = task, .need = Placement::CountedNeed(step)});
     places.push_back(session);
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -18,11 +18,13 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/service_demand.h"
 #include "libraries/jobs/task_id.h"
+#include "libraries/scheduler/data_centre_spread.h"
 #include "libraries/scheduler/demand_meter.h"
 #include "libraries/scheduler/ended_incarnations.h"
 #include "libraries/scheduler/event_collector.h"
 #include "libraries/scheduler/incarnation_end.h"
 #include "libraries/scheduler/job_numbers.h"
+#include "libraries/scheduler/lost_data_centres.h"
 #include "libraries/scheduler/near_wait.h"
 #include "libraries/scheduler/placement.h"
 #include "libraries/scheduler/placement_advice.h"
@@ -95,6 +97,11 @@
   // more runs they are multiplied. A scan costs about 0.2 microseconds per run,
   // so this keeps it to 1 % of a core.
   std::size_t runs_per_interval = 1'000;
+  // The number of whole data centres that may be lost at the same time. With 0
+  // a data centre is not considered as something that fails as a whole.
+  std::uint32_t tolerated_data_centres = 0;
+  // The names of the data centres; empty if they are not known.
+  std::set<DataCentre> data_centres;
 };
 
 using Order = std::variant<StartOrder, StopOrder, PaceOrder>;
@@ -119,6 +126,9 @@
   // The name of the worker that runs there, whichever its incarnation; empty if
   // unknown.
   WorkerName worker;
+  // Whether the platform says that it is down, rather than gone, moving or in
+  // maintenance.
+  bool is_down = false;
 };
 
 // Ends of runs that a worker reported. They must be committed before they are
@@ -185,13 +195,20 @@
   bool MayDisrupt(const jobs::TaskId& task, SteadyTime now) const;
 
   // Returns true while some worker fails to answer. The caller should then ask
-  // the platform whether the worker's instance is up.
+  // the platform whether the worker's instance is up. Where the loss of a data
+  // centre is tolerated, the same holds while a worker of an earlier leader has
+  // not answered yet.
   bool NeedsInstanceCheck() const;
-  // Returns the instances of all workers that fail to answer.
-  std::set<InstanceName> PossiblyDownInstances() const;
+  // Returns the instances whose status is needed: those of all workers that
+  // fail to answer and, where the loss of a data centre is tolerated, those of
+  // all other workers, too.
+  std::set<InstanceName> InstancesToCheck() const;
   // Handles the status that the platform, asked at `asked_at`, reported for at
   // least the instances of workers that fail to answer. The incarnation of such
   // a worker is over if its instance is down, gone, or runs another worker.
+  // Where the loss of a data centre is tolerated, the incarnation of a worker
+  // that has not answered this leader yet is over if its instance is down, even
+  // if no call to it has failed.
   void HandleInstanceStatus(
       const std::map<InstanceName, InstanceStatus>& statuses,
       SteadyTime asked_at);
@@ -335,7 +352,15 @@
   void EndObsoleteIncarnation(const WorkerId& worker, SteadyTime now);
   void EndIncarnationAtAddress(const WorkerId& worker, SteadyTime now);
   void EndOtherIncarnations(const WorkerSession& answering, SteadyTime now);
+  bool IsUnplanned(const WorkerSession& session, IncarnationEnd end) const;
   bool IsCrash(const WorkerSession& session, IncarnationEnd end) const;
+  bool IsInherited(const WorkerSession& session) const {
+    return session.began_at() == this->began_at;
+  }
+  void TakeCensus(const std::set<WorkerId>& ending, SteadyTime now);
+  void CheckDataCentre(const jobs::Worker& worker);
+  void LogDataCentreChange(const DataCentreChange& change);
+  std::optional<DataCentreSpread> SpreadOf(const jobs::StepId& step) const;
   void RecordCrash(const WorkerSession& session, SteadyTime now);
   void SettleCrashes(const WorkerId& worker);
   void LogIncarnationEnd(const WorkerSession& session,
@@ -350,7 +375,8 @@
   void EvacuateCordoned(SteadyTime now);
   WorkerSession* ChooseWorker(const jobs::Job& job,
                               const jobs::TaskId& task,
-                              bool is_suspect = false) const;
+                              bool is_suspect = false,
+                              const DataCentreSpread* spread = nullptr) const;
   bool HasPlaceElsewhere(const jobs::TaskId& task) const;
   bool IsConfirmedRunning(const jobs::TaskId& task, SteadyTime now) const;
   void MarkCordoned(WorkerSession& session) const {
@@ -435,6 +461,13 @@
   std::set<InstanceName> cordoned;
   // The evacuated data centres that the sessions' marks are based on.
   std::set<DataCentre> seen_evacuated;
+  LostDataCentres lost_data_centres;
+  SteadyTime last_census{};
+  // Workers whose incarnation is over according to the platform's last list.
+  std::set<WorkerId> listed_as_over;
+  // Names of data centres that workers gave and no settings hold, each logged
+  // once.
+  std::set<DataCentre> unknown_data_centres;
   // Jobs of which a task has begun, until the next planning pass emits the
   // command that records it.
   std::set<JobId> begun;
--- a/schemas/peer.capnp
+++ b/schemas/peer.capnp
@@ -46,4 +46,6 @@
   # Asks a controller to make calls to workers for the leader of this epoch, whose answers go to
   # `answers`. dataCentre is the relay's; clockMs is its steady clock.
   openRelay @13 (epoch :UInt64, answers :Relaying.RelayAnswers) -> (result :PeerResult, relay :Relaying.Relay, dataCentre :Text, clockMs :Int64);
+  # Where this controller runs, so that the voters can be spread over data centres.
+  describe @14 () -> (dataCentre :Text);
 }
--- a/services/sumacd/instance_manager.cc
+++ b/services/sumacd/instance_manager.cc
@@ -83,8 +83,10 @@
     if (is_unclear) {
       instance_status.is_up = true;
     } else if (row != nullptr) {
-      instance_status = {.is_up = row->state == maintenance::InstanceState::kUp,
-                         .worker = row->worker};
+      instance_status = {
+          .is_up = row->state == maintenance::InstanceState::kUp,
+          .worker = row->worker,
+          .is_down = row->state == maintenance::InstanceState::kDown};
     }
   }
   return statuses;
@@ -274,8 +276,7 @@
   if (this->listing.has_nameless_rows() || this->listing.rows().empty()) {
     return;
   }
-  const std::set<InstanceName> instances =
-      this->scheduler.PossiblyDownInstances();
+  const std::set<InstanceName> instances = this->scheduler.InstancesToCheck();
   this->scheduler.HandleInstanceStatus(FindStatuses(this->listing, instances),
                                        this->last_list);
 }
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -90,10 +90,14 @@
                         std::move(worker_calls), std::move(create_relay_calls),
                         std::move(instance_calls)));
   JobController* self = controller.get();
-  const ReplicaHostSettings host{.process = settings.process(),
-                                 .data_folder = settings.data_folder,
-                                 .group = settings.group,
-                                 .wanted_voters = settings.wanted_voters()};
+  const ReplicaHostSettings host{
+      .process = settings.process(),
+      .data_folder = settings.data_folder,
+      .group = settings.group,
+      .wanted_voters = settings.wanted_voters(),
+      .data_centre = settings.data_centre,
+      .tolerated_data_centres = settings.tolerated_data_centres,
+      .data_centres = settings.data_centres};
   ReplicaCallbacks callbacks;
   callbacks.load_snapshot = [self](const std::string& state) {
     self->has_applied = true;
@@ -271,6 +275,10 @@
       std::min(scheduler_settings.lease.length, times.longest_lease);
   scheduler_settings.lease.max_waiting = this->worker_calls.max_waiting;
   scheduler_settings.max_stop_time = times.longest_stop;
+  scheduler_settings.tolerated_data_centres =
+      this->settings.tolerated_data_centres;
+  scheduler_settings.data_centres = {this->settings.data_centres.begin(),
+                                     this->settings.data_centres.end()};
   this->scheduler.emplace(this->jobs_state, scheduler_settings, now);
   const maintenance::MaintenanceSettings maintenance{
       .takeover_pause = times.instance_lease,
--- a/services/sumacd/node_peer_service.cc
+++ b/services/sumacd/node_peer_service.cc
@@ -55,4 +55,9 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void> NodePeerService::describe(DescribeContext context) {
+  context.getResults().setDataCentre(this->controller.data_centre().value());
+  return kj::READY_NOW;
+}
+
 }  // namespace sumac::daemon
--- a/services/sumacd/node_peer_service.h
+++ b/services/sumacd/node_peer_service.h
@@ -19,6 +19,7 @@
   kj::Promise<void> handOver(HandOverContext context) override;
   kj::Promise<void> ask(AskContext context) override;
   kj::Promise<void> openRelay(OpenRelayContext context) override;
+  kj::Promise<void> describe(DescribeContext context) override;
 
  private:
   JobController& controller;
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -129,6 +129,9 @@
       timer(timer),
       callbacks(std::move(callbacks)),
       store(std::move(store)),
+      data_centres(settings.data_centres,
+                   settings.process,
+                   settings.data_centre),
       tasks(*this) {}
 
 void ReplicaHost::Tick(SteadyTime now) {
@@ -140,6 +143,7 @@
   }
   this->replica_core->Tick(now);
   this->RequestToJoin(now);
+  this->LearnDataCentres(now);
   const bool is_leader =
       this->replica_core->role() == replication::Role::kLeader;
   if (is_leader && this->WriteAge(now) > kStalledDiskTime &&
@@ -242,7 +246,9 @@
 replication::MemberHealth ReplicaHost::HealthOf(const replication::NodeId& node,
                                                 SteadyTime now) const {
   if (node == this->replica_core->self()) {
-    return {.is_caught_up = true};
+    return {.is_caught_up = true,
+            .is_leader = true,
+            .data_centre = this->data_centres.Find(node)};
   }
   const auto& members = this->replica_core->leadership()->members();
   const auto found = members.find(node);
@@ -251,6 +257,7 @@
   }
   const Milliseconds silence = now - found->second.last_answer_at;
   replication::MemberHealth health;
+  health.data_centre = this->data_centres.Find(node);
   health.is_silent = silence > kSilentControllerTime;
   health.is_lost = silence > kLostControllerTime;
   health.is_caught_up = !health.is_silent && this->catch_up_tracker.HasCaughtUp(
@@ -272,8 +279,9 @@
   }
   this->catch_up_tracker.RecordCommitIndex(this->replica_core->term(),
                                            this->replica_core->commit_index());
-  const auto next = replication::PlanNextMembers(members, health,
-                                                 this->settings.wanted_voters);
+  const auto next = replication::PlanNextMembers(
+      members, health, this->settings.wanted_voters,
+      this->settings.tolerated_data_centres);
   if (next) {
     const absl::Status status = this->ProposeMembers(*next);
     LogEvent(LogLevel::kWarning, "controllers-change",
@@ -320,6 +328,34 @@
                           [](kj::Exception&& /*exception*/) {}));
 }
 
+// Asks the other controllers where they run.
+void ReplicaHost::LearnDataCentres(SteadyTime now) {
+  if (this->settings.tolerated_data_centres == 0) {
+    return;
+  }
+  for (const ProcessName& process :
+       this->data_centres.TakeDue(this->replica_core->membership(), now)) {
+    rpc::Channel* channel = this->peers.Find(process);
+    if (channel == nullptr) {
+      continue;
+    }
+    auto request = channel->Get<wire::Peer>().describeRequest();
+    this->tasks.add(
+        channel
+            ->Guard(kMessageTimeout, request.send().then([this, process](
+                                                             auto&& response) {
+              const DataCentre name(wire::ToString(response.getDataCentre()));
+              if (!this->data_centres.Record(process, name)) {
+                LogEvent(LogLevel::kWarning, "unknown-data-centre",
+                         {{"process", process.value()},
+                          {"data_centre", name.value()}});
+              }
+            }))
+            // It is asked again.
+            .then([] {}, [](kj::Exception&& /*exception*/) {}));
+  }
+}
+
 // Returns the controller to send the next join request to: the leader if the
 // last response named it, else the known controllers in rotation.
 ProcessName ReplicaHost::NextJoinController() {
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -25,6 +25,7 @@
 #include "libraries/replication/membership_plan.h"
 #include "libraries/replication/replica.h"
 #include "services/sumacd/disk_thread.h"
+#include "services/sumacd/member_data_centres.h"
 #include "services/sumacd/peers.h"
 #include "services/sumacd/replica_store.h"
 #include "services/sumacd/settings.h"
@@ -55,6 +56,13 @@
   // left to operators, and only processes that the settings list are brought
   // back automatically.
   std::size_t wanted_voters = 0;
+  // This controller's data centre.
+  DataCentre data_centre;
+  // The number of data centres that may be lost at the same time; above 0 the
+  // voters are spread over them.
+  std::size_t tolerated_data_centres = 0;
+  // The names of all data centres; empty if they are not known.
+  std::vector<DataCentre> data_centres;
 };
 
 // Runs one replica on one disk: carries out the replica's outputs (disk writes
@@ -176,6 +184,7 @@
   absl::Status ProposeMembers(const replication::Membership& membership);
   void RequestToJoin(SteadyTime now);
   ProcessName NextJoinController();
+  void LearnDataCentres(SteadyTime now);
 
   ReplicaHostSettings settings;
   Peers& peers;
@@ -195,6 +204,7 @@
   // The leader that the last response to a join request named; empty if it
   // named none.
   ProcessName join_hint;
+  MemberDataCentres data_centres;
   bool is_pump_scheduled = false;
   bool has_full_disk = false;
   // The time until which a leader with a full disk tries to hand over.
--- a/tests/libraries/replication/membership_plan_test.cc
+++ b/tests/libraries/replication/membership_plan_test.cc
@@ -2,6 +2,14 @@
 #include "libraries/replication/membership_plan.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "libraries/base/text.h"
+#include "libraries/replication/voter_spread.h"
 
 namespace sumac::replication {
 namespace {
@@ -85,5 +93,169 @@
       members, {{NodeId("c3.1"), {.is_silent = true, .is_lost = true}}}, 3));
 }
 
+// A group of controllers, each named after its data centre and a number, for
+// example "a1".
+class SpreadGroup {
+ public:
+  SpreadGroup(const std::vector<std::string>& voters,
+              const std::vector<std::string>& learners) {
+    for (const std::string& name : voters) {
+      this->members.voters.insert(this->Add(name));
+    }
+    for (const std::string& name : learners) {
+      this->members.learners.insert(this->Add(name));
+    }
+    this->health[*this->members.voters.begin()].is_leader = true;
+  }
+  NodeId Add(const std::string& name) {
+    const NodeId node(StrCat(name, ".1"));
+    this->health[node] = {.is_caught_up = true,
+                          .data_centre = DataCentre(name.substr(0, 1))};
+    return node;
+  }
+  void Lose(const std::string& data_centre) {
+    for (auto& [node, health] : this->health) {
+      if (node.value().starts_with(data_centre)) {
+        health = {.is_silent = true,
+                  .is_lost = true,
+                  .data_centre = DataCentre(data_centre)};
+      }
+    }
+  }
+  // Takes all steps. Returns the smallest and the largest number of voters on
+  // the way.
+  std::pair<std::size_t, std::size_t> Settle(std::size_t wanted,
+                                             std::size_t tolerated) {
+    std::pair<std::size_t, std::size_t> sizes(this->members.voters.size(),
+                                              this->members.voters.size());
+    constexpr int kMostSteps = 60;
+    for (int step = 0; step < kMostSteps; ++step) {
+      const auto next =
+          PlanNextMembers(this->members, this->health, wanted, tolerated);
+      if (!next) {
+        return sizes;
+      }
+      std::vector<NodeId> changed;
+      std::set_symmetric_difference(this->members.voters.begin(),
+                                    this->members.voters.end(),
+                                    next->voters.begin(), next->voters.end(),
+                                    std::back_inserter(changed));
+      EXPECT_LE(changed.size(), 1U);
+      this->members = *next;
+      sizes.first = std::min(sizes.first, next->voters.size());
+      sizes.second = std::max(sizes.second, next->voters.size());
+    }
+    ADD_FAILURE() << "it never settles";
+    return sizes;
+  }
+  VoterSpread Spread() const {
+    return SpreadOf(this->members.voters, [](const NodeId& node) {
+      return DataCentre(node.value().substr(0, 1));
+    });
+  }
+
+  Membership members;
+  std::map<NodeId, MemberHealth> health;
+};
+
+constexpr std::size_t kFive = 5;
+
+TEST(MembershipPlanTest, VotersAreSpreadOverDataCentres) {
+  struct Case {
+    std::vector<std::string> voters;
+    std::vector<std::string> learners;
+    VoterSpread spread;
+  };
+  const std::vector<Case> cases = {
+      // The group grows from one voter.
+      {{"a1"}, {"a2", "a3", "b1", "b2", "c1"}, {2, 2, 1}},
+      {{"a1"}, {"a2", "b1", "b2", "c1"}, {2, 2, 1}},
+      // A learner in another data centre takes the place of a voter.
+      {{"a1", "a2", "a3", "b1", "c1"}, {"b2"}, {2, 2, 1}},
+      {{"a1", "a2", "a3", "a4", "a5"}, {"b1", "b2", "c1", "c2"}, {2, 2, 1}},
+      {{"a1", "a2", "a3", "b1", "b2"}, {"c1"}, {2, 2, 1}},
+      // Nothing is exchanged where a majority survives any loss, or where no
+      // learner improves the spread.
+      {{"a1", "a2", "b1", "b2", "c1"}, {"a3", "c2"}, {2, 2, 1}},
+      {{"a1", "a2", "a3", "b1", "c1"}, {"a4"}, {3, 1, 1}},
+      {{"a1", "a2", "a3", "b1", "b2"}, {}, {3, 2}},
+  };
+  for (const Case& example : cases) {
+    SpreadGroup group(example.voters, example.learners);
+    group.Settle(kFive, 1);
+    EXPECT_EQ(group.Spread(), example.spread)
+        << example.voters.back() << " " << example.learners.size();
+    EXPECT_TRUE(group.members.is_voter(NodeId("a1.1")));
+  }
+}
+
+TEST(MembershipPlanTest, TheVotersOfALostDataCentreAreReplacedApart) {
+  SpreadGroup group({"a1", "a2", "b1", "b2", "c1"}, {"a3", "c2", "c3", "b3"});
+  group.Lose("b");
+  group.Settle(kFive, 1);
+  EXPECT_EQ(group.Spread(), (VoterSpread{3, 2}));
+  for (const std::string& name : {"b1", "b2", "b3"}) {
+    EXPECT_FALSE(group.members.is_member(NodeId(name + ".1")));
+  }
+  // Once it is back, no data centre keeps a majority.
+  for (const std::string& name : {"b1", "b2"}) {
+    group.members.learners.insert(group.Add(name));
+  }
+  group.Settle(kFive, 1);
+  EXPECT_EQ(group.Spread(), (VoterSpread{2, 2, 1}));
+}
+
+TEST(MembershipPlanTest, NoVoterIsExchangedWhileAnotherIsSilent) {
+  SpreadGroup group({"a1", "a2", "a3", "b1", "c1"}, {"b2"});
+  group.health[NodeId("c1.1")].is_silent = true;
+  EXPECT_FALSE(PlanNextMembers(group.members, group.health, kFive, 1));
+}
+
+TEST(MembershipPlanTest, NoVoterIsExchangedWhileADataCentreIsNotKnown) {
+  for (const char* node : {"a2.1", "b2.1"}) {
+    SpreadGroup group({"a1", "a2", "a3", "b1", "c1"}, {"b2"});
+    group.health[NodeId(node)].data_centre = DataCentre();
+    EXPECT_FALSE(PlanNextMembers(group.members, group.health, kFive, 1));
+  }
+}
+
+TEST(MembershipPlanTest, VotersAreNotSpreadWhereNoLossIsTolerated) {
+  SpreadGroup group({"a1", "a2", "a3", "b1", "c1"}, {"b2"});
+  EXPECT_FALSE(PlanNextMembers(group.members, group.health, kFive));
+}
+
+// Whatever the group was, it settles on voters of which a majority survives
+// the loss of any one data centre, wherever its machines allow for that. On the
+// way it never has fewer voters than it began with or one more than wanted.
+RC_GTEST_PROP(MembershipPlanProperty, AnyHealthyGroupSettlesSpread, ()) {
+  constexpr std::size_t kMostEach = 5;
+  std::vector<std::string> voters;
+  std::vector<std::string> learners;
+  std::vector<std::size_t> machines;
+  for (const char* name : {"a", "b", "c"}) {
+    machines.push_back(*rc::gen::inRange<std::size_t>(0, kMostEach));
+    for (std::size_t number = 0; number < machines.back(); ++number) {
+      const bool is_voter =
+          voters.size() < kFive && *rc::gen::arbitrary<bool>();
+      (is_voter ? voters : learners).push_back(StrCat(name, number));
+    }
+  }
+  RC_PRE(!voters.empty());
+  SpreadGroup group(voters, learners);
+  const auto [fewest, most] = group.Settle(kFive, 1);
+  RC_ASSERT(fewest == voters.size());
+  RC_ASSERT(most <= kFive + 1);
+  const std::size_t all = machines[0] + machines[1] + machines[2];
+  RC_ASSERT(group.members.voters.size() == std::min(all, kFive));
+  // At most two voters in each data centre make five that survive any loss.
+  std::size_t usable = 0;
+  for (const std::size_t count : machines) {
+    usable += std::min<std::size_t>(count, 2);
+  }
+  if (usable >= kFive) {
+    RC_ASSERT(SurvivesLoss(group.Spread(), 1));
+  }
+}
+
 }  // namespace
 }  // namespace sumac::replication
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -282,6 +282,9 @@
       life = InstanceStatus{true, worker.description.name};
     }
   }
+  for (auto& [name, life] : lives) {
+    life.is_down = !life.is_up;
+  }
   this->scheduler->HandleInstanceStatus(lives, this->now);
 }
 
