--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -12,6 +12,15 @@
 // a time that could crash it.
 constexpr std::size_t kWorkersPerTrial = 4;
 
+// Returns true if the worker accepts work, unless its data centre is evacuated.
+bool WouldAcceptWork(const WorkerSession& session, SteadyTime now) {
+  return !session.is_cordoned && session.IsUsable(now);
+}
+
+bool AcceptsWork(const WorkerSession& session, SteadyTime now) {
+  return !session.is_evacuated && WouldAcceptWork(session, now);
+}
+
 }  // namespace
 
 void Placement::BeginPass(Sessions& sessions, SteadyTime now) {
@@ -25,11 +34,10 @@
     pool.failed_needs.clear();
   }
   for (auto& [id, session] : sessions) {
-    if (session.is_cordoned || !session.IsUsable(now)) {
-      continue;
-    }
-    if (session.is_evacuated) {
-      this->evacuated.push_back(&session);
+    if (!AcceptsWork(session, now)) {
+      if (session.is_evacuated && WouldAcceptWork(session, now)) {
+        this->evacuated.push_back(&session);
+      }
       continue;
     }
     Pool& pool = this->PoolOf(session);
@@ -54,6 +62,47 @@
       most.accelerators = std::max(most.accelerators, room.accelerators);
     }
   }
+  this->reserved.BeginPass(now);
+  this->ReleaseLostReservations(sessions);
+}
+
+void Placement::ReleaseLostReservations(const Sessions& sessions) {
+  std::vector<WorkerId> lost;
+  for (const auto& [worker, reservation] : this->reserved.all()) {
+    const auto session = sessions.find(worker);
+    if (session == sessions.end() || !AcceptsWork(session->second, this->now) ||
+        this->health.IsQuarantined(worker, this->now)) {
+      lost.push_back(worker);
+    }
+  }
+  for (const WorkerId& worker : lost) {
+    this->reserved.Release(worker);
+  }
+}
+
+bool Placement::IsReservedForOther(const PlacementRequest& request,
+                                   const WorkerSession& session) const {
+  const SteadyTime ends_at =
+      request.expected ? this->now + *request.expected : SteadyTime::max();
+  return !this->reserved.Admits(session.worker().id, request.task.step,
+                                ends_at);
+}
+
+std::vector<const WorkerSession*> Placement::ListWorkersThatCouldHold(
+    const PlacementRequest& request) const {
+  const jobs::StepSpec& step = request.step();
+  std::vector<const WorkerSession*> workers;
+  for (const WorkerSession* session : this->WorkersOf(request.job->service)) {
+    const jobs::Worker& worker = session->worker();
+    if (worker.capacity.Holds(CountedNeed(step)) &&
+        (step.required_label.empty() ||
+         worker.has_label(step.required_label)) &&
+        (step.most_per_worker == 0 ||
+         session->CountTasksOf(request.task.step) < step.most_per_worker)) {
+      workers.push_back(session);
+    }
+  }
+  return workers;
 }
 
 Placement::Pool& Placement::PoolOf(const ServiceName& service) {
@@ -185,7 +234,8 @@
              std::int64_t>
       best_rank;
   for (WorkerSession* session : this->WorkersOf(request.job->service)) {
-    if (!Fits(request, *session)) {
+    if (!Fits(request, *session) ||
+        this->IsReservedForOther(request, *session)) {
       continue;
     }
     const jobs::Worker& worker = session->worker();
@@ -236,7 +286,8 @@
     const PlacementRequest& request) const {
   std::vector<std::pair<std::int64_t, WorkerId>> order;
   for (const WorkerSession* session : this->WorkersOf(request.job->service)) {
-    if (Fits(request, *session)) {
+    if (Fits(request, *session) &&
+        !this->IsReservedForOther(request, *session)) {
       order.emplace_back(-session->Room().millicores, session->worker().id);
     }
   }
