Scheduler: End all workers of a lost data centre by one list

The call to each of them had to fail before its tasks could start elsewhere, although the list that the first failure led to named them all. At most one run of a task is checked where a loss is tolerated, too.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -976,6 +976,20 @@
   return instances;
 }
 
+// Returns true if a worker whose instance is down, by a list requested at
+// `asked_at`, is over although no call to it has failed yet. It was known
+// before that, so its instance has gone down since then, and nothing runs there
+// any more. Only a worker that may well be gone is ended in this way: one that
+// has not answered this leader yet, or one of a lost data centre.
+bool Scheduler::IsOverUnasked(const WorkerSession& session,
+                              SteadyTime asked_at) const {
+  const bool is_unseen = this->IsInherited(session) && !session.is_adopted();
+  const bool is_lost =
+      this->lost_data_centres.IsLost(session.worker().data_centre) &&
+      session.last_answer < asked_at;
+  return is_unseen || is_lost;
+}
+
 void Scheduler::HandleInstanceStatus(
     const std::map<InstanceName, InstanceStatus>& statuses,
     SteadyTime asked_at) {
@@ -986,6 +1000,7 @@
   }
   const bool tolerates_loss = this->lost_data_centres.is_on();
   std::vector<WorkerId> dead;
+  std::vector<WorkerId> listed_as_down;
   this->listed_as_over.clear();
   for (const auto& [id, session] : this->workers) {
     const InstanceName& instance = session.worker().instance;
@@ -1001,20 +1016,22 @@
       continue;
     }
     this->listed_as_over.insert(id);
-    // The worker was known before the list was requested, so an instance that
-    // is down has gone down since then, and nothing runs there any more.
-    const bool is_unseen_and_down =
-        tolerates_loss && this->IsInherited(session) && !session.is_adopted() &&
-        status != statuses.end() && status->second.is_down;
-    if (session.is_possibly_down() || is_unseen_and_down) {
+    if (session.is_possibly_down()) {
       dead.push_back(id);
+    } else if (status != statuses.end() && status->second.is_down) {
+      listed_as_down.push_back(id);
     }
   }
   // The workers of a lost data centre are recognised as such before the first
   // of them ends, so that none of their tasks is suspected.
-  if (tolerates_loss && !this->listed_as_over.empty()) {
+  if (!this->listed_as_over.empty() && tolerates_loss) {
     this->TakeCensus({}, asked_at);
   }
+  for (const WorkerId& id : listed_as_down) {
+    if (this->IsOverUnasked(this->workers.at(id), asked_at)) {
+      dead.push_back(id);
+    }
+  }
   for (const WorkerId& id : dead) {
     this->EndIncarnation(id, IncarnationEnd::kListedAsDown, asked_at);
     this->ended_incarnations.Add(id);
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -207,8 +207,8 @@
   // least the instances of workers that fail to answer. The incarnation of such
   // a worker is over if its instance is down, gone, or runs another worker.
   // Where the loss of a data centre is tolerated, the incarnation of a worker
-  // that has not answered this leader yet is over if its instance is down, even
-  // if no call to it has failed.
+  // that has not answered this leader yet, or whose data centre is lost, is
+  // over if its instance is down, even if no call to it has failed.
   void HandleInstanceStatus(
       const std::map<InstanceName, InstanceStatus>& statuses,
       SteadyTime asked_at);
@@ -357,6 +357,7 @@
   bool IsInherited(const WorkerSession& session) const {
     return session.began_at() == this->began_at;
   }
+  bool IsOverUnasked(const WorkerSession& session, SteadyTime asked_at) const;
   void TakeCensus(const std::set<WorkerId>& ending, SteadyTime now);
   void CheckDataCentre(const jobs::Worker& worker);
   void LogDataCentreChange(const DataCentreChange& change);
--- a/tests/libraries/replication/membership_plan_test.cc
+++ b/tests/libraries/replication/membership_plan_test.cc
@@ -194,11 +194,11 @@
   group.Lose("b");
   group.Settle(kFive, 1);
   EXPECT_EQ(group.Spread(), (VoterSpread{3, 2}));
-  for (const std::string& name : {"b1", "b2", "b3"}) {
-    EXPECT_FALSE(group.members.is_member(NodeId(name + ".1")));
+  for (const char* name : {"b1", "b2", "b3"}) {
+    EXPECT_FALSE(group.members.is_member(NodeId(StrCat(name, ".1"))));
   }
   // Once it is back, no data centre keeps a majority.
-  for (const std::string& name : {"b1", "b2"}) {
+  for (const char* name : {"b1", "b2"}) {
     group.members.learners.insert(group.Add(name));
   }
   group.Settle(kFive, 1);
@@ -211,11 +211,16 @@
   EXPECT_FALSE(PlanNextMembers(group.members, group.health, kFive, 1));
 }
 
-TEST(MembershipPlanTest, NoVoterIsExchangedWhileADataCentreIsNotKnown) {
-  for (const char* node : {"a2.1", "b2.1"}) {
+TEST(MembershipPlanTest, NoVoterIsExchangedWhileDataCentresAreNotKnown) {
+  const std::vector<std::vector<std::string>> unknown = {
+      {"a1", "a2", "a3", "b1", "c1"}, {"a2", "a3"}, {"b2"}};
+  for (const std::vector<std::string>& names : unknown) {
     SpreadGroup group({"a1", "a2", "a3", "b1", "c1"}, {"b2"});
-    group.health[NodeId(node)].data_centre = DataCentre();
-    EXPECT_FALSE(PlanNextMembers(group.members, group.health, kFive, 1));
+    for (const std::string& name : names) {
+      group.health[NodeId(StrCat(name, ".1"))].data_centre = DataCentre();
+    }
+    EXPECT_FALSE(PlanNextMembers(group.members, group.health, kFive, 1))
+        << names.front();
   }
 }
 
--- a/tests/libraries/scheduler/data_centre_loss_test.cc
+++ b/tests/libraries/scheduler/data_centre_loss_test.cc
@@ -182,6 +182,31 @@
   }
 }
 
+// The call to each worker of a lost data centre had to time out before its
+// tasks started elsewhere, although the list that the first failure led to
+// named them all.
+TEST_F(DataCentreLossTest, TheFirstFailedCallEndsAllWorkersListedAsDown) {
+  for (const std::uint32_t tolerated : {1U, 0U}) {
+    FakeFleet lossy{0};
+    Begin(lossy, tolerated);
+    lossy.work = Milliseconds(20'000);
+    lossy.Submit("job", {.count = 60});
+    lossy.PassTime(Milliseconds(1'000));
+    const std::uint64_t starts = lossy.starts;
+    const std::size_t lost = CountByDataCentre(lossy, "job")["dc-b"];
+    ASSERT_GT(lost, 0U);
+    Lose(lossy, "dc-b", true);
+    lossy.worker("dc-b-0").is_cut_with_resets = true;
+    lossy.PassTime(Milliseconds(300));
+    // A call to a silent worker takes 600 ms to fail. Tasks that are blamed for
+    // the end of the worker that failed first wait for a trial.
+    EXPECT_EQ(lossy.starts - starts, tolerated > 0 ? lost : 0U);
+    lossy.PassTime(Milliseconds(3'000));
+    EXPECT_EQ(lossy.CountRunning("job"), 60U);
+    EXPECT_EQ(lossy.problem, "");
+  }
+}
+
 TEST_F(DataCentreLossTest, AnInstanceThatIsMovingMayStillRunItsWorker) {
   this->fleet.lists_instances = false;
   this->fleet.worker("dc-b-0").is_cut = true;
--- a/tests/libraries/scheduler/run_history.cc
+++ b/tests/libraries/scheduler/run_history.cc
@@ -69,6 +69,11 @@
   this->fleet.ChangeLeader();
 }
 
+void RunHistory::TolerateLoss() {
+  this->fleet.settings.tolerated_data_centres = 1;
+  this->fleet.ChangeLeader();
+}
+
 void RunHistory::UseRelays() {
   this->relays.emplace(this->seed);
   this->fleet.carrier = CallCarrier{
--- a/tests/libraries/scheduler/run_history.h
+++ b/tests/libraries/scheduler/run_history.h
@@ -72,6 +72,10 @@
   // removed, so that both expire within a history.
   void ShortenLeases();
 
+  // Lets the leaders tolerate the loss of a data centre: they then act on the
+  // platform's list before a call has failed, and spread what lasts.
+  void TolerateLoss();
+
   // Sends most calls through relays from now on.
   void UseRelays();
 
--- a/tests/libraries/scheduler/run_uniqueness_property_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_property_test.cc
@@ -68,11 +68,16 @@
 
 enum class Leases { kLong, kShort };
 enum class Calls { kByTheLeader, kByRelays };
+enum class Losses { kNotTolerated, kTolerated };
 
 void Check(const std::vector<EventKind>& kinds,
            Leases leases,
-           Calls calls = Calls::kByTheLeader) {
+           Calls calls = Calls::kByTheLeader,
+           Losses losses = Losses::kNotTolerated) {
   RunHistory history(*rc::gen::inRange<std::uint64_t>(1, 1'000'000));
+  if (losses == Losses::kTolerated) {
+    history.TolerateLoss();
+  }
   if (leases == Leases::kShort) {
     history.ShortenLeases();
   }
@@ -136,6 +141,16 @@
   Check(kinds, Leases::kLong);
 }
 
+RC_GTEST_PROP(RunUniquenessPropertyTest, OneRunWhereALossIsTolerated, ()) {
+  std::vector<EventKind> kinds = FaultyKinds();
+  kinds.insert(kinds.end(),
+               {EventKind::kSubmitLongRunning, EventKind::kCordon,
+                EventKind::kRestartUnderName, EventKind::kAnnounceEarlier});
+  Check(WithRelayKinds(kinds), *rc::gen::element(Leases::kLong, Leases::kShort),
+        *rc::gen::element(Calls::kByTheLeader, Calls::kByRelays),
+        Losses::kTolerated);
+}
+
 RC_GTEST_PROP(RunUniquenessPropertyTest, OneRunInAnyHistory, ()) {
   std::vector<EventKind> kinds = FaultyKinds();
   kinds.insert(kinds.end(),
