Sumacd, Rpc: Say that a request has not run where nothing was written

An entry that is cut off wrote each submission into connections that had been silent for seconds, waited 700 ms and then had to say "unknown"; an attempt for which no connection was ever open counted as one that may have run.

Channel now tells whether the connection of a call was ever open, and writes a request only to a peer that answered in the last 100 ms or has just answered a probe. SubmissionOutcome, without sockets or clock, decides what may follow an attempt and what may be said: what was never written is refused within 500 ms, at once where most controllers are out of reach; what may have run is asked again under its id until the caller's deadline instead of for 1,200 ms. An entry that is cut off is not ready. A refusal after an unanswered attempt stays unknown, as before.

--- a/libraries/rpc/call.h
+++ b/libraries/rpc/call.h
@@ -4,6 +4,10 @@
 
 #include <kj/async.h>
 
+#include <utility>
+
+#include "libraries/base/result_code.h"
+#include "libraries/base/text.h"
 #include "libraries/base/time.h"
 #include "libraries/fleet/answer.h"
 #include "libraries/rpc/answer_codec.h"
@@ -23,6 +27,45 @@
   }));
 }
 
+// Does the same, but asks first whether the peer answers, and returns the code
+// kNoControllerInTime if nothing of the request was written. `make_request`
+// creates the request.
+template <typename MakeRequest>
+kj::Promise<fleet::Answer> ConfirmAndCall(Channel& channel,
+                                          Milliseconds limit,
+                                          MakeRequest make_request) {
+  const auto call = [&channel, make_request = std::move(make_request)](
+                        Milliseconds left) -> kj::Promise<fleet::Answer> {
+    const auto state = channel.state();
+    auto request = make_request();
+    return CallForAnswer(channel, left, request)
+        .catch_([state](
+                    kj::Exception&& exception) -> kj::Promise<fleet::Answer> {
+          if (state->was_opened) {
+            return kj::mv(exception);
+          }
+          return fleet::Answer{.code = ResultCode::kNoControllerInTime,
+                               .message = exception.getDescription().cStr()};
+        });
+  };
+  if (channel.IsFresh()) {
+    return call(limit);
+  }
+  const SteadyTime began_at = SystemClock().SteadyNow();
+  return channel.Confirm(limit).then(
+      [&channel, call, limit,
+       began_at](bool is_answering) -> kj::Promise<fleet::Answer> {
+        const Milliseconds left =
+            limit - (SystemClock().SteadyNow() - began_at);
+        if (!is_answering || left <= Milliseconds(0)) {
+          return fleet::Answer{
+              .code = ResultCode::kNoControllerInTime,
+              .message = StrCat(channel.address(), " does not answer")};
+        }
+        return call(left);
+      });
+}
+
 }  // namespace sumac::rpc
 
 #endif  // LIBRARIES_RPC_CALL_H_
--- a/services/sumacd/jobs_link.cc
+++ b/services/sumacd/jobs_link.cc
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/jobs_link.h"
 
-#include <memory>
 #include <utility>
+#include <variant>
 
 #include "libraries/codec/cbor_writer.h"
 #include "libraries/rpc/call.h"
@@ -10,6 +10,17 @@
 #include "libraries/wire/replication_codec.h"
 
 namespace sumac::daemon {
+namespace {
+
+// True for requests of callers, who are answered at once or soon. Operators and
+// workers get the whole time that they wait for.
+bool IsOfCaller(const jobs::Request& request) {
+  return std::holds_alternative<jobs::SubmitAt>(request) ||
+         std::holds_alternative<jobs::ShowAt>(request) ||
+         std::holds_alternative<jobs::CancelAt>(request);
+}
+
+}  // namespace
 
 JobsLink::JobsLink(ProcessName self,
                    Peers& peers,
@@ -22,6 +33,9 @@
   if (this->local != nullptr && this->local->is_leading()) {
     return this->local->Ask(request);
   }
+  const SearchLimits limits =
+      IsOfCaller(request) ? LimitsFor(limit)
+                          : SearchLimits{.not_run = limit, .total = limit};
   // The request is encoded once for all attempts.
   auto bytes = std::make_shared<std::string>(ToCbor(request));
   auto shared_request = std::make_shared<jobs::Request>(std::move(request));
@@ -29,9 +43,9 @@
       .Run(
           [this, shared_request, bytes](const ProcessName& process,
                                         Milliseconds left) {
-            return this->AskAt(process, *shared_request, *bytes, left);
+            return this->AskAt(process, *shared_request, bytes, left);
           },
-          limit)
+          limits)
       .then([this](fleet::Answer&& answer) {
         if (answer.code == ResultCode::kNoLeader) {
           answer.code = ResultCode::kNoControllerInTime;
@@ -46,7 +60,7 @@
 
 kj::Promise<fleet::Answer> JobsLink::AskAt(const ProcessName& process,
                                            const jobs::Request& request,
-                                           const std::string& bytes,
+                                           std::shared_ptr<std::string> bytes,
                                            Milliseconds limit) {
   if (this->local != nullptr && process == this->self) {
     return this->local->Ask(request);
@@ -55,9 +69,12 @@
   if (channel == nullptr) {
     return fleet::Answer{.code = ResultCode::kNotLeader};
   }
-  auto call = channel->Get<wire::Peer>().askRequest();
-  call.setRequest(wire::ToData(bytes));
-  return rpc::CallForAnswer(*channel, limit, call);
+  return rpc::ConfirmAndCall(
+      *channel, limit, [channel, bytes = std::move(bytes)] {
+        auto call = channel->Get<wire::Peer>().askRequest();
+        call.setRequest(wire::ToData(*bytes));
+        return call;
+      });
 }
 
 }  // namespace sumac::daemon
--- a/services/sumacd/jobs_link.h
+++ b/services/sumacd/jobs_link.h
@@ -5,6 +5,7 @@
 #include <kj/async.h>
 #include <kj/timer.h>
 
+#include <memory>
 #include <string>
 
 #include "libraries/base/names.h"
@@ -32,13 +33,16 @@
   // kSubmissionUnknown otherwise.
   kj::Promise<fleet::Answer> Ask(jobs::Request request, Milliseconds limit);
 
+  // Returns true if no leader can be reached because most controllers can't.
+  bool is_cut_off() const { return this->search.is_cut_off(); }
+
   // Returns when a leader last answered; the clock's epoch if none did.
   SteadyTime last_answer() const { return this->answered_at; }
 
  private:
   kj::Promise<fleet::Answer> AskAt(const ProcessName& process,
                                    const jobs::Request& request,
-                                   const std::string& bytes,
+                                   std::shared_ptr<std::string> bytes,
                                    Milliseconds limit);
 
   ProcessName self;
--- a/services/sumacd/leader_search.cc
+++ b/services/sumacd/leader_search.cc
@@ -18,62 +18,49 @@
 constexpr Milliseconds kRetryPause{50};
 // The pause before the controller is asked that another one named as leader.
 constexpr Milliseconds kHintPause{1};
+// The pause before a leader is asked again that refused a request of which an
+// earlier attempt got no answer.
+constexpr Milliseconds kRefusalPause{200};
 
-bool IsFinal(const fleet::Answer& answer) {
-  return answer.code != ResultCode::kNotLeader &&
-         answer.code != ResultCode::kUnreachable &&
-         answer.code != ResultCode::kTimeout &&
-         answer.code != ResultCode::kNoLeader;
-}
-
-// True if the request was refused temporarily and has not run.
-bool IsRefusal(const fleet::Answer& answer) {
-  constexpr int kTooMany = 429;
-  constexpr int kUnavailable = 503;
-  const ResultInfo& info = InfoFor(answer.code);
-  return info.effect == RunEffect::kNotRun &&
-         (info.http_status == kTooMany || info.http_status == kUnavailable);
-}
-
-// NOTE: A refusal holds only for the controller that gives it. A controller
-// that was asked before and lost its leadership may have the request in its
-// log, and the next leader, which refuses because it has not applied the
-// request yet, may still carry it out.
-fleet::Answer OutcomeUnknown(const std::string& refusal) {
-  return {.code = ResultCode::kTimeout,
-          .message = StrCat("an earlier try got no answer; then: ", refusal)};
+bool IsOfLeader(AttemptResult result) {
+  return result == AttemptResult::kRefused ||
+         result == AttemptResult::kAnswered;
 }
 
 }  // namespace
 
 kj::Promise<fleet::Answer> LeaderSearch::Run(Attempt attempt,
-                                             Milliseconds limit) {
-  return this->TryUntilDeadline(
+                                             SearchLimits limits) {
+  return this->TryUntilOver(
       std::move(attempt),
-      Progress{.deadline = this->clock.SteadyNow() + limit});
+      Progress{.outcome = SubmissionOutcome(limits, this->peers.controllers(),
+                                            this->clock.SteadyNow()),
+               .next_controller = this->next_controller});
 }
 
-ProcessName LeaderSearch::NextController() {
+// Each search asks all controllers in turn, also while others run.
+ProcessName LeaderSearch::NextController(Progress& progress) {
   const auto& controllers = this->peers.controllers();
-  return controllers[this->next_controller++ % controllers.size()];
+  this->next_controller = progress.next_controller + 1;
+  return controllers[progress.next_controller++ % controllers.size()];
 }
 
-kj::Promise<fleet::Answer> LeaderSearch::TryUntilDeadline(Attempt attempt,
-                                                          Progress progress) {
+kj::Promise<fleet::Answer> LeaderSearch::TryUntilOver(Attempt attempt,
+                                                      Progress progress) {
   const SteadyTime now = this->clock.SteadyNow();
-  if (now >= progress.deadline) {
+  if (progress.outcome.IsOver(now)) {
     return fleet::Answer{
-        .code = progress.may_have_run ? ResultCode::kTimeout
-                                      : ResultCode::kNoLeader,
+        .code = progress.outcome.FinalCode(),
         .message =
             StrCat("no controller that leads was reached in time",
                    progress.last_error.empty() ? "" : "; the last said: ",
                    progress.last_error)};
   }
   const ProcessName process = this->known_leader.value().empty()
-                                  ? this->NextController()
+                                  ? this->NextController(progress)
                                   : this->known_leader;
-  const Milliseconds left = std::min(progress.deadline - now, kMaxAttemptTime);
+  const Milliseconds left =
+      std::min(progress.outcome.TimeLeft(now), kMaxAttemptTime);
   kj::Promise<fleet::Answer> answered = attempt(process, left);
   return answered
       .catch_([](kj::Exception&& exception) {
@@ -84,25 +71,30 @@
              progress = std::move(progress)](
                 fleet::Answer&& answer) mutable -> kj::Promise<fleet::Answer> {
         this->UpdateLeader(process, answer);
-        if (IsFinal(answer)) {
-          return progress.may_have_run && IsRefusal(answer)
-                     ? OutcomeUnknown(answer.message)
-                     : kj::mv(answer);
+        const AttemptResult result = ResultOf(answer);
+        const auto next = progress.outcome.Record(process, result);
+        this->cut_off = !IsOfLeader(result) &&
+                        (this->cut_off || progress.outcome.IsCutOff());
+        if (next == SubmissionOutcome::Next::kReturnAnswer) {
+          return kj::mv(answer);
         }
-        progress.may_have_run = progress.may_have_run ||
-                                answer.code == ResultCode::kUnreachable ||
-                                answer.code == ResultCode::kTimeout;
         progress.last_error = answer.message;
-        const bool has_hint = !this->known_leader.value().empty();
-        return this->timer.afterDelay(ToKj(has_hint ? kHintPause : kRetryPause))
+        return this->timer.afterDelay(ToKj(this->PauseAfter(result)))
             .then([this, attempt = std::move(attempt),
                    progress = std::move(progress)]() mutable {
-              return this->TryUntilDeadline(std::move(attempt),
-                                            std::move(progress));
+              return this->TryUntilOver(std::move(attempt),
+                                        std::move(progress));
             });
       });
 }
 
+Milliseconds LeaderSearch::PauseAfter(AttemptResult result) const {
+  if (result == AttemptResult::kRefused) {
+    return kRefusalPause;
+  }
+  return this->known_leader.value().empty() ? kRetryPause : kHintPause;
+}
+
 void LeaderSearch::UpdateLeader(const ProcessName& process,
                                 const fleet::Answer& answer) {
   if (answer.code == ResultCode::kNotLeader) {
@@ -110,7 +102,7 @@
     // yet.
     const bool is_hint = answer.message != process.value();
     this->known_leader = ProcessName(is_hint ? answer.message : "");
-  } else if (IsFinal(answer)) {
+  } else if (IsOfLeader(ResultOf(answer))) {
     this->known_leader = process;
   } else {
     this->known_leader = ProcessName();
--- a/services/sumacd/leader_search.h
+++ b/services/sumacd/leader_search.h
@@ -5,13 +5,16 @@
 #include <kj/async.h>
 #include <kj/timer.h>
 
+#include <cstddef>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
 #include "libraries/fleet/answer.h"
 #include "services/sumacd/peers.h"
+#include "services/sumacd/submission_outcome.h"
 
 namespace sumac::daemon {
 
@@ -22,15 +25,29 @@
  public:
   // Sends the request to one controller with a time limit. Another attempt
   // follows the codes kNotLeader (the message may name the leader), kNoLeader,
-  // kUnreachable and kTimeout; all other codes are final.
+  // kNoControllerInTime (nothing was written), kUnreachable and kTimeout (the
+  // request may run), and a refusal after one of the last two; all other
+  // answers are final.
   using Attempt = std::function<kj::Promise<fleet::Answer>(const ProcessName&,
                                                            Milliseconds)>;
 
   LeaderSearch(Peers& peers, kj::Timer& timer) : peers(peers), timer(timer) {}
 
-  // Returns the first final answer. After the time limit the code is kNoLeader,
-  // or kTimeout if an attempt without an answer may have been carried out.
-  kj::Promise<fleet::Answer> Run(Attempt attempt, Milliseconds limit);
+  // Returns the first final answer. When the search is over without one, the
+  // code is kNoLeader, or kTimeout if an attempt without an answer may have
+  // been carried out. A search for which nothing was written ends early if no
+  // controller can be reached at all.
+  kj::Promise<fleet::Answer> Run(Attempt attempt, SearchLimits limits);
+
+  // Does the same with one limit, whether or not the request may have run.
+  kj::Promise<fleet::Answer> Run(Attempt attempt, Milliseconds limit) {
+    return this->Run(std::move(attempt),
+                     SearchLimits{.not_run = limit, .total = limit});
+  }
+
+  // Returns true if no leader has answered since a search found that most
+  // controllers can't be reached.
+  bool is_cut_off() const { return this->cut_off; }
 
   // Returns the last known leader, or an empty name if it is unknown.
   const ProcessName& leader() const { return this->known_leader; }
@@ -38,22 +55,24 @@
  private:
   // The results of the attempts so far.
   struct Progress {
-    SteadyTime deadline{};
+    SubmissionOutcome outcome;
     std::string last_error;
-    // True if an attempt got no answer, so that the request may have been
-    // carried out.
-    bool may_have_run = false;
+    // The position of the controller to ask next while no leader is known.
+    std::size_t next_controller = 0;
   };
 
-  kj::Promise<fleet::Answer> TryUntilDeadline(Attempt attempt,
-                                              Progress progress);
+  kj::Promise<fleet::Answer> TryUntilOver(Attempt attempt, Progress progress);
+  // Returns the pause before the attempt that follows this result.
+  Milliseconds PauseAfter(AttemptResult result) const;
   void UpdateLeader(const ProcessName& process, const fleet::Answer& answer);
-  ProcessName NextController();
+  ProcessName NextController(Progress& progress);
 
   Peers& peers;
   kj::Timer& timer;
   SystemClock clock;
   ProcessName known_leader;
+  bool cut_off = false;
+  // The position of the controller that the next search asks first.
   std::size_t next_controller = 0;
 };
 
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -364,7 +364,7 @@
 }
 
 bool NodeDaemon::IsReady() const {
-  return !this->is_stopping &&
+  return !this->is_stopping && !this->link->is_cut_off() &&
          this->clock.SteadyNow() - this->link->last_answer() <
              kLeaderContactTimeout;
 }
--- a/services/sumacd/node_peer_service.cc
+++ b/services/sumacd/node_peer_service.cc
@@ -26,6 +26,13 @@
   return kj::READY_NOW;
 }
 
+// Also the probe by which other processes learn that this one answers.
+kj::Promise<void> NodePeerService::leader(LeaderContext context) {
+  context.getResults().setProcess(
+      this->controller.replica_host().KnownLeader().value());
+  return kj::READY_NOW;
+}
+
 kj::Promise<void> NodePeerService::ask(AskContext context) {
   const auto request = FromCbor<jobs::Request>(
       wire::ToString(context.getParams().getRequest()), "request");
--- a/services/sumacd/node_peer_service.h
+++ b/services/sumacd/node_peer_service.h
@@ -17,6 +17,7 @@
   kj::Promise<void> replicate(ReplicateContext context) override;
   kj::Promise<void> join(JoinContext context) override;
   kj::Promise<void> handOver(HandOverContext context) override;
+  kj::Promise<void> leader(LeaderContext context) override;
   kj::Promise<void> ask(AskContext context) override;
   kj::Promise<void> openRelay(OpenRelayContext context) override;
 
--- a/tests/platform/request_handlers_test.cc
+++ b/tests/platform/request_handlers_test.cc
@@ -184,6 +184,23 @@
   EXPECT_GT(this->limit, Milliseconds(0));
 }
 
+// The outcome of a submission without an answer can still be learned from the
+// next leader until the caller gives up.
+TEST_F(RequestHandlersTest, AlmostTheWholeDeadlineIsLeftForTheSearch) {
+  this->Call(kj::HttpMethod::POST, kJob, "3000");
+  EXPECT_GE(this->limit, Milliseconds(2'800));
+  EXPECT_LT(this->limit, Milliseconds(3'000));
+  for (const char* deadline : {"9223372036854775807", "3600000"}) {
+    this->Call(kj::HttpMethod::POST, kJob, deadline);
+    EXPECT_LE(this->limit, Milliseconds(30'000)) << deadline;
+    EXPECT_GT(this->limit, Milliseconds(20'000)) << deadline;
+  }
+  for (const char* deadline : {"-9223372036854775808", "-1", "0"}) {
+    this->Call(kj::HttpMethod::POST, kJob, deadline);
+    EXPECT_EQ(this->limit, Milliseconds(1)) << deadline;
+  }
+}
+
 // A caller with little time left still needs an answer from the leader. If the
 // whole time for the way back were subtracted, the request would be given up
 // after 1 ms and the caller told that the job may run.
--- a/tests/services/sumacd/leader_search_test.cc
+++ b/tests/services/sumacd/leader_search_test.cc
@@ -15,10 +15,14 @@
 // The time limit of a request; long enough to ask all controllers several
 // times. Only codes are checked.
 constexpr Milliseconds kLimit{200};
+// A limit that no test reaches.
+constexpr Milliseconds kNever{600'000};
 
 class LeaderSearchTest : public testing::Test {
  protected:
-  fleet::Answer Run(LeaderSearch::Attempt attempt) {
+  fleet::Answer Run(LeaderSearch::Attempt attempt,
+                    SearchLimits limits = {.not_run = kLimit,
+                                           .total = kLimit}) {
     return this->parts->search
         .Run(
             [this, attempt = std::move(attempt)](const ProcessName& process,
@@ -26,7 +30,7 @@
               this->asked.push_back(process.value());
               return attempt(process, left);
             },
-            kLimit)
+            limits)
         .wait(this->parts->io.waitScope);
   }
 
@@ -136,5 +140,113 @@
   EXPECT_EQ(this->asked.size(), 2U);
 }
 
+// Guards against callers who are told that the outcome is unknown, and so may
+// not try again, although no byte of their request left the process.
+TEST_F(LeaderSearchTest, AttemptsThatWereNotWrittenLeaveNothingUnknown) {
+  const fleet::Answer answer =
+      this->Run([this](const ProcessName& /*process*/,
+                       Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+        return fleet::Answer{.code = this->asked.size() % 2 == 1
+                                         ? ResultCode::kNoControllerInTime
+                                         : ResultCode::kNotLeader};
+      });
+  EXPECT_EQ(answer.code, ResultCode::kNoLeader);
+}
+
+// A process that is cut off with nobody to ask says so without waiting.
+TEST_F(LeaderSearchTest, ARequestThatReachesNobodyIsRefusedAtOnce) {
+  const fleet::Answer answer = this->Run(
+      [](const ProcessName& /*process*/,
+         Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+        return fleet::Answer{.code = ResultCode::kNoControllerInTime};
+      },
+      {.not_run = kNever, .total = kNever});
+  EXPECT_EQ(answer.code, ResultCode::kNoLeader);
+  EXPECT_EQ(this->asked, (std::vector<std::string>{"c1", "c2", "c3"}));
+  EXPECT_TRUE(this->parts->search.is_cut_off());
+}
+
+// A minority that can be reached does not lead.
+TEST_F(LeaderSearchTest, ARequestThatReachesAMinorityIsRefusedAtOnce) {
+  const auto attempt = [](const ProcessName& process,
+                          Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+    return fleet::Answer{.code = process.value() == "c2"
+                                     ? ResultCode::kNotLeader
+                                     : ResultCode::kNoControllerInTime};
+  };
+  EXPECT_EQ(this->Run(attempt, {.not_run = kNever, .total = kNever}).code,
+            ResultCode::kNoLeader);
+  EXPECT_EQ(this->asked, (std::vector<std::string>{"c1", "c2", "c3"}));
+  EXPECT_TRUE(this->parts->search.is_cut_off());
+}
+
+TEST_F(LeaderSearchTest, AnAnswerOfALeaderEndsACut) {
+  const auto cut = [](const ProcessName& /*process*/,
+                      Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+    return fleet::Answer{.code = ResultCode::kNoControllerInTime};
+  };
+  this->Run(cut, {.not_run = kNever, .total = kNever});
+  ASSERT_TRUE(this->parts->search.is_cut_off());
+  this->Run([](const ProcessName& /*process*/,
+               Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+    return fleet::Answer::Success("done");
+  });
+  EXPECT_FALSE(this->parts->search.is_cut_off());
+}
+
+// During an election the request is refused while its caller still has time for
+// another try.
+TEST_F(LeaderSearchTest, ARequestThatHasNotRunIsRefusedBeforeItsDeadline) {
+  const fleet::Answer answer = this->Run(
+      [](const ProcessName& /*process*/,
+         Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+        return fleet::Answer{.code = ResultCode::kNotLeader};
+      },
+      {.not_run = kLimit, .total = kNever});
+  EXPECT_EQ(answer.code, ResultCode::kNoLeader);
+}
+
+// The next leader knows whether it has the job, so the search goes on for as
+// long as the caller waits.
+TEST_F(LeaderSearchTest, AnUnansweredSubmissionIsAcceptedByTheNextLeader) {
+  const fleet::Answer answer = this->Run(
+      [this](const ProcessName& /*process*/,
+             Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+        constexpr std::size_t kElectedAfter = 12;
+        if (this->asked.size() == 1) {
+          return fleet::Answer{.code = ResultCode::kTimeout};
+        }
+        if (this->asked.size() < kElectedAfter) {
+          return fleet::Answer{.code = this->asked.size() % 2 == 0
+                                           ? ResultCode::kNoControllerInTime
+                                           : ResultCode::kNotLeader};
+        }
+        return fleet::Answer::Success("accepted before");
+      },
+      {.not_run = Milliseconds(1), .total = kNever});
+  EXPECT_TRUE(answer.is_ok());
+}
+
+// A leader that has no room for a job asks for no second one once it has
+// applied the entry of the job.
+TEST_F(LeaderSearchTest, ARefusalAfterAnUnansweredAttemptIsAskedAgain) {
+  const fleet::Answer answer = this->Run(
+      [this](const ProcessName& /*process*/,
+             Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+        switch (this->asked.size()) {
+          case 1:
+            return fleet::Answer{.code = ResultCode::kTimeout};
+          case 2:
+            return fleet::Answer{.code = ResultCode::kOverloaded};
+          default:
+            return fleet::Answer::Success("accepted before");
+        }
+      },
+      {.not_run = Milliseconds(1), .total = kNever});
+  EXPECT_TRUE(answer.is_ok());
+  EXPECT_EQ(this->asked.size(), 3U);
+  EXPECT_EQ(this->asked[2], this->asked[1]);
+}
+
 }  // namespace
 }  // namespace sumac::daemon
