Http: Take a request for given up although bytes of its client are left

ServerRequest::is_awaited peeked at one byte. A client that sent a further request and then closed its side counted as waiting, so an old copy of an operator's order could have been carried out. The system is now asked for the end of the client's data itself (POLLRDHUP).

Ruled out: a reset connection. kj destroys the handler's promise then, and the order with it; the header says so, and that a client which ends only its sending side counts as gone.

--- a/libraries/http/async_http_server.cc
+++ b/libraries/http/async_http_server.cc
@@ -2,7 +2,7 @@
 #include "libraries/http/async_http_server.h"
 
 #include <Poco/Net/HTTPResponse.h>
-#include <sys/socket.h>
+#include <poll.h>
 
 #include <limits>
 #include <optional>
@@ -98,11 +98,13 @@
 };
 
 // NOTE: kj reports the end of the client's data only to a reader, and nobody
-// reads while a request is being answered.
+// reads while a request is being answered. The system is asked for the end
+// itself, since a read would return what the client sent before it.
 bool AsyncHttpServer::Session::IsClientConnected() const {
   KJ_IF_MAYBE (socket, this->descriptor) {
-    char byte = 0;
-    return ::recv(*socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) != 0;
+    pollfd state{.fd = *socket, .events = POLLRDHUP};
+    constexpr short kGone = POLLRDHUP | POLLHUP | POLLERR;
+    return ::poll(&state, 1, 0) <= 0 || (state.revents & kGone) == 0;
   }
   return true;
 }
