Tests: Show each guard of an evacuation, and draw evacuations beside failures

The guards against a start in an evacuated data centre had tests for a plain pass, a new leader and a new worker only.

RelayedCallsTest shows the relay's refusal. FakeFleet fails any test that orders a start in an evacuated data centre.

--- a/tests/libraries/relay/relayed_calls_test.cc
+++ b/tests/libraries/relay/relayed_calls_test.cc
@@ -24,16 +24,26 @@
     ++count;
     return scheduler::RenewAnswer{.result = scheduler::OrderResult::kDone};
   };
-  return {.renew = renew,
-          .request_report = renew,
-          .forget = [](const WorkerId&) {}};
+  return {
+      .renew = renew,
+      .request_report = renew,
+      .send = [&count](const scheduler::Order&)
+          -> kj::Promise<scheduler::OrderAnswer> {
+        ++count;
+        return scheduler::OrderAnswer{.result = scheduler::OrderResult::kDone};
+      },
+      .forget = [](const WorkerId&) {}};
 }
 
-// A relay that accepts all calls, but makes none while `sends` is false.
+// A relay that accepts all calls, but makes none while `sends` is false, and no
+// starts while `may_start` is false.
 class FakePeer final : public wire::Peer::Server {
  public:
-  FakePeer(int& count, const bool& sends, kj::Timer& timer)
-      : count(count), sends(sends), timer(timer) {}
+  FakePeer(int& count,
+           const bool& sends,
+           const bool& may_start,
+           kj::Timer& timer)
+      : count(count), sends(sends), may_start(may_start), timer(timer) {}
 
   kj::Promise<void> openRelay(OpenRelayContext context) override {
     auto results = context.getResults();
@@ -41,7 +51,9 @@
         OwnedWorkerCalls{nullptr, CountingCalls(this->count)},
         context.getParams().getAnswers(), LeaderEpoch(1), this->timer,
         RelayService::Host{
-            .is_current = [this](LeaderEpoch) { return this->sends; }}));
+            .is_current = [this](LeaderEpoch) { return this->sends; },
+            .may_start_on =
+                [this](const WorkerId&) { return this->may_start; }}));
     results.setClockMs(SystemClock().SteadyNow().time_since_epoch().count());
     return kj::READY_NOW;
   }
@@ -49,6 +61,7 @@
  private:
   int& count;
   const bool& sends;
+  const bool& may_start;
   kj::Timer& timer;
 };
 
@@ -57,8 +70,8 @@
   RelayedCallsTest() : io(kj::setupAsyncIo()) {
     kj::Network& network = this->io.provider->getNetwork();
     kj::Timer& timer = this->io.provider->getTimer();
-    this->server = std::make_unique<capnp::TwoPartyServer>(
-        kj::heap<FakePeer>(this->by_relay, this->relay_sends, timer));
+    this->server = std::make_unique<capnp::TwoPartyServer>(kj::heap<FakePeer>(
+        this->by_relay, this->relay_sends, this->relay_may_start, timer));
     auto address = network.parseAddress("127.0.0.1").wait(this->io.waitScope);
     this->receiver = address->listen();
     this->listening =
@@ -100,10 +113,15 @@
         .result;
   }
 
+  scheduler::OrderResult Send(const scheduler::Order& order) {
+    return this->calls->Send(order).wait(this->io.waitScope).result;
+  }
+
   kj::AsyncIoContext io;
   int by_relay = 0;
   int by_leader = 0;
   bool relay_sends = true;
+  bool relay_may_start = true;
   std::unique_ptr<capnp::TwoPartyServer> server;
   kj::Own<kj::ConnectionReceiver> receiver;
   kj::Promise<void> listening = nullptr;
@@ -133,5 +151,28 @@
   EXPECT_EQ(this->by_leader, 1);
 }
 
+// The leader may be slow to apply an evacuation, or may be an earlier one.
+TEST_F(RelayedCallsTest, ARelaySendsNoStartToADataCentreItKnowsAsEvacuated) {
+  this->OpenRelay();
+  this->relay_may_start = false;
+  const jobs::TaskId task{{JobId("j"), 0, 0}, 0};
+  EXPECT_EQ(this->Send(
+                scheduler::StartOrder{.worker = WorkerId("w-1"), .task = task}),
+            scheduler::OrderResult::kNotSent);
+  EXPECT_EQ(this->by_relay + this->by_leader, 0);
+}
+
+// What runs in an evacuated data centre is renewed and can be stopped.
+TEST_F(RelayedCallsTest, ARelaySendsAllButStartsThere) {
+  this->OpenRelay();
+  this->relay_may_start = false;
+  const jobs::TaskId task{{JobId("j"), 0, 0}, 0};
+  EXPECT_EQ(this->Renew(), scheduler::OrderResult::kDone);
+  EXPECT_EQ(
+      this->Send(scheduler::StopOrder{.worker = WorkerId("w-1"), .task = task}),
+      scheduler::OrderResult::kDone);
+  EXPECT_EQ(this->by_relay, 2);
+}
+
 }  // namespace
 }  // namespace sumac::relay
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -604,10 +604,27 @@
   const auto fail = [answer](OrderResult result) {
     answer({.result = result});
   };
-  return this->carrier && this->carrier->carry(id, {carry_out, fail});
+  return this->carrier &&
+         this->carrier->carry(
+             id, {.carry_out = carry_out,
+                  .fail = fail,
+                  .on_sent = [this, order] { this->CheckDataCentre(order); },
+                  .is_start = std::holds_alternative<StartOrder>(order)});
+}
+
+void FakeFleet::CheckDataCentre(const Order& order) {
+  const auto* start = std::get_if<StartOrder>(&order);
+  const jobs::Worker* worker =
+      start == nullptr ? nullptr : this->state.FindWorker(start->worker);
+  if (worker != nullptr && !this->state.IsInUse(worker->data_centre)) {
+    this->problem = StrCat(start->task.ToText(), "#", start->run.value(),
+                           " was ordered in the evacuated data centre ",
+                           worker->data_centre.value());
+  }
 }
 
 void FakeFleet::Send(const Order& order) {
+  this->CheckDataCentre(order);
   if (this->CarryOrder(order)) {
     return;
   }
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -24,6 +24,10 @@
   std::function<std::function<void()>()> carry_out;
   // Reports another outcome to the leader.
   std::function<void(OrderResult)> fail;
+  // Called when the other process sends the call.
+  std::function<void()> on_sent = [] {};
+  // Whether the call starts a task.
+  bool is_start = false;
 };
 
 // The processes between a leader and its workers.
@@ -219,6 +223,8 @@
   void AnnounceUnknown();
   void RequestReport(const RenewOrder& order);
   void Advise(const AdviceQuestion& question);
+  // Checks that a start that leaves a process goes to a data centre in use.
+  void CheckDataCentre(const Order& order);
   void CheckStart(const StartOrder& order);
   void CheckQuota(const StartOrder& order);
   void CheckRoom(const WorkerId& id);
--- a/tests/libraries/scheduler/fake_relays.cc
+++ b/tests/libraries/scheduler/fake_relays.cc
@@ -109,11 +109,12 @@
 }
 
 void FakeRelays::Release(const Relay& relay, Call& call, SteadyTime now) {
-  if (now >= call.expires) {
+  if (!this->MaySend(call, now)) {
     call.stage = Stage::kAnswered;
     call.answer = [fail = call.body.fail] { fail(OrderResult::kNotSent); };
     return;
   }
+  call.body.on_sent();
   call.stage = Stage::kSent;
   call.unanswered_at = now + kWorkerLimit;
   call.arrives_at = now + this->Draw(kLongestWay);
@@ -123,6 +124,11 @@
   }
 }
 
+bool FakeRelays::MaySend(const Call& call, SteadyTime now) const {
+  return now < call.expires &&
+         (!call.body.is_start || this->may_start_on(call.worker));
+}
+
 // A call whose connection broke is carried out late, or never.
 void FakeRelays::Delay(Call& call, SteadyTime now) {
   const bool is_lost = this->Draw(Milliseconds(1)) == Milliseconds(0);
@@ -161,8 +167,11 @@
   this->Close(number, now);
   for (Call& call : relay.calls) {
     const bool is_under_way = call.arrives_at != SteadyTime::max();
-    const bool may_leave =
-        call.stage == Stage::kHeld && !relay.is_paused && now < call.expires;
+    const bool may_leave = call.stage == Stage::kHeld && !relay.is_paused &&
+                           this->MaySend(call, now);
+    if (may_leave) {
+      call.body.on_sent();
+    }
     if (is_under_way || may_leave) {
       this->Delay(call, now);
     }
--- a/tests/libraries/scheduler/fake_relays.h
+++ b/tests/libraries/scheduler/fake_relays.h
@@ -45,6 +45,12 @@
   // Ends the leadership of the present leader and begins the next one.
   void ChangeLeader(SteadyTime now);
 
+  // Returns false if nothing may be started on the worker, as far as the relays
+  // know.
+  std::function<bool(const WorkerId&)> may_start_on = [](const WorkerId&) {
+    return true;
+  };
+
   // The number of calls that were carried out after their relay was lost.
   std::uint64_t late_calls() const { return this->late_call_count; }
 
@@ -92,6 +98,7 @@
   void StepRelay(std::size_t number, SteadyTime now);
   void Release(const Relay& relay, Call& call, SteadyTime now);
   void Delay(Call& call, SteadyTime now);
+  bool MaySend(const Call& call, SteadyTime now) const;
   void CarryOut(Call& call);
   void Answer(std::size_t number, Call& call, SteadyTime now);
   Milliseconds Draw(Milliseconds most);
--- a/tests/libraries/scheduler/run_history.cc
+++ b/tests/libraries/scheduler/run_history.cc
@@ -33,7 +33,10 @@
                                "pause-relay",
                                "lose-relay",
                                "cut-relay",
-                               "move-calls"};
+                               "move-calls",
+                               "evacuate",
+                               "return-to-use",
+                               "delay-order"};
 
 }  // namespace
 
@@ -78,6 +81,19 @@
           },
       .step = [this] { this->relays->Step(this->fleet.now); },
       .change_leader = [this] { this->relays->ChangeLeader(this->fleet.now); }};
+  this->relays->may_start_on = [this](const WorkerId& id) {
+    const jobs::Worker* worker = this->fleet.state.FindWorker(id);
+    return worker == nullptr || this->fleet.state.IsInUse(worker->data_centre);
+  };
+}
+
+void RunHistory::UseDataCentres() {
+  for (int number = 0; number < kHistoryWorkers; ++number) {
+    FakeWorker& worker = this->IncarnationOn(number);
+    worker.description.data_centre = DataCentre("dc" + std::to_string(number));
+    ++worker.description.sequence;
+    this->fleet.Commit(jobs::RecordWorker{worker.description});
+  }
 }
 
 void RunHistory::PassTime(Milliseconds time) {
@@ -118,7 +134,8 @@
   FakeWorker& before = this->IncarnationOn(number);
   before.Crash();
   const std::string life = "life" + std::to_string(this->next_incarnation++);
-  this->fleet.AddWorker(life, before.description.instance.value());
+  this->fleet.AddWorker(life, before.description.instance.value(), "r1",
+                        "previews", before.description.data_centre.value());
   this->incarnations.at(number) = life;
 }
 
@@ -145,6 +162,41 @@
   }
 }
 
+// Changes the use of the worker's data centre, or delivers a copy of an earlier
+// order that was delayed. The copy changes nothing once another order came.
+void RunHistory::ChangeDataCentre(const HistoryEvent& event) {
+  const DataCentre& name =
+      this->IncarnationOn(event.worker).description.data_centre;
+  if (event.kind == EventKind::kDelayOrder) {
+    if (!this->data_centre_orders.empty()) {
+      this->fleet.Commit(
+          this->data_centre_orders.at(static_cast<std::size_t>(event.amount) %
+                                      this->data_centre_orders.size()));
+    }
+    return;
+  }
+  const bool is_evacuation = event.kind == EventKind::kEvacuate;
+  const jobs::ChangeDataCentre order{
+      .data_centre = name,
+      .use = is_evacuation ? jobs::DataCentreUse::kEvacuated
+                           : jobs::DataCentreUse::kInUse,
+      .expected_version = this->fleet.state.FindDataCentre(name).version};
+  if (this->fleet.Commit(order).is_ok()) {
+    if (is_evacuation) {
+      this->evacuated.insert(name);
+    } else {
+      this->evacuated.erase(name);
+    }
+  }
+  this->data_centre_orders.push_back(order);
+}
+
+void RunHistory::CheckDataCentres() {
+  if (this->evacuated != this->fleet.state.evacuated_data_centres()) {
+    this->data_centre_problem = "a delayed order changed a data centre's use";
+  }
+}
+
 void RunHistory::HarmRelay(const HistoryEvent& event) {
   constexpr int kHalf = 50;
   const std::size_t relay =
@@ -255,6 +307,12 @@
     case EventKind::kMoveCalls:
       this->HarmRelay(event);
       break;
+    case EventKind::kEvacuate:
+    case EventKind::kReturnToUse:
+    case EventKind::kDelayOrder:
+      this->ChangeDataCentre(event);
+      this->CheckDataCentres();
+      break;
   }
   this->PassTime(Milliseconds(event.pause_ms));
 }
@@ -275,6 +333,10 @@
     this->relays->Resume(relay);
     this->relays->Heal(relay);
   }
+  for (const DataCentre& name : this->evacuated) {
+    this->fleet.ChangeDataCentre(name.value(), jobs::DataCentreUse::kInUse);
+  }
+  this->evacuated.clear();
   this->cordoned.clear();
   this->fleet.scheduler->SetCordoned({});
   for (const JobId& job : this->long_running_jobs) {
--- a/tests/libraries/scheduler/run_history.h
+++ b/tests/libraries/scheduler/run_history.h
@@ -47,6 +47,9 @@
   kLoseRelay,
   kCutRelay,
   kMoveCalls,
+  kEvacuate,
+  kReturnToUse,
+  kDelayOrder,
 };
 
 struct HistoryEvent {
@@ -75,6 +78,9 @@
   // Sends most calls through relays from now on.
   void UseRelays();
 
+  // Puts each worker in a data centre of its own.
+  void UseDataCentres();
+
   // Applies an event and lets the time after it pass.
   void ApplyEvent(const HistoryEvent& event);
 
@@ -86,7 +92,8 @@
 
   // The violations that were found; empty if there are none.
   std::string problem() const {
-    return this->fleet.problem + this->ledger.problem + this->budgets.problem;
+    return this->fleet.problem + this->ledger.problem + this->budgets.problem +
+           this->data_centre_problem;
   }
   // The number of stops of tasks with a disruption budget.
   std::uint64_t budgeted_stops() const { return this->budgets.stops; }
@@ -105,6 +112,8 @@
   void AnnounceLate(const FakeWorker& present);
   void HarmRelay(const HistoryEvent& event);
   void Refuse(std::optional<OrderResult>& refusal, int amount);
+  void ChangeDataCentre(const HistoryEvent& event);
+  void CheckDataCentres();
 
   std::uint64_t seed;
   FakeFleet fleet;
@@ -116,6 +125,11 @@
   int next_incarnation = 0;
   std::vector<JobId> long_running_jobs;
   std::set<InstanceName> cordoned;
+  // The data centres that are evacuated by the orders that were acknowledged.
+  std::set<DataCentre> evacuated;
+  // The orders so far, of which delayed copies may arrive.
+  std::vector<jobs::ChangeDataCentre> data_centre_orders;
+  std::string data_centre_problem;
   // Incarnations that were followed by another one of the same name.
   std::vector<std::string> earlier_incarnations;
   // The present incarnation on each instance.
--- a/tests/libraries/scheduler/run_uniqueness_property_test.cc
+++ b/tests/libraries/scheduler/run_uniqueness_property_test.cc
@@ -7,13 +7,12 @@
 #include <cstdint>
 #include <vector>
 
+#include "tests/libraries/scheduler/history_generator.h"
 #include "tests/libraries/scheduler/run_history.h"
 
 namespace sumac::scheduler {
 namespace {
 
-constexpr int kMaxHistoryEvents = 40;
-
 // The events of most histories. Jobs and changes of leader are more frequent
 // than the rest.
 std::vector<EventKind> CommonKinds() {
@@ -46,26 +45,6 @@
   return kinds;
 }
 
-rc::Gen<std::vector<HistoryEvent>> GenerateHistory(
-    const std::vector<EventKind>& kinds) {
-  constexpr int kWhole = 100;
-  constexpr int kLongestPause = 400;
-  return rc::gen::resize(
-      kMaxHistoryEvents,
-      rc::gen::container<std::vector<HistoryEvent>>(
-          rc::gen::build<HistoryEvent>(
-              rc::gen::set(&HistoryEvent::kind, rc::gen::elementOf(kinds)),
-              rc::gen::set(&HistoryEvent::worker,
-                           rc::gen::inRange(0, kHistoryWorkers)),
-              rc::gen::set(&HistoryEvent::amount,
-                           rc::gen::resize(rc::kNominalSize,
-                                           rc::gen::inRange(0, kWhole))),
-              rc::gen::set(
-                  &HistoryEvent::pause_ms,
-                  rc::gen::resize(rc::kNominalSize,
-                                  rc::gen::inRange(0, kLongestPause))))));
-}
-
 enum class Leases { kLong, kShort };
 enum class Calls { kByTheLeader, kByRelays };
 
