--- a/libraries/rpc/call.h
+++ b/libraries/rpc/call.h
@@ -27,26 +27,34 @@
   }));
 }
 
-// Does the same, but asks first whether the peer answers, and returns the code
-// kNoControllerInTime if nothing of the request was written. `make_request`
+// Does the same, but returns the code kNoControllerInTime if nothing of the
+// request was written, because the connection was never open. `make_request`
 // creates the request.
 template <typename MakeRequest>
+kj::Promise<fleet::Answer> CallIfConnected(Channel& channel,
+                                           Milliseconds limit,
+                                           const MakeRequest& make_request) {
+  const auto state = channel.state();
+  auto request = make_request();
+  return CallForAnswer(channel, limit, request)
+      .catch_([state](kj::Exception&& exception) -> kj::Promise<fleet::Answer> {
+        if (state->was_opened) {
+          return kj::mv(exception);
+        }
+        return fleet::Answer{.code = ResultCode::kNoControllerInTime,
+                             .message = exception.getDescription().cStr()};
+      });
+}
+
+// Does the same, but also asks first whether the peer answers, unless it has
+// just answered.
+template <typename MakeRequest>
 kj::Promise<fleet::Answer> ConfirmAndCall(Channel& channel,
                                           Milliseconds limit,
                                           MakeRequest make_request) {
-  const auto call = [&channel, make_request = std::move(make_request)](
-                        Milliseconds left) -> kj::Promise<fleet::Answer> {
-    const auto state = channel.state();
-    auto request = make_request();
-    return CallForAnswer(channel, left, request)
-        .catch_([state](
-                    kj::Exception&& exception) -> kj::Promise<fleet::Answer> {
-          if (state->was_opened) {
-            return kj::mv(exception);
-          }
-          return fleet::Answer{.code = ResultCode::kNoControllerInTime,
-                               .message = exception.getDescription().cStr()};
-        });
+  const auto call = [&channel, make_request =
+                                   std::move(make_request)](Milliseconds left) {
+    return CallIfConnected(channel, left, make_request);
   };
   if (channel.IsFresh()) {
     return call(limit);
