--- a/services/sumacd/jobs_link.cc
+++ b/services/sumacd/jobs_link.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/jobs_link.h"
 
+#include <algorithm>
+#include <memory>
 #include <utility>
 #include <variant>
 
