--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -30,7 +30,7 @@
 }  // namespace
 
 Scheduler::Scheduler(const jobs::JobsState& state,
-                     SchedulerSettings settings,
+                     const SchedulerSettings& settings,
                      SteadyTime now)
     : state(state),
       settings(settings),
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -151,7 +151,7 @@
   // Begins a leadership at `now`. Tasks of jobs that are active at this time
   // may already be running somewhere.
   Scheduler(const jobs::JobsState& state,
-            SchedulerSettings settings,
+            const SchedulerSettings& settings,
             SteadyTime now);
 
   // Updates the sessions of workers whose records were added, changed or
