--- a/schemas/operator.capnp
+++ b/schemas/operator.capnp
@@ -53,4 +53,9 @@
   # Answers once every entry that is alive acts on this version of the view, or after waitMs; the
   # document names those that do, those that lag and those that are silent.
   inForce @14 (version :UInt64, waitMs :UInt32) -> (result :Result);
+  # Takes a data centre out of use, or returns it to use; controllers take it. The call is over when
+  # its client is gone. Without force, an evacuation that leaves nothing in use, or a pool without
+  # workers, is refused.
+  evacuate @15 (identity :Identity, dataCentre :Text, force :Bool) -> (result :Result);
+  restore @16 (identity :Identity, dataCentre :Text) -> (result :Result);
 }
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -13,7 +13,9 @@
 #include "libraries/codec/cbor_reader.h"
 #include "libraries/codec/cbor_writer.h"
 #include "libraries/log/json_log.h"
+#include "services/sumacd/data_centre_queries.h"
 #include "services/sumacd/job_queries.h"
+#include "services/sumacd/order_gate.h"
 
 namespace sumac::daemon {
 namespace {
@@ -139,6 +141,19 @@
   this->metrics.SetGauge("sumac_applied_index", [this] {
     return static_cast<double>(this->host->applied_index().value());
   });
+  for (const DataCentre& name : this->settings.data_centres) {
+    this->metrics.SetGauge(
+        StrCat("sumac_data_centre_evacuated{data_centre=\"", name.value(),
+               "\"}"),
+        [this, name] { return this->jobs_state.IsInUse(name) ? 0.0 : 1.0; });
+    this->metrics.SetGauge(
+        StrCat("sumac_data_centre_runs{data_centre=\"", name.value(), "\"}"),
+        [this, name] {
+          return this->scheduler
+                     ? static_cast<double>(CountRunsIn(*this->scheduler, name))
+                     : 0.0;
+        });
+  }
   for (const scheduler::WaitingReason reason : scheduler::kWaitingReasons) {
     this->metrics.SetGauge(
         StrCat("sumac_waiting_tasks{reason=\"", NameOf(reason), "\"}"),
@@ -329,7 +344,11 @@
     this->load.CountWorkItem(WorkItem::kWorkerEnd);
   }
   const std::vector<JobId> affected_jobs = this->ActiveJobsOf(stamped->command);
+  const auto* change = std::get_if<jobs::ChangeDataCentre>(&stamped->command);
   fleet::Answer answer = this->jobs_state.Apply(*stamped);
+  if (change != nullptr) {
+    LogDataCentreChange(this->jobs_state, *change, answer);
+  }
   this->LogFinishedJobs(affected_jobs);
   return answer;
 }
@@ -620,7 +639,8 @@
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::Show& request) {
   return AnswerQuery(
-      JobSources{this->jobs_state, *this->scheduler, this->host->replica()},
+      JobSources{this->jobs_state, *this->scheduler, this->host->replica(),
+                 this->settings.data_centres},
       request.kind, request.name, this->clock.SteadyNow());
 }
 
@@ -704,7 +724,8 @@
                                     },
                                 .may_start_on =
                                     [this](const WorkerId& worker) {
-                                      return this->MayStartOn(worker);
+                                      return MayStartOn(this->jobs_state,
+                                                        worker);
                                     }}));
 }
 
@@ -948,18 +969,10 @@
       }));
 }
 
-bool JobController::MayStartOn(const WorkerId& id) const {
-  const jobs::Worker* worker = this->jobs_state.FindWorker(id);
-  return worker == nullptr || this->jobs_state.IsInUse(worker->data_centre);
-}
-
 void JobController::SendOrder(const scheduler::Order& order) {
   // NOTE: The lease is checked right before each order is sent, since a process
   // that was suspended must send nothing when it resumes.
-  const auto* start = std::get_if<scheduler::StartOrder>(&order);
-  const bool may_send = this->host->MayAct() &&
-                        (start == nullptr || this->MayStartOn(start->worker));
-  if (!may_send) {
+  if (!MayLeave(order, this->jobs_state, this->host->MayAct())) {
     this->scheduler->HandleOrderAnswer(
         order, {.result = scheduler::OrderResult::kNotSent},
         this->clock.SteadyNow());
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -174,8 +174,6 @@
   void Plan();
   // Records the duration of a planning pass.
   void RecordPassDuration(std::chrono::steady_clock::duration took);
-  // Returns false if operators have evacuated the worker's data centre.
-  bool MayStartOn(const WorkerId& id) const;
   void SendOrder(const scheduler::Order& order);
   void RequestReport(const scheduler::RenewOrder& order);
   void RequestAdvice(const scheduler::AdviceQuestion& question);
--- a/services/sumacd/job_queries.cc
+++ b/services/sumacd/job_queries.cc
@@ -8,6 +8,7 @@
 
 #include "libraries/base/text.h"
 #include "libraries/codec/json_writer.h"
+#include "services/sumacd/data_centre_queries.h"
 
 namespace sumac::daemon {
 namespace {
@@ -352,13 +353,17 @@
   if (kind == "pools") {
     return ShowPools(sources);
   }
+  if (kind == "data-centres") {
+    return ShowDataCentres(sources.state, sources.scheduler,
+                           sources.data_centres, name);
+  }
   if (kind == "controllers") {
     return ShowControllers(sources);
   }
   return {.code = ResultCode::kBadArgument,
           .message = StrCat("found kind ", kind,
                             ", allowed: jobs, workers, waiting, waves, queues, "
-                            "pools, customers or controllers")};
+                            "pools, customers, data-centres or controllers")};
 }
 
 }  // namespace sumac::daemon
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -205,8 +205,9 @@
   if (!this->settings.operators_door.empty()) {
     TRY(this->OpenRpcListener(
         this->settings.operators_door,
-        kj::heap<NodeOperatorService>(this->settings, *this->link,
-                                      this->controller.get())));
+        kj::heap<NodeOperatorService>(
+            this->settings, *this->link, this->controller.get(),
+            this->data_centre_orders ? &*this->data_centre_orders : nullptr)));
   }
   if (!this->settings.metrics_door.empty()) {
     TRY(this->OpenMetricsListener());
--- a/services/sumacd/node_operator_service.cc
+++ b/services/sumacd/node_operator_service.cc
@@ -9,6 +9,7 @@
 #include "libraries/codec/json_reader.h"
 #include "libraries/log/json_log.h"
 #include "libraries/wire/replication_codec.h"
+#include "services/sumacd/data_centre_queries.h"
 #include "services/sumacd/operator_replies.h"
 
 namespace sumac::daemon {
@@ -16,6 +17,8 @@
 
 // The maximum total time of an operator's call.
 constexpr Milliseconds kOperatorCallTimeout{5'000};
+// The maximum time of each step of an order about a data centre.
+constexpr Milliseconds kDataCentreCallTimeout{850};
 constexpr std::size_t kMaxJobBytes = 256U << 10;
 constexpr ReaderCodes kJobCodes{ResultCode::kBadArgument,
                                 ResultCode::kBadArgument};
@@ -158,4 +161,65 @@
   return RefuseMethod(context);
 }
 
+// NOTE: An operator that is gone cancels the call, and the order with it, so
+// that a copy of an order that nobody waits for is not carried out.
+kj::Promise<void> NodeOperatorService::evacuate(EvacuateContext context) {
+  auto params = context.getParams();
+  const DataCentre data_centre(wire::ToString(params.getDataCentre()));
+  context.allowCancellation();
+  if (params.getForce()) {
+    return ReplyWith(context,
+                     this->ChangeDataCentre(params.getIdentity(), data_centre,
+                                            jobs::DataCentreUse::kEvacuated));
+  }
+  auto change_unless_harmful =
+      [this, context, data_centre](
+          const fleet::Answer& shown) mutable -> kj::Promise<fleet::Answer> {
+    const std::string loss = shown.is_ok() && !shown.document.empty()
+                                 ? DescribeLoss(shown.document.front())
+                                 : "";
+    if (!loss.empty()) {
+      return fleet::Answer{.code = ResultCode::kWrongState,
+                           .message = StrCat(loss, "; --force does it anyway")};
+    }
+    return this->ChangeDataCentre(context.getParams().getIdentity(),
+                                  data_centre, jobs::DataCentreUse::kEvacuated);
+  };
+  return ReplyWith(context,
+                   this->link
+                       .Ask(jobs::Show{"data-centres", data_centre.value()},
+                            kDataCentreCallTimeout)
+                       .then(std::move(change_unless_harmful)));
+}
+
+kj::Promise<void> NodeOperatorService::restore(RestoreContext context) {
+  auto params = context.getParams();
+  context.allowCancellation();
+  return ReplyWith(
+      context,
+      this->ChangeDataCentre(params.getIdentity(),
+                             DataCentre(wire::ToString(params.getDataCentre())),
+                             jobs::DataCentreUse::kInUse));
+}
+
+// NOTE: An entry has no SuspensionWatch, so it could not tell an old copy of an
+// order from a recent one.
+kj::Promise<fleet::Answer> NodeOperatorService::ChangeDataCentre(
+    wire::Identity::Reader identity,
+    const DataCentre& data_centre,
+    jobs::DataCentreUse use) {
+  if (this->data_centre_orders == nullptr) {
+    return fleet::Answer{.code = ResultCode::kWrongState,
+                         .message =
+                             "an entry takes no orders about data centres, "
+                             "a controller does"};
+  }
+  return this->data_centre_orders->Change(
+      {.data_centre = data_centre,
+       .use = use,
+       .requested_by = StrCat(wire::ToString(identity.getOperatorName()), " ",
+                              wire::ToString(identity.getRequestId()))},
+      kDataCentreCallTimeout, this->clock.SteadyNow());
+}
+
 }  // namespace sumac::daemon
--- a/services/sumacd/node_operator_service.h
+++ b/services/sumacd/node_operator_service.h
@@ -4,7 +4,11 @@
 
 #include <string>
 
+#include "libraries/base/names.h"
+#include "libraries/base/time.h"
+#include "libraries/fleet/answer.h"
 #include "libraries/wire/generated/operator.capnp.h"
+#include "services/sumacd/data_centre_orders.h"
 #include "services/sumacd/job_controller.h"
 #include "services/sumacd/jobs_link.h"
 #include "services/sumacd/node_settings.h"
@@ -17,11 +21,16 @@
 // support answer kBadArgument.
 class NodeOperatorService final : public wire::Operator::Server {
  public:
-  // `controller` is this process's own controller, or null.
+  // `controller` is this process's own controller, or null, and
+  // `data_centre_orders` carries out its orders about data centres.
   NodeOperatorService(const NodeSettings& settings,
                       JobsLink& link,
-                      JobController* controller)
-      : settings(settings), link(link), controller(controller) {}
+                      JobController* controller,
+                      DataCentreOrders* data_centre_orders)
+      : settings(settings),
+        link(link),
+        controller(controller),
+        data_centre_orders(data_centre_orders) {}
 
   kj::Promise<void> get(GetContext context) override;
   kj::Promise<void> submitJob(SubmitJobContext context) override;
@@ -38,11 +47,20 @@
   kj::Promise<void> why(WhyContext context) override;
   kj::Promise<void> changeController(ChangeControllerContext context) override;
   kj::Promise<void> inForce(InForceContext context) override;
+  kj::Promise<void> evacuate(EvacuateContext context) override;
+  kj::Promise<void> restore(RestoreContext context) override;
 
  private:
+  // Changes the use of a data centre for the operator of a call.
+  kj::Promise<fleet::Answer> ChangeDataCentre(wire::Identity::Reader identity,
+                                              const DataCentre& data_centre,
+                                              jobs::DataCentreUse use);
+
   const NodeSettings& settings;
   JobsLink& link;
   JobController* controller;
+  DataCentreOrders* data_centre_orders;
+  SystemClock clock;
 };
 
 }  // namespace sumac::daemon
--- a/services/sumacd/operator_service.cc
+++ b/services/sumacd/operator_service.cc
@@ -52,6 +52,14 @@
   return rows;
 }
 
+// Answers methods that only a system that finds itself from seeds supports.
+fleet::Answer NoEvacuations() {
+  return {.code = ResultCode::kBadArgument,
+          .message =
+              "a system with a list of processes takes no data centre "
+              "out of use; drain its instances"};
+}
+
 }  // namespace
 
 template <typename Context>
@@ -373,6 +381,14 @@
       });
 }
 
+kj::Promise<void> OperatorService::evacuate(EvacuateContext context) {
+  return Reply(context, NoEvacuations());
+}
+
+kj::Promise<void> OperatorService::restore(RestoreContext context) {
+  return Reply(context, NoEvacuations());
+}
+
 kj::Promise<void> OperatorService::inForce(InForceContext context) {
   const SteadyTime deadline =
       SystemClock().SteadyNow() + Milliseconds(context.getParams().getWaitMs());
--- a/services/sumacd/operator_service.h
+++ b/services/sumacd/operator_service.h
@@ -47,6 +47,8 @@
   kj::Promise<void> handOver(HandOverContext context) override;
   kj::Promise<void> changeController(ChangeControllerContext context) override;
   kj::Promise<void> inForce(InForceContext context) override;
+  kj::Promise<void> evacuate(EvacuateContext context) override;
+  kj::Promise<void> restore(RestoreContext context) override;
 
  private:
   // The version of the view that one entry reports as its current one.
--- a/tests/services/sumacd/replica_host_test.cc
+++ b/tests/services/sumacd/replica_host_test.cc
@@ -9,12 +9,17 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
+#include "libraries/codec/cbor_reader.h"
+#include "libraries/codec/cbor_writer.h"
+#include "libraries/jobs/jobs_state.h"
 #include "services/sumacd/serve_replicate.h"
 #include "tests/libraries/storage/switched_disk.h"
 #include "tests/stand_ins/relay.h"
@@ -310,6 +315,73 @@
   EXPECT_GT(holders, kVoters / 2);
 }
 
+// Returns the entry of an operator's order about a data centre.
+std::string EncodeOrder(const char* name,
+                        jobs::DataCentreUse use,
+                        std::uint64_t version) {
+  return ToCbor(jobs::StampedCommand{
+      WallTime{}, jobs::ChangeDataCentre{.data_centre = DataCentre(name),
+                                         .use = use,
+                                         .expected_version = version}});
+}
+
+jobs::JobsState EmptyState() {
+  return jobs::JobsState(
+      [](std::string_view) { return jobs::JobsDeclaration(); });
+}
+
+void ApplyAll(jobs::JobsState& state, const std::vector<std::string>& entries) {
+  for (const std::string& entry : entries) {
+    const auto command = FromCbor<jobs::StampedCommand>(entry, "log");
+    if (command.ok()) {
+      state.Apply(*command);
+    }
+  }
+}
+
+// One evacuation is in the snapshot of one member, another one is only in the
+// logs, and a third one was withdrawn.
+TEST_F(ReplicaHostTest, AnEvacuationSurvivesALossOfPowerOfAll) {
+  using enum jobs::DataCentreUse;
+  Member* leader = this->AwaitLeader();
+  ASSERT_NE(leader, nullptr);
+  ASSERT_TRUE(this->Propose(*leader, EncodeOrder("dc-a", kEvacuated, 0)));
+  ASSERT_TRUE(this->Propose(*leader, EncodeOrder("dc-c", kEvacuated, 0)));
+  jobs::JobsState snapshot = EmptyState();
+  ApplyAll(snapshot, leader->applied);
+  leader->host->FinishSnapshot(leader->host->applied_index(),
+                               ToCbor(snapshot.record()));
+  ASSERT_TRUE(this->Propose(*leader, EncodeOrder("dc-b", kEvacuated, 0)));
+  ASSERT_TRUE(this->Propose(*leader, EncodeOrder("dc-c", kInUse, 1)));
+  ASSERT_TRUE(this->Await([&] { return this->HaveAllAppliedTheSame(); }));
+  std::vector<std::shared_ptr<SwitchedDisk>> disks;
+  for (const auto& member : this->parts->members) {
+    disks.push_back(member->disk);
+  }
+  this->parts.reset();
+  std::size_t snapshots = 0;
+  for (const auto& disk : disks) {
+    disk->inner.Crash();
+    auto store = OpenReplicaStore(disk, kFolder);
+    ASSERT_TRUE(store.ok()) << store.status();
+    jobs::JobsState state = EmptyState();
+    const replication::Snapshot& stored = store->start.snapshot;
+    if (!stored.state.empty()) {
+      ++snapshots;
+      ASSERT_TRUE(state.Load(stored.state).ok());
+    }
+    std::vector<std::string> entries;
+    for (const replication::Entry& entry : store->start.entries) {
+      entries.push_back(entry.payload);
+    }
+    ApplyAll(state, entries);
+    EXPECT_EQ(state.evacuated_data_centres(),
+              (std::set<DataCentre>{DataCentre("dc-a"), DataCentre("dc-b")}));
+    EXPECT_EQ(state.FindDataCentre(DataCentre("dc-c")).version, 2U);
+  }
+  EXPECT_EQ(snapshots, 1U);
+}
+
 // All connections fall silent at once and only new ones work. The group detects
 // this by its own timeouts, each pair opens one new connection, and nothing
 // acknowledged is lost.
--- a/tests/stand_ins/task_workers_main.cc
+++ b/tests/stand_ins/task_workers_main.cc
@@ -70,6 +70,7 @@
       "on SIGTERM workers announce that they leave, and go after this");
   add("names-stay", options::bool_switch(),
       "workers keep their names when the process starts again");
+  add("data-centre", options::value<std::string>()->default_value("dc-1"));
   add("millicores", options::value<int>()->default_value(16'000));
   options::variables_map arguments;
   options::store(
@@ -101,7 +102,8 @@
                                             static_cast<long>(getpid()))),
         .instance = sumac::InstanceName(sumac::StrCat(prefix, "-", number)),
         .service = sumac::ServiceName(service),
-        .data_centre = sumac::DataCentre("dc-1"),
+        .data_centre =
+            sumac::DataCentre(arguments["data-centre"].as<std::string>()),
         .address = sumac::StrCat(arguments["ip"].as<std::string>(), ":",
                                  arguments["first-port"].as<int>() + number),
         .capacity = {.millicores = arguments["millicores"].as<int>(),
--- a/utilities/sumacctl/commands.cc
+++ b/utilities/sumacctl/commands.cc
@@ -188,6 +188,25 @@
   });
 }
 
+Answer Evacuate(const Call& call) {
+  return call.client.Call([&](Operator::Client operator_service) {
+    auto request = operator_service.evacuateRequest();
+    FillIdentity(request, call.invocation);
+    request.setDataCentre(call.argument(0));
+    request.setForce(call.invocation.is_forced);
+    return request.send();
+  });
+}
+
+Answer Restore(const Call& call) {
+  return call.client.Call([&](Operator::Client operator_service) {
+    auto request = operator_service.restoreRequest();
+    FillIdentity(request, call.invocation);
+    request.setDataCentre(call.argument(0));
+    return request.send();
+  });
+}
+
 Answer Explain(const Call& call) {
   return call.client.Call([&](Operator::Client operator_service) {
     auto request = operator_service.explainRequest();
@@ -292,6 +311,16 @@
         {"USED MB", "/used/memory_mb"},
         {"HELD", "/is_held_by_quota"},
         {"ACTIVE JOBS", "/active_jobs"}}},
+      {"data-centres",
+       {{"DATA CENTRE", "/name"},
+        {"USE", "/use"},
+        {"VERSION", "/version"},
+        {"CHANGED AT MS", "/changed_at_ms"},
+        {"REQUESTED BY", "/requested_by"},
+        {"WORKERS", "/workers"},
+        {"RUNS", "/runs"},
+        {"FREE MILLICORES", "/free_millicores"},
+        {"LAST IN USE", "/is_last_in_use"}}},
       {"controllers",
        {{"NODE", "/node"},
         {"KIND", "/kind"},
@@ -388,6 +417,21 @@
          return Get(call.client, "customers", call.optional(0));
        },
        ColumnsOf("customers")},
+      {{"evacuate",
+        {"DATA_CENTRE"},
+        "start nothing there any more; --force although nothing would be left"},
+       Evacuate,
+       {}},
+      {{"restore", {"DATA_CENTRE"}, "return a data centre to use"},
+       Restore,
+       {}},
+      {{"data-centres",
+        {"[DATA_CENTRE]"},
+        "the use of the data centres, and what is left in and beside each"},
+       [](const Call& call) {
+         return Get(call.client, "data-centres", call.optional(0));
+       },
+       ColumnsOf("data-centres")},
       {{"explain", {"DECISION"}, "explain a decision by its id"}, Explain, {}},
       {{"why",
         {"KIND", "NAME"},
--- a/utilities/sumacctl/commands.h
+++ b/utilities/sumacctl/commands.h
@@ -24,6 +24,8 @@
   // For apply: whether to return only once every live entry uses the new
   // declaration.
   bool wants_wait = false;
+  // For evacuate: whether to do it although nothing would be left in use.
+  bool is_forced = false;
 };
 
 // The name, arguments and help text of one command of sumacctl.
--- a/utilities/sumacctl/main.cc
+++ b/utilities/sumacctl/main.cc
@@ -40,6 +40,7 @@
       options::value<std::int64_t>()->default_value(kDefaultTimeoutMs),
       "how long to wait for one process's answer");
   add("wait", "for apply: return once every entry that is alive acts on it");
+  add("force", "for evacuate: although nothing, or nothing of a pool, is left");
   add("json", "print the answer as one JSON object");
   add("help", "print this");
   add("version", "print the version");
@@ -96,6 +97,7 @@
   }
   invocation.wants_json = arguments.contains("json");
   invocation.wants_wait = arguments.contains("wait");
+  invocation.is_forced = arguments.contains("force");
   return invocation;
 }
 
