Scheduler, Sumacd: Share a full fleet by the work that customers ask for

A customer that floods a full fleet took what others are owed: the bucket of one second counts jobs, whatever they need, and lets everyone send at the rate of its weight even while the fleet has room for less.

Kept: start-time fair queueing over core-seconds, 0.5 s ahead at most. A new leader relearns it within half a second; the flag is committed with the job as before.

/policy/shares_by_work = false switches back. It acts only on jobs of customers. Left out: one capacity for the whole fleet, not one for each pool.

--- a/libraries/scheduler/customer_shares.cc
+++ b/libraries/scheduler/customer_shares.cc
@@ -9,7 +9,9 @@
     const jobs::CustomerDeclaration& customer,
     SteadyTime now) {
   // A share below one job a second still allows a job at a time.
-  const double capacity = std::max(customer.weight, 1.0);
+  const double span =
+      std::chrono::duration<double>(this->settings.span).count();
+  const double capacity = std::max(customer.weight * span, 1.0);
   Bucket& bucket =
       this->buckets.try_emplace(customer.name, Bucket{capacity, now})
           .first->second;
--- a/libraries/scheduler/customer_shares.h
+++ b/libraries/scheduler/customer_shares.h
@@ -10,12 +10,20 @@
 
 namespace sumac::scheduler {
 
+struct CustomerSharesSettings {
+  // The time for which a customer's share is kept if it sends nothing.
+  Milliseconds span{1'000};
+};
+
 // Tells which jobs a customer submits beyond its share: more than `weight` jobs
-// a second. Each customer has a token bucket that holds one second of its
-// share. Handles a customer that floods a full fleet: its jobs beyond the share
-// go after those of the others. Pure.
+// a second. Each customer has a token bucket that holds its share of the span.
+// Handles a customer that floods a full fleet: its jobs beyond the share go
+// after those of the others. Pure.
 class CustomerShares {
  public:
+  explicit CustomerShares(CustomerSharesSettings settings = {})
+      : settings(settings) {}
+
   // Returns true if one more job now would be beyond the customer's share;
   // never for a null customer.
   bool IsUsedUp(const jobs::CustomerDeclaration* customer, SteadyTime now);
@@ -31,6 +39,7 @@
 
   Bucket& Refill(const jobs::CustomerDeclaration& customer, SteadyTime now);
 
+  CustomerSharesSettings settings;
   std::unordered_map<CustomerName, Bucket> buckets;
 };
 
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -1641,6 +1641,37 @@
   this->collected_events.Add("run-ordered", task, run, session.worker().id, "");
 }
 
+ShareRequest Scheduler::ShareRequestOf(const QueueName& queue,
+                                       const jobs::JobSpec& spec) const {
+  // A task that never ends is counted with what it takes in its first second.
+  constexpr Milliseconds kFirstSecond{1'000};
+  constexpr double kMillicoreMilliseconds = 1e6;
+  ShareRequest request;
+  for (const jobs::StepSpec& step : spec.steps) {
+    const jobs::Resources need = Placement::CountedNeed(step).Times(step.count);
+    const Milliseconds takes = step.is_long_running
+                                   ? kFirstSecond
+                                   : this->run_times.Expect(queue, step);
+    request.core_seconds += static_cast<double>(need.millicores) *
+                            static_cast<double>(takes.count()) /
+                            kMillicoreMilliseconds;
+    request.need.millicores =
+        std::max(request.need.millicores, need.millicores);
+    request.need.memory_mb = std::max(request.need.memory_mb, need.memory_mb);
+    request.need.accelerators =
+        std::max(request.need.accelerators, need.accelerators);
+  }
+  return request;
+}
+
+jobs::Resources Scheduler::Capacity() const {
+  jobs::Resources all;
+  for (const auto& [id, session] : this->workers) {
+    all.Add(session.worker().capacity);
+  }
+  return all;
+}
+
 RunNumber Scheduler::NextRun(const jobs::Job& job,
                              const jobs::TaskId& task) const {
   const TaskMemory* memory = this->tasks.Find(task);
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -28,6 +28,7 @@
 #include "libraries/scheduler/placement_advice.h"
 #include "libraries/scheduler/quota_ledger.h"
 #include "libraries/scheduler/run_times.h"
+#include "libraries/scheduler/share_request.h"
 #include "libraries/scheduler/sharing.h"
 #include "libraries/scheduler/start_allowance.h"
 #include "libraries/scheduler/start_forecast.h"
@@ -242,6 +243,11 @@
                ? TimeToSpare(queue, spec, this->run_times)
                : std::nullopt;
   }
+  // Returns what a new job of the queue asks of its customer's share.
+  ShareRequest ShareRequestOf(const QueueName& queue,
+                              const jobs::JobSpec& spec) const;
+  // Returns the resources of all workers.
+  jobs::Resources Capacity() const;
   // The waiting jobs of the last planning pass, counted by lateness.
   const LatenessCounts& waiting_counts() const {
     return this->waiting.lateness_counts();
--- a/services/sumacd/job_admission.cc
+++ b/services/sumacd/job_admission.cc
@@ -11,6 +11,8 @@
 // Customers that have used up their quota or share submit no more jobs once the
 // active jobs exceed the declared maximum divided by this.
 constexpr std::size_t kExcessJobsDivisor = 2;
+// How long the counted capacity of the fleet is used.
+constexpr Milliseconds kCapacityAge{500};
 
 }  // namespace
 
@@ -38,6 +40,28 @@
   return std::nullopt;
 }
 
+bool JobAdmission::IsShareUsedUp(const jobs::CustomerDeclaration& customer,
+                                 SteadyTime now) {
+  return this->policy.shares_by_work
+             ? this->shares_by_work.IsUsedUp(customer, now)
+             : this->shares_by_jobs.IsUsedUp(&customer, now);
+}
+
+bool JobAdmission::CountShare(const JobSubmission& submission,
+                              const scheduler::Scheduler& scheduler,
+                              SteadyTime now) {
+  if (submission.customer == nullptr || !this->policy.shares_by_work) {
+    return this->shares_by_jobs.CountJob(submission.customer, now);
+  }
+  if (now - this->capacity_counted_at >= kCapacityAge) {
+    this->capacity_counted_at = now;
+    this->shares_by_work.SetCapacity(scheduler.Capacity());
+  }
+  return this->shares_by_work.CountJob(
+      *submission.customer,
+      scheduler.ShareRequestOf(submission.queue.name, submission.spec), now);
+}
+
 fleet::Answer JobAdmission::MakeRefusal(const JobId& job,
                                         scheduler::RefusalReason reason,
                                         std::string message,
@@ -67,7 +91,7 @@
   const jobs::CustomerDeclaration* customer = submission.customer;
   const bool may_fill =
       customer == nullptr || (!scheduler.IsHeldByQuota(customer->name) &&
-                              !this->shares.IsUsedUp(customer, now));
+                              !this->IsShareUsedUp(*customer, now));
   if (!may_fill &&
       active_jobs >= this->policy.most_active_jobs / kExcessJobsDivisor) {
     return this->MakeRefusal(submission.job, kShare,
--- a/services/sumacd/job_admission.h
+++ b/services/sumacd/job_admission.h
@@ -13,6 +13,7 @@
 #include "libraries/jobs/job_spec.h"
 #include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/customer_shares.h"
+#include "libraries/scheduler/fair_queue_shares.h"
 #include "libraries/scheduler/refusal_reason.h"
 #include "libraries/scheduler/refused_callers.h"
 #include "libraries/scheduler/scheduler.h"
@@ -45,9 +46,9 @@
                                       SteadyTime now);
 
   // Counts an admitted job. Returns true if it is beyond its customer's share.
-  bool CountShare(const jobs::CustomerDeclaration* customer, SteadyTime now) {
-    return this->shares.CountJob(customer, now);
-  }
+  bool CountShare(const JobSubmission& submission,
+                  const scheduler::Scheduler& scheduler,
+                  SteadyTime now);
 
   // Returns how long the job's submissions have been refused.
   Milliseconds WaitingTimeOf(const JobId& job, SteadyTime now) {
@@ -72,10 +73,16 @@
                                              scheduler::Scheduler& scheduler,
                                              SteadyTime now);
 
+  bool IsShareUsedUp(const jobs::CustomerDeclaration& customer, SteadyTime now);
+
   const PolicySettings& policy;
   LeaderLoad& load;
   scheduler::Backlog backlog;
-  scheduler::CustomerShares shares;
+  // The two ways to share; the policy says which one is used.
+  scheduler::CustomerShares shares_by_jobs;
+  scheduler::FairQueueShares shares_by_work;
+  // When the capacity of the fleet was last counted.
+  SteadyTime capacity_counted_at{};
   scheduler::RefusedCallers refused_callers;
 };
 
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -471,11 +471,11 @@
       this->jobs_state.declaration().FindCustomer(address->customer);
   // NOTE: A refusal promises that the job never runs, so a job whose submission
   // is being committed must not be refused.
+  const JobSubmission submission{.queue = *address->queue,
+                                 .customer = customer,
+                                 .job = address->job,
+                                 .spec = request.spec};
   if (!this->open_submissions.contains(address->job)) {
-    const JobSubmission submission{.queue = *address->queue,
-                                   .customer = customer,
-                                   .job = address->job,
-                                   .spec = request.spec};
     const std::size_t active =
         this->jobs_state.active_jobs().size() + this->open_submissions.size();
     if (auto refusal =
@@ -488,7 +488,7 @@
       ->Propose(jobs::SubmitJob{
           address->job, address->queue->name, request.spec,
           this->admission.WaitingTimeOf(address->job, now), address->customer,
-          this->admission.CountShare(customer, now)})
+          this->admission.CountShare(submission, *this->scheduler, now)})
       .then([this, job = address->job, queue = address->queue->name,
              customer = address->customer](fleet::Answer&& answer) {
         LogEvent(LogLevel::kInfo,
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -84,6 +84,9 @@
   // The maximum number of jobs that are accepted and not finished; further jobs
   // are refused. Bounds a controller's memory.
   std::uint64_t most_active_jobs = 20'000;
+  // Shares a full fleet between customers by the work that they ask for;
+  // otherwise by the number of their jobs.
+  bool shares_by_work = true;
   // How long a pool keeps instances that it no longer needs.
   Milliseconds surplus_time{2'500};
 
@@ -99,6 +102,7 @@
     visitor.Field("reserve_permille", self.reserve_permille, Limits{0, 10'000});
     visitor.Field("most_active_jobs", self.most_active_jobs,
                   Limits{1, 10'000'000});
+    visitor.Field("shares_by_work", self.shares_by_work);
     visitor.Field("surplus_ms", self.surplus_time, Limits{0, 600'000});
   }
 };
