Scheduler, Sumacd: Let refused callers wait longer in a long rush

Each request that was given up had been refused five times (4,010 refusals for 743): in a rush of many seconds callers were told to return within 4 s at the latest, again and again, whatever the rush did.

Once a rush on a queue has lasted for 4 s, its callers wait as many times as long, twice at most. A rush is over when no new caller has been refused for a second; returning ones don't prolong it.

--- a/services/sumacd/job_admission.cc
+++ b/services/sumacd/job_admission.cc
@@ -102,10 +102,15 @@
   const scheduler::WaitingCounts waiting =
       scheduler.CountWaitingFor(submission.queue.name);
   if (this->backlog.IsFull(waiting)) {
-    return this->MakeRefusal(submission.job, kBacklog,
-                             StrCat(waiting.of_all, " jobs wait for a start, ",
-                                    waiting.of_queue, " of them of this queue"),
-                             this->backlog.RetryAfter(waiting), now);
+    return this->MakeRefusal(
+        submission.job, kBacklog,
+        StrCat(waiting.of_all, " jobs wait for a start, ", waiting.of_queue,
+               " of them of this queue"),
+        this->return_times.Stretch(
+            submission.queue.name,
+            this->WaitingTimeOf(submission.job, now) == Milliseconds(0),
+            this->backlog.RetryAfter(waiting), now),
+        now);
   }
   return std::nullopt;
 }
@@ -123,9 +128,12 @@
       scheduler.TimeToSpareFor(submission.queue, submission.spec);
   const Milliseconds waited = this->WaitingTimeOf(submission.job, now);
   if (to_spare && forecast.IsTooLate(queue, *to_spare - waited, now)) {
-    return this->MakeRefusal(submission.job, kTooLate,
-                             "it would begin too late behind those that wait",
-                             forecast.RetryAfter(queue, now), now);
+    return this->MakeRefusal(
+        submission.job, kTooLate,
+        "it would begin too late behind those that wait",
+        this->return_times.Stretch(queue, waited == Milliseconds(0),
+                                   forecast.RetryAfter(queue, now), now),
+        now);
   }
   if (!this->load.DecideAdmission()) {
     return this->MakeRefusal(submission.job, kLate,
--- a/services/sumacd/job_admission.h
+++ b/services/sumacd/job_admission.h
@@ -16,6 +16,7 @@
 #include "libraries/scheduler/fair_queue_shares.h"
 #include "libraries/scheduler/refusal_reason.h"
 #include "libraries/scheduler/refused_callers.h"
+#include "libraries/scheduler/return_times.h"
 #include "libraries/scheduler/scheduler.h"
 #include "services/sumacd/leader_load.h"
 #include "services/sumacd/node_settings.h"
@@ -84,6 +85,7 @@
   // When the capacity of the fleet was last counted.
   SteadyTime capacity_counted_at{};
   scheduler::RefusedCallers refused_callers;
+  scheduler::ReturnTimes return_times;
 };
 
 }  // namespace sumac::daemon
--- a/tests/libraries/scheduler/rush_replay.cc
+++ b/tests/libraries/scheduler/rush_replay.cc
@@ -183,9 +183,19 @@
   if (this->settings.has_backlog_limits) {
     this->refused_callers.RecordRefusal(call.id, this->Now());
   }
-  if (++call.tries < kMostTries) {
-    this->Schedule(this->now + retry_after,
-                   [this, id = call.id] { this->Submit(id); });
+  ++call.tries;
+  if (this->settings.stretches_retries) {
+    retry_after = this->return_times.Stretch(call.queue, call.tries == 1,
+                                             retry_after, this->Now());
+  }
+  Instant retry_at = this->now + retry_after;
+  bool keeps_trying = call.tries < kMostTries;
+  if (this->settings.patience) {
+    retry_at = this->now + std::chrono::ceil<seconds>(retry_after);
+    keeps_trying = retry_at - call.first_sent < *this->settings.patience;
+  }
+  if (keeps_trying) {
+    this->Schedule(retry_at, [this, id = call.id] { this->Submit(id); });
   }
 }
 
@@ -225,6 +235,7 @@
   const auto objective =
       std::chrono::duration_cast<Instant>(chain * kStretch) + kLatencyTarget;
   this->backlog.RecordFinished(this->Now());
+  call.is_done = true;
   call.is_in_time = this->now - call.first_sent <= objective;
 }
 
@@ -329,6 +340,20 @@
   this->Commit(jobs::RecordEnds{std::move(ended)});
 }
 
+double RushReplay::RefusalsPerLostCall() const {
+  const auto lost =
+      std::count_if(this->calls.begin(), this->calls.end(),
+                    [](const auto& call) { return !call.second.is_accepted; });
+  return static_cast<double>(this->refused) / static_cast<double>(lost);
+}
+
+double RushReplay::DoneShare() const {
+  const auto done =
+      std::count_if(this->calls.begin(), this->calls.end(),
+                    [](const auto& call) { return call.second.is_done; });
+  return static_cast<double>(done) / static_cast<double>(this->calls.size());
+}
+
 double RushReplay::AcceptedShare() const {
   const auto accepted =
       std::count_if(this->calls.begin(), this->calls.end(),
--- a/tests/libraries/scheduler/rush_replay.h
+++ b/tests/libraries/scheduler/rush_replay.h
@@ -20,6 +20,7 @@
 #include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/loop_pacer.h"
 #include "libraries/scheduler/refused_callers.h"
+#include "libraries/scheduler/return_times.h"
 #include "libraries/scheduler/run_times.h"
 #include "libraries/scheduler/start_forecast.h"
 #include "libraries/scheduler/waiting_jobs.h"
@@ -34,6 +35,12 @@
   std::chrono::seconds rush{10};
   // Whether jobs are also refused because of the jobs that wait before them.
   bool has_backlog_limits = false;
+  // How long a refused caller keeps trying; if it is not set, it gives up after
+  // its fifth try. Callers with patience are told whole seconds, as on the
+  // wire.
+  std::optional<std::chrono::seconds> patience;
+  // Whether refused callers wait longer in a long rush.
+  bool stretches_retries = false;
 };
 
 // Simulates a load spike (a rush) on a leader that has too little processor
@@ -56,6 +63,16 @@
   // Returns the number of answers that refused a job.
   std::uint64_t refusals() const { return this->refused; }
 
+  // Returns the number of answers that refused a job for each call that was
+  // never accepted.
+  double RefusalsPerLostCall() const;
+  // Returns the mean of the two queues' shares of jobs in time.
+  double BothInTimeShare() const {
+    return (this->InTimeShare(kUrgent) + this->InTimeShare(kPatient)) / 2;
+  }
+  // Returns the share of all calls whose job was done, however late.
+  double DoneShare() const;
+
   // Returns the share of all calls whose job was accepted.
   double AcceptedShare() const;
 
@@ -83,6 +100,7 @@
     Instant longest_chain{};
     bool is_accepted = false;
     bool is_in_time = false;
+    bool is_done = false;
   };
   struct Worker {
     std::vector<jobs::RunEnd> ended;
@@ -121,6 +139,7 @@
   Backlog backlog;
   StartForecast forecast;
   RefusedCallers refused_callers;
+  ReturnTimes return_times;
   LoopPacer pacer;
   Instant now{};
   std::priority_queue<Event> events;
