Scheduler: Scale rates by the capacity lost since they were last used

Two changes of data centres' use without a job between them scaled the rate twice, and after all data centres were evacuated and returned it was 0.

--- a/libraries/scheduler/capacity_loss.cc
+++ b/libraries/scheduler/capacity_loss.cc
@@ -9,7 +9,7 @@
                        std::int64_t millicores,
                        bool was_usable,
                        bool is_usable) {
-  for (Capacity* capacity : {&this->services[service], &this->all}) {
+  for (Capacity* capacity : {&this->services[service], &this->of_all}) {
     capacity->before += was_usable ? millicores : 0;
     capacity->after += is_usable ? millicores : 0;
   }
--- a/libraries/scheduler/capacity_loss.h
+++ b/libraries/scheduler/capacity_loss.h
@@ -13,27 +13,29 @@
 // and after data centres were evacuated or returned to use. Pure.
 class CapacityLoss {
  public:
+  struct Capacity {
+    std::int64_t before = 0;
+    std::int64_t after = 0;
+
+    // Returns the share that is left: 1 if nothing was lost.
+    double Left() const;
+  };
+
   // Adds a worker that may or may not get tasks, before and after the change.
   void Add(const ServiceName& service,
            std::int64_t millicores,
            bool was_usable,
            bool is_usable);
 
-  // Return the share of the capacity, of a service or of the fleet, that is
-  // left: 1 if none was lost.
+  // Returns the share of the service's capacity that is left: 1 if none was
+  // lost.
   double LeftOf(const ServiceName& service) const;
-  double LeftOfAll() const { return this->all.Left(); }
+  // The capacity of the whole fleet.
+  const Capacity& all() const { return this->of_all; }
 
  private:
-  struct Capacity {
-    std::int64_t before = 0;
-    std::int64_t after = 0;
-
-    double Left() const;
-  };
-
   std::map<ServiceName, Capacity> services;
-  Capacity all;
+  Capacity of_all;
 };
 
 }  // namespace sumac::scheduler
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -1001,7 +1001,11 @@
 // Lowers the rates by which new jobs are admitted. They were measured with the
 // capacity before the evacuation.
 void Scheduler::HandleCapacityLoss(const CapacityLoss& loss) {
-  this->capacity_left *= loss.LeftOfAll();
+  if (this->capacity_change) {
+    this->capacity_change->after = loss.all().after;
+  } else {
+    this->capacity_change = loss.all();
+  }
   for (const jobs::QueueDeclaration& queue :
        this->state.declaration().queues()) {
     this->forecast.ScaleRate(queue.name, loss.LeftOf(queue.service));
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -242,9 +242,12 @@
   }
   // The forecast of when a new job of a queue begins.
   StartForecast& start_forecast() { return this->forecast; }
-  // Returns the share of the fleet's capacity that evacuations since the last
-  // call left; 1 if there was none.
-  double TakeCapacityLeft() { return std::exchange(this->capacity_left, 1); }
+  // Returns the share of the fleet's capacity that is left after the
+  // evacuations since the last call; 1 if none was lost.
+  double TakeCapacityLeft() {
+    const auto change = std::exchange(this->capacity_change, std::nullopt);
+    return change ? change->Left() : 1;
+  }
   // Returns how long a new job of the queue can wait for its start and still be
   // in time; see TimeToSpare.
   std::optional<Milliseconds> TimeToSpareFor(
@@ -453,7 +456,9 @@
   std::set<InstanceName> cordoned;
   // The evacuated data centres that the sessions' marks are based on.
   std::set<DataCentre> seen_evacuated;
-  double capacity_left = 1;
+  // The change of the fleet's capacity by evacuations and returns since the
+  // last call of TakeCapacityLeft.
+  std::optional<CapacityLoss::Capacity> capacity_change;
   // When a task was last moved out of an evacuated data centre.
   std::optional<SteadyTime> last_evacuation_move;
   // Jobs of which a task has begun, until the next planning pass emits the
--- a/tests/libraries/scheduler/capacity_loss_test.cc
+++ b/tests/libraries/scheduler/capacity_loss_test.cc
@@ -16,7 +16,7 @@
   loss.Add(kSecond, 4'000, true, false);
   EXPECT_DOUBLE_EQ(loss.LeftOf(kFirst), 0.75);
   EXPECT_DOUBLE_EQ(loss.LeftOf(kSecond), 0);
-  EXPECT_DOUBLE_EQ(loss.LeftOfAll(), 3.0 / 8);
+  EXPECT_DOUBLE_EQ(loss.all().Left(), 3.0 / 8);
 }
 
 // One data centre is evacuated while another has been for long.
@@ -33,7 +33,7 @@
   loss.Add(kFirst, 1'000, false, true);
   loss.Add(kFirst, 1'000, true, true);
   EXPECT_DOUBLE_EQ(loss.LeftOf(kFirst), 1);
-  EXPECT_DOUBLE_EQ(loss.LeftOfAll(), 1);
+  EXPECT_DOUBLE_EQ(loss.all().Left(), 1);
 }
 
 TEST(CapacityLossTest, AServiceWithoutWorkersHasNothingToLose) {
--- a/tests/libraries/scheduler/evacuated_work_test.cc
+++ b/tests/libraries/scheduler/evacuated_work_test.cc
@@ -257,6 +257,7 @@
   this->fleet.AddWorker("c", "m-c", "r2", "previews", kSecond);
   this->Evacuate();
   this->fleet.PassTime(Milliseconds(5'000));
+  EXPECT_EQ(this->fleet.CountRunning("job"), 2U);
   EXPECT_EQ(this->fleet.starts, 2U);
 }
 
@@ -286,5 +287,29 @@
   EXPECT_EQ(scheduler.TakeCapacityLeft(), 1);
 }
 
+// No job arrives between the two changes.
+TEST_F(EvacuatedWorkTest,
+       ARateThatWasNotUsedMeanwhileIsAsBeforeAfterTheReturn) {
+  Scheduler& scheduler = *this->fleet.scheduler;
+  for (const char* data_centre : {kFirst, kSecond}) {
+    this->Evacuate(data_centre);
+    scheduler.Plan(this->fleet.now, WallTime());
+  }
+  for (const char* data_centre : {kFirst, kSecond}) {
+    this->fleet.ChangeDataCentre(data_centre, jobs::DataCentreUse::kInUse);
+    scheduler.Plan(this->fleet.now, WallTime());
+  }
+  EXPECT_EQ(scheduler.TakeCapacityLeft(), 1);
+}
+
+// A new leader measures its rates with the capacity that is left.
+TEST_F(EvacuatedWorkTest, ANewLeaderLosesNoCapacity) {
+  this->Evacuate();
+  this->fleet.PassTime(Milliseconds(100));
+  this->fleet.ChangeLeader();
+  this->fleet.PassTime(Milliseconds(3'000));
+  EXPECT_EQ(this->fleet.scheduler->TakeCapacityLeft(), 1);
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
