Maintenance: Hold surplus instances after each change of a data centre's use

A data centre that was returned and evacuated again ended the hold, so that pools gave instances up while the first moves were hardly over. The hold now follows each change, in either direction.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -398,8 +398,8 @@
 }
 
 // Moves empty instances from pools that have had too many for `surplus_time` to
-// a pool whose instances are switched off. After the end of an evacuation that
-// time begins anew.
+// a pool whose instances are switched off. After each change of a data
+// centre's use that time begins anew.
 void CapacityPlanner::ShrinkPools(
     const jobs::JobsState& state,
     std::map<ServiceName, Pool>& pools,
@@ -407,7 +407,7 @@
     LabelNeeds& needs,
     WallTime wall_now,
     SteadyTime now) {
-  if (EvacuatedInstances::HasRecentReturn(state, this->settings.return_hold,
+  if (EvacuatedInstances::HasRecentChange(state, this->settings.evacuation_hold,
                                           wall_now)) {
     this->surplus_since.clear();
     return;
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -34,10 +34,10 @@
   // two moves and the work that is late meanwhile, divided by the cost of an
   // idle instance per second.
   Milliseconds surplus_time{20'000};
-  // The time for which pools give nothing up after a data centre was returned
-  // to use. Its instances may be slow at first, and the work that was late or
-  // refused meanwhile comes back.
-  Milliseconds return_hold{10'000};
+  // The time for which pools give nothing up after a data centre was evacuated
+  // or returned to use. Work moves between data centres meanwhile, and the
+  // instances of a returned one may be slow at first.
+  Milliseconds evacuation_hold{10'000};
   // The time that the platform takes to move an instance. It accepts no further
   // order about the instance meanwhile.
   Milliseconds move_time{1'500};
--- a/libraries/maintenance/evacuated_instances.cc
+++ b/libraries/maintenance/evacuated_instances.cc
@@ -38,7 +38,7 @@
   return listed != this->data_centres.end() && !state.IsInUse(listed->second);
 }
 
-bool EvacuatedInstances::HasRecentReturn(const jobs::JobsState& state,
+bool EvacuatedInstances::HasRecentChange(const jobs::JobsState& state,
                                          Milliseconds hold,
                                          WallTime wall_now) {
   const auto& records = state.record().data_centres;
@@ -46,7 +46,7 @@
     const jobs::DataCentreRecord& record = item.second;
     // NOTE: The clock of the leader that proposed the change may be ahead of
     // this one.
-    return record.use == jobs::DataCentreUse::kInUse && record.version > 0 &&
+    return record.version > 0 &&
            std::chrono::abs(wall_now - record.changed_at) < hold;
   });
 }
--- a/libraries/maintenance/evacuated_instances.h
+++ b/libraries/maintenance/evacuated_instances.h
@@ -25,8 +25,9 @@
            const std::map<InstanceName, InstanceFacts>& facts,
            const InstanceName& name) const;
 
-  // Returns true if a data centre was returned to use less than `hold` ago.
-  static bool HasRecentReturn(const jobs::JobsState& state,
+  // Returns true if a data centre was evacuated or returned to use less than
+  // `hold` ago.
+  static bool HasRecentChange(const jobs::JobsState& state,
                               Milliseconds hold,
                               WallTime wall_now);
 
