Tests: Show each of the two questions about a suspension

AnOrderReadAfterASuspensionIsNotCarriedOut passed without the question before the first step of an order, since the one before the second step caught it. An order that is read at the end of the time after a suspension is caught by the first alone, and a suspension between the steps by the second alone; each has a test now.

--- a/tests/services/sumacd/data_centre_orders_test.cc
+++ b/tests/services/sumacd/data_centre_orders_test.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -19,9 +20,11 @@
 
 const DataCentre kName("dc-a");
 constexpr Milliseconds kLimit{850};
+// What is left of the time after a suspension when an order is read.
+constexpr Milliseconds kLeft{30};
 
-// Orders that go to a leader with a state of its own. `before_commit` is called
-// between the two steps of an order.
+// Orders that go to a leader with a state of its own. `before_show` is called
+// within the first step of an order, `before_commit` between the two steps.
 class DataCentreOrdersTest : public testing::Test {
  protected:
   DataCentreOrdersTest()
@@ -36,6 +39,9 @@
 
   kj::Promise<fleet::Answer> Lead(jobs::Request request) {
     if (const auto* show = std::get_if<jobs::ShowDataCentre>(&request)) {
+      if (this->before_show) {
+        this->before_show();
+      }
       const jobs::DataCentreRecord shown =
           this->state.FindDataCentre(show->data_centre);
       return fleet::Answer{
@@ -60,6 +66,7 @@
   kj::WaitScope scope{this->loop};
   jobs::JobsState state;
   SuspensionWatch watch;
+  std::function<void()> before_show;
   std::function<void()> before_commit;
   int commits = 0;
   DataCentreOrders orders;
@@ -105,5 +112,35 @@
   EXPECT_EQ(this->commits, 0);
 }
 
+// What is read at the end of the time after a suspension may be as old as what
+// is read at its beginning, although that time is over before the second step.
+TEST_F(DataCentreOrdersTest, AnOrderReadLateAfterASuspensionIsNotCarriedOut) {
+  constexpr Milliseconds kStep{250};
+  constexpr Milliseconds kSinceSuspension = Milliseconds(1'000) - kLeft;
+  const SteadyTime now = SystemClock().SteadyNow();
+  this->watch.RecordRunning(now - 2 * kSinceSuspension);
+  for (SteadyTime at = now - kSinceSuspension; at < now; at += kStep) {
+    this->watch.RecordRunning(at);
+  }
+  this->watch.RecordRunning(now);
+  ASSERT_TRUE(this->watch.MayBeStale(now));
+  this->before_show = [] { std::this_thread::sleep_for(2 * kLeft); };
+  jobs::DataCentreOrder order{.data_centre = kName,
+                              .use = jobs::DataCentreUse::kEvacuated};
+  EXPECT_EQ(
+      this->orders.Change(std::move(order), kLimit, now).wait(this->scope).code,
+      ResultCode::kDataCentreChanged);
+  EXPECT_EQ(this->commits, 0);
+}
+
+TEST_F(DataCentreOrdersTest, ASuspensionBetweenTheStepsEndsAnOrder) {
+  this->before_show = [this] {
+    this->watch.RecordRunning(SystemClock().SteadyNow() + Milliseconds(10'000));
+  };
+  EXPECT_EQ(this->Order(jobs::DataCentreUse::kEvacuated).code,
+            ResultCode::kDataCentreChanged);
+  EXPECT_EQ(this->commits, 0);
+}
+
 }  // namespace
 }  // namespace sumac::daemon
