--- a/libraries/http/async_http_server.h
+++ b/libraries/http/async_http_server.h
@@ -33,8 +33,8 @@
   // Returns false once the client has closed its side of the connection. A
   // client that ends only its sending side, and would still read the answer,
   // counts as gone too: the two can't be told apart here. May be called until
-  // the request is answered or its handler's promise is destroyed, as it is when
-  // the connection was reset.
+  // the request is answered or its handler's promise is destroyed, as it is
+  // when the connection was reset.
   std::function<bool()> is_awaited;
 };
 
