--- a/services/sumacd/data_centre_orders.cc
+++ b/services/sumacd/data_centre_orders.cc
@@ -48,7 +48,7 @@
 
 // Commits the change for the version that the leader has shown.
 kj::Promise<fleet::Answer> DataCentreOrders::Commit(
-    std::shared_ptr<const jobs::DataCentreOrder> order,
+    const std::shared_ptr<const jobs::DataCentreOrder>& order,
     SteadyTime deadline,
     const fleet::Answer& shown) {
   if (!shown.is_ok()) {
--- a/services/sumacd/data_centre_orders.h
+++ b/services/sumacd/data_centre_orders.h
@@ -42,7 +42,7 @@
 
  private:
   kj::Promise<fleet::Answer> Commit(
-      std::shared_ptr<const jobs::DataCentreOrder> order,
+      const std::shared_ptr<const jobs::DataCentreOrder>& order,
       SteadyTime deadline,
       const fleet::Answer& shown);
 
--- a/services/sumacd/job_admission.cc
+++ b/services/sumacd/job_admission.cc
@@ -66,6 +66,20 @@
       scheduler.ShareRequestOf(submission.queue.name, submission.spec), now);
 }
 
+// Returns when a refused caller should come back: later in a long rush of
+// customers, whose weights let one of them send far beyond the room.
+Milliseconds JobAdmission::StretchReturn(const JobSubmission& submission,
+                                         Milliseconds retry_after,
+                                         SteadyTime now) {
+  if (submission.customer == nullptr) {
+    return retry_after;
+  }
+  const bool is_first =
+      this->WaitingTimeOf(submission.job, now) == Milliseconds(0);
+  return this->return_times.Stretch(submission.queue.name, is_first,
+                                    retry_after, now);
+}
+
 fleet::Answer JobAdmission::MakeRefusal(const JobId& job,
                                         scheduler::RefusalReason reason,
                                         std::string message,
@@ -110,10 +124,7 @@
         submission.job, kBacklog,
         StrCat(waiting.of_all, " jobs wait for a start, ", waiting.of_queue,
                " of them of this queue"),
-        this->return_times.Stretch(
-            submission.queue.name,
-            this->WaitingTimeOf(submission.job, now) == Milliseconds(0),
-            this->backlog.RetryAfter(waiting), now),
+        this->StretchReturn(submission, this->backlog.RetryAfter(waiting), now),
         now);
   }
   return std::nullopt;
@@ -135,8 +146,7 @@
     return this->MakeRefusal(
         submission.job, kTooLate,
         "it would begin too late behind those that wait",
-        this->return_times.Stretch(queue, waited == Milliseconds(0),
-                                   forecast.RetryAfter(queue, now), now),
+        this->StretchReturn(submission, forecast.RetryAfter(queue, now), now),
         now);
   }
   if (!this->load.DecideAdmission()) {
--- a/services/sumacd/job_admission.h
+++ b/services/sumacd/job_admission.h
@@ -60,6 +60,9 @@
   void RecordFinished(SteadyTime now) { this->backlog.RecordFinished(now); }
 
  private:
+  Milliseconds StretchReturn(const JobSubmission& submission,
+                             Milliseconds retry_after,
+                             SteadyTime now);
   fleet::Answer MakeRefusal(const JobId& job,
                             scheduler::RefusalReason reason,
                             std::string message,
--- a/tests/libraries/maintenance/evacuated_pools_test.cc
+++ b/tests/libraries/maintenance/evacuated_pools_test.cc
@@ -19,7 +19,7 @@
 const ServiceName kOff("off");
 const std::vector<DataCentre> kDataCentres = {
     DataCentre("dc-a"), DataCentre("dc-b"), DataCentre("dc-c")};
-const DataCentre& kEvacuated = kDataCentres[0];
+const DataCentre kEvacuated("dc-a");
 constexpr std::int64_t kCores = 16'000;
 
 // Pools whose instances are spread over three data centres, and a platform that
