--- a/tests/libraries/replication/membership_plan_test.cc
+++ b/tests/libraries/replication/membership_plan_test.cc
@@ -108,7 +108,7 @@
     this->health[*this->members.voters.begin()].is_leader = true;
   }
   NodeId Add(const std::string& name) {
-    const NodeId node(StrCat(name, ".1"));
+    NodeId node(StrCat(name, ".1"));
     this->health[node] = {.is_caught_up = true,
                           .data_centre = DataCentre(name.substr(0, 1))};
     return node;
