Maintenance: Take fair division of scarce instances back

InstanceOrdersTest.ACommittedOrderWaitsForTheTasksOfItsInstance failed: a pool without any demand has a minimum of two instances, counted as starving, and took an instance that its owner needed for tasks that are spread one a worker.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -4,8 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "libraries/maintenance/fair_division.h"
-
 namespace sumac::maintenance {
 namespace {
 
@@ -80,7 +78,6 @@
   std::map<ServiceName, Pool> pools =
       this->CountPools(state, facts, busy, needs, wall_now, now);
   this->SetWantedCounts(state, demand, pools, needs);
-  this->LimitToFairParts(state, pools);
   this->GrowPoolsByLabel(state, pools, facts, needs, now);
   this->GrowPools(state, pools, facts, needs, now);
   this->ShrinkPools(state, pools, facts, needs, wall_now, now);
@@ -252,38 +249,6 @@
   }
 }
 
-// Limits what each pool needs to its fair part while another pool starves: the
-// pools together need more instances than there are, and one has less than half
-// of its part. Instances with long-running tasks stay anyway. In other rushes
-// the pools keep what they have, since every move costs the work of some
-// seconds.
-void CapacityPlanner::LimitToFairParts(
-    const jobs::JobsState& state,
-    std::map<ServiceName, Pool>& pools) const {
-  std::int64_t instances = 0;
-  std::map<ServiceName, std::int64_t> wants;
-  for (const auto& [name, pool] : pools) {
-    instances += pool.have;
-    if (!IsHeadroom(state, name)) {
-      wants[name] = pool.want;
-    }
-  }
-  const std::map<ServiceName, std::int64_t> parts =
-      DivideFairly(wants, instances);
-  const bool is_any_starving =
-      std::any_of(parts.begin(), parts.end(), [&pools](const auto& part) {
-        return 2 * pools.at(part.first).have < part.second;
-      });
-  if (!is_any_starving) {
-    return;
-  }
-  for (const auto& [name, part] : parts) {
-    // A pool keeps its minimum number of instances in any case.
-    pools[name].want = std::max(
-        part, std::min(wants[name], this->settings.min_instances_per_pool));
-  }
-}
-
 // Moves instances to pools whose tasks require their labels. Instances that are
 // switched off are moved first.
 void CapacityPlanner::GrowPoolsByLabel(
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -150,8 +150,6 @@
                        const std::map<ServiceName, jobs::ServiceDemand>& demand,
                        std::map<ServiceName, Pool>& pools,
                        LabelNeeds& needs) const;
-  void LimitToFairParts(const jobs::JobsState& state,
-                        std::map<ServiceName, Pool>& pools) const;
   jobs::ServiceDemand ExcludeUnservableDemand(const jobs::ServiceDemand& demand,
                                               const Pool& pool,
                                               const LabelNeeds& needs) const;
--- a/tests/libraries/rpc/rpc_server_test.cc
+++ b/tests/libraries/rpc/rpc_server_test.cc
@@ -12,7 +12,7 @@
 namespace sumac::rpc {
 namespace {
 
-constexpr const char* kAddress = "127.0.7.34:18734";
+constexpr const char* kAddress = "127.0.7.56:18756";
 // The address above in the notation of /proc/net/tcp.
 constexpr const char* kKernelAddress = "2207007F:492E";
 
--- a/tests/platform/worker_lives_test.cc
+++ b/tests/platform/worker_lives_test.cc
@@ -31,7 +31,7 @@
 
 using scheduler::OrderResult;
 
-constexpr const char* kAddress = "127.0.7.34:18734";
+constexpr const char* kAddress = "127.0.7.57:18757";
 constexpr const char* kExpectedWorkerHeader = "Sumacstack-Expected-Instance";
 constexpr const char* kName = "i-7f3a91c2";
 constexpr std::int64_t kFirstStart = 1'764'739'200'000;
--- a/tests/services/sumacd/replica_host_test.cc
+++ b/tests/services/sumacd/replica_host_test.cc
@@ -347,6 +347,8 @@
   ASSERT_NE(leader, nullptr);
   ASSERT_TRUE(this->Propose(*leader, EncodeOrder("dc-a", kEvacuated, 0)));
   ASSERT_TRUE(this->Propose(*leader, EncodeOrder("dc-c", kEvacuated, 0)));
+  // A member that lags behind the snapshot would get it instead of the entries.
+  ASSERT_TRUE(this->Await([&] { return this->HaveAllAppliedTheSame(); }));
   jobs::JobsState snapshot = EmptyState();
   ApplyAll(snapshot, leader->applied);
   leader->host->FinishSnapshot(leader->host->applied_index(),
