--- a/tests/libraries/rpc/rpc_server_test.cc
+++ b/tests/libraries/rpc/rpc_server_test.cc
@@ -14,7 +14,7 @@
 
 constexpr const char* kAddress = "127.0.7.56:18756";
 // The address above in the notation of /proc/net/tcp.
-constexpr const char* kKernelAddress = "2207007F:492E";
+constexpr const char* kKernelAddress = "3807007F:4944";
 
 class QuietPeer final : public wire::Peer::Server {};
 
