--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -1568,8 +1568,10 @@
   const jobs::StepSpec& step = job.spec.steps[candidate.step];
   const PlacementRequest request{
       .job = &job, .task = {{job.id, candidate.occurrence, candidate.step}, 0}};
-  if (candidate.lateness != Lateness::kInTime || job.is_beyond_share ||
-      this->PolicyOf(job) != nullptr) {
+  const bool is_on = this->settings.reserves_workers ||
+                     this->state.declaration().has_customers();
+  if (!is_on || candidate.lateness != Lateness::kInTime ||
+      job.is_beyond_share || this->PolicyOf(job) != nullptr) {
     return;
   }
   Reservations& reservations = this->placement.reservations();
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -76,6 +76,8 @@
   // checkpoints. Each move interrupts a task that would continue otherwise, so
   // it pays only if the data centre is going to be switched off.
   bool moves_evacuated_tasks = false;
+  // Reserves workers for large tasks even where no customers are declared.
+  bool reserves_workers = true;
   // The minimum interval between two such moves.
   Milliseconds evacuation_move_interval{250};
   // The maximum number of times that a run of the same task is given up.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -284,6 +284,7 @@
   scheduler_settings.orders_by_slack = policy.order_by_slack;
   scheduler_settings.avoids_bad_workers = policy.leave_bad_workers;
   scheduler_settings.moves_evacuated_tasks = policy.move_evacuated_tasks;
+  scheduler_settings.reserves_workers = policy.reserve_workers;
   if (!policy.forecast) {
     scheduler_settings.forecast.horizon = Milliseconds(0);
   }
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -92,6 +92,9 @@
   // Moves long-running tasks out of evacuated data centres. If false, they stay
   // until something else ends their runs, and lose nothing.
   bool move_evacuated_tasks = false;
+  // Reserves workers for large tasks also where no customers are declared, any
+  // of whom may flood a pool with small tasks.
+  bool reserve_workers = false;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -108,6 +111,7 @@
     visitor.Field("shares_by_work", self.shares_by_work);
     visitor.Field("surplus_ms", self.surplus_time, Limits{0, 600'000});
     visitor.Field("move_evacuated_tasks", self.move_evacuated_tasks);
+    visitor.Field("reserve_workers", self.reserve_workers);
   }
 };
 
