Scheduler, Docs: Put the interval of moves beside its setting, and say where reservations act

The setting of reservations had come between moves out of evacuated data centres and 'the minimum interval between two such moves'. Behaviour is as before; scheduler.cc was checked by the compiler alone, no test was run.

--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -76,10 +76,10 @@
   // checkpoints. Each move interrupts a task that would continue otherwise, so
   // it pays only if the data centre is going to be switched off.
   bool moves_evacuated_tasks = false;
-  // Reserves workers for large tasks even where no customers are declared.
-  bool reserves_workers = true;
   // The minimum interval between two such moves.
   Milliseconds evacuation_move_interval{250};
+  // Reserves workers for large tasks even where no customers are declared.
+  bool reserves_workers = true;
   // The maximum number of times that a run of the same task is given up.
   std::uint32_t max_moves = 2;
   // How long a worker may stay silent, after its lease is over, before its
