Maintenance: Size, keep and move pools by what binds

Cause: pools were counted in cores with a fixed share on top, served one after the other, and all moves of a pass were chosen, cordoned and queued at one moment. Late work counted as need like work that can be in time, so the first backlog kept the room of the queues whose turns came later.

Decisions are pure modules now (docs/design/0016): needs by class of work, packed by every resource (pool_need, instance_packing); one division over all pools (instance_division); the highest recent need is kept (need_history); moves begin as the platform carries them out, and wishes live for one pass (order_window, move_table). An accepted move stays cordoned for its time from the acceptance, not from the choice: orders that waited for more than 4 s let starts through to workers that were gone.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -2,19 +2,16 @@
 #include "libraries/maintenance/capacity_planner.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
+#include "libraries/maintenance/pool_need.h"
+
 namespace sumac::maintenance {
 namespace {
 
 constexpr std::int64_t kPermille = 1'000;
 
-bool IsHeadroom(const jobs::JobsState& state, const ServiceName& service) {
-  const jobs::ServiceDeclaration* found =
-      state.declaration().FindService(service);
-  return found != nullptr && found->is_headroom;
-}
-
 }  // namespace
 
 CapacityPlanner::CapacityPlanner(CapacitySettings settings,
@@ -22,9 +19,9 @@
                                  LeaderEpoch epoch,
                                  SteadyTime now)
     : settings(settings),
-      holder(std::move(holder)),
       epoch(epoch),
-      began_at(now) {}
+      began_at(now),
+      moves(settings.moves, std::move(holder), epoch) {}
 
 void CapacityPlanner::UpdateListing(const InstanceListing& listing) {
   this->evacuated.UpdateListing(listing);
@@ -55,7 +52,7 @@
 
 std::set<InstanceName> CapacityPlanner::MovingInstances() const {
   std::set<InstanceName> names;
-  for (const auto& [name, move] : this->moves) {
+  for (const auto& [name, move] : this->moves.all()) {
     names.insert(name);
   }
   return names;
@@ -70,18 +67,21 @@
     SteadyTime now) {
   CapacityOutput output;
   this->CordonEarlierMoves(state, facts, wall_now, now, output);
-  if (!this->settings.is_on || this->has_been_fenced) {
+  if (!this->settings.is_on || this->moves.has_been_fenced()) {
     return output;
   }
   this->UpdateLabels(facts);
   LabelNeeds needs(this->labels, demand);
-  std::map<ServiceName, Pool> pools =
-      this->CountPools(state, facts, busy, needs, wall_now, now);
-  this->SetWantedCounts(state, demand, pools, needs);
-  this->GrowPoolsByLabel(state, pools, facts, needs, now);
-  this->GrowPools(state, pools, facts, needs, now);
-  this->ShrinkPools(state, pools, facts, needs, wall_now, now);
-  this->AdvanceMoves(state, facts, now, output);
+  Pools pools = this->CountPools(state, facts, busy, needs, wall_now, now);
+  this->CountNeeds(demand, pools, needs, now);
+  this->FindSurplus(state, pools, wall_now, now);
+  this->wishes.clear();
+  this->GrowPoolsByLabel(pools, needs);
+  this->GrowPools(pools, needs);
+  this->GrowPoolsForLateWork(pools, needs);
+  this->ShrinkPools(pools, needs);
+  this->BeginWishedMoves(facts, now);
+  this->moves.Advance(state, facts, this->evacuated, now, output);
   return output;
 }
 
@@ -126,24 +126,25 @@
   }
 }
 
-std::map<ServiceName, CapacityPlanner::Pool> CapacityPlanner::CountPools(
+CapacityPlanner::Pools CapacityPlanner::CountPools(
     const jobs::JobsState& state,
     const std::map<InstanceName, InstanceFacts>& facts,
     const std::set<InstanceName>& busy,
     LabelNeeds& needs,
     WallTime wall_now,
     SteadyTime now) const {
-  std::map<ServiceName, Pool> pools;
+  Pools pools;
   for (const auto& [name, service] : state.declaration().services()) {
-    pools[name];
+    pools[name].is_headroom = service.is_headroom;
   }
   for (const auto& [name, instance] : facts) {
     if (this->moves.contains(name) || instance.is_leaving) {
       continue;
     }
     Pool& pool = pools[instance.service];
-    pool.instance_millicores =
-        std::max(pool.instance_millicores, instance.millicores);
+    if (instance.capacity.millicores > pool.instance.millicores) {
+      pool.instance = instance.capacity;
+    }
     // An instance that is about to be maintained counts as unavailable.
     if (busy.contains(name) || this->evacuated.Has(state, facts, name)) {
       continue;
@@ -168,7 +169,7 @@
       needs.Add(service, name);
     }
   }
-  for (const auto& [name, move] : this->moves) {
+  for (const auto& [name, move] : this->moves.all()) {
     if (!this->evacuated.Has(state, facts, name)) {
       ++pools[move.to].have;
       needs.Add(move.to, name);
@@ -199,7 +200,7 @@
   jobs::ServiceDemand served = demand;
   for (const auto& [label, labelled] : demand.by_label) {
     const std::int64_t servable =
-        needs.CountAll(label) * pool.instance_millicores;
+        needs.CountAll(label) * pool.instance.millicores;
     const std::int64_t unservable =
         std::max<std::int64_t>(0, labelled.millicores - servable);
     const std::int64_t unservable_late =
@@ -207,7 +208,15 @@
             0, labelled.millicores + labelled.late_millicores - servable) -
         unservable;
     served.short_millicores -= std::min(unservable, served.short_millicores);
-    served.late_millicores -= unservable_late;
+    const std::int64_t unservable_worthless =
+        std::min(unservable_late, served.worthless_millicores);
+    served.worthless_millicores -= unservable_worthless;
+    served.late_millicores -= unservable_late - unservable_worthless;
+    if (unservable > 0) {
+      std::erase_if(served.short_tasks, [&](const jobs::TaskGroup& group) {
+        return group.required_label == label;
+      });
+    }
   }
   return served;
 }
@@ -220,48 +229,86 @@
   const std::int64_t millicores =
       labelled.millicores * (kPermille + this->settings.reserve_permille) /
       kPermille;
-  return std::max<std::int64_t>(1, (millicores + pool.instance_millicores - 1) /
-                                       pool.instance_millicores);
+  return std::max<std::int64_t>(1, (millicores + pool.instance.millicores - 1) /
+                                       pool.instance.millicores);
 }
 
-void CapacityPlanner::SetWantedCounts(
-    const jobs::JobsState& state,
+void CapacityPlanner::CountNeeds(
     const std::map<ServiceName, jobs::ServiceDemand>& demand,
-    std::map<ServiceName, Pool>& pools,
-    LabelNeeds& needs) const {
+    Pools& pools,
+    LabelNeeds& needs,
+    SteadyTime now) {
+  std::int64_t instances = 0;
+  std::map<ServiceName, PoolNeed> all_needs;
   for (auto& [name, pool] : pools) {
-    const auto needed = demand.find(name);
-    pool.want =
-        IsHeadroom(state, name) ? 0 : this->settings.min_instances_per_pool;
-    pool.want_with_late = pool.want;
-    if (IsHeadroom(state, name) || needed == demand.end() ||
-        pool.instance_millicores == 0) {
+    instances += pool.have;
+    if (pool.is_headroom) {
       continue;
     }
-    const jobs::ServiceDemand service =
-        this->ExcludeUnservableDemand(needed->second, pool, needs);
-    pool.want = this->InstancesFor(pool, service, service.short_millicores);
-    pool.want_with_late = this->InstancesFor(
-        pool, service, service.short_millicores + service.late_millicores);
-    for (const auto& [label, labelled] : service.by_label) {
-      needs.SetNeed(name, label, this->LabelledInstancesFor(pool, labelled));
+    // A pool without demand keeps its minimum, but takes no instance for it
+    // that others use.
+    pool.need[WorkClass::kLate] = this->settings.min_instances_per_pool;
+    pool.need[WorkClass::kWorthless] = this->settings.min_instances_per_pool;
+    const auto needed = demand.find(name);
+    if (needed != demand.end() && pool.instance.millicores > 0) {
+      const jobs::ServiceDemand service =
+          this->ExcludeUnservableDemand(needed->second, pool, needs);
+      pool.need =
+          CountNeed(service, pool.instance,
+                    {.max_reserve_permille = this->settings.reserve_permille,
+                     .min_instances = this->settings.min_instances_per_pool});
+      for (const auto& [label, labelled] : service.by_label) {
+        needs.SetNeed(name, label, this->LabelledInstancesFor(pool, labelled));
+      }
+    }
+    all_needs[name] = pool.need;
+    NeedHistory& history = this->histories[name];
+    const Milliseconds longest =
+        std::max(this->settings.retention, this->settings.surplus_time);
+    history.Record(pool.need[WorkClass::kInTime], longest, now);
+    pool.recent_need =
+        history.Covers(this->settings.surplus_time, now)
+            ? std::max(history.HighestWithin(this->settings.surplus_time, now),
+                       this->settings.min_instances_per_pool)
+            : pool.have;
+    pool.retained =
+        std::max(history.HighestWithin(this->settings.retention, now),
+                 pool.need[WorkClass::kWorthless]);
+  }
+  for (const auto& [name, part] : DivideInstances(all_needs, instances)) {
+    pools[name].part = part;
+  }
+}
+
+// After each change of a data centre's use, the time for which a pool must have
+// had too many instances begins anew.
+void CapacityPlanner::FindSurplus(const jobs::JobsState& state,
+                                  Pools& pools,
+                                  WallTime wall_now,
+                                  SteadyTime now) {
+  if (EvacuatedInstances::HasRecentChange(state, this->settings.evacuation_hold,
+                                          wall_now)) {
+    this->surplus_since.clear();
+    return;
+  }
+  for (auto& [name, pool] : pools) {
+    if (pool.is_headroom || pool.have <= pool.retained) {
+      this->surplus_since.erase(name);
+      continue;
     }
+    const auto since = this->surplus_since.try_emplace(name, now).first->second;
+    pool.gives_up = now - since >= this->settings.surplus_time;
   }
 }
 
 // Moves instances to pools whose tasks require their labels. Instances that are
 // switched off are moved first.
-void CapacityPlanner::GrowPoolsByLabel(
-    const jobs::JobsState& state,
-    std::map<ServiceName, Pool>& pools,
-    const std::map<InstanceName, InstanceFacts>& facts,
-    LabelNeeds& needs,
-    SteadyTime now) {
+void CapacityPlanner::GrowPoolsByLabel(Pools& pools, LabelNeeds& needs) {
   for (const auto& [to, label] : needs.FindShortages()) {
     for (const bool takes_headroom : {true, false}) {
       for (const auto& [from, pool] : pools) {
-        if (from != to && IsHeadroom(state, from) == takes_headroom) {
-          this->MoveLabelled(pools, from, to, label, facts, needs, now);
+        if (from != to && pool.is_headroom == takes_headroom) {
+          this->MoveLabelled(pools, from, to, label, needs);
         }
       }
     }
@@ -270,14 +317,11 @@
 
 // Moves instances with a label from one pool to another that has too few of
 // them.
-void CapacityPlanner::MoveLabelled(
-    std::map<ServiceName, Pool>& pools,
-    const ServiceName& from,
-    const ServiceName& to,
-    const std::string& label,
-    const std::map<InstanceName, InstanceFacts>& facts,
-    LabelNeeds& needs,
-    SteadyTime now) {
+void CapacityPlanner::MoveLabelled(Pools& pools,
+                                   const ServiceName& from,
+                                   const ServiceName& to,
+                                   const std::string& label,
+                                   LabelNeeds& needs) {
   Pool& source = pools[from];
   Pool& destination = pools[to];
   std::erase_if(source.movable, [&](const auto& movable) {
@@ -289,7 +333,7 @@
     --source.have;
     ++destination.have;
     needs.Move(from, to, name);
-    this->BeginMove(name, from, to, facts, now);
+    this->wishes.push_back(Wish{name, from, to, movable.first});
     return true;
   });
 }
@@ -314,231 +358,144 @@
   if (has == 0 && needs.CountIn(from, label) > 1) {
     return true;
   }
-  const bool can_do_without = has == 0 || source.have > source.want ||
-                              destination.have >= destination.want;
+  const bool can_do_without =
+      has == 0 || source.have > source.need[WorkClass::kInTime] ||
+      destination.have >= destination.need[WorkClass::kInTime];
   return can_do_without && needs.CanSpare(from, name);
 }
 
-// Returns how many instances a pool needs for its long-running tasks and for
-// `short_millicores` of short tasks.
-std::int64_t CapacityPlanner::InstancesFor(
-    const Pool& pool,
-    const jobs::ServiceDemand& service,
-    std::int64_t short_millicores) const {
-  const std::int64_t millicores =
-      service.long_running_millicores +
-      short_millicores * (kPermille + this->settings.reserve_permille) /
-          kPermille;
-  return std::max(
-      {this->settings.min_instances_per_pool, service.min_instances,
-       (millicores + pool.instance_millicores - 1) / pool.instance_millicores});
-}
-
-// Moves instances from a pool that has more than it needs to pool `to`, until
-// none is missing there. Instances with the fewest runs are moved first.
-void CapacityPlanner::MoveSurplus(
-    const ServiceName& from,
-    Pool& pool,
-    const ServiceName& to,
-    std::int64_t& missing,
-    const std::map<InstanceName, InstanceFacts>& facts,
-    LabelNeeds& needs,
-    SteadyTime now) {
+std::int64_t CapacityPlanner::Take(Pools& pools,
+                                   const ServiceName& from,
+                                   const ServiceName& to,
+                                   std::int64_t most,
+                                   LabelNeeds& needs) {
+  Pool& pool = pools[from];
+  std::int64_t taken = 0;
   auto item = pool.movable.begin();
-  while (missing > 0 && pool.have > pool.want && item != pool.movable.end()) {
+  while (taken < most && item != pool.movable.end()) {
     const InstanceName name = item->second;
     if (!needs.CanSpare(from, name)) {
       ++item;
       continue;
     }
+    this->wishes.push_back(Wish{name, from, to, item->first});
     item = pool.movable.erase(item);
-    --pool.have;
-    --missing;
+    ++taken;
     needs.Move(from, to, name);
-    this->BeginMove(name, from, to, facts, now);
   }
+  pool.have -= taken;
+  pools[to].have += taken;
+  return taken;
 }
 
-// Moves instances to pools that have too few: first instances that are switched
-// off, then those of pools that have more than they need. For late work, which
-// has no value any more, a pool gets only instances that are switched off, and
-// gives them back as soon as another pool needs them.
-void CapacityPlanner::GrowPools(
-    const jobs::JobsState& state,
-    std::map<ServiceName, Pool>& pools,
-    const std::map<InstanceName, InstanceFacts>& facts,
-    LabelNeeds& needs,
-    SteadyTime now) {
+// Moves instances to pools that have too few for work that can be in time:
+// first those that other pools give up by themselves, then those that are
+// switched off, then those that other pools do not need now. A pool with less
+// than half of its part gets what others have beyond theirs; a smaller
+// difference is not worth the moves.
+void CapacityPlanner::GrowPools(Pools& pools, LabelNeeds& needs) {
+  const std::int64_t floor = this->settings.min_instances_per_pool;
+  const std::array<std::int64_t (*)(const Pool&, std::int64_t), 4> sources = {
+      [](const Pool& pool, std::int64_t) { return pool.CountGivenUp(); },
+      [](const Pool& pool, std::int64_t) {
+        return pool.is_headroom ? pool.have : 0;
+      },
+      [](const Pool& pool, std::int64_t least) {
+        return pool.have - std::max(least, pool.need[WorkClass::kInTime]);
+      },
+      [](const Pool& pool, std::int64_t least) {
+        return pool.have - std::max(least, pool.part[WorkClass::kInTime]);
+      }};
   std::vector<std::pair<std::int64_t, ServiceName>> order;
   for (const auto& [name, pool] : pools) {
-    if (pool.want > pool.have && !IsHeadroom(state, name)) {
-      order.emplace_back(pool.have - pool.want, name);
+    const std::int64_t part = pool.part[WorkClass::kInTime];
+    if (part > pool.have) {
+      order.emplace_back(pool.have - part, name);
     }
   }
   std::sort(order.begin(), order.end());
   for (const auto& [negative_shortage, to] : order) {
     std::int64_t missing = -negative_shortage;
-    for (const bool takes_headroom : {true, false}) {
-      for (auto& [from, pool] : pools) {
-        if (from != to && IsHeadroom(state, from) == takes_headroom) {
-          this->MoveSurplus(from, pool, to, missing, facts, needs, now);
+    const bool is_starving = missing > pools[to].have;
+    for (std::size_t number = 0; number < sources.size(); ++number) {
+      if (number + 1 == sources.size() && !is_starving) {
+        break;
+      }
+      for (const auto& [from, pool] : pools) {
+        if (from != to && missing > 0) {
+          missing -= this->Take(pools, from, to,
+                                std::min(missing, sources[number](pool, floor)),
+                                needs);
         }
       }
     }
   }
-  for (auto& [to, needy] : pools) {
-    std::int64_t missing =
-        needy.want_with_late - std::max(needy.have, needy.want);
-    for (auto& [from, pool] : pools) {
-      if (IsHeadroom(state, from) && !IsHeadroom(state, to)) {
-        this->MoveSurplus(from, pool, to, missing, facts, needs, now);
+}
+
+// Moves instances to pools with late work: those that are switched off or that
+// other pools give up by themselves, and for late work that is still worth
+// something also those that other pools have not needed for a while.
+void CapacityPlanner::GrowPoolsForLateWork(Pools& pools, LabelNeeds& needs) {
+  for (const WorkClass work : {WorkClass::kLate, WorkClass::kWorthless}) {
+    for (auto& [to, needy] : pools) {
+      for (const auto& [from, pool] : pools) {
+        const std::int64_t missing =
+            needy.part[work] -
+            std::max(needy.have, needy.part[WorkClass::kInTime]);
+        if (from == to || missing <= 0) {
+          continue;
+        }
+        const std::int64_t unneeded =
+            work == WorkClass::kLate
+                ? pool.have -
+                      std::max(pool.recent_need, pool.need[WorkClass::kLate])
+                : pool.CountGivenUp();
+        this->Take(pools, from, to,
+                   std::min(missing, pool.is_headroom ? pool.have : unneeded),
+                   needs);
       }
     }
   }
 }
 
-// Moves empty instances from pools that have had too many for `surplus_time` to
-// a pool whose instances are switched off. After each change of a data
-// centre's use that time begins anew.
-void CapacityPlanner::ShrinkPools(
-    const jobs::JobsState& state,
-    std::map<ServiceName, Pool>& pools,
-    const std::map<InstanceName, InstanceFacts>& facts,
-    LabelNeeds& needs,
-    WallTime wall_now,
-    SteadyTime now) {
-  if (EvacuatedInstances::HasRecentChange(state, this->settings.evacuation_hold,
-                                          wall_now)) {
-    this->surplus_since.clear();
-    return;
-  }
-  const auto headroom = std::find_if(
-      pools.begin(), pools.end(),
-      [&](const auto& pool) { return IsHeadroom(state, pool.first); });
+// Moves empty instances that pools give up to the pool whose instances are
+// switched off.
+void CapacityPlanner::ShrinkPools(Pools& pools, LabelNeeds& needs) {
+  const auto headroom =
+      std::find_if(pools.begin(), pools.end(),
+                   [](const auto& pool) { return pool.second.is_headroom; });
   if (headroom == pools.end()) {
     return;
   }
   for (auto& [name, pool] : pools) {
-    if (IsHeadroom(state, name) || pool.have <= pool.want_with_late) {
-      this->surplus_since.erase(name);
-      continue;
-    }
-    const auto since = this->surplus_since.try_emplace(name, now).first->second;
-    if (now - since < this->settings.surplus_time) {
-      continue;
-    }
-    auto item = pool.movable.begin();
-    while (pool.have > pool.want_with_late && item != pool.movable.end() &&
-           item->first == 0) {
-      const InstanceName instance = item->second;
-      if (!needs.CanSpare(name, instance)) {
-        ++item;
-        continue;
-      }
-      item = pool.movable.erase(item);
-      --pool.have;
-      needs.Move(name, headroom->first, instance);
-      this->BeginMove(instance, name, headroom->first, facts, now);
-    }
+    const auto empty =
+        std::count_if(pool.movable.begin(), pool.movable.end(),
+                      [](const auto& movable) { return movable.first == 0; });
+    this->Take(pools, name, headroom->first,
+               std::min(pool.CountGivenUp(), std::int64_t{empty}), needs);
   }
 }
 
-void CapacityPlanner::BeginMove(
-    const InstanceName& name,
-    const ServiceName& from,
-    const ServiceName& to,
+// Begins the moves that are wished for, the most important first. An instance
+// that must become empty first may begin at once: it does not wait for the
+// platform. The others begin as the platform can carry them out.
+void CapacityPlanner::BeginWishedMoves(
     const std::map<InstanceName, InstanceFacts>& facts,
     SteadyTime now) {
-  const auto known = facts.find(name);
-  this->moves[name] =
-      Move{.from = from,
-           .to = to,
-           .worker = known == facts.end() ? WorkerId() : known->second.worker,
-           .since = now};
-}
-
-// True if a record of a move of the instance by this leader is committed, so
-// that the order may be sent.
-bool CapacityPlanner::HasRecord(const jobs::JobsState& state,
-                                const InstanceName& name) const {
-  const auto record = state.record().moves.find(name);
-  return record != state.record().moves.end() &&
-         record->second.epoch == this->epoch;
-}
-
-// True if no record of this move is committed yet, although one of an earlier
-// move of the instance may be. An earlier record names another worker, and will
-// soon be too old to keep the next leader from giving orders about the
-// instance.
-bool CapacityPlanner::IsRecordOld(const jobs::JobsState& state,
-                                  const InstanceName& name,
-                                  Move& move) const {
-  if (!this->HasRecord(state, name)) {
-    return true;
-  }
-  const jobs::MoveRecord& record = state.record().moves.at(name);
-  if (!std::exchange(move.has_checked_record, true)) {
-    move.earlier_record = record;
-  }
-  return move.earlier_record && move.earlier_record->at == record.at;
-}
-
-void CapacityPlanner::AdvanceMoves(
-    const jobs::JobsState& state,
-    const std::map<InstanceName, InstanceFacts>& facts,
-    SteadyTime now,
-    CapacityOutput& output) {
-  jobs::RecordMoves to_record;
-  for (auto item = this->moves.begin(); item != this->moves.end();) {
-    auto& [name, move] = *item;
-    const auto known = facts.find(name);
-    // No worker appears on an instance that is switched off, so that its move
-    // counts as complete after the move time.
-    const bool has_arrived =
-        (known != facts.end() && !known->second.is_only_announced &&
-         known->second.worker != move.worker) ||
-        (IsHeadroom(state, move.to) &&
-         now - move.accepted_at >= this->settings.move_time);
-    const bool is_overdue = now - move.since > this->settings.max_move_duration;
-    // A move that has not been ordered yet ends with the evacuation of the
-    // instance's data centre.
-    const bool is_cancelled = !move.is_accepted && !move.is_under_way &&
-                              this->evacuated.Has(state, facts, name);
-    if ((move.is_accepted && has_arrived) || is_cancelled ||
-        (is_overdue && !move.is_under_way)) {
-      item = this->moves.erase(item);
+  std::int64_t free = this->moves.CountFree();
+  for (const Wish& wish : this->wishes) {
+    if (wish.runs == 0 && free-- <= 0) {
       continue;
     }
-    output.cordoned.insert(name);
-    const bool is_empty =
-        known == facts.end() ||
-        (known->second.budgeted_runs == 0 && known->second.other_runs == 0);
-    const bool is_due =
-        !move.is_accepted && !move.is_under_way && is_empty && now >= move.due;
-    const bool is_record_wanted =
-        is_due && this->IsRecordOld(state, name, move);
-    if (is_record_wanted && now >= move.record_due) {
-      move.record_due = now + this->settings.retry;
-      to_record.instances.push_back(name);
-      if (!move.worker.value().empty()) {
-        to_record.workers[name] = move.worker;
-      }
-    }
-    // NOTE: At peak load instances move between pools every few seconds. If
-    // each order waited for its own record, it would come too late for the
-    // shift in demand. Only the first move of an instance under a leader waits
-    // for its record.
-    if (is_due && this->HasRecord(state, name)) {
-      move.is_under_way = true;
-      output.orders.push_back(InstanceOrder{.instance = name,
-                                            .pool = move.to,
-                                            .holder = this->holder,
-                                            .epoch = this->epoch});
-    }
-    ++item;
-  }
-  if (!to_record.instances.empty()) {
-    output.commands.emplace_back(std::move(to_record));
+    const auto known = facts.find(wish.instance);
+    this->moves.Begin(
+        wish.instance,
+        MoveTable::Move{
+            .from = wish.from,
+            .to = wish.to,
+            .worker = known == facts.end() ? WorkerId() : known->second.worker,
+            .since = now,
+            .is_draining = wish.runs > 0});
   }
 }
 
@@ -546,36 +503,10 @@
     const InstanceOrder& order,
     InstanceResult result,
     SteadyTime now) {
-  std::vector<jobs::Command> commands;
-  const auto found = this->moves.find(order.instance);
-  if (found == this->moves.end()) {
-    return commands;
-  }
-  Move& move = found->second;
-  move.is_under_way = false;
-  move.due = now + this->settings.retry;
-  switch (result) {
-    case InstanceResult::kDone:
-      move.is_accepted = true;
-      move.accepted_at = now;
-      this->known_pools[order.instance] = KnownPool{move.to, now};
-      if (!move.worker.value().empty()) {
-        commands.emplace_back(jobs::ForgetWorker{move.worker, true});
-      }
-      break;
-    case InstanceResult::kBusy:
-    case InstanceResult::kNotInWave:
-    case InstanceResult::kUnknownInstance:
-      this->moves.erase(found);
-      break;
-    case InstanceResult::kFenced:
-      this->has_been_fenced = true;
-      break;
-    case InstanceResult::kRefused:
-    case InstanceResult::kUnknown:
-      break;
+  if (result == InstanceResult::kDone && this->moves.contains(order.instance)) {
+    this->known_pools[order.instance] = KnownPool{order.pool, now};
   }
-  return commands;
+  return this->moves.HandleOrderResult(order, result, now);
 }
 
 }  // namespace sumac::maintenance
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -14,9 +13,12 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/service_demand.h"
 #include "libraries/maintenance/evacuated_instances.h"
+#include "libraries/maintenance/instance_division.h"
 #include "libraries/maintenance/instance_messages.h"
 #include "libraries/maintenance/label_needs.h"
 #include "libraries/maintenance/maintenance_planner.h"
+#include "libraries/maintenance/move_table.h"
+#include "libraries/maintenance/need_history.h"
 
 namespace sumac::maintenance {
 
@@ -26,41 +28,36 @@
   // The time for which a new leader gives no orders about instances that the
   // previous leader was about to move, so that their orders never interleave.
   Milliseconds takeover_pause{3'000};
-  // The reserve of a pool over its current demand for short tasks, in
+  // The maximum reserve of a pool over its current demand for short tasks, in
   // thousandths.
   std::int64_t reserve_permille = 150;
   // The time for which a pool must have had too many instances before it gives
-  // some up: the cost of giving an instance up and getting it back, which is
-  // two moves and the work that is late meanwhile, divided by the cost of an
-  // idle instance per second.
+  // some up.
   Milliseconds surplus_time{20'000};
+  // The time for which a pool keeps instances that it has needed: the cost of
+  // giving an instance up and getting it back, which is two moves and the work
+  // that is late meanwhile, divided by the cost of an idle instance per second.
+  Milliseconds retention{0};
   // The time for which pools give nothing up after a data centre was evacuated
   // or returned to use. Work moves between data centres meanwhile, and the
   // instances of a returned one may be slow at first.
   Milliseconds evacuation_hold{10'000};
-  // The time that the platform takes to move an instance. It accepts no further
-  // order about the instance meanwhile.
-  Milliseconds move_time{1'500};
-  // The maximum time to wait for an instance to appear in its new pool. After
-  // that it counts as in the pool in which the platform lists it.
-  Milliseconds max_move_duration{4'000};
-  // The time after which an order that was not answered is given again.
-  Milliseconds retry{400};
+  // How moves are carried out.
+  MoveSettings moves;
   // The minimum number of instances of a pool, whatever its demand.
   std::int64_t min_instances_per_pool = 2;
 };
 
-struct CapacityOutput {
-  std::set<InstanceName> cordoned;
-  std::vector<jobs::Command> commands;
-  std::vector<InstanceOrder> orders;
-};
-
 // Decides, for the leader, which instances move to another pool. The demand
 // shifts between services, so instances follow it from pools that have too
-// many, and from and to the pools whose instances are switched off. A pool
-// whose tasks require a label is given instances that have the label, and none
+// many, and from and to the pools whose instances are switched off. If there
+// are too few for all, they are divided by what the work is worth. A pool whose
+// tasks require a label is given instances that have the label, and none
 // without it for those tasks. Instances that run long-running tasks stay.
+//
+// A wish to move an instance lives for one planning pass, and ends with the
+// demand for it. The instance is cordoned only once its move begins, which is
+// as soon as the platform can be expected to carry it out.
 // Instances in evacuated data centres count for no pool and are not moved, so
 // that a pool grows from the instances elsewhere. Pure.
 class CapacityPlanner {
@@ -92,81 +89,71 @@
   std::set<InstanceName> MovingInstances() const;
 
  private:
-  // A move, from its decision until the instance is seen in its new pool.
-  struct Move {
-    ServiceName from;
-    ServiceName to;
-    // The worker that ends with the move; empty if none ran on the instance.
-    WorkerId worker;
-    SteadyTime since{};
-    bool is_under_way = false;
-    bool is_accepted = false;
-    SteadyTime accepted_at{};
-    SteadyTime due{};
-    // The time at which the move's record may be proposed, or proposed again.
-    SteadyTime record_due{};
-    // The record of an earlier move of the instance, as it was when the record
-    // of this move was first checked.
-    std::optional<jobs::MoveRecord> earlier_record;
-    bool has_checked_record = false;
-  };
   // The data about one pool in one planning pass.
   struct Pool {
-    // The processor time of the pool's largest instance.
-    std::int64_t instance_millicores = 0;
+    // The resources of the pool's largest instance.
+    jobs::Resources instance;
+    bool is_headroom = false;
     // The number of instances in the pool or being moved to it.
     std::int64_t have = 0;
-    // The number of instances that the pool needs, and the number that it could
-    // use if late work is included, which has no value any more.
-    std::int64_t want = 0;
-    std::int64_t want_with_late = 0;
+    // The number of instances that the pool needs, and those of them that it
+    // gets by the division between the pools.
+    PoolNeed need;
+    PoolNeed part;
+    // The highest need for work in time within the surplus time, or all that
+    // the pool has if that is not known, and the highest within the retention.
+    std::int64_t recent_need = 0;
+    std::int64_t retained = 0;
+    // True if the pool has had more than it retains for the surplus time.
+    bool gives_up = false;
     // Instances that could be moved away, with the number of their runs; the
     // one with the fewest runs comes first.
     std::vector<std::pair<std::int64_t, InstanceName>> movable;
+
+    // Returns the number of instances that the pool gives up by itself.
+    std::int64_t CountGivenUp() const {
+      return this->gives_up ? this->have - this->retained : 0;
+    }
+  };
+  using Pools = std::map<ServiceName, Pool>;
+  // A move that would be made if the platform carried it out at once.
+  struct Wish {
+    InstanceName instance;
+    ServiceName from;
+    ServiceName to;
+    std::int64_t runs = 0;
   };
 
-  bool HasRecord(const jobs::JobsState& state, const InstanceName& name) const;
-  bool IsRecordOld(const jobs::JobsState& state,
-                   const InstanceName& name,
-                   Move& move) const;
-  // Has each pending move recorded, gives its order, and removes the move once
-  // the instance has arrived or the move is overdue.
-  void AdvanceMoves(const jobs::JobsState& state,
-                    const std::map<InstanceName, InstanceFacts>& facts,
-                    SteadyTime now,
-                    CapacityOutput& output);
   // Updates the known labels of the instances that have a worker.
   void UpdateLabels(const std::map<InstanceName, InstanceFacts>& facts);
   // Returns the instances that each pool has, and those that it could give up.
-  std::map<ServiceName, Pool> CountPools(
-      const jobs::JobsState& state,
-      const std::map<InstanceName, InstanceFacts>& facts,
-      const std::set<InstanceName>& busy,
-      LabelNeeds& needs,
-      WallTime wall_now,
-      SteadyTime now) const;
+  Pools CountPools(const jobs::JobsState& state,
+                   const std::map<InstanceName, InstanceFacts>& facts,
+                   const std::set<InstanceName>& busy,
+                   LabelNeeds& needs,
+                   WallTime wall_now,
+                   SteadyTime now) const;
   // Sets how many instances, and how many with each label, each pool needs.
-  void SetWantedCounts(const jobs::JobsState& state,
-                       const std::map<ServiceName, jobs::ServiceDemand>& demand,
-                       std::map<ServiceName, Pool>& pools,
-                       LabelNeeds& needs) const;
+  void CountNeeds(const std::map<ServiceName, jobs::ServiceDemand>& demand,
+                  Pools& pools,
+                  LabelNeeds& needs,
+                  SteadyTime now);
+  // Decides which pools have had too many instances for a while.
+  void FindSurplus(const jobs::JobsState& state,
+                   Pools& pools,
+                   WallTime wall_now,
+                   SteadyTime now);
   jobs::ServiceDemand ExcludeUnservableDemand(const jobs::ServiceDemand& demand,
                                               const Pool& pool,
                                               const LabelNeeds& needs) const;
   std::int64_t LabelledInstancesFor(const Pool& pool,
                                     const jobs::LabelDemand& labelled) const;
-  void GrowPoolsByLabel(const jobs::JobsState& state,
-                        std::map<ServiceName, Pool>& pools,
-                        const std::map<InstanceName, InstanceFacts>& facts,
-                        LabelNeeds& needs,
-                        SteadyTime now);
-  void MoveLabelled(std::map<ServiceName, Pool>& pools,
+  void GrowPoolsByLabel(Pools& pools, LabelNeeds& needs);
+  void MoveLabelled(Pools& pools,
                     const ServiceName& from,
                     const ServiceName& to,
                     const std::string& label,
-                    const std::map<InstanceName, InstanceFacts>& facts,
-                    LabelNeeds& needs,
-                    SteadyTime now);
+                    LabelNeeds& needs);
   static bool MayMoveLabelled(const Pool& source,
                               const Pool& destination,
                               const ServiceName& from,
@@ -186,39 +173,25 @@
                           WallTime wall_now,
                           SteadyTime now,
                           CapacityOutput& output) const;
-  void GrowPools(const jobs::JobsState& state,
-                 std::map<ServiceName, Pool>& pools,
-                 const std::map<InstanceName, InstanceFacts>& facts,
-                 LabelNeeds& needs,
-                 SteadyTime now);
-  std::int64_t InstancesFor(const Pool& pool,
-                            const jobs::ServiceDemand& service,
-                            std::int64_t short_millicores) const;
-  void MoveSurplus(const ServiceName& from,
-                   Pool& pool,
-                   const ServiceName& to,
-                   std::int64_t& missing,
-                   const std::map<InstanceName, InstanceFacts>& facts,
-                   LabelNeeds& needs,
-                   SteadyTime now);
-  void ShrinkPools(const jobs::JobsState& state,
-                   std::map<ServiceName, Pool>& pools,
-                   const std::map<InstanceName, InstanceFacts>& facts,
-                   LabelNeeds& needs,
-                   WallTime wall_now,
-                   SteadyTime now);
-  void BeginMove(const InstanceName& name,
-                 const ServiceName& from,
-                 const ServiceName& to,
-                 const std::map<InstanceName, InstanceFacts>& facts,
-                 SteadyTime now);
+  void GrowPools(Pools& pools, LabelNeeds& needs);
+  void GrowPoolsForLateWork(Pools& pools, LabelNeeds& needs);
+  // Moves up to `most` instances from a pool to pool `to`, those with the
+  // fewest runs first, and returns how many.
+  std::int64_t Take(Pools& pools,
+                    const ServiceName& from,
+                    const ServiceName& to,
+                    std::int64_t most,
+                    LabelNeeds& needs);
+  void ShrinkPools(Pools& pools, LabelNeeds& needs);
+  void BeginWishedMoves(const std::map<InstanceName, InstanceFacts>& facts,
+                        SteadyTime now);
 
   CapacitySettings settings;
-  ProcessName holder;
   LeaderEpoch epoch;
   SteadyTime began_at;
-  bool has_been_fenced = false;
-  std::map<InstanceName, Move> moves;
+  MoveTable moves;
+  // The wishes of the current planning pass, the most important first.
+  std::vector<Wish> wishes;
   // The labels of every instance that was listed or has a worker; they do not
   // change when it moves.
   LabelNeeds::Labels labels;
@@ -232,6 +205,7 @@
   std::map<InstanceName, KnownPool> known_pools;
   EvacuatedInstances evacuated;
   std::map<ServiceName, SteadyTime> surplus_since;
+  std::map<ServiceName, NeedHistory> histories;
 };
 
 }  // namespace sumac::maintenance
--- a/libraries/maintenance/maintenance_planner.h
+++ b/libraries/maintenance/maintenance_planner.h
@@ -14,6 +14,7 @@
 #include "libraries/base/time.h"
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/jobs_state.h"
+#include "libraries/jobs/resources.h"
 #include "libraries/maintenance/instance_listing.h"
 #include "libraries/maintenance/instance_messages.h"
 
@@ -52,7 +53,7 @@
   std::size_t other_runs = 0;
   // The share of its cores that is in use, in thousandths.
   std::int64_t load_permille = 0;
-  std::int64_t millicores = 0;
+  jobs::Resources capacity;
   // The labels that its worker announced and that tasks may require.
   std::vector<std::string> labels;
   // True if the instance will leave the fleet soon.
--- /dev/null
+++ b/libraries/maintenance/need_history.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+#ifndef LIBRARIES_MAINTENANCE_NEED_HISTORY_H_
+#define LIBRARIES_MAINTENANCE_NEED_HISTORY_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "libraries/base/time.h"
+
+namespace sumac::maintenance {
+
+// The number of instances that a pool has needed recently. Handles queues whose
+// demand comes in turns: a pool that kept nothing between them would move its
+// instances away and back each time. Keeps one value for each span of a fixed
+// length. Pure.
+class NeedHistory {
+ public:
+  // Records the pool's need at `now`. What is older than `oldest` is forgotten.
+  void Record(std::int64_t instances, Milliseconds oldest, SteadyTime now);
+
+  // Returns the highest need that was recorded within the last `time`.
+  std::int64_t HighestWithin(Milliseconds time, SteadyTime now) const;
+  // True if the need has been recorded for at least `time`.
+  bool Covers(Milliseconds time, SteadyTime now) const {
+    return this->began_at && now - *this->began_at >= time;
+  }
+
+ private:
+  struct Span {
+    SteadyTime begin;
+    SteadyTime end;
+    std::int64_t highest = 0;
+  };
+
+  std::optional<SteadyTime> began_at;
+  std::deque<Span> spans;
+};
+
+}  // namespace sumac::maintenance
+
+#endif  // LIBRARIES_MAINTENANCE_NEED_HISTORY_H_
--- a/libraries/scheduler/demand_meter.cc
+++ b/libraries/scheduler/demand_meter.cc
@@ -2,8 +2,10 @@
 #include "libraries/scheduler/demand_meter.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
-#include "libraries/scheduler/urgency.h"
+#include "libraries/scheduler/placement.h"
 
 namespace sumac::scheduler {
 
@@ -52,64 +54,115 @@
   }
 }
 
+// Returns whether the job can be in time. A job that has begun can until its
+// time is over: its tasks may be about to end.
+Lateness DemandMeter::LatenessOf(const jobs::Job& job,
+                                 std::uint32_t occurrence,
+                                 WallTime wall_now) const {
+  constexpr bool kBySlack = true;
+  const UrgencyBasis urgency = UrgencyBasisOf(
+      job, occurrence, this->state.declaration().FindQueue(job.queue),
+      this->run_times, kBySlack);
+  const bool has_begun = job.has_begun || !job.occurrences.empty();
+  return has_begun && wall_now <= urgency.in_time_until
+             ? Lateness::kInTime
+             : urgency.At(wall_now).lateness;
+}
+
 // Adds the needs of one occurrence's steps that run or could run now.
 void DemandMeter::AddOccurrence(const jobs::Job& job,
                                 std::uint32_t occurrence,
                                 WallTime wall_now,
                                 QuotaLeft& quota_left,
-                                jobs::ServiceDemand& service) const {
-  constexpr bool kBySlack = true;
-  const UrgencyBasis urgency = UrgencyBasisOf(
-      job, occurrence, this->state.declaration().FindQueue(job.queue),
-      this->run_times, kBySlack);
-  const bool is_worthless =
-      urgency.At(wall_now).lateness == Lateness::kWorthless;
+                                Measured& measured) const {
+  jobs::ServiceDemand& service = measured.demand;
+  const Lateness lateness = this->LatenessOf(job, occurrence, wall_now);
+  std::int64_t in_time_millicores = 0;
   for (std::uint32_t number = 0; number < job.spec.steps.size(); ++number) {
     const jobs::StepSpec& step = job.spec.steps[number];
-    if (step.is_filler || job.IsStepDone(occurrence, number) ||
+    const bool is_counted = step.is_long_running || !step.is_filler;
+    if (!is_counted || job.IsStepDone(occurrence, number) ||
         !job.IsStepReady(occurrence, number)) {
       continue;
     }
     const std::int64_t left = step.count - job.CountDone(occurrence, number);
-    const std::int64_t allowed =
-        quota_left.Take(job, left * step.need.millicores);
+    const jobs::Resources need = Placement::CountedNeed(step);
+    const std::int64_t allowed = quota_left.Take(job, left * need.millicores);
+    const std::int64_t allowed_tasks =
+        need.millicores == 0 ? left : allowed / need.millicores;
     if (step.most_per_worker > 0 && allowed > 0) {
       service.min_instances =
           std::max(service.min_instances,
                    (left + step.most_per_worker - 1) / step.most_per_worker);
     }
-    std::int64_t& millicores = step.is_long_running
-                                   ? service.long_running_millicores
-                               : is_worthless ? service.late_millicores
-                                              : service.short_millicores;
-    millicores += allowed;
+    const jobs::TaskGroup group{.count = allowed_tasks,
+                                .need = need,
+                                .most_per_worker = step.most_per_worker,
+                                .required_label = step.required_label};
+    const bool is_late = !step.is_long_running && lateness != Lateness::kInTime;
+    if (step.is_long_running) {
+      service.long_running_millicores += allowed;
+      service.long_running_tasks.push_back(group);
+    } else if (lateness == Lateness::kInTime) {
+      service.short_millicores += allowed;
+      service.short_tasks.push_back(group);
+      in_time_millicores += allowed;
+    } else if (lateness == Lateness::kLate) {
+      service.late_millicores += allowed;
+    } else {
+      service.worthless_millicores += allowed;
+    }
     if (!step.required_label.empty()) {
       jobs::LabelDemand& labelled = service.by_label[step.required_label];
-      const bool is_late = is_worthless && !step.is_long_running;
       (is_late ? labelled.late_millicores : labelled.millicores) += allowed;
     }
   }
+  const auto size = static_cast<double>(in_time_millicores);
+  measured.sum_of_squares += size * size;
+}
+
+// Sets the demand for short tasks and its deviation from what the present jobs
+// show and from the load of the jobs that arrive.
+void DemandMeter::AddForecast(Measured& measured,
+                              std::int64_t forecast_millicores) {
+  jobs::ServiceDemand& demand = measured.demand;
+  const std::int64_t present = demand.short_millicores;
+  demand.short_millicores = std::max(present, forecast_millicores);
+  if (present > 0) {
+    // The deviation grows with the root of the number of jobs.
+    const double growth = static_cast<double>(demand.short_millicores) /
+                          static_cast<double>(present);
+    demand.deviation_millicores =
+        static_cast<std::int64_t>(std::sqrt(measured.sum_of_squares * growth));
+  }
 }
 
 std::map<ServiceName, jobs::ServiceDemand> DemandMeter::Measure(
     SteadyTime now,
     WallTime wall_now) {
   this->RecordArrivals(now);
-  std::map<ServiceName, jobs::ServiceDemand> demand;
+  std::map<ServiceName, Measured> measured;
   QuotaLeft quota_left(this->state.declaration());
   for (const auto& [sequence, job] : this->state.active_jobs()) {
     for (std::uint32_t occurrence = 0; occurrence < job->spec.occurrences() &&
                                        job->DueAt(occurrence) <= wall_now;
          ++occurrence) {
       this->AddOccurrence(*job, occurrence, wall_now, quota_left,
-                          demand[job->service]);
+                          measured[job->service]);
     }
   }
   this->customers_above_quota = quota_left.exhausted();
   for (auto& [service, rate] : this->arrivals) {
-    jobs::ServiceDemand& needed = demand[service];
-    needed.short_millicores = std::max(
-        needed.short_millicores, rate.ForecastMillicores(this->forecast, now));
+    measured[service];
+  }
+  std::map<ServiceName, jobs::ServiceDemand> demand;
+  for (auto& [service, of_service] : measured) {
+    const auto rate = this->arrivals.find(service);
+    AddForecast(of_service,
+                rate == this->arrivals.end()
+                    ? 0
+                    : rate->second.ForecastMillicores(this->forecast, now));
+    demand[service] = std::move(of_service.demand);
   }
   return demand;
 }
--- a/libraries/scheduler/demand_meter.h
+++ b/libraries/scheduler/demand_meter.h
@@ -12,6 +12,7 @@
 #include "libraries/jobs/service_demand.h"
 #include "libraries/scheduler/arrival_rate.h"
 #include "libraries/scheduler/run_times.h"
+#include "libraries/scheduler/urgency.h"
 
 namespace sumac::scheduler {
 
@@ -53,11 +54,24 @@
     std::set<CustomerName> exhausted_customers;
   };
 
+  // The demand of one service while it is being measured.
+  struct Measured {
+    jobs::ServiceDemand demand;
+    // The sum of the squares of the processor time that each job in time asks
+    // for, in thousandths of cores. If jobs arrive by chance, it is the
+    // variance of their demand.
+    double sum_of_squares = 0;
+  };
+
+  Lateness LatenessOf(const jobs::Job& job,
+                      std::uint32_t occurrence,
+                      WallTime wall_now) const;
   void AddOccurrence(const jobs::Job& job,
                      std::uint32_t occurrence,
                      WallTime wall_now,
                      QuotaLeft& quota_left,
-                     jobs::ServiceDemand& service) const;
+                     Measured& measured) const;
+  static void AddForecast(Measured& measured, std::int64_t forecast_millicores);
   void RecordArrivals(SteadyTime now);
 
   const jobs::JobsState& state;
--- a/libraries/scheduler/urgency.cc
+++ b/libraries/scheduler/urgency.cc
@@ -89,6 +89,7 @@
   const Milliseconds left = run_times.RemainingChain(job, occurrence);
   basis.is_never_late = false;
   basis.is_new = !job.has_begun && job.occurrences.empty();
+  basis.in_time_until = due + objective;
   basis.late_from = due + objective - left - kUsualDelay;
   basis.worthless_from = due + kWorthlessAfter * objective - left;
   return basis;
--- a/libraries/scheduler/urgency.h
+++ b/libraries/scheduler/urgency.h
@@ -69,6 +69,8 @@
   // nothing.
   WallTime late_from{};
   WallTime worthless_from{};
+  // The end of the time within which the job must be done to be in time.
+  WallTime in_time_until{};
 };
 
 // Returns how long a new job of the queue can wait for its start and still be
--- a/services/sumacd/instance_facts.cc
+++ b/services/sumacd/instance_facts.cc
@@ -25,7 +25,7 @@
       instance.worker = id;
       instance.is_only_announced = !session.is_adopted();
       instance.service = worker.service;
-      instance.millicores = worker.capacity.millicores;
+      instance.capacity = worker.capacity;
       instance.labels = worker.labels;
       instance.is_leaving = worker.is_draining;
       instance.is_evacuated = session.is_evacuated;
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -33,7 +33,7 @@
       this->facts[InstanceName(name)] =
           InstanceFacts{.worker = WorkerId("w-" + name),
                         .service = service,
-                        .millicores = kCores};
+                        .capacity = {.millicores = kCores}};
     }
   }
   // Adds instances that have a label.
@@ -241,7 +241,7 @@
   EXPECT_TRUE(this->Plan().orders.empty());
   this->planner.HandleOrderResult(first.orders[0], InstanceResult::kUnknown,
                                   this->now);
-  this->now += CapacitySettings().retry;
+  this->now += MoveSettings().retry;
   EXPECT_EQ(this->Plan().orders.size(), 1U);
 }
 
@@ -270,9 +270,9 @@
   this->DeliverList(
       {{.name = moved, .service = kQuiet, .state = InstanceState::kMoving}});
   this->demand[kBusy].short_millicores = 2 * kCores;
-  this->now += CapacitySettings().move_time / 2;
+  this->now += MoveSettings().move_time / 2;
   EXPECT_TRUE(this->Plan().orders.empty());
-  this->now += CapacitySettings().move_time / 2;
+  this->now += MoveSettings().move_time / 2;
   const CapacityOutput again = this->Plan();
   ASSERT_EQ(PoolsOf(again), std::vector<std::string>{"busy"});
   EXPECT_EQ(again.orders[0].instance, moved);
@@ -289,7 +289,7 @@
       requested_at);
   this->planner.UpdateListing(this->listing);
   this->demand[kBusy].short_millicores = 2 * kCores;
-  this->now += CapacitySettings().move_time;
+  this->now += MoveSettings().move_time;
   EXPECT_EQ(PoolsOf(this->Plan()), std::vector<std::string>{"busy"});
 }
 
@@ -300,7 +300,7 @@
 TEST_F(CapacityPlannerTest, EachMoveOfAnInstanceIsRecorded) {
   const InstanceName moved = this->SwitchOneOff();
   this->demand[kBusy].short_millicores = 2 * kCores;
-  this->now += CapacitySettings().move_time;
+  this->now += MoveSettings().move_time;
   const WallTime second_at = this->wall();
   std::vector<InstanceOrder> orders;
   for (int pass = 0; pass < 5 && orders.empty(); ++pass) {
--- a/tests/libraries/maintenance/evacuated_pools_test.cc
+++ b/tests/libraries/maintenance/evacuated_pools_test.cc
@@ -120,7 +120,7 @@
       if (has_worker) {
         facts[name] = {.worker = WorkerId(row.worker.value()),
                        .service = row.service,
-                       .millicores = kCores,
+                       .capacity = {.millicores = kCores},
                        .is_evacuated = !this->state.IsInUse(row.data_centre)};
       }
     }
