Sumacd, Maintenance: Log moves in batches with what decided them

A line for each move was dropped in a rush (some 200 a second); one line a batch says for each pool what it has, needs by class of work, gets and keeps.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -75,6 +75,7 @@
   Pools pools = this->CountPools(state, facts, busy, needs, wall_now, now);
   this->CountNeeds(demand, pools, needs, now);
   this->FindSurplus(state, pools, wall_now, now);
+  this->ReportPools(pools);
   this->wishes.clear();
   this->GrowPoolsByLabel(pools, needs);
   this->GrowPools(pools, needs);
@@ -476,6 +477,21 @@
   }
 }
 
+void CapacityPlanner::ReportPools(const Pools& pools) {
+  this->last_reports.clear();
+  for (const auto& [name, pool] : pools) {
+    this->last_reports[name] = {
+        .have = pool.have,
+        .movable = static_cast<std::int64_t>(pool.movable.size()),
+        .need = pool.need,
+        .part = pool.part,
+        .retained = pool.retained};
+  }
+  for (const auto& [name, move] : this->moves.all()) {
+    ++this->last_reports[move.to].under_way;
+  }
+}
+
 // Begins the moves that are wished for, the most important first. An instance
 // that must become empty first may begin at once: it does not wait for the
 // platform. The others begin as the platform can carry them out.
@@ -484,9 +500,12 @@
     SteadyTime now) {
   std::int64_t free = this->moves.CountFree();
   for (const Wish& wish : this->wishes) {
+    PoolReport& report = this->last_reports[wish.to];
+    ++report.wanted;
     if (wish.runs == 0 && free-- <= 0) {
       continue;
     }
+    ++report.begun;
     const auto known = facts.find(wish.instance);
     this->moves.Begin(
         wish.instance,
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -48,6 +48,24 @@
   std::int64_t min_instances_per_pool = 2;
 };
 
+// What a planning pass has found and decided about one pool, for logs and
+// metrics.
+struct PoolReport {
+  // The number of instances in the pool or being moved to it, and of those that
+  // could be moved away.
+  std::int64_t have = 0;
+  std::int64_t movable = 0;
+  PoolNeed need;
+  PoolNeed part;
+  // The number of instances that the pool does not give up by itself.
+  std::int64_t retained = 0;
+  // Moves to the pool that were wished for in this pass, those of them that
+  // have begun, and all that are under way.
+  std::int64_t wanted = 0;
+  std::int64_t begun = 0;
+  std::int64_t under_way = 0;
+};
+
 // Decides, for the leader, which instances move to another pool. The demand
 // shifts between services, so instances follow it from pools that have too
 // many, and from and to the pools whose instances are switched off. If there
@@ -85,6 +103,11 @@
                                                InstanceResult result,
                                                SteadyTime now);
 
+  // Returns what the last planning pass has found and decided.
+  const std::map<ServiceName, PoolReport>& reports() const {
+    return this->last_reports;
+  }
+
   // Returns the instances that are being moved to another pool.
   std::set<InstanceName> MovingInstances() const;
 
@@ -185,6 +208,8 @@
   void ShrinkPools(Pools& pools, LabelNeeds& needs);
   void BeginWishedMoves(const std::map<InstanceName, InstanceFacts>& facts,
                         SteadyTime now);
+  // Fills the reports of the pools, as they are before any move of this pass.
+  void ReportPools(const Pools& pools);
 
   CapacitySettings settings;
   LeaderEpoch epoch;
@@ -192,6 +217,7 @@
   MoveTable moves;
   // The wishes of the current planning pass, the most important first.
   std::vector<Wish> wishes;
+  std::map<ServiceName, PoolReport> last_reports;
   // The labels of every instance that was listed or has a worker; they do not
   // change when it moves.
   LabelNeeds::Labels labels;
--- a/libraries/maintenance/instance_messages.h
+++ b/libraries/maintenance/instance_messages.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "libraries/base/names.h"
@@ -79,6 +80,9 @@
   kUnknown,
 };
 
+// Returns the result's name in logs.
+std::string_view NameOfResult(InstanceResult result);
+
 }  // namespace sumac::maintenance
 
 namespace sumac {
--- a/services/sumacd/instance_manager.cc
+++ b/services/sumacd/instance_manager.cc
@@ -39,27 +39,6 @@
 // expires.
 constexpr Milliseconds kMaxStatusCheckInterval{1'000};
 
-std::string_view NameOfResult(maintenance::InstanceResult result) {
-  using enum maintenance::InstanceResult;
-  switch (result) {
-    case kDone:
-      return "done";
-    case kBusy:
-      return "busy";
-    case kFenced:
-      return "fenced";
-    case kNotInWave:
-      return "not of this wave";
-    case kUnknownInstance:
-      return "unknown instance";
-    case kRefused:
-      return "refused";
-    case kUnknown:
-      return "unanswered";
-  }
-  return "?";
-}
-
 Milliseconds StatusCheckInterval(std::size_t instances) {
   return std::clamp(kStatusCheckInterval *
                         static_cast<std::int64_t>(instances) /
@@ -172,6 +151,8 @@
   maintenance::CapacityOutput output = this->capacity.Plan(
       this->state, facts, this->scheduler.Demand(now, wall_now), busy, wall_now,
       now);
+  this->move_log.RecordPass(this->capacity.reports());
+  this->move_log.Write(now);
   wave_output.cordoned.merge(output.cordoned);
   std::move(output.commands.begin(), output.commands.end(),
             std::back_inserter(wave_output.commands));
@@ -215,12 +196,17 @@
   this->host.count_order();
   this->tasks.add(this->calls.send(order).then(
       [this, order](maintenance::InstanceResult result) {
-        LogEvent(LogLevel::kInfo, "instance-ordered",
+        const bool is_move = order.wave.value().empty();
+        if (is_move) {
+          this->move_log.RecordAnswer(order.pool, result);
+        }
+        LogEvent(is_move ? LogLevel::kDebug : LogLevel::kInfo,
+                 "instance-ordered",
                  {{"instance", order.instance.value()},
                   {"wave", order.wave.value()},
                   {"pool", order.pool.value()},
                   {"epoch", order.epoch.value()},
-                  {"result", NameOfResult(result)}});
+                  {"result", maintenance::NameOfResult(result)}});
         this->Commit(this->HandleInstanceResult(order, result));
       }));
 }
--- a/services/sumacd/instance_manager.h
+++ b/services/sumacd/instance_manager.h
@@ -19,6 +19,7 @@
 #include "libraries/maintenance/instance_listing.h"
 #include "libraries/maintenance/maintenance_planner.h"
 #include "libraries/scheduler/scheduler.h"
+#include "services/sumacd/move_log.h"
 
 namespace sumac::daemon {
 
@@ -74,6 +75,7 @@
   SystemClock clock;
   maintenance::MaintenancePlanner waves;
   maintenance::CapacityPlanner capacity;
+  MoveLog move_log;
   SteadyTime last_plan{};
   SteadyTime last_list{};
   bool is_listing = false;
--- a/tests/libraries/scheduler/quota_test.cc
+++ b/tests/libraries/scheduler/quota_test.cc
@@ -179,7 +179,9 @@
   const auto demand = this->fleet.scheduler->Demand(
       this->fleet.now, WallTime(this->fleet.now.time_since_epoch()));
   const jobs::ServiceDemand& previews = demand.at(ServiceName("previews"));
-  EXPECT_EQ(previews.short_millicores + previews.late_millicores, 3 * kCore);
+  EXPECT_EQ(previews.short_millicores + previews.late_millicores +
+                previews.worthless_millicores,
+            3 * kCore);
   EXPECT_EQ(this->fleet.scheduler->CountWaitingFor(QueueName("clips")).of_queue,
             0U);
 }
