Maintenance, Scheduler: Take the larger of reserve and growth, and keep what was needed for long

Cause: growth of the arrivals was carried on and the reserve added to it, where one covers the other; a doubling that the arrivals seemed to show for half a second took hundreds of instances, and the highest need of any moment was kept for 20 s. After a change of leader nothing was kept.

Growth counts beyond its own deviation, the larger of it and the reserve is needed, the history keeps means over a second, and a new leader keeps what the one before moved within the retention.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -97,6 +97,17 @@
          !this->MayBeUnderWay(record->second, wall_now, now);
 }
 
+// True if an earlier leader moved the instance to its pool within the
+// retention.
+bool CapacityPlanner::IsInherited(const jobs::JobsState& state,
+                                  const InstanceName& name,
+                                  WallTime wall_now) const {
+  const auto record = state.record().moves.find(name);
+  return record != state.record().moves.end() &&
+         record->second.epoch != this->epoch &&
+         wall_now - record->second.at <= this->settings.retention;
+}
+
 // True if an order of an earlier leader may still be under way.
 bool CapacityPlanner::MayBeUnderWay(const jobs::MoveRecord& record,
                                     WallTime wall_now,
@@ -151,6 +162,8 @@
       continue;
     }
     ++pool.have;
+    pool.inherited +=
+        static_cast<std::int64_t>(this->IsInherited(state, name, wall_now));
     needs.Add(instance.service, name);
     if (instance.budgeted_runs == 0 &&
         this->MayMove(state, name, wall_now, now)) {
@@ -273,8 +286,8 @@
                        this->settings.min_instances_per_pool)
             : pool.have;
     pool.retained =
-        std::max(history.HighestWithin(this->settings.retention, now),
-                 pool.need[WorkClass::kWorthless]);
+        std::max({history.HighestWithin(this->settings.retention, now),
+                  pool.inherited, pool.need[WorkClass::kWorthless]});
   }
   for (const auto& [name, part] : DivideInstances(all_needs, instances)) {
     pools[name].part = part;
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -123,6 +123,9 @@
     // gets by the division between the pools.
     PoolNeed need;
     PoolNeed part;
+    // The number of instances that earlier leaders moved here within the
+    // retention. Their needs are not known to this one.
+    std::int64_t inherited = 0;
     // The highest need for work in time within the surplus time, or all that
     // the pool has if that is not known, and the highest within the retention.
     std::int64_t recent_need = 0;
@@ -188,6 +191,9 @@
                const InstanceName& name,
                WallTime wall_now,
                SteadyTime now) const;
+  bool IsInherited(const jobs::JobsState& state,
+                   const InstanceName& name,
+                   WallTime wall_now) const;
   bool MayBeUnderWay(const jobs::MoveRecord& record,
                      WallTime wall_now,
                      SteadyTime now) const;
--- a/libraries/maintenance/need_history.h
+++ b/libraries/maintenance/need_history.h
@@ -10,16 +10,16 @@
 
 namespace sumac::maintenance {
 
-// The number of instances that a pool has needed recently. Handles queues whose
-// demand comes in turns: a pool that kept nothing between them would move its
-// instances away and back each time. Keeps one value for each span of a fixed
-// length. Pure.
+// The number of instances that a pool has needed recently, as means over spans
+// of a fixed length. Handles queues whose demand comes in turns: a pool that
+// kept nothing between them would move its instances away and back each time.
+// The means leave out peaks that are over before an instance has moved. Pure.
 class NeedHistory {
  public:
   // Records the pool's need at `now`. What is older than `oldest` is forgotten.
   void Record(std::int64_t instances, Milliseconds oldest, SteadyTime now);
 
-  // Returns the highest need that was recorded within the last `time`.
+  // Returns the highest mean of the spans that ended within the last `time`.
   std::int64_t HighestWithin(Milliseconds time, SteadyTime now) const;
   // True if the need has been recorded for at least `time`.
   bool Covers(Milliseconds time, SteadyTime now) const {
@@ -28,13 +28,16 @@
 
  private:
   struct Span {
-    SteadyTime begin;
     SteadyTime end;
-    std::int64_t highest = 0;
+    std::int64_t mean = 0;
   };
 
   std::optional<SteadyTime> began_at;
   std::deque<Span> spans;
+  // The span that has not ended yet.
+  SteadyTime span_began{};
+  std::int64_t sum = 0;
+  std::int64_t records = 0;
 };
 
 }  // namespace sumac::maintenance
--- a/libraries/maintenance/pool_need.cc
+++ b/libraries/maintenance/pool_need.cc
@@ -49,6 +49,8 @@
   need[WorkClass::kInTime] =
       std::max({need[WorkClass::kStanding], settings.min_instances,
                 demand.min_instances, instances_for(millicores),
+                instances_for(demand.long_running_millicores +
+                              demand.expected_millicores),
                 packing.instances() + instances_for(reserve)});
 
   millicores += demand.late_millicores;
--- a/libraries/scheduler/arrival_rate.cc
+++ b/libraries/scheduler/arrival_rate.cc
@@ -2,6 +2,7 @@
 #include "libraries/scheduler/arrival_rate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sumac::scheduler {
 namespace {
@@ -29,15 +30,17 @@
   for (const Arrival& arrival : this->arrivals) {
     const Milliseconds age = now - arrival.at;
     if (age <= oldest && age > newest) {
+      const auto size = static_cast<double>(arrival.millicore_time);
       window.millicore_time += arrival.millicore_time;
+      window.sum_of_squares += size * size;
       ++window.count;
     }
   }
   return window;
 }
 
-std::int64_t ArrivalRate::ForecastMillicores(const ForecastSettings& settings,
-                                             SteadyTime now) {
+ArrivalRate::Load ArrivalRate::Measure(const ForecastSettings& settings,
+                                       SteadyTime now) {
   while (!this->arrivals.empty() &&
          now - this->arrivals.front().at > 2 * kTrendWindow) {
     this->arrivals.pop_front();
@@ -45,17 +48,29 @@
   constexpr Milliseconds kNow{-1};
   const Window present = this->SumBetween(kWindow, kNow, now);
   if (present.count < kMinArrivals) {
-    return 0;
+    return {};
   }
-  const std::int64_t seen = present.millicore_time / kWindow.count();
   const Window recent = this->SumBetween(kTrendWindow, kNow, now);
   const Window before = this->SumBetween(2 * kTrendWindow, kTrendWindow, now);
-  const std::int64_t growth = (recent.millicore_time - before.millicore_time) *
-                              settings.horizon.count() /
-                              (kTrendWindow.count() * kTrendWindow.count());
+  constexpr std::int64_t kTrendSquare =
+      kTrendWindow.count() * kTrendWindow.count();
+  const double deviation =
+      std::sqrt(recent.sum_of_squares + before.sum_of_squares);
+  return {.seen = present.millicore_time / kWindow.count(),
+          .growth = (recent.millicore_time - before.millicore_time) *
+                    settings.horizon.count() / kTrendSquare,
+          .growth_deviation = static_cast<std::int64_t>(
+              deviation * static_cast<double>(settings.horizon.count()) /
+              kTrendSquare)};
+}
+
+std::int64_t ArrivalRate::ForecastMillicores(const ForecastSettings& settings,
+                                             SteadyTime now) {
+  const Load load = this->Measure(settings, now);
   return std::clamp(
-      seen + growth, seen,
-      std::max(seen, seen * settings.max_forecast_permille / kPermille));
+      load.seen + load.growth, load.seen,
+      std::max(load.seen,
+               load.seen * settings.max_forecast_permille / kPermille));
 }
 
 }  // namespace sumac::scheduler
--- a/libraries/scheduler/arrival_rate.h
+++ b/libraries/scheduler/arrival_rate.h
@@ -24,10 +24,22 @@
 // shows in the backlog, and extrapolates its growth.
 class ArrivalRate {
  public:
+  // The load of the arriving jobs, in thousandths of a core.
+  struct Load {
+    // The capacity that they use if they keep arriving at the present rate.
+    std::int64_t seen = 0;
+    // How much that changes within the horizon if the change goes on, and the
+    // standard deviation that this figure has if jobs arrive by chance.
+    std::int64_t growth = 0;
+    std::int64_t growth_deviation = 0;
+  };
+
   // Records a job that will use `millicore_time` (thousandths of a core times
   // milliseconds).
   void Add(std::int64_t millicore_time, SteadyTime now);
 
+  // Returns the present load; all 0 if there are too few arrivals to tell.
+  Load Measure(const ForecastSettings& settings, SteadyTime now);
   // Returns the thousandths of a core that arriving jobs will keep busy after
   // the horizon; 0 if there are too few arrivals to tell.
   std::int64_t ForecastMillicores(const ForecastSettings& settings,
@@ -40,6 +52,7 @@
   };
   struct Window {
     std::int64_t millicore_time = 0;
+    double sum_of_squares = 0;
     std::size_t count = 0;
   };
 
--- a/libraries/scheduler/demand_meter.cc
+++ b/libraries/scheduler/demand_meter.cc
@@ -121,13 +121,21 @@
   measured.sum_of_squares += size * size;
 }
 
-// Sets the demand for short tasks and its deviation from what the present jobs
-// show and from the load of the jobs that arrive.
-void DemandMeter::AddForecast(Measured& measured,
-                              std::int64_t forecast_millicores) {
+// Adds the load of the jobs that arrive. What they will use counts only as far
+// as it is more than chance.
+void DemandMeter::AddArrivals(Measured& measured,
+                              const ArrivalRate::Load& load) const {
+  constexpr std::int64_t kPermille = 1'000;
   jobs::ServiceDemand& demand = measured.demand;
   const std::int64_t present = demand.short_millicores;
-  demand.short_millicores = std::max(present, forecast_millicores);
+  demand.short_millicores = std::max(present, load.seen);
+  const std::int64_t largest_growth =
+      load.seen * (this->forecast.max_forecast_permille - kPermille) /
+      kPermille;
+  demand.expected_millicores =
+      load.seen +
+      std::clamp<std::int64_t>(load.growth - load.growth_deviation, 0,
+                               std::max<std::int64_t>(0, largest_growth));
   if (present > 0) {
     // The deviation grows with the root of the number of jobs.
     const double growth = static_cast<double>(demand.short_millicores) /
@@ -158,10 +166,10 @@
   std::map<ServiceName, jobs::ServiceDemand> demand;
   for (auto& [service, of_service] : measured) {
     const auto rate = this->arrivals.find(service);
-    AddForecast(of_service,
-                rate == this->arrivals.end()
-                    ? 0
-                    : rate->second.ForecastMillicores(this->forecast, now));
+    this->AddArrivals(of_service,
+                      rate == this->arrivals.end()
+                          ? ArrivalRate::Load{}
+                          : rate->second.Measure(this->forecast, now));
     demand[service] = std::move(of_service.demand);
   }
   return demand;
--- a/libraries/scheduler/demand_meter.h
+++ b/libraries/scheduler/demand_meter.h
@@ -71,7 +71,7 @@
                      WallTime wall_now,
                      QuotaLeft& quota_left,
                      Measured& measured) const;
-  static void AddForecast(Measured& measured, std::int64_t forecast_millicores);
+  void AddArrivals(Measured& measured, const ArrivalRate::Load& load) const;
   void RecordArrivals(SteadyTime now);
 
   const jobs::JobsState& state;
--- a/tests/libraries/maintenance/pool_need_test.cc
+++ b/tests/libraries/maintenance/pool_need_test.cc
@@ -46,6 +46,19 @@
   EXPECT_EQ(ReserveFor({.short_millicores = 1'000'000}, 500), 500'000);
 }
 
+// The reserve was added to growth that covered it already.
+TEST(PoolNeedTest, GrowthAndReserveAreNotAdded) {
+  jobs::ServiceDemand demand = JobsOf(100);
+  const std::int64_t steady =
+      CountNeed(demand, kInstance, kSettings)[WorkClass::kInTime];
+  EXPECT_EQ(steady, 192);
+  demand.expected_millicores = demand.short_millicores * 11 / 10;
+  EXPECT_EQ(CountNeed(demand, kInstance, kSettings)[WorkClass::kInTime],
+            steady);
+  demand.expected_millicores = demand.short_millicores * 2;
+  EXPECT_EQ(CountNeed(demand, kInstance, kSettings)[WorkClass::kInTime], 320);
+}
+
 TEST(PoolNeedTest, LateWorkIsNeededOnTopOfWorkInTime) {
   const PoolNeed need = CountNeed({.short_millicores = 160'000,
                                    .deviation_millicores = 0,
--- a/tests/libraries/maintenance/pools_replay_test.cc
+++ b/tests/libraries/maintenance/pools_replay_test.cc
@@ -79,6 +79,22 @@
   EXPECT_LE(replay.CountIn(Pool(0)), 8);
 }
 
+// A new leader has not seen the turns, and gave up at once what the one before
+// had moved for them.
+TEST(PoolsReplayTest, ANewLeaderKeepsWhatWasMovedForATurn) {
+  PoolsReplay replay({.instances_per_pool = 5, .instances_off = 2'000});
+  replay.Play(Milliseconds(4'500), [](PoolsReplay& replay) {
+    replay.demand[Pool(0)].short_millicores = 200 * kCores;
+  });
+  replay.demand.clear();
+  replay.ChangeLeader();
+  const std::int64_t moves = replay.moves;
+  replay.Play(Milliseconds(10'000), [](PoolsReplay&) {});
+  EXPECT_EQ(replay.moves, moves);
+  replay.Play(Milliseconds(30'000), [](PoolsReplay&) {});
+  EXPECT_EQ(replay.CountIn(Pool(0)), 2);
+}
+
 // An order that waited for long at the platform lost its cordon with its
 // acceptance, and runs were sent to workers that were gone.
 TEST(PoolsReplayTest, AnInstanceStaysCordonedWhileItsAcceptedMoveGoesOn) {
