Sumacd, Scheduler: Expect what a growing pool will begin before refusing as too late

The rate counts times what the pool will have by the division, if its instances are in use. Tests: AGrowingPoolBeginsMore, APoolThatIsFullWillGrowByWhatItGets, APoolThatIsNotFullPromisesNoGrowth.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::int64_t kPermille = 1'000;
+// The mean load from which a pool's instances count as used. Below it, more
+// instances would not let more jobs begin.
+constexpr std::int64_t kUsedPermille = 700;
 
 }  // namespace
 
@@ -162,6 +165,8 @@
       continue;
     }
     ++pool.have;
+    ++pool.present;
+    pool.load_permille += instance.load_permille;
     pool.inherited +=
         static_cast<std::int64_t>(this->IsInherited(state, name, wall_now));
     needs.Add(instance.service, name);
@@ -500,6 +505,8 @@
     this->last_reports[name] = {
         .have = pool.have,
         .movable = static_cast<std::int64_t>(pool.movable.size()),
+        .load_permille =
+            pool.load_permille / std::max<std::int64_t>(1, pool.present),
         .need = pool.need,
         .part = pool.part,
         .retained = pool.retained};
@@ -509,6 +516,21 @@
   }
 }
 
+double CapacityPlanner::ExpectedGrowth(const ServiceName& service) const {
+  const auto found = this->last_reports.find(service);
+  if (found == this->last_reports.end() ||
+      found->second.load_permille < kUsedPermille) {
+    return 1;
+  }
+  const PoolReport& pool = found->second;
+  const std::int64_t present =
+      std::max<std::int64_t>(1, pool.have - pool.under_way);
+  const std::int64_t expected =
+      std::max(pool.have, pool.part[WorkClass::kInTime]);
+  return std::max(1.0,
+                  static_cast<double>(expected) / static_cast<double>(present));
+}
+
 // Begins the moves that are wished for, the most important first. An instance
 // that must become empty first may begin at once: it does not wait for the
 // platform. The others begin as the platform can carry them out.
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -55,6 +55,9 @@
   // could be moved away.
   std::int64_t have = 0;
   std::int64_t movable = 0;
+  // The mean share of the instances' processor time that is in use, in
+  // thousandths.
+  std::int64_t load_permille = 0;
   PoolNeed need;
   PoolNeed part;
   // The number of instances that the pool does not give up by itself.
@@ -108,6 +111,11 @@
     return this->last_reports;
   }
 
+  // Returns how many times its present capacity a pool will have once it has
+  // the instances that are moving to it, and those that the last planning pass
+  // gave it; 1 if it does not use what it has.
+  double ExpectedGrowth(const ServiceName& service) const;
+
   // Returns the instances that are being moved to another pool.
   std::set<InstanceName> MovingInstances() const;
 
@@ -126,6 +134,10 @@
     // The number of instances that earlier leaders moved here within the
     // retention, as far as this one has not moved them.
     std::int64_t inherited = 0;
+    // The number of instances in the pool, and the sum of their loads in
+    // thousandths of an instance.
+    std::int64_t present = 0;
+    std::int64_t load_permille = 0;
     // The highest need for work in time within the surplus time, or all that
     // the pool has if that is not known, and the highest within the retention.
     std::int64_t recent_need = 0;
--- a/libraries/scheduler/start_forecast.cc
+++ b/libraries/scheduler/start_forecast.cc
@@ -62,7 +62,8 @@
 
 bool StartForecast::IsTooLate(const QueueName& queue,
                               Milliseconds to_spare,
-                              SteadyTime now) {
+                              SteadyTime now,
+                              double growth) {
   Queue& known = this->queues[queue];
   const bool is_late = to_spare < Milliseconds(0);
   const std::size_t before =
@@ -70,7 +71,8 @@
   if (before < this->settings.always_accepted) {
     return false;
   }
-  const Seconds wait(static_cast<double>(before) / this->RateOf(known, now));
+  const Seconds wait(static_cast<double>(before) /
+                     (this->RateOf(known, now) * growth));
   return wait > Seconds(to_spare) * this->settings.used_share;
 }
 
--- a/libraries/scheduler/start_forecast.h
+++ b/libraries/scheduler/start_forecast.h
@@ -55,8 +55,12 @@
 
   // Returns true if one more job of the queue, with this much time to spare,
   // would begin too late. A job that is already late is accepted while almost
-  // none wait.
-  bool IsTooLate(const QueueName& queue, Milliseconds to_spare, SteadyTime now);
+  // none wait. `growth` is how many times as many jobs as now can begin a
+  // second once the instances that are moving to the queue's pool are there.
+  bool IsTooLate(const QueueName& queue,
+                 Milliseconds to_spare,
+                 SteadyTime now,
+                 double growth = 1);
 
   // Returns when a caller that is refused now should retry. Callers get
   // separate times, spaced as jobs begin, so that they don't return all at
--- a/services/sumacd/instance_manager.h
+++ b/services/sumacd/instance_manager.h
@@ -52,6 +52,11 @@
   // due; to be called often.
   void Plan(WallTime wall_now, SteadyTime now);
 
+  // Returns how many times its present capacity a pool will have soon.
+  double ExpectedGrowth(const ServiceName& service) const {
+    return this->capacity.ExpectedGrowth(service);
+  }
+
  private:
   void taskFailed(kj::Exception&& exception) override;
 
--- a/services/sumacd/job_admission.cc
+++ b/services/sumacd/job_admission.cc
@@ -19,6 +19,7 @@
 std::optional<fleet::Answer> JobAdmission::Refuse(
     const JobSubmission& submission,
     std::size_t active_jobs,
+    double pool_growth,
     scheduler::Scheduler& scheduler,
     SteadyTime now) {
   if (submission.customer != nullptr) {
@@ -36,7 +37,8 @@
           this->RefuseTooMany(submission, active_jobs, scheduler, now)) {
     return refusal;
   }
-  if (auto refusal = this->RefuseTooLate(submission, scheduler, now)) {
+  if (auto refusal =
+          this->RefuseTooLate(submission, pool_growth, scheduler, now)) {
     return refusal;
   }
   scheduler.start_forecast().RecordAccepted(submission.queue.name);
@@ -134,6 +136,7 @@
 // this process's event loop is late.
 std::optional<fleet::Answer> JobAdmission::RefuseTooLate(
     const JobSubmission& submission,
+    double pool_growth,
     scheduler::Scheduler& scheduler,
     SteadyTime now) {
   using enum scheduler::RefusalReason;
@@ -142,7 +145,8 @@
   const auto to_spare =
       scheduler.TimeToSpareFor(submission.queue, submission.spec);
   const Milliseconds waited = this->WaitingTimeOf(submission.job, now);
-  if (to_spare && forecast.IsTooLate(queue, *to_spare - waited, now)) {
+  if (to_spare &&
+      forecast.IsTooLate(queue, *to_spare - waited, now, pool_growth)) {
     return this->MakeRefusal(
         submission.job, kTooLate,
         "it would begin too late behind those that wait",
--- a/services/sumacd/job_admission.h
+++ b/services/sumacd/job_admission.h
@@ -40,9 +40,11 @@
       : policy(policy), load(load) {}
 
   // Returns the refusal of a job, or nothing if the job is admitted.
-  // `active_jobs` is the number of accepted jobs that have not finished.
+  // `active_jobs` is the number of accepted jobs that have not finished, and
+  // `pool_growth` how many times its present capacity the pool will have soon.
   std::optional<fleet::Answer> Refuse(const JobSubmission& submission,
                                       std::size_t active_jobs,
+                                      double pool_growth,
                                       scheduler::Scheduler& scheduler,
                                       SteadyTime now);
 
@@ -74,6 +76,7 @@
       const scheduler::Scheduler& scheduler,
       SteadyTime now);
   std::optional<fleet::Answer> RefuseTooLate(const JobSubmission& submission,
+                                             double pool_growth,
                                              scheduler::Scheduler& scheduler,
                                              SteadyTime now);
 
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -508,8 +508,10 @@
   if (!this->open_submissions.contains(address->job)) {
     const std::size_t active =
         this->jobs_state.active_jobs().size() + this->open_submissions.size();
-    if (auto refusal =
-            this->admission.Refuse(submission, active, *this->scheduler, now)) {
+    if (auto refusal = this->admission.Refuse(
+            submission, active,
+            this->instance_manager->ExpectedGrowth(address->queue->service),
+            *this->scheduler, now)) {
       return *std::move(refusal);
     }
   }
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -428,6 +428,30 @@
   }
 }
 
+TEST_F(CapacityPlannerTest, APoolThatIsFullWillGrowByWhatItGets) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 2);
+  this->AddIdle(4);
+  this->demand[kBusy].short_millicores = 4 * kCores;
+  for (auto& [name, instance] : this->facts) {
+    instance.load_permille = instance.service == kBusy ? 900 : 0;
+  }
+  EXPECT_EQ(this->planner.ExpectedGrowth(kBusy), 1);
+  this->Plan();
+  // Four instances and a reserve of 150 in 1,000 make five.
+  EXPECT_EQ(this->planner.ExpectedGrowth(kBusy), 2.5);
+  EXPECT_EQ(this->planner.ExpectedGrowth(kQuiet), 1);
+}
+
+// What keeps jobs waiting then is not the number of instances.
+TEST_F(CapacityPlannerTest, APoolThatIsNotFullPromisesNoGrowth) {
+  this->AddInstances(kBusy, 2);
+  this->AddIdle(4);
+  this->demand[kBusy].short_millicores = 4 * kCores;
+  this->Plan();
+  EXPECT_EQ(this->planner.ExpectedGrowth(kBusy), 1);
+}
+
 TEST_F(CapacityPlannerTest, AFencedLeaderGivesNoMoreOrders) {
   this->AddInstances(kBusy, 2);
   this->AddInstances(kQuiet, 2);
--- a/tests/libraries/scheduler/start_forecast_test.cc
+++ b/tests/libraries/scheduler/start_forecast_test.cc
@@ -39,6 +39,17 @@
   EXPECT_FALSE(this->IsTooLate(2 * kToSpare));
 }
 
+// A queue's turn begins: its pool has a few instances, and many move to it.
+// Jobs were refused by the rate of the few, beside instances that were switched
+// off.
+TEST_F(StartForecastTest, AGrowingPoolBeginsMore) {
+  this->Begin(10);
+  this->Wait(20);
+  EXPECT_TRUE(this->IsTooLate(kToSpare));
+  EXPECT_FALSE(this->forecast.IsTooLate(kQueue, kToSpare, this->now, 5.0));
+  EXPECT_TRUE(this->forecast.IsTooLate(kQueue, kToSpare, this->now, 3.0));
+}
+
 TEST_F(StartForecastTest, AFewAreTakenWhileTheRateIsNotKnown) {
   this->Wait(15);
   EXPECT_FALSE(this->IsTooLate(kToSpare));
