Sumacd: Ask a controller that was quiet before writing a request, in any deployment

The channel's knowledge and its probes acted only where the loss of a data centre is tolerated; a silence is one anywhere.

--- a/services/sumacd/jobs_link.cc
+++ b/services/sumacd/jobs_link.cc
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/jobs_link.h"
 
-#include <algorithm>
 #include <memory>
 #include <utility>
 #include <variant>
@@ -14,11 +13,6 @@
 namespace sumac::daemon {
 namespace {
 
-// The maximum time for finding a leader for a caller's request where no loss of
-// a data centre is tolerated. After it the request fails, so that the caller
-// can try another process: an election takes longer than most callers wait.
-constexpr Milliseconds kMaxLeaderSearch{1'200};
-
 // True for requests of callers, who are answered at once or soon. Operators and
 // workers get the whole time that they wait for.
 bool IsOfCaller(const jobs::Request& request) {
@@ -32,32 +26,17 @@
 JobsLink::JobsLink(ProcessName self,
                    Peers& peers,
                    kj::Timer& timer,
-                   JobController* local,
-                   bool tolerates_lost_data_centres)
-    : self(std::move(self)),
-      peers(peers),
-      local(local),
-      tolerates_lost_data_centres(tolerates_lost_data_centres),
-      search(peers, timer) {}
-
-SearchLimits JobsLink::LimitsOf(const jobs::Request& request,
-                                Milliseconds limit) const {
-  if (!IsOfCaller(request)) {
-    return {.not_run = limit, .total = limit};
-  }
-  if (this->tolerates_lost_data_centres) {
-    return LimitsFor(limit);
-  }
-  const Milliseconds longest = std::min(limit, kMaxLeaderSearch);
-  return {.not_run = longest, .total = longest};
-}
+                   JobController* local)
+    : self(std::move(self)), peers(peers), local(local), search(peers, timer) {}
 
 kj::Promise<fleet::Answer> JobsLink::Ask(jobs::Request request,
                                          Milliseconds limit) {
   if (this->local != nullptr && this->local->is_leading()) {
     return this->local->Ask(request);
   }
-  const SearchLimits limits = this->LimitsOf(request, limit);
+  const SearchLimits limits =
+      IsOfCaller(request) ? LimitsFor(limit)
+                          : SearchLimits{.not_run = limit, .total = limit};
   // The request is encoded once for all attempts.
   auto bytes = std::make_shared<std::string>(ToCbor(request));
   auto shared_request = std::make_shared<jobs::Request>(std::move(request));
@@ -96,9 +75,7 @@
     call.setRequest(wire::ToData(*bytes));
     return call;
   };
-  return this->tolerates_lost_data_centres
-             ? rpc::ConfirmAndCall(*channel, limit, std::move(make_request))
-             : rpc::CallIfConnected(*channel, limit, make_request);
+  return rpc::ConfirmAndCall(*channel, limit, std::move(make_request));
 }
 
 }  // namespace sumac::daemon
--- a/services/sumacd/jobs_link.h
+++ b/services/sumacd/jobs_link.h
@@ -22,17 +22,16 @@
 // on the core's event loop.
 class JobsLink {
  public:
-  // `local` is this process's controller, or null if it has none. With
-  // `tolerates_lost_data_centres` a controller that was quiet is asked whether
-  // it answers before a request is written to it, and a request that may have
-  // run is sent again until its caller's deadline.
+  // `local` is this process's controller, or null if it has none.
   JobsLink(ProcessName self,
            Peers& peers,
            kj::Timer& timer,
-           JobController* local,
-           bool tolerates_lost_data_centres);
+           JobController* local);
 
-  // Returns the leader's answer. After the time limit the code is
+  // Returns the leader's answer. A controller that was quiet is asked whether
+  // it answers before the request is written to it, and a request that may have
+  // run is sent again until its caller's deadline. After the time limit the
+  // code is
   // kNoControllerInTime if the request was certainly not carried out,
   // kSubmissionUnknown otherwise.
   kj::Promise<fleet::Answer> Ask(jobs::Request request, Milliseconds limit);
@@ -44,7 +43,6 @@
   SteadyTime last_answer() const { return this->answered_at; }
 
  private:
-  SearchLimits LimitsOf(const jobs::Request& request, Milliseconds limit) const;
   kj::Promise<fleet::Answer> AskAt(const ProcessName& process,
                                    const jobs::Request& request,
                                    std::shared_ptr<std::string> bytes,
@@ -53,7 +51,6 @@
   ProcessName self;
   Peers& peers;
   JobController* local;
-  bool tolerates_lost_data_centres;
   LeaderSearch search;
   SystemClock clock;
   SteadyTime answered_at{};
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -233,9 +233,8 @@
       [this] { return this->MakeRelayWorkers(); },
       this->settings.instances_door.empty() ? maintenance::InstanceCalls()
                                             : this->instances.Calls()));
-  this->link = std::make_unique<JobsLink>(
-      this->settings.process(), this->peers, this->timer,
-      this->controller.get(), this->settings.tolerated_data_centres > 0);
+  this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
+                                          this->timer, this->controller.get());
   TRY(this->ListenToPeers());
   this->background_loops.push_back(
       this->controller->Run().eagerlyEvaluate(nullptr));
@@ -268,9 +267,8 @@
 }
 
 absl::Status NodeDaemon::StartEntry() {
-  this->link = std::make_unique<JobsLink>(
-      this->settings.process(), this->peers, this->timer, nullptr,
-      this->settings.tolerated_data_centres > 0);
+  this->link = std::make_unique<JobsLink>(this->settings.process(), this->peers,
+                                          this->timer, nullptr);
   this->caller_adapter.emplace(this->AskLeader(), this->metrics);
   this->background_loops.push_back(this->ProbeLoop().eagerlyEvaluate(nullptr));
   TRY(this->OpenHttpListener(
