Maintenance: Give up what is not needed after the surplus time alone

So nothing is kept beyond the surplus time, and the code for it goes. The history of needs stays for late work.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -100,17 +100,6 @@
          !this->MayBeUnderWay(record->second, wall_now, now);
 }
 
-// True if an earlier leader moved the instance to its pool within the
-// retention.
-bool CapacityPlanner::IsInherited(const jobs::JobsState& state,
-                                  const InstanceName& name,
-                                  WallTime wall_now) const {
-  const auto record = state.record().moves.find(name);
-  return record != state.record().moves.end() &&
-         record->second.epoch != this->epoch &&
-         wall_now - record->second.at <= this->settings.retention;
-}
-
 // True if an order of an earlier leader may still be under way.
 bool CapacityPlanner::MayBeUnderWay(const jobs::MoveRecord& record,
                                     WallTime wall_now,
@@ -167,8 +156,6 @@
     ++pool.have;
     ++pool.present;
     pool.load_permille += instance.load_permille;
-    pool.inherited +=
-        static_cast<std::int64_t>(this->IsInherited(state, name, wall_now));
     needs.Add(instance.service, name);
     if (instance.budgeted_runs == 0 &&
         this->MayMove(state, name, wall_now, now)) {
@@ -281,22 +268,14 @@
       }
     }
     all_needs[name] = pool.need;
-    const auto [known, is_new] = this->histories.try_emplace(name);
-    NeedHistory& history = known->second;
-    if (is_new) {
-      history.AddEarlier(pool.inherited, now);
-    }
-    const Milliseconds longest =
-        std::max(this->settings.retention, this->settings.surplus_time);
-    history.Record(pool.need[WorkClass::kInTime], longest, now);
+    NeedHistory& history = this->histories[name];
+    history.Record(pool.need[WorkClass::kInTime], this->settings.surplus_time,
+                   now);
     pool.recent_need =
         history.Covers(this->settings.surplus_time, now)
             ? std::max(history.HighestWithin(this->settings.surplus_time, now),
                        this->settings.min_instances_per_pool)
             : pool.have;
-    pool.retained =
-        std::max(history.HighestWithin(this->settings.retention, now),
-                 pool.need[WorkClass::kWorthless]);
   }
   for (const auto& [name, part] : DivideInstances(all_needs, instances)) {
     pools[name].part = part;
@@ -315,7 +294,7 @@
     return;
   }
   for (auto& [name, pool] : pools) {
-    if (pool.is_headroom || pool.have <= pool.retained) {
+    if (pool.is_headroom || pool.have <= pool.need[WorkClass::kWorthless]) {
       this->surplus_since.erase(name);
       continue;
     }
@@ -508,8 +487,7 @@
         .load_permille =
             pool.load_permille / std::max<std::int64_t>(1, pool.present),
         .need = pool.need,
-        .part = pool.part,
-        .retained = pool.retained};
+        .part = pool.part};
   }
   for (const auto& [name, move] : this->moves.all()) {
     ++this->last_reports[move.to].under_way;
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -32,12 +32,10 @@
   // thousandths.
   std::int64_t reserve_permille = 150;
   // The time for which a pool must have had too many instances before it gives
-  // some up.
+  // some up: the cost of giving an instance up and getting it back, which is
+  // two moves and the work that is late meanwhile, divided by the cost of an
+  // idle instance per second.
   Milliseconds surplus_time{20'000};
-  // The time for which a pool keeps instances that it has needed: the cost of
-  // giving an instance up and getting it back, which is two moves and the work
-  // that is late meanwhile, divided by the cost of an idle instance per second.
-  Milliseconds retention{0};
   // The time for which pools give nothing up after a data centre was evacuated
   // or returned to use. Work moves between data centres meanwhile, and the
   // instances of a returned one may be slow at first.
@@ -60,8 +58,6 @@
   std::int64_t load_permille = 0;
   PoolNeed need;
   PoolNeed part;
-  // The number of instances that the pool does not give up by itself.
-  std::int64_t retained = 0;
   // Moves to the pool that were wished for in this pass, those of them that
   // have begun, and all that are under way.
   std::int64_t wanted = 0;
@@ -131,18 +127,14 @@
     // gets by the division between the pools.
     PoolNeed need;
     PoolNeed part;
-    // The number of instances that earlier leaders moved here within the
-    // retention, as far as this one has not moved them.
-    std::int64_t inherited = 0;
     // The number of instances in the pool, and the sum of their loads in
     // thousandths of an instance.
     std::int64_t present = 0;
     std::int64_t load_permille = 0;
     // The highest need for work in time within the surplus time, or all that
-    // the pool has if that is not known, and the highest within the retention.
+    // the pool has if that is not known.
     std::int64_t recent_need = 0;
-    std::int64_t retained = 0;
-    // True if the pool has had more than it retains for the surplus time.
+    // True if the pool has had more than it needs for the surplus time.
     bool gives_up = false;
     // Instances that could be moved away, with the number of their runs; the
     // one with the fewest runs comes first.
@@ -150,7 +142,8 @@
 
     // Returns the number of instances that the pool gives up by itself.
     std::int64_t CountGivenUp() const {
-      return this->gives_up ? this->have - this->retained : 0;
+      return this->gives_up ? this->have - this->need[WorkClass::kWorthless]
+                            : 0;
     }
   };
   using Pools = std::map<ServiceName, Pool>;
@@ -203,9 +196,6 @@
                const InstanceName& name,
                WallTime wall_now,
                SteadyTime now) const;
-  bool IsInherited(const jobs::JobsState& state,
-                   const InstanceName& name,
-                   WallTime wall_now) const;
   bool MayBeUnderWay(const jobs::MoveRecord& record,
                      WallTime wall_now,
                      SteadyTime now) const;
--- a/libraries/maintenance/need_history.h
+++ b/libraries/maintenance/need_history.h
@@ -11,19 +11,15 @@
 namespace sumac::maintenance {
 
 // The number of instances that a pool has needed recently, as means over spans
-// of a fixed length. Handles queues whose demand comes in turns: a pool that
-// kept nothing between them would move its instances away and back each time.
-// The means leave out peaks that are over before an instance has moved. Pure.
+// of a fixed length. Handles late work beside pools whose demand varies: it may
+// take what they have not needed for a while, and not what they will need again
+// in a moment. The means leave out peaks that are over before an instance has
+// moved. Pure.
 class NeedHistory {
  public:
   // Records the pool's need at `now`. What is older than `oldest` is forgotten.
   void Record(std::int64_t instances, Milliseconds oldest, SteadyTime now);
 
-  // Records what the pool was seen to need before the first call of Record.
-  void AddEarlier(std::int64_t instances, SteadyTime now) {
-    this->spans.push_back(Span{now, instances});
-  }
-
   // Returns the highest mean of the spans that ended within the last `time`.
   std::int64_t HighestWithin(Milliseconds time, SteadyTime now) const;
   // True if the need has been recorded for at least `time`.
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -314,7 +314,6 @@
                                     .takeover_pause = times.instance_lease,
                                     .reserve_permille = policy.reserve_permille,
                                     .surplus_time = policy.surplus_time,
-                                    .retention = policy.retention,
                                     .moves = {.move_time = times.move_time()}},
       this->settings.process(), now);
   this->BeginRelays();
--- a/services/sumacd/move_log.cc
+++ b/services/sumacd/move_log.cc
@@ -47,7 +47,6 @@
                            {"late", last.need[WorkClass::kLate]},
                            {"worthless", last.need[WorkClass::kWorthless]},
                            {"part", last.part[WorkClass::kInTime]},
-                           {"retained", last.retained},
                            {"wanted", last.wanted},
                            {"begun", std::exchange(batch.begun, 0)},
                            {"under_way", last.under_way},
--- a/services/sumacd/node_settings.h
+++ b/services/sumacd/node_settings.h
@@ -87,11 +87,8 @@
   // Shares a full fleet between customers by the work that they ask for;
   // otherwise by the number of their jobs.
   bool shares_by_work = true;
-  // How long a pool has too many instances before it gives some up.
+  // How long a pool keeps instances that it no longer needs.
   Milliseconds surplus_time{2'500};
-  // How long a pool keeps instances that it has needed: what giving an instance
-  // up and getting it back costs, in idle time of an instance.
-  Milliseconds retention{20'000};
   // Moves long-running tasks out of evacuated data centres. If false, they stay
   // until something else ends their runs, and lose nothing.
   bool move_evacuated_tasks = false;
@@ -113,7 +110,6 @@
                   Limits{1, 10'000'000});
     visitor.Field("shares_by_work", self.shares_by_work);
     visitor.Field("surplus_ms", self.surplus_time, Limits{0, 600'000});
-    visitor.Field("retention_ms", self.retention, Limits{0, 600'000});
     visitor.Field("move_evacuated_tasks", self.move_evacuated_tasks);
     visitor.Field("reserve_workers", self.reserve_workers);
   }
--- a/tests/libraries/maintenance/capacity_planner_test.cc
+++ b/tests/libraries/maintenance/capacity_planner_test.cc
@@ -428,6 +428,25 @@
   }
 }
 
+// An order that the platform accepted late lost its cordon with the acceptance,
+// and runs were sent to the worker that was gone.
+TEST_F(CapacityPlannerTest, AMoveThatIsAcceptedLateStaysCordoned) {
+  this->AddInstances(kBusy, 2);
+  this->AddInstances(kQuiet, 4);
+  this->AddIdle(0);
+  this->demand[kBusy].short_millicores = 2 * kCores;
+  this->demand[kQuiet] = {};
+  const CapacityOutput output = this->Plan();
+  ASSERT_EQ(output.orders.size(), 1U);
+  const InstanceName moved = output.orders[0].instance;
+  this->now += Milliseconds(5'000);
+  this->planner.HandleOrderResult(output.orders[0], InstanceResult::kDone,
+                                  this->now);
+  EXPECT_TRUE(this->Plan().cordoned.contains(moved));
+  this->now += Milliseconds(2'000);
+  EXPECT_TRUE(this->Plan().cordoned.contains(moved));
+}
+
 TEST_F(CapacityPlannerTest, APoolThatIsFullWillGrowByWhatItGets) {
   this->AddInstances(kBusy, 2);
   this->AddInstances(kQuiet, 2);
