--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -233,9 +233,11 @@
     served.worthless_millicores -= unservable_worthless;
     served.late_millicores -= unservable_late - unservable_worthless;
     if (unservable > 0) {
-      std::erase_if(served.short_tasks, [&](const jobs::TaskGroup& group) {
-        return group.required_label == label;
-      });
+      const std::string& required = label;
+      std::erase_if(served.short_tasks,
+                    [&required](const jobs::TaskGroup& group) {
+                      return group.required_label == required;
+                    });
     }
   }
   return served;
--- a/services/sumacd/move_log.h
+++ b/services/sumacd/move_log.h
@@ -21,7 +21,8 @@
   // Counts the decisions of one planning pass.
   void RecordPass(const std::map<ServiceName, maintenance::PoolReport>& pools);
   // Counts the answer to the order for one move.
-  void RecordAnswer(const ServiceName& pool, maintenance::InstanceResult result);
+  void RecordAnswer(const ServiceName& pool,
+                    maintenance::InstanceResult result);
 
   // Writes a line if moves have begun or were answered since the last one, and
   // that was long enough ago.
--- a/tests/libraries/maintenance/pools_replay.cc
+++ b/tests/libraries/maintenance/pools_replay.cc
@@ -10,6 +10,7 @@
     : settings(settings),
       state([pools = settings.pools](std::string_view) {
         std::vector<jobs::ServiceDeclaration> services;
+        services.reserve(pools + 1);
         for (int number = 0; number < pools; ++number) {
           services.push_back({.name = Pool(number)});
         }
@@ -24,9 +25,8 @@
   this->state.Apply({this->wall(), jobs::BeginEpoch{}});
   const auto add = [this](const ServiceName& pool, int count) {
     for (int number = 0; number < count; ++number) {
-      this->instances[InstanceName("m" +
-                                   std::to_string(this->instances.size()))] = {
-          .pool = pool};
+      this->instances[InstanceName(
+          "m" + std::to_string(this->instances.size()))] = {.pool = pool};
     }
   };
   for (int number = 0; number < settings.pools; ++number) {
@@ -81,12 +81,11 @@
       continue;
     }
     const auto known = this->runs.find(name);
-    facts[name] = {
-        .worker = WorkerId(name.value() + "-" +
-                           std::to_string(instance.worker_number)),
-        .service = instance.pool,
-        .other_runs = known == this->runs.end() ? 0 : known->second,
-        .capacity = {.millicores = kCores, .memory_mb = 65'536}};
+    facts[name] = {.worker = WorkerId(name.value() + "-" +
+                                      std::to_string(instance.worker_number)),
+                   .service = instance.pool,
+                   .other_runs = known == this->runs.end() ? 0 : known->second,
+                   .capacity = {.millicores = kCores, .memory_mb = 65'536}};
   }
   return facts;
 }
--- a/tests/libraries/scheduler/demand_meter_test.cc
+++ b/tests/libraries/scheduler/demand_meter_test.cc
@@ -17,15 +17,14 @@
  protected:
   DemandMeterTest()
       : state([](std::string_view) {
-          return jobs::JobsDeclaration(
-              1,
-              {{.name = QueueName("clips"),
-                .host = "h",
-                .path_prefix = "/q/",
-                .service = kPool,
-                .stretch = 1.6,
-                .latency_target = Milliseconds(600)}},
-              {{.name = kPool}});
+          return jobs::JobsDeclaration(1,
+                                       {{.name = QueueName("clips"),
+                                         .host = "h",
+                                         .path_prefix = "/q/",
+                                         .service = kPool,
+                                         .stretch = 1.6,
+                                         .latency_target = Milliseconds(600)}},
+                                       {{.name = kPool}});
         }),
         // No job counts as an arrival, so that no forecast covers the rest.
         meter(this->state, this->run_times, {}, kNoSequence) {
@@ -33,10 +32,10 @@
   }
 
   void Submit(const std::string& id, const jobs::StepSpec& step) {
-    this->state.Apply({this->wall(), jobs::SubmitJob{
-                                         .job = JobId(id),
-                                         .queue = QueueName("clips"),
-                                         .spec = {.steps = {step}}}});
+    this->state.Apply(
+        {this->wall(), jobs::SubmitJob{.job = JobId(id),
+                                       .queue = QueueName("clips"),
+                                       .spec = {.steps = {step}}}});
   }
   jobs::ServiceDemand Demand() {
     return this->meter.Measure(this->now, this->wall()).at(kPool);
@@ -80,11 +79,14 @@
 }
 
 TEST_F(DemandMeterTest, TheDeviationGrowsWithTheRootOfTheNumberOfJobs) {
-  for (int job = 0; job < 16; ++job) {
+  constexpr std::int64_t kJobs = 16;
+  constexpr std::int64_t kRootOfJobs = 4;
+  for (std::int64_t job = 0; job < kJobs; ++job) {
     this->Submit(std::to_string(job), kStep);
   }
-  EXPECT_EQ(this->Demand().short_millicores, 16 * 4 * kCore);
-  EXPECT_EQ(this->Demand().deviation_millicores, 4 * 4 * kCore);
+  constexpr std::int64_t kJobMillicores = 4 * kCore;
+  EXPECT_EQ(this->Demand().short_millicores, kJobs * kJobMillicores);
+  EXPECT_EQ(this->Demand().deviation_millicores, kRootOfJobs * kJobMillicores);
 }
 
 }  // namespace
--- a/tests/services/sumacd/jobs_link_test.cc
+++ b/tests/services/sumacd/jobs_link_test.cc
@@ -86,6 +86,7 @@
   parts->relay->SilenceOpen();
   std::vector<kj::Promise<fleet::Answer>> answers;
   constexpr int kRequests = 20;
+  answers.reserve(kRequests);
   for (int request = 0; request < kRequests; ++request) {
     answers.push_back(parts->Submit());
   }
