Maintenance, Scheduler: Drop what the change left unused, and ask once whether a leader is taking over

A move's origin was kept and never read; ForecastMillicores was called by tests only, which now read the forecast of Measure with the same assertions; the pause of a takeover was compared in three places. No behaviour changes.

--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -95,22 +95,19 @@
                               const InstanceName& name,
                               WallTime wall_now,
                               SteadyTime now) const {
-  if (now - this->began_at > this->settings.takeover_pause) {
+  if (!this->IsTakingOver(now)) {
     return true;
   }
   const auto record = state.record().moves.find(name);
   return record == state.record().moves.end() ||
-         !this->MayBeUnderWay(record->second, wall_now, now);
+         !this->MayBeUnderWay(record->second, wall_now);
 }
 
-// True if an order of an earlier leader may still be under way.
 bool CapacityPlanner::MayBeUnderWay(const jobs::MoveRecord& record,
-                                    WallTime wall_now,
-                                    SteadyTime now) const {
+                                    WallTime wall_now) const {
   // NOTE: The clocks of two leaders may differ by seconds, so the limit is
   // twice the pause.
-  return now - this->began_at <= this->settings.takeover_pause &&
-         record.epoch != this->epoch &&
+  return record.epoch != this->epoch &&
          wall_now - record.at <= 2 * this->settings.takeover_pause;
 }
 
@@ -123,14 +120,14 @@
     WallTime wall_now,
     SteadyTime now,
     CapacityOutput& output) const {
-  if (now - this->began_at > this->settings.takeover_pause) {
+  if (!this->IsTakingOver(now)) {
     return;
   }
   for (const auto& [name, record] : state.record().moves) {
     const auto known = facts.find(name);
     const bool may_end =
         known != facts.end() && record.worker == known->second.worker;
-    if (may_end && this->MayBeUnderWay(record, wall_now, now)) {
+    if (may_end && this->MayBeUnderWay(record, wall_now)) {
       output.cordoned.insert(name);
     }
   }
@@ -351,7 +348,7 @@
     --source.have;
     ++destination.have;
     needs.Move(from, to, name);
-    this->wishes.push_back(Wish{name, from, to, movable.first});
+    this->wishes.push_back(Wish{name, to, movable.first});
     return true;
   });
 }
@@ -398,8 +395,7 @@
       continue;
     }
     needs.Move(from, to, item->second);
-    this->wishes.push_back(
-        Wish{std::move(item->second), from, to, item->first});
+    this->wishes.push_back(Wish{std::move(item->second), to, item->first});
     ++taken;
   }
   pool.movable.erase(kept, item);
@@ -545,7 +541,6 @@
     this->moves.Begin(
         wish.instance,
         MoveTable::Move{
-            .from = wish.from,
             .to = wish.to,
             .worker = known == facts.end() ? WorkerId() : known->second.worker,
             .since = now,
--- a/libraries/maintenance/capacity_planner.h
+++ b/libraries/maintenance/capacity_planner.h
@@ -150,7 +150,6 @@
   // A move that would be made if the platform carried it out at once.
   struct Wish {
     InstanceName instance;
-    ServiceName from;
     ServiceName to;
     std::int64_t runs = 0;
   };
@@ -196,9 +195,12 @@
                const InstanceName& name,
                WallTime wall_now,
                SteadyTime now) const;
-  bool MayBeUnderWay(const jobs::MoveRecord& record,
-                     WallTime wall_now,
-                     SteadyTime now) const;
+  bool IsTakingOver(SteadyTime now) const {
+    return now - this->began_at <= this->settings.takeover_pause;
+  }
+  // True if an order of an earlier leader may still be under way while this one
+  // is taking over.
+  bool MayBeUnderWay(const jobs::MoveRecord& record, WallTime wall_now) const;
   void CordonEarlierMoves(const jobs::JobsState& state,
                           const std::map<InstanceName, InstanceFacts>& facts,
                           WallTime wall_now,
--- a/libraries/maintenance/move_table.h
+++ b/libraries/maintenance/move_table.h
@@ -45,7 +45,6 @@
  public:
   // One move.
   struct Move {
-    ServiceName from;
     ServiceName to;
     // The worker that ends with the move; empty if none ran on the instance.
     WorkerId worker;
--- a/libraries/scheduler/arrival_rate.cc
+++ b/libraries/scheduler/arrival_rate.cc
@@ -74,9 +74,4 @@
           2 * latest.millicore_time >= present.millicore_time};
 }
 
-std::int64_t ArrivalRate::ForecastMillicores(const ForecastSettings& settings,
-                                             SteadyTime now) {
-  return this->Measure(settings, now).forecast;
-}
-
 }  // namespace sumac::scheduler
--- a/libraries/scheduler/arrival_rate.h
+++ b/libraries/scheduler/arrival_rate.h
@@ -41,10 +41,6 @@
 
   // Returns the present load; all 0 if there are too few arrivals to tell.
   Load Measure(const ForecastSettings& settings, SteadyTime now);
-  // Returns the thousandths of a core that arriving jobs will keep busy after
-  // the horizon; 0 if there are too few arrivals to tell.
-  std::int64_t ForecastMillicores(const ForecastSettings& settings,
-                                  SteadyTime now);
 
  private:
   struct Arrival {
--- a/tests/libraries/scheduler/arrival_rate_test.cc
+++ b/tests/libraries/scheduler/arrival_rate_test.cc
@@ -17,19 +17,25 @@
   }
 }
 
+std::int64_t ForecastMillicores(ArrivalRate& rate,
+                                const ForecastSettings& settings,
+                                SteadyTime now) {
+  return rate.Measure(settings, now).forecast;
+}
+
 TEST(ArrivalRateTest, FewArrivalsAreIgnored) {
   ArrivalRate rate;
   Arrive(rate, 0, 300, 100);
-  EXPECT_EQ(rate.ForecastMillicores(kLooksAhead, SteadyTime(Milliseconds(300))),
-            0);
+  EXPECT_EQ(
+      ForecastMillicores(rate, kLooksAhead, SteadyTime(Milliseconds(300))), 0);
 }
 
 TEST(ArrivalRateTest, ASteadyRateIsNotRaised) {
   ArrivalRate rate;
   Arrive(rate, 0, 4'000, 50);
   const SteadyTime now{Milliseconds(3'999)};
-  EXPECT_EQ(rate.ForecastMillicores(kLooksAhead, now),
-            rate.ForecastMillicores(kLooksBack, now));
+  EXPECT_EQ(ForecastMillicores(rate, kLooksAhead, now),
+            ForecastMillicores(rate, kLooksBack, now));
 }
 
 TEST(ArrivalRateTest, AGrowingRateIsExtrapolatedWithinItsBound) {
@@ -37,8 +43,8 @@
   Arrive(rate, 0, 1'000, 100);
   Arrive(rate, 1'000, 2'000, 60);
   const SteadyTime now{Milliseconds(1'999)};
-  const std::int64_t seen = rate.ForecastMillicores(kLooksBack, now);
-  const std::int64_t ahead = rate.ForecastMillicores(kLooksAhead, now);
+  const std::int64_t seen = ForecastMillicores(rate, kLooksBack, now);
+  const std::int64_t ahead = ForecastMillicores(rate, kLooksAhead, now);
   EXPECT_GT(ahead, seen * 13 / 10);
   EXPECT_LE(ahead, 2 * seen);
 }
@@ -48,8 +54,8 @@
   Arrive(rate, 0, 1'000, 20);
   Arrive(rate, 1'000, 2'000, 100);
   const SteadyTime now{Milliseconds(1'999)};
-  EXPECT_EQ(rate.ForecastMillicores(kLooksAhead, now),
-            rate.ForecastMillicores(kLooksBack, now));
+  EXPECT_EQ(ForecastMillicores(rate, kLooksAhead, now),
+            ForecastMillicores(rate, kLooksBack, now));
 }
 
 // A turn begins: the rate rises to five times what it was.
