--- a/review/common/cluster.sh
+++ b/review/common/cluster.sh
@@ -12,9 +12,7 @@
 : >"$record"
 declare -A pids=()
 
-# Bounds of the deployment, in milliseconds.
-contact_ms=3000
-cancel_ms=3000
+# Bound of the deployment, in milliseconds.
 stop_ms=900
 
 now_ms() { date +%s%3N; }
@@ -89,15 +87,6 @@
   wait "${pids[$1]}" 2>/dev/null || true
   unset "pids[$1]"
 }
-signal_node() { kill "-$2" "${pids[$1]}"; }
-# stands_still NAME: all threads of the process are stopped.
-stands_still() { ! grep -hv '^State:.*[Tt] (' <(grep -h '^State:' /proc/"${pids[$1]}"/task/*/status) >/dev/null; }
-# freeze_node NAME: SIGSTOP, in effect when this returns.
-freeze_node() {
-  signal_node "$1" STOP
-  until_true 2 stands_still "$1" || cannot_run "$1 did not stop"
-}
-
 # until_true SECONDS COMMAND...
 until_true() {
   local end=$(($(now_ms) + $1 * 1000))
@@ -133,7 +122,6 @@
     -d "{\"spec\":\"$2\",\"steps\":$3}"
 }
 accepted() { [ "$(post_job "$@")" = 200 ]; }
-cancel_job() { call 3 -X DELETE "$(job_url "$1" "$2")" -H 'Sumacstack-Deadline-Ms: 3000'; }
 # show_job ENTRY ID: prints status and state.
 show_job() {
   local status
@@ -167,12 +155,3 @@
   until_true 10 five_vote || cannot_run "the group did not grow to five"
   note "five controllers and two entries are up, version 1 is acknowledged, $(leader) leads"
 }
-# start_workers COUNT WORK_MS
-start_workers() {
-  "$workers_stand_in" --count "$1" --ip "$network.200" --controls "$controls" --service previews --work-ms "$2" \
-    --log "$work/workers.jsonl" --process w >>"$work/workers.txt" 2>&1 &
-  pids[workers]=$!
-}
-# starts_of ID: the times, in milliseconds since 1970, at which work units of the job were started.
-starts_of() { sed -n '/"event":"start"/{/'"$1"'/s/.*"at":\([0-9]*\).*/\1/p}' "$work/workers.jsonl"; }
-ends_of() { sed -n '/"event":"end"/{/'"$1"'/s/.*"at":\([0-9]*\).*/\1/p}' "$work/workers.jsonl"; }
