Codec: Refuse documents that are nested too deeply

Cause: writing a value as text takes a stack frame for each level, in error messages that quote a value and where any value is taken as text. Nothing bounded the depth.

Mend: ParseJson refuses more than 128 levels with its caller's code, found by a scan of the text that needs no stack; CborCursor::Skip does the same for CBOR, and ParseCbor asks it before it parses. All text and CBOR from outside comes in through these two.

Ruled out: the parser (its levels are on the heap) and a smaller body.

--- a/libraries/codec/cbor_cursor.cc
+++ b/libraries/codec/cbor_cursor.cc
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/codec/cbor_cursor.h"
 
+#include <array>
 #include <limits>
 
+#include "libraries/codec/json_nesting.h"
+
 namespace sumac::internal {
 namespace {
 
@@ -70,26 +73,34 @@
 // overflow the stack. Each item takes at least one byte, so the number of bytes
 // bounds the count.
 bool CborCursor::Skip() {
-  std::uint64_t items = 1;
-  while (items > 0) {
+  // How many items are left at each level that is open.
+  std::array<std::uint64_t, kMaxNesting + 1> left;
+  std::size_t depth = 0;
+  left[0] = 1;
+  while (true) {
+    while (left[depth] == 0) {
+      if (depth == 0) {
+        return true;
+      }
+      --depth;
+    }
     const std::optional<CborHead> head = this->ReadHead();
     if (!head) {
       return false;
     }
-    --items;
+    --left[depth];
     if (head->type == CborType::kText) {
       if (head->number > this->rest.size()) {
         return false;
       }
       this->rest.remove_prefix(head->number);
     } else if (head->type == CborType::kArray || head->type == CborType::kMap) {
-      if (head->number > this->rest.size()) {
+      if (head->number > this->rest.size() || depth == kMaxNesting) {
         return false;
       }
-      items += head->number * (head->type == CborType::kMap ? 2 : 1);
+      left[++depth] = head->number * (head->type == CborType::kMap ? 2 : 1);
     }
   }
-  return true;
 }
 
 }  // namespace sumac::internal
--- a/libraries/codec/cbor_cursor.h
+++ b/libraries/codec/cbor_cursor.h
@@ -35,7 +35,7 @@
   // Reads the next item, which must be a text.
   std::optional<std::string_view> ReadText();
   // Skips the next item with everything nested in it. Returns false if it can't
-  // be read.
+  // be read, or is nested deeper than kMaxNesting.
   bool Skip();
 
  private:
--- a/libraries/codec/json_reader.cc
+++ b/libraries/codec/json_reader.cc
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/codec/json_reader.h"
 
+#include "libraries/codec/cbor_cursor.h"
+#include "libraries/codec/json_nesting.h"
+
 namespace sumac {
 namespace internal {
 namespace {
@@ -64,6 +67,10 @@
 absl::StatusOr<nlohmann::json> ParseJson(std::string_view text,
                                          std::string_view source,
                                          ResultCode code) {
+  if (IsNestedDeeperThan(text, kMaxNesting)) {
+    return MakeError(code, StrCat(source, ": nested deeper than ", kMaxNesting,
+                                  " lists and objects"));
+  }
   try {
     return nlohmann::json::parse(text);
   } catch (const nlohmann::json::exception& error) {
@@ -73,6 +80,11 @@
 
 absl::StatusOr<nlohmann::json> ParseCbor(std::string_view bytes,
                                          std::string_view source) {
+  // The parser takes a stack frame for each level.
+  if (!internal::CborCursor(bytes).Skip()) {
+    return MakeError(ResultCode::kMalformedMessage,
+                     StrCat(source, ": not CBOR, or nested too deeply"));
+  }
   try {
     return nlohmann::json::from_cbor(bytes);
   } catch (const nlohmann::json::exception& error) {
--- a/tests/processes/doors.sh
+++ b/tests/processes/doors.sh
@@ -40,6 +40,9 @@
 expect "an announcement without a name" "$(announce_code '{"target":{}}')" 1001
 expect "an announcement of a wrong type" "$(announce_code "${good/\"slots\":8/\"slots\":\"8\"}")" 1001
 expect "an announcement with an unknown key" "$(announce_code "${good/\"slots\"/\"slot\"}")" 1001
+nested=$(head -c 100000 /dev/zero | tr '\0' '[')$(head -c 100000 /dev/zero | tr '\0' ']')
+echo "${good/\"slots\":8/\"slots\":$nested}" >"$work/nested-announcement"
+expect "an announcement of nested lists" "$(announce_code "@$work/nested-announcement")" 1001
 expect "no instance came of them" "$(ctl --json get instances | jq '.document | length')" 0
 expect "a good announcement" "$(announce_code "$good")" accepted
 
@@ -48,10 +51,12 @@
 echo '{"pools":[{"name":"a","capacity":1,"budget":{"smallest_available":2}}]}' >"$work/budget.json"
 echo '{"pols":[]}' >"$work/unknown.json"
 echo '{"pools":' >"$work/cut.json"
+echo "{\"pools\":$nested}" >"$work/nested.json"
 expect "a duplicate name" "$(operator_code --revision 1 apply "$work/duplicate.json")" 2004
 expect "a budget larger than its pool" "$(operator_code --revision 1 apply "$work/budget.json")" 2005
 expect "an unknown key" "$(operator_code --revision 1 apply "$work/unknown.json")" 2001
 expect "a cut file" "$(operator_code --revision 1 apply "$work/cut.json")" 2001
+expect "nested lists" "$(operator_code --revision 1 apply "$work/nested.json")" 2001
 expect "an unknown instance" "$(operator_code drain nobody)" 2003
 expect "an unknown kind" "$(operator_code get things)" 2012
 expect "an unknown decision" "$(operator_code explain fleet-99999)" 2011
@@ -59,6 +64,7 @@
 expect "a job for an unknown pool" "$(operator_code jobs submit "$work/job.json")" 2003
 echo '{"id":"j","pool":"batch","millicores":-1}' >"$work/job.json"
 expect "a job of negative size" "$(operator_code jobs submit "$work/job.json")" 2012
+expect "a job of nested lists" "$(operator_code jobs submit "$work/nested.json")" 2012
 head -c 2000000 /dev/zero | tr '\0' ' ' >"$work/huge.json"
 expect "a declaration over 1 MiB" "$(operator_code --revision 1 apply "$work/huge.json")" 2012
 expect "the revision is still 1" "$(ctl --json get declaration | jq .document.revision)" 1
@@ -71,4 +77,5 @@
 expect "sumacctl's exit code when nobody answers" "$(operators=127.0.0.99:9090 ctl status >/dev/null 2>&1; echo $?)" 4
 expect "sumacctl tries the next address" "$(operators=127.0.0.99:9090,127.0.0.11:9090 ctl --json status | jq -r .document.process)" e1
 expect "sumacd's exit code for wrong settings" "$("$bin/sumacd" --settings /nonexistent >/dev/null 2>&1; echo $?)" 3
+expect "and for settings of nested lists" "$("$bin/sumacd" --settings "$work/nested.json" >/dev/null 2>&1; echo $?)" 3
 finish
