--- a/tests/processes/nodes.sh
+++ b/tests/processes/nodes.sh
@@ -2,9 +2,11 @@
 # Controllers and entries that find each other from seeds, for the tests of real processes; sourced after
 # harness.sh. The caller sets `controllers`, names that begin with c and end with a number, and `entries`, n.
 
-node_ip() { case "$1" in c*) echo "127.0.1.${1#c}" ;; n*) echo "127.0.1.1${1#n}" ;; esac; }
-seeds='["127.0.1.1:1","127.0.1.2:1","127.0.1.3:1"]'
-controls="127.0.1.1:8623,127.0.1.2:8623,127.0.1.3:8623"
+# A test with a network of its own sets `node_network` first; it may run beside the others.
+node_network=${node_network:-127.0.1}
+node_ip() { case "$1" in c*) echo "$node_network.${1#c}" ;; n*) echo "$node_network.1${1#n}" ;; esac; }
+seeds="[\"$node_network.1:1\",\"$node_network.2:1\",\"$node_network.3:1\"]"
+controls="$node_network.1:8623,$node_network.2:8623,$node_network.3:8623"
 
 # write_node NAME ROLE IS_FIRST_START
 write_node() {
@@ -48,8 +50,8 @@
 submitted() { [ "$(submit "$@")" = 200 ]; }
 state_is() { call "$(job_url "$1" "$2")" >/dev/null && [ "$(jq -r .state "$work/body")" = "$3" ]; }
 ready() { [ "$(curl -s --max-time 2 -o /dev/null -w '%{http_code}' "http://$(node_ip "$1"):8622/ready")" = 200 ]; }
-declared() { [ "$(curl -s --max-time 2 -o /dev/null -w '%{http_code}' -X PUT "http://127.0.1.${2:-1}:8623/config" -d @"$work/manifest-$1")" = 200 ]; }
-version_at() { curl -s --max-time 2 "http://127.0.1.$1:8623/config" | jq .version; }
+declared() { [ "$(curl -s --max-time 2 -o /dev/null -w '%{http_code}' -X PUT "http://$node_network.${2:-1}:8623/config" -d @"$work/manifest-$1")" = 200 ]; }
+version_at() { curl -s --max-time 2 "http://$node_network.$1:8623/config" | jq .version; }
 leader() {
   local name
   for name in "${controllers[@]}"; do
--- a/tests/processes/replacements.sh
+++ b/tests/processes/replacements.sh
@@ -7,6 +7,7 @@
 source "$(dirname "${BASH_SOURCE[0]}")/harness.sh"
 
 controllers=(c1 c2 c3 c4 c5)
+node_network=127.0.9
 source "$(dirname "${BASH_SOURCE[0]}")/nodes.sh"
 
 # The pace at which the platform may replace controllers: a successor counts as lost for the catch-up time.
