--- a/libraries/codec/cbor_cursor.cc
+++ b/libraries/codec/cbor_cursor.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <limits>
 
-#include "libraries/codec/json_nesting.h"
+#include "libraries/codec/nesting.h"
 
 namespace sumac::internal {
 namespace {
--- a/libraries/codec/json_reader.cc
+++ b/libraries/codec/json_reader.cc
@@ -2,7 +2,7 @@
 #include "libraries/codec/json_reader.h"
 
 #include "libraries/codec/cbor_cursor.h"
-#include "libraries/codec/json_nesting.h"
+#include "libraries/codec/nesting.h"
 
 namespace sumac {
 namespace internal {
--- a/libraries/codec/json_nesting.cc
+++ b/libraries/codec/nesting.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "libraries/codec/json_nesting.h"
+#include "libraries/codec/nesting.h"
 
 namespace sumac {
 
--- a/libraries/codec/json_nesting.h
+++ b/libraries/codec/nesting.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-#ifndef LIBRARIES_CODEC_JSON_NESTING_H_
-#define LIBRARIES_CODEC_JSON_NESTING_H_
+#ifndef LIBRARIES_CODEC_NESTING_H_
+#define LIBRARIES_CODEC_NESTING_H_
 
 #include <cstddef>
 #include <string_view>
@@ -18,4 +18,4 @@
 
 }  // namespace sumac
 
-#endif  // LIBRARIES_CODEC_JSON_NESTING_H_
+#endif  // LIBRARIES_CODEC_NESTING_H_
--- a/libraries/replication/silence_watch.cc
+++ b/libraries/replication/silence_watch.cc
@@ -7,7 +7,7 @@
 
 SilenceWatch::SilenceWatch(Milliseconds heartbeat_interval,
                            Milliseconds election_timeout)
-    : max_count(2 * heartbeat_interval),
+    : max_step(2 * heartbeat_interval),
       max_gap(2 * election_timeout),
       min_own_silence(election_timeout) {}
 
@@ -57,7 +57,7 @@
 
 void SilenceWatch::Count(SteadyTime now) {
   const Milliseconds passed =
-      std::min(now - this->counted_until.value_or(now), this->max_count);
+      std::min(now - this->counted_until.value_or(now), this->max_step);
   for (auto& [node, silence] : this->silences) {
     silence.total += passed;
     silence.own += passed;
--- a/libraries/replication/silence_watch.h
+++ b/libraries/replication/silence_watch.h
@@ -65,10 +65,10 @@
 
   // Returns true if a member has missed heartbeats.
   bool HasMissedHeartbeats(const Silence& silence) const {
-    return silence.total > this->max_count;
+    return silence.total > this->max_step;
   }
 
-  Milliseconds max_count;
+  Milliseconds max_step;
   Milliseconds max_gap;
   Milliseconds min_own_silence;
   std::map<NodeId, Silence> silences;
--- a/tests/libraries/codec/nesting_test.cc
+++ b/tests/libraries/codec/nesting_test.cc
@@ -5,8 +5,8 @@
 
 #include "libraries/base/error.h"
 #include "libraries/codec/cbor_cursor.h"
-#include "libraries/codec/json_nesting.h"
 #include "libraries/codec/json_reader.h"
+#include "libraries/codec/nesting.h"
 
 namespace sumac {
 namespace {
--- a/tests/processes/descriptors.sh
+++ b/tests/processes/descriptors.sh
@@ -15,8 +15,7 @@
 # Snapshots every few entries, so that many are written while descriptors are short.
 for name in "${controllers[@]}" "${entries[@]}"; do
   write_node "$name" "$(role_of "$name")" true
-  jq '.group = {snapshot_every: 20}' "$work/$name/settings.json" >"$work/$name/settings.next"
-  mv "$work/$name/settings.next" "$work/$name/settings.json"
+  change_settings "$name" '.group = {snapshot_every: 20}'
   start_node "$name" "$descriptors"
 done
 refuses_more() { ! bash -c 'ulimit -Sn 300; exec "$0" --settings "$1"' "$bin/sumacd" "$work/more.json" >"$work/more.txt" 2>&1; }
--- a/tests/processes/evacuation.sh
+++ b/tests/processes/evacuation.sh
@@ -32,8 +32,7 @@
 
 for name in "${all[@]}"; do
   write_node "$name" "$(role_of "$name")" true
-  jq '.data_centres = ["dc-a", "dc-b"] | .platform_times = {evacuation_ms: 1000}' "$work/$name/settings.json" >"$work/$name/settings.next"
-  mv "$work/$name/settings.next" "$work/$name/settings.json"
+  change_settings "$name" '.data_centres = ["dc-a", "dc-b"] | .platform_times = {evacuation_ms: 1000}'
   start_node "$name"
 done
 manifest 1
@@ -65,8 +64,7 @@
 [ "$(leader)" != c3 ] || lost=c2
 signal_process "$lost" KILL
 rm -rf "${work:?}/$lost/data"
-jq '.is_first_start = false' "$work/$lost/settings.json" >"$work/$lost/settings.next"
-mv "$work/$lost/settings.next" "$work/$lost/settings.json"
+change_settings "$lost" '.is_first_start = false'
 start_node "$lost"
 votes_again() { ctl_finds "[.document[] | select(.kind == \"voter\" and (.node | startswith(\"$(node_ip "$lost"):\")))] | length == 1 and (.[0].node | endswith(\".1\") | not)" n1 controllers; }
 check "a controller with an empty disk votes again" until_true 30 votes_again
--- a/tests/processes/nodes.sh
+++ b/tests/processes/nodes.sh
@@ -18,6 +18,11 @@
       + (if $role == "controller" then {data_folder: $data, control_door: "\($ip):8623"}
          else {caller_door: "\($ip):8624", health_door: "\($ip):8622"} end)' >"$work/$1/settings.json"
 }
+# change_settings NAME FILTER: applies a jq filter to the settings that write_node wrote.
+change_settings() {
+  jq "$2" "$work/$1/settings.json" >"$work/$1/settings.next"
+  mv "$work/$1/settings.next" "$work/$1/settings.json"
+}
 # start_node NAME [DESCRIPTORS]: with a limit of file descriptors, if one is given.
 start_node() {
   if [ $# -gt 1 ]; then
--- a/tests/processes/relays.sh
+++ b/tests/processes/relays.sh
@@ -11,10 +11,7 @@
 source "$(dirname "${BASH_SOURCE[0]}")/nodes.sh"
 
 # use_relays NAME: with as few workers as here, too.
-use_relays() {
-  jq '.policy = {relays_from_workers: 10}' "$work/$1/settings.json" >"$work/$1/settings.next"
-  mv "$work/$1/settings.next" "$work/$1/settings.json"
-}
+use_relays() { change_settings "$1" '.policy = {relays_from_workers: 10}'; }
 
 for name in "${controllers[@]}" "${entries[@]}"; do
   write_node "$name" "$(role_of "$name")" true
--- a/tests/processes/replacements.sh
+++ b/tests/processes/replacements.sh
@@ -15,14 +15,10 @@
 catch_up_s=4
 pause_s=1.4
 
-use_short_times() {
-  jq '.group = {heartbeat_ms: 100, election_timeout_ms: 450, snapshot_every: 1000}' "$work/$1/settings.json" >"$work/$1/settings.next"
-  mv "$work/$1/settings.next" "$work/$1/settings.json"
-}
 # write_controller NAME IS_FIRST_START
 write_controller() {
   write_node "$1" controller "$2"
-  use_short_times "$1"
+  change_settings "$1" '.group = {heartbeat_ms: 100, election_timeout_ms: 450, snapshot_every: 1000}'
 }
 start_controller() {
   write_controller "$1" "$2"
