Replication, Daemon: Log spares, silent voters and requests for votes

A group that elected nobody after a loss of power logged only that its voters ask for votes, and how many there are. Whether a successor had caught up, why the vote of a lost controller was not passed on, and who refused a vote and why could not be told from logs, so three causes were alike.

The leader now logs a spare that has caught up and, for each silent voter, why it keeps its vote (MembershipWatch, pure). Each controller logs the requests for votes that it gets, with the candidate's log beside its own and whether it is a voter by its own log, and the answers to its own (VoteLog). Each line comes once until what it says changes. The role line says whether the controller votes and whether the members are committed.

No decision changes.

--- a/libraries/replication/membership_keeper.cc
+++ b/libraries/replication/membership_keeper.cc
@@ -64,10 +64,8 @@
          now - replica.last_leader_contact_at() > kRejoinTime;
 }
 
-std::optional<Membership> MembershipKeeper::Check(const Replica& replica) {
-  if (!replica.is_membership_committed()) {
-    return std::nullopt;
-  }
+std::map<NodeId, MemberHealth> MembershipKeeper::HealthOfAll(
+    const Replica& replica) const {
   std::map<NodeId, MemberHealth> health;
   const Membership& members = replica.membership();
   for (const auto* nodes : {&members.voters, &members.learners}) {
@@ -75,9 +73,17 @@
       health[node] = this->HealthOf(replica, node);
     }
   }
+  return health;
+}
+
+std::optional<Membership> MembershipKeeper::Check(const Replica& replica) {
+  if (!replica.is_membership_committed()) {
+    return std::nullopt;
+  }
+  const std::map<NodeId, MemberHealth> health = this->HealthOfAll(replica);
   this->catch_up_tracker.RecordCommitIndex(replica.term(),
                                            replica.commit_index());
-  return PlanNextMembers(members, health, this->wanted_voters,
+  return PlanNextMembers(replica.membership(), health, this->wanted_voters,
                          this->tolerated_data_centres);
 }
 
--- a/libraries/replication/membership_keeper.h
+++ b/libraries/replication/membership_keeper.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <optional>
 
 #include "libraries/base/names.h"
@@ -29,6 +30,9 @@
   // Returns the health of a member, as seen by the leading `replica`.
   MemberHealth HealthOf(const Replica& replica, const NodeId& member) const;
 
+  // Returns the health of all members, as seen by the leading `replica`.
+  std::map<NodeId, MemberHealth> HealthOfAll(const Replica& replica) const;
+
   // Returns true if `replica` has to ask the other controllers to join the
   // group: it belongs to none, or it has had no contact to a leader for so long
   // that it may have been removed while it was away.
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -115,6 +115,7 @@
   const NodeId& self() const { return this->own_id; }
   LogIndex commit_index() const { return this->committed_index; }
   LogIndex last_index() const { return this->log.last_index(); }
+  Term last_term() const { return this->log.last_term(); }
   LogIndex snapshot_index() const { return this->log.snapshot().index; }
   const Membership& membership() const { return this->log.LatestMembership(); }
   bool is_membership_committed() const {
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -239,7 +239,27 @@
   return index.status();
 }
 
+// Logs which spares have caught up and why silent voters keep their votes.
+void ReplicaHost::LogMembers() {
+  const replication::Replica& replica = *this->replica_core;
+  const auto news = this->membership_watch.Observe(
+      replica.membership(), this->membership_keeper.HealthOfAll(replica),
+      replica.is_membership_committed());
+  for (const replication::NodeId& node : news.caught_up) {
+    LogEvent(LogLevel::kInfo, "spare-has-caught-up",
+             {{"node", node.value()},
+              {"commit_index", replica.commit_index().value()}});
+  }
+  for (const auto& voter : news.silent) {
+    LogEvent(LogLevel::kInfo, "voter-is-silent",
+             {{"node", voter.node.value()},
+              {"silent_ms", voter.silence.count()},
+              {"keeps_vote_for", NameOf(voter.hold)}});
+  }
+}
+
 void ReplicaHost::MaintainMembership() {
+  this->LogMembers();
   const auto next = this->membership_keeper.Check(*this->replica_core);
   if (!next) {
     return;
@@ -365,6 +385,7 @@
   if (this->IsSendingBlocked(now)) {
     return;
   }
+  this->vote_log.Record(message, *this->replica_core);
   this->replica_core->Receive(std::move(message), now);
   this->SchedulePump();
 }
@@ -404,7 +425,9 @@
             {"leader", current.second.value()},
             {"term", replica.term().value()},
             {"last_index", replica.last_index().value()},
-            {"voters", replica.membership().voters.size()}});
+            {"voters", replica.membership().voters.size()},
+            {"is_voter", replica.membership().is_voter(replica.self())},
+            {"are_members_committed", replica.is_membership_committed()}});
 }
 
 void ReplicaHost::Pump() {
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -22,12 +22,14 @@
 #include "libraries/base/time.h"
 #include "libraries/fleet/answer.h"
 #include "libraries/replication/membership_keeper.h"
+#include "libraries/replication/membership_watch.h"
 #include "libraries/replication/replica.h"
 #include "services/sumacd/disk_thread.h"
 #include "services/sumacd/member_data_centres.h"
 #include "services/sumacd/peers.h"
 #include "services/sumacd/replica_store.h"
 #include "services/sumacd/settings.h"
+#include "services/sumacd/vote_log.h"
 
 namespace sumac::daemon {
 
@@ -161,6 +163,7 @@
   void taskFailed(kj::Exception&& exception) override;
 
   void LogRole();
+  void LogMembers();
   void Pump();
   bool PumpOnce();
   bool CanSendBeforeWrite(const replication::Output& output) const;
@@ -200,6 +203,8 @@
   ProcessName join_hint;
   MemberDataCentres data_centres;
   replication::MembershipKeeper membership_keeper;
+  replication::MembershipWatch membership_watch;
+  VoteLog vote_log;
   bool is_pump_scheduled = false;
   bool has_full_disk = false;
   // The time until which a leader with a full disk tries to hand over.
