Tests: Show a spare that refuses the vote that the others count on

A spare takes the vote of a lost controller. The others have stored its promotion, which so counts as committed; its own disk has not when all lose power. Three of five voters are left, but the spare refuses to vote, because it is no voter by its own log: nobody leads for ever.

--- a/tests/libraries/replication/replica_test.cc
+++ b/tests/libraries/replication/replica_test.cc
@@ -346,6 +346,54 @@
   EXPECT_EQ(cluster.CheckInvariants(), "");
 }
 
+// Guards against a group that nobody can lead: the others count the vote of a
+// spare that has not received the entry that made it a voter.
+TEST(ReplicaTest, ASpareVotesBeforeItKnowsOfItsPromotion) {
+  Cluster cluster(5);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  const NodeId spare("n9.1");
+  const std::size_t spare_position = cluster.AddNode(spare);
+  Replica& replica = *cluster.nodes[*leader].replica;
+  const std::size_t lost = (*leader + 1) % 5;
+  const auto change = [&](auto edit) {
+    Membership membership = replica.membership();
+    edit(membership);
+    ASSERT_TRUE(replica.ProposeMembership(membership, cluster.now).ok());
+    cluster.PassTime(Milliseconds(100));
+    ASSERT_TRUE(replica.is_membership_committed());
+  };
+  change([&](Membership& members) { members.learners.insert(spare); });
+  cluster.Crash(lost);
+  change([&](Membership& members) {
+    members.voters.erase(cluster.nodes[lost].id);
+  });
+  cluster.SetCut(spare_position, true);
+  change([&](Membership& members) {
+    members.learners.erase(spare);
+    members.voters.insert(spare);
+  });
+  ASSERT_TRUE(cluster.Propose(*leader, "a").ok());
+  cluster.PassTime(Milliseconds(20));
+
+  // All lose power, and two of the voters their disks.
+  for (std::size_t node = 0; node < cluster.nodes.size(); ++node) {
+    cluster.Crash(node);
+  }
+  cluster.SetCut(spare_position, false);
+  const std::size_t wiped = (*leader + 2) % 5;
+  for (std::size_t node = 0; node < cluster.nodes.size(); ++node) {
+    if (node != lost && node != *leader && node != wiped) {
+      cluster.Restart(node);
+    }
+  }
+  EXPECT_TRUE(cluster.ElectLeader());
+  cluster.PassTime(Milliseconds(1'000));
+  EXPECT_EQ(cluster.nodes[spare_position].applied,
+            std::vector<std::string>{"a"});
+  EXPECT_EQ(cluster.CheckInvariants(), "");
+}
+
 TEST(ReplicaTest, ARestartedCopyIsNotVerifiedUntilALeaderVouchesForIt) {
   Cluster cluster(3);
   const auto leader = cluster.ElectLeader();
