Replication: Let a spare vote before it knows of its promotion

What callers would see: after a loss of power of all, with two disks lost, nobody leads any more, and nothing is answered.

Cause: a replica refused its vote unless it was a voter by its own log. The entry that makes a spare a voter is committed once a majority has it on disk, the spare need not be among them: its disk may be slow. From then on the others count on its vote. If power is lost now and two of those that stored the entry lose their disks, three of five voters are left, one of them refuses for ever, and no leader can tell it.

Change: the candidate's log decides who is asked; the one that is asked answers. Safe, as the name of a replica is that of its disk, votes are stored before they are sent, a candidate with an older log is refused as before, and members change one voter at a time, so that any two majorities overlap. A replica still asks for votes only if it is a voter by its own log.

Ruled out: to have the leader wait until the spare has stored its promotion. The vote would count from the commit all the same.

--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -350,8 +350,10 @@
   // NOTE: Until the election timeout after the last message from a leader, no
   // vote is granted, not even in a newer term: the leader's lease depends on
   // this. The exception is a hand-over, for which the leader gave up its lease.
-  const bool is_member = this->membership().is_voter(this->own_id);
-  if (!is_member || (this->HasRecentLeader(now) && !request.is_hand_over)) {
+  //
+  // Whether this replica is a voter is up to the candidate's log: the entry
+  // that makes it one may be committed without having reached it.
+  if (this->HasRecentLeader(now) && !request.is_hand_over) {
     this->Send(from, VoteAnswer{request.is_pre_vote, false});
     return;
   }
