Daemon: Move the upkeep of the group's members out of ReplicaHost

replica_host.cc wrote outputs, sent messages, applied entries and also asked to join, learned where members run and logged them. The last three are GroupMaintenance now, a module of its own (replica_host.cc 742 to 636 lines). No behaviour changes; the settings that only it reads moved along.

Run: the 20 tests of ReplicaHost, LeaderSearch and JobsLink pass.

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -96,10 +96,10 @@
       .process = settings.process(),
       .data_folder = settings.data_folder,
       .group = settings.group,
-      .wanted_voters = settings.wanted_voters(),
-      .data_centre = settings.data_centre,
-      .tolerated_data_centres = settings.tolerated_data_centres,
-      .data_centres = settings.data_centres};
+      .maintenance = {.wanted_voters = settings.wanted_voters(),
+                      .data_centre = settings.data_centre,
+                      .tolerated_data_centres = settings.tolerated_data_centres,
+                      .data_centres = settings.data_centres}};
   ReplicaCallbacks callbacks;
   callbacks.load_snapshot = [self](const std::string& state) {
     self->has_applied = true;
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -15,7 +15,6 @@
 #include "libraries/log/json_log.h"
 #include "libraries/replication/election_seed.h"
 #include "libraries/replication/membership_plan.h"
-#include "libraries/rpc/call.h"
 #include "libraries/storage/posix_disk.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
@@ -29,7 +28,6 @@
 // The maximum number of messages in flight to one process; further ones are
 // dropped, as on a slow network.
 constexpr std::size_t kMaxMessagesInFlight = 64;
-constexpr Milliseconds kJoinInterval{500};
 // A leader hands over when a single disk write takes longer than this.
 constexpr Milliseconds kStalledDiskTime{1'000};
 
@@ -119,14 +117,7 @@
       timer(timer),
       callbacks(std::move(callbacks)),
       store(std::move(store)),
-      data_centres(settings.data_centres,
-                   settings.process,
-                   settings.data_centre),
-      membership_keeper(settings.wanted_voters,
-                        settings.tolerated_data_centres,
-                        [this](const replication::NodeId& member) {
-                          return this->data_centres.Find(member);
-                        }),
+      group_maintenance(settings.maintenance, settings.process, peers),
       tasks(*this) {}
 
 void ReplicaHost::Tick(SteadyTime now) {
@@ -137,8 +128,7 @@
     return;
   }
   this->replica_core->Tick(now);
-  this->RequestToJoin(now);
-  this->LearnDataCentres(now);
+  this->group_maintenance.Tick(*this->replica_core, now, this->tasks);
   const bool is_leader =
       this->replica_core->role() == replication::Role::kLeader;
   if (is_leader && this->WriteAge(now) > kStalledDiskTime &&
@@ -204,8 +194,7 @@
                      StrCat("no controller ", node.value()));
   }
   if (action == "add") {
-    if (!this->membership_keeper.HealthOf(*this->replica_core, node)
-             .is_caught_up) {
+    if (!this->group_maintenance.HasCaughtUp(*this->replica_core, node)) {
       return MakeError(ResultCode::kWrongState,
                        StrCat(node.value(), " has not caught up yet"));
     }
@@ -239,28 +228,8 @@
   return index.status();
 }
 
-// Logs which spares have caught up and why silent voters keep their votes.
-void ReplicaHost::LogMembers() {
-  const replication::Replica& replica = *this->replica_core;
-  const auto news = this->membership_watch.Observe(
-      replica.membership(), this->membership_keeper.HealthOfAll(replica),
-      replica.is_membership_committed());
-  for (const replication::NodeId& node : news.caught_up) {
-    LogEvent(LogLevel::kInfo, "spare-has-caught-up",
-             {{"node", node.value()},
-              {"commit_index", replica.commit_index().value()}});
-  }
-  for (const auto& voter : news.silent) {
-    LogEvent(LogLevel::kInfo, "voter-is-silent",
-             {{"node", voter.node.value()},
-              {"silent_ms", voter.silence.count()},
-              {"keeps_vote_for", NameOf(voter.hold)}});
-  }
-}
-
 void ReplicaHost::MaintainMembership() {
-  this->LogMembers();
-  const auto next = this->membership_keeper.Check(*this->replica_core);
+  const auto next = this->group_maintenance.Check(*this->replica_core);
   if (!next) {
     return;
   }
@@ -276,81 +245,6 @@
             {"status", status.ToString()}});
 }
 
-// A replica that belongs to no group, or may have been removed from it while it
-// was partitioned, requests to join from one controller after the other.
-void ReplicaHost::RequestToJoin(SteadyTime now) {
-  const replication::Replica& replica = *this->replica_core;
-  if (!this->membership_keeper.ShouldRequestToJoin(replica, now) ||
-      now - this->last_join_request_at < kJoinInterval) {
-    return;
-  }
-  this->last_join_request_at = now;
-  const ProcessName process = this->NextJoinController();
-  rpc::Channel* channel = this->peers.Find(process);
-  if (process == this->settings.process || channel == nullptr) {
-    return;
-  }
-  auto request = channel->Get<wire::Peer>().joinRequest();
-  request.setNode(replica.self().value());
-  this->tasks.add(rpc::CallForAnswer(*channel, kMessageTimeout, request)
-                      .then(
-                          [this](const fleet::Answer& answer) {
-                            const bool is_hint =
-                                answer.code == ResultCode::kNotLeader;
-                            this->join_hint =
-                                ProcessName(is_hint ? answer.message : "");
-                            if (is_hint && !answer.message.empty()) {
-                              // Sends the next request, to the leader, at the
-                              // next tick.
-                              this->last_join_request_at = SteadyTime{};
-                            }
-                          },
-                          [](kj::Exception&& /*exception*/) {}));
-}
-
-// Asks the other controllers where they run.
-void ReplicaHost::LearnDataCentres(SteadyTime now) {
-  if (this->settings.tolerated_data_centres == 0) {
-    return;
-  }
-  for (const ProcessName& process :
-       this->data_centres.TakeDue(this->replica_core->membership(), now)) {
-    rpc::Channel* channel = this->peers.Find(process);
-    if (channel == nullptr) {
-      continue;
-    }
-    auto request = channel->Get<wire::Peer>().describeRequest();
-    this->tasks.add(
-        channel
-            ->Guard(kMessageTimeout, request.send().then([this, process](
-                                                             auto&& response) {
-              const DataCentre name(wire::ToString(response.getDataCentre()));
-              if (!this->data_centres.Record(process, name)) {
-                LogEvent(LogLevel::kWarning, "unknown-data-centre",
-                         {{"process", process.value()},
-                          {"data_centre", name.value()}});
-              }
-            }))
-            // It is asked again.
-            .then([] {}, [](kj::Exception&& /*exception*/) {}));
-  }
-}
-
-// Returns the controller to send the next join request to: the leader if the
-// last response named it, else the known controllers in rotation.
-ProcessName ReplicaHost::NextJoinController() {
-  ProcessName hint = std::exchange(this->join_hint, ProcessName());
-  if (!hint.value().empty()) {
-    return hint;
-  }
-  std::vector<ProcessName> controllers = this->peers.controllers();
-  for (const replication::NodeId& voter :
-       this->replica_core->membership().voters) {
-    controllers.push_back(ProcessOf(voter));
-  }
-  return controllers[this->next_join_controller++ % controllers.size()];
-}
-
 absl::Status ReplicaHost::HandOver() {
   absl::Status status = this->replica_core->HandOver(this->clock.SteadyNow());
   this->SchedulePump();
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -21,11 +21,9 @@
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
 #include "libraries/fleet/answer.h"
-#include "libraries/replication/membership_keeper.h"
-#include "libraries/replication/membership_watch.h"
 #include "libraries/replication/replica.h"
 #include "services/sumacd/disk_thread.h"
-#include "services/sumacd/member_data_centres.h"
+#include "services/sumacd/group_maintenance.h"
 #include "services/sumacd/peers.h"
 #include "services/sumacd/replica_store.h"
 #include "services/sumacd/settings.h"
@@ -52,18 +50,7 @@
   ProcessName process;
   std::string data_folder;
   GroupSettings group;
-  // The number of voters to maintain: spare learners are promoted, and voters
-  // that are permanently lost are replaced, up to this number. With 0 both are
-  // left to operators, and only processes that the settings list are brought
-  // back automatically.
-  std::size_t wanted_voters = 0;
-  // This controller's data centre.
-  DataCentre data_centre;
-  // The number of data centres that may be lost at the same time; above 0 the
-  // voters are spread over them.
-  std::size_t tolerated_data_centres = 0;
-  // The names of all data centres; empty if they are not known.
-  std::vector<DataCentre> data_centres;
+  GroupMaintenanceSettings maintenance;
 };
 
 // Runs one replica on one disk: carries out the replica's outputs (disk writes
@@ -163,7 +150,6 @@
   void taskFailed(kj::Exception&& exception) override;
 
   void LogRole();
-  void LogMembers();
   void Pump();
   bool PumpOnce();
   bool CanSendBeforeWrite(const replication::Output& output) const;
@@ -182,9 +168,6 @@
   void FailLostProposals();
   void BeginSnapshotIfDue();
   absl::Status ProposeMembers(const replication::Membership& membership);
-  void RequestToJoin(SteadyTime now);
-  ProcessName NextJoinController();
-  void LearnDataCentres(SteadyTime now);
 
   ReplicaHostSettings settings;
   Peers& peers;
@@ -196,14 +179,7 @@
 
   std::pair<replication::Role, ProcessName> logged_role{
       replication::Role::kFollower, ProcessName()};
-  SteadyTime last_join_request_at{};
-  std::size_t next_join_controller = 0;
-  // The leader that the last response to a join request named; empty if it
-  // named none.
-  ProcessName join_hint;
-  MemberDataCentres data_centres;
-  replication::MembershipKeeper membership_keeper;
-  replication::MembershipWatch membership_watch;
+  GroupMaintenance group_maintenance;
   VoteLog vote_log;
   bool is_pump_scheduled = false;
   bool has_full_disk = false;
