--- a/services/sumacd/vote_log.cc
+++ b/services/sumacd/vote_log.cc
@@ -26,6 +26,10 @@
 
 void VoteLog::Record(const replication::Message& message,
                      const replication::Replica& replica) {
+  if (message.to != replica.self()) {
+    // It is for the replica of an earlier disk, and is dropped.
+    return;
+  }
   if (const auto* request =
           std::get_if<replication::VoteRequest>(&message.body)) {
     this->RecordRequest(message, *request, replica);
