Replication: Let a hand-over that is asked for again keep its deadline

What callers would see: while a leader's disk hangs, all that they send is refused, for as long as it hangs.

Cause: the host of a leader whose disk write takes over a second asks for a hand-over at each tick. Each call began the hand-over anew: its deadline moved on, so a leader whose TimeoutNow was lost neither decided nor stepped down, and its heartbeats kept the others from electing. A call could also pick another voter that is not up to date, which cleared the mark that a TimeoutNow was sent, and with it the ban on the leader's lease; the first receiver may still start an election that ignores the lease. That part is by reasoning.

Change: a call while a hand-over is open changes nothing.

Before: ReplicaTest.AHandOverThatIsRequestedAgainStillEnds fails, the replica leads after 2 s without a lease (a hand-over may take 0.3 s).

--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -178,6 +178,10 @@
   if (this->current_role != Role::kLeader) {
     return MakeError(ResultCode::kNotLeader, "this controller does not lead");
   }
+  if (this->hand_over_to) {
+    // Its deadline and a TimeoutNow that is on its way still count.
+    return absl::OkStatus();
+  }
   std::optional<NodeId> best;
   LogIndex best_match;
   for (const auto& [node, progress] : this->leading->members()) {
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -55,7 +55,8 @@
   absl::StatusOr<LogIndex> ProposeMembership(const Membership& membership,
                                              SteadyTime now);
 
-  // Starts to hand leadership over to the voter that holds most of the log.
+  // Starts to hand leadership over to the voter that holds most of the log. A
+  // call while a hand-over is open changes nothing.
   absl::Status HandOver(SteadyTime now);
 
   // Drops the log up to `index`. The host has stored `state`, the state
--- a/tests/libraries/replication/replica_test.cc
+++ b/tests/libraries/replication/replica_test.cc
@@ -138,6 +138,30 @@
   EXPECT_TRUE(cluster.ElectLeader());
 }
 
+// Guards against a leader that neither decides nor lets others decide: while
+// its disk hangs, its host asks for a hand-over again and again.
+TEST(ReplicaTest, AHandOverThatIsRequestedAgainStillEnds) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  Replica& replica = *cluster.nodes[*leader].replica;
+  constexpr Milliseconds kStep{20};
+  constexpr Milliseconds kLimit{2'000};
+  for (Milliseconds passed{0};
+       passed < kLimit && replica.role() == Role::kLeader; passed += kStep) {
+    ASSERT_TRUE(replica.HandOver(cluster.now).ok());
+    // The receiver of TimeoutNow may start its election at any later moment.
+    EXPECT_FALSE(replica.HoldsLease(cluster.now));
+    cluster.Pump(*leader);
+    std::erase_if(cluster.network, [](const Message& message) {
+      return std::holds_alternative<TimeoutNow>(message.body);
+    });
+    cluster.Tick(kStep);
+    cluster.Settle();
+  }
+  EXPECT_NE(replica.role(), Role::kLeader);
+}
+
 TEST(ReplicaTest, CatchesUpALaggardBySnapshot) {
   Cluster cluster(3);
   cluster.settings.snapshot_chunk_bytes = 64;
