Storage: Make the removal of a torn segment last before the next one

A controller that lost power twice might never start again: Open answered kStorageDamaged for a segment that it had removed itself.

Open removed a newest segment whose header was torn without syncing the folder, and then created the next one. A new file lasts once it is itself synced, a removal only with its folder, so a loss of power between the two brought the torn segment back in front of a whole one, where it counts as damage. The folder is now synced after the removal. Taking the removed segment's number again was ruled out: whether the old or the new file has the name would then depend on how the disk orders the two.

The disk of the tests until now lost or kept all names at once and kept every removal. PowerDisk keeps or loses each unsynced creation, renaming, removal, write and truncation by itself, ends a process in the middle of an operation, and refuses operations half done.

--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -264,7 +264,10 @@
     this->next_sequence = sequence + 1;
     if (content.has_torn_tail && repair) {
       if (content.whole_length == 0) {
-        return this->disk->Remove(file_path);
+        // The removal must last before a later segment does: behind a torn one
+        // nothing may follow.
+        TRY(this->disk->Remove(file_path));
+        return this->disk->SyncFolder(this->path);
       }
       TRY(this->disk->Truncate(file_path, content.whole_length));
     }
--- a/tests/libraries/storage/fake_disk.h
+++ b/tests/libraries/storage/fake_disk.h
@@ -14,20 +14,10 @@
 #include "libraries/base/error.h"
 #include "libraries/base/try.h"
 #include "libraries/storage/disk.h"
+#include "tests/libraries/storage/disk_operation.h"
 
 namespace sumac::storage {
 
-// The operations that a full disk may refuse.
-enum class DiskOperation {
-  kAppend,
-  kSync,
-  kOpen,
-  kTruncate,
-  kRename,
-  kRemove,
-  kSyncFolder,
-};
-
 // A disk in memory that loses unsynced data in a crash and fails on request.
 class FakeDisk {
  public:
--- /dev/null
+++ b/tests/libraries/storage/power_loss_test.cc
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libraries/storage/data_folder.h"
+#include "tests/libraries/storage/power_disk.h"
+
+namespace sumac::storage {
+namespace {
+
+using replication::Entry;
+using replication::NodeId;
+using replication::Output;
+using replication::StartState;
+using Folder = DataFolder<PowerDisk>;
+
+constexpr const char* kFolder = "data";
+constexpr StorageSettings kLargeSegments{};
+
+Entry MakeEntry(std::uint64_t index, std::uint64_t term) {
+  return Entry{.term = Term(term), .index = LogIndex(index), .payload = "p"};
+}
+
+Output MakeOutput(std::vector<Entry> entries) {
+  Output output;
+  output.entries_to_write = std::move(entries);
+  return output;
+}
+
+std::string PathOfSegment(std::uint64_t sequence) {
+  return std::string(kFolder) + "/" + SegmentName(sequence);
+}
+
+// A formatted folder on a disk of its own.
+class PowerLossTest : public testing::Test {
+ protected:
+  PowerLossTest() { this->Reset(); }
+
+  void Reset() {
+    this->disk = std::make_unique<PowerDisk>(this->seed++);
+    ASSERT_TRUE(Folder::Format(*this->disk, kFolder,
+                               Identity{.node = NodeId("c1.1"),
+                                        .first_voters = {NodeId("c1.1")}})
+                    .ok());
+  }
+
+  // Opens the folder as the next process does, with a disk that works again.
+  // Returns nothing, and fails the test, if it does not open.
+  std::optional<Folder> Open(StorageSettings settings = kLargeSegments) {
+    this->disk->Resume();
+    this->disk->refused.clear();
+    auto folder = Folder::Open(*this->disk, kFolder, settings);
+    EXPECT_TRUE(folder.ok()) << folder.status();
+    return folder.ok() ? std::optional(*std::move(folder)) : std::nullopt;
+  }
+
+  // Returns what the next process reads; an empty state if it can't.
+  StartState Read() {
+    std::optional<Folder> folder = this->Open();
+    return folder ? folder->TakeStartState() : StartState();
+  }
+
+  std::unique_ptr<PowerDisk> disk;
+  std::uint64_t seed = 1;
+};
+
+// Guards against a torn segment whose removal is lost with the power: behind it
+// is a whole one by then, so that it would count as damaged for ever.
+TEST_F(PowerLossTest, ATornSegmentThatComesBackDoesNotBlockTheStart) {
+  bool is_open = false;
+  for (std::uint64_t operations = 1; !is_open; ++operations) {
+    this->Reset();
+    { ASSERT_TRUE(this->Open()->Write(MakeOutput({MakeEntry(1, 1)})).ok()); }
+    const std::string torn = PathOfSegment(2);
+    {
+      auto file = this->disk->OpenForAppend(torn);
+      ASSERT_TRUE(file.ok());
+      ASSERT_TRUE(file->Append(kSegmentHeader.substr(0, 3)).ok());
+      ASSERT_TRUE(file->Sync().ok());
+    }
+    this->disk->kept_names[torn] = false;
+    this->disk->StopAfter(operations);
+    is_open = Folder::Open(*this->disk, kFolder, {}).ok();
+    this->disk->LosePower();
+    EXPECT_EQ(this->Read().entries.size(), 1U) << operations;
+  }
+}
+
+}  // namespace
+}  // namespace sumac::storage
