--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -145,6 +145,7 @@
 
   // Stores a snapshot and removes the segments and snapshots that it covers.
   absl::Status SaveSnapshot(const replication::Snapshot& snapshot) {
+    TRY(this->TruncateUnfinishedWrite());
     TRY(WriteAtomically(*this->disk, this->path,
                         SnapshotName(snapshot.meta.index),
                         EncodeSnapshot(snapshot)));
@@ -324,7 +325,8 @@
     return this->disk->SyncFolder(this->path);
   }
 
-  // Cuts off the bytes of a write that failed on a full disk.
+  // Cuts off the bytes of a write that failed on a full disk. Nothing may
+  // follow them, neither in this segment nor in the next one.
   absl::Status TruncateUnfinishedWrite() {
     if (!this->has_unfinished_write) {
       return absl::OkStatus();
--- a/tests/libraries/storage/power_loss_test.cc
+++ b/tests/libraries/storage/power_loss_test.cc
@@ -17,6 +17,7 @@
 using replication::Entry;
 using replication::NodeId;
 using replication::Output;
+using replication::Snapshot;
 using replication::StartState;
 using Folder = DataFolder<PowerDisk>;
 
@@ -33,6 +34,11 @@
   return output;
 }
 
+Snapshot MakeSnapshot(std::uint64_t index, std::uint64_t term) {
+  return Snapshot{{LogIndex(index), Term(term), {{NodeId("c1.1")}, {}}},
+                  "state"};
+}
+
 std::string PathOfSegment(std::uint64_t sequence) {
   return std::string(kFolder) + "/" + SegmentName(sequence);
 }
@@ -92,5 +98,22 @@
   }
 }
 
+// Guards against a snapshot that closes a segment with the bytes of a write
+// that a full disk refused: the repeated write goes to the next segment, and
+// the bytes before it would count as damage.
+TEST_F(PowerLossTest, ASnapshotDoesNotKeepTheRemainsOfARefusedWrite) {
+  std::optional<Folder> folder = this->Open();
+  ASSERT_TRUE(
+      folder->Write(MakeOutput({MakeEntry(1, 1), MakeEntry(2, 1)})).ok());
+  const Output refused = MakeOutput({MakeEntry(3, 1)});
+  this->disk->refused = {DiskOperation::kSync};
+  ASSERT_FALSE(folder->Write(refused).ok());
+  this->disk->refused.clear();
+  ASSERT_TRUE(folder->SaveSnapshot(MakeSnapshot(1, 1)).ok());
+  ASSERT_TRUE(folder->Write(refused).ok());
+  EXPECT_EQ(this->Read().entries,
+            (std::vector{MakeEntry(2, 1), MakeEntry(3, 1)}));
+}
+
 }  // namespace
 }  // namespace sumac::storage
