Storage: Remove a segment that could not be started before writing on

A controller whose disk was full for a while could come back with an older term and vote than it had acknowledged, and vote twice in one term, or not start again.

A new segment begins with the term and vote of its time. When a full disk refused to start one, its file stayed if the removal was refused too, or came back with a loss of power since the folder was not synced, while writes went on in the segment before it. The next start read the old term after the newer one, or took the torn end of a segment that was not the newest for damage.

Ruled out: letting the highest term win when the log is read, which would still take the torn end for damage.

Both tests failed before: term 1 with the vote for c1.1 was read where term 2 with the vote for c2.1 had been acknowledged; and "data/log-.seg: offset 176: a record fails its checksum [sumac/result-code='4001']".

--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -112,7 +112,7 @@
   // effect and the call may be repeated; any other error is final for this
   // process.
   absl::Status Write(const replication::Output& output) {
-    TRY(this->TruncateUnfinishedWrite());
+    TRY(this->DiscardUnfinished());
     if (output.snapshot_to_install) {
       TRY(this->SaveSnapshot(*output.snapshot_to_install));
     }
@@ -145,7 +145,7 @@
 
   // Stores a snapshot and removes the segments and snapshots that it covers.
   absl::Status SaveSnapshot(const replication::Snapshot& snapshot) {
-    TRY(this->TruncateUnfinishedWrite());
+    TRY(this->DiscardUnfinished());
     TRY(WriteAtomically(*this->disk, this->path,
                         SnapshotName(snapshot.meta.index),
                         EncodeSnapshot(snapshot)));
@@ -291,38 +291,56 @@
   // can be removed.
   absl::Status StartSegment() {
     const std::uint64_t sequence = this->next_sequence;
-    const std::string file_path = this->PathOf(SegmentName(sequence));
-    if (this->has_unfinished_segment) {
-      TRY(this->disk->Remove(file_path));
-      this->has_unfinished_segment = false;
-    }
-    auto file = TRY(this->disk->OpenForAppend(file_path));
     std::string bytes(kSegmentHeader);
     bytes += EncodeRecord(this->hard_state);
-    const absl::Status begun = this->WriteSegmentHeader(file, bytes);
-    if (!begun.ok()) {
-      // The file has no log entries yet, so it is removed and the next attempt
-      // creates it again. A second header behind the first would count as
-      // damage.
-      this->has_unfinished_segment = !this->disk->Remove(file_path).ok();
-      return begun;
+    this->has_unfinished_segment = true;
+    auto file = this->CreateSegment(sequence, bytes);
+    if (!file.ok()) {
+      // The file would take up space that the log needs. If the removal fails,
+      // the next call repeats it.
+      this->RemoveUnfinishedSegment().IgnoreError();
+      return file.status();
     }
+    this->has_unfinished_segment = false;
     if (this->segment_sequence != 0) {
       this->closed_segments[this->segment_sequence] = this->last_written;
     }
-    this->segment = std::move(file);
+    this->segment = *std::move(file);
     this->segment_sequence = sequence;
     this->segment_length = bytes.size();
     this->next_sequence = sequence + 1;
     return absl::OkStatus();
   }
 
-  // Makes the first bytes of a segment and its name durable.
-  absl::Status WriteSegmentHeader(typename DiskType::File& file,
-                                  const std::string& bytes) {
+  // Creates the file of a segment and makes its first bytes and name durable.
+  absl::StatusOr<typename DiskType::File> CreateSegment(
+      std::uint64_t sequence,
+      const std::string& bytes) {
+    auto file =
+        TRY(this->disk->OpenForAppend(this->PathOf(SegmentName(sequence))));
     TRY(file.Append(bytes));
     TRY(file.Sync());
-    return this->disk->SyncFolder(this->path);
+    TRY(this->disk->SyncFolder(this->path));
+    return file;
+  }
+
+  // Durably discards what earlier calls that failed on a full disk have left,
+  // so that nothing is written behind it or read after what is written now.
+  absl::Status DiscardUnfinished() {
+    TRY(this->RemoveUnfinishedSegment());
+    return this->TruncateUnfinishedWrite();
+  }
+
+  // Removes the file of a segment that could not be started. It may be torn, or
+  // hold a hard state that is older than the one written next.
+  absl::Status RemoveUnfinishedSegment() {
+    if (!this->has_unfinished_segment) {
+      return absl::OkStatus();
+    }
+    TRY(this->disk->Remove(this->PathOf(SegmentName(this->next_sequence))));
+    TRY(this->disk->SyncFolder(this->path));
+    this->has_unfinished_segment = false;
+    return absl::OkStatus();
   }
 
   // Cuts off the bytes of a write that failed on a full disk. Nothing may
@@ -380,8 +398,8 @@
   std::uint64_t segment_length = 0;
   std::uint64_t next_sequence = 1;
   bool has_unfinished_write = false;
-  // True if the file of the next segment exists from a failed attempt to start
-  // it.
+  // True if the file of the next segment may exist from a failed attempt to
+  // start it.
   bool has_unfinished_segment = false;
   // The index of the last entry, by the sequence number of each closed segment.
   std::map<std::uint64_t, LogIndex> closed_segments;
--- a/tests/libraries/storage/power_loss_test.cc
+++ b/tests/libraries/storage/power_loss_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
 using replication::Entry;
+using replication::HardState;
 using replication::NodeId;
 using replication::Output;
 using replication::Snapshot;
@@ -115,5 +116,40 @@
             (std::vector{MakeEntry(2, 1), MakeEntry(3, 1)}));
 }
 
+// Guards against the file of a segment that could not be started. It holds the
+// term and vote of that time, and would be read after newer ones.
+TEST_F(PowerLossTest, ASegmentThatCouldNotBeStartedDoesNotBringBackAnOldTerm) {
+  std::optional<Folder> folder = this->Open();
+  Output output = MakeOutput({MakeEntry(1, 1)});
+  output.hard_state = HardState{Term(1), NodeId("c1.1")};
+  ASSERT_TRUE(folder->Write(output).ok());
+  this->disk->refused = {DiskOperation::kSync, DiskOperation::kRemove};
+  this->disk->refused_path = "log-";
+  ASSERT_FALSE(folder->SaveSnapshot(MakeSnapshot(1, 1)).ok());
+  this->disk->refused.clear();
+  Output newer;
+  newer.hard_state = HardState{Term(2), NodeId("c2.1")};
+  ASSERT_TRUE(folder->Write(newer).ok());
+  EXPECT_EQ(this->Read().hard_state, *newer.hard_state);
+}
+
+// As the test above: the removal of that file is lost with the power while a
+// later write to the segment before it is torn.
+TEST_F(PowerLossTest, ASegmentThatComesBackDoesNotMakeATornTailDamage) {
+  for (int attempt = 0; attempt < 64; ++attempt) {
+    this->Reset();
+    std::optional<Folder> folder = this->Open();
+    ASSERT_TRUE(folder->Write(MakeOutput({MakeEntry(1, 1)})).ok());
+    this->disk->refused = {DiskOperation::kSync};
+    this->disk->refused_path = "log-";
+    ASSERT_FALSE(folder->SaveSnapshot(MakeSnapshot(1, 1)).ok());
+    this->disk->refused.clear();
+    this->disk->StopAfter(1 + attempt % 4);
+    folder->Write(MakeOutput({MakeEntry(2, 1)})).IgnoreError();
+    this->disk->LosePower();
+    EXPECT_EQ(this->Read().snapshot.meta.index, LogIndex(1)) << attempt;
+  }
+}
+
 }  // namespace
 }  // namespace sumac::storage
