Storage: Remove covered segments one after the other, each for good

If the second had replaced entries of the first, the old ones were read directly before those of the third, the log counted as one of another history, and all of it was dropped. The folder is now synced after each removal, so what remains is always an unbroken end of the log.

Ruled out: taking a gap in the segments' numbers for removed ones, since a torn segment that was removed leaves such a gap as well.

The test failed before, where the power goes at the 12th operation: "Value of: start.entries.empty() Actual: true Expected: false". It passes, as do the 20 others of this target.

--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -372,6 +372,9 @@
            this->closed_segments.begin()->second <= this->snapshot_index) {
       TRY(this->disk->Remove(
           this->PathOf(SegmentName(this->closed_segments.begin()->first))));
+      // A later segment may replace entries of an earlier one, so an earlier
+      // one must never be left without those that followed it.
+      TRY(this->disk->SyncFolder(this->path));
       this->closed_segments.erase(this->closed_segments.begin());
     }
     for (const std::string& name : TRY(this->disk->List(this->path))) {
--- a/tests/libraries/storage/power_loss_test.cc
+++ b/tests/libraries/storage/power_loss_test.cc
@@ -23,6 +23,8 @@
 using Folder = DataFolder<PowerDisk>;
 
 constexpr const char* kFolder = "data";
+// Every write fills a segment.
+constexpr StorageSettings kSmallSegments{.segment_bytes = 1};
 constexpr StorageSettings kLargeSegments{};
 
 Entry MakeEntry(std::uint64_t index, std::uint64_t term) {
@@ -151,5 +153,28 @@
   }
 }
 
+// Guards against the first of several removed segments coming back alone. Its
+// entries were replaced by the second one, and would be read in front of the
+// third.
+TEST_F(PowerLossTest, RemovedSegmentsThatComeBackDoNotHideWhatFollows) {
+  bool is_saved = false;
+  for (std::uint64_t operations = 1; !is_saved; ++operations) {
+    this->Reset();
+    std::optional<Folder> folder = this->Open(kSmallSegments);
+    ASSERT_TRUE(
+        folder->Write(MakeOutput({MakeEntry(1, 1), MakeEntry(2, 1)})).ok());
+    ASSERT_TRUE(folder->Write(MakeOutput({MakeEntry(2, 2)})).ok());
+    ASSERT_TRUE(folder->Write(MakeOutput({MakeEntry(3, 2)})).ok());
+    this->disk->kept_names = {{PathOfSegment(1), false},
+                              {PathOfSegment(2), true}};
+    this->disk->StopAfter(operations);
+    is_saved = folder->SaveSnapshot(MakeSnapshot(2, 2)).ok();
+    this->disk->LosePower();
+    const StartState start = this->Read();
+    ASSERT_FALSE(start.entries.empty()) << operations;
+    EXPECT_EQ(start.entries.back(), MakeEntry(3, 2)) << operations;
+  }
+}
+
 }  // namespace
 }  // namespace sumac::storage
