--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -114,12 +114,10 @@
   absl::Status Write(const replication::Output& output) {
     TRY(this->DiscardUnfinished());
     if (output.snapshot_to_install) {
-      TRY(this->SaveSnapshot(*output.snapshot_to_install));
+      TRY(this->StoreSnapshot(*output.snapshot_to_install,
+                              output.does_snapshot_replace_log));
     }
     std::string bytes;
-    if (output.does_snapshot_replace_log) {
-      bytes += EncodeRecord(TruncateRecord{LogIndex(0)});
-    }
     if (output.hard_state) {
       this->hard_state = *output.hard_state;
       bytes += EncodeRecord(*output.hard_state);
@@ -146,13 +144,7 @@
   // Stores a snapshot and removes the segments and snapshots that it covers.
   absl::Status SaveSnapshot(const replication::Snapshot& snapshot) {
     TRY(this->DiscardUnfinished());
-    TRY(WriteAtomically(*this->disk, this->path,
-                        SnapshotName(snapshot.meta.index),
-                        EncodeSnapshot(snapshot)));
-    this->snapshot_index = snapshot.meta.index;
-    this->last_written = std::max(this->last_written, snapshot.meta.index);
-    TRY(this->StartSegment());
-    return this->RemoveCoveredFiles();
+    return this->StoreSnapshot(snapshot, false);
   }
 
  private:
@@ -287,12 +279,34 @@
     return file.Sync();
   }
 
+  // Stores a snapshot and begins a new segment after it, before it removes what
+  // the snapshot covers. If `does_replace_log` is true, the entries that are
+  // stored belong to another history and are dropped, also those after the
+  // snapshot.
+  absl::Status StoreSnapshot(const replication::Snapshot& snapshot,
+                             bool does_replace_log) {
+    TRY(WriteAtomically(*this->disk, this->path,
+                        SnapshotName(snapshot.meta.index),
+                        EncodeSnapshot(snapshot)));
+    this->snapshot_index = snapshot.meta.index;
+    this->last_written =
+        does_replace_log ? snapshot.meta.index
+                         : std::max(this->last_written, snapshot.meta.index);
+    TRY(this->StartSegment());
+    return this->RemoveCoveredFiles();
+  }
+
   // Starts a new segment. It begins with the hard state, so that older segments
-  // can be removed.
+  // can be removed. If no entry follows the snapshot, it says so as well:
+  // entries of another history that older segments hold then can't be read as
+  // a part of this one, whichever of these segments remain.
   absl::Status StartSegment() {
     const std::uint64_t sequence = this->next_sequence;
     std::string bytes(kSegmentHeader);
     bytes += EncodeRecord(this->hard_state);
+    if (this->last_written == this->snapshot_index) {
+      bytes += EncodeRecord(TruncateRecord{LogIndex(0)});
+    }
     this->has_unfinished_segment = true;
     auto file = this->CreateSegment(sequence, bytes);
     if (!file.ok()) {
--- a/tests/libraries/storage/power_loss_test.cc
+++ b/tests/libraries/storage/power_loss_test.cc
@@ -176,5 +176,55 @@
   }
 }
 
+// Guards against removing the entries that show that the log is of another
+// history before its truncation lasts.
+TEST_F(PowerLossTest, NoEntryOfAnotherHistoryFollowsAnInstalledSnapshot) {
+  bool is_installed = false;
+  for (std::uint64_t operations = 1; !is_installed; ++operations) {
+    this->Reset();
+    std::optional<Folder> folder = this->Open(kSmallSegments);
+    ASSERT_TRUE(
+        folder->Write(MakeOutput({MakeEntry(1, 1), MakeEntry(2, 1)})).ok());
+    ASSERT_TRUE(folder->Write(MakeOutput({MakeEntry(3, 1)})).ok());
+    Output output = MakeOutput({MakeEntry(3, 2)});
+    output.snapshot_to_install = MakeSnapshot(2, 2);
+    output.does_snapshot_replace_log = true;
+    this->disk->StopAfter(operations);
+    is_installed = folder->Write(output).ok();
+    const StartState start = this->Read();
+    if (start.snapshot.meta.index == LogIndex(2)) {
+      EXPECT_TRUE(start.entries.empty() ||
+                  start.entries == std::vector{MakeEntry(3, 2)})
+          << operations;
+    }
+  }
+}
+
+// Guards against new entries being read as a part of the other history that
+// ended just where the snapshot does.
+TEST_F(PowerLossTest, EntriesAfterAnInterruptedInstallationAreKept) {
+  bool is_installed = false;
+  for (std::uint64_t operations = 1; !is_installed; ++operations) {
+    this->Reset();
+    {
+      std::optional<Folder> folder = this->Open();
+      ASSERT_TRUE(
+          folder->Write(MakeOutput({MakeEntry(1, 1), MakeEntry(2, 1)})).ok());
+      Output output;
+      output.snapshot_to_install = MakeSnapshot(2, 2);
+      output.does_snapshot_replace_log = true;
+      this->disk->StopAfter(operations);
+      is_installed = folder->Write(output).ok();
+    }
+    std::optional<Folder> folder = this->Open();
+    ASSERT_TRUE(folder);
+    if (folder->report().snapshot_index == LogIndex(2)) {
+      ASSERT_TRUE(folder->Write(MakeOutput({MakeEntry(3, 2)})).ok());
+      EXPECT_EQ(this->Read().entries, std::vector{MakeEntry(3, 2)})
+          << operations;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace sumac::storage
