Storage: Never append a file to the remains of an interrupted one

The remains of an interrupted attempt were removed only if they could be read. They are now removed without a look; removing a file that does not exist succeeds, which the concept of a disk now says.

--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -162,9 +162,8 @@
                                       std::string_view bytes) {
     const std::string target = StrCat(folder, "/", name);
     const std::string temporary = StrCat(target, kTemporarySuffix);
-    if (disk.Read(temporary).ok()) {
-      TRY(disk.Remove(temporary));
-    }
+    // Appending to the remains of an interrupted attempt would damage the file.
+    TRY(disk.Remove(temporary));
     const absl::Status written = WriteAndRename(disk, temporary, target, bytes);
     if (!written.ok()) {
       // The partial file would take up space that the log needs. If the removal
--- a/libraries/storage/disk.h
+++ b/libraries/storage/disk.h
@@ -40,6 +40,7 @@
   // Truncates a file to a length and syncs it.
   { disk.Truncate(path, std::uint64_t{}) } -> std::same_as<absl::Status>;
   { disk.Rename(path, path) } -> std::same_as<absl::Status>;
+  // Removes a file; succeeds if there is none.
   { disk.Remove(path) } -> std::same_as<absl::Status>;
   // Makes creations, renames and removals in a folder durable.
   { disk.SyncFolder(path) } -> std::same_as<absl::Status>;
--- a/tests/libraries/storage/power_loss_test.cc
+++ b/tests/libraries/storage/power_loss_test.cc
@@ -226,5 +226,24 @@
   }
 }
 
+// Guards against a snapshot being written behind the remains of an interrupted
+// one because the disk refused to read these.
+TEST_F(PowerLossTest, ASnapshotIsNotAppendedToTheRemainsOfAnother) {
+  const Snapshot snapshot = MakeSnapshot(1, 1);
+  const std::string remains = std::string(kFolder) + "/" +
+                              SnapshotName(snapshot.meta.index) +
+                              std::string(kTemporarySuffix);
+  {
+    auto file = this->disk->OpenForAppend(remains);
+    ASSERT_TRUE(file.ok());
+    ASSERT_TRUE(file->Append("remains").ok());
+  }
+  std::optional<Folder> folder = this->Open();
+  ASSERT_TRUE(folder->Write(MakeOutput({MakeEntry(1, 1)})).ok());
+  this->disk->refused = {DiskOperation::kRead};
+  ASSERT_TRUE(folder->SaveSnapshot(snapshot).ok());
+  EXPECT_EQ(this->Read().snapshot.meta, snapshot.meta);
+}
+
 }  // namespace
 }  // namespace sumac::storage
