--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <string>
@@ -114,8 +115,12 @@
   absl::Status Write(const replication::Output& output) {
     TRY(this->DiscardUnfinished());
     if (output.snapshot_to_install) {
-      TRY(this->StoreSnapshot(*output.snapshot_to_install,
-                              output.does_snapshot_replace_log));
+      // The replica compares the snapshot with its log in memory, in which this
+      // same output may have replaced entries that are still stored.
+      TRY(this->StoreSnapshot(
+          *output.snapshot_to_install,
+          output.does_snapshot_replace_log ||
+              this->IsOtherHistory(output.snapshot_to_install->meta)));
     }
     std::string bytes;
     if (output.hard_state) {
@@ -135,6 +140,7 @@
     }
     TRY(this->AppendAndSync(bytes));
     this->last_written = last;
+    this->RecordTerms(output.entries_to_write);
     if (this->segment_length > this->settings.segment_bytes) {
       TRY(this->StartSegment());
     }
@@ -230,6 +236,7 @@
     this->start.hard_state = log.hard_state();
     this->start.entries = log.TakeEntries();
     this->hard_state = this->start.hard_state;
+    this->RecordTerms(this->start.entries);
     this->last_written = this->start.entries.empty()
                              ? this->snapshot_index
                              : this->start.entries.back().index;
@@ -278,6 +285,25 @@
     return file.Sync();
   }
 
+  // Records the terms of entries that were written.
+  void RecordTerms(const std::vector<replication::Entry>& entries) {
+    for (const replication::Entry& entry : entries) {
+      this->terms.erase(this->terms.lower_bound(entry.index),
+                        this->terms.end());
+      if (this->terms.empty() || this->terms.rbegin()->second != entry.term) {
+        this->terms.emplace(entry.index, entry.term);
+      }
+    }
+  }
+
+  // Returns true if the stored entry at the snapshot's index has another term.
+  bool IsOtherHistory(const replication::SnapshotMeta& meta) const {
+    const auto next = this->terms.upper_bound(meta.index);
+    return meta.index > this->snapshot_index &&
+           meta.index <= this->last_written && next != this->terms.begin() &&
+           std::prev(next)->second != meta.term;
+  }
+
   // Stores a snapshot and begins a new segment after it, before it removes what
   // the snapshot covers. If `does_replace_log` is true, the entries that are
   // stored belong to another history and are dropped, also those after the
@@ -291,6 +317,9 @@
     this->last_written =
         does_replace_log ? snapshot.meta.index
                          : std::max(this->last_written, snapshot.meta.index);
+    if (does_replace_log) {
+      this->terms.clear();
+    }
     TRY(this->StartSegment());
     return this->RemoveCoveredFiles();
   }
@@ -408,6 +437,9 @@
   replication::HardState hard_state;
   LogIndex snapshot_index;
   LogIndex last_written;
+  // The terms of the stored entries, by the first index of each run of one
+  // term. Runs before the snapshot may be contained.
+  std::map<LogIndex, Term> terms;
 
   typename DiskType::File segment;
   std::uint64_t segment_sequence = 0;
--- a/tests/libraries/storage/data_folder_property_test.cc
+++ b/tests/libraries/storage/data_folder_property_test.cc
@@ -98,7 +98,11 @@
   std::vector<State> states{base};
   State next = base;
   if (output.snapshot_to_install) {
-    if (output.does_snapshot_replace_log) {
+    const replication::SnapshotMeta& meta = output.snapshot_to_install->meta;
+    const bool is_other_history = meta.index > next.snapshot_index &&
+                                  meta.index <= next.last_index() &&
+                                  next.TermAt(meta.index) != meta.term;
+    if (output.does_snapshot_replace_log || is_other_history) {
       next.entries.clear();
     }
     next.Compact(*output.snapshot_to_install);
@@ -296,7 +300,12 @@
     }
     output.snapshot_to_install = Snapshot{{index, term, {{NodeId("c1.1")}, {}}},
                                           "installed" + this->DrawPayload()};
-    output.does_snapshot_replace_log = !is_same_history;
+    // Without the mark, the replica had replaced its entries up to the snapshot
+    // in memory, and none of that was written yet.
+    const bool was_replaced_in_memory =
+        is_within && !is_same_history && this->DrawBelow(3) == 0;
+    output.does_snapshot_replace_log =
+        !is_same_history && !was_replaced_in_memory;
     if (!is_same_history && this->DrawBelow(2) == 0) {
       this->AddEntries(output, index.Next(), term);
     }
--- a/tests/libraries/storage/power_loss_test.cc
+++ b/tests/libraries/storage/power_loss_test.cc
@@ -245,5 +245,22 @@
   EXPECT_EQ(this->Read().snapshot.meta, snapshot.meta);
 }
 
+// Guards against entries after an installed snapshot being taken for a part of
+// another history. The replica had replaced that history in memory by entries
+// that the snapshot covers, so it neither writes these nor marks the log as
+// replaced.
+TEST_F(PowerLossTest, EntriesAfterASnapshotThatOvertookAReplacedTailAreKept) {
+  std::optional<Folder> folder = this->Open();
+  ASSERT_TRUE(folder
+                  ->Write(MakeOutput(
+                      {MakeEntry(1, 1), MakeEntry(2, 1), MakeEntry(3, 1)}))
+                  .ok());
+  Output output;
+  output.snapshot_to_install = MakeSnapshot(2, 2);
+  ASSERT_TRUE(folder->Write(output).ok());
+  ASSERT_TRUE(folder->Write(MakeOutput({MakeEntry(3, 2)})).ok());
+  EXPECT_EQ(this->Read().entries, std::vector{MakeEntry(3, 2)});
+}
+
 }  // namespace
 }  // namespace sumac::storage
