--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <string>
@@ -112,14 +113,16 @@
   // effect and the call may be repeated; any other error is final for this
   // process.
   absl::Status Write(const replication::Output& output) {
-    TRY(this->TruncateUnfinishedWrite());
+    TRY(this->DiscardUnfinished());
     if (output.snapshot_to_install) {
-      TRY(this->SaveSnapshot(*output.snapshot_to_install));
+      // The replica compares the snapshot with its log in memory, in which this
+      // same output may have replaced entries that are still stored.
+      TRY(this->StoreSnapshot(
+          *output.snapshot_to_install,
+          output.does_snapshot_replace_log ||
+              this->IsOtherHistory(output.snapshot_to_install->meta)));
     }
     std::string bytes;
-    if (output.does_snapshot_replace_log) {
-      bytes += EncodeRecord(TruncateRecord{LogIndex(0)});
-    }
     if (output.hard_state) {
       this->hard_state = *output.hard_state;
       bytes += EncodeRecord(*output.hard_state);
@@ -137,6 +140,7 @@
     }
     TRY(this->AppendAndSync(bytes));
     this->last_written = last;
+    this->RecordTerms(output.entries_to_write);
     if (this->segment_length > this->settings.segment_bytes) {
       TRY(this->StartSegment());
     }
@@ -145,13 +149,8 @@
 
   // Stores a snapshot and removes the segments and snapshots that it covers.
   absl::Status SaveSnapshot(const replication::Snapshot& snapshot) {
-    TRY(WriteAtomically(*this->disk, this->path,
-                        SnapshotName(snapshot.meta.index),
-                        EncodeSnapshot(snapshot)));
-    this->snapshot_index = snapshot.meta.index;
-    this->last_written = std::max(this->last_written, snapshot.meta.index);
-    TRY(this->StartSegment());
-    return this->RemoveCoveredFiles();
+    TRY(this->DiscardUnfinished());
+    return this->StoreSnapshot(snapshot, false);
   }
 
  private:
@@ -169,9 +168,8 @@
                                       std::string_view bytes) {
     const std::string target = StrCat(folder, "/", name);
     const std::string temporary = StrCat(target, kTemporarySuffix);
-    if (disk.Read(temporary).ok()) {
-      TRY(disk.Remove(temporary));
-    }
+    // Appending to the remains of an interrupted attempt would damage the file.
+    TRY(disk.Remove(temporary));
     const absl::Status written = WriteAndRename(disk, temporary, target, bytes);
     if (!written.ok()) {
       // The partial file would take up space that the log needs. If the removal
@@ -238,6 +236,7 @@
     this->start.hard_state = log.hard_state();
     this->start.entries = log.TakeEntries();
     this->hard_state = this->start.hard_state;
+    this->RecordTerms(this->start.entries);
     this->last_written = this->start.entries.empty()
                              ? this->snapshot_index
                              : this->start.entries.back().index;
@@ -264,7 +263,10 @@
     this->next_sequence = sequence + 1;
     if (content.has_torn_tail && repair) {
       if (content.whole_length == 0) {
-        return this->disk->Remove(file_path);
+        // The removal must last before a later segment does: behind a torn one
+        // nothing may follow.
+        TRY(this->disk->Remove(file_path));
+        return this->disk->SyncFolder(this->path);
       }
       TRY(this->disk->Truncate(file_path, content.whole_length));
     }
@@ -283,45 +285,108 @@
     return file.Sync();
   }
 
+  // Records the terms of entries that were written.
+  void RecordTerms(const std::vector<replication::Entry>& entries) {
+    for (const replication::Entry& entry : entries) {
+      this->terms.erase(this->terms.lower_bound(entry.index),
+                        this->terms.end());
+      if (this->terms.empty() || this->terms.rbegin()->second != entry.term) {
+        this->terms.emplace(entry.index, entry.term);
+      }
+    }
+  }
+
+  // Returns true if the stored entry at the snapshot's index has another term.
+  bool IsOtherHistory(const replication::SnapshotMeta& meta) const {
+    const auto next = this->terms.upper_bound(meta.index);
+    return meta.index > this->snapshot_index &&
+           meta.index <= this->last_written && next != this->terms.begin() &&
+           std::prev(next)->second != meta.term;
+  }
+
+  // Stores a snapshot and begins a new segment after it, before it removes what
+  // the snapshot covers. If `does_replace_log` is true, the entries that are
+  // stored belong to another history and are dropped, also those after the
+  // snapshot.
+  absl::Status StoreSnapshot(const replication::Snapshot& snapshot,
+                             bool does_replace_log) {
+    TRY(WriteAtomically(*this->disk, this->path,
+                        SnapshotName(snapshot.meta.index),
+                        EncodeSnapshot(snapshot)));
+    this->snapshot_index = snapshot.meta.index;
+    this->last_written =
+        does_replace_log ? snapshot.meta.index
+                         : std::max(this->last_written, snapshot.meta.index);
+    if (does_replace_log) {
+      this->terms.clear();
+    }
+    TRY(this->StartSegment());
+    return this->RemoveCoveredFiles();
+  }
+
   // Starts a new segment. It begins with the hard state, so that older segments
-  // can be removed.
+  // can be removed. If no entry follows the snapshot, it says so as well:
+  // entries of another history that older segments hold then can't be read as
+  // a part of this one, whichever of these segments remain.
   absl::Status StartSegment() {
     const std::uint64_t sequence = this->next_sequence;
-    const std::string file_path = this->PathOf(SegmentName(sequence));
-    if (this->has_unfinished_segment) {
-      TRY(this->disk->Remove(file_path));
-      this->has_unfinished_segment = false;
-    }
-    auto file = TRY(this->disk->OpenForAppend(file_path));
     std::string bytes(kSegmentHeader);
     bytes += EncodeRecord(this->hard_state);
-    const absl::Status begun = this->WriteSegmentHeader(file, bytes);
-    if (!begun.ok()) {
-      // The file has no log entries yet, so it is removed and the next attempt
-      // creates it again. A second header behind the first would count as
-      // damage.
-      this->has_unfinished_segment = !this->disk->Remove(file_path).ok();
-      return begun;
+    if (this->last_written == this->snapshot_index) {
+      bytes += EncodeRecord(TruncateRecord{LogIndex(0)});
     }
+    this->has_unfinished_segment = true;
+    auto file = this->CreateSegment(sequence, bytes);
+    if (!file.ok()) {
+      // The file would take up space that the log needs. If the removal fails,
+      // the next call repeats it.
+      this->RemoveUnfinishedSegment().IgnoreError();
+      return file.status();
+    }
+    this->has_unfinished_segment = false;
     if (this->segment_sequence != 0) {
       this->closed_segments[this->segment_sequence] = this->last_written;
     }
-    this->segment = std::move(file);
+    this->segment = *std::move(file);
     this->segment_sequence = sequence;
     this->segment_length = bytes.size();
     this->next_sequence = sequence + 1;
     return absl::OkStatus();
   }
 
-  // Makes the first bytes of a segment and its name durable.
-  absl::Status WriteSegmentHeader(typename DiskType::File& file,
-                                  const std::string& bytes) {
+  // Creates the file of a segment and makes its first bytes and name durable.
+  absl::StatusOr<typename DiskType::File> CreateSegment(
+      std::uint64_t sequence,
+      const std::string& bytes) {
+    auto file =
+        TRY(this->disk->OpenForAppend(this->PathOf(SegmentName(sequence))));
     TRY(file.Append(bytes));
     TRY(file.Sync());
-    return this->disk->SyncFolder(this->path);
+    TRY(this->disk->SyncFolder(this->path));
+    return file;
+  }
+
+  // Durably discards what earlier calls that failed on a full disk have left,
+  // so that nothing is written behind it or read after what is written now.
+  absl::Status DiscardUnfinished() {
+    TRY(this->RemoveUnfinishedSegment());
+    return this->TruncateUnfinishedWrite();
+  }
+
+  // Removes the file of a segment that could not be started. It may be torn, or
+  // hold a hard state that is older than the one written next.
+  absl::Status RemoveUnfinishedSegment() {
+    if (!this->has_unfinished_segment) {
+      return absl::OkStatus();
+    }
+    TRY(this->disk->Remove(this->PathOf(SegmentName(this->next_sequence))));
+    TRY(this->disk->SyncFolder(this->path));
+    this->has_unfinished_segment = false;
+    return absl::OkStatus();
   }
 
-  // Cuts off the bytes of a write that failed on a full disk.
+  // Cuts off the bytes of a write that failed on a full disk. Nothing may
+  // follow them, neither in this segment nor in the next one.
   absl::Status TruncateUnfinishedWrite() {
     if (!this->has_unfinished_write) {
       return absl::OkStatus();
@@ -349,6 +414,9 @@
            this->closed_segments.begin()->second <= this->snapshot_index) {
       TRY(this->disk->Remove(
           this->PathOf(SegmentName(this->closed_segments.begin()->first))));
+      // A later segment may replace entries of an earlier one, so an earlier
+      // one must never be left without those that followed it.
+      TRY(this->disk->SyncFolder(this->path));
       this->closed_segments.erase(this->closed_segments.begin());
     }
     for (const std::string& name : TRY(this->disk->List(this->path))) {
@@ -369,14 +437,17 @@
   replication::HardState hard_state;
   LogIndex snapshot_index;
   LogIndex last_written;
+  // The terms of the stored entries, by the first index of each run of one
+  // term. Runs before the snapshot may be contained.
+  std::map<LogIndex, Term> terms;
 
   typename DiskType::File segment;
   std::uint64_t segment_sequence = 0;
   std::uint64_t segment_length = 0;
   std::uint64_t next_sequence = 1;
   bool has_unfinished_write = false;
-  // True if the file of the next segment exists from a failed attempt to start
-  // it.
+  // True if the file of the next segment may exist from a failed attempt to
+  // start it.
   bool has_unfinished_segment = false;
   // The index of the last entry, by the sequence number of each closed segment.
   std::map<std::uint64_t, LogIndex> closed_segments;
