Jobs: Count no crash against a task that was a bystander

What callers see: a sound job whose workers crashed four times is no longer shown as failed, and the other runs of a long-running job are no longer stopped for it.

Cause: the limit of four crashes "however many are certain" was made for starts without an answer and ends without a report. It counted every crash, also those in which the task had begun and its worker was heard of 250 ms after the start order or later.

Change: such a crash is a bystander's and no evidence (docs/design/0009). Only evidence counts towards the limits of two, three and four crashes, which stay as they were. A bystander's crash still puts the task on trial after the second one; the latest eight are kept. "why job" says "not counted" of them, and a start without an answer is logged as a suspect, since it counts.

Ruled out: to count a bystander's crash where the task was the only run on the worker, or where each of its runs ended so.

--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -391,10 +391,10 @@
   if (known == job.crashes.end()) {
     known = job.crashes.insert(known, TaskCrashes{.task = run.task});
   }
-  known->crashes.push_back(TaskCrash{worker, run, at});
+  known->Add(TaskCrash{worker, run, at});
   if (known->IsOverLimit()) {
     this->Finish(job, JobState::kFailed,
-                 StrCat(known->crashes.size(), " workers crashed under task ",
+                 StrCat(known->CountEvidence(), " workers crashed under task ",
                         run.task.ToText(), ": ", known->ToText()),
                  at);
   }
--- a/libraries/jobs/task_crashes.cc
+++ b/libraries/jobs/task_crashes.cc
@@ -2,15 +2,50 @@
 #include "libraries/jobs/task_crashes.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "libraries/base/text.h"
 
 namespace sumac::jobs {
+namespace {
 
+bool IsBystanderCrash(const TaskCrash& crash) {
+  return crash.run.IsBystander();
+}
+
+}  // namespace
+
+bool CrashedRun::IsBystander() const {
+  return this->has_begun && this->survived >= TaskCrashes::kSuspectTime;
+}
+
+void TaskCrashes::Add(TaskCrash crash) {
+  this->crashes.push_back(std::move(crash));
+  const std::size_t bystanders = this->crashes.size() - this->CountEvidence();
+  if (bystanders > kMaxBystanderCrashes) {
+    this->crashes.erase(std::find_if(this->crashes.begin(), this->crashes.end(),
+                                     IsBystanderCrash));
+  }
+}
+
+// NOTE: A task's next run is ordered once the crash of the one before is
+// recorded, so crashes are recorded in the order of their runs.
 bool TaskCrashes::Has(const RunNumber& run) const {
-  return std::any_of(
+  const bool is_kept = std::any_of(
       this->crashes.begin(), this->crashes.end(),
       [&run](const TaskCrash& crash) { return crash.run.run == run; });
+  const bool is_full =
+      this->crashes.size() - this->CountEvidence() >= kMaxBystanderCrashes;
+  return is_kept ||
+         (is_full && run < std::find_if(this->crashes.begin(),
+                                        this->crashes.end(), IsBystanderCrash)
+                               ->run.run);
+}
+
+std::size_t TaskCrashes::CountEvidence() const {
+  const auto bystanders = std::count_if(this->crashes.begin(),
+                                        this->crashes.end(), IsBystanderCrash);
+  return this->crashes.size() - static_cast<std::size_t>(bystanders);
 }
 
 std::size_t TaskCrashes::CountConfirmed() const {
@@ -23,13 +58,18 @@
 }
 
 bool TaskCrashes::IsOverLimit() const {
-  const std::size_t all = this->crashes.size();
+  const auto last = std::find_if_not(this->crashes.rbegin(),
+                                     this->crashes.rend(), IsBystanderCrash);
+  if (last == this->crashes.rend()) {
+    return false;
+  }
+  const std::size_t evidence = this->CountEvidence();
   const std::size_t confirmed = this->CountConfirmed();
-  const bool is_sole_culprit = all >= kOnlySuspectCrashLimit &&
-                               all == confirmed &&
-                               this->crashes.back().run.is_only_suspect;
-  return is_sole_culprit || (all >= kCrashLimit && confirmed > 1) ||
-         all >= kUnconfirmedCrashLimit;
+  const bool is_sole_culprit = evidence >= kOnlySuspectCrashLimit &&
+                               evidence == confirmed &&
+                               last->run.is_only_suspect;
+  return is_sole_culprit || (evidence >= kCrashLimit && confirmed > 1) ||
+         evidence >= kUnconfirmedCrashLimit;
 }
 
 bool TaskCrashes::IsSuspect() const {
@@ -42,7 +82,8 @@
   std::string text;
   for (const TaskCrash& crash : this->crashes) {
     StrAppend(&text, text.empty() ? "" : ", ", "worker ", crash.worker.value(),
-              " at ", crash.at.time_since_epoch().count());
+              " at ", crash.at.time_since_epoch().count(),
+              crash.run.IsBystander() ? " (bystander)" : "");
   }
   return text;
 }
--- a/libraries/jobs/task_crashes.h
+++ b/libraries/jobs/task_crashes.h
@@ -31,6 +31,10 @@
   // run may have ended before the crash.
   bool may_have_ended = false;
 
+  // Returns true if the run had been at work for too long to be suspected: a
+  // task that crashes its worker does so as it starts.
+  bool IsBystander() const;
+
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("task", self.task);
@@ -57,38 +61,48 @@
 };
 
 // The crashes of workers that were running one task, in the order in which they
-// were recorded.
+// were recorded. Crashes in which the task was a bystander are no evidence
+// against it: they put it on trial, but no number of them fails its job.
 struct TaskCrashes {
-  // The number of crashes after which a task is not started again, if at least
-  // two of the workers were certainly running it.
+  // The number of crashes, without those of bystanders, after which a task is
+  // not started again, if at least two of the workers were certainly running
+  // it.
   static constexpr std::size_t kCrashLimit = 3;
-  // The number of crashes after which a task is not started again, however many
-  // of the workers were certainly running it. A start without an answer may
-  // never have arrived, and a run may have ended without a report, but not
-  // every time.
+  // The number of crashes, without those of bystanders, after which a task is
+  // not started again, however many of the workers were certainly running it. A
+  // start without an answer may never have arrived, and a run may have ended
+  // without a report, but not every time.
   static constexpr std::size_t kUnconfirmedCrashLimit = 4;
-  // The number of crashes after which a task is not started again, if it is the
-  // only suspect of the last crash and every worker was certainly running it.
+  // The number of crashes, without those of bystanders, after which a task is
+  // not started again, if it is the only suspect of the last one and every
+  // worker was certainly running it.
   static constexpr std::size_t kOnlySuspectCrashLimit = 2;
-  // A task whose worker still sent messages this long after the start is not a
-  // suspect after one crash: a task that crashes its worker does so as it
-  // starts.
+  // A run that had begun and whose worker still sent messages this long after
+  // the start is a bystander of the crash.
   static constexpr Milliseconds kSuspectTime{250};
+  // The number of crashes of bystanders that are kept. Only the latest are of
+  // interest to an operator, and they are part of each snapshot.
+  static constexpr std::size_t kMaxBystanderCrashes = 8;
 
   TaskId task;
   std::vector<TaskCrash> crashes;
 
-  // True if the crash of this run is recorded.
+  // Records a crash. The oldest crash of a bystander is dropped if there are
+  // too many.
+  void Add(TaskCrash crash);
+  // True if the crash of this run is recorded, or was and has been dropped.
   bool Has(const RunNumber& run) const;
+  // Returns how many of the crashes are evidence against the task.
+  std::size_t CountEvidence() const;
   // Returns how many of the workers were certainly running the task when they
-  // crashed.
+  // crashed shortly after its start.
   std::size_t CountConfirmed() const;
   // True if the task must not be started again.
   bool IsOverLimit() const;
   // True if the task may be the cause of the crashes.
   bool IsSuspect() const;
-  // Returns a text for people, "worker W1 at T1, worker W2 at T2"; times are
-  // Unix milliseconds.
+  // Returns a text for people about the evidence, "worker W1 at T1, worker W2
+  // at T2"; times are Unix milliseconds.
   std::string ToText() const;
 
   template <typename Self, typename Visitor>
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -714,11 +714,11 @@
     ++memory.uncommitted_crashes;
     memory.crashed_at = now;
     memory.trial_waiting_since.reset();
-    this->collected_events.Add(
-        "run-crashed", run.task, run.run, session.worker().id,
-        run.is_only_suspect                              ? "only suspect"
-        : run.survived < jobs::TaskCrashes::kSuspectTime ? "suspect"
-                                                         : "bystander");
+    this->collected_events.Add("run-crashed", run.task, run.run,
+                               session.worker().id,
+                               run.is_only_suspect ? "only suspect"
+                               : run.IsBystander() ? "bystander"
+                                                   : "suspect");
   }
   this->ended_incarnations.Add(session.worker().id, std::move(runs));
 }
--- a/services/sumacd/job_queries.cc
+++ b/services/sumacd/job_queries.cc
@@ -77,21 +77,22 @@
                         {"value", run.may_have_ended ? "true" : "false"}});
       inputs.push_back({{"name", "is-only-suspect"},
                         {"value", run.is_only_suspect ? "true" : "false"}});
-      rows.push_back({{"id", StrCat(name, "#", run.run.value())},
-                      {"at", crash.at.time_since_epoch().count()},
-                      {"sentence", StrCat("worker ", crash.worker.value(),
-                                          " crashed under task ", name)},
-                      {"subject_kind", "task"},
-                      {"subject", name},
-                      {"outcome", "counted"},
-                      {"rule", "worker-crash"},
-                      {"inputs", std::move(inputs)}});
+      rows.push_back(
+          {{"id", StrCat(name, "#", run.run.value())},
+           {"at", crash.at.time_since_epoch().count()},
+           {"sentence", StrCat("worker ", crash.worker.value(),
+                               " crashed under task ", name)},
+           {"subject_kind", "task"},
+           {"subject", name},
+           {"outcome", run.IsBystander() ? "not counted" : "counted"},
+           {"rule", "worker-crash"},
+           {"inputs", std::move(inputs)}});
     }
   }
   return rows;
 }
 
-// Lists the decisions about a job: the crashes that were counted, and its end.
+// Lists the decisions about a job: the crashes that were recorded, and its end.
 fleet::Answer ShowWhyJob(const JobSources& sources, const std::string& name) {
   const jobs::Job* job = sources.state.FindJob(JobId(name));
   if (job == nullptr) {
--- a/tests/libraries/jobs/jobs_state_test.cc
+++ b/tests/libraries/jobs/jobs_state_test.cc
@@ -347,6 +347,19 @@
   EXPECT_EQ(this->StateOf("j"), JobState::kFailed);
 }
 
+// Crashes in which the task had long been at work are no failures of the task.
+TEST_F(JobsStateTest, ABystanderOfManyCrashesDoesNotFailItsJob) {
+  this->Submit("j", {{.count = 2}});
+  for (std::uint64_t run = 1; run <= 20; ++run) {
+    ForgetWorker command = CrashOf("j", run, false);
+    command.crashed_runs.front().survived = Milliseconds(1'000);
+    this->Do(command);
+    ASSERT_EQ(this->StateOf("j"), JobState::kActive)
+        << this->state.FindJob(JobId("j"))->reason;
+    EXPECT_TRUE(this->state.IsCrashSettled(command.crashed_runs.front()));
+  }
+}
+
 TEST_F(JobsStateTest, CrashesSurviveASnapshot) {
   this->Submit("j", {{.count = 2}});
   this->Do(CrashOf("j", 1, false));
--- a/tests/libraries/scheduler/crashing_task_test.cc
+++ b/tests/libraries/scheduler/crashing_task_test.cc
@@ -41,6 +41,14 @@
     const auto* crashes = this->fleet.job(job).FindCrashes(FirstTaskOf(job));
     return crashes == nullptr ? 0 : crashes->crashes.size();
   }
+  // Lets time pass until a task of the job runs. Returns false if none does.
+  bool AwaitStart(const std::string& job) {
+    for (int wait = 0; wait < 500 && this->fleet.CountRunning(job) == 0;
+         ++wait) {
+      this->fleet.PassTime(Milliseconds(10));
+    }
+    return this->fleet.CountRunning(job) > 0;
+  }
   // Crashes every running worker once, with all of its runs.
   void CrashAll() {
     std::vector<WorkerId> ids;
@@ -187,6 +195,82 @@
   EXPECT_LE(this->fleet.CountCrashes(FirstTaskOf("bad")), 3);
 }
 
+// A job that only happened to run on workers that crashed is not shown as
+// failed, and is done once its workers stay up.
+TEST_F(CrashingTaskTest, ABystanderOfManyCrashesDoesNotFail) {
+  this->fleet.work = Milliseconds(3'000);
+  this->fleet.Submit("good", {.count = 1});
+  for (int crash = 0; crash < 4; ++crash) {
+    ASSERT_TRUE(this->AwaitStart("good"))
+        << crash << ": " << this->fleet.job("good").reason;
+    this->fleet.PassTime(Milliseconds(1'000));
+    this->fleet.CrashWorker(WorkerId(this->fleet.WorkersOf("good").front()));
+  }
+  this->fleet.PassTime(Milliseconds(10'000));
+  EXPECT_EQ(this->fleet.problem, "");
+  EXPECT_EQ(this->StateOf("good"), jobs::JobState::kDone)
+      << this->fleet.job("good").reason;
+}
+
+// The other runs of a long-running job are not stopped because one of them was
+// a bystander of many crashes.
+TEST_F(CrashingTaskTest, ALongRunningBystanderKeepsItsOtherRuns) {
+  this->fleet.long_running_work = Milliseconds(1'000'000);
+  this->fleet.Submit("lasting", {.count = 4, .is_long_running = true});
+  for (int crash = 0; crash < 4; ++crash) {
+    for (int wait = 0; wait < 500 && this->fleet.CountRunning("lasting") < 4;
+         ++wait) {
+      this->fleet.PassTime(Milliseconds(10));
+    }
+    this->fleet.PassTime(Milliseconds(1'000));
+    ASSERT_EQ(this->fleet.CountRunning("lasting"), 4)
+        << crash << ": " << this->fleet.job("lasting").reason;
+    this->CrashAll();
+  }
+  this->fleet.PassTime(Milliseconds(10'000));
+  EXPECT_EQ(this->fleet.problem, "");
+  EXPECT_EQ(this->StateOf("lasting"), jobs::JobState::kActive)
+      << this->fleet.job("lasting").reason;
+  EXPECT_EQ(this->fleet.CountRunning("lasting"), 4);
+}
+
+// A task that crashes its workers only after a while cannot be told from a
+// bystander. Its job is not shown as failed, and its trials leave room for the
+// other jobs.
+TEST_F(CrashingTaskTest, ATaskThatCrashesItsWorkersLateDoesNotHoldUpOthers) {
+  for (const Milliseconds crash_after :
+       {Milliseconds(300), Milliseconds(1'000)}) {
+    FakeFleet fleet(8);
+    fleet.crashes = CrashesItsWorker;
+    fleet.crash_after = crash_after;
+    fleet.work = Milliseconds(1'500);
+    fleet.PassTime(Milliseconds(100));
+    fleet.Submit("bad", {.count = 1});
+    for (int number = 0; number < 10; ++number) {
+      fleet.Submit(StrCat("good", number), {.count = 4});
+      fleet.PassTime(Milliseconds(3'000));
+    }
+    fleet.PassTime(Milliseconds(10'000));
+    EXPECT_EQ(fleet.job("bad").state, jobs::JobState::kActive)
+        << fleet.job("bad").reason;
+    EXPECT_LE(fleet.CountCrashes(FirstTaskOf("bad")), 50);
+    for (int number = 0; number < 10; ++number) {
+      EXPECT_EQ(fleet.job(StrCat("good", number)).state, jobs::JobState::kDone)
+          << number << " " << crash_after.count();
+    }
+  }
+}
+
+// The starts of a task that crashes its workers late have no limit, since no
+// number of such crashes tells it from a sound task.
+TEST_F(CrashingTaskTest, ATaskThatCrashesItsWorkersLateIsStartedWithoutEnd) {
+  this->fleet.crash_after = Milliseconds(300);
+  this->fleet.work = Milliseconds(1'500);
+  this->fleet.Submit("bad", {.count = 1});
+  this->fleet.PassTime(Milliseconds(40'000));
+  EXPECT_EQ(this->fleet.problem, "");
+}
+
 TEST_F(CrashingTaskTest, ACutWorkerIsNoCrash) {
   this->fleet.work = Milliseconds(60'000);
   this->fleet.Submit("good", {.count = 1});
