Daemon: Ask the leader that replication follows when the seeds are gone

What callers saw: a controller whose three seeds had all been replaced refused reads and writes (1108) after the next change of leader, for as long as its settings named them, although its own replica follows the new leader.

Cause: the search for a leader rotates over the seeds alone. Change: a search that knows no leader asks the one that this process's replica follows, once, and then the seeds as before. Ruled out: to add the members to the rotation, since each dead one costs up to 0.7 s of a caller's time.

Before: the process test replacements, whose last check is new, on: "FAILED a controller whose seeds are all gone answers reads after a change of leader" (1 of 1 run). After: passes (1 of 1), with the checks before it; LeaderSearchTest and JobsLinkTest, 16 of 16. An entry has no replica: open.

--- a/services/sumacd/jobs_link.cc
+++ b/services/sumacd/jobs_link.cc
@@ -27,7 +27,13 @@
                    Peers& peers,
                    kj::Timer& timer,
                    JobController* local)
-    : self(std::move(self)), peers(peers), local(local), search(peers, timer) {}
+    : self(std::move(self)),
+      peers(peers),
+      local(local),
+      search(peers, timer, [local] {
+        return local == nullptr ? ProcessName()
+                                : local->replica_host().KnownLeader();
+      }) {}
 
 kj::Promise<fleet::Answer> JobsLink::Ask(jobs::Request request,
                                          Milliseconds limit) {
--- a/services/sumacd/leader_search.cc
+++ b/services/sumacd/leader_search.cc
@@ -38,8 +38,17 @@
                .next_controller = this->next_controller});
 }
 
-// Each search asks all controllers in turn, also while others run.
+// Each search asks the leader that is followed here, once, and all controllers
+// in turn, also while others run. The configured controllers may all be gone
+// while replication still knows who leads.
 ProcessName LeaderSearch::NextController(Progress& progress) {
+  if (this->followed_leader) {
+    ProcessName followed = this->followed_leader();
+    if (!followed.value().empty() && followed != progress.asked_followed) {
+      progress.asked_followed = followed;
+      return followed;
+    }
+  }
   const auto& controllers = this->peers.controllers();
   this->next_controller = progress.next_controller + 1;
   return controllers[progress.next_controller++ % controllers.size()];
--- a/services/sumacd/leader_search.h
+++ b/services/sumacd/leader_search.h
@@ -31,7 +31,16 @@
   using Attempt = std::function<kj::Promise<fleet::Answer>(const ProcessName&,
                                                            Milliseconds)>;
 
-  LeaderSearch(Peers& peers, kj::Timer& timer) : peers(peers), timer(timer) {}
+  // Returns the leader that a replica in this process follows, or an empty name
+  // if there is none.
+  using FollowedLeader = std::function<ProcessName()>;
+
+  LeaderSearch(Peers& peers,
+               kj::Timer& timer,
+               FollowedLeader followed_leader = nullptr)
+      : peers(peers),
+        timer(timer),
+        followed_leader(std::move(followed_leader)) {}
 
   // Returns the first final answer. When the search is over without one, the
   // code is kNoLeader, or kTimeout if an attempt without an answer may have
@@ -59,6 +68,8 @@
     std::string last_error;
     // The position of the controller to ask next while no leader is known.
     std::size_t next_controller = 0;
+    // The leader followed here that was asked last.
+    ProcessName asked_followed;
   };
 
   kj::Promise<fleet::Answer> TryUntilOver(Attempt attempt, Progress progress);
@@ -69,6 +80,7 @@
 
   Peers& peers;
   kj::Timer& timer;
+  FollowedLeader followed_leader;
   SystemClock clock;
   ProcessName known_leader;
   bool cut_off = false;
--- a/tests/processes/replacements.sh
+++ b/tests/processes/replacements.sh
@@ -109,4 +109,14 @@
 check "it votes again when a voter is lost" until_true 20 node_of_paused voter
 check "those that run vote" until_true 20 just_running
 check "and know the declaration" until_true 10 reads_back 2
+
+# Replication tells a controller who leads, also when those that its settings name are all gone.
+stranded=$(running | grep -v "^$(leader)\$" | head -1)
+gone=$(for name in "${controllers[@]}"; do [ -n "${pids[$name]:-}" ] || echo "$(node_ip "$name"):1"; done | jq -R . | jq -cs '.[:3]')
+change_settings "$stranded" ".seeds = $gone"
+has_new_seeds() { grep '"event":"settings-reloaded"' "$work/$stranded/out.txt" | tail -1 | jq -e --argjson gone "$gone" '.seeds == $gone' >/dev/null; }
+check "the new seeds are read" until_true 10 has_new_seeds
+lose "$(leader)"
+reads_at_stranded() { [ "$(version_at "${stranded#c}")" = 2 ]; }
+check "a controller whose seeds are all gone answers reads after a change of leader" until_true 15 reads_at_stranded
 finish
--- a/tests/services/sumacd/leader_search_test.cc
+++ b/tests/services/sumacd/leader_search_test.cc
@@ -39,7 +39,10 @@
     Peers peers{this->io.provider->getNetwork(),
                 this->io.provider->getTimer(),
                 {ProcessName("c1"), ProcessName("c2"), ProcessName("c3")}};
-    LeaderSearch search{this->peers, this->io.provider->getTimer()};
+    // The leader that the replica of this process follows.
+    ProcessName followed;
+    LeaderSearch search{this->peers, this->io.provider->getTimer(),
+                        [this] { return this->followed; }};
   };
 
   std::unique_ptr<Parts> parts = std::make_unique<Parts>();
@@ -206,6 +209,34 @@
   EXPECT_EQ(answer.code, ResultCode::kNoLeader);
 }
 
+// Guards against reads that a controller refuses although it follows the
+// leader, because all the controllers that its settings name are gone.
+TEST_F(LeaderSearchTest,
+       AFollowedLeaderIsFoundWithoutTheConfiguredControllers) {
+  this->parts->followed = ProcessName("c9");
+  const auto attempt = [](const ProcessName& process,
+                          Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+    return process.value() == "c9"
+               ? fleet::Answer::Success("done")
+               : fleet::Answer{.code = ResultCode::kNoControllerInTime};
+  };
+  EXPECT_TRUE(this->Run(attempt, {.not_run = kNever, .total = kNever}).is_ok());
+  EXPECT_FALSE(this->parts->search.is_cut_off());
+}
+
+// A replica may follow a leader that has just died; the others are asked too.
+TEST_F(LeaderSearchTest, AFollowedLeaderThatIsGoneIsAskedOncePerSearch) {
+  this->parts->followed = ProcessName("c9");
+  const auto attempt = [](const ProcessName& process,
+                          Milliseconds /*left*/) -> kj::Promise<fleet::Answer> {
+    return process.value() == "c3"
+               ? fleet::Answer::Success("done")
+               : fleet::Answer{.code = ResultCode::kNoControllerInTime};
+  };
+  EXPECT_TRUE(this->Run(attempt, {.not_run = kNever, .total = kNever}).is_ok());
+  EXPECT_EQ(this->asked, (std::vector<std::string>{"c9", "c1", "c2", "c3"}));
+}
+
 // The next leader knows whether it has the job, so the search goes on for as
 // long as the caller waits.
 TEST_F(LeaderSearchTest, AnUnansweredSubmissionIsAcceptedByTheNextLeader) {
