--- a/tests/processes/power.sh
+++ b/tests/processes/power.sh
@@ -81,7 +81,11 @@
   for name in "${names[@]}" "${entries[@]}"; do back+=("${pids[$name]}"); done
   note "power is lost everywhere, the disks of $* too"
   { kill -KILL "${back[@]}" && wait "${back[@]}" || true; } 2>/dev/null
-  for name in "${names[@]}" "${entries[@]}"; do unset "pids[$name]"; done
+  for name in "${names[@]}" "${entries[@]}"; do
+    unset "pids[$name]"
+    # Nobody led after this; the next processes say so only once they have started.
+    printf '\n{"event":"leads-no-more"}\n' >>"$work/$name/out.txt"
+  done
   for name in "${names[@]}"; do
     if [[ " $* " == *" $name "* ]]; then rm -rf "$work/$name/data" "$work/$name/power"; else lose_power "$name"; fi
   done
