Jobs: Count and find the crashes of bystanders in one place each

Two members computed the number of bystanders back from the number of other crashes, and two searched for the oldest one. The comment on ToText left the bystanders out, which it names.

--- a/libraries/jobs/task_crashes.cc
+++ b/libraries/jobs/task_crashes.cc
@@ -13,6 +13,16 @@
   return crash.run.IsBystander();
 }
 
+std::size_t CountBystanders(const std::vector<TaskCrash>& crashes) {
+  return static_cast<std::size_t>(
+      std::count_if(crashes.begin(), crashes.end(), IsBystanderCrash));
+}
+
+std::vector<TaskCrash>::const_iterator FindOldestBystander(
+    const std::vector<TaskCrash>& crashes) {
+  return std::find_if(crashes.begin(), crashes.end(), IsBystanderCrash);
+}
+
 }  // namespace
 
 bool CrashedRun::IsBystander() const {
@@ -21,10 +31,8 @@
 
 void TaskCrashes::Add(TaskCrash crash) {
   this->crashes.push_back(std::move(crash));
-  const std::size_t bystanders = this->crashes.size() - this->CountEvidence();
-  if (bystanders > kMaxBystanderCrashes) {
-    this->crashes.erase(std::find_if(this->crashes.begin(), this->crashes.end(),
-                                     IsBystanderCrash));
+  if (CountBystanders(this->crashes) > kMaxBystanderCrashes) {
+    this->crashes.erase(FindOldestBystander(this->crashes));
   }
 }
 
@@ -34,18 +42,14 @@
   const bool is_kept = std::any_of(
       this->crashes.begin(), this->crashes.end(),
       [&run](const TaskCrash& crash) { return crash.run.run == run; });
-  const bool is_full =
-      this->crashes.size() - this->CountEvidence() >= kMaxBystanderCrashes;
-  return is_kept ||
-         (is_full && run < std::find_if(this->crashes.begin(),
-                                        this->crashes.end(), IsBystanderCrash)
-                               ->run.run);
+  const bool may_have_dropped =
+      CountBystanders(this->crashes) >= kMaxBystanderCrashes;
+  return is_kept || (may_have_dropped &&
+                     run < FindOldestBystander(this->crashes)->run.run);
 }
 
 std::size_t TaskCrashes::CountEvidence() const {
-  const auto bystanders = std::count_if(this->crashes.begin(),
-                                        this->crashes.end(), IsBystanderCrash);
-  return this->crashes.size() - static_cast<std::size_t>(bystanders);
+  return this->crashes.size() - CountBystanders(this->crashes);
 }
 
 std::size_t TaskCrashes::CountConfirmed() const {
--- a/libraries/jobs/task_crashes.h
+++ b/libraries/jobs/task_crashes.h
@@ -101,8 +101,8 @@
   bool IsOverLimit() const;
   // True if the task may be the cause of the crashes.
   bool IsSuspect() const;
-  // Returns a text for people about the evidence, "worker W1 at T1, worker W2
-  // at T2"; times are Unix milliseconds.
+  // Returns a text for people, "worker W1 at T1, worker W2 at T2 (bystander)";
+  // times are Unix milliseconds.
   std::string ToText() const;
 
   template <typename Self, typename Visitor>
