Replication: Judge the members' health once for each check

A leader judged all members twice every 100 ms, for the log and for the next change, and two modules each looked a member up with the same default. GroupMaintenance now judges once and gives the result to both; FindHealth is the look-up.

--- a/libraries/replication/membership_keeper.cc
+++ b/libraries/replication/membership_keeper.cc
@@ -76,11 +76,12 @@
   return health;
 }
 
-std::optional<Membership> MembershipKeeper::Check(const Replica& replica) {
+std::optional<Membership> MembershipKeeper::Check(
+    const Replica& replica,
+    const std::map<NodeId, MemberHealth>& health) {
   if (!replica.is_membership_committed()) {
     return std::nullopt;
   }
-  const std::map<NodeId, MemberHealth> health = this->HealthOfAll(replica);
   this->catch_up_tracker.RecordCommitIndex(replica.term(),
                                            replica.commit_index());
   return PlanNextMembers(replica.membership(), health, this->wanted_voters,
--- a/libraries/replication/membership_keeper.h
+++ b/libraries/replication/membership_keeper.h
@@ -38,10 +38,11 @@
   // that it may have been removed while it was away.
   bool ShouldRequestToJoin(const Replica& replica, SteadyTime now) const;
 
-  // Checks all members of a group that `replica` leads. Returns the members to
-  // propose, or nothing if none have to change or the last change is not
-  // committed yet.
-  std::optional<Membership> Check(const Replica& replica);
+  // Checks all members of a group that `replica` leads, whose `health` is that
+  // of HealthOfAll now. Returns the members to propose, or nothing if none have
+  // to change or the last change is not committed yet.
+  std::optional<Membership> Check(const Replica& replica,
+                                  const std::map<NodeId, MemberHealth>& health);
 
  private:
   std::size_t wanted_voters;
--- a/libraries/replication/membership_plan.cc
+++ b/libraries/replication/membership_plan.cc
@@ -29,8 +29,7 @@
 
  private:
   MemberHealth HealthOf(const NodeId& node) const {
-    const auto found = this->health.find(node);
-    return found == this->health.end() ? MemberHealth{} : found->second;
+    return FindHealth(this->health, node);
   }
   VoterSpread SpreadAfter(const NodeId* removed, const NodeId* added) const;
   const NodeId* FindVoterOfSameProcess(const NodeId& learner) const;
@@ -257,6 +256,12 @@
 
 }  // namespace
 
+MemberHealth FindHealth(const std::map<NodeId, MemberHealth>& health,
+                        const NodeId& node) {
+  const auto found = health.find(node);
+  return found == health.end() ? MemberHealth{} : found->second;
+}
+
 ProcessName ProcessOf(const NodeId& node) {
   return ProcessName(node.value().substr(0, node.value().rfind('.')));
 }
--- a/libraries/replication/membership_plan.h
+++ b/libraries/replication/membership_plan.h
@@ -33,6 +33,11 @@
   bool may_lose_vote() const { return this->is_suspected || this->is_lost; }
 };
 
+// Returns the health of a node; that of one that does not answer if nothing is
+// known of it.
+MemberHealth FindHealth(const std::map<NodeId, MemberHealth>& health,
+                        const NodeId& node);
+
 // Returns the name of the process in which a replica runs; a node id has the
 // form NAME.INCARNATION.
 ProcessName ProcessOf(const NodeId& node);
--- a/libraries/replication/membership_watch.cc
+++ b/libraries/replication/membership_watch.cc
@@ -7,12 +7,6 @@
 namespace sumac::replication {
 namespace {
 
-MemberHealth HealthOf(const std::map<NodeId, MemberHealth>& health,
-                      const NodeId& node) {
-  const auto found = health.find(node);
-  return found == health.end() ? MemberHealth{} : found->second;
-}
-
 // Returns the reason that holds for all silent voters alike, or kNone.
 VoteHold FindSharedHold(const Membership& members,
                         const std::map<NodeId, MemberHealth>& health,
@@ -23,7 +17,7 @@
   const auto has_learner = [&](auto holds) {
     return std::any_of(members.learners.begin(), members.learners.end(),
                        [&](const NodeId& learner) {
-                         return holds(HealthOf(health, learner));
+                         return holds(FindHealth(health, learner));
                        });
   };
   if (!has_learner([](const auto& learner) { return !learner.is_silent; })) {
@@ -43,7 +37,7 @@
   News news;
   std::set<NodeId> now_caught_up;
   for (const NodeId& learner : members.learners) {
-    if (!HealthOf(health, learner).is_caught_up) {
+    if (!FindHealth(health, learner).is_caught_up) {
       continue;
     }
     now_caught_up.insert(learner);
@@ -54,7 +48,7 @@
   const VoteHold shared = FindSharedHold(members, health, is_committed);
   std::map<NodeId, VoteHold> now_held;
   for (const NodeId& voter : members.voters) {
-    const MemberHealth voter_health = HealthOf(health, voter);
+    const MemberHealth voter_health = FindHealth(health, voter);
     if (!voter_health.is_silent) {
       continue;
     }
--- a/services/sumacd/group_maintenance.cc
+++ b/services/sumacd/group_maintenance.cc
@@ -43,8 +43,9 @@
 
 std::optional<replication::Membership> GroupMaintenance::Check(
     const replication::Replica& replica) {
-  this->LogMembers(replica);
-  return this->keeper.Check(replica);
+  const auto health = this->keeper.HealthOfAll(replica);
+  this->LogMembers(replica, health);
+  return this->keeper.Check(replica, health);
 }
 
 bool GroupMaintenance::HasCaughtUp(const replication::Replica& replica,
@@ -53,9 +54,10 @@
 }
 
 // Logs which spares have caught up and why silent voters keep their votes.
-void GroupMaintenance::LogMembers(const replication::Replica& replica) {
-  const auto news = this->watch.Observe(replica.membership(),
-                                        this->keeper.HealthOfAll(replica),
+void GroupMaintenance::LogMembers(
+    const replication::Replica& replica,
+    const std::map<replication::NodeId, replication::MemberHealth>& health) {
+  const auto news = this->watch.Observe(replica.membership(), health,
                                         replica.is_membership_committed());
   for (const replication::NodeId& node : news.caught_up) {
     LogEvent(LogLevel::kInfo, "spare-has-caught-up",
--- a/services/sumacd/group_maintenance.h
+++ b/services/sumacd/group_maintenance.h
@@ -5,6 +5,7 @@
 #include <kj/async.h>
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -61,7 +62,9 @@
                    const replication::NodeId& member) const;
 
  private:
-  void LogMembers(const replication::Replica& replica);
+  void LogMembers(
+      const replication::Replica& replica,
+      const std::map<replication::NodeId, replication::MemberHealth>& health);
   void RequestToJoin(const replication::Replica& replica,
                      SteadyTime now,
                      kj::TaskSet& tasks);
--- a/tests/libraries/replication/machine_history.cc
+++ b/tests/libraries/replication/machine_history.cc
@@ -322,7 +322,8 @@
   static_cast<void>(
       this->cluster.Propose(*leader, StrCat("c", ++this->commands)));
   Replica& replica = *this->cluster.nodes[*leader].replica;
-  if (const auto next = this->KeeperOf(*leader).Check(replica)) {
+  MembershipKeeper& keeper = this->KeeperOf(*leader);
+  if (const auto next = keeper.Check(replica, keeper.HealthOfAll(replica))) {
     this->history += StrCat(this->cluster.now.time_since_epoch().count(),
                             " ms ", replica.self().value(), " proposes voters",
                             NamesOf(next->voters), ", learners",
