Replication, Daemon, Tests: Keep the rule of what is sent before it is written in one place

The property votes_and_disks plays replicas whose messages wait for their disks as the daemon's do, by a copy of the daemon's rule: a change of one would not have been tested by the other.

--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -15,6 +15,7 @@
 #include "libraries/log/json_log.h"
 #include "libraries/replication/election_seed.h"
 #include "libraries/replication/membership_plan.h"
+#include "libraries/replication/send_order.h"
 #include "libraries/storage/posix_disk.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
@@ -352,7 +353,8 @@
     return false;
   }
   replication::Output output = this->replica_core->TakeOutput();
-  const bool can_send_early = this->CanSendBeforeWrite(output);
+  const bool can_send_early = replication::CanSendBeforeWrite(
+      this->replica_core->role(), this->unwritten, output);
   if (can_send_early || (this->unwritten.empty() && !output.has_writes())) {
     this->Deliver(output);
   }
@@ -372,21 +374,6 @@
   return can_send_early;
 }
 
-// Returns true if the output may be sent before it is written. A leader may
-// send entries and heartbeats while its own disk still writes (Ongaro's thesis,
-// section 10.2.1): it counts its own copy only once it is written. A vote or a
-// new term must be on disk first, and a follower acknowledges only what its
-// disk holds.
-bool ReplicaHost::CanSendBeforeWrite(const replication::Output& output) const {
-  const bool is_queue_plain =
-      std::none_of(this->unwritten.begin(), this->unwritten.end(),
-                   [](const replication::Output& waiting) {
-                     return waiting.hard_state || waiting.snapshot_to_install;
-                   });
-  return this->replica_core->role() == replication::Role::kLeader &&
-         is_queue_plain && !output.hard_state && !output.snapshot_to_install;
-}
-
 void ReplicaHost::StartWrite() {
   if (this->is_writing || this->unwritten.empty()) {
     return;
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -152,7 +152,6 @@
   void LogRole();
   void Pump();
   bool PumpOnce();
-  bool CanSendBeforeWrite(const replication::Output& output) const;
   void StartWrite();
   void FinishWrite(const absl::Status& status);
   bool IsSendingBlocked(SteadyTime now) const;
--- a/tests/libraries/replication/slow_disk_cluster.cc
+++ b/tests/libraries/replication/slow_disk_cluster.cc
@@ -1,9 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "tests/libraries/replication/slow_disk_cluster.h"
 
-#include <algorithm>
+#include <ranges>
 #include <utility>
 
+#include "libraries/replication/send_order.h"
+
 namespace sumac::replication {
 namespace {
 
@@ -102,7 +104,9 @@
     return false;
   }
   Output output = node.replica->TakeOutput();
-  const bool can_send = this->CanSendBeforeWrite(node, waiting, output);
+  const bool can_send = CanSendBeforeWrite(
+      node.replica->role(), waiting | std::views::transform(&Write::output),
+      output);
   const bool is_done = !output.has_writes() && (can_send || waiting.empty());
   if (can_send || is_done) {
     const bool has_committed = !output.committed.empty();
@@ -123,18 +127,6 @@
   return can_send;
 }
 
-bool SlowDiskCluster::CanSendBeforeWrite(const Node& node,
-                                         const Writes& waiting,
-                                         const Output& output) const {
-  return node.replica->role() == Role::kLeader &&
-         std::none_of(waiting.begin(), waiting.end(),
-                      [](const Write& write) {
-                        return write.output.hard_state ||
-                               write.output.snapshot_to_install;
-                      }) &&
-         !output.hard_state && !output.snapshot_to_install;
-}
-
 void SlowDiskCluster::BeginWrite(std::size_t position) {
   Write& write = this->unwritten[position].front();
   write.began_at = this->now;
--- a/tests/libraries/replication/slow_disk_cluster.h
+++ b/tests/libraries/replication/slow_disk_cluster.h
@@ -50,9 +50,6 @@
   using Writes = std::deque<Write>;
 
   bool PumpOnce(std::size_t position);
-  bool CanSendBeforeWrite(const Node& node,
-                          const Writes& waiting,
-                          const Output& output) const;
   void BeginWrite(std::size_t position);
   void FinishWrites(std::size_t position);
   void StoreUnsynced(std::size_t position);
