--- a/tests/libraries/replication/cluster.cc
+++ b/tests/libraries/replication/cluster.cc
@@ -259,6 +259,20 @@
              : StrCat(node.id.value(), " applied another history");
 }
 
+std::string Cluster::CheckStored(const Node& node) const {
+  for (const Entry& entry : node.stored) {
+    const auto known = this->committed.find(entry.index);
+    const bool is_committed_here = entry.index <= node.replica->commit_index();
+    if (is_committed_here && known != this->committed.end() &&
+        !(known->second == entry)) {
+      return StrCat(node.id.value(),
+                    " holds another entry at committed position ",
+                    entry.index.value());
+    }
+  }
+  return "";
+}
+
 std::string Cluster::CheckInvariants() {
   for (std::size_t position = 0; position < this->nodes.size(); ++position) {
     const Node& node = this->nodes[position];
@@ -273,18 +287,9 @@
       }
     }
     // A disk may hold other entries until those that replace them are written.
-    for (const Entry& entry : node.stored) {
-      if (!this->IsWritten(position)) {
-        break;
-      }
-      const auto known = this->committed.find(entry.index);
-      const bool is_committed_here =
-          entry.index <= node.replica->commit_index();
-      if (is_committed_here && known != this->committed.end() &&
-          !(known->second == entry)) {
-        return StrCat(node.id.value(),
-                      " holds another entry at committed position ",
-                      entry.index.value());
+    if (this->IsWritten(position)) {
+      if (std::string problem = this->CheckStored(node); !problem.empty()) {
+        return problem;
       }
     }
     if (std::string problem = this->CheckApplied(node); !problem.empty()) {
--- a/tests/libraries/replication/cluster.h
+++ b/tests/libraries/replication/cluster.h
@@ -107,6 +107,7 @@
  private:
   std::size_t PositionOf(const NodeId& id) const;
   std::string CheckApplied(const Node& node);
+  std::string CheckStored(const Node& node) const;
 
   std::uint64_t seed;
   std::set<std::size_t> cut;
--- a/tests/libraries/replication/machine_history.cc
+++ b/tests/libraries/replication/machine_history.cc
@@ -9,8 +9,6 @@
 namespace sumac::replication {
 namespace {
 
-constexpr int kVoters = 5;
-constexpr std::size_t kMaxLost = 2;
 constexpr Milliseconds kStep{20};
 constexpr Milliseconds kMaintenanceInterval{100};
 constexpr Milliseconds kCheckInterval{500};
--- a/tests/libraries/replication/machine_history.h
+++ b/tests/libraries/replication/machine_history.h
@@ -25,6 +25,9 @@
 class MachineHistory {
  public:
   static constexpr Milliseconds kCatchUpTime{4'000};
+  static constexpr int kVoters = 5;
+  // The number of machines that may count as lost at once.
+  static constexpr std::size_t kMaxLost = 2;
 
   // `spares` machines beyond the five of the group are there from the start.
   MachineHistory(std::uint64_t seed, int spares);
--- a/tests/libraries/replication/overlapping_losses_test.cc
+++ b/tests/libraries/replication/overlapping_losses_test.cc
@@ -14,8 +14,7 @@
 // only cut off is passed on, and that would if it had kept it: its disk is
 // there when it is back.
 TEST(OverlappingLossesTest, AVoterThatIsCutOffCountsWhenItIsBack) {
-  PowerHistory history(13, 1, VoteRule::kAnyReplica,
-                       PowerHistory::Limits::kOverlapping);
+  PowerHistory history(13, 1, PowerHistory::Limits::kOverlapping);
   ASSERT_EQ(history.Pass(Milliseconds(5'000)), "");
   const auto leader = history.LeaderSlot();
   ASSERT_TRUE(leader) << history.text();
@@ -32,8 +31,8 @@
       rc::kNominalSize, rc::gen::inRange<std::uint64_t>(1, 1'000'000'000)));
   const auto spares = *rc::gen::noShrink(
       rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 3)));
-  const std::string problem = PlayPowerHistory(
-      seed, spares, VoteRule::kAnyReplica, PowerHistory::Limits::kOverlapping);
+  const std::string problem =
+      PlayPowerHistory(seed, spares, PowerHistory::Limits::kOverlapping);
   if (!problem.empty()) {
     RC_FAIL(problem);
   }
--- a/tests/libraries/replication/power_drawer.cc
+++ b/tests/libraries/replication/power_drawer.cc
@@ -105,9 +105,8 @@
 
 std::string PlayPowerHistory(std::uint64_t seed,
                              int spares,
-                             VoteRule rule,
                              PowerHistory::Limits limits) {
-  PowerHistory history(seed, spares, rule, limits);
+  PowerHistory history(seed, spares, limits);
   PowerDrawer drawer(seed, history);
   std::string problem = history.Pass(Milliseconds(4'000));
   constexpr int kHarms = 30;
--- a/tests/libraries/replication/power_drawer.h
+++ b/tests/libraries/replication/power_drawer.h
@@ -36,7 +36,6 @@
 // what happened before it, or an empty string.
 std::string PlayPowerHistory(std::uint64_t seed,
                              int spares,
-                             VoteRule rule,
                              PowerHistory::Limits limits);
 
 }  // namespace sumac::replication
--- a/tests/libraries/replication/power_history.cc
+++ b/tests/libraries/replication/power_history.cc
@@ -9,8 +9,6 @@
 namespace sumac::replication {
 namespace {
 
-constexpr int kVoters = 5;
-constexpr std::size_t kMaxLost = 2;
 constexpr Milliseconds kStep{10};
 // A machine whose disk hangs for longer is slowed, and counts as lost.
 constexpr Milliseconds kMaxUncountedStall{300};
@@ -22,11 +20,8 @@
 
 }  // namespace
 
-PowerHistory::PowerHistory(std::uint64_t seed,
-                           int spares,
-                           VoteRule rule,
-                           Limits limits)
-    : PowerHistory(seed, spares, rule, limits, [seed] {
+PowerHistory::PowerHistory(std::uint64_t seed, int spares, Limits limits)
+    : PowerHistory(seed, spares, limits, [seed] {
         ReplicationSettings settings = Times();
         // A snapshot of some commands takes several messages.
         settings.snapshot_chunk_bytes = 200;
@@ -35,12 +30,10 @@
 
 PowerHistory::PowerHistory(std::uint64_t seed,
                            int spares,
-                           VoteRule rule,
                            Limits limits,
                            std::unique_ptr<SlowDiskCluster> group)
     : MachineHistory(seed, spares, std::move(group), kStep),
       disks(static_cast<SlowDiskCluster&>(*this->owned_cluster)),
-      rule(rule),
       limits(limits) {
   this->disks.observe = [this] { this->Observe(); };
 }
@@ -148,7 +141,7 @@
   }
   this->problem =
       CheckDurableVotes(this->DurableReplicas(), this->cluster.LastCommitted(),
-                        this->AllowedDisks(), this->rule);
+                        this->AllowedDisks(), VoteRule::kAnyReplica);
   if (!this->awaited) {
     return;
   }
--- a/tests/libraries/replication/power_history.h
+++ b/tests/libraries/replication/power_history.h
@@ -42,7 +42,7 @@
   // until the recovery time after all are back.
   enum class Limits { kCounted, kOverlapping };
 
-  PowerHistory(std::uint64_t seed, int spares, VoteRule rule, Limits limits);
+  PowerHistory(std::uint64_t seed, int spares, Limits limits);
 
   // Returns true if the limits allow the loss of the slot's disk now.
   bool MayLoseDisk(std::size_t slot) const;
@@ -84,7 +84,6 @@
 
   PowerHistory(std::uint64_t seed,
                int spares,
-               VoteRule rule,
                Limits limits,
                std::unique_ptr<SlowDiskCluster> group);
 
@@ -102,7 +101,6 @@
   void UpdateRest();
 
   SlowDiskCluster& disks;
-  VoteRule rule;
   Limits limits;
   std::set<std::size_t> lost_nodes;
   std::vector<LostDisk> lost_disks;
--- a/tests/libraries/replication/votes_and_disks_test.cc
+++ b/tests/libraries/replication/votes_and_disks_test.cc
@@ -19,8 +19,8 @@
       rc::kNominalSize, rc::gen::inRange<std::uint64_t>(1, 1'000'000'000)));
   const auto spares = *rc::gen::noShrink(
       rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 3)));
-  const std::string problem = PlayPowerHistory(
-      seed, spares, VoteRule::kAnyReplica, PowerHistory::Limits::kCounted);
+  const std::string problem =
+      PlayPowerHistory(seed, spares, PowerHistory::Limits::kCounted);
   if (!problem.empty()) {
     RC_FAIL(problem);
   }
