--- a/libraries/replication/send_order.h
+++ b/libraries/replication/send_order.h
@@ -4,33 +4,36 @@
 
 #include <algorithm>
 #include <concepts>
-#include <ranges>
-#include <type_traits>
+#include <functional>
 
 #include "libraries/replication/types.h"
 
 namespace sumac::replication {
 
-// A range of the outputs that wait to be written.
-template <typename T>
-concept OutputRange =
-    std::ranges::input_range<T> &&
-    std::same_as<std::remove_cvref_t<std::ranges::range_reference_t<T>>,
-                 Output>;
+// Returns true if the messages of an output may only be sent once it is
+// written: a vote or a new term must be on disk first.
+inline bool MustBeWrittenFirst(const Output& output) {
+  return output.hard_state.has_value() ||
+         output.snapshot_to_install.has_value();
+}
 
 // Returns true if an output of a replica with this role may be sent before it
-// is written, while the outputs of `waiting` are not written yet either. A
-// leader may send entries and heartbeats while its own disk still writes
-// (Ongaro's thesis, section 10.2.1): it counts its own copy only once it is
-// written. A vote or a new term must be on disk first, and a follower
-// acknowledges only what its disk holds.
-template <OutputRange Waiting>
-bool CanSendBeforeWrite(Role role, Waiting&& waiting, const Output& output) {
-  const auto has_to_wait = [](const Output& one) {
-    return one.hard_state.has_value() || one.snapshot_to_install.has_value();
-  };
-  return role == Role::kLeader && !has_to_wait(output) &&
-         std::ranges::none_of(waiting, has_to_wait);
+// is written, while those of `waiting` are not written yet either;
+// `output_of` returns the output of one of them. A leader may send entries and
+// heartbeats while its own disk still writes (Ongaro's thesis, section 10.2.1):
+// it counts its own copy only once it is written. A follower acknowledges only
+// what its disk holds.
+template <typename Waiting,
+          std::invocable<const typename Waiting::value_type&> OutputOf =
+              std::identity>
+bool CanSendBeforeWrite(Role role,
+                        const Waiting& waiting,
+                        const Output& output,
+                        OutputOf output_of = {}) {
+  return role == Role::kLeader && !MustBeWrittenFirst(output) &&
+         std::none_of(waiting.begin(), waiting.end(), [&](const auto& one) {
+           return MustBeWrittenFirst(std::invoke(output_of, one));
+         });
 }
 
 }  // namespace sumac::replication
--- a/tests/libraries/replication/slow_disk_cluster.cc
+++ b/tests/libraries/replication/slow_disk_cluster.cc
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "tests/libraries/replication/slow_disk_cluster.h"
 
-#include <ranges>
 #include <utility>
 
 #include "libraries/replication/send_order.h"
@@ -104,9 +103,8 @@
     return false;
   }
   Output output = node.replica->TakeOutput();
-  const bool can_send = CanSendBeforeWrite(
-      node.replica->role(), waiting | std::views::transform(&Write::output),
-      output);
+  const bool can_send =
+      CanSendBeforeWrite(node.replica->role(), waiting, output, &Write::output);
   const bool is_done = !output.has_writes() && (can_send || waiting.empty());
   if (can_send || is_done) {
     const bool has_committed = !output.committed.empty();
