Base, Http: Accept on after several failed accepts in a row

A door that failed to accept twice in a row, 50 ms apart, for want of a descriptor, took no connection any more until its process was restarted. Nothing was logged but the first failure.

Cause: kj's accept() returns a rejected promise if it had to wait first, and throws if it can fail at once. The second accept after a failed one throws, inside of the continuation that was to start it, and so ended the loop. The guard against a failed accept covered the first one only.

Test: AsyncHttpServerTest.FailedAcceptsDoNotEndTheServer; before, the request after it was not answered within 5 s.

--- a/libraries/http/async_http_server.cc
+++ b/libraries/http/async_http_server.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <utility>
 
+#include "libraries/base/kj_accept.h"
 #include "libraries/base/kj_keep_alive.h"
 #include "libraries/base/kj_time.h"
 #include "libraries/log/json_log.h"
@@ -13,9 +14,6 @@
 namespace sumac::http {
 namespace {
 
-// The pause before the next accept, after a failed one or while too many
-// connections are being refused.
-constexpr Milliseconds kAcceptPause{50};
 // The maximum number of connections beyond the budget that are open at once to
 // be answered with a refusal.
 constexpr std::size_t kMaxConcurrentRefusals = 16;
@@ -52,23 +50,18 @@
       });
 }
 
-// NOTE: A failed accept is usually temporary: the process may be out of
-// descriptors for a moment. If the loop ended on one, the process would accept
-// no connections until it restarts.
 kj::Promise<void> AsyncHttpServer::AcceptLoop() {
-  return this->receiver->accept()
-      .then(
-          [this](kj::Own<kj::AsyncIoStream>&& stream) -> kj::Promise<void> {
-            this->Serve(kj::mv(stream));
-            return this->AwaitRefusalSlot();
-          },
-          [this](kj::Exception&& error) -> kj::Promise<void> {
-            LogEvent(LogLevel::kError, "accept-failed",
-                     {{"door", this->context.settings.address},
-                      {"error", error.getDescription().cStr()}});
-            return this->context.timer.afterDelay(ToKj(kAcceptPause));
-          })
-      .then([this] { return this->AcceptLoop(); });
+  return AcceptConnections(
+      *this->receiver, this->context.timer,
+      [this](kj::Own<kj::AsyncIoStream> stream) {
+        this->Serve(kj::mv(stream));
+        return this->AwaitRefusalSlot();
+      },
+      [this](const kj::Exception& error) {
+        LogEvent(LogLevel::kError, "accept-failed",
+                 {{"door", this->context.settings.address},
+                  {"error", error.getDescription().cStr()}});
+      });
 }
 
 // Waits until another connection can be accepted, if only to be answered with a
--- a/tests/libraries/http/async_http_server_test.cc
+++ b/tests/libraries/http/async_http_server_test.cc
@@ -7,9 +7,11 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "tests/stand_ins/kernel_connections.h"
+#include "tests/stand_ins/taken_descriptors.h"
 
 namespace sumac::http {
 namespace {
@@ -38,6 +40,40 @@
   EXPECT_NE(line.find(stand_ins::kProbeTimer), std::string::npos) << line;
 }
 
+// After two accepts in a row without a free descriptor, the server took no
+// connection any more.
+TEST(AsyncHttpServerTest, FailedAcceptsDoNotEndTheServer) {
+  kj::AsyncIoContext io = kj::setupAsyncIo();
+  AsyncHttpServer server(io.provider->getTimer(),
+                         AsyncServerSettings{.address = kAddress},
+                         [](const ServerRequest&) { return ServerReply{}; });
+  server.Listen(io.provider->getNetwork()).wait(io.waitScope);
+  const auto connect = [&io] {
+    return io.provider->getNetwork()
+        .parseAddress(kAddress)
+        .wait(io.waitScope)
+        ->connect()
+        .wait(io.waitScope);
+  };
+  stand_ins::TakenDescriptors taken;
+  taken.ReturnOne();
+  const auto unaccepted = connect();
+  io.provider->getTimer().afterDelay(200 * kj::MILLISECONDS).wait(io.waitScope);
+  taken.ReturnAll();
+  auto client = connect();
+  const std::string_view request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  client->write(request.data(), request.size()).wait(io.waitScope);
+  char first = 0;
+  const std::size_t size =
+      client->tryRead(&first, 1, 1)
+          .exclusiveJoin(
+              io.provider->getTimer().afterDelay(5 * kj::SECONDS).then([] {
+                return std::size_t{0};
+              }))
+          .wait(io.waitScope);
+  EXPECT_EQ(size, 1U);
+}
+
 // A server whose handler keeps the request unanswered, and one client of it.
 class AwaitedRequestTest : public testing::Test {
  protected:
