Rpc, Daemon: Bound the connections of each door

400 connections to a controller's peers' port that said nothing, of a process with 300 descriptors, took them all: declarations by it were not answered for as long as the connections stayed, and the disk's share was gone too. The doors for operators, health checks and metrics had no limit either.

RpcServer now keeps its connections in a ConnectionBudget, in which a place is idle since the last bytes of its client: one more connection than the maximum replaces the one that has been silent for the longest, so peers, which speak several times a second, keep theirs. ShareDescriptors has a share for each of the three side doors, taken from the outgoing ones. ConnectionBudget moves to base, as HTTP and RPC both use it.

Ruled out: refusing further connections. Whoever came first would keep peers out.

--- a/libraries/http/connection_budget.cc
+++ b/libraries/base/connection_budget.cc
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "libraries/http/connection_budget.h"
+#include "libraries/base/connection_budget.h"
 
 #include <algorithm>
 
-namespace sumac::http {
+namespace sumac {
 
 ConnectionBudget::ConnectionBudget(std::size_t max_open)
     : limit(std::max<std::size_t>(max_open, 1)) {}
@@ -45,4 +45,4 @@
   }
 }
 
-}  // namespace sumac::http
+}  // namespace sumac
--- a/libraries/http/connection_budget.h
+++ b/libraries/base/connection_budget.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-#ifndef LIBRARIES_HTTP_CONNECTION_BUDGET_H_
-#define LIBRARIES_HTTP_CONNECTION_BUDGET_H_
+#ifndef LIBRARIES_BASE_CONNECTION_BUDGET_H_
+#define LIBRARIES_BASE_CONNECTION_BUDGET_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include <optional>
 #include <utility>
 
-namespace sumac::http {
+namespace sumac {
 
 // Limits the number of open connections of one kind, so that a process with
 // many peers never runs out of descriptors. When all places are taken, the
@@ -79,6 +79,6 @@
   IdleList idle_connections;
 };
 
-}  // namespace sumac::http
+}  // namespace sumac
 
-#endif  // LIBRARIES_HTTP_CONNECTION_BUDGET_H_
+#endif  // LIBRARIES_BASE_CONNECTION_BUDGET_H_
--- a/libraries/base/descriptor_shares.cc
+++ b/libraries/base/descriptor_shares.cc
@@ -24,6 +24,10 @@
 // Two log segments, two snapshots and their folder, and the same number again
 // while they are replaced.
 constexpr std::size_t kMaxForDisk = 32;
+// A platform's health checks, a few readers of metrics and a few operators.
+constexpr std::size_t kMaxForSideListener = 16;
+constexpr std::size_t kSideListenerDivisor = 64;
+constexpr std::size_t kSideListeners = 3;
 // The shares of the remaining descriptors, in eighths. Peers are processes of
 // this system, with one connection in each direction; callers and workers that
 // announce themselves keep one connection each; a worker that receives orders
@@ -43,10 +47,13 @@
   DescriptorShares shares;
   shares.process = std::min(kMaxForProcess, limit / kEighths);
   shares.disk = std::min(kMaxForDisk, limit / kEighths);
+  shares.side_listener =
+      std::min(kMaxForSideListener, limit / kSideListenerDivisor);
   const std::size_t left = limit - shares.process - shares.disk;
   shares.peers = left * kPeerEighths / kEighths;
   shares.incoming = left * kIncomingEighths / kEighths;
-  shares.outgoing = left - shares.peers - shares.incoming;
+  shares.outgoing = left - shares.peers - shares.incoming -
+                    kSideListeners * shares.side_listener;
   return shares;
 }
 
--- a/libraries/base/descriptor_shares.h
+++ b/libraries/base/descriptor_shares.h
@@ -21,7 +21,11 @@
   std::size_t disk = 0;
   // Connections between the processes of this system, in both directions.
   std::size_t peers = 0;
-  // Incoming connections to the listeners of this process.
+  // Incoming connections to each listener for health checks, metrics and
+  // operators.
+  std::size_t side_listener = 0;
+  // Incoming connections to the listeners of this process for callers, workers
+  // and the platform.
   std::size_t incoming = 0;
   // Outgoing connections to workers and to the platform.
   std::size_t outgoing = 0;
--- a/libraries/http/async_connection.h
+++ b/libraries/http/async_connection.h
@@ -18,7 +18,7 @@
 #include <vector>
 
 #include "libraries/base/time.h"
-#include "libraries/http/connection_budget.h"
+#include "libraries/base/connection_budget.h"
 #include "libraries/http/whole_request_stream.h"
 
 namespace sumac::http {
--- a/libraries/http/server_session.h
+++ b/libraries/http/server_session.h
@@ -16,7 +16,7 @@
 #include "absl/status/statusor.h"
 #include "libraries/base/result_code.h"
 #include "libraries/http/async_server_settings.h"
-#include "libraries/http/connection_budget.h"
+#include "libraries/base/connection_budget.h"
 #include "libraries/http/server_message.h"
 
 namespace sumac::http {
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -35,6 +35,11 @@
 namespace sumac::daemon {
 namespace {
 
+// The maximum numbers of connections of other processes, which keep one each,
+// and of operators.
+constexpr std::size_t kMaxPeerConnections = 256;
+constexpr std::size_t kMaxOperatorConnections = 32;
+
 constexpr std::uint64_t kFirstIncarnation = 1;
 // The maximum time to wait for the hand-over during a planned stop.
 constexpr Milliseconds kHandOverWait{1'500};
@@ -59,6 +64,7 @@
  private:
   absl::Status StartController();
   absl::Status Listen(const std::string& address,
+                      std::size_t max_connections,
                       capnp::Capability::Client bootstrap);
   absl::Status OpenListeners();
   kj::Promise<void> AwaitSignal();
@@ -107,9 +113,10 @@
 }
 
 absl::Status Daemon::Listen(const std::string& address,
+                            std::size_t max_connections,
                             capnp::Capability::Client bootstrap) {
-  this->rpc_listeners.push_back(
-      TRY(rpc::RpcServer::Create(this->io, address, kj::mv(bootstrap))));
+  this->rpc_listeners.push_back(TRY(rpc::RpcServer::Create(
+      this->io, address, kj::mv(bootstrap), max_connections)));
   return absl::OkStatus();
 }
 
@@ -134,11 +141,11 @@
         this->follower->Run().eagerlyEvaluate(nullptr));
   }
   TRY(this->Listen(
-      this->settings.self().peer_address,
+      this->settings.self().peer_address, kMaxPeerConnections,
       kj::heap<PeerService>(this->controller.get(), this->entry.get(),
                             this->follower.get())));
   TRY(this->Listen(
-      this->settings.listen.operators,
+      this->settings.listen.operators, kMaxOperatorConnections,
       kj::heap<OperatorService>(OperatorParts{
           this->settings, *this->peers, *this->leader, timer,
           this->controller.get(), this->entry.get(), this->follower.get()})));
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "libraries/base/connection_budget.h"
 #include "libraries/base/descriptor_shares.h"
 #include "libraries/base/error.h"
 #include "libraries/base/kj_time.h"
@@ -20,7 +21,6 @@
 #include "libraries/base/try.h"
 #include "libraries/codec/json_writer.h"
 #include "libraries/http/async_http_server.h"
-#include "libraries/http/connection_budget.h"
 #include "libraries/http/metrics.h"
 #include "libraries/log/json_log.h"
 #include "libraries/rpc/rpc_server.h"
@@ -139,13 +139,14 @@
   absl::Status StartEntry();
   std::size_t EntryConnections() const;
   void AddConnectionMetrics(const std::string& kind,
-                            const http::ConnectionBudget& connections);
+                            const ConnectionBudget& connections);
   absl::Status OpenHttpListener(std::unique_ptr<http::AsyncHttpServer>& door,
                                 http::AsyncServerSettings door_settings,
                                 http::AsyncHttpServer::Handler handler);
   absl::Status OpenMetricsListener();
   absl::Status ListenToPeers();
   absl::Status OpenRpcListener(const std::string& address,
+                               std::size_t max_connections,
                                capnp::Capability::Client service);
   platform::AskLeader AskLeader();
   http::ServerReply ReplyToHealthCheck() const;
@@ -166,7 +167,7 @@
   SystemClock clock;
   http::Metrics metrics;
   Peers peers;
-  http::ConnectionBudget worker_connections;
+  ConnectionBudget worker_connections;
   platform::WorkerClient workers;
   platform::InstanceClient instances;
   platform::AdviceClient advice;
@@ -204,7 +205,7 @@
   }
   if (!this->settings.operators_door.empty()) {
     TRY(this->OpenRpcListener(
-        this->settings.operators_door,
+        this->settings.operators_door, this->shares.side_listener,
         kj::heap<NodeOperatorService>(
             this->settings, *this->link, this->controller.get(),
             this->data_centre_orders ? &*this->data_centre_orders : nullptr)));
@@ -283,7 +284,8 @@
       }));
   return this->OpenHttpListener(
       this->health_listener,
-      http::AsyncServerSettings{.address = this->settings.health_door},
+      http::AsyncServerSettings{.address = this->settings.health_door,
+                                .max_connections = this->shares.side_listener},
       [this](const http::ServerRequest& /*request*/)
           -> kj::Promise<http::ServerReply> {
         return this->ReplyToHealthCheck();
@@ -316,21 +318,22 @@
 
 absl::Status NodeDaemon::ListenToPeers() {
   return this->OpenRpcListener(this->settings.process().value(),
+                               this->shares.peers,
                                kj::heap<NodePeerService>(*this->controller));
 }
 
 absl::Status NodeDaemon::OpenRpcListener(const std::string& address,
+                                         std::size_t max_connections,
                                          capnp::Capability::Client service) {
-  this->rpc_listeners.push_back(
-      TRY(rpc::RpcServer::Create(this->io, address, kj::mv(service))));
+  this->rpc_listeners.push_back(TRY(rpc::RpcServer::Create(
+      this->io, address, kj::mv(service), max_connections)));
   return absl::OkStatus();
 }
 
 // Adds metrics of the connections of one kind: open, maximum, closed for others
 // and refused.
-void NodeDaemon::AddConnectionMetrics(
-    const std::string& kind,
-    const http::ConnectionBudget& connections) {
+void NodeDaemon::AddConnectionMetrics(const std::string& kind,
+                                      const ConnectionBudget& connections) {
   const std::string label = StrCat("{kind=\"", kind, "\"}");
   this->metrics.SetGauge(StrCat("sumac_connections", label), [&connections] {
     return static_cast<double>(connections.open());
@@ -356,7 +359,8 @@
   }
   return this->OpenHttpListener(
       this->metrics_listener,
-      http::AsyncServerSettings{.address = this->settings.metrics_door},
+      http::AsyncServerSettings{.address = this->settings.metrics_door,
+                                .max_connections = this->shares.side_listener},
       [this](const http::ServerRequest& /*request*/)
           -> kj::Promise<http::ServerReply> {
         return http::ServerReply{.body = this->metrics.ToText(),
--- a/tests/libraries/base/descriptor_shares_test.cc
+++ b/tests/libraries/base/descriptor_shares_test.cc
@@ -19,7 +19,8 @@
     const auto shares = ShareDescriptors(limit);
     ASSERT_TRUE(shares.ok()) << limit;
     EXPECT_LE(shares->process + shares->disk + shares->peers +
-                  shares->incoming + shares->outgoing,
+                  3 * shares->side_listener + shares->incoming +
+                  shares->outgoing,
               limit);
     EXPECT_GE(shares->disk, 16U) << limit;
     EXPECT_GE(shares->peers, 12U) << limit;
--- a/tests/libraries/http/connection_budget_test.cc
+++ b/tests/libraries/http/connection_budget_test.cc
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "libraries/http/connection_budget.h"
+#include "libraries/base/connection_budget.h"
 
 #include <gtest/gtest.h>
 #include <kj/async-io.h>
