Scheduler: Bound the stops for runs that nobody ordered

Cause: each listed run that the leader does not want is marked as stopping, and each of those is stopped again whenever its retry is due.

DueStops picks the runs to stop: all that this leader ordered, and of the others as many as leave 64 open, runs of known tasks first, then those that have waited for the longest. A new leader that takes over a worker's runs stays far below the bound.

Ruled out: no stop at all for a run without a known task. The run may be of a job that a later leader has forgotten, and would go on for ever.

Tests: DueStopsTest. With the loop as it was the first two fail: 20,000 stops in one pass where 64 are allowed.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -7,6 +7,7 @@
 #include "libraries/base/text.h"
 #include "libraries/base/verify.h"
 #include "libraries/scheduler/crashed_runs.h"
+#include "libraries/scheduler/due_stops.h"
 
 namespace sumac::scheduler {
 namespace {
@@ -1365,9 +1366,12 @@
         this->RequestStepReports(run.task.step, now);
       }
     }
-    if (run.phase == RunPhase::kStopping && now >= run.stop_due) {
-      this->StopRun(session, run, now, output);
-    }
+  }
+  const auto is_known = [this](const Run& run) {
+    return this->state.FindStep(run.task) != nullptr;
+  };
+  for (Run* run : SelectDueStops(session, is_known, now)) {
+    this->StopRun(session, *run, now, output);
   }
 }
 
