Scheduler: Give up a run that stands still however often its task was moved

Callers saw a job that was accepted and never done: its task had been given up twice (max_moves), and its third run stood still without an end.

Cause: Stragglers refused any move beyond max_moves, also of a run without progress.

Beyond max_moves a run is now given up once it has stood still for 5 s, or would take 5 s longer than elsewhere; the patience doubles with each further move, up to 320 s.

Ruled out: a larger max_moves, which only delays the same end; no limit, which chases a task that is slow anywhere from worker to worker.

--- a/libraries/scheduler/stragglers.cc
+++ b/libraries/scheduler/stragglers.cc
@@ -8,6 +8,19 @@
 namespace {
 
 constexpr std::int64_t kWholePercent = 100;
+// The patience with a run whose task was given up max_moves times already; it
+// doubles with each further move, up to kMaxDoublings times.
+constexpr Milliseconds kFirstPatience{5'000};
+constexpr std::uint32_t kMaxDoublings = 6;
+
+// Returns for how long a run must stand still, or how much longer than
+// elsewhere it must still take, to be given up.
+Milliseconds PatienceWith(std::uint32_t moves, std::uint32_t max_moves) {
+  if (moves < max_moves) {
+    return Milliseconds(0);
+  }
+  return kFirstPatience * (1 << std::min(moves - max_moves, kMaxDoublings));
+}
 
 }  // namespace
 
@@ -107,14 +120,19 @@
   constexpr Milliseconds kRestart{700};
   const jobs::Job* job = this->state.FindJob(run.task.step.job);
   const TaskMemory* memory = this->tasks.Find(run.task);
-  if (memory == nullptr || memory->moves >= this->max_moves) {
+  if (memory == nullptr) {
     return false;
   }
-  if (pace != RunPace::kStalled) {
+  const Milliseconds patience = PatienceWith(memory->moves, this->max_moves);
+  if (pace == RunPace::kStalled) {
+    if (progress.since_change < patience) {
+      return false;
+    }
+  } else {
     const std::int64_t percent = std::max<std::int64_t>(run.percent, 1);
     const Milliseconds left =
         progress.elapsed * (kWholePercent - percent) / percent;
-    if (left < progress.expected + kRestart) {
+    if (left < progress.expected + kRestart + patience) {
       return false;
     }
   }
--- a/libraries/scheduler/stragglers.h
+++ b/libraries/scheduler/stragglers.h
@@ -36,8 +36,8 @@
   // has no policy.
   using AdviceFor = std::function<const PlacementAdvice*(const jobs::Job&)>;
 
-  // `max_moves` is the maximum number of times that a run of one task is given
-  // up.
+  // `max_moves` is the number of times that a run of one task is given up at
+  // once; further times take a patience that doubles with each of them.
   Stragglers(const jobs::JobsState& state,
              const RunTimes& run_times,
              const TaskTable& tasks,
--- a/tests/libraries/scheduler/scheduler_test.cc
+++ b/tests/libraries/scheduler/scheduler_test.cc
@@ -287,6 +287,23 @@
   EXPECT_EQ(fleet.WorkersOf("next"), (std::vector<std::string>{"w1", "w1"}));
 }
 
+// A task whose runs had been given up `max_moves` times stood still for ever on
+// the next worker.
+TEST(SchedulerTest, ATaskThatWasMovedOftenDoesNotStandStillForEver) {
+  FakeFleet fleet(3);
+  for (const char* worker : {"w0", "w1", "w2"}) {
+    fleet.worker(worker).stalls_runs = true;
+  }
+  fleet.Submit("job", {.count = 1, .estimate = Milliseconds(800)});
+  fleet.PassTime(Milliseconds(15'000));
+  ASSERT_GT(fleet.starts, fleet.settings.max_moves);
+  ASSERT_EQ(fleet.job("job").state, JobState::kActive);
+  fleet.AddWorker("w3", "m3");
+  fleet.PassTime(Milliseconds(25'000));
+  EXPECT_EQ(fleet.job("job").state, JobState::kDone);
+  EXPECT_EQ(fleet.problem, "");
+}
+
 TEST(SchedulerTest, ARunOnASlowWorkerIsGivenUpOnceTheQueueIsKnown) {
   FakeFleet fleet(2);
   for (int number = 0; number < 3; ++number) {
