Http: End the wait for a body that does not come

Cause: kj's header time covers a request up to the end of its head. TCP keep-alive ends only connections whose client is gone.

A body has 15 s from the end of the head now, as long as a connection may be idle; after that the request is answered with 408 (result 1013, not run) and the connection is closed.

--- a/libraries/base/result_code.cc
+++ b/libraries/base/result_code.cc
@@ -40,6 +40,9 @@
     ResultInfo{kAboveQuota, "above-quota", 422, kNotRun,
                "A task or gang of the job needs more than the customer's quota "
                "ever allows."},
+    ResultInfo{kBodyTooSlow, "body-too-slow", 408, kNotRun,
+               "The body did not arrive in time; the request was not looked "
+               "at."},
     ResultInfo{kNoMinion, "no-minion", 503, kNotRun,
                "No minion of the service can take work now."},
     ResultInfo{kOverloaded, "overloaded", 503, kNotRun,
--- a/libraries/base/result_code.h
+++ b/libraries/base/result_code.h
@@ -31,6 +31,7 @@
   kUnknownKey = 1010,
   kForeignJob = 1011,
   kAboveQuota = 1012,
+  kBodyTooSlow = 1013,
   kNoMinion = 1101,
   kOverloaded = 1102,
   kCallerLimit = 1103,
--- a/libraries/http/async_server_settings.h
+++ b/libraries/http/async_server_settings.h
@@ -21,6 +21,9 @@
   // The maximum time from the first byte of a request to the end of its
   // headers.
   Milliseconds header_time{3'000};
+  // The maximum time from the end of a request's headers to the end of its
+  // body. A slower one is answered with 408.
+  Milliseconds body_time{15'000};
   // The time after which a connection without a request is closed.
   Milliseconds idle_time{15'000};
   // The names of the headers that are copied into ServerRequest::headers.
--- a/libraries/http/server_session.cc
+++ b/libraries/http/server_session.cc
@@ -168,7 +168,7 @@
                           StrCat(max_bytes, " bytes are allowed"));
     }
   }
-  return ReadBody(request_body, max_bytes)
+  return this->ReadBodyInTime(request_body)
       .then([this, request = std::move(request)](
                 absl::StatusOr<std::string>&& body) mutable
             -> kj::Promise<ServerReply> {
@@ -181,6 +181,22 @@
       });
 }
 
+// NOTE: A body in chunks may declare a chunk of any size and never send it.
+kj::Promise<absl::StatusOr<std::string>> ServerSession::ReadBodyInTime(
+    kj::AsyncInputStream& request_body) {
+  const AsyncServerSettings& settings = this->context.settings;
+  return TimeoutAfter(this->context.timer, settings.body_time,
+                      ReadBody(request_body, settings.max_body_bytes))
+      .catch_([](kj::Exception&& exception)
+                  -> kj::Promise<absl::StatusOr<std::string>> {
+        if (exception.getType() != kj::Exception::Type::OVERLOADED) {
+          return kj::mv(exception);
+        }
+        return absl::StatusOr<std::string>(
+            MakeError(ResultCode::kBodyTooSlow, "the body is incomplete"));
+      });
+}
+
 kj::Promise<ServerReply> ServerSession::CallHandler(ServerRequest request) {
   const std::string path = request.path;
   return kj::evalNow([this, &request] {
--- a/libraries/http/server_session.h
+++ b/libraries/http/server_session.h
@@ -14,9 +14,9 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "libraries/base/connection_budget.h"
 #include "libraries/base/result_code.h"
 #include "libraries/http/async_server_settings.h"
-#include "libraries/base/connection_budget.h"
 #include "libraries/http/server_message.h"
 
 namespace sumac::http {
@@ -89,6 +89,8 @@
                          const kj::HttpHeaders& headers) const;
   kj::Promise<ServerReply> Answer(ServerRequest request,
                                   kj::AsyncInputStream& request_body);
+  kj::Promise<absl::StatusOr<std::string>> ReadBodyInTime(
+      kj::AsyncInputStream& request_body);
   kj::Promise<ServerReply> CallHandler(ServerRequest request);
   ServerReply Refuse(ResultCode code, std::string_view message);
   kj::Promise<void> DiscardInput();
--- a/tests/libraries/http/malformed_request_test.cc
+++ b/tests/libraries/http/malformed_request_test.cc
@@ -23,6 +23,7 @@
 
 constexpr const char* kAddress = "127.0.7.41:18741";
 constexpr std::uint64_t kMaxBodyBytes = 1'000;
+constexpr Milliseconds kBodyTime{200};
 constexpr auto kAnswerTime = 5 * kj::SECONDS;
 
 // The part of an answer after its head.
@@ -71,7 +72,8 @@
         io(kj::setupAsyncIo()),
         server(this->io.provider->getTimer(),
                AsyncServerSettings{.address = kAddress,
-                                   .max_body_bytes = kMaxBodyBytes},
+                                   .max_body_bytes = kMaxBodyBytes,
+                                   .body_time = kBodyTime},
                [](const ServerRequest& request) -> kj::Promise<ServerReply> {
                  if (request.path == "/fails") {
                    return KJ_EXCEPTION(FAILED, "a library's text");
@@ -198,6 +200,17 @@
                     ResultCode::kBodyTooLarge, "request-unreadable");
 }
 
+// The connection stayed open without an answer for as long as the client kept
+// it, and held what had arrived.
+TEST_F(MalformedRequestTest, ABodyThatNeverEndsIsRefused) {
+  for (const std::string& request :
+       {Chunked(StrCat("fffffffffffffff\r\n", std::string(100, '\0'))),
+        std::string("PUT /config HTTP/1.1\r\nHost: h\r\n"
+                    "Content-Length: 10\r\n\r\n{")}) {
+    this->ExpectError(request, ResultCode::kBodyTooSlow, "request-unreadable");
+  }
+}
+
 // An error of a handler was answered with the library's text.
 TEST_F(MalformedRequestTest,
        ARequestWhoseHandlerFailsIsAnsweredWithoutItsText) {
