Http: Bound the memory of bodies that are being sent

Each connection could have a body of the largest size, 1 MiB, held for it while the rest did not come; a door of some 3,000 connections some 3 GB, where a process has 260 MB.

Cause: the limit was one of each body only.

The sessions of a listener share a count of the bytes of bodies that are being read, 64 MiB at most. A request that finds no room is refused as the connections beyond the maximum are: 503, not run, Retry-After.

--- a/libraries/http/async_connection.h
+++ b/libraries/http/async_connection.h
@@ -17,8 +17,8 @@
 #include <utility>
 #include <vector>
 
-#include "libraries/base/time.h"
 #include "libraries/base/connection_budget.h"
+#include "libraries/base/time.h"
 #include "libraries/http/whole_request_stream.h"
 
 namespace sumac::http {
--- a/libraries/http/async_http_server.cc
+++ b/libraries/http/async_http_server.cc
@@ -30,6 +30,7 @@
                                  Handler handler)
     : context{.timer = timer,
               .settings = std::move(settings),
+              .held_bytes = {.max = this->context.settings.max_held_bytes},
               .handler = std::move(handler)},
       budget(BudgetOf(this->context.settings.max_connections)),
       tasks(*this) {
--- a/libraries/http/async_http_server.h
+++ b/libraries/http/async_http_server.h
@@ -12,9 +12,9 @@
 #include <string>
 #include <vector>
 
+#include "libraries/base/connection_budget.h"
 #include "libraries/base/time.h"
 #include "libraries/http/async_server_settings.h"
-#include "libraries/base/connection_budget.h"
 #include "libraries/http/server_message.h"
 #include "libraries/http/server_session.h"
 
--- a/libraries/http/async_server_settings.h
+++ b/libraries/http/async_server_settings.h
@@ -18,6 +18,9 @@
   // The maximum size of a request's body. A larger body is answered with 413
   // and its connection is closed.
   std::uint64_t max_body_bytes = 1U << 20;
+  // The maximum size of all bodies together that are being read. Beyond it a
+  // request is answered with a refusal.
+  std::uint64_t max_held_bytes = 64U << 20;
   // The maximum time from the first byte of a request to the end of its
   // headers.
   Milliseconds header_time{3'000};
--- a/libraries/http/server_session.cc
+++ b/libraries/http/server_session.cc
@@ -41,6 +41,12 @@
       });
 }
 
+ServerReply CrowdedReply() {
+  ServerReply reply = ErrorReply(ResultCode::kCrowded);
+  reply.headers = {{"Retry-After", kRetryAfterSeconds}};
+  return reply;
+}
+
 // Returns false if the declared length of the body is not a whole number. kj
 // takes a negative one for a very large one.
 bool HasReadableLength(const kj::HttpHeaders& headers) {
@@ -121,9 +127,7 @@
                                          Response& response) {
   const kj::HttpHeaderTable& table = *this->context.header_table;
   if (this->is_refused()) {
-    ServerReply reply = ErrorReply(ResultCode::kCrowded);
-    reply.headers = {{"Retry-After", kRetryAfterSeconds}};
-    return SendReply(table, response, reply);
+    return SendReply(table, response, CrowdedReply());
   }
   if (!HasReadableLength(headers)) {
     return SendReply(table, response,
@@ -186,7 +190,8 @@
     kj::AsyncInputStream& request_body) {
   const AsyncServerSettings& settings = this->context.settings;
   return TimeoutAfter(this->context.timer, settings.body_time,
-                      ReadBody(request_body, settings.max_body_bytes))
+                      ReadBody(request_body, settings.max_body_bytes,
+                               this->context.held_bytes))
       .catch_([](kj::Exception&& exception)
                   -> kj::Promise<absl::StatusOr<std::string>> {
         if (exception.getType() != kj::Exception::Type::OVERLOADED) {
@@ -220,7 +225,8 @@
             {"code", static_cast<int>(code)},
             {"message", message}});
   this->is_broken = true;
-  return ErrorReply(code, message);
+  return code == ResultCode::kCrowded ? CrowdedReply()
+                                      : ErrorReply(code, message);
 }
 
 kj::Promise<void> ServerSession::handleClientProtocolError(
--- a/libraries/http/server_session.h
+++ b/libraries/http/server_session.h
@@ -17,6 +17,7 @@
 #include "libraries/base/connection_budget.h"
 #include "libraries/base/result_code.h"
 #include "libraries/http/async_server_settings.h"
+#include "libraries/http/request_body.h"
 #include "libraries/http/server_message.h"
 
 namespace sumac::http {
@@ -28,6 +29,7 @@
   kj::Timer& timer;
   // Also holds the names of the headers, which the table only refers to.
   AsyncServerSettings settings;
+  HeldBytes held_bytes;
   Handler handler;
   std::map<std::string, kj::HttpHeaderId> header_ids;
   kj::Own<kj::HttpHeaderTable> header_table;
--- a/tests/libraries/http/malformed_request_test.cc
+++ b/tests/libraries/http/malformed_request_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "libraries/base/names.h"
 #include "libraries/base/result_code.h"
@@ -73,6 +74,7 @@
         server(this->io.provider->getTimer(),
                AsyncServerSettings{.address = kAddress,
                                    .max_body_bytes = kMaxBodyBytes,
+                                   .max_held_bytes = 4 * kMaxBodyBytes,
                                    .body_time = kBodyTime},
                [](const ServerRequest& request) -> kj::Promise<ServerReply> {
                  if (request.path == "/fails") {
@@ -92,15 +94,18 @@
     std::filesystem::remove(this->log);
   }
 
+  kj::Own<kj::AsyncIoStream> Connect() {
+    return this->io.provider->getNetwork()
+        .parseAddress(kAddress)
+        .wait(this->io.waitScope)
+        ->connect()
+        .wait(this->io.waitScope);
+  }
   // Sends bytes on a connection of their own and returns the answer: all that
   // comes until it is complete or the connection ends, or "open" if neither
   // happens.
   std::string Send(const std::string& bytes) {
-    kj::Own<kj::AsyncIoStream> client = this->io.provider->getNetwork()
-                                            .parseAddress(kAddress)
-                                            .wait(this->io.waitScope)
-                                            ->connect()
-                                            .wait(this->io.waitScope);
+    kj::Own<kj::AsyncIoStream> client = this->Connect();
     // A server that refuses early may close while the client still writes.
     auto written = client->write(bytes.data(), bytes.size())
                        .eagerlyEvaluate([](kj::Exception&&) {});
@@ -211,6 +216,22 @@
   }
 }
 
+// Each connection could have a body of the largest size held for it, thousands
+// of them more than the memory of a process.
+TEST_F(MalformedRequestTest, BodiesThatAreBeingSentShareABoundedMemory) {
+  const std::string half = StrCat(
+      "PUT /config HTTP/1.1\r\nHost: h\r\nContent-Length: ", kMaxBodyBytes,
+      "\r\n\r\n", std::string(kMaxBodyBytes - 1, 'x'));
+  std::vector<kj::Own<kj::AsyncIoStream>> open;
+  for (int number = 0; number < 4; ++number) {
+    open.push_back(this->Connect());
+    open.back()->write(half.data(), half.size()).wait(this->io.waitScope);
+  }
+  this->ExpectError(half + "x", ResultCode::kCrowded, "request-unreadable");
+  open.clear();
+  EXPECT_TRUE(this->Send(half + "x").starts_with("HTTP/1.1 200 "));
+}
+
 // An error of a handler was answered with the library's text.
 TEST_F(MalformedRequestTest,
        ARequestWhoseHandlerFailsIsAnsweredWithoutItsText) {
