Http: Answer and log what the threaded doors can't read

At the doors for callers and targets of a declared group, a Content-Length of -2 was taken for a very large one (413), of two the first was taken, and a handler that threw anything but a library's exception, or whose request held a length that is no number, ended the connection without an answer and without a log line. A body could take for ever, 10 s for each byte.

Cause: the length was read by the library, which throws; only its own exceptions were caught, all as a lost connection; the limit of time was one of each read.

One whole number is accepted as length, anything else is a bad request. Lost connections and failed handlers are told apart, and the latter are logged and answered with 500. What the library ends by itself is logged as request-unreadable: there the connection is closed without an answer of ours, since it throws before a request exists.

Tests: three of HttpServerTest, each of which failed before: 413, 200, 200 and no answer where 400 is due; no log line; no answer where 500 is due.

--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -63,7 +63,8 @@
 };
 
 // Reads a request's body. The error is kBadRequest if the body is truncated or
-// of unknown length, and kBodyTooLarge if it is longer than `max_bytes`.
+// its length is not clear, kBodyTooLarge if it is longer than `max_bytes`, and
+// kBodyTooSlow if it does not come in time.
 absl::StatusOr<std::string> ReadRequestBody(
     Poco::Net::HTTPServerRequest& request,
     std::uint64_t max_bytes);
--- a/tests/libraries/http/http_server_test.cc
+++ b/tests/libraries/http/http_server_test.cc
@@ -9,12 +9,22 @@
 #include <Poco/StreamCopier.h>
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
+#include <array>
 #include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <memory>
+#include <stdexcept>
+#include <string>
 #include <vector>
 
 #include "libraries/base/error.h"
+#include "libraries/base/names.h"
 #include "libraries/base/text.h"
+#include "libraries/log/json_log.h"
 
 namespace sumac::http {
 namespace {
@@ -90,6 +100,68 @@
   EXPECT_EQ(whole, 0);
 }
 
+// Sends bytes and returns the first line that is answered.
+std::string FirstLine(const std::string& address, const std::string& bytes) {
+  Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(address)};
+  socket.setReceiveTimeout(Poco::Timespan(20, 0));
+  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  std::array<char, 4'096> buffer{};
+  const int size =
+      socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+  const std::string answer(buffer.data(), static_cast<std::size_t>(size));
+  return answer.substr(0, answer.find('\r'));
+}
+
+// A negative length was taken for a very large one, and of two lengths the
+// first one was taken.
+TEST(HttpServerTest, ALengthThatIsNotOneNumberIsABadRequest) {
+  const std::string address = FreeAddress();
+  const auto server = Open(address, [](auto& request, auto& response) {
+    const auto body = ReadRequestBody(request, 100);
+    response.setKeepAlive(false);
+    SendAnswer(response,
+               InfoFor(body.ok() ? ResultCode::kOk : CodeOf(body.status()))
+                   .http_status,
+               "text/plain", "");
+  });
+  for (const char* length :
+       {"-2", "2\r\nContent-Length: 3", "2\r\ncontent-length: 2"}) {
+    EXPECT_EQ(FirstLine(address, StrCat("POST / HTTP/1.1\r\nHost: x\r\n"
+                                        "Content-Length: ",
+                                        length, "\r\n\r\n{}")),
+              "HTTP/1.1 400 Bad Request")
+        << length;
+  }
+}
+
+// The library ends the connection for a length that is no number at all, and
+// left no log line.
+TEST(HttpServerTest, ALengthThatTheLibraryCannotReadIsLogged) {
+  const std::string address = FreeAddress();
+  const std::string log = StrCat("/tmp/http_server_test.", ::getpid(), ".log");
+  StartLogging(ProcessName("test"), log, LogLevel::kInfo);
+  const auto server =
+      Open(address, [](auto& /*request*/, auto& /*response*/) {});
+  FirstLine(address,
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: two\r\n\r\n{}");
+  FlushLog();
+  std::ifstream file(log);
+  const std::string lines((std::istreambuf_iterator<char>(file)), {});
+  EXPECT_NE(lines.find("request-unreadable"), std::string::npos) << lines;
+  StartLogging(ProcessName("test"), "", LogLevel::kInfo);
+  std::filesystem::remove(log);
+}
+
+// The connection was closed without an answer and without a log line.
+TEST(HttpServerTest, ARequestWhoseHandlerFailsIsAnswered) {
+  const std::string address = FreeAddress();
+  const auto server = Open(address, [](auto& /*request*/, auto& /*response*/) {
+    throw std::runtime_error("a library's text");
+  });
+  EXPECT_EQ(FirstLine(address, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+            "HTTP/1.1 500 Internal Server Error");
+}
+
 TEST(HttpServerTest, AnAddressInUseIsANumberedError) {
   const Poco::Net::ServerSocket taken(Poco::Net::SocketAddress("127.0.0.1", 0));
   const auto server =
