Codec: Name what is no JSON by its place, not by the library's exception

The answer to a manifest, a check-in, a wave or a job that is no JSON quoted the library: "[json.exception.parse_error.101] parse error at line 1, column 6: syntax error while parsing value - unexpected '}'".

It now says "not JSON at byte 6", or that a number is beyond the range of numbers; the same for CBOR.

Test: JsonTest.TextThatIsNoJsonIsNamedByItsPlace failed before with the library's text in all three cases.

--- a/libraries/codec/json_reader.cc
+++ b/libraries/codec/json_reader.cc
@@ -73,8 +73,11 @@
   }
   try {
     return nlohmann::json::parse(text);
-  } catch (const nlohmann::json::exception& error) {
-    return MakeError(code, StrCat(source, ": not JSON: ", error.what()));
+  } catch (const nlohmann::json::parse_error& error) {
+    return MakeError(code, StrCat(source, ": not JSON at byte ", error.byte));
+  } catch (const nlohmann::json::exception&) {
+    return MakeError(
+        code, StrCat(source, ": a number is beyond the range of numbers"));
   }
 }
 
@@ -87,9 +90,12 @@
   }
   try {
     return nlohmann::json::from_cbor(bytes);
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const nlohmann::json::parse_error& error) {
     return MakeError(ResultCode::kMalformedMessage,
-                     StrCat(source, ": not CBOR: ", error.what()));
+                     StrCat(source, ": not CBOR at byte ", error.byte));
+  } catch (const nlohmann::json::exception&) {
+    return MakeError(ResultCode::kMalformedMessage,
+                     StrCat(source, ": not CBOR of this system"));
   }
 }
 
--- a/tests/libraries/codec/json_test.cc
+++ b/tests/libraries/codec/json_test.cc
@@ -6,9 +6,11 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "libraries/base/error.h"
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
 #include "libraries/codec/cbor_reader.h"
@@ -143,5 +145,18 @@
   }
 }
 
+// The answer to a sender quoted the library's exception, with its name and what
+// the parser expected.
+TEST(JsonTest, TextThatIsNoJsonIsNamedByItsPlace) {
+  for (const auto& [text, message] :
+       {std::pair("{\"a\":}", "file: not JSON at byte 6"),
+        std::pair("[1e999]", "file: a number is beyond the range of numbers"),
+        std::pair("\xff", "file: not JSON at byte 1")}) {
+    const auto parsed = ParseJson(text, "file", ResultCode::kBadRequest);
+    EXPECT_EQ(std::string(parsed.status().message()), message);
+    EXPECT_EQ(CodeOf(parsed.status()), ResultCode::kBadRequest);
+  }
+}
+
 }  // namespace
 }  // namespace sumac
