Log, Daemon: Bound a line's texts, and log what the library says

Two ways in which a stranger filled the log: a request for a path of 100 KB stood there as it was, 200 lines a second at most, so that other lines were dropped; and messages of the kj library went to standard error, as lines that are no JSON and without a limit.

A text of a line has 2 KB at most now. LibraryMessages, one object for each daemon, turns kj's messages into lines library-message, which are limited as all others are.

--- a/libraries/log/json_log.cc
+++ b/libraries/log/json_log.cc
@@ -27,6 +27,9 @@
 // The maximum number of lines of one kind per second. A busy leader writes some
 // tens.
 constexpr std::uint64_t kMaxLinesPerSecond = 200;
+// The maximum length of a text in a line, in bytes. Some texts come from the
+// senders of requests, and lines that are too long crowd out others.
+constexpr std::size_t kMaxTextBytes = 2'048;
 constexpr const char* kDropEvent = "log-lines-dropped";
 
 log4cxx::LevelPtr ToLog4cxxLevel(LogLevel level) {
@@ -126,6 +129,19 @@
       fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
+// Shortens the texts of a line's fields that are longer than kMaxTextBytes.
+void ShortenTexts(nlohmann::json& fields) {
+  for (auto& field : fields) {
+    if (field.is_string()) {
+      auto& text = field.get_ref<std::string&>();
+      if (text.size() > kMaxTextBytes) {
+        text.resize(kMaxTextBytes);
+        text += "...";
+      }
+    }
+  }
+}
+
 // Logs the number of lines left out since the last report.
 void ReportDrops(SteadyTime now) {
   LogState& state = State();
@@ -181,6 +197,7 @@
       return;
     }
   }
+  ShortenTexts(fields);
   WriteLine(level, event, std::move(fields));
 }
 
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -19,6 +19,7 @@
 #include "libraries/fleet/charts.h"
 #include "libraries/http/metrics.h"
 #include "libraries/log/json_log.h"
+#include "libraries/log/library_messages.h"
 #include "libraries/rpc/rpc_server.h"
 #include "libraries/storage/data_folder.h"
 #include "libraries/storage/posix_disk.h"
@@ -271,6 +272,7 @@
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGINT);
   signal(SIGPIPE, SIG_IGN);
+  const LibraryMessages library_messages;
   kj::AsyncIoContext io = kj::setupAsyncIo();
   Daemon daemon(settings, io);
   absl::Status status = daemon.Start();
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -23,6 +23,7 @@
 #include "libraries/http/async_http_server.h"
 #include "libraries/http/metrics.h"
 #include "libraries/log/json_log.h"
+#include "libraries/log/library_messages.h"
 #include "libraries/rpc/rpc_server.h"
 #include "libraries/storage/data_folder.h"
 #include "libraries/storage/posix_disk.h"
@@ -499,6 +500,7 @@
     kj::UnixEventPort::captureSignal(signal_number);
   }
   signal(SIGPIPE, SIG_IGN);
+  const LibraryMessages library_messages;
   kj::AsyncIoContext io = kj::setupAsyncIo();
   io.waitScope.setBusyPollInterval(kMaxEventsBetweenPolls);
   NodeDaemon daemon(settings, path, shares, io);
