Daemon, Meta: Log which sources a program was built from

It is written at each build, and only if it has changed.

Ruled out: the commit's id. A clean checkout may have no repository, and an id says nothing of what was changed since.

--- /dev/null
+++ b/meta/source_digest.cmake
@@ -0,0 +1,33 @@
+# SPDX-License-Identifier: Apache-2.0
+# Tells two builds apart: a digest of the sources of the programs, equal for equal sources wherever they lie.
+# usage: cmake [-DOUTPUT=HEADER] -P meta/source_digest.cmake
+# Prints the digest, or writes it into HEADER unless that holds it already.
+cmake_minimum_required(VERSION 3.25)
+cmake_path(GET CMAKE_CURRENT_LIST_DIR PARENT_PATH root)
+set(patterns)
+foreach(folder libraries platform schemas services utilities)
+  list(APPEND patterns ${root}/${folder}/*.cc ${root}/${folder}/*.c++ ${root}/${folder}/*.h ${root}/${folder}/*.capnp
+       ${root}/${folder}/CMakeLists.txt)
+endforeach()
+file(GLOB_RECURSE sources RELATIVE ${root} ${patterns})
+list(APPEND sources CMakeLists.txt meta/packages.cmake)
+list(SORT sources)
+set(all "")
+foreach(source ${sources})
+  file(SHA256 ${root}/${source} digest)
+  string(APPEND all "${digest}  ${source}\n")
+endforeach()
+string(SHA256 digest "${all}")
+string(SUBSTRING ${digest} 0 16 digest)
+if(NOT OUTPUT)
+  message(NOTICE ${digest})
+  return()
+endif()
+set(header "// SPDX-License-Identifier: Apache-2.0\n#define SUMAC_SOURCE_DIGEST \"${digest}\"\n")
+set(present "")
+if(EXISTS ${OUTPUT})
+  file(READ ${OUTPUT} present)
+endif()
+if(NOT present STREQUAL header)
+  file(WRITE ${OUTPUT} "${header}")
+endif()
--- a/services/sumacd/daemon.cc
+++ b/services/sumacd/daemon.cc
@@ -23,6 +23,7 @@
 #include "libraries/rpc/rpc_server.h"
 #include "libraries/storage/data_folder.h"
 #include "libraries/storage/posix_disk.h"
+#include "services/sumacd/build_info.h"
 #include "services/sumacd/controller.h"
 #include "services/sumacd/core_link.h"
 #include "services/sumacd/entry.h"
@@ -189,7 +190,8 @@
   LogEvent(LogLevel::kInfo, "started",
            {{"callers", this->settings.listen.callers},
             {"targets", this->settings.listen.targets},
-            {"operators", this->settings.listen.operators}});
+            {"operators", this->settings.listen.operators},
+            {"build", DescribeBuild()}});
   this->AwaitSignal().wait(this->io.waitScope);
   this->Stop();
 }
--- a/services/sumacd/main.cc
+++ b/services/sumacd/main.cc
@@ -8,6 +8,7 @@
 
 #include "libraries/base/error.h"
 #include "libraries/base/version.h"
+#include "services/sumacd/build_info.h"
 #include "services/sumacd/daemon.h"
 #include "services/sumacd/node_daemon.h"
 #include "services/sumacd/node_settings.h"
@@ -104,7 +105,8 @@
     return EXIT_SUCCESS;
   }
   if (arguments.contains("version")) {
-    std::cout << "sumacd " << sumac::kVersion << "\n";
+    std::cout << "sumacd " << sumac::kVersion << " of sources "
+              << sumac::daemon::SourceDigest() << "\n";
     return EXIT_SUCCESS;
   }
   return RunProgram(arguments);
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -32,6 +32,7 @@
 #include "platform/request_handlers.h"
 #include "platform/wire_codec.h"
 #include "platform/worker_client.h"
+#include "services/sumacd/build_info.h"
 #include "services/sumacd/data_centre_orders.h"
 #include "services/sumacd/job_controller.h"
 #include "services/sumacd/jobs_link.h"
@@ -440,7 +441,8 @@
   LogEvent(LogLevel::kInfo, "started",
            {{"process", this->settings.process().value()},
             {"role", NameOf(this->settings.role)},
-            {"seeds", ToJson(this->settings.seeds)}});
+            {"seeds", ToJson(this->settings.seeds)},
+            {"build", DescribeBuild()}});
   this->io.unixEventPort.onSignal(SIGTERM)
       .exclusiveJoin(this->io.unixEventPort.onSignal(SIGINT))
       .ignoreResult()
