--- a/libraries/base/kj_accept.h
+++ b/libraries/base/kj_accept.h
@@ -26,8 +26,8 @@
 inline kj::Promise<void> AcceptConnections(
     kj::ConnectionReceiver& receiver,
     kj::Timer& timer,
-    std::function<kj::Promise<void>(kj::Own<kj::AsyncIoStream>)> serve,
-    std::function<void(const kj::Exception&)> report) {
+    const std::function<kj::Promise<void>(kj::Own<kj::AsyncIoStream>)>& serve,
+    const std::function<void(const kj::Exception&)>& report) {
   return kj::evalNow([&receiver] { return receiver.accept(); })
       .then([serve](kj::Own<kj::AsyncIoStream>&& stream) {
         return serve(kj::mv(stream));
--- a/libraries/rpc/accepted_connection.cc
+++ b/libraries/rpc/accepted_connection.cc
@@ -14,7 +14,7 @@
 
 void AcceptedConnection::Start(
     capnp::TwoPartyServer& server,
-    std::function<void(kj::Maybe<kj::Exception>)> on_end) {
+    const std::function<void(kj::Maybe<kj::Exception>)>& on_end) {
   this->served =
       server.accept(static_cast<kj::AsyncIoStream&>(*this))
           .then([on_end] { on_end(nullptr); },
--- a/libraries/rpc/accepted_connection.h
+++ b/libraries/rpc/accepted_connection.h
@@ -27,7 +27,7 @@
   // Serves the connection and calls `on_end` when it has ended, with the error
   // if the client broke the protocol.
   void Start(capnp::TwoPartyServer& server,
-             std::function<void(kj::Maybe<kj::Exception>)> on_end);
+             const std::function<void(kj::Maybe<kj::Exception>)>& on_end);
 
  private:
   kj::Promise<std::size_t> tryRead(void* buffer,
--- a/services/sumacd/build_info.cc
+++ b/services/sumacd/build_info.cc
@@ -15,8 +15,8 @@
 std::uint64_t StackKibibytes() {
   constexpr std::uint64_t kKibibyte = 1'024;
   rlimit limit{};
-  const bool is_limited = ::getrlimit(RLIMIT_STACK, &limit) == 0 &&
-                          limit.rlim_cur != RLIM_INFINITY;
+  const bool is_limited =
+      ::getrlimit(RLIMIT_STACK, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
   return is_limited ? limit.rlim_cur / kKibibyte : 0;
 }
 
