Tests: Let nothing of a holder of connections outlive it

In strangers the pause of each holder was a process of its own, which kept the test's output open for up to a minute after its end: 69 s under the test runner, 13 s by hand.

--- a/tests/processes/strangers.sh
+++ b/tests/processes/strangers.sh
@@ -48,12 +48,13 @@
 
 doors+=([peers]="$(node_ip c2):7060" [operators]="$(node_ip c2):7070" [entry]="$(node_ip n1):7070")
 # hold DOOR: opens more connections than a process may have descriptors, and keeps them.
+# It ends as one process, so that nothing of it outlives a kill.
 hold() {
   local count socket
   for count in $(seq 400); do
     command exec {socket}<>"/dev/tcp/${doors[$1]%:*}/${doors[$1]#*:}" || true
   done
-  sleep 60
+  exec sleep 60
 }
 count_held() { ls "/proc/${pids[$1]}/fd" | wc -l; }
 version=1
