Tests: Let the soak's callers cancel jobs whose submission got no answer

After an unclear answer one in three now cancels the job, until that is confirmed; any run of a job whose cancel was answered with 410 is a violation. FindsRunsAfterACancelThatPrecedesItsSubmission checks the check.

--- a/tests/stand_ins/job_caller_main.cc
+++ b/tests/stand_ins/job_caller_main.cc
@@ -1,9 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // A stand-in for callers that submit jobs of steps, query their states and
-// cancel some of them. Each thread keeps one connection to each entry open for
-// as long as the entry does. Every call and its answer are logged, for a check
-// of the whole history. Ends by itself.
+// cancel some of them, also jobs whose submission was not answered. Each thread
+// keeps one connection to each entry open for as long as the entry does. Every
+// call and its answer are logged, for a check of the whole history. Ends by
+// itself.
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -114,10 +115,26 @@
       if (std::find(kFinal.begin(), kFinal.end(), status) != kFinal.end()) {
         return status == 200;
       }
+      if (this->Draw(3) == 0) {
+        return !this->Withdraw(id);
+      }
     }
     return true;
   }
 
+  // Cancels a job whose submission got no clear answer and may be under way.
+  // Returns true once the cancel is confirmed.
+  bool Withdraw(const std::string& id) {
+    for (int attempt = 0; attempt < kMaxSubmitAttempts; ++attempt) {
+      const int status = this->Call("DELETE", "cancel", id, "").status;
+      if (status == 200 || status == 410) {
+        return true;
+      }
+      this->Pause();
+    }
+    return false;
+  }
+
   nlohmann::json NewJob() {
     nlohmann::json step = {{"count", 2 + this->Draw(6)},
                            {"cpu", 500},
--- a/tests/stand_ins/soak_checks.cc
+++ b/tests/stand_ins/soak_checks.cc
@@ -278,6 +278,10 @@
         run.began_at > cancelled->answered_at + kCancelSlack) {
       violations.push_back(StrCat("cancelled, but started: ", Describe(run)));
     }
+    if (FirstWithStatus(job.cancels, kGone) != nullptr) {
+      violations.push_back(StrCat(
+          "cancelled before it was known, but started: ", Describe(run)));
+    }
   }
   return violations;
 }
--- a/tests/stand_ins/soak_checks.h
+++ b/tests/stand_ins/soak_checks.h
@@ -17,7 +17,8 @@
 std::vector<std::string> FindDoubleRuns(const SoakHistory& history);
 
 // No task starts of a job that no caller submitted, that was refused at every
-// attempt, that was shown as done, or that was cancelled.
+// attempt, that was shown as done, or that was cancelled, also if it was not
+// known then.
 std::vector<std::string> FindUnrequestedRuns(const SoakHistory& history);
 
 // Answers are complete; an accepted job is known, its shown state never goes
--- a/tests/stand_ins/soak_checks_test.cc
+++ b/tests/stand_ins/soak_checks_test.cc
@@ -164,6 +164,14 @@
   ExpectOne(events, Start(11'000, "a", 0, 1), "cancelled, but started");
 }
 
+// A submission that is still under way must not undo a confirmed cancel.
+TEST(SoakChecks, FindsRunsAfterACancelThatPrecedesItsSubmission) {
+  const std::vector<json> events = {IncarnationStart(0, "a"), Job(100, 2),
+                                    Call(120, "submit", 0),
+                                    Call(200, "cancel", 410)};
+  ExpectOne(events, Start(300, "a", 0, 1), "cancelled before it was known");
+}
+
 TEST(SoakChecks, FindsAnAcceptedJobThatIsUnknown) {
   ExpectOne(SoundHistory(), Call(3'400, "show", 410), "accepted job");
 }
