--- a/services/sumacd/job_admission.cc
+++ b/services/sumacd/job_admission.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libraries/base/text.h"
+#include "libraries/log/json_log.h"
 
 namespace sumac::daemon {
 namespace {
@@ -16,6 +17,20 @@
 
 }  // namespace
 
+void LogSubmission(const JobId& job,
+                   const jobs::RequestOrigin& origin,
+                   const fleet::Answer& answer,
+                   std::uint64_t declaration_version) {
+  LogEvent(LogLevel::kInfo,
+           answer.is_ok() ? "job-accepted" : "job-not-accepted",
+           {{"job", job.value()},
+            {"queue", origin.queue.value()},
+            {"customer", origin.customer.value()},
+            {"declaration", declaration_version},
+            {"code", static_cast<int>(answer.code)},
+            {"message", answer.message}});
+}
+
 std::optional<fleet::Answer> JobAdmission::Refuse(
     const JobSubmission& submission,
     std::size_t active_jobs,
--- a/services/sumacd/job_admission.h
+++ b/services/sumacd/job_admission.h
@@ -3,6 +3,7 @@
 #define SERVICES_SUMACD_JOB_ADMISSION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -11,6 +12,7 @@
 #include "libraries/fleet/answer.h"
 #include "libraries/jobs/declaration.h"
 #include "libraries/jobs/job_spec.h"
+#include "libraries/jobs/job_tombstones.h"
 #include "libraries/scheduler/backlog.h"
 #include "libraries/scheduler/customer_shares.h"
 #include "libraries/scheduler/fair_queue_shares.h"
@@ -32,6 +34,13 @@
   const jobs::JobSpec& spec;
 };
 
+// Logs the answer to a submission, with the version of the declaration that
+// decided it.
+void LogSubmission(const JobId& job,
+                   const jobs::RequestOrigin& origin,
+                   const fleet::Answer& answer,
+                   std::uint64_t declaration_version);
+
 // Decides, for the leader, whether a new job is accepted. A job that can't be
 // served is refused at once, with the time after which its caller should retry.
 class JobAdmission {
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -14,6 +14,7 @@
 #include "libraries/codec/cbor_writer.h"
 #include "libraries/log/json_log.h"
 #include "services/sumacd/data_centre_queries.h"
+#include "services/sumacd/job_address.h"
 #include "services/sumacd/job_queries.h"
 #include "services/sumacd/order_gate.h"
 
@@ -35,60 +36,6 @@
 constexpr std::size_t kRenewalsPerBatch = 50;
 constexpr Milliseconds kBatchPause{10};
 
-// The queue and the id of a job, as given by the path of a request, and the
-// customer on whose behalf it was sent. The id is empty if the path names only
-// a queue.
-struct JobAddress {
-  const jobs::QueueDeclaration* queue = nullptr;
-  JobId job;
-  CustomerName customer;
-};
-
-jobs::RequestOrigin OriginOf(const JobAddress& address) {
-  return {address.queue->name, address.customer};
-}
-
-void LogSubmission(const JobId& job,
-                   const jobs::RequestOrigin& origin,
-                   const fleet::Answer& answer,
-                   std::uint64_t declaration_version) {
-  LogEvent(LogLevel::kInfo,
-           answer.is_ok() ? "job-accepted" : "job-not-accepted",
-           {{"job", job.value()},
-            {"queue", origin.queue.value()},
-            {"customer", origin.customer.value()},
-            {"declaration", declaration_version},
-            {"code", static_cast<int>(answer.code)},
-            {"message", answer.message}});
-}
-
-// Resolves the address of a caller's request and decides whether the caller may
-// use it: every request about jobs goes through here.
-template <typename AddressedRequest>
-absl::StatusOr<JobAddress> ResolveJobAddress(const jobs::JobsState& state,
-                                             const AddressedRequest& request) {
-  const jobs::JobsDeclaration& declaration = state.declaration();
-  if (declaration.version() == 0) {
-    return MakeError(ResultCode::kNothingDeclared,
-                     "no declaration is in force yet");
-  }
-  const jobs::QueueDeclaration* queue =
-      declaration.FindByAddress(request.host, request.path);
-  if (queue == nullptr) {
-    return MakeError(ResultCode::kUnknownQueue,
-                     StrCat("no queue at ", request.host, request.path,
-                            " in version ", declaration.version()));
-  }
-  JobAddress address{queue,
-                     JobId(request.path.substr(queue->path_prefix.size()))};
-  address.customer =
-      TRY(jobs::AuthenticateCaller(declaration, *queue, request.credentials));
-  if (const jobs::Job* job = state.FindJob(address.job)) {
-    TRY(jobs::AuthorizeJobAccess(*queue, address.customer, *job));
-  }
-  return address;
-}
-
 }  // namespace
 
 absl::StatusOr<std::unique_ptr<JobController>> JobController::Create(
@@ -497,7 +444,8 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::SubmitAt& request) {
-  const auto address = ResolveJobAddress(this->jobs_state, request);
+  const auto address = ResolveJobAddress(this->jobs_state, request.host,
+                                         request.path, request.credentials);
   if (!address.ok()) {
     return this->RefuseAddress(address.status());
   }
@@ -511,9 +459,9 @@
     // would double the work.
     return fleet::Answer::Success("accepted before");
   }
-  if (auto refusal = this->jobs_state.RefuseIfCancelled(address->job,
-                                                        OriginOf(*address))) {
-    LogSubmission(address->job, OriginOf(*address), *refusal,
+  if (auto refusal =
+          this->jobs_state.RefuseIfCancelled(address->job, address->origin())) {
+    LogSubmission(address->job, address->origin(), *refusal,
                   this->jobs_state.declaration().version());
     return *std::move(refusal);
   }
@@ -543,7 +491,7 @@
           this->admission.WaitingTimeOf(address->job, now), address->customer,
           this->admission.CountShare(submission, *this->scheduler, now)})
       .then([this, job = address->job,
-             origin = OriginOf(*address)](fleet::Answer&& answer) {
+             origin = address->origin()](fleet::Answer&& answer) {
         LogSubmission(job, origin, answer,
                       this->jobs_state.declaration().version());
         return kj::mv(answer);
@@ -554,7 +502,8 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::ShowAt& request) {
-  const auto address = ResolveJobAddress(this->jobs_state, request);
+  const auto address = ResolveJobAddress(this->jobs_state, request.host,
+                                         request.path, request.credentials);
   if (!address.ok()) {
     return this->RefuseAddress(address.status());
   }
@@ -574,7 +523,8 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::CancelAt& request) {
-  const auto address = ResolveJobAddress(this->jobs_state, request);
+  const auto address = ResolveJobAddress(this->jobs_state, request.host,
+                                         request.path, request.credentials);
   if (!address.ok()) {
     return this->RefuseAddress(address.status());
   }
