Tests: Let some of the soak's callers leave early

One submission in four waits 400 ms instead of 5 s, less than a paused entry needs, and is cancelled at another entry then. The choice has a stream of random numbers of its own, so that a seed's jobs stay the same.

--- a/tests/stand_ins/job_caller_main.cc
+++ b/tests/stand_ins/job_caller_main.cc
@@ -40,12 +40,16 @@
 // answer; a live entry must answer before that.
 constexpr Milliseconds kDeadline{3'000};
 constexpr Milliseconds kCallTimeout{5'000};
+// How long a caller waits that leaves early; less than a suspended entry needs.
+constexpr Milliseconds kShortPatience{400};
 // The number of answers that show a job as ended after which a caller stops
 // asking; more than one, since another entry could still show an older state.
 constexpr int kQueriesAfterEnd = 4;
 // The maximum number of attempts to submit a job that got no clear answer.
 constexpr int kMaxSubmitAttempts = 6;
 constexpr Milliseconds kMaxPause{400};
+// Separates a caller's second stream of random numbers from the first ones.
+constexpr std::uint64_t kOtherStream = 1'000'000'007;
 
 // The options and the log that all threads share.
 struct Load {
@@ -68,6 +72,7 @@
   JobCaller(Load& load, std::uint64_t number)
       : load(load),
         random(load.seed * 1'000 + number),
+        patience(load.seed * 1'000 + number + kOtherStream),
         sessions(load.entries.size()),
         is_lasting(number < 2) {}
 
@@ -110,12 +115,16 @@
     const nlohmann::json job = this->NewJob();
     this->load.log.Add({{"event", "job"}, {"id", id}, {"steps", job["steps"]}});
     for (int attempt = 0; attempt < kMaxSubmitAttempts; ++attempt) {
-      const int status = this->Call("POST", "submit", id, job.dump()).status;
+      const bool leaves_early = this->patience() % 4 == 0;
+      const int status =
+          this->Call("POST", "submit", id, job.dump(),
+                     leaves_early ? kShortPatience : kCallTimeout)
+              .status;
       constexpr std::array kFinal{200, 404, 429, 503};
       if (std::find(kFinal.begin(), kFinal.end(), status) != kFinal.end()) {
         return status == 200;
       }
-      if (this->Draw(3) == 0) {
+      if (leaves_early || this->Draw(3) == 0) {
         return !this->Withdraw(id);
       }
     }
@@ -162,11 +171,12 @@
   Answer Call(const std::string& method,
               const std::string& event,
               const std::string& id,
-              const std::string& body) {
+              const std::string& body,
+              Milliseconds limit = kCallTimeout) {
     const std::size_t entry = this->Draw(this->load.entries.size());
     const SteadyTime began_at = this->load.clock.SteadyNow();
     std::string error;
-    Answer answer = this->TryCall(entry, method, id, body, error);
+    Answer answer = this->TryCall(entry, method, id, body, limit, error);
     const Milliseconds took = this->load.clock.SteadyNow() - began_at;
     this->load.log.Add({{"event", event},
                         {"id", id},
@@ -182,6 +192,7 @@
                  const std::string& method,
                  const std::string& id,
                  const std::string& body,
+                 Milliseconds limit,
                  std::string& error) {
     auto& session = this->sessions[entry];
     try {
@@ -189,8 +200,8 @@
         session = std::make_unique<Poco::Net::HTTPClientSession>(
             Poco::Net::SocketAddress(this->load.entries[entry]));
         session->setKeepAlive(true);
-        session->setTimeout(Poco::Timespan(kCallTimeout.count() * 1'000));
       }
+      session->setTimeout(Poco::Timespan(limit.count() * 1'000));
       const std::string& prefix =
           this->is_lasting ? this->load.lasting_prefix : this->load.prefix;
       Poco::Net::HTTPRequest request(method, prefix + id,
@@ -229,6 +240,9 @@
 
   Load& load;
   std::mt19937_64 random;
+  // Decides which submissions it leaves early; a stream of its own, so that the
+  // jobs of a seed stay the same.
+  std::mt19937_64 patience;
   std::vector<std::unique_ptr<Poco::Net::HTTPClientSession>> sessions;
   // Whether its jobs last until they are cancelled at the end of the load.
   bool is_lasting;
