Jobs: Keep a worker's end from its last confirmation, and bound those of unknown ones

Change: the end is kept from its last confirmation. Beyond 16,384 kept ends, or with an id of over 256 bytes, the end of an unknown worker is refused with 503, code 2016. Those of known workers are always recorded.

--- a/libraries/base/result_code.cc
+++ b/libraries/base/result_code.cc
@@ -122,6 +122,9 @@
     ResultInfo{kDataCentreChanged, "data-centre-changed", 503, kNotARequest,
                "The order about a data centre is old, or another one came "
                "between; nothing was changed; send it again."},
+    ResultInfo{kTooManyEnds, "too-many-ends", 503, kNotARequest,
+               "The worker is unknown and its end is not recorded: too many "
+               "ends are kept; retry after the time given."},
     ResultInfo{kSettingsUnreadable, "settings-unreadable", 0, kNotARequest,
                "A settings or chart file can't be read or is not JSON."},
     ResultInfo{kSettingsInvalid, "settings-invalid", 0, kNotARequest,
--- a/libraries/base/result_code.h
+++ b/libraries/base/result_code.h
@@ -64,6 +64,7 @@
   kStaleReport = 2013,
   kUnknownDataCentre = 2014,
   kDataCentreChanged = 2015,
+  kTooManyEnds = 2016,
 
   kSettingsUnreadable = 3001,
   kSettingsInvalid = 3002,
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -17,6 +17,12 @@
 // few seconds.
 constexpr Milliseconds kMoveRetention{30'000};
 
+// The number of ended workers from which on no end of an unknown one is
+// recorded, and the maximum length of an unknown one's id, in bytes. The ends
+// of known workers are always recorded.
+constexpr std::size_t kMaxEndedWorkers = 16'384;
+constexpr std::size_t kMaxUnknownIdLength = 256;
+
 // The interval between sweeps for cancelled jobs, old moves and ended workers.
 // A sweep scans all of them; at each command this took a tenth of a leader's
 // processor time with 350 workers. The interval is small compared with the
@@ -156,8 +162,14 @@
   return affected;
 }
 
+bool JobsState::HasRoomForEnd(const WorkerId& unknown) const {
+  return unknown.value().size() <= kMaxUnknownIdLength &&
+         (this->own_record.ended_workers.size() < kMaxEndedWorkers ||
+          this->own_record.ended_workers.contains(unknown));
+}
+
 void JobsState::EndIncarnation(const WorkerId& worker, WallTime at) {
-  this->own_record.ended_workers.emplace(worker, at);
+  this->own_record.ended_workers.insert_or_assign(worker, at);
   this->own_record.workers.erase(worker);
 }
 
@@ -262,6 +274,14 @@
       worker->sequence > command.sequence) {
     return fleet::Answer::Success("it was heard of since");
   }
+  if (command.is_over && worker == nullptr &&
+      !this->HasRoomForEnd(command.worker)) {
+    return fleet::Answer{
+        .code = ResultCode::kTooManyEnds,
+        .message =
+            StrCat("no worker ", command.worker.value(), " is known, and ",
+                   this->own_record.ended_workers.size(), " ends are kept")};
+  }
   const WorkerId id = worker == nullptr ? command.worker : worker->id;
   if (worker != nullptr) {
     const auto present = this->current_incarnations.find(worker->name);
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -57,8 +57,8 @@
   std::map<JobId, Job> jobs;
   JobTombstones cancelled_jobs;
   std::map<WorkerId, Worker> workers;
-  // Incarnations of workers that are over, with the time of their end; kept as
-  // long as a late announcement of them may arrive.
+  // Incarnations of workers that are over, with the last time at which their
+  // end was confirmed; kept as long as a late announcement of them may arrive.
   std::map<WorkerId, WallTime> ended_workers;
   std::map<WaveId, Wave> waves;
   // Recent moves; older ones are removed.
@@ -190,6 +190,8 @@
   void DropOldRecords(WallTime now);
   void SweepRecords(WallTime now);
   const Worker* FindIncarnationToForget(const ForgetWorker& command) const;
+  // Returns true if the end of a worker that isn't known may be recorded.
+  bool HasRoomForEnd(const WorkerId& unknown) const;
   void EndIncarnation(const WorkerId& worker, WallTime at);
   void Reindex();
 
