--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -279,7 +279,7 @@
     return fleet::Answer{
         .code = ResultCode::kTooManyEnds,
         .message =
-            StrCat("no worker ", command.worker.value(), " is known, and ",
+            StrCat("no such worker is known, and ",
                    this->own_record.ended_workers.size(), " ends are kept")};
   }
   const WorkerId id = worker == nullptr ? command.worker : worker->id;
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -107,8 +107,8 @@
   std::optional<fleet::Answer> AnswerIfCancelled(const CancelJob& command,
                                                  WallTime now) const;
 
-  // Returns the refusal of a cancel for which there is no room; nothing if its
-  // job is known or it can be recorded.
+  // Returns the refusal of a cancel that would have to be recorded and for
+  // which there is no room; nothing if it may be committed.
   std::optional<fleet::Answer> RefuseCancel(const CancelJob& command,
                                             WallTime now) const;
 
--- a/libraries/jobs/late_requests.h
+++ b/libraries/jobs/late_requests.h
@@ -10,9 +10,8 @@
 // whatever is confirmed is recorded, and the record outlasts every request that
 // may still be under way.
 
-// The maximum time for which a request may be under way: 60 s in a process or
-// on a connection that is suspended, and the maximum deadline of a caller, 30
-// s.
+// The maximum time for which a request may be under way: 60 s in a suspended
+// process or on a broken link, and 30 s, the maximum deadline of a caller.
 inline constexpr Milliseconds kMaxTransitTime{90'000};
 
 // How long the record of an outcome is kept. Until half of that time has passed
--- a/tests/platform/request_handlers_test.cc
+++ b/tests/platform/request_handlers_test.cc
@@ -229,6 +229,23 @@
   EXPECT_EQ(this->Call(kj::HttpMethod::DELETE).status, 410U);
 }
 
+// A cancel that is refused because too many are kept is not taken for done.
+TEST_F(RequestHandlersTest, ARefusedCancelSaysWhenThereMayBeRoom) {
+  this->answer = {.code = ResultCode::kTooManyCancels,
+                  .document = {{"retry_after_ms", 172'400}}};
+  const http::ServerReply reply = this->Call(kj::HttpMethod::DELETE);
+  EXPECT_EQ(reply.status, 429U);
+  EXPECT_EQ(RetryAfter(reply), "173");
+}
+
+TEST_F(RequestHandlersTest, ARefusedSignOffIsNotAnsweredAsDone) {
+  this->answer = {.code = ResultCode::kTooManyEnds};
+  const http::ServerReply reply =
+      this->Control(kj::HttpMethod::DELETE, "/instances/i-1");
+  EXPECT_EQ(reply.status, 503U);
+  EXPECT_EQ(RetryAfter(reply), "1");
+}
+
 TEST_F(RequestHandlersTest, InvalidDocumentsNeverReachTheLeader) {
   for (const char* body : {"", "{", R"({"version":1})",
                            R"({"version":2,"routes":[{}],"services":[]})"}) {
