--- a/review/common-3/poison_main.cc
+++ b/review/common-3/poison_main.cc
@@ -16,8 +16,9 @@
 
 constexpr std::size_t kMinions = 8;
 constexpr int kPoisonJobs = 2;
-// The sound job comes this long after the poison.
-constexpr Milliseconds kSoundDelay{2'700};
+// The sound job comes after this many runs of the poison.
+constexpr int kPoisonRuns = 4;
+constexpr Milliseconds kLongestPoison{15'000};
 // From the rule: a job whose turn has come has nothing running for this long.
 constexpr Milliseconds kIdleTime{3'000};
 constexpr Milliseconds kWatchTime{15'000};
@@ -98,7 +99,12 @@
       return 2;
     }
   }
-  Sleep(kSoundDelay);
+  const Milliseconds deadline = Elapsed() + kLongestPoison;
+  while (has_trouble && minions.front()->failed_ends() < kPoisonRuns &&
+         Elapsed() < deadline) {
+    Sleep(Milliseconds(5));
+  }
+  Sleep(Milliseconds(100));
   if (!Submit(deployment, sound_job, MakeKindJob("500"), record)) {
     return 2;
   }
--- a/review/common-3/rig.cc
+++ b/review/common-3/rig.cc
@@ -379,6 +379,7 @@
                    std::to_string(run) + ": " + how);
   std::uint64_t& settled = this->settled_runs[task];
   settled = std::max(settled, run);
+  this->failed += static_cast<int>(how == "failed");
   this->ends.push_back({++this->last_end, task, run, std::move(how)});
   this->changed.notify_all();
 }
--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -124,6 +124,8 @@
   bool is_up() const { return this->is_alive; }
   std::string id();
   const Settings& description() const { return this->settings; }
+  // Returns how many runs have ended failed in all lives.
+  int failed_ends() const { return this->failed; }
   // Returns the work units that are running now.
   std::set<std::string> RunningTasks();
 
@@ -160,6 +162,7 @@
   Record& record;
   OnStart on_start;
   std::atomic<bool> is_alive = false;
+  std::atomic<int> failed = 0;
   std::mutex mutex;
   std::condition_variable changed;
   int life = 0;
