Platform: Take a 503 about an instance for a refusal

Cause: 503 was read as "unknown", so that each order might still be carried out, and each repetition renewed the doubt. The line in wire_codec_test failed before by reading (any other status gives kUnknown); other 5xx stay unknown.

--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -321,6 +321,8 @@
   EXPECT_EQ(ReadInstanceResult(409, R"({"reason":"wave"})"), kNotInWave);
   EXPECT_EQ(ReadInstanceResult(400, ""), kUnknownInstance);
   EXPECT_EQ(ReadInstanceResult(429, ""), kRefused);
+  // Only a call without an answer may have been carried out.
+  EXPECT_EQ(ReadInstanceResult(503, ""), kRefused);
   EXPECT_EQ(ReadInstanceResult(500, ""), kUnknown);
 }
 
