Maintenance, Scheduler: Give cordons back to tasks that have no other place

Cause: a cordon waits for facts that need not come (a budgeted run leaves, the platform takes the order), and nothing weighs what it holds up. The long-running task of the case has no other place, so it stays, so the instance stays cordoned.

Change: Starvation finds, in one place, the workers that only a precaution keeps from a task that has no other place. Waves give such a cordon back and pause, moves are given up, unless an order may still be carried out. A cordon of which nothing leaves ends by itself. Long-running tasks without another place are stopped for maintenance if the budgets have room for all of them, since they come back. An order that is withdrawn leaves no record for the next leader to wait for (found by the property).

In InstanceOrdersTest one case now has a budget of 0: with 1 its task may be away, so the order is right to come; what it guards is unchanged.

Ruled out: to stop a task whenever its budget allows, without a look at the others there: two tasks with a budget of one would each be away in turn for nothing.

--- a/libraries/jobs/apply_instances.cc
+++ b/libraries/jobs/apply_instances.cc
@@ -42,6 +42,14 @@
     return fleet::Answer::Success("an older step changes nothing");
   }
   maintenance.state = command.state;
+  if (is_withdrawn) {
+    // The next leader has no order to wait for.
+    const auto move = this->own_record.moves.find(command.instance);
+    if (move != this->own_record.moves.end() &&
+        move->second.worker == maintenance.worker) {
+      this->own_record.moves.erase(move);
+    }
+  }
   if (command.state == MaintenanceState::kOrdered) {
     maintenance.worker = command.worker;
     this->own_record.moves[command.instance] =
--- a/libraries/maintenance/capacity_planner.cc
+++ b/libraries/maintenance/capacity_planner.cc
@@ -160,7 +160,8 @@
     ++pool.present;
     pool.load_permille += instance.load_permille;
     needs.Add(instance.service, name);
-    if (instance.budgeted_runs == 0 &&
+    if (instance.budgeted_runs == 0 && !instance.is_needed &&
+        !this->moves.IsPaused(name, now) &&
         this->MayMove(state, name, wall_now, now)) {
       pool.movable.emplace_back(static_cast<std::int64_t>(instance.other_runs),
                                 name);
--- a/libraries/maintenance/maintenance_planner.cc
+++ b/libraries/maintenance/maintenance_planner.cc
@@ -13,6 +13,13 @@
 
 namespace {
 
+// How often an instance that is being drained is given back to tasks that have
+// no other place before the runs there are ended.
+constexpr std::uint32_t kMaxReturnsWhileDraining = 2;
+// The number of orders without an answer after which an instance that a task
+// needs gets no more of them.
+constexpr int kMaxUnansweredWhileNeeded = 2;
+
 // The instances that may be maintained next, by the order in which they are
 // taken. Those of one kind are taken by their load.
 enum class CandidateKind {
@@ -115,8 +122,10 @@
       // while this leader gives no orders yet. The previous leader has drained
       // it, so that it would be the preferred place for new tasks, which the
       // order would then end.
-      this->cordons.try_emplace(name, Cordon{now});
-      if (may_order) {
+      this->AddCordon(name, facts, now);
+      if (auto reason = this->FindOrderReturnReason(name, facts, now)) {
+        this->GiveBack(wave, name, *std::move(reason), now, output);
+      } else if (may_order) {
         this->AdvanceOrdered(wave, name, facts, now, output);
       }
     } else if (instance.state == MaintenanceState::kBegun) {
@@ -125,6 +134,7 @@
         RecordCompletion(wave, name, *std::move(reason), output);
       }
     } else if (instance.state == MaintenanceState::kWaiting) {
+      this->given_back.erase(name);
       const auto known = facts.find(name);
       // NOTE: A wave names instances that exist when it is declared. An
       // instance may be so new that its worker has not announced itself and
@@ -140,6 +150,10 @@
         continue;
       }
       if (this->cordons.contains(name)) {
+        if (auto reason = this->FindReturnReason(name, facts, now)) {
+          this->GiveBack(wave, name, *std::move(reason), now, output);
+          continue;
+        }
         ++in_progress;
       } else if (known != facts.end() && known->second.is_moving) {
         continue;
@@ -163,9 +177,10 @@
       // Only the wave's own limit applies to instances that cost no capacity.
       const std::uint32_t limit =
           kind == CandidateKind::kInUse ? wanted : wave.most_at_once;
-      if (in_progress < limit && !is_early) {
+      if (in_progress < limit && !is_early &&
+          !this->pauses.IsPaused(name, now)) {
         ++in_progress;
-        this->cordons.emplace(name, Cordon{now});
+        this->AddCordon(name, facts, now);
       }
       continue;
     }
@@ -181,6 +196,106 @@
   }
 }
 
+void MaintenancePlanner::AddCordon(
+    const InstanceName& name,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now) {
+  const auto known = facts.find(name);
+  this->cordons.try_emplace(
+      name,
+      Cordon{.since = now,
+             .fewest_runs = known == facts.end() ? 0 : known->second.runs(),
+             .progressed_at = now});
+}
+
+void MaintenancePlanner::GiveBack(const jobs::Wave& wave,
+                                  const InstanceName& name,
+                                  std::string reason,
+                                  SteadyTime now,
+                                  MaintenanceOutput& output) {
+  this->cordons.erase(name);
+  this->own_orders.erase(name);
+  this->open_orders.erase(name);
+  if (wave.instances.at(name).state != MaintenanceState::kWaiting) {
+    output.commands.emplace_back(
+        jobs::RecordMaintenance{wave.id, name, MaintenanceState::kWaiting, {}});
+    if (!this->given_back.insert(name).second) {
+      return;
+    }
+  }
+  this->pauses.Record(name, now);
+  output.cordon_returns.push_back({wave.id, name, std::move(reason)});
+}
+
+std::optional<std::string> MaintenancePlanner::FindReturnReason(
+    const InstanceName& name,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now) {
+  const auto known = facts.find(name);
+  // Once its order has been proposed, the instance is about to be taken down.
+  if (known == facts.end() || this->own_orders.contains(name)) {
+    return std::nullopt;
+  }
+  Cordon& cordon = this->cordons.at(name);
+  if (known->second.runs() < cordon.fewest_runs) {
+    cordon.fewest_runs = known->second.runs();
+    cordon.progressed_at = now;
+  }
+  if (this->IsReady(name, facts, now)) {
+    return this->has_been_fenced && known->second.is_needed
+               ? std::optional<std::string>(
+                     "a later leader gives the orders, and a task needs it")
+               : std::nullopt;
+  }
+  if (known->second.is_needed) {
+    return "a task that has no other place waits for it";
+  }
+  if (known->second.budgeted_runs > 0 &&
+      now - cordon.progressed_at > this->settings.max_drain_time) {
+    return "runs there may not be disrupted, and none of them leaves";
+  }
+  return std::nullopt;
+}
+
+bool MaintenancePlanner::MayOrderBeOpen(const InstanceName& name,
+                                        SteadyTime now) const {
+  const auto found = this->open_orders.find(name);
+  const bool is_known = found != this->open_orders.end();
+  if (is_known && found->second.is_under_way) {
+    return true;
+  }
+  std::optional<SteadyTime> since =
+      is_known ? found->second.unanswered_at : std::nullopt;
+  if (!since && !this->own_orders.contains(name)) {
+    since = this->began_at;
+  }
+  return since && now - *since < this->settings.max_order_delay;
+}
+
+std::optional<std::string> MaintenancePlanner::FindOrderReturnReason(
+    const InstanceName& name,
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now) const {
+  if (this->given_back.contains(name)) {
+    return "its record is not committed yet";
+  }
+  const auto known = facts.find(name);
+  if (known == facts.end() || !known->second.is_needed ||
+      this->MayOrderBeOpen(name, now)) {
+    return std::nullopt;
+  }
+  const auto open = this->open_orders.find(name);
+  const bool was_tried =
+      open != this->open_orders.end() &&
+      (open->second.is_refused || open->second.unanswered_at);
+  if (!was_tried && this->IsReady(name, facts, now) && !this->has_been_fenced) {
+    return std::nullopt;
+  }
+  return was_tried ? "a task that has no other place waits for it, and the "
+                     "platform does not take the order"
+                   : "a task that has no other place waits for it";
+}
+
 // True if a cordoned instance may be taken down: either nothing runs on it, or
 // nothing with a disruption budget runs on it and the time to drain it has
 // passed.
@@ -197,8 +312,13 @@
   }
   // If this leader gave the order, the instance was ready then. Its worker may
   // have ended with the order since, while its runs are still counted.
-  return known->second.other_runs == 0 || this->own_orders.contains(name) ||
-         now - this->cordons.at(name).since > this->settings.max_drain_time;
+  if (known->second.other_runs == 0 || this->own_orders.contains(name) ||
+      now - this->cordons.at(name).since > this->settings.max_drain_time) {
+    return true;
+  }
+  // Tasks that have no other place could keep it from ever being drained.
+  return known->second.is_needed &&
+         this->pauses.CountOf(name) >= kMaxReturnsWhileDraining;
 }
 
 // Gives the order for an instance, and repeats it until there is a definite
@@ -215,6 +335,12 @@
   if (open.is_under_way || now < open.due || !this->IsReady(name, facts, now)) {
     return;
   }
+  const auto known = facts.find(name);
+  if (known != facts.end() && known->second.is_needed &&
+      open.unanswered >= kMaxUnansweredWhileNeeded) {
+    // Each repetition would renew the time in which one may be carried out.
+    return;
+  }
   if (!this->own_orders.contains(name) && !open.unanswered_at) {
     // The previous leader may have given the order already.
     open.unanswered_at = now;
@@ -280,6 +406,9 @@
   OpenOrder& open = this->open_orders[order.instance];
   open.is_under_way = false;
   open.due = now + this->settings.retry;
+  open.is_refused = result == InstanceResult::kRefused;
+  open.unanswered =
+      result == InstanceResult::kUnknown ? open.unanswered + 1 : 0;
   std::vector<jobs::Command> commands;
   const auto record = [&](MaintenanceState next) {
     commands.emplace_back(
@@ -288,6 +417,7 @@
   switch (result) {
     case InstanceResult::kDone: {
       this->cordons.erase(order.instance);
+      this->pauses.Forget(order.instance);
       open.begun_at = now;
       record(MaintenanceState::kBegun);
       const auto wave = state.waves().find(order.wave);
--- a/libraries/maintenance/maintenance_planner.h
+++ b/libraries/maintenance/maintenance_planner.h
@@ -15,6 +15,7 @@
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/resources.h"
+#include "libraries/maintenance/cordon_pauses.h"
 #include "libraries/maintenance/instance_listing.h"
 #include "libraries/maintenance/instance_messages.h"
 
@@ -30,7 +31,8 @@
   // it is back.
   Milliseconds overhead{2'500};
   // The maximum time to wait for the runs on an instance to end by themselves.
-  // Runs that are left are ended with their instance.
+  // Runs that are left are ended with their instance. If a run may not be
+  // ended, and none has left for this time, the cordon is given back.
   Milliseconds max_drain_time{6'000};
   // The maximum time for which an unanswered order may still be carried out.
   Milliseconds max_order_delay{12'000};
@@ -63,6 +65,11 @@
   // True if operators have evacuated the instance's data centre, so that
   // nothing is started there.
   bool is_evacuated = false;
+  // True if a task waits that has no other place. Planned work that makes no
+  // progress gives way to it, unless a start there may be lost.
+  bool is_needed = false;
+
+  std::size_t runs() const { return this->budgeted_runs + this->other_runs; }
 };
 
 // The reason for which the maintenance of an instance counts as over, for the
@@ -73,18 +80,31 @@
   std::string reason;
 };
 
+// A cordon that was given back before the instance was maintained, for the log.
+struct CordonReturn {
+  WaveId wave;
+  InstanceName instance;
+  std::string reason;
+};
+
 struct MaintenanceOutput {
   // Instances on which nothing may be started any more.
   std::set<InstanceName> cordoned;
   std::vector<jobs::Command> commands;
   std::vector<InstanceOrder> orders;
   std::vector<InstanceCompletion> completions;
+  std::vector<CordonReturn> cordon_returns;
 };
 
 // Decides, for the leader, which instances of a maintenance wave are maintained
 // next. It spreads a wave over its time and takes the instances with the least
 // load first. It drains an instance, has the step committed, and then gives the
-// order. Pure.
+// order.
+//
+// A cordon is given back, and taken again after a pause, if an instance can't
+// be drained, or if its order is refused while a task needs the instance that
+// has no other place. It is kept for as long as an order may still be carried
+// out, since whatever starts there may then be lost. Pure.
 class MaintenancePlanner {
  public:
   MaintenancePlanner(MaintenanceSettings settings,
@@ -115,6 +135,9 @@
  private:
   struct Cordon {
     SteadyTime since{};
+    // The smallest number of runs that was seen there, and since when.
+    std::size_t fewest_runs = 0;
+    SteadyTime progressed_at{};
   };
   struct OpenOrder {
     bool is_under_way = false;
@@ -123,6 +146,10 @@
     // unknown. The order may still be carried out until `max_order_delay` after
     // this time.
     std::optional<SteadyTime> unanswered_at;
+    // The number of orders without an answer since the last definite one.
+    int unanswered = 0;
+    // True if the last answer was a refusal for the moment.
+    bool is_refused = false;
     // The time at which the platform last accepted an order.
     SteadyTime begun_at{};
   };
@@ -141,6 +168,27 @@
   bool IsReady(const InstanceName& name,
                const std::map<InstanceName, InstanceFacts>& facts,
                SteadyTime now) const;
+  void AddCordon(const InstanceName& name,
+                 const std::map<InstanceName, InstanceFacts>& facts,
+                 SteadyTime now);
+  void GiveBack(const jobs::Wave& wave,
+                const InstanceName& name,
+                std::string reason,
+                SteadyTime now,
+                MaintenanceOutput& output);
+  // Return why the cordon of an instance that waits for its order, or whose
+  // order is recorded, is to be given back, or nothing if it is kept.
+  std::optional<std::string> FindReturnReason(
+      const InstanceName& name,
+      const std::map<InstanceName, InstanceFacts>& facts,
+      SteadyTime now);
+  std::optional<std::string> FindOrderReturnReason(
+      const InstanceName& name,
+      const std::map<InstanceName, InstanceFacts>& facts,
+      SteadyTime now) const;
+  // Returns true while an order about the instance, also one by the previous
+  // leader, may be carried out without an answer.
+  bool MayOrderBeOpen(const InstanceName& name, SteadyTime now) const;
   void AdvanceOrdered(const jobs::Wave& wave,
                       const InstanceName& name,
                       const std::map<InstanceName, InstanceFacts>& facts,
@@ -166,6 +214,10 @@
   SteadyTime began_at;
   bool has_been_fenced = false;
   std::map<InstanceName, Cordon> cordons;
+  CordonPauses pauses;
+  // Instances whose cordon was given back and whose record doesn't show that
+  // yet.
+  std::set<InstanceName> given_back;
   std::map<InstanceName, OpenOrder> open_orders;
   // Instances for which this leader is the first to give the order.
   std::set<InstanceName> own_orders;
--- a/libraries/maintenance/move_table.cc
+++ b/libraries/maintenance/move_table.cc
@@ -84,6 +84,24 @@
   return move.earlier_record && move.earlier_record->at == record.at;
 }
 
+// Gives up the moves of instances that a task needs, unless an order may be
+// carried out: what starts there would be lost.
+void MoveTable::GiveBackNeeded(
+    const std::map<InstanceName, InstanceFacts>& facts,
+    SteadyTime now) {
+  std::erase_if(this->moves, [&](const auto& item) {
+    const auto& [name, move] = item;
+    const auto known = facts.find(name);
+    const bool is_given_back = known != facts.end() &&
+                               known->second.is_needed && !move.is_accepted &&
+                               !move.is_under_way && !move.is_unanswered;
+    if (is_given_back) {
+      this->pauses.Record(name, now);
+    }
+    return is_given_back;
+  });
+}
+
 void MoveTable::Advance(const jobs::JobsState& state,
                         const std::map<InstanceName, InstanceFacts>& facts,
                         const EvacuatedInstances& evacuated,
@@ -92,6 +110,7 @@
   std::erase_if(this->moves, [&](const auto& item) {
     return this->IsOver(state, facts, evacuated, item.first, item.second, now);
   });
+  this->GiveBackNeeded(facts, now);
   jobs::RecordMoves to_record;
   for (auto& [name, move] : this->moves) {
     output.cordoned.insert(name);
@@ -143,6 +162,7 @@
   move.due = now + this->settings.retry;
   this->window.RecordAnswer(now - move.ordered_at,
                             result == InstanceResult::kRefused, now);
+  move.is_unanswered = move.is_unanswered || result == InstanceResult::kUnknown;
   switch (result) {
     case InstanceResult::kDone:
       move.is_accepted = true;
--- a/libraries/maintenance/move_table.h
+++ b/libraries/maintenance/move_table.h
@@ -12,6 +12,7 @@
 #include "libraries/base/time.h"
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/jobs_state.h"
+#include "libraries/maintenance/cordon_pauses.h"
 #include "libraries/maintenance/evacuated_instances.h"
 #include "libraries/maintenance/instance_messages.h"
 #include "libraries/maintenance/maintenance_planner.h"
@@ -55,6 +56,8 @@
     SteadyTime ordered_at{};
     bool is_accepted = false;
     SteadyTime accepted_at{};
+    // True if an order got no answer, so that it may still be carried out.
+    bool is_unanswered = false;
     SteadyTime due{};
     // The time at which the move's record may be proposed, or proposed again.
     SteadyTime record_due{};
@@ -71,6 +74,11 @@
     return this->moves.contains(name);
   }
   const std::map<InstanceName, Move>& all() const { return this->moves; }
+  // Returns true if a move of the instance was given up a moment ago because a
+  // task needed the instance.
+  bool IsPaused(const InstanceName& name, SteadyTime now) const {
+    return this->pauses.IsPaused(name, now);
+  }
   // True once the platform has refused an order because of a later leader's.
   bool has_been_fenced() const { return this->is_fenced; }
 
@@ -79,7 +87,8 @@
   void Begin(const InstanceName& name, Move move);
 
   // Has each pending move recorded, gives its order, and removes the move once
-  // the instance has arrived or the move is overdue.
+  // the instance has arrived or the move is overdue. A move that hasn't been
+  // ordered also gives way to a task that has no other place.
   void Advance(const jobs::JobsState& state,
                const std::map<InstanceName, InstanceFacts>& facts,
                const EvacuatedInstances& evacuated,
@@ -92,6 +101,8 @@
                                                SteadyTime now);
 
  private:
+  void GiveBackNeeded(const std::map<InstanceName, InstanceFacts>& facts,
+                      SteadyTime now);
   bool HasArrived(const jobs::JobsState& state,
                   const std::map<InstanceName, InstanceFacts>& facts,
                   const InstanceName& name,
@@ -114,6 +125,7 @@
   bool is_fenced = false;
   OrderWindow window;
   std::map<InstanceName, Move> moves;
+  CordonPauses pauses;
 };
 
 // True if the instances of this service's pool are switched off.
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -44,6 +44,7 @@
               this->run_times,
               settings.orders_by_slack,
               settings.full_scan_interval),
+      starvation(state),
       sharing(state),
       placement(this->health),
       stragglers(
@@ -1075,11 +1076,13 @@
   }
 }
 
-void Scheduler::SetCordoned(std::set<InstanceName> instances) {
-  if (instances == this->cordoned) {
+void Scheduler::SetCordoned(std::set<InstanceName> instances,
+                            std::set<InstanceName> returning) {
+  if (instances == this->cordoned && returning == this->returning) {
     return;
   }
   this->cordoned = std::move(instances);
+  this->returning = std::move(returning);
   for (auto& [id, session] : this->workers) {
     this->MarkCordoned(session);
   }
@@ -1144,18 +1147,31 @@
          run->second.percent >= kWholePercent;
 }
 
-bool Scheduler::MayDisrupt(const jobs::TaskId& task, SteadyTime now) const {
-  const jobs::StepSpec* step = this->state.FindStep(task);
-  if (step == nullptr || !step->has_disruption_budget) {
+std::set<InstanceName> Scheduler::NeededInstances() const {
+  std::set<InstanceName> instances;
+  for (const WorkerId& worker : this->starvation.needed()) {
+    const auto session = this->workers.find(worker);
+    if (session != this->workers.end() && session->second.is_cordoned) {
+      instances.insert(session->second.worker().instance);
+    }
+  }
+  return instances;
+}
+
+bool Scheduler::MayDisruptAll(const jobs::StepId& step,
+                              const std::set<std::uint32_t>& tasks,
+                              SteadyTime now) const {
+  const jobs::StepSpec* spec = this->state.FindStep({step, 0});
+  if (spec == nullptr || !spec->has_disruption_budget) {
     return true;
   }
-  std::uint32_t away = 0;
-  for (std::uint32_t index = 0; index < step->count; ++index) {
-    const jobs::TaskId other{task.step, index};
-    away += static_cast<std::uint32_t>(index != task.index &&
-                                       !this->IsConfirmedRunning(other, now));
+  std::size_t away = tasks.size();
+  for (std::uint32_t index = 0; index < spec->count; ++index) {
+    away +=
+        static_cast<std::size_t>(!tasks.contains(index) &&
+                                 !this->IsConfirmedRunning({step, index}, now));
   }
-  return away < step->disruption_budget;
+  return away <= spec->disruption_budget;
 }
 
 // Returns where the tasks of a step are, if their data centres matter.
@@ -1216,12 +1232,49 @@
       for (auto& [key, run] : session.runs()) {
         this->MoveRun(session, run, "its instance is to be taken away", now);
       }
+      if (session.is_returning) {
+        this->InterruptRunsWithoutPlace(session, now);
+      }
     } else if (leaves_evacuated && session.is_evacuated) {
       this->MoveOutOfEvacuated(session, now);
     }
   }
 }
 
+// Stops the long-running tasks that have no place but a worker that comes back
+// soon, once nothing else runs there. All of them are stopped or none: while
+// one has to stay, so does the worker.
+void Scheduler::InterruptRunsWithoutPlace(WorkerSession& session,
+                                          SteadyTime now) {
+  std::map<jobs::StepId, std::set<std::uint32_t>> staying;
+  for (const auto& [key, run] : session.runs()) {
+    const jobs::StepSpec* step = this->state.FindStep(run.task);
+    // A gang would have to start again as a whole.
+    const bool may_wait =
+        step != nullptr && step->is_long_running && !step->is_gang;
+    if (run.phase == RunPhase::kOrdered || !may_wait) {
+      return;
+    }
+    if (run.phase == RunPhase::kRunning) {
+      staying[run.task.step].insert(run.task.index);
+    }
+  }
+  for (const auto& [step, tasks] : staying) {
+    if (!this->MayDisruptAll(step, tasks, now)) {
+      this->RequestStepReports(step, now);
+      return;
+    }
+  }
+  for (auto& [key, run] : session.runs()) {
+    if (run.phase == RunPhase::kRunning) {
+      session.BeginStop(run, now);
+      this->collected_events.Add(
+          "run-evacuated", run.task, run.number, session.worker().id,
+          "its instance is due for maintenance, and it has no other place");
+    }
+  }
+}
+
 // Moves one long-running task off a worker in an evacuated data centre, unless
 // another was moved a moment ago. Otherwise all of them would be between two
 // places at once and compete for the same room.
@@ -1406,6 +1459,7 @@
     }
   }
   unplaced.Sort();
+  this->ReviewStarvation(order, unplaced, now);
   this->ReviewWaiting(order, unplaced, now);
   this->waiting.RemovePlaced(unplaced, wall_now);
 }
@@ -1433,16 +1487,11 @@
   return is_allowed;
 }
 
-// Determines, at intervals, why the most urgent of the waiting steps have no
-// place.
-void Scheduler::ReviewWaiting(const std::vector<DueOccurrence>& due,
-                              const JobNumbers& unplaced,
-                              SteadyTime now) {
-  if (!this->waiting_steps.IsDue(now)) {
-    return;
-  }
-  this->waiting_steps.Begin(now);
-  this->near_wait.DropFinished(this->state);
+// Calls `visit` for each step that is ready and not done of the jobs that wait.
+template <std::invocable<const Scheduler::Candidate&> Visit>
+void Scheduler::VisitWaitingSteps(const std::vector<DueOccurrence>& due,
+                                  const JobNumbers& unplaced,
+                                  Visit visit) {
   for (const DueOccurrence& waiting : due) {
     if (!unplaced.contains(waiting.job->sequence)) {
       continue;
@@ -1451,15 +1500,14 @@
         static_cast<std::uint32_t>(waiting.job->spec.steps.size());
     for (std::uint32_t step = 0; step < steps; ++step) {
       if (!waiting.job->IsStepDone(waiting.occurrence, step) &&
-          waiting.job->IsStepReady(waiting.occurrence, step) &&
-          this->waiting_steps.HasRoom()) {
-        this->ReviewStep({waiting.job, waiting.occurrence, step}, now);
+          waiting.job->IsStepReady(waiting.occurrence, step)) {
+        visit(Candidate{waiting.job, waiting.occurrence, step});
       }
     }
   }
 }
 
-void Scheduler::ReviewStep(const Candidate& candidate, SteadyTime now) {
+std::uint32_t Scheduler::CountWaitingTasks(const Candidate& candidate) const {
   const jobs::Job& job = *candidate.job;
   const jobs::StepId step{job.id, candidate.occurrence, candidate.step};
   std::uint32_t tasks = 0;
@@ -1469,6 +1517,58 @@
     tasks += static_cast<std::uint32_t>(
         NeedsStart(job, task, this->tasks.Find(task)));
   }
+  return tasks;
+}
+
+// Finds, at intervals, the workers that a precaution keeps from tasks that have
+// no other place.
+void Scheduler::ReviewStarvation(const std::vector<DueOccurrence>& due,
+                                 const JobNumbers& unplaced,
+                                 SteadyTime now) {
+  if (!this->starvation.IsDue(now)) {
+    return;
+  }
+  this->starvation.Begin(this->workers, now);
+  if (this->starvation.HasKeptWorkers()) {
+    VisitWaitingSteps(due, unplaced, [&](const Candidate& candidate) {
+      const jobs::Job& job = *candidate.job;
+      const jobs::StepSpec& spec = job.spec.steps[candidate.step];
+      const bool is_within_quota = this->quotas.Allows(
+          this->state.declaration().FindCustomer(job.customer), spec.need,
+          spec.is_gang ? spec.count : 1);
+      if (is_within_quota && !this->MayRunUnseen(job) &&
+          this->CountWaitingTasks(candidate) > 0) {
+        this->starvation.RecordStep(
+            {.job = &job,
+             .task = {{job.id, candidate.occurrence, candidate.step}, 0}},
+            this->placement);
+      }
+    });
+  }
+  this->starvation.End();
+}
+
+// Determines, at intervals, why the most urgent of the waiting steps have no
+// place.
+void Scheduler::ReviewWaiting(const std::vector<DueOccurrence>& due,
+                              const JobNumbers& unplaced,
+                              SteadyTime now) {
+  if (!this->waiting_steps.IsDue(now)) {
+    return;
+  }
+  this->waiting_steps.Begin(now);
+  this->near_wait.DropFinished(this->state);
+  VisitWaitingSteps(due, unplaced, [&](const Candidate& candidate) {
+    if (this->waiting_steps.HasRoom()) {
+      this->ReviewStep(candidate, now);
+    }
+  });
+}
+
+void Scheduler::ReviewStep(const Candidate& candidate, SteadyTime now) {
+  const jobs::Job& job = *candidate.job;
+  const jobs::StepId step{job.id, candidate.occurrence, candidate.step};
+  const std::uint32_t tasks = this->CountWaitingTasks(candidate);
   if (tasks == 0) {
     return;
   }
--- a/libraries/scheduler/scheduler.h
+++ b/libraries/scheduler/scheduler.h
@@ -2,6 +2,7 @@
 #ifndef LIBRARIES_SCHEDULER_SCHEDULER_H_
 #define LIBRARIES_SCHEDULER_SCHEDULER_H_
 
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -37,6 +38,7 @@
 #include "libraries/scheduler/sharing.h"
 #include "libraries/scheduler/start_allowance.h"
 #include "libraries/scheduler/start_forecast.h"
+#include "libraries/scheduler/starvation.h"
 #include "libraries/scheduler/stragglers.h"
 #include "libraries/scheduler/task_table.h"
 #include "libraries/scheduler/unseen_usage.h"
@@ -199,12 +201,24 @@
 
   // Cordons these instances instead of the earlier ones: nothing is started on
   // them, and long-running tasks are moved off them as the disruption budgets
+  // allow. Those in `returning` come back soon after they are taken away, so
+  // tasks that have no other place may wait for that, again as the budgets
   // allow.
-  void SetCordoned(std::set<InstanceName> instances);
-  // Returns true if a planned action may stop the task's run now because the
-  // disruption budget of its step has room for it. Every other task of the step
-  // that no recent report confirms as running counts against the budget.
-  bool MayDisrupt(const jobs::TaskId& task, SteadyTime now) const;
+  void SetCordoned(std::set<InstanceName> instances,
+                   std::set<InstanceName> returning = {});
+  // Returns the cordoned instances that a waiting task needs because it has no
+  // other place.
+  std::set<InstanceName> NeededInstances() const;
+  // Returns true if a planned action may stop the runs of these tasks of one
+  // step now because the step's disruption budget has room for all of them.
+  // Every other task of the step that no recent report confirms as running
+  // counts against the budget.
+  bool MayDisruptAll(const jobs::StepId& step,
+                     const std::set<std::uint32_t>& tasks,
+                     SteadyTime now) const;
+  bool MayDisrupt(const jobs::TaskId& task, SteadyTime now) const {
+    return this->MayDisruptAll(task.step, {task.index}, now);
+  }
 
   // Returns true while some worker fails to answer. The caller should then ask
   // the platform whether the worker's instance is up. Where the loss of a data
@@ -398,6 +412,7 @@
   void SyncEvacuations();
   void HandleCapacityLoss(const CapacityLoss& loss);
   void EvacuateCordoned(SteadyTime now);
+  void InterruptRunsWithoutPlace(WorkerSession& session, SteadyTime now);
   void MoveOutOfEvacuated(WorkerSession& session, SteadyTime now);
   bool MoveRun(WorkerSession& session,
                Run& run,
@@ -410,7 +425,9 @@
   bool HasPlaceElsewhere(const jobs::TaskId& task) const;
   bool IsConfirmedRunning(const jobs::TaskId& task, SteadyTime now) const;
   void MarkCordoned(WorkerSession& session) const {
-    session.is_cordoned = this->cordoned.contains(session.worker().instance);
+    const InstanceName& instance = session.worker().instance;
+    session.is_cordoned = this->cordoned.contains(instance);
+    session.is_returning = this->returning.contains(instance);
   }
   bool IsWanted(const Run& run) const;
   Milliseconds ScaledToRuns(Milliseconds interval) const;
@@ -426,6 +443,14 @@
                SteadyTime now,
                SchedulerOutput& output);
   void StartDue(SteadyTime now, WallTime wall_now, SchedulerOutput& output);
+  template <std::invocable<const Candidate&> Visit>
+  static void VisitWaitingSteps(const std::vector<DueOccurrence>& due,
+                                const JobNumbers& unplaced,
+                                Visit visit);
+  std::uint32_t CountWaitingTasks(const Candidate& candidate) const;
+  void ReviewStarvation(const std::vector<DueOccurrence>& due,
+                        const JobNumbers& unplaced,
+                        SteadyTime now);
   void ReviewWaiting(const std::vector<DueOccurrence>& due,
                      const JobNumbers& unplaced,
                      SteadyTime now);
@@ -492,6 +517,7 @@
   // reported its runs to this leader.
   std::set<ServiceName> services_with_unseen_runs;
   std::set<InstanceName> cordoned;
+  std::set<InstanceName> returning;
   // The evacuated data centres that the sessions' marks are based on.
   std::set<DataCentre> seen_evacuated;
   // The change of the fleet's capacity by evacuations and returns since the
@@ -522,6 +548,7 @@
   StartForecast forecast;
   WaitingTable waiting_steps;
   NearWait near_wait;
+  Starvation starvation;
   WorkerHealth health;
   PlacementAdvice advice;
   Sharing sharing;
--- a/libraries/scheduler/worker_session.h
+++ b/libraries/scheduler/worker_session.h
@@ -234,8 +234,9 @@
   std::uint32_t filler_runs() const { return this->filler_count; }
 
   // Whether nothing may be started there because its instance is to be taken
-  // away.
+  // away, and whether it comes back to the same service soon after.
   bool is_cordoned = false;
+  bool is_returning = false;
   // Whether nothing may be started there because operators have evacuated its
   // data centre.
   bool is_evacuated = false;
--- a/services/sumacd/instance_facts.cc
+++ b/services/sumacd/instance_facts.cc
@@ -42,6 +42,9 @@
         all == 0 ? 0 : (all - session.Room().millicores) * kPermille / all;
     instance.load_permille = std::max(instance.load_permille, load);
   }
+  for (const InstanceName& name : scheduler.NeededInstances()) {
+    facts[name].is_needed = true;
+  }
   return facts;
 }
 
--- a/services/sumacd/instance_manager.cc
+++ b/services/sumacd/instance_manager.cc
@@ -120,8 +120,16 @@
               {"wave", completion.wave.value()},
               {"reason", completion.reason}});
   }
+  for (const maintenance::CordonReturn& given_back : output.cordon_returns) {
+    LogEvent(LogLevel::kWarning, "cordon-given-back",
+             {{"instance", given_back.instance.value()},
+              {"wave", given_back.wave.value()},
+              {"reason", given_back.reason}});
+  }
+  std::set<InstanceName> due_for_maintenance = output.cordoned;
   this->PlanCapacity(facts, output, now);
-  this->scheduler.SetCordoned(std::move(output.cordoned));
+  this->scheduler.SetCordoned(std::move(output.cordoned),
+                              std::move(due_for_maintenance));
   this->Commit(std::move(output.commands));
   for (const maintenance::InstanceOrder& order : output.orders) {
     this->Send(order);
--- a/tests/services/sumacd/instance_orders_test.cc
+++ b/tests/services/sumacd/instance_orders_test.cc
@@ -8,18 +8,10 @@
 // order.
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <map>
-#include <optional>
-#include <set>
+#include <cstdint>
 #include <string>
-#include <utility>
-#include <vector>
 
-#include "libraries/maintenance/capacity_planner.h"
-#include "libraries/maintenance/maintenance_planner.h"
-#include "services/sumacd/instance_facts.h"
-#include "tests/libraries/scheduler/fake_fleet.h"
+#include "tests/services/sumacd/planned_fleet.h"
 
 namespace sumac::daemon {
 namespace {
@@ -29,79 +21,24 @@
 const WaveId kWave("1");
 const InstanceName kDrainedInstance("m0");
 const std::string kDrainedWorker("w0");
-constexpr Milliseconds kPassInterval{50};
 // Longer than the time in which a new leader sends no orders and the time that
 // its first orders take.
 constexpr Milliseconds kTimeOfFirstOrders{5'000};
 
-// Leaders of a fake fleet that run the planners of instances in every step of
-// time. Their orders are recorded and not carried out.
-class InstanceOrdersTest : public testing::Test {
+class InstanceOrdersTest : public testing::Test, protected PlannedFleet {
  protected:
-  InstanceOrdersTest() : fleet(3) {
-    // The pool needs all of its instances, so none is moved.
-    this->demand[ServiceName("previews")].min_instances = 3;
+  InstanceOrdersTest() : PlannedFleet(3) {
     this->fleet.long_running_work = Milliseconds(3'600'000);
-    this->BeginPlanners();
   }
 
-  void BeginPlanners() {
-    this->waves.emplace(maintenance::MaintenanceSettings(), ProcessName("c"),
-                        this->fleet.state.epoch(), this->fleet.now);
-    this->capacity.emplace(maintenance::CapacitySettings(), ProcessName("c"),
-                           this->fleet.state.epoch(), this->fleet.now);
-  }
-
-  // Runs the planners of instances and then the scheduler, in the order of a
-  // leader.
-  void PassTime(Milliseconds time) {
-    for (Milliseconds passed{0}; passed < time; passed += kPassInterval) {
-      this->RunPlanners();
-      this->fleet.PassTime(kPassInterval);
-    }
-  }
-
-  void RunPlanners() {
-    const auto facts = GatherInstanceFacts(*this->fleet.scheduler);
-    maintenance::MaintenanceOutput output = this->waves->Plan(
-        this->fleet.state, facts, {}, this->wall(), this->fleet.now);
-    maintenance::CapacityOutput moves =
-        this->capacity->Plan(this->fleet.state, facts, this->demand,
-                             output.cordoned, this->wall(), this->fleet.now);
-    output.cordoned.merge(moves.cordoned);
-    this->fleet.scheduler->SetCordoned(std::move(output.cordoned));
-    for (jobs::Command& command : output.commands) {
-      this->fleet.Commit(std::move(command));
-    }
-    for (const maintenance::InstanceOrder& order : output.orders) {
-      this->RecordOrder(order);
-    }
-  }
-
-  void RecordOrder(const maintenance::InstanceOrder& order) {
-    for (const auto& [id, worker] : this->fleet.all_workers()) {
-      if (worker.description.instance == order.instance) {
-        this->ended_tasks += worker.running().size();
-      }
-    }
-    this->orders.push_back(order);
-  }
-
-  void ChangeLeader() {
-    this->fleet.ChangeLeader();
-    this->BeginPlanners();
-  }
-
-  WallTime wall() const { return WallTime(this->fleet.now.time_since_epoch()); }
-
-  // Submits three long-running tasks, one for each worker, with a disruption
-  // budget of one.
-  void SubmitLongRunningTasks() {
-    this->fleet.Submit("lasting", jobs::StepSpec{.count = 3,
-                                                 .most_per_worker = 1,
-                                                 .is_long_running = true,
-                                                 .has_disruption_budget = true,
-                                                 .disruption_budget = 1});
+  // Submits three long-running tasks, one for each worker.
+  void SubmitLongRunningTasks(std::uint32_t disruption_budget = 1) {
+    this->fleet.Submit("lasting",
+                       jobs::StepSpec{.count = 3,
+                                      .most_per_worker = 1,
+                                      .is_long_running = true,
+                                      .has_disruption_budget = true,
+                                      .disruption_budget = disruption_budget});
   }
   // Commits an order for the maintenance of the first worker's instance.
   void CommitMaintenanceOfTheFirstWorker() {
@@ -117,15 +54,6 @@
         .running()
         .size();
   }
-
-  scheduler::FakeFleet fleet;
-  std::optional<maintenance::MaintenancePlanner> waves;
-  std::optional<maintenance::CapacityPlanner> capacity;
-  std::map<ServiceName, jobs::ServiceDemand> demand;
-  std::vector<maintenance::InstanceOrder> orders;
-  // The number of tasks that ran on the instances of the orders when these were
-  // given.
-  std::size_t ended_tasks = 0;
 };
 
 TEST_F(InstanceOrdersTest,
@@ -142,12 +70,12 @@
 
 TEST_F(InstanceOrdersTest, ACommittedOrderWaitsForTheTasksOfItsInstance) {
   this->PassTime(Milliseconds(500));
-  this->SubmitLongRunningTasks();
+  this->SubmitLongRunningTasks(0);
   this->PassTime(Milliseconds(2'000));
   ASSERT_EQ(this->CountRunsOfTheFirstWorker(), 1U);
   this->CommitMaintenanceOfTheFirstWorker();
   this->ChangeLeader();
-  // There is no free place elsewhere, so the task can't be moved.
+  // The task may never be away.
   this->PassTime(kTimeOfFirstOrders);
   EXPECT_EQ(this->ended_tasks, 0U);
   EXPECT_TRUE(this->orders.empty());
