--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -50,7 +50,10 @@
   };
   callbacks.after_pump = [self] { self->NotifyViewWaiters(); };
   callbacks.begin_snapshot = [self](LogIndex index) {
-    self->snapshot_writer->Begin(index, self->state().record());
+    self->tasks.add(self->snapshot_writer.Serialize(self->state().record())
+                        .then([self, index](std::string&& bytes) {
+                          self->host->FinishSnapshot(index, std::move(bytes));
+                        }));
   };
   controller->host =
       TRY(ReplicaHost::Create(host, peers, timer, std::move(callbacks)));
@@ -66,14 +69,8 @@
       timer(timer),
       machine(charts),
       tasks(*this) {
-  const kj::Executor& executor = kj::getCurrentThreadExecutor();
-  this->snapshot_writer = std::make_unique<SnapshotWriter>(
-      [this, &executor](LogIndex index, std::string bytes) {
-        executor.executeSync([this, index, &bytes] {
-          this->host->FinishSnapshot(index, std::move(bytes));
-        });
-      });
   if (!settings.platform_address.empty()) {
+    const kj::Executor& executor = kj::getCurrentThreadExecutor();
     this->platform_notifier = std::make_unique<PlatformNotifier>(
         http::PlatformClient(settings.platform_address, kPlatformTimeout),
         [this, &executor](const fleet::RecordPlatformReport& report) {
@@ -254,7 +251,7 @@
 }
 
 void Controller::StopThreads() {
-  this->snapshot_writer->Stop();
+  this->snapshot_writer.Stop();
   if (this->platform_notifier) {
     this->platform_notifier->Stop();
   }
--- a/services/sumacd/controller.h
+++ b/services/sumacd/controller.h
@@ -139,7 +139,7 @@
   std::unique_ptr<ReplicaHost> host;
   fleet::SoftState soft;
   std::unique_ptr<PlatformNotifier> platform_notifier;
-  std::unique_ptr<SnapshotWriter> snapshot_writer;
+  SnapshotWriter snapshot_writer;
 
   Term leading_term;
   SteadyTime last_plan{};
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -71,7 +71,10 @@
   callbacks.after_pump = [self] { self->HandleAppliedCommands(); };
   callbacks.begin_snapshot = [self](LogIndex index) {
     const auto measured = self->load.work_times.Measure(Work::kSnapshot);
-    self->snapshot_writer->Begin(index, self->jobs_state.record());
+    self->tasks.add(self->snapshot_writer.Serialize(self->jobs_state.record())
+                        .then([self, index](std::string&& bytes) {
+                          self->host->FinishSnapshot(index, std::move(bytes));
+                        }));
   };
   controller->host = TRY(ReplicaHost::Create(host, peers, controller->timer,
                                              std::move(callbacks)));
@@ -152,15 +155,7 @@
       create_relay_calls(std::move(create_relay_calls)),
       instance_calls(std::move(instance_calls)),
       jobs_state(std::move(decoder)),
-      tasks(*this) {
-  const kj::Executor& executor = kj::getCurrentThreadExecutor();
-  this->snapshot_writer = std::make_unique<SnapshotWriter>(
-      [this, &executor](LogIndex index, std::string bytes) {
-        executor.executeSync([this, index, &bytes] {
-          this->host->FinishSnapshot(index, std::move(bytes));
-        });
-      });
-}
+      tasks(*this) {}
 
 kj::Promise<void> JobController::Run() {
   this->host->SchedulePump();
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -191,7 +191,7 @@
   maintenance::InstanceCalls instance_calls;
   jobs::JobsState jobs_state;
   std::unique_ptr<ReplicaHost> host;
-  std::unique_ptr<SnapshotWriter> snapshot_writer;
+  SnapshotWriter snapshot_writer;
 
   TermWatch term_watch;
   // The scheduler, from the commit of this leadership's epoch until the
--- a/services/sumacd/snapshot_writer.h
+++ b/services/sumacd/snapshot_writer.h
@@ -2,43 +2,49 @@
 #ifndef SERVICES_SUMACD_SNAPSHOT_WRITER_H_
 #define SERVICES_SUMACD_SNAPSHOT_WRITER_H_
 
-#include <functional>
+#include <kj/async.h>
+
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
 
-#include "libraries/base/names.h"
 #include "libraries/codec/cbor_writer.h"
 
 namespace sumac::daemon {
 
 // Serializes a copy of the state into a snapshot on a separate thread, so that
 // a large state does not block the event loop. One snapshot is made at a time.
+//
+// The thread never waits for the event loop, so the loop's thread may wait for
+// it, also after the loop has stopped.
 class SnapshotWriter {
  public:
-  // Called on the writer's thread when the bytes of the snapshot are ready.
-  using OnReady = std::function<void(LogIndex index, std::string bytes)>;
-
-  explicit SnapshotWriter(OnReady on_ready) : on_ready(std::move(on_ready)) {}
+  SnapshotWriter() = default;
   ~SnapshotWriter() { this->Stop(); }
   SnapshotWriter(const SnapshotWriter&) = delete;
   SnapshotWriter& operator=(const SnapshotWriter&) = delete;
 
-  // Starts a snapshot of the state after log index `index`; `record` is a copy
-  // of that state. Must not be called before the previous snapshot is ready.
+  // Starts to serialize `record` and returns its bytes. Called on the event
+  // loop, and not before the previous snapshot is ready.
   template <Described Record>
-  void Begin(LogIndex index, Record record) {
+  kj::Promise<std::string> Serialize(Record record) {
     this->Stop();
-    this->thread = std::thread([this, index, record = std::move(record)] {
-      this->on_ready(index, ToCbor(record));
-    });
+    auto paf = kj::newPromiseAndCrossThreadFulfiller<std::string>();
+    // A thread's function must not throw when it is destroyed.
+    auto fulfiller =
+        std::make_unique<decltype(paf.fulfiller)>(kj::mv(paf.fulfiller));
+    this->thread = std::thread(
+        [record = std::move(record), fulfiller = std::move(fulfiller)] {
+          (*fulfiller)->fulfill(ToCbor(record));
+        });
+    return kj::mv(paf.promise);
   }
 
-  // Waits until the snapshot in progress, if any, is finished.
+  // Waits until the snapshot in progress, if any, is serialized.
   void Stop();
 
  private:
-  OnReady on_ready;
   std::thread thread;
 };
 
