Scheduler: Lift the quarantine of a worker that a task can't do without

Failures of a job on one worker are put down to the worker, and a job that can run on one worker only can't fail on two.

Change: Starvation counts quarantined workers among those that a precaution keeps from tasks, and the scheduler uses one that is needed.

--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -23,7 +23,9 @@
 
 }  // namespace
 
-void Placement::BeginPass(Sessions& sessions, SteadyTime now) {
+void Placement::BeginPass(Sessions& sessions,
+                          SteadyTime now,
+                          const std::set<WorkerId>& needed) {
   this->now = now;
   this->evacuated.clear();
   for (Pool& pool : this->pools) {
@@ -46,8 +48,9 @@
       continue;
     }
     session.is_slow = this->health.IsSlow(id, now);
-    (this->health.IsQuarantined(id, now) ? pool.quarantined : pool.workers)
-        .push_back(&session);
+    const bool is_kept =
+        this->health.IsQuarantined(id, now) && !needed.contains(id);
+    (is_kept ? pool.quarantined : pool.workers).push_back(&session);
   }
   for (Pool& pool : this->pools) {
     // A pool without a healthy worker uses its quarantined ones.
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -58,8 +58,11 @@
   explicit Placement(const WorkerHealth& health) : health(health) {}
 
   // Begins a planning pass: determines which workers accept work at `now`. The
-  // sessions must outlive the pass.
-  void BeginPass(Sessions& sessions, SteadyTime now);
+  // sessions must outlive the pass. A quarantine does not keep the workers in
+  // `needed` from tasks.
+  void BeginPass(Sessions& sessions,
+                 SteadyTime now,
+                 const std::set<WorkerId>& needed = {});
 
   // Returns false only if no worker of the service can have room for `need`.
   // Checks no single worker, since most waiting tasks find no room anywhere.
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -44,7 +44,7 @@
               this->run_times,
               settings.orders_by_slack,
               settings.full_scan_interval),
-      starvation(state),
+      starvation(state, this->health),
       sharing(state),
       placement(this->health),
       stragglers(
@@ -847,7 +847,7 @@
       now - this->last_census >= this->settings.straggler_interval) {
     this->TakeCensus({}, now);
   }
-  this->placement.BeginPass(this->workers, now);
+  this->placement.BeginPass(this->workers, now, this->starvation.needed());
   this->RemoveSilentWorkers(now, output);
   this->EvacuateCordoned(now);
   this->GiveUpStragglers(now);
@@ -1545,7 +1545,15 @@
       }
     });
   }
+  const std::set<WorkerId> before = this->starvation.needed();
   this->starvation.End();
+  for (const WorkerId& worker : this->starvation.needed()) {
+    if (!before.contains(worker)) {
+      this->collected_events.AddText(
+          "worker-needed", worker.value(), false,
+          "a task that has no other place waits for it");
+    }
+  }
 }
 
 // Determines, at intervals, why the most urgent of the waiting steps have no
--- a/libraries/scheduler/starvation.cc
+++ b/libraries/scheduler/starvation.cc
@@ -9,7 +9,8 @@
   this->reviewed_at = now;
   this->kept.clear();
   for (const auto& [id, session] : sessions) {
-    if (session.is_cordoned && !session.is_evacuated && session.IsUsable(now)) {
+    if (this->IsKept(session, now) && !session.is_evacuated &&
+        session.IsUsable(now)) {
       this->kept.push_back(&session);
     }
   }
@@ -46,7 +47,8 @@
   std::uint32_t missing = step.is_gang ? step.count : 1;
   for (const WorkerSession* session :
        placement.WorkersOf(request.job->service)) {
-    if (this->WillHaveRoom(request, *session) && --missing == 0) {
+    if (!this->IsKept(*session, this->reviewed_at) &&
+        this->WillHaveRoom(request, *session) && --missing == 0) {
       return true;
     }
   }
--- a/libraries/scheduler/starvation.h
+++ b/libraries/scheduler/starvation.h
@@ -11,15 +11,16 @@
 #include "libraries/jobs/jobs_state.h"
 #include "libraries/jobs/task_id.h"
 #include "libraries/scheduler/placement.h"
+#include "libraries/scheduler/worker_health.h"
 #include "libraries/scheduler/worker_session.h"
 
 namespace sumac::scheduler {
 
-// Finds the workers that a precaution keeps from new tasks although a task has
-// no other place. A precaution acts on a guess about the future, a waiting task
-// is there now: after a time the workers that could run it count as needed, and
-// whoever took the precaution has to give way or to show that a start there may
-// be lost. Pure.
+// Finds the workers that a precaution, a cordon or a quarantine, keeps from new
+// tasks although a task has no other place. A precaution acts on a guess about
+// the future, a waiting task is there now: after a time the workers that could
+// run it count as needed, and whoever took the precaution has to give way or to
+// show that a start there may be lost. Pure.
 class Starvation {
  public:
   // The time between reviews.
@@ -29,7 +30,8 @@
   // and for the start.
   static constexpr Milliseconds kPatience{1'250};
 
-  explicit Starvation(const jobs::JobsState& state) : state(state) {}
+  Starvation(const jobs::JobsState& state, const WorkerHealth& health)
+      : state(state), health(health) {}
 
   // Returns true if a review is due.
   bool IsDue(SteadyTime now) const {
@@ -57,12 +59,17 @@
     std::vector<WorkerId> workers;
   };
 
+  bool IsKept(const WorkerSession& session, SteadyTime now) const {
+    return session.is_cordoned ||
+           this->health.IsQuarantined(session.worker().id, now);
+  }
   bool WillHaveRoom(const PlacementRequest& request,
                     const WorkerSession& session) const;
   bool HasOtherPlace(const PlacementRequest& request,
                      const Placement& placement) const;
 
   const jobs::JobsState& state;
+  const WorkerHealth& health;
   SteadyTime reviewed_at{};
   // The workers that only a precaution keeps from new tasks.
   std::vector<const WorkerSession*> kept;
