Scheduler: Limit the wait for near data while half of a service is free

Cause: the wait has no limit but the expected time of a near run, which is the client's estimate until ten runs have ended.

Change: while at least half of the service's capacity is free the wait ends after 2 s. Under load nothing changes.

--- a/libraries/scheduler/near_wait.h
+++ b/libraries/scheduler/near_wait.h
@@ -15,13 +15,20 @@
 // by the platform's terms, and occupies its room for as long. A step therefore
 // waits for the minimum loss of a far run, which is the duration of one near
 // run. Whatever happens then, the loss is at most twice that of a decision with
-// knowledge of the future. Pure.
+// knowledge of the future.
+//
+// Beside a service that is half free a far run delays nobody else, and the
+// platform's rules limit the wait of a job there, so it is short then. Pure.
 class NearWait {
  public:
+  // The longest wait while at least half of the service is free.
+  static constexpr Milliseconds kMaxWaitBesideRoom{2'000};
+
   // Returns true while the step should keep waiting. The wait begins with the
   // first call; `near_run` is how long a task of the step takes near its data.
   bool ShouldWait(const jobs::StepId& step,
                   Milliseconds near_run,
+                  bool is_half_free,
                   SteadyTime now);
 
   // Removes the steps of finished jobs.
--- a/libraries/scheduler/placement.cc
+++ b/libraries/scheduler/placement.cc
@@ -33,6 +33,8 @@
     pool.quarantined.clear();
     pool.trials = 0;
     pool.largest_room = {};
+    pool.capacity_millicores = 0;
+    pool.free_millicores = 0;
     pool.failed_needs.clear();
   }
   for (auto& [id, session] : sessions) {
@@ -60,6 +62,8 @@
     for (const WorkerSession* session : pool.workers) {
       const jobs::Resources room = session->Room();
       jobs::Resources& most = pool.largest_room;
+      pool.capacity_millicores += session->worker().capacity.millicores;
+      pool.free_millicores += room.millicores;
       most.millicores = std::max(most.millicores, room.millicores);
       most.memory_mb = std::max(most.memory_mb, room.memory_mb);
       most.accelerators = std::max(most.accelerators, room.accelerators);
@@ -143,6 +147,12 @@
       [&](const jobs::Resources& other) { return need.Holds(other); });
 }
 
+bool Placement::IsHalfFree(const ServiceName& service) const {
+  const Pool* pool = this->FindPool(service);
+  return pool != nullptr &&
+         2 * pool->free_millicores >= pool->capacity_millicores;
+}
+
 bool Placement::HasTrialCapacity(const ServiceName& service) const {
   const Pool* pool = this->FindPool(service);
   if (pool == nullptr) {
--- a/libraries/scheduler/placement.h
+++ b/libraries/scheduler/placement.h
@@ -3,6 +3,7 @@
 #define LIBRARIES_SCHEDULER_PLACEMENT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -68,6 +69,10 @@
   // Checks no single worker, since most waiting tasks find no room anywhere.
   bool HasRoom(const ServiceName& service, const jobs::Resources& need) const;
 
+  // Returns true if at least half of the processor capacity of the service's
+  // workers that accept work was free when the pass began.
+  bool IsHalfFree(const ServiceName& service) const;
+
   // Returns the best worker for the task, or null if none has room.
   WorkerSession* Choose(const PlacementRequest& request) const;
 
@@ -132,6 +137,9 @@
     // For each resource, the most that any one worker had free at the start of
     // the pass.
     jobs::Resources largest_room;
+    // The processor capacity of all workers, and what of it was free then.
+    std::int64_t capacity_millicores = 0;
+    std::int64_t free_millicores = 0;
     // Needs for which this pass found no room on any worker. Free room only
     // shrinks within a pass, so an equal or larger need finds none either.
     mutable std::vector<jobs::Resources> failed_needs;
--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -1817,7 +1817,8 @@
   // each of them delays other tasks, too.
   return this->placement.CanRunNearData({.job = &job, .task = task}) &&
          this->near_wait.ShouldWait(
-             task.step, this->run_times.Expect(job.queue, step), now);
+             task.step, this->run_times.Expect(job.queue, step),
+             this->placement.IsHalfFree(job.service), now);
 }
 
 // Returns a worker for each member of a gang, all in `rack` if it is not empty;
--- a/tests/libraries/scheduler/near_data_test.cc
+++ b/tests/libraries/scheduler/near_data_test.cc
@@ -64,6 +64,27 @@
   EXPECT_EQ(this->Workers(), std::vector<std::string>{"far"});
 }
 
+// Guards against a job that has nothing running for as long as a client
+// estimated, while most of its service is idle.
+TEST_F(NearDataTest, TheWaitIsShortWhileHalfOfTheServiceIsFree) {
+  this->fleet.AddWorker("far2", "m8", "r2");
+  this->fleet.work = Milliseconds(60'000);
+  this->fleet.Submit("second", {.count = 1,
+                                .need = {.millicores = kWholeWorker},
+                                .estimate = Milliseconds(60'000),
+                                .data_rack = Rack("r1")});
+  this->fleet.PassTime(Milliseconds(1'000));
+  ASSERT_EQ(this->fleet.WorkersOf("second"), std::vector<std::string>{"w0"});
+  this->fleet.Submit("near", {.count = 1,
+                              .need = {.millicores = 1'000},
+                              .estimate = Milliseconds(12'000),
+                              .data_rack = Rack("r1")});
+  this->fleet.PassTime(NearWait::kMaxWaitBesideRoom - Milliseconds(200));
+  EXPECT_TRUE(this->Workers().empty());
+  this->fleet.PassTime(Milliseconds(400));
+  EXPECT_EQ(this->Workers().size(), 1U);
+}
+
 TEST_F(NearDataTest, ATaskDoesNotWaitWhereNoWorkerIsNear) {
   this->SubmitNear("r7");
   this->fleet.PassTime(Milliseconds(200));
