--- a/libraries/replication/quorum.h
+++ b/libraries/replication/quorum.h
@@ -39,6 +39,7 @@
   using Value = std::decay_t<std::invoke_result_t<ValueOf, const NodeId&>>;
   const auto value_of_majority = [&](const std::set<NodeId>& voters) {
     std::vector<Value> values;
+    values.reserve(voters.size());
     for (const NodeId& voter : voters) {
       values.push_back(value_of(voter));
     }
--- a/libraries/replication/replica_log.cc
+++ b/libraries/replication/replica_log.cc
@@ -106,17 +106,16 @@
 }
 
 LogIndex ReplicaLog::MemberSince(const NodeId& node) const {
-  LogIndex since = this->last_index().Next();
-  for (auto position = this->membership_indexes.rbegin();
-       position != this->membership_indexes.rend(); ++position) {
-    if (!this->At(*position).membership.is_member(node)) {
-      return since;
+  bool is_member = this->snapshot_meta.membership.is_member(node);
+  LogIndex since = this->snapshot_meta.index;
+  for (const LogIndex position : this->membership_indexes) {
+    const bool was_member = is_member;
+    is_member = this->At(position).membership.is_member(node);
+    if (!was_member) {
+      since = position;
     }
-    since = *position;
   }
-  return this->snapshot_meta.membership.is_member(node)
-             ? this->snapshot_meta.index
-             : since;
+  return is_member ? since : this->last_index().Next();
 }
 
 const Membership& ReplicaLog::MembershipAt(LogIndex index) const {
--- a/tests/libraries/replication/voter_exchange_test.cc
+++ b/tests/libraries/replication/voter_exchange_test.cc
@@ -343,8 +343,8 @@
   const std::size_t earlier = (group.leader + 2) % kFive;
   const auto plan = [&]() -> std::optional<Membership> {
     for (int check = 0; check < 40; ++check) {
-      if (const auto next = keeper.Check(group.Leader(),
-                                         keeper.HealthOfAll(group.Leader()))) {
+      if (auto next = keeper.Check(group.Leader(),
+                                   keeper.HealthOfAll(group.Leader()))) {
         return next;
       }
       group.cluster.PassTime(Milliseconds(100));
