Scheduler: Interrupt tasks only if no other place will come, and bound the review of starvation

A long-running task was interrupted for its instance's maintenance although the other workers were only full of tasks that end by themselves, so that it could move a moment later; it now waits for that, by the same question as everybody (Starvation::HasOtherPlace). And each waiting step scanned workers, four times a second, while any instance is cordoned: in a rush of thousands that is time of the leader's loop. A step that needs no more than one with another place is settled without a scan.

Test: ATaskIsInterruptedOnlyIfNoOtherPlaceWillCome; the cases and the property of cordon_return_test.cc hold as before. The time saved was not measured.

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -1242,8 +1242,9 @@
 }
 
 // Stops the long-running tasks that have no place but a worker that comes back
-// soon, once nothing else runs there. All of them are stopped or none: while
-// one has to stay, so does the worker.
+// soon, now or when other workers have room again, once nothing else runs
+// there. All of them are stopped or none: while one has to stay, so does the
+// worker.
 void Scheduler::InterruptRunsWithoutPlace(WorkerSession& session,
                                           SteadyTime now) {
   std::map<jobs::StepId, std::set<std::uint32_t>> staying;
@@ -1255,9 +1256,15 @@
     if (run.phase == RunPhase::kOrdered || !may_wait) {
       return;
     }
-    if (run.phase == RunPhase::kRunning) {
-      staying[run.task.step].insert(run.task.index);
+    const jobs::Job* job = this->state.FindJob(run.task.step.job);
+    if (run.phase == RunPhase::kStopping || job == nullptr) {
+      continue;
     }
+    if (this->starvation.HasOtherPlace({.job = job, .task = run.task},
+                                       this->placement)) {
+      return;
+    }
+    staying[run.task.step].insert(run.task.index);
   }
   for (const auto& [step, tasks] : staying) {
     if (!this->MayDisruptAll(step, tasks, now)) {
@@ -1533,15 +1540,18 @@
     VisitWaitingSteps(due, unplaced, [&](const Candidate& candidate) {
       const jobs::Job& job = *candidate.job;
       const jobs::StepSpec& spec = job.spec.steps[candidate.step];
+      const PlacementRequest request{
+          .job = &job,
+          .task = {{job.id, candidate.occurrence, candidate.step}, 0}};
+      if (this->starvation.IsCovered(request)) {
+        return;
+      }
       const bool is_within_quota = this->quotas.Allows(
           this->state.declaration().FindCustomer(job.customer), spec.need,
           spec.is_gang ? spec.count : 1);
       if (is_within_quota && !this->MayRunUnseen(job) &&
           this->CountWaitingTasks(candidate) > 0) {
-        this->starvation.RecordStep(
-            {.job = &job,
-             .task = {{job.id, candidate.occurrence, candidate.step}, 0}},
-            this->placement);
+        this->starvation.RecordStep(request, this->placement);
       }
     });
   }
--- a/libraries/scheduler/starvation.cc
+++ b/libraries/scheduler/starvation.cc
@@ -4,10 +4,20 @@
 #include <algorithm>
 
 namespace sumac::scheduler {
+namespace {
+
+// Returns true if whether the step has a place depends only on its service, its
+// label and its need.
+bool IsPlain(const jobs::StepSpec& step) {
+  return !step.is_gang && step.most_per_worker == 0;
+}
+
+}  // namespace
 
 void Starvation::Begin(const Placement::Sessions& sessions, SteadyTime now) {
   this->reviewed_at = now;
   this->kept.clear();
+  this->covered.clear();
   for (const auto& [id, session] : sessions) {
     if (this->IsKept(session, now) && !session.is_evacuated &&
         session.IsUsable(now)) {
@@ -55,6 +65,19 @@
   return false;
 }
 
+bool Starvation::IsCovered(const PlacementRequest& request) const {
+  const jobs::StepSpec& step = request.step();
+  const auto found =
+      this->covered.find({request.job->service, step.required_label});
+  if (found == this->covered.end() || !IsPlain(step)) {
+    return false;
+  }
+  const jobs::Resources need = Placement::CountedNeed(step);
+  return std::any_of(
+      found->second.begin(), found->second.end(),
+      [&](const jobs::Resources& other) { return other.Holds(need); });
+}
+
 void Starvation::RecordStep(const PlacementRequest& request,
                             const Placement& placement) {
   std::vector<WorkerId> workers;
@@ -64,7 +87,15 @@
       workers.push_back(session->worker().id);
     }
   }
-  if (workers.empty() || this->HasOtherPlace(request, placement)) {
+  if (workers.empty()) {
+    return;
+  }
+  if (this->HasOtherPlace(request, placement)) {
+    const jobs::StepSpec& step = request.step();
+    if (IsPlain(step)) {
+      this->covered[{request.job->service, step.required_label}].push_back(
+          Placement::CountedNeed(step));
+    }
     return;
   }
   Wait& wait =
--- a/libraries/scheduler/starvation.h
+++ b/libraries/scheduler/starvation.h
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "libraries/base/names.h"
@@ -42,12 +44,20 @@
   void Begin(const Placement::Sessions& sessions, SteadyTime now);
   // Returns true if a precaution is in force, so that steps should be recorded.
   bool HasKeptWorkers() const { return !this->kept.empty(); }
+  // Returns true if this review has found another place for a step that needs
+  // as much. In a rush thousands of steps wait, and this settles most of them.
+  bool IsCovered(const PlacementRequest& request) const;
   // Records that tasks of a step wait for a place. Scans the workers of the
   // step's service until one is found that will have room for it.
   void RecordStep(const PlacementRequest& request, const Placement& placement);
   // Ends the review: determines which workers are needed.
   void End();
 
+  // Returns true if a worker that no precaution keeps from tasks will have room
+  // for the task once the runs there that end by themselves have ended.
+  bool HasOtherPlace(const PlacementRequest& request,
+                     const Placement& placement) const;
+
   // The workers that could run a task that has no other place.
   const std::set<WorkerId>& needed() const { return this->needed_workers; }
 
@@ -65,8 +75,6 @@
   }
   bool WillHaveRoom(const PlacementRequest& request,
                     const WorkerSession& session) const;
-  bool HasOtherPlace(const PlacementRequest& request,
-                     const Placement& placement) const;
 
   const jobs::JobsState& state;
   const WorkerHealth& health;
@@ -74,6 +82,9 @@
   // The workers that only a precaution keeps from new tasks.
   std::vector<const WorkerSession*> kept;
   std::map<jobs::StepId, Wait> waits;
+  // By service and label, needs for which this review found another place.
+  std::map<std::pair<ServiceName, std::string>, std::vector<jobs::Resources>>
+      covered;
   std::set<WorkerId> needed_workers;
 };
 
--- a/tests/libraries/scheduler/starvation_test.cc
+++ b/tests/libraries/scheduler/starvation_test.cc
@@ -119,5 +119,31 @@
             std::set<InstanceName>{InstanceName("m-b")});
 }
 
+// Guards against a long-running task that is interrupted for as long as its
+// instance is maintained, although it could move a moment later.
+TEST_F(StarvationTest, ATaskIsInterruptedOnlyIfNoOtherPlaceWillCome) {
+  for (const bool will_come : {true, false}) {
+    FakeFleet busy(2);
+    busy.work = Milliseconds(60'000);
+    busy.long_running_work = Milliseconds(60'000);
+    busy.AddWorker("w-b", "m-b", kLabel);
+    busy.PassTime(Milliseconds(300));
+    busy.Submit("full", {.count = 2,
+                         .need = {.millicores = 8'000},
+                         .required_label = "r1",
+                         .is_long_running = !will_come});
+    busy.PassTime(Milliseconds(300));
+    busy.Submit("lasting", {.need = {.millicores = 1'000},
+                            .is_long_running = true,
+                            .has_disruption_budget = true,
+                            .disruption_budget = 1});
+    busy.PassTime(Milliseconds(1'500));
+    ASSERT_EQ(busy.WorkersOf("lasting"), std::vector<std::string>{"w-b"});
+    busy.scheduler->SetCordoned({InstanceName("m-b")}, {InstanceName("m-b")});
+    busy.PassTime(Milliseconds(1'500));
+    EXPECT_EQ(busy.CountRunning("lasting"), will_come ? 1U : 0U);
+  }
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
