Wire: Check a message once, as a whole, before it is read

Log records and messages had a fixed limit that counts looks as well.

Change: BoundedMessage walks a message once, each object as often as a pointer leads to it, and refuses one whose objects exceed its own size. What it accepts is read without a limit.

Ruled out: a larger limit, which the next second look would exceed; no limit at all, since pointers that share an object make small input large.

--- a/libraries/storage/log_segment.cc
+++ b/libraries/storage/log_segment.cc
@@ -5,12 +5,12 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
-#include <cstring>
 #include <optional>
 
 #include "libraries/base/error.h"
 #include "libraries/base/text.h"
 #include "libraries/base/try.h"
+#include "libraries/wire/bounded_message.h"
 #include "libraries/wire/replication_codec.h"
 
 namespace sumac::storage {
@@ -37,35 +37,34 @@
   }
 };
 
-absl::StatusOr<LogRecord> DecodeBody(std::string_view body) {
-  try {
-    kj::Array<capnp::word> words =
-        kj::heapArray<capnp::word>(body.size() / sizeof(capnp::word));
-    std::memcpy(words.begin(), body.data(), words.size() * sizeof(capnp::word));
-    capnp::FlatArrayMessageReader message(words);
-    const auto reader = message.getRoot<wire::LogRecord>();
-    switch (reader.which()) {
-      case wire::LogRecord::ENTRY:
-        return wire::ReadEntry(reader.getEntry());
-      case wire::LogRecord::HARD_STATE: {
-        replication::HardState state{.term =
-                                         Term(reader.getHardState().getTerm())};
-        const std::string voted_for =
-            wire::ToString(reader.getHardState().getVotedFor());
-        if (!voted_for.empty()) {
-          state.voted_for = replication::NodeId(voted_for);
-        }
-        return state;
+absl::StatusOr<LogRecord> ReadRecord(wire::LogRecord::Reader reader) {
+  switch (reader.which()) {
+    case wire::LogRecord::ENTRY:
+      return wire::ReadEntry(reader.getEntry());
+    case wire::LogRecord::HARD_STATE: {
+      replication::HardState state{.term =
+                                       Term(reader.getHardState().getTerm())};
+      const std::string voted_for =
+          wire::ToString(reader.getHardState().getVotedFor());
+      if (!voted_for.empty()) {
+        state.voted_for = replication::NodeId(voted_for);
       }
-      case wire::LogRecord::TRUNCATE_FROM:
-        return TruncateRecord{LogIndex(reader.getTruncateFrom())};
+      return state;
     }
+    case wire::LogRecord::TRUNCATE_FROM:
+      return TruncateRecord{LogIndex(reader.getTruncateFrom())};
+  }
+  return MakeError(ResultCode::kStorageVersion,
+                   "the record has a kind unknown to this program version");
+}
+
+absl::StatusOr<LogRecord> DecodeBody(std::string_view body) {
+  try {
+    return wire::ReadFlatMessage<wire::LogRecord>(body, ReadRecord);
   } catch (const kj::Exception& exception) {
     return MakeError(ResultCode::kStorageDamaged,
                      exception.getDescription().cStr());
   }
-  return MakeError(ResultCode::kStorageVersion,
-                   "the record has a kind unknown to this program version");
 }
 
 // Returns the body of the record at the start of `bytes`, or nullopt if the
--- a/libraries/storage/snapshot_file.cc
+++ b/libraries/storage/snapshot_file.cc
@@ -4,11 +4,10 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
-#include <cstring>
-
 #include "libraries/base/error.h"
 #include "libraries/base/text.h"
 #include "libraries/storage/log_segment.h"
+#include "libraries/wire/bounded_message.h"
 #include "libraries/wire/replication_codec.h"
 
 namespace sumac::storage {
@@ -55,15 +54,11 @@
                             ": the body fails its checksum"));
   }
   try {
-    kj::Array<capnp::word> words =
-        kj::heapArray<capnp::word>(body.size() / sizeof(capnp::word));
-    std::memcpy(words.begin(), body.data(), words.size() * sizeof(capnp::word));
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = words.size() + 1;
-    capnp::FlatArrayMessageReader message(words, options);
-    const auto file = message.getRoot<wire::SnapshotFile>();
-    return replication::Snapshot{wire::ReadSnapshotMeta(file.getMeta()),
-                                 wire::ToString(file.getState())};
+    return wire::ReadFlatMessage<wire::SnapshotFile>(
+        body, [](wire::SnapshotFile::Reader file) {
+          return replication::Snapshot{wire::ReadSnapshotMeta(file.getMeta()),
+                                       wire::ToString(file.getState())};
+        });
   } catch (const kj::Exception& exception) {
     return MakeError(ResultCode::kStorageDamaged,
                      StrCat(path, ": ", exception.getDescription().cStr()));
--- a/libraries/wire/replication_codec.cc
+++ b/libraries/wire/replication_codec.cc
@@ -9,7 +9,7 @@
 #include <utility>
 #include <variant>
 
-#include "libraries/base/verify.h"
+#include "libraries/wire/bounded_message.h"
 
 namespace sumac::wire {
 namespace {
@@ -261,8 +261,9 @@
 
 replication::Message UnpackMessage(capnp::Data::Reader bytes) {
   kj::ArrayInputStream stream(bytes);
-  capnp::PackedMessageReader reader(stream);
-  return ReadMessage(reader.getRoot<ReplicaMessage>());
+  capnp::PackedMessageReader source(stream);
+  BoundedMessage message(source);
+  return ReadMessage(message.GetRoot<ReplicaMessage>());
 }
 
 std::string ToString(capnp::Text::Reader text) {
