Storage: Replace a file only by one that was read back

Change: WriteAtomically, the one place that gives a file its name, reads the file back first and compares it. If that fails (code 4006) nothing is replaced and the log goes on.

--- a/libraries/base/result_code.cc
+++ b/libraries/base/result_code.cc
@@ -147,6 +147,9 @@
     ResultInfo{kStorageShort, "storage-short", 0, kNotARequest,
                "A data file could not be opened for want of file descriptors; "
                "nothing was changed and it is tried again."},
+    ResultInfo{kStorageUnreadable, "storage-unreadable", 0, kNotARequest,
+               "What was to be stored can't be read back; what it would have "
+               "replaced stays in use."},
     ResultInfo{kUnreachable, "unreachable", 503, kNotARequest,
                "None of the addresses answered."},
     ResultInfo{kTimeout, "timeout", 504, kNotARequest,
--- a/libraries/base/result_code.h
+++ b/libraries/base/result_code.h
@@ -76,6 +76,7 @@
   kDiskFull = 4003,
   kStorageVersion = 4004,
   kStorageShort = 4005,
+  kStorageUnreadable = 4006,
 
   kUnreachable = 5001,
   kTimeout = 5002,
--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -43,6 +43,9 @@
   LogIndex last_index;
   // The size of the torn tail of an unfinished write, in bytes.
   std::uint64_t torn_bytes = 0;
+  // The number of snapshots that could not be read and that the log made up
+  // for.
+  std::uint64_t unreadable_snapshots = 0;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -52,6 +55,7 @@
     visitor.Field("snapshot_index", self.snapshot_index);
     visitor.Field("last_index", self.last_index);
     visitor.Field("torn_bytes", self.torn_bytes);
+    visitor.Field("unreadable_snapshots", self.unreadable_snapshots);
   }
 };
 
@@ -72,8 +76,11 @@
           ResultCode::kStorageFailed,
           StrCat(path, ": already holds the data of a controller"));
     }
-    return WriteAtomically(disk, path, std::string(kIdentityFile),
-                           ToJson(identity).dump(2));
+    return WriteAtomically(
+        disk, path, std::string(kIdentityFile), ToJson(identity).dump(2),
+        [](const std::string& text, const std::string& name) {
+          return ParseIdentity(text, name).status();
+        });
   }
 
   // Returns true if the folder was created by Format.
@@ -95,9 +102,13 @@
       TRY(disk.SyncFolder(path));
     }
     const std::vector<std::string> names = TRY(disk.List(path));
-    TRY(folder.LoadSnapshot(names));
-    TRY(folder.LoadSegments(names, repair));
+    const std::vector<UnreadableSnapshot> unreadable =
+        TRY(folder.LoadSnapshot(names));
+    const absl::Status loaded = folder.LoadSegments(names, repair);
+    TRY(folder.CheckLogMakesUpFor(unreadable));
+    TRY(loaded);
     if (repair) {
+      TRY(folder.SetAside(unreadable));
       TRY(folder.StartSegment());
     }
     return folder;
@@ -148,6 +159,7 @@
   }
 
   // Stores a snapshot and removes the segments and snapshots that it covers.
+  // After kStorageUnreadable nothing was replaced.
   absl::Status SaveSnapshot(const replication::Snapshot& snapshot) {
     TRY(this->DiscardUnfinished());
     return this->StoreSnapshot(snapshot, false);
@@ -161,16 +173,21 @@
     return StrCat(this->path, "/", name);
   }
 
-  // Writes a file atomically: after a crash it is complete or doesn't exist.
+  // Writes a file atomically: after a crash it is complete or doesn't exist. It
+  // replaces an earlier one only after `check`, which gets the bytes that were
+  // read back and the path, has returned no error.
+  template <typename Check>
   static absl::Status WriteAtomically(DiskType& disk,
                                       const std::string& folder,
                                       const std::string& name,
-                                      std::string_view bytes) {
+                                      std::string_view bytes,
+                                      const Check& check) {
     const std::string target = StrCat(folder, "/", name);
     const std::string temporary = StrCat(target, kTemporarySuffix);
     // Appending to the remains of an interrupted attempt would damage the file.
     TRY(disk.Remove(temporary));
-    const absl::Status written = WriteAndRename(disk, temporary, target, bytes);
+    const absl::Status written =
+        WriteAndRename(disk, temporary, target, bytes, check);
     if (!written.ok()) {
       // The partial file would take up space that the log needs. If the removal
       // fails, the next attempt removes the file.
@@ -180,23 +197,34 @@
     return disk.SyncFolder(folder);
   }
 
+  template <typename Check>
   static absl::Status WriteAndRename(DiskType& disk,
                                      const std::string& temporary,
                                      const std::string& target,
-                                     std::string_view bytes) {
+                                     std::string_view bytes,
+                                     const Check& check) {
     auto file = TRY(disk.OpenForAppend(temporary));
     TRY(file.Append(bytes));
     TRY(file.Sync());
+    const absl::Status readable = check(TRY(disk.Read(temporary)), target);
+    if (!readable.ok()) {
+      return MakeError(ResultCode::kStorageUnreadable,
+                       FromAbsl(readable.message()));
+    }
     return disk.Rename(temporary, target);
   }
 
+  static absl::StatusOr<Identity> ParseIdentity(const std::string& text,
+                                                const std::string& file_path) {
+    const nlohmann::json json =
+        TRY(ParseJson(text, file_path, ResultCode::kStorageDamaged));
+    return FromJson<Identity>(json, file_path, UnknownKeys::kIgnore);
+  }
+
   absl::Status LoadIdentity() {
     const std::string file_path = this->PathOf(kIdentityFile);
     const std::string text = TRY(this->disk->Read(file_path));
-    const nlohmann::json json =
-        TRY(ParseJson(text, file_path, ResultCode::kStorageDamaged));
-    this->stored_identity =
-        TRY(FromJson<Identity>(json, file_path, UnknownKeys::kIgnore));
+    this->stored_identity = TRY(ParseIdentity(text, file_path));
     if (this->stored_identity.format_version > Identity().format_version) {
       return MakeError(ResultCode::kStorageVersion,
                        StrCat(file_path, ": format version ",
@@ -209,16 +237,65 @@
     return absl::OkStatus();
   }
 
-  absl::Status LoadSnapshot(const std::vector<std::string>& names) {
-    for (const std::string& name : names) {
-      if (ParseSnapshotName(name)) {
-        const std::string bytes = TRY(this->disk->Read(this->PathOf(name)));
-        this->start.snapshot = TRY(DecodeSnapshot(bytes, this->PathOf(name)));
+  // A snapshot file that could not be read.
+  struct UnreadableSnapshot {
+    LogIndex index;
+    absl::Status error;
+  };
+
+  // Loads the newest snapshot that can be read. Returns those after it, newest
+  // first.
+  absl::StatusOr<std::vector<UnreadableSnapshot>> LoadSnapshot(
+      const std::vector<std::string>& names) {
+    std::vector<UnreadableSnapshot> unreadable;
+    for (auto name = names.rbegin(); name != names.rend(); ++name) {
+      const auto index = ParseSnapshotName(*name);
+      if (!index) {
+        continue;
+      }
+      absl::StatusOr<replication::Snapshot> snapshot =
+          this->ReadSnapshot(this->PathOf(*name));
+      if (snapshot.ok()) {
+        this->start.snapshot = *std::move(snapshot);
+        break;
       }
+      if (!IsUnreadable(snapshot.status())) {
+        return snapshot.status();
+      }
+      unreadable.push_back({*index, snapshot.status()});
     }
     this->snapshot_index = this->start.snapshot.meta.index;
     this->found.snapshot_index = this->snapshot_index;
-    return absl::OkStatus();
+    this->found.unreadable_snapshots = unreadable.size();
+    return unreadable;
+  }
+
+  absl::StatusOr<replication::Snapshot> ReadSnapshot(
+      const std::string& file_path) {
+    const std::string bytes = TRY(this->disk->Read(file_path));
+    return DecodeSnapshot(bytes, file_path);
+  }
+
+  // Returns the error of the newest unreadable snapshot, unless the log still
+  // holds all that it stood for: a shorter one would forget what this replica
+  // has acknowledged.
+  absl::Status CheckLogMakesUpFor(
+      const std::vector<UnreadableSnapshot>& unreadable) const {
+    if (unreadable.empty() || this->last_written >= unreadable.front().index) {
+      return absl::OkStatus();
+    }
+    return unreadable.front().error;
+  }
+
+  // Renames the snapshots that the log makes up for. Another program that can
+  // read them would take entries after them for those of another history.
+  absl::Status SetAside(const std::vector<UnreadableSnapshot>& unreadable) {
+    for (const UnreadableSnapshot& snapshot : unreadable) {
+      const std::string file_path = this->PathOf(SnapshotName(snapshot.index));
+      TRY(this->disk->Rename(file_path, StrCat(file_path, kUnreadableSuffix)));
+    }
+    return unreadable.empty() ? absl::OkStatus()
+                              : this->disk->SyncFolder(this->path);
   }
 
   absl::Status LoadSegments(const std::vector<std::string>& names,
@@ -310,9 +387,12 @@
   // snapshot.
   absl::Status StoreSnapshot(const replication::Snapshot& snapshot,
                              bool does_replace_log) {
-    TRY(WriteAtomically(*this->disk, this->path,
-                        SnapshotName(snapshot.meta.index),
-                        EncodeSnapshot(snapshot)));
+    TRY(WriteAtomically(
+        *this->disk, this->path, SnapshotName(snapshot.meta.index),
+        EncodeSnapshot(snapshot),
+        [&](const std::string& bytes, const std::string& file_path) {
+          return CheckSameSnapshot(bytes, file_path, snapshot);
+        }));
     this->snapshot_index = snapshot.meta.index;
     this->last_written =
         does_replace_log ? snapshot.meta.index
--- a/libraries/storage/folder_layout.cc
+++ b/libraries/storage/folder_layout.cc
@@ -49,6 +49,13 @@
   return number ? std::optional(LogIndex(*number)) : std::nullopt;
 }
 
+bool IsUnreadable(const absl::Status& status) {
+  const ResultCode code = CodeOf(status);
+  return code == ResultCode::kStorageDamaged ||
+         code == ResultCode::kStorageVersion ||
+         code == ResultCode::kStorageUnreadable;
+}
+
 LoadedLog::LoadedLog(replication::SnapshotMeta initial_snapshot)
     : snapshot(std::move(initial_snapshot)) {}
 
--- a/libraries/storage/folder_layout.h
+++ b/libraries/storage/folder_layout.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "libraries/replication/types.h"
 #include "libraries/storage/log_segment.h"
@@ -16,6 +17,8 @@
 
 inline constexpr std::string_view kIdentityFile = "identity.json";
 inline constexpr std::string_view kTemporarySuffix = ".tmp";
+// The suffix of a file that could not be read and that is kept for operators.
+inline constexpr std::string_view kUnreadableSuffix = ".unreadable";
 
 // Returns the file name of the segment with this sequence number. Names sort by
 // number.
@@ -32,6 +35,10 @@
 // another file.
 std::optional<LogIndex> ParseSnapshotName(std::string_view name);
 
+// Returns true for an error that the stored bytes themselves cause, so that it
+// comes again at each attempt to read them.
+bool IsUnreadable(const absl::Status& status);
+
 // Rebuilds the log from its records, applied in the order of writing.
 class LoadedLog {
  public:
--- a/libraries/storage/log_segment.cc
+++ b/libraries/storage/log_segment.cc
@@ -175,7 +175,9 @@
     }
     absl::StatusOr<LogRecord> record = DecodeBody(*body);
     if (!record.ok()) {
-      return Damaged(path, offset, FromAbsl(record.status().message()));
+      return MakeError(CodeOf(record.status()),
+                       StrCat(path, ": offset ", offset, ": ",
+                              FromAbsl(record.status().message())));
     }
     content.records.push_back(*std::move(record));
     offset += kFrameBytes + body->size();
--- a/libraries/storage/snapshot_file.cc
+++ b/libraries/storage/snapshot_file.cc
@@ -6,6 +6,7 @@
 
 #include "libraries/base/error.h"
 #include "libraries/base/text.h"
+#include "libraries/base/try.h"
 #include "libraries/storage/log_segment.h"
 #include "libraries/wire/bounded_message.h"
 #include "libraries/wire/replication_codec.h"
@@ -65,4 +66,15 @@
   }
 }
 
+absl::Status CheckSameSnapshot(std::string_view bytes,
+                               const std::string& path,
+                               const replication::Snapshot& snapshot) {
+  const replication::Snapshot read = TRY(DecodeSnapshot(bytes, path));
+  if (read.meta != snapshot.meta || read.state != snapshot.state) {
+    return MakeError(ResultCode::kStorageDamaged,
+                     StrCat(path, ": holds another snapshot"));
+  }
+  return absl::OkStatus();
+}
+
 }  // namespace sumac::storage
--- a/libraries/storage/snapshot_file.h
+++ b/libraries/storage/snapshot_file.h
@@ -22,6 +22,11 @@
 absl::StatusOr<replication::Snapshot> DecodeSnapshot(std::string_view bytes,
                                                      const std::string& path);
 
+// Returns an error unless `bytes`, the file at `path`, hold `snapshot`.
+absl::Status CheckSameSnapshot(std::string_view bytes,
+                               const std::string& path,
+                               const replication::Snapshot& snapshot);
+
 }  // namespace sumac::storage
 
 #endif  // LIBRARIES_STORAGE_SNAPSHOT_FILE_H_
--- a/tests/libraries/storage/data_folder_test.cc
+++ b/tests/libraries/storage/data_folder_test.cc
@@ -290,6 +290,96 @@
   EXPECT_TRUE(folder.SaveSnapshot(snapshot).ok());
 }
 
+Snapshot MakeSnapshot(std::uint64_t index) {
+  return {{LogIndex(index), Term(1), {{NodeId("c1.1")}, {}}},
+          "state " + std::to_string(index)};
+}
+
+std::string PathOfSnapshot(std::uint64_t index) {
+  return std::string(kFolder) + "/" + SnapshotName(LogIndex(index));
+}
+
+// Guards against a snapshot that can't be read and has replaced the log that it
+// stands for.
+TEST_F(DataFolderTest, ASnapshotThatCannotBeReadBackReplacesNothing) {
+  Folder folder = this->Open();
+  ASSERT_TRUE(
+      folder.Write(MakeOutput({MakeEntry(1, 1, "a"), MakeEntry(2, 1, "b")}))
+          .ok());
+  const std::size_t files_before = this->disk.files.size();
+  this->disk.damages_reads = true;
+  EXPECT_EQ(CodeOf(folder.SaveSnapshot(MakeSnapshot(2))),
+            ResultCode::kStorageUnreadable);
+  EXPECT_EQ(this->disk.files.size(), files_before);
+  this->disk.damages_reads = false;
+  // The log goes on, and so does the next snapshot.
+  ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(3, 1, "c")})).ok());
+  folder = this->Open();
+  EXPECT_EQ(folder.TakeStartState().entries.size(), 3U);
+  EXPECT_TRUE(folder.SaveSnapshot(MakeSnapshot(3)).ok());
+  EXPECT_EQ(this->Open().TakeStartState().snapshot.state, "state 3");
+}
+
+// Guards against a controller that can't start for one bad file although the
+// log still holds what the file stands for.
+TEST_F(DataFolderTest, TheLogMakesUpForADamagedSnapshot) {
+  Folder folder = this->Open();
+  ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(1, 1, "a")})).ok());
+  ASSERT_TRUE(folder.SaveSnapshot(MakeSnapshot(1)).ok());
+  ASSERT_TRUE(
+      folder.Write(MakeOutput({MakeEntry(2, 1, "b"), MakeEntry(3, 1, "c")}))
+          .ok());
+  const auto before = this->disk.files;
+  ASSERT_TRUE(folder.SaveSnapshot(MakeSnapshot(2)).ok());
+  // The power was lost after the snapshot had its name and before what it
+  // covers was removed.
+  FakeDisk::Content damaged = this->disk.files.at(PathOfSnapshot(2));
+  damaged.bytes.back() = static_cast<char>(~damaged.bytes.back());
+  this->disk.files = before;
+  this->disk.files[PathOfSnapshot(2)] = damaged;
+  for (int start = 0; start < 2; ++start) {
+    Folder again = this->Open();
+    EXPECT_EQ(again.report().unreadable_snapshots, start == 0 ? 1U : 0U);
+    const auto state = again.TakeStartState();
+    EXPECT_EQ(state.snapshot.state, "state 1");
+    ASSERT_EQ(state.entries.size(), 2U);
+    EXPECT_EQ(state.entries.back().payload, "c");
+  }
+  EXPECT_FALSE(this->disk.files.contains(PathOfSnapshot(2)));
+  EXPECT_TRUE(this->disk.files.contains(PathOfSnapshot(2) +
+                                        std::string(kUnreadableSuffix)));
+}
+
+// Guards against a replica that starts with an older state and so forgets what
+// it has acknowledged: the log ends before the damaged snapshot, or is gone.
+TEST_F(DataFolderTest, AnOlderSnapshotAloneIsNotMistakenForTheNewest) {
+  for (const std::uint64_t missing : {1, 2}) {
+    this->disk.files.clear();
+    ASSERT_TRUE(
+        Folder::Format(this->disk, kFolder, Identity{.node = NodeId("c1.1")})
+            .ok());
+    Folder folder = this->Open();
+    ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(1, 1, "a")})).ok());
+    ASSERT_TRUE(folder.SaveSnapshot(MakeSnapshot(1)).ok());
+    const FakeDisk::Content older = this->disk.files.at(PathOfSnapshot(1));
+    ASSERT_TRUE(
+        folder.Write(MakeOutput({MakeEntry(2, 1, "b"), MakeEntry(3, 1, "c")}))
+            .ok());
+    ASSERT_TRUE(folder.SaveSnapshot(MakeSnapshot(3)).ok());
+    if (missing == 2) {
+      ASSERT_TRUE(folder.Write(MakeOutput({MakeEntry(4, 1, "d")})).ok());
+    }
+    this->disk.files[PathOfSnapshot(1)] = older;
+    std::string& newest = this->disk.files.at(PathOfSnapshot(3)).bytes;
+    newest.back() = static_cast<char>(~newest.back());
+    const auto opened = Folder::Open(this->disk, kFolder, {});
+    EXPECT_EQ(CodeOf(opened.status()), ResultCode::kStorageDamaged);
+    EXPECT_NE(opened.status().message().find(PathOfSnapshot(3)),
+              absl::string_view::npos);
+    EXPECT_TRUE(this->disk.files.contains(PathOfSnapshot(3)));
+  }
+}
+
 TEST_F(DataFolderTest, AFailedSyncReturnsStorageFailed) {
   Folder folder = this->Open();
   this->disk.fails_sync = true;
--- a/tests/libraries/storage/fake_disk.h
+++ b/tests/libraries/storage/fake_disk.h
@@ -82,7 +82,11 @@
     if (found == this->files.end()) {
       return MakeError(ResultCode::kStorageFailed, path + ": no such file");
     }
-    return found->second.bytes;
+    std::string bytes = found->second.bytes;
+    if (this->damages_reads && !bytes.empty()) {
+      bytes.back() = static_cast<char>(~bytes.back());
+    }
+    return bytes;
   }
 
   absl::StatusOr<File> OpenForAppend(const std::string& path) {
@@ -150,6 +154,8 @@
   std::map<std::string, Content> files;
   std::size_t room = std::size_t{1} << 40;
   bool fails_sync = false;
+  // True if what is read differs from what was written.
+  bool damages_reads = false;
   // The operations that fail with kDiskFull.
   std::set<DiskOperation> refused;
   // The number of operations that still succeed before the power is lost;
--- a/tests/libraries/storage/power_loss_test.cc
+++ b/tests/libraries/storage/power_loss_test.cc
@@ -227,7 +227,8 @@
 }
 
 // Guards against a snapshot being written behind the remains of an interrupted
-// one because the disk refused to read these.
+// one because the disk refused to read these. Without reading, no snapshot can
+// be told to be whole, so that it replaces nothing.
 TEST_F(PowerLossTest, ASnapshotIsNotAppendedToTheRemainsOfAnother) {
   const Snapshot snapshot = MakeSnapshot(1, 1);
   const std::string remains = std::string(kFolder) + "/" +
@@ -241,6 +242,11 @@
   std::optional<Folder> folder = this->Open();
   ASSERT_TRUE(folder->Write(MakeOutput({MakeEntry(1, 1)})).ok());
   this->disk->refused = {DiskOperation::kRead};
+  EXPECT_EQ(CodeOf(folder->SaveSnapshot(snapshot)), ResultCode::kDiskFull);
+  this->disk->refused.clear();
+  folder = this->Open();
+  ASSERT_TRUE(folder);
+  EXPECT_EQ(folder->TakeStartState().entries, std::vector{MakeEntry(1, 1)});
   ASSERT_TRUE(folder->SaveSnapshot(snapshot).ok());
   EXPECT_EQ(this->Read().snapshot.meta, snapshot.meta);
 }
