Replication: Refuse a command that no record of the log can hold

A record above 64 MiB counts as damage when it is read, and a message above 64 MiB is refused, but nothing kept a command from being larger: it would have been stored by every replica, and none could start again.

Bodies of operators have 4 MiB at most, so no declaration comes near.

ACommandThatNoRecordCanHoldIsRefused failed before (the command was appended).

--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -162,6 +162,10 @@
   if (this->hand_over_to) {
     return MakeError(ResultCode::kNoLeader, "leadership is being handed over");
   }
+  if (payload.size() > kMaxCommandBytes) {
+    return MakeError(ResultCode::kBodyTooLarge,
+                     "the command is larger than an entry of the log");
+  }
   this->AppendOwnEntry(
       Entry{.kind = EntryKind::kCommand, .payload = std::move(payload)}, now);
   return this->log.last_index();
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -47,7 +47,8 @@
   void Receive(Message message, SteadyTime now);
 
   // Appends a command to the log. Returns kNotLeader if this replica does not
-  // lead, and kNoLeader during a hand-over.
+  // lead, kNoLeader during a hand-over, and kBodyTooLarge for a command of more
+  // than kMaxCommandBytes.
   absl::StatusOr<LogIndex> Propose(std::string payload, SteadyTime now);
 
   // Proposes new members; the previous change must be committed. They differ
--- a/libraries/replication/types.h
+++ b/libraries/replication/types.h
@@ -2,6 +2,7 @@
 #ifndef LIBRARIES_REPLICATION_TYPES_H_
 #define LIBRARIES_REPLICATION_TYPES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -66,6 +67,10 @@
   }
 };
 
+// The maximum size of a command, in bytes: one record of the log and one
+// message to another replica must be able to hold it.
+inline constexpr std::size_t kMaxCommandBytes = std::size_t{16} << 20;
+
 // One position of the replicated log.
 struct Entry {
   Term term;
--- a/tests/libraries/replication/replica_test.cc
+++ b/tests/libraries/replication/replica_test.cc
@@ -26,6 +26,18 @@
   EXPECT_EQ(cluster.CheckInvariants(), "");
 }
 
+// Guards against a command that every replica stores and none can read.
+TEST(ReplicaTest, ACommandThatNoRecordCanHoldIsRefused) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  EXPECT_EQ(
+      CodeOf(cluster.Propose(*leader, std::string(kMaxCommandBytes + 1, 'x'))
+                 .status()),
+      ResultCode::kBodyTooLarge);
+  EXPECT_TRUE(cluster.Propose(*leader, "a").ok());
+}
+
 TEST(ReplicaTest, ALeaderThatIsCutOffStopsActingBeforeItsSuccessorStarts) {
   Cluster cluster(3);
   const auto old_leader = cluster.ElectLeader();
--- a/tests/libraries/storage/readable_data_test.cc
+++ b/tests/libraries/storage/readable_data_test.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "libraries/storage/log_segment.h"
@@ -49,6 +50,26 @@
   EXPECT_EQ(read->state, snapshot.state);
 }
 
+// Guards against an entry that is committed and that no record or message can
+// hold.
+TEST(ReadableDataTest, TheLargestCommandIsRead) {
+  const replication::Entry entry{
+      .term = Term(1),
+      .index = LogIndex(1),
+      .payload = std::string(replication::kMaxCommandBytes, '\xff')};
+  const auto read = DecodeSegment(
+      std::string(kSegmentHeader) + EncodeRecord(entry), kPath, false);
+  ASSERT_TRUE(read.ok()) << read.status();
+  EXPECT_TRUE(read->records.front() == LogRecord(entry));
+  const std::string packed = wire::PackMessage(
+      {.from = NodeId("c1.1"),
+       .to = NodeId("c2.1"),
+       .body = replication::AppendRequest{.entries = {entry}}});
+  const auto message = wire::UnpackMessage(wire::ToData(packed));
+  EXPECT_TRUE(std::get<replication::AppendRequest>(message.body).entries ==
+              std::vector{entry});
+}
+
 RC_GTEST_PROP(ReadableDataProperty, SnapshotsAreReadAsTheyWereWritten, ()) {
   const Snapshot snapshot = replication::DrawSnapshot();
   const auto read = DecodeSnapshot(EncodeSnapshot(snapshot), kPath);
