--- a/libraries/fleet/fleet_state.cc
+++ b/libraries/fleet/fleet_state.cc
@@ -22,6 +22,10 @@
 
 }  // namespace
 
+absl::Status FleetState::CheckSnapshot(std::string_view bytes) {
+  return FromCbor<FleetRecord>(bytes, "snapshot").status();
+}
+
 absl::Status FleetState::LoadSnapshot(std::string_view bytes) {
   FleetRecord record = TRY(FromCbor<FleetRecord>(bytes, "snapshot"));
   const Charts* charts = this->state_charts;
--- a/libraries/fleet/fleet_state.h
+++ b/libraries/fleet/fleet_state.h
@@ -80,6 +80,8 @@
 
   // Loads a snapshot that ToSnapshot returned.
   absl::Status LoadSnapshot(std::string_view bytes);
+  // Returns the error that LoadSnapshot would return.
+  static absl::Status CheckSnapshot(std::string_view bytes);
   std::string ToSnapshot() const;
 
   const FleetRecord& record() const { return this->data; }
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -120,6 +120,10 @@
 
   // Replaces the whole state with that of an encoded snapshot.
   absl::Status Load(const std::string& bytes);
+  // Returns the error that Load would return, and changes nothing.
+  absl::Status CheckLoadable(const std::string& bytes) const {
+    return JobsState(this->decoder).Load(bytes);
+  }
   // Returns the whole state as a snapshot stores it.
   const JobsRecord& record() const { return this->own_record; }
 
--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -44,7 +44,8 @@
 
 Replica::Replica(ReplicationSettings initial_settings,
                  StartState start,
-                 SteadyTime now)
+                 SteadyTime now,
+                 SnapshotCheck initial_check)
     : settings(initial_settings),
       own_id(std::move(start.self)),
       hard_state(std::move(start.hard_state)),
@@ -60,6 +61,7 @@
       silence_watch(this->settings.heartbeat_interval,
                     this->settings.election_timeout),
       latest_now(now),
+      check_snapshot(std::move(initial_check)),
       random(start.seed) {
   this->ResetElectionTimer(now);
 }
@@ -223,13 +225,16 @@
   return absl::OkStatus();
 }
 
-SnapshotMeta Replica::Compact(LogIndex index, std::string state) {
+SnapshotMeta Replica::SnapshotMetaAt(LogIndex index) const {
   VERIFY(index <= this->delivered_index);
+  return {index, this->log.TermAt(index), this->log.MembershipAt(index)};
+}
+
+SnapshotMeta Replica::Compact(LogIndex index, std::string state) {
   if (index <= this->log.snapshot().index) {
     return this->log.snapshot();
   }
-  SnapshotMeta meta{index, this->log.TermAt(index),
-                    this->log.MembershipAt(index)};
+  SnapshotMeta meta = this->SnapshotMetaAt(index);
   this->log.CompactTo(meta);
   this->snapshot_state = std::move(state);
   return meta;
@@ -736,15 +741,20 @@
     this->Send(from, answer);
     return;
   }
+  if (this->IsRefused(from, chunk.meta)) {
+    // An answer would make the leader send it again at once.
+    return;
+  }
   if (!this->incoming_snapshot || this->incoming_snapshot->meta != chunk.meta) {
     this->incoming_snapshot = Snapshot{chunk.meta, ""};
   }
   if (chunk.offset == this->incoming_snapshot->state.size()) {
     this->incoming_snapshot->state += chunk.data;
     if (chunk.is_last) {
-      this->InstallIncomingSnapshot();
-      answer.is_installed = true;
-      this->Send(from, answer);
+      answer.is_installed = this->InstallIncomingSnapshot(from);
+      if (answer.is_installed) {
+        this->Send(from, answer);
+      }
       return;
     }
   }
@@ -752,8 +762,22 @@
   this->Send(from, answer);
 }
 
-void Replica::InstallIncomingSnapshot() {
+bool Replica::IsRefused(const NodeId& from, const SnapshotMeta& meta) const {
+  return this->refused_snapshot && this->refused_snapshot->from == from &&
+         this->refused_snapshot->term == this->hard_state.term &&
+         this->refused_snapshot->meta == meta;
+}
+
+// Installs the snapshot that has arrived as a whole. Returns false for one that
+// the host can't load: it replaces nothing.
+bool Replica::InstallIncomingSnapshot(const NodeId& from) {
   const SnapshotMeta meta = this->incoming_snapshot->meta;
+  if (this->check_snapshot &&
+      !this->check_snapshot(*this->incoming_snapshot).ok()) {
+    this->refused_snapshot = RefusedSnapshot{from, this->hard_state.term, meta};
+    this->incoming_snapshot.reset();
+    return false;
+  }
   // NOTE: Entries after the snapshot are kept if they belong to the same
   // history: they may have been acknowledged, and an acknowledged entry must
   // not be lost (Raft, section 7).
@@ -771,6 +795,7 @@
   this->output.does_snapshot_replace_log = !is_same_history;
   this->output.snapshot_to_install = std::move(this->incoming_snapshot);
   this->incoming_snapshot.reset();
+  return true;
 }
 
 void Replica::HandleSnapshotAnswer(const NodeId& from,
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -3,6 +3,7 @@
 #define LIBRARIES_REPLICATION_REPLICA_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <set>
@@ -28,6 +29,9 @@
   std::uint64_t seed = 1;
 };
 
+// Returns an error for a snapshot that the host can't store and load.
+using SnapshotCheck = std::function<absl::Status(const Snapshot& snapshot)>;
+
 // One replica of the log: the Raft algorithm (Ongaro and Ousterhout 2014;
 // pre-vote, leader lease and one-at-a-time membership changes from Ongaro's
 // thesis, 2014, chapters 4, 6 and 9; joint quorums for the exchange of a voter
@@ -36,7 +40,11 @@
 // actions that the host has to carry out, and `now` never decreases.
 class Replica {
  public:
-  Replica(ReplicationSettings settings, StartState start, SteadyTime now);
+  // Without `check_snapshot` every snapshot of a leader is installed.
+  Replica(ReplicationSettings settings,
+          StartState start,
+          SteadyTime now,
+          SnapshotCheck check_snapshot = nullptr);
 
   // Advances the time: sends heartbeats, starts elections, and gives up
   // leadership if no quorum answers.
@@ -62,6 +70,10 @@
   // call while a hand-over is open changes nothing.
   absl::Status HandOver(SteadyTime now);
 
+  // Returns the position of a snapshot of the state after `index`, which must
+  // be delivered and lie after the last snapshot.
+  SnapshotMeta SnapshotMetaAt(LogIndex index) const;
+
   // Drops the log up to `index`. The host has stored `state`, the state
   // machine's state at that position, as a snapshot. Returns the snapshot's
   // position.
@@ -165,7 +177,8 @@
   void HandleSnapshotChunk(const NodeId& from,
                            const SnapshotChunk& chunk,
                            SteadyTime now);
-  void InstallIncomingSnapshot();
+  bool IsRefused(const NodeId& from, const SnapshotMeta& meta) const;
+  bool InstallIncomingSnapshot(const NodeId& from);
   void HandleSnapshotAnswer(const NodeId& from,
                             const SnapshotAnswer& answer,
                             SteadyTime now);
@@ -226,7 +239,16 @@
   bool needs_commit_broadcast = false;
   SteadyTime latest_now;
 
+  // A leader's snapshot that can't be installed.
+  struct RefusedSnapshot {
+    NodeId from;
+    Term term;
+    SnapshotMeta meta;
+  };
+
+  SnapshotCheck check_snapshot;
   std::optional<Snapshot> incoming_snapshot;
+  std::optional<RefusedSnapshot> refused_snapshot;
   std::mt19937_64 random;
   Output output;
 };
--- a/services/sumacd/controller.cc
+++ b/services/sumacd/controller.cc
@@ -45,15 +45,19 @@
   callbacks.load_snapshot = [self](const std::string& state) {
     return self->machine.LoadSnapshot(state);
   };
+  callbacks.check_snapshot = [](const std::string& state) {
+    return fleet::FleetState::CheckSnapshot(state);
+  };
   callbacks.apply = [self](const std::string& payload) {
     return self->Apply(payload);
   };
   callbacks.after_pump = [self] { self->NotifyViewWaiters(); };
   callbacks.begin_snapshot = [self](LogIndex index) {
-    self->tasks.add(self->snapshot_writer.Serialize(self->state().record())
-                        .then([self, index](std::string&& bytes) {
-                          self->host->FinishSnapshot(index, std::move(bytes));
-                        }));
+    self->tasks.add(
+        self->snapshot_writer.Serialize(self->state().record())
+            .then([self, index](absl::StatusOr<std::string>&& bytes) {
+              self->host->FinishSnapshot(index, std::move(bytes));
+            }));
   };
   controller->host =
       TRY(ReplicaHost::Create(host, peers, timer, std::move(callbacks)));
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -65,16 +65,20 @@
     self->has_applied = true;
     return self->jobs_state.Load(state);
   };
+  callbacks.check_snapshot = [self](const std::string& state) {
+    return self->jobs_state.CheckLoadable(state);
+  };
   callbacks.apply = [self](const std::string& payload) {
     return self->Apply(payload);
   };
   callbacks.after_pump = [self] { self->HandleAppliedCommands(); };
   callbacks.begin_snapshot = [self](LogIndex index) {
     const auto measured = self->load.work_times.Measure(Work::kSnapshot);
-    self->tasks.add(self->snapshot_writer.Serialize(self->jobs_state.record())
-                        .then([self, index](std::string&& bytes) {
-                          self->host->FinishSnapshot(index, std::move(bytes));
-                        }));
+    self->tasks.add(
+        self->snapshot_writer.Serialize(self->jobs_state.record())
+            .then([self, index](absl::StatusOr<std::string>&& bytes) {
+              self->host->FinishSnapshot(index, std::move(bytes));
+            }));
   };
   controller->host = TRY(ReplicaHost::Create(host, peers, controller->timer,
                                              std::move(callbacks)));
@@ -88,6 +92,9 @@
   this->metrics.SetGauge("sumac_is_disk_full", [this] {
     return this->host->is_disk_full() ? 1.0 : 0.0;
   });
+  this->metrics.SetCounter("sumac_unreadable_snapshots_total", [this] {
+    return static_cast<double>(this->host->unreadable_snapshots());
+  });
   this->metrics.SetGauge("sumac_epoch", [this] {
     return static_cast<double>(this->jobs_state.epoch().value());
   });
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iterator>
+#include <memory>
 #include <utility>
 
 #include "libraries/base/error.h"
@@ -17,6 +18,7 @@
 #include "libraries/replication/membership_plan.h"
 #include "libraries/replication/send_order.h"
 #include "libraries/storage/posix_disk.h"
+#include "libraries/storage/snapshot_file.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
 
@@ -104,7 +106,10 @@
   start.seed = replication::DrawElectionSeed(start.self);
   host->replica_core = std::make_unique<replication::Replica>(
       ToReplicationSettings(settings.group), std::move(start),
-      host->clock.SteadyNow());
+      host->clock.SteadyNow(),
+      [self = host.get()](const replication::Snapshot& snapshot) {
+        return self->CheckLeaderSnapshot(snapshot);
+      });
   return host;
 }
 
@@ -590,30 +595,67 @@
   this->callbacks.begin_snapshot(this->last_applied);
 }
 
-void ReplicaHost::FinishSnapshot(LogIndex index, std::string bytes) {
-  this->is_snapshot_under_way = false;
+void ReplicaHost::FinishSnapshot(LogIndex index,
+                                 absl::StatusOr<std::string> bytes) {
+  if (!bytes.ok()) {
+    this->is_snapshot_under_way = false;
+    this->RecordUnreadableSnapshot(index, bytes.status());
+    return;
+  }
   if (index <= this->replica_core->snapshot_index()) {
     // A later snapshot from the leader was installed meanwhile.
+    this->is_snapshot_under_way = false;
     return;
   }
-  const replication::SnapshotMeta meta =
-      this->replica_core->Compact(index, bytes);
-  this->tasks.add(
-      this->disk_thread
-          .Run(
-              [this, snapshot = replication::Snapshot{meta, std::move(bytes)}] {
-                return this->store.save_snapshot(snapshot);
-              })
-          .then([meta](const absl::Status& status) {
-            LogEvent(
-                status.ok() ? LogLevel::kInfo : LogLevel::kError, "snapshot",
-                {{"index", meta.index.value()}, {"status", status.ToString()}});
-            // After a temporary shortage the log continues without this
-            // snapshot, and the next one is tried later.
-            if (!status.ok() && !IsTemporaryShortage(status)) {
-              std::_Exit(EXIT_FAILURE);
-            }
-          }));
+  const auto snapshot =
+      std::make_shared<replication::Snapshot>(replication::Snapshot{
+          this->replica_core->SnapshotMetaAt(index), *std::move(bytes)});
+  this->tasks.add(this->disk_thread
+                      .Run([this, snapshot] {
+                        return this->store.save_snapshot(*snapshot);
+                      })
+                      .then([this, snapshot](const absl::Status& status) {
+                        this->HandleSnapshotStored(std::move(*snapshot),
+                                                   status);
+                      }));
+}
+
+void ReplicaHost::HandleSnapshotStored(replication::Snapshot snapshot,
+                                       const absl::Status& status) {
+  this->is_snapshot_under_way = false;
+  const LogIndex index = snapshot.meta.index;
+  LogEvent(status.ok() ? LogLevel::kInfo : LogLevel::kError, "snapshot",
+           {{"index", index.value()}, {"status", status.ToString()}});
+  if (status.ok()) {
+    this->replica_core->Compact(index, std::move(snapshot.state));
+  } else if (CodeOf(status) == ResultCode::kStorageUnreadable) {
+    this->RecordUnreadableSnapshot(index, status);
+  } else if (!IsTemporaryShortage(status)) {
+    std::_Exit(EXIT_FAILURE);
+  }
+  // Without this snapshot the log goes on, and the next one is tried later.
+}
+
+void ReplicaHost::RecordUnreadableSnapshot(LogIndex index,
+                                           const absl::Status& error) {
+  ++this->unreadable_snapshot_count;
+  LogEvent(LogLevel::kError, "snapshot-unreadable",
+           {{"index", index.value()}, {"error", error.ToString()}});
+}
+
+// Returns an error for a leader's snapshot that this process could not load
+// again after a restart.
+absl::Status ReplicaHost::CheckLeaderSnapshot(
+    const replication::Snapshot& snapshot) {
+  absl::Status status = storage::CheckSameSnapshot(
+      storage::EncodeSnapshot(snapshot), "snapshot of the leader", snapshot);
+  if (status.ok()) {
+    status = this->callbacks.check_snapshot(snapshot.state);
+  }
+  if (!status.ok()) {
+    this->RecordUnreadableSnapshot(snapshot.meta.index, status);
+  }
+  return status;
 }
 
 void ReplicaHost::taskFailed(kj::Exception&& exception) {
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -36,12 +36,14 @@
 struct ReplicaCallbacks {
   // Replaces the state with that of a snapshot.
   std::function<absl::Status(const std::string& state)> load_snapshot;
+  // Returns the error that load_snapshot would return, and changes nothing.
+  std::function<absl::Status(const std::string& state)> check_snapshot;
   // Applies one committed command and returns its answer.
   std::function<fleet::Answer(const std::string& payload)> apply;
   // Called at the end of each Pump, in which commands may have been applied.
   std::function<void()> after_pump;
   // Starts to serialize the current state as a snapshot; FinishSnapshot must be
-  // called with the bytes.
+  // called with the bytes, or with an error if they can't be read back.
   std::function<void(LogIndex index)> begin_snapshot;
 };
 
@@ -115,8 +117,9 @@
   // Starts to hand leadership over to another member.
   absl::Status HandOver();
 
-  // Stores a serialized snapshot and drops the log entries that it covers.
-  void FinishSnapshot(LogIndex index, std::string bytes);
+  // Stores a serialized snapshot and then drops the log entries that it covers.
+  // After an error the log is kept.
+  void FinishSnapshot(LogIndex index, absl::StatusOr<std::string> bytes);
 
   const replication::Replica& replica() const { return *this->replica_core; }
   // Returns the process of the last known leader; empty if unknown.
@@ -125,6 +128,11 @@
   fleet::Answer NotLeaderAnswer() const;
   LogIndex applied_index() const { return this->last_applied; }
   bool is_disk_full() const { return this->has_full_disk; }
+  // Returns the number of snapshots, own ones and those of leaders, that could
+  // not be read and therefore replaced nothing.
+  std::uint64_t unreadable_snapshots() const {
+    return this->unreadable_snapshot_count;
+  }
   // Returns how long the write in progress has taken so far; zero if there is
   // none.
   Milliseconds WriteAge(SteadyTime now) const;
@@ -166,6 +174,10 @@
   void ResolveProposal(const replication::Entry& entry, fleet::Answer answer);
   void FailLostProposals();
   void BeginSnapshotIfDue();
+  void HandleSnapshotStored(replication::Snapshot snapshot,
+                            const absl::Status& status);
+  void RecordUnreadableSnapshot(LogIndex index, const absl::Status& error);
+  absl::Status CheckLeaderSnapshot(const replication::Snapshot& snapshot);
   absl::Status ProposeMembers(const replication::Membership& membership);
 
   ReplicaHostSettings settings;
@@ -194,6 +206,7 @@
   bool is_apply_scheduled = false;
   bool is_snapshot_under_way = false;
   std::uint64_t entries_since_snapshot = 0;
+  std::uint64_t unreadable_snapshot_count = 0;
   LogIndex last_applied;
   std::map<LogIndex, PendingProposal> proposals;
   std::vector<WaitingSender> waiting_senders;
--- a/services/sumacd/snapshot_writer.h
+++ b/services/sumacd/snapshot_writer.h
@@ -9,6 +9,10 @@
 #include <thread>
 #include <utility>
 
+#include "absl/status/statusor.h"
+#include "libraries/base/error.h"
+#include "libraries/base/text.h"
+#include "libraries/codec/cbor_reader.h"
 #include "libraries/codec/cbor_writer.h"
 
 namespace sumac::daemon {
@@ -25,19 +29,21 @@
   SnapshotWriter(const SnapshotWriter&) = delete;
   SnapshotWriter& operator=(const SnapshotWriter&) = delete;
 
-  // Starts to serialize `record` and returns its bytes. Called on the event
-  // loop, and not before the previous snapshot is ready.
+  // Starts to serialize `record` and returns its bytes, or an error if they
+  // can't be read back. Called on the event loop, and not before the previous
+  // snapshot is ready.
   template <Described Record>
-  kj::Promise<std::string> Serialize(Record record) {
+  kj::Promise<absl::StatusOr<std::string>> Serialize(Record record) {
     this->Stop();
-    auto paf = kj::newPromiseAndCrossThreadFulfiller<std::string>();
+    auto paf =
+        kj::newPromiseAndCrossThreadFulfiller<absl::StatusOr<std::string>>();
     // A thread's function must not throw when it is destroyed.
     auto fulfiller =
         std::make_unique<decltype(paf.fulfiller)>(kj::mv(paf.fulfiller));
-    this->thread = std::thread(
-        [record = std::move(record), fulfiller = std::move(fulfiller)] {
-          (*fulfiller)->fulfill(ToCbor(record));
-        });
+    this->thread = std::thread([record = std::move(record),
+                                fulfiller = std::move(fulfiller)]() mutable {
+      (*fulfiller)->fulfill(ToReadableCbor(std::move(record)));
+    });
     return kj::mv(paf.promise);
   }
 
@@ -45,6 +51,18 @@
   void Stop();
 
  private:
+  // Takes the record, so that it is not held beside the one that is read back.
+  template <Described Record>
+  static absl::StatusOr<std::string> ToReadableCbor(Record&& record) {
+    std::string bytes = ToCbor(Record(std::move(record)));
+    const absl::StatusOr<Record> read = FromCbor<Record>(bytes, "snapshot");
+    if (!read.ok()) {
+      return MakeError(ResultCode::kStorageUnreadable,
+                       FromAbsl(read.status().message()));
+    }
+    return bytes;
+  }
+
   std::thread thread;
 };
 
--- a/tests/services/sumacd/replica_host_test.cc
+++ b/tests/services/sumacd/replica_host_test.cc
@@ -6,6 +6,7 @@
 #include <kj/async-io.h>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "libraries/base/error.h"
 #include "libraries/base/kj_time.h"
 #include "libraries/base/text.h"
 #include "libraries/codec/cbor_reader.h"
@@ -57,6 +59,8 @@
 struct Member {
   std::string address;
   std::shared_ptr<SwitchedDisk> disk = std::make_shared<SwitchedDisk>();
+  // True while its snapshots can't be read back.
+  std::atomic<bool> garbles_snapshots = false;
   std::vector<std::string> applied;
   std::unique_ptr<Peers> peers;
   std::unique_ptr<ReplicaHost> host;
@@ -105,6 +109,12 @@
     ASSERT_TRUE(Folder::Format(*member.disk, kFolder, identity).ok());
     auto store = OpenReplicaStore(member.disk, kFolder);
     ASSERT_TRUE(store.ok()) << store.status();
+    store->save_snapshot = [&member, save = store->save_snapshot](
+                               const replication::Snapshot& snapshot) {
+      return member.garbles_snapshots
+                 ? MakeError(ResultCode::kStorageUnreadable, "garbled")
+                 : save(snapshot);
+    };
     member.peers = std::make_unique<Peers>(
         this->network(), this->parts->io.provider->getTimer(), names);
     ReplicaHostSettings settings{.process = ProcessName(member.address)};
@@ -126,6 +136,7 @@
   static ReplicaCallbacks CallbacksOf(Member& member) {
     return ReplicaCallbacks{
         .load_snapshot = [](const std::string&) { return absl::OkStatus(); },
+        .check_snapshot = [](const std::string&) { return absl::OkStatus(); },
         .apply =
             [&member](const std::string& payload) {
               member.applied.push_back(payload);
@@ -265,6 +276,31 @@
   EXPECT_TRUE(leader->host->MayAct());
 }
 
+// Guards against a controller that ends, or drops its log, since a snapshot of
+// its own can't be read back.
+TEST_F(ReplicaHostTest, TheLogGoesOnWithoutASnapshotThatCannotBeReadBack) {
+  Member* leader = this->AwaitLeader();
+  ASSERT_NE(leader, nullptr);
+  ASSERT_TRUE(this->Propose(*leader, "a"));
+  leader->host->FinishSnapshot(
+      leader->host->applied_index(),
+      MakeError(ResultCode::kStorageUnreadable, "no such name"));
+  EXPECT_EQ(leader->host->unreadable_snapshots(), 1U);
+  leader->garbles_snapshots = true;
+  ASSERT_TRUE(this->Propose(*leader, "b"));
+  leader->host->FinishSnapshot(leader->host->applied_index(), "state");
+  ASSERT_TRUE(
+      this->Await([&] { return leader->host->unreadable_snapshots() == 2U; }));
+  EXPECT_EQ(leader->host->replica().snapshot_index(), LogIndex(0));
+  leader->garbles_snapshots = false;
+  ASSERT_TRUE(this->Propose(*leader, "c"));
+  const LogIndex applied = leader->host->applied_index();
+  leader->host->FinishSnapshot(applied, "state");
+  EXPECT_TRUE(this->Await(
+      [&] { return leader->host->replica().snapshot_index() == applied; }));
+  EXPECT_TRUE(leader->host->MayAct());
+}
+
 // While all disks are full nothing is acknowledged. Once there is space again
 // commands are committed, and what was acknowledged survives a loss of power of
 // the whole group.
--- a/tests/services/sumacd/snapshot_writer_test.cc
+++ b/tests/services/sumacd/snapshot_writer_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <kj/async-io.h>
 
+#include <array>
 #include <chrono>
 #include <cstdlib>
 #include <future>
@@ -13,9 +14,33 @@
 #include <string>
 #include <vector>
 
+#include "libraries/base/error.h"
+#include "libraries/codec/describe.h"
+
+namespace sumac {
+
+enum class Colour { kRed, kUnnamed };
+
+template <>
+struct EnumNames<Colour> {
+  static constexpr std::array kNames = {EnumName<Colour>{Colour::kRed, "red"}};
+};
+
+}  // namespace sumac
+
 namespace sumac::daemon {
 namespace {
 
+// A record with a value that can be written and not read.
+struct ColouredRecord {
+  Colour colour = Colour::kRed;
+
+  template <typename Self, typename Visitor>
+  static void Describe(Self& self, Visitor& visitor) {
+    visitor.Required("colour", self.colour);
+  }
+};
+
 struct LargeRecord {
   std::vector<std::string> items;
 
@@ -42,7 +67,7 @@
   AwaitOrAbort(std::async(std::launch::async, [] {
     kj::AsyncIoContext io = kj::setupAsyncIo();
     SnapshotWriter writer;
-    const kj::Promise<std::string> bytes = writer.Serialize(MakeRecord());
+    const auto bytes = writer.Serialize(MakeRecord());
     // The loop does not run any more.
   }));
 }
@@ -50,11 +75,23 @@
 TEST(SnapshotWriterTest, TheBytesAreThoseOfTheRecord) {
   kj::AsyncIoContext io = kj::setupAsyncIo();
   SnapshotWriter writer;
-  const std::string first = writer.Serialize(MakeRecord()).wait(io.waitScope);
-  EXPECT_EQ(first, ToCbor(MakeRecord()));
-  const std::string second =
-      writer.Serialize(LargeRecord{{"one"}}).wait(io.waitScope);
-  EXPECT_EQ(second, ToCbor(LargeRecord{{"one"}}));
+  const auto first = writer.Serialize(MakeRecord()).wait(io.waitScope);
+  ASSERT_TRUE(first.ok()) << first.status();
+  EXPECT_EQ(*first, ToCbor(MakeRecord()));
+  const auto second = writer.Serialize(LargeRecord{{"one"}}).wait(io.waitScope);
+  ASSERT_TRUE(second.ok()) << second.status();
+  EXPECT_EQ(*second, ToCbor(LargeRecord{{"one"}}));
+}
+
+// Guards against a snapshot that replaces the log and can't be loaded.
+TEST(SnapshotWriterTest, ARecordThatCannotBeReadBackIsAnError) {
+  kj::AsyncIoContext io = kj::setupAsyncIo();
+  SnapshotWriter writer;
+  const auto bytes =
+      writer.Serialize(ColouredRecord{Colour::kUnnamed}).wait(io.waitScope);
+  EXPECT_EQ(CodeOf(bytes.status()), ResultCode::kStorageUnreadable);
+  EXPECT_TRUE(
+      writer.Serialize(ColouredRecord{Colour::kRed}).wait(io.waitScope).ok());
 }
 
 }  // namespace
