Log: Keep the last line of a process that ends at once

The same line could be left out by the maximum of lines of one kind per second.

Cause: LogEvent never waits for a reader, and what it buffers is only flushed by the event loop, which an ending process no longer runs.

Change: LogLastEvent writes the buffer and one more line past the maximum, and waits for the reader for at most 250 ms each; EndProcess does so and ends with EXIT_FAILURE. It takes the writer's lock with the same limit and doesn't go through log4cxx, so that an end inside the log can't wait for itself. Neither is called by the controller's storage yet.

--- a/libraries/log/bounded_writer.cc
+++ b/libraries/log/bounded_writer.cc
@@ -14,9 +14,10 @@
 // NOTE: A pipe that poll(2) reports as writable accepts PIPE_BUF bytes without
 // blocking (POSIX, write). Making the descriptor non-blocking instead would
 // change it for every process that shares it.
-bool BoundedWriter::IsWritable() const {
+bool BoundedWriter::IsWritable(Milliseconds max_wait) const {
   pollfd polled{.fd = this->descriptor, .events = POLLOUT, .revents = 0};
-  return ::poll(&polled, 1, 0) == 1 && (polled.revents & POLLOUT) != 0;
+  return ::poll(&polled, 1, static_cast<int>(max_wait.count())) == 1 &&
+         (polled.revents & POLLOUT) != 0;
 }
 
 bool BoundedWriter::WriteLine(const std::string& line) {
@@ -35,7 +36,7 @@
 }
 
 void BoundedWriter::Flush() {
-  while (!this->lines.empty() && this->IsWritable()) {
+  while (!this->lines.empty() && this->IsWritable(Milliseconds(0))) {
     const std::string& first = this->lines.front();
     const std::size_t piece =
         std::min<std::size_t>(first.size() - this->first_offset, PIPE_BUF);
@@ -62,6 +63,20 @@
   }
 }
 
+bool BoundedWriter::FlushWithin(Milliseconds max_wait) {
+  const SystemClock clock;
+  const SteadyTime deadline = clock.SteadyNow() + max_wait;
+  this->Flush();
+  while (!this->lines.empty()) {
+    const Milliseconds left = deadline - clock.SteadyNow();
+    if (left <= Milliseconds(0) || !this->IsWritable(left)) {
+      return false;
+    }
+    this->Flush();
+  }
+  return true;
+}
+
 std::uint64_t BoundedWriter::TakeDropCount() {
   return std::exchange(this->dropped, 0);
 }
--- a/libraries/log/bounded_writer.h
+++ b/libraries/log/bounded_writer.h
@@ -7,6 +7,8 @@
 #include <deque>
 #include <string>
 
+#include "libraries/base/time.h"
+
 namespace sumac {
 
 // Writes lines to a file descriptor without blocking on a slow reader: lines
@@ -25,13 +27,17 @@
   // Writes as much of the buffer as can be written without blocking.
   void Flush();
 
+  // Writes the buffer, waiting for the reader for at most `max_wait`. Returns
+  // true if nothing is left.
+  bool FlushWithin(Milliseconds max_wait);
+
   // Returns the number of lines dropped since the last call.
   std::uint64_t TakeDropCount();
 
   std::size_t buffered_bytes() const { return this->buffered_byte_count; }
 
  private:
-  bool IsWritable() const;
+  bool IsWritable(Milliseconds max_wait) const;
 
   int descriptor;
   std::size_t max_bytes;
--- a/libraries/log/json_log.cc
+++ b/libraries/log/json_log.cc
@@ -7,6 +7,7 @@
 #include <log4cxx/logmanager.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <memory>
 #include <mutex>
 #include <utility>
@@ -30,6 +31,9 @@
 // The maximum length of a text in a line, in bytes. Some texts come from the
 // senders of requests, and lines that are too long crowd out others.
 constexpr std::size_t kMaxTextBytes = 2'048;
+// The maximum time that a process which is about to end waits for a slow reader
+// of its log, for each of what is buffered and the last line.
+constexpr Milliseconds kMaxLastWait{250};
 constexpr const char* kDropEvent = "log-lines-dropped";
 
 log4cxx::LevelPtr ToLog4cxxLevel(LogLevel level) {
@@ -83,8 +87,20 @@
     return this->writer.TakeDropCount();
   }
 
+  // Writes the buffer and the last line of the process, waiting for the reader
+  // for at most `max_wait`. The line is left out if the writer is held for that
+  // long.
+  void WriteLastLine(const std::string& line, Milliseconds max_wait) {
+    const std::unique_lock lock(this->writer_mutex, max_wait);
+    if (lock.owns_lock()) {
+      this->writer.FlushWithin(max_wait);
+      this->writer.WriteLine(line);
+      this->writer.FlushWithin(max_wait);
+    }
+  }
+
  private:
-  std::mutex writer_mutex;
+  std::timed_mutex writer_mutex;
   BoundedWriter writer;
 };
 
@@ -117,16 +133,21 @@
   return opened < 0 ? STDOUT_FILENO : opened;
 }
 
-void WriteLine(LogLevel level, std::string_view event, nlohmann::json fields) {
-  static const auto kRoot = log4cxx::Logger::getRootLogger();
+std::string FormatLine(LogLevel level,
+                       std::string_view event,
+                       nlohmann::json fields) {
   fields["at"] =
       absl::FormatTime(absl::RFC3339_full, absl::Now(), absl::UTCTimeZone());
   fields["level"] = NameOf(level);
   fields["process"] = State().process;
   fields["event"] = event;
-  kRoot->log(
-      ToLog4cxxLevel(level),
-      fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  return fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void WriteLine(LogLevel level, std::string_view event, nlohmann::json fields) {
+  static const auto kRoot = log4cxx::Logger::getRootLogger();
+  kRoot->log(ToLog4cxxLevel(level),
+             FormatLine(level, event, std::move(fields)));
 }
 
 // Shortens the texts of a line's fields that are longer than kMaxTextBytes.
@@ -201,6 +222,20 @@
   WriteLine(level, event, std::move(fields));
 }
 
+void LogLastEvent(std::string_view event, nlohmann::json fields) {
+  LogState& state = State();
+  if (state.appender) {
+    ShortenTexts(fields);
+    state.appender->WriteLastLine(
+        FormatLine(LogLevel::kError, event, std::move(fields)), kMaxLastWait);
+  }
+}
+
+void EndProcess(std::string_view event, nlohmann::json fields) {
+  LogLastEvent(event, std::move(fields));
+  std::_Exit(EXIT_FAILURE);
+}
+
 void FlushLog() {
   LogState& state = State();
   if (state.appender) {
--- a/libraries/log/json_log.h
+++ b/libraries/log/json_log.h
@@ -29,6 +29,15 @@
 // log-lines-dropped reports their number.
 void LogEvent(LogLevel level, std::string_view event, nlohmann::json fields);
 
+// Writes the last line of a process that is about to end, at the level error,
+// after the lines that are buffered. Waits a moment for a slow reader, but
+// never for another thread's use of the log. Does nothing before StartLogging.
+void LogLastEvent(std::string_view event, nlohmann::json fields);
+
+// Writes the last line and ends the process at once with EXIT_FAILURE; neither
+// destructors nor handlers run.
+[[noreturn]] void EndProcess(std::string_view event, nlohmann::json fields);
+
 // Writes as much of the buffered lines as can be written without blocking.
 void FlushLog();
 
--- a/tests/libraries/log/bounded_writer_test.cc
+++ b/tests/libraries/log/bounded_writer_test.cc
@@ -7,6 +7,8 @@
 
 #include <array>
 #include <string>
+#include <string_view>
+#include <thread>
 
 #include "libraries/log/event_rate.h"
 
@@ -88,6 +90,38 @@
   EXPECT_EQ(text, expected);
 }
 
+// Lines that a process wrote just before its end were lost when the reader was
+// slow for a moment.
+TEST(BoundedWriterTest, AFlushWithALimitWaitsForASlowReader) {
+  constexpr std::size_t kSize = 500'000;
+  constexpr Milliseconds kPause{50};
+  constexpr int kMaxParts = 200;
+  constexpr std::string_view kLast = "the last line\n";
+  Pipe pipe;
+  BoundedWriter writer(pipe.write_end(), 2 * kSize);
+  EXPECT_TRUE(writer.WriteLine(std::string(kSize, 'x')));
+  EXPECT_TRUE(writer.WriteLine("the last line"));
+  std::string received;
+  std::thread reader([&] {
+    for (int part = 0; part < kMaxParts && !received.ends_with(kLast); ++part) {
+      std::this_thread::sleep_for(kPause);
+      received += pipe.ReadAll();
+    }
+  });
+  EXPECT_TRUE(writer.FlushWithin(Milliseconds(10'000)));
+  reader.join();
+  EXPECT_EQ(writer.buffered_bytes(), 0U);
+}
+
+TEST(BoundedWriterTest, AFlushWithALimitGivesUpOnAStalledReader) {
+  constexpr std::size_t kSize = 500'000;
+  Pipe pipe;
+  BoundedWriter writer(pipe.write_end(), 2 * kSize);
+  EXPECT_TRUE(writer.WriteLine(std::string(kSize, 'x')));
+  EXPECT_FALSE(writer.FlushWithin(Milliseconds(20)));
+  EXPECT_GT(writer.buffered_bytes(), 0U);
+}
+
 TEST(EventRateTest, LinesOfOneKindAreBoundedInEachSecond) {
   EventRate rate(2);
   const SteadyTime start{Milliseconds(5'000)};
