Scheduler: Log why a run that nobody confirmed is stopped

Seen while looking for what ended a run of a lasting task two seconds after its start: every stop has a line with its reason, but for one. A run whose start is unanswered and that no report shows 1.5 s later was stopped without a line.

Change: it is logged as start-unsettled, "no report confirms it", beside the reasons "unanswered" and "refused as old".

--- a/libraries/scheduler/scheduler.cc
+++ b/libraries/scheduler/scheduler.cc
@@ -1422,6 +1422,9 @@
     if (is_unconfirmed) {
       if (!run.is_budgeted || this->MayDisrupt(run.task, now)) {
         session.BeginStop(run, now);
+        this->collected_events.Add("start-unsettled", run.task, run.number,
+                                   session.worker().id,
+                                   "no report confirms it");
       } else {
         this->RequestStepReports(run.task.step, now);
       }
--- a/tests/libraries/scheduler/due_stops_test.cc
+++ b/tests/libraries/scheduler/due_stops_test.cc
@@ -103,5 +103,27 @@
   }));
 }
 
+// The stop of a run that was started and that no report confirmed left no line
+// in the log, so nothing said why the run had ended.
+TEST(UnconfirmedStartTest, TheStopOfAnUnconfirmedRunIsLogged) {
+  constexpr Milliseconds kLongWork{60'000};
+  FakeFleet fleet(1);
+  fleet.work = kLongWork;
+  std::vector<std::string> logged;
+  fleet.on_event = [&](const SchedulerEvent& event) {
+    if (event.what == "start-unsettled") {
+      logged.push_back(event.reason);
+    }
+  };
+  fleet.PassTime(Milliseconds(500));
+  fleet.Submit("job", {.count = 1});
+  fleet.lost_report_permille = 1'000;
+  fleet.answer_delay = kLongWork;
+  fleet.PassTime(Milliseconds(3'000));
+  EXPECT_EQ(fleet.starts, 1U);
+  EXPECT_EQ(fleet.CountRunning("job"), 0U);
+  EXPECT_EQ(logged, std::vector<std::string>{"no report confirms it"});
+}
+
 }  // namespace
 }  // namespace sumac::scheduler
--- a/tests/libraries/scheduler/fake_fleet.cc
+++ b/tests/libraries/scheduler/fake_fleet.cc
@@ -519,6 +519,7 @@
 void FakeFleet::Plan() {
   SchedulerOutput output =
       this->scheduler->Plan(this->now, WallTime(this->now.time_since_epoch()));
+  std::ranges::for_each(output.events, this->on_event);
   for (const Order& order : output.orders) {
     this->Send(order);
   }
--- a/tests/libraries/scheduler/fake_fleet.h
+++ b/tests/libraries/scheduler/fake_fleet.h
@@ -176,6 +176,9 @@
   // How long long-running tasks run; `work` applies if it is not set.
   std::optional<Milliseconds> long_running_work;
   std::uint64_t starts = 0;
+  // Called with each event that the leader logs.
+  std::function<void(const SchedulerEvent&)> on_event =
+      [](const SchedulerEvent&) {};
 
  private:
   struct Event {
