Daemon: Log an exception in a worker's renewals, and go on with them

Found while reading which errors leave no line in the log.

Cause: the loop that renews a worker is evaluated without an error handler (eagerlyEvaluate(nullptr)), so an exception in it ends it without a word; its entry stays, so that it is not begun again as long as the leader leads, and the worker's runs lapse one lease later.

Change: the exception is logged as renewal-failed with the worker, and the loop runs again after 500 ms.

--- a/services/sumacd/worker_renewals.cc
+++ b/services/sumacd/worker_renewals.cc
@@ -13,6 +13,8 @@
 // The pause before the next attempt while the leader's own lease doesn't hold.
 // The leader sends nothing then, but may regain the lease shortly.
 constexpr Milliseconds kNoLeasePause{150};
+// The pause after an error in the loop of a worker.
+constexpr Milliseconds kErrorPause{500};
 // The maximum time that a renewal waits until ends are committed. A commit that
 // takes longer than a lease must not end the lease of a healthy worker. Leases
 // of 6 s outlast ten such waits.
@@ -31,7 +33,7 @@
   if (is_new) {
     renewal->second.loop =
         this->timer.afterDelay(ToKj(pause))
-            .then([this, worker] { return this->RenewalLoop(worker); })
+            .then([this, worker] { return this->KeepRenewing(worker); })
             .eagerlyEvaluate(nullptr);
   }
 }
@@ -48,6 +50,20 @@
   }
 }
 
+// Runs the loop again after an error in it: a worker that is not renewed loses
+// its runs.
+kj::Promise<void> WorkerRenewals::KeepRenewing(const WorkerId& worker) {
+  return this->RenewalLoop(worker).catch_(
+      [this, worker](kj::Exception&& exception) {
+        LogEvent(LogLevel::kError, "renewal-failed",
+                 {{"worker", worker.value()},
+                  {"error", exception.getDescription().cStr()}});
+        return this->timer.afterDelay(ToKj(kErrorPause)).then([this, worker] {
+          return this->KeepRenewing(worker);
+        });
+      });
+}
+
 kj::Promise<void> WorkerRenewals::RenewalLoop(const WorkerId& worker) {
   if (!this->host.may_act()) {
     return this->timer.afterDelay(ToKj(kNoLeasePause)).then([this, worker] {
--- a/services/sumacd/worker_renewals.h
+++ b/services/sumacd/worker_renewals.h
@@ -77,6 +77,7 @@
 
   void taskFailed(kj::Exception&& exception) override;
 
+  kj::Promise<void> KeepRenewing(const WorkerId& worker);
   kj::Promise<void> RenewalLoop(const WorkerId& worker);
   kj::Promise<void> HandleAnswer(const WorkerId& worker,
                                  const scheduler::RenewAnswer& answer,
--- a/tests/services/sumacd/worker_renewals_test.cc
+++ b/tests/services/sumacd/worker_renewals_test.cc
@@ -16,6 +16,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <stdexcept>
+#include <utility>
 
 #include "libraries/base/kj_time.h"
 #include "tests/libraries/scheduler/fake_fleet.h"
@@ -65,6 +67,9 @@
     const Milliseconds gap = this->fleet.now - this->last_renewal;
     this->longest_gap = std::max(this->longest_gap, gap);
     this->last_renewal = this->fleet.now;
+    if (std::exchange(this->is_next_broken, false)) {
+      throw std::runtime_error("a broken answer");
+    }
     return this->parts->timer.afterDelay(ToKj(Milliseconds(100)))
         .then([this, order]() -> scheduler::RenewAnswer {
           const auto report = this->fleet.worker(order.worker.value())
@@ -105,6 +110,8 @@
   std::unique_ptr<WorkerRenewals> renewals;
   SteadyTime last_renewal = this->fleet.now;
   Milliseconds longest_gap{0};
+  // Whether the next renewal throws an exception.
+  bool is_next_broken = false;
 };
 
 TEST_F(WorkerRenewalsTest, ALeaseIsRenewedDuringASlowCommitOfEnds) {
@@ -132,5 +139,17 @@
   EXPECT_EQ(this->fleet.job("second").state, jobs::JobState::kDone);
 }
 
+// An exception ended the renewals of a worker for as long as the leader led,
+// without a line in the log, and its runs lapsed.
+TEST_F(WorkerRenewalsTest, RenewalsContinueAfterAnException) {
+  constexpr Milliseconds kMaxGap{1'000};
+  this->PassTime(Milliseconds(500));
+  this->is_next_broken = true;
+  this->PassTime(Milliseconds(5'000));
+  EXPECT_FALSE(this->is_next_broken);
+  EXPECT_LT(this->longest_gap, kMaxGap);
+  EXPECT_LT(this->fleet.now - this->last_renewal, kMaxGap);
+}
+
 }  // namespace
 }  // namespace sumac::daemon
