--- a/services/sumacd/main.cc
+++ b/services/sumacd/main.cc
@@ -8,6 +8,8 @@
 
 #include "libraries/base/error.h"
 #include "libraries/base/version.h"
+#include "libraries/log/abnormal_ends.h"
+#include "libraries/log/json_log.h"
 #include "services/sumacd/build_info.h"
 #include "services/sumacd/daemon.h"
 #include "services/sumacd/node_daemon.h"
@@ -46,6 +48,10 @@
   }
   std::cerr << "sumacd: error " << static_cast<int>(sumac::CodeOf(status))
             << ": " << status.message() << "\n";
+  sumac::LogLastEvent("ended-with-error",
+                      {{"code", static_cast<int>(sumac::CodeOf(status))},
+                       {"error", std::string(status.message())},
+                       {"exit_code", exit_code}});
   return exit_code;
 }
 
@@ -109,5 +115,6 @@
               << sumac::daemon::SourceDigest() << "\n";
     return EXIT_SUCCESS;
   }
+  sumac::LogAbnormalEnds();
   return RunProgram(arguments);
 }
