Codec: Refuse a number that the type of its field can't hold

What was seen: a whole number from 2^63 on in a field of 64 bits with sign was read as a negative one, and one from 2^32 on in a field of 32 bits lost its upper bits. An operator's job could come to a negative time the same way.

Cause: ReadNumber compared the number with the limits of its field as a double and left the conversion to the parser, which wraps; ReadCborNumber cast it.

Change: both readers refuse what the type can't hold; the error names the ends of the type.

Ruled out: stored declarations that would no longer load. Each whole number in them has an upper limit within its type, or is the version, which takes all 64 bits.

--- a/libraries/codec/cbor_reader.h
+++ b/libraries/codec/cbor_reader.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -88,23 +89,23 @@
 template <std::integral T>
 bool ReadCborNumber(CborCursor& cursor, T& value, Limits limits) {
   const std::optional<CborHead> head = cursor.ReadHead();
-  if (!head || head->number > static_cast<std::uint64_t>(
-                                  std::numeric_limits<std::int64_t>::max())) {
+  if (!head) {
     return false;
   }
-  const bool is_negative = head->type == CborType::kNegative;
-  if (head->type != CborType::kUnsigned &&
-      !(is_negative && std::is_signed_v<T>)) {
-    return false;
-  }
-  const auto number = static_cast<std::int64_t>(head->number);
-  const std::int64_t read = is_negative ? -1 - number : number;
-  const auto compared = static_cast<double>(read);
-  if (compared < limits.lowest || compared > limits.highest) {
+  double compared = 0;
+  if (head->type == CborType::kUnsigned && std::in_range<T>(head->number)) {
+    value = static_cast<T>(head->number);
+    compared = static_cast<double>(head->number);
+  } else if (head->type == CborType::kNegative &&
+             std::in_range<std::int64_t>(head->number) &&
+             std::in_range<T>(-1 - static_cast<std::int64_t>(head->number))) {
+    const std::int64_t read = -1 - static_cast<std::int64_t>(head->number);
+    value = static_cast<T>(read);
+    compared = static_cast<double>(read);
+  } else {
     return false;
   }
-  value = static_cast<T>(read);
-  return true;
+  return compared >= limits.lowest && compared <= limits.highest;
 }
 
 template <typename T>
--- a/libraries/codec/json_reader.h
+++ b/libraries/codec/json_reader.h
@@ -2,6 +2,10 @@
 #ifndef LIBRARIES_CODEC_JSON_READER_H_
 #define LIBRARIES_CODEC_JSON_READER_H_
 
+#include <algorithm>
+#include <concepts>
+#include <cstdint>
+#include <limits>
 #include <set>
 #include <string>
 #include <string_view>
@@ -120,6 +124,13 @@
   reader.CheckUnknownKeys();
 }
 
+// Returns true if a T can hold a whole number.
+template <std::integral T>
+bool HoldsNumber(const nlohmann::json& json) {
+  return json.is_number_unsigned() ? std::in_range<T>(json.get<std::uint64_t>())
+                                   : std::in_range<T>(json.get<std::int64_t>());
+}
+
 template <typename T>
 void ReadNumber(const nlohmann::json& json,
                 T& value,
@@ -136,6 +147,16 @@
     context.Fail(path, Excerpt(json), LimitsText(limits, kIsInteger));
     return;
   }
+  if constexpr (kIsInteger) {
+    if (!HoldsNumber<T>(json)) {
+      constexpr std::numeric_limits<T> kType;
+      context.Fail(path, Excerpt(json),
+                   LimitsText({std::max<double>(limits.lowest, kType.min()),
+                               std::min<double>(limits.highest, kType.max())},
+                              kIsInteger));
+      return;
+    }
+  }
   value = json.get<T>();
 }
 
--- a/tests/libraries/codec/json_test.cc
+++ b/tests/libraries/codec/json_test.cc
@@ -111,6 +111,32 @@
   RC_ASSERT(*read == outer);
 }
 
+// Guards against a large number that is read as another one, such as an amount
+// of resources that is read as a negative one.
+TEST(CodecTest, ANumberThatItsTypeCannotHoldIsRefused) {
+  const auto is_read = []<typename T>(std::string_view text, T /*type*/) {
+    const nlohmann::json json = nlohmann::json::parse(text);
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    const bool is_read_as_json =
+        FromJson<T>(json, "test", UnknownKeys::kRefuse).ok();
+    EXPECT_EQ(FromCbor<T>(bytes, "test").ok(), is_read_as_json) << text;
+    return is_read_as_json;
+  };
+  EXPECT_TRUE(is_read("9223372036854775807", std::int64_t{}));
+  EXPECT_FALSE(is_read("9223372036854775808", std::int64_t{}));
+  EXPECT_FALSE(is_read("18446744073709551615", Milliseconds{}));
+  EXPECT_TRUE(is_read("18446744073709551615", std::uint64_t{}));
+  EXPECT_FALSE(is_read("18446744073709551616", std::uint64_t{}));
+  EXPECT_TRUE(is_read("4294967295", std::uint32_t{}));
+  EXPECT_FALSE(is_read("4294967296", std::uint32_t{}));
+  EXPECT_FALSE(is_read("-1", std::uint32_t{}));
+  const auto read = FromJson<std::uint16_t>(nlohmann::json(65'536), "test",
+                                            UnknownKeys::kRefuse);
+  EXPECT_EQ(read.status().message(),
+            "test: /: found 65536, allowed: a whole number from 0 to 65535");
+}
+
 TEST(CodecTest, ErrorsNameFileKeyFoundAndAllowed) {
   EXPECT_EQ(ErrorOf("{}"),
             "file: /id: found nothing, allowed: a value is required");
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -229,6 +229,16 @@
   }
 }
 
+// Guards against an announcement that is committed as one of a worker with less
+// than no capacity, which no replica can apply.
+TEST(WireCodecTest, ACapacityBeyondTheRangeOfNumbersIsRefused) {
+  const auto worker = ReadAnnouncement(
+      WorkerName("i-1"),
+      R"({"service":"previews","address":"10.0.0.1:80","state":"ready",
+          "capacity":{"cpu":18446744073709551615}})");
+  EXPECT_EQ(CodeOf(worker.status()), ResultCode::kBadRequest);
+}
+
 TEST(WireCodecTest, WritesOrders) {
   const jobs::TaskId task{{JobId("5c0e7a21d94b36f8"), 0, 1}, 17};
   EXPECT_EQ(
