Codec: Read what the system wrote without the limits for input

What was seen: a value that the program wrote was refused by its own reader wherever a number was outside the limits of its field.

Cause: one visitor's argument served the readers of both; the writers apply no limits.

Change: CborReader ignores limits, and FromOwnJson, which reads what a process of this system wrote as a JSON tree, does so as well. FromCbor uses it for bytes in another encoding, and the two places in sumacd that read an answer's document. FromJson keeps the limits. The written form is unchanged.

Ruled out: validation that relied on it.

CborTest.DamagedBytesReadAsByATree compares with FromOwnJson now, which is the reader that FromCbor falls back on.

--- a/libraries/codec/cbor_reader.h
+++ b/libraries/codec/cbor_reader.h
@@ -26,7 +26,7 @@
 // Reads the next item into `value`. Returns false if the item doesn't have the
 // expected type or encoding; the cursor and the value must not be used then.
 template <typename T>
-bool ReadCborValue(CborCursor& cursor, T& value, Limits limits);
+bool ReadCborValue(CborCursor& cursor, T& value);
 
 // The names of the fields of one encoded record and the bytes of their values.
 class CborFields {
@@ -46,25 +46,27 @@
   std::size_t count = 0;
 };
 
-// A visitor for Describe functions that reads each field of a record.
+// A visitor for Describe functions that reads each field of a record. It leaves
+// the limits to the readers of input: the writer applies none, and a process
+// must be able to read all that it wrote.
 class CborReader {
  public:
   explicit CborReader(const CborFields& fields) : fields(fields) {}
 
   template <typename T>
-  void Field(std::string_view name, T& value, Limits limits = {}) {
-    this->Read(name, value, limits, false);
+  void Field(std::string_view name, T& value, Limits /*limits*/ = {}) {
+    this->Read(name, value, false);
   }
   template <typename T>
-  void Required(std::string_view name, T& value, Limits limits = {}) {
-    this->Read(name, value, limits, true);
+  void Required(std::string_view name, T& value, Limits /*limits*/ = {}) {
+    this->Read(name, value, true);
   }
 
   bool is_good() const { return this->is_all_good; }
 
  private:
   template <typename T>
-  void Read(std::string_view name, T& value, Limits limits, bool is_required) {
+  void Read(std::string_view name, T& value, bool is_required) {
     const std::optional<std::string_view> bytes =
         this->is_all_good ? this->fields.Find(name) : std::nullopt;
     if (!bytes) {
@@ -72,7 +74,7 @@
       return;
     }
     CborCursor cursor(*bytes);
-    this->is_all_good = ReadCborValue(cursor, value, limits);
+    this->is_all_good = ReadCborValue(cursor, value);
   }
 
   const CborFields& fields;
@@ -87,29 +89,26 @@
 }
 
 template <std::integral T>
-bool ReadCborNumber(CborCursor& cursor, T& value, Limits limits) {
+bool ReadCborNumber(CborCursor& cursor, T& value) {
   const std::optional<CborHead> head = cursor.ReadHead();
   if (!head) {
     return false;
   }
-  double compared = 0;
   if (head->type == CborType::kUnsigned && std::in_range<T>(head->number)) {
     value = static_cast<T>(head->number);
-    compared = static_cast<double>(head->number);
-  } else if (head->type == CborType::kNegative &&
-             std::in_range<std::int64_t>(head->number) &&
-             std::in_range<T>(-1 - static_cast<std::int64_t>(head->number))) {
-    const std::int64_t read = -1 - static_cast<std::int64_t>(head->number);
-    value = static_cast<T>(read);
-    compared = static_cast<double>(read);
-  } else {
-    return false;
+    return true;
+  }
+  if (head->type == CborType::kNegative &&
+      std::in_range<std::int64_t>(head->number) &&
+      std::in_range<T>(-1 - static_cast<std::int64_t>(head->number))) {
+    value = static_cast<T>(-1 - static_cast<std::int64_t>(head->number));
+    return true;
   }
-  return compared >= limits.lowest && compared <= limits.highest;
+  return false;
 }
 
 template <typename T>
-bool ReadCborList(CborCursor& cursor, T& list, Limits limits) {
+bool ReadCborList(CborCursor& cursor, T& list) {
   const std::optional<CborHead> head = cursor.ReadHead();
   if (!head || head->type != CborType::kArray) {
     return false;
@@ -117,7 +116,7 @@
   list.clear();
   for (std::uint64_t position = 0; position < head->number; ++position) {
     typename T::value_type item{};
-    if (!ReadCborValue(cursor, item, limits)) {
+    if (!ReadCborValue(cursor, item)) {
       return false;
     }
     list.insert(list.end(), std::move(item));
@@ -126,7 +125,7 @@
 }
 
 template <typename T>
-bool ReadCborMap(CborCursor& cursor, T& map, Limits limits) {
+bool ReadCborMap(CborCursor& cursor, T& map) {
   const std::optional<CborHead> head = cursor.ReadHead();
   if (!head || head->type != CborType::kMap) {
     return false;
@@ -137,7 +136,7 @@
     typename T::key_type key{};
     typename T::mapped_type item{};
     if (!text || !ParseKey(std::string(*text), key) ||
-        !ReadCborValue(cursor, item, limits)) {
+        !ReadCborValue(cursor, item)) {
       return false;
     }
     map.insert_or_assign(std::move(key), std::move(item));
@@ -172,25 +171,25 @@
 bool ReadCborTree(CborCursor& cursor, nlohmann::json& tree);
 
 template <typename T>
-bool ReadCborValue(CborCursor& cursor, T& value, Limits limits) {
+bool ReadCborValue(CborCursor& cursor, T& value) {
   if constexpr (IsStrongType<T>) {
     typename T::ValueType inner{};
-    const bool is_good = ReadCborValue(cursor, inner, limits);
+    const bool is_good = ReadCborValue(cursor, inner);
     value = T(std::move(inner));
     return is_good;
   } else if constexpr (kIsOptional<T>) {
     typename T::value_type inner{};
-    const bool is_good = ReadCborValue(cursor, inner, limits);
+    const bool is_good = ReadCborValue(cursor, inner);
     value = std::move(inner);
     return is_good;
   } else if constexpr (kIsDuration<T>) {
     std::int64_t count = 0;
-    const bool is_good = ReadCborNumber(cursor, count, limits);
+    const bool is_good = ReadCborNumber(cursor, count);
     value = std::chrono::duration_cast<T>(std::chrono::milliseconds(count));
     return is_good;
   } else if constexpr (kIsTimePoint<T>) {
     typename T::duration since_epoch{};
-    const bool is_good = ReadCborValue(cursor, since_epoch, limits);
+    const bool is_good = ReadCborValue(cursor, since_epoch);
     value = T(since_epoch);
     return is_good;
   } else if constexpr (NamedEnum<T>) {
@@ -199,9 +198,9 @@
     value = parsed.value_or(value);
     return parsed.has_value();
   } else if constexpr (kIsVector<T> || kIsSet<T>) {
-    return ReadCborList(cursor, value, limits);
+    return ReadCborList(cursor, value);
   } else if constexpr (kIsMap<T>) {
-    return ReadCborMap(cursor, value, limits);
+    return ReadCborMap(cursor, value);
   } else if constexpr (kIsVariant<T>) {
     return ReadCborVariant(cursor, value);
   } else if constexpr (Described<T>) {
@@ -214,7 +213,7 @@
     value = text.value_or(std::string_view());
     return text.has_value();
   } else if constexpr (std::integral<T>) {
-    return ReadCborNumber(cursor, value, limits);
+    return ReadCborNumber(cursor, value);
   } else if constexpr (std::is_same_v<T, nlohmann::json>) {
     return ReadCborTree(cursor, value);
   } else {
@@ -227,17 +226,16 @@
 
 namespace sumac {
 
-// Reads a T from CBOR that another process of this system wrote, without
-// building a JSON tree. Bytes that differ from the output of CborWriter are
-// read again by way of a JSON tree, which supports all encodings and gives
-// exact error messages.
+// Reads a T from CBOR that a process of this system wrote, without building a
+// JSON tree. Each field may hold any value of its type. Bytes that differ from
+// the output of CborWriter are read again by way of a JSON tree, which supports
+// all encodings and gives exact error messages.
 template <typename T>
 absl::StatusOr<T> FromCbor(std::string_view bytes, std::string_view source) {
   {
     T value{};
     internal::CborCursor cursor(bytes);
-    if (internal::ReadCborValue(cursor, value, Limits{}) &&
-        cursor.is_at_end()) {
+    if (internal::ReadCborValue(cursor, value) && cursor.is_at_end()) {
       return value;
     }
   }
@@ -245,7 +243,7 @@
   if (!json.ok()) {
     return json.status();
   }
-  return FromJson<T>(*json, source, UnknownKeys::kIgnore);
+  return FromOwnJson<T>(*json, source);
 }
 
 }  // namespace sumac
--- a/libraries/codec/describe.h
+++ b/libraries/codec/describe.h
@@ -35,6 +35,7 @@
 // value then; a member passed to Required must be present.
 
 // The range of a number, both ends included; for a duration in milliseconds.
+// Readers of input apply it, readers of what the system itself wrote don't.
 struct Limits {
   double lowest = 0;
   double highest = std::numeric_limits<double>::max();
--- a/libraries/codec/json_reader.cc
+++ b/libraries/codec/json_reader.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/codec/json_reader.h"
 
+#include <cmath>
+
 #include "libraries/codec/cbor_cursor.h"
 #include "libraries/codec/nesting.h"
 
@@ -45,6 +47,9 @@
 
 std::string LimitsText(Limits limits, bool is_integer) {
   const std::string_view kind = is_integer ? "a whole number" : "a number";
+  if (std::isinf(limits.lowest)) {
+    return std::string(kind);
+  }
   if (limits.highest == std::numeric_limits<double>::max()) {
     return StrCat(kind, " from ", limits.lowest);
   }
--- a/libraries/codec/json_reader.h
+++ b/libraries/codec/json_reader.h
@@ -42,6 +42,8 @@
   UnknownKeys unknown_keys = UnknownKeys::kIgnore;
   ReaderCodes codes;
   absl::Status status;
+  // Whether numbers must be within the limits of their fields.
+  bool has_limits = true;
 
   // Records an error, unless one is recorded already: its place, the value
   // found and the values allowed.
@@ -53,6 +55,10 @@
   void FailUnknownKey(std::string_view path);
 };
 
+// The range of all numbers.
+inline constexpr Limits kNoLimits{-std::numeric_limits<double>::infinity(),
+                                  std::numeric_limits<double>::infinity()};
+
 // Returns the JSON text of a value, shortened for error messages.
 std::string Excerpt(const nlohmann::json& value);
 
@@ -135,9 +141,10 @@
 void ReadNumber(const nlohmann::json& json,
                 T& value,
                 const std::string& path,
-                Limits limits,
+                Limits limits_of_field,
                 ReadContext& context) {
   constexpr bool kIsInteger = std::integral<T>;
+  const Limits limits = context.has_limits ? limits_of_field : kNoLimits;
   const bool has_type =
       kIsInteger ? json.is_number_integer() : json.is_number();
   const bool is_negative = json.is_number() && json.get<double>() < 0;
@@ -293,8 +300,9 @@
 
 }  // namespace internal
 
-// Reads a T from parsed JSON. The error message names `source`, the path of the
-// key, the value found and the values allowed.
+// Reads a T from parsed JSON that people or other programs wrote. The error
+// message names `source`, the path of the key, the value found and the values
+// allowed.
 template <typename T>
 absl::StatusOr<T> FromJson(const nlohmann::json& json,
                            std::string_view source,
@@ -310,6 +318,21 @@
   return value;
 }
 
+// Reads a T from JSON that a process of this system wrote. Limits don't apply,
+// since the writer applies none, and unknown keys are ignored.
+template <typename T>
+absl::StatusOr<T> FromOwnJson(const nlohmann::json& json,
+                              std::string_view source) {
+  T value{};
+  internal::ReadContext context{.source = std::string(source),
+                                .has_limits = false};
+  internal::ReadValue(json, value, "", Limits{}, context);
+  if (!context.status.ok()) {
+    return context.status;
+  }
+  return value;
+}
+
 // Parses JSON text. An error has the code `code`, and its message names
 // `source` and the position.
 absl::StatusOr<nlohmann::json> ParseJson(std::string_view text,
--- a/services/sumacd/entry.cc
+++ b/services/sumacd/entry.cc
@@ -285,8 +285,7 @@
 CallerAnswer Entry::AnswerFromClaim(const fleet::Answer& answer,
                                     const DecisionId& decision) {
   if (answer.is_ok()) {
-    const auto claim =
-        FromJson<fleet::Claim>(answer.document, "claim", UnknownKeys::kIgnore);
+    const auto claim = FromOwnJson<fleet::Claim>(answer.document, "claim");
     if (claim.ok()) {
       return CallerAnswer{claim->answer.http_status,
                           ResultCode::kOk,
--- a/services/sumacd/leader_link.cc
+++ b/services/sumacd/leader_link.cc
@@ -53,8 +53,8 @@
           },
           limit)
       .then([count](const fleet::Answer& answer) {
-        auto orders = FromJson<std::vector<fleet::TargetOrders>>(
-            answer.document, "orders", UnknownKeys::kIgnore);
+        auto orders = FromOwnJson<std::vector<fleet::TargetOrders>>(
+            answer.document, "orders");
         return answer.is_ok() && orders.ok()
                    ? *std::move(orders)
                    : std::vector<fleet::TargetOrders>(count);
--- a/tests/libraries/codec/cbor_test.cc
+++ b/tests/libraries/codec/cbor_test.cc
@@ -136,7 +136,7 @@
   if (!json.ok()) {
     return std::string(json.status().message());
   }
-  const auto read = FromJson<Tree>(*json, "bytes", UnknownKeys::kIgnore);
+  const auto read = FromOwnJson<Tree>(*json, "bytes");
   return read.ok()
              ? ToJson(*read).dump(-1, ' ', true,
                                   nlohmann::json::error_handler_t::replace)
@@ -161,7 +161,7 @@
   for (const std::string& bytes : {ToCbor(tree), EncodeByTree(tree)}) {
     internal::CborCursor cursor(bytes);
     Tree read;
-    RC_ASSERT(internal::ReadCborValue(cursor, read, Limits{}));
+    RC_ASSERT(internal::ReadCborValue(cursor, read));
     RC_ASSERT(cursor.is_at_end());
     RC_ASSERT(ToJson(read) == ToJson(tree));
   }
