Relay: Write whole texts, also those that hold a NUL

What was seen: a relay's copy of a text ended at its first NUL. A worker's checkpoint "a\u0000b" came to the leader as "a", so that the task went on from another state than it had saved, and a start of an operator's job "a\u0000b" named the job "a" at the worker.

Cause: the conversion of a std::string to Cap'n Proto's text takes c_str() and so the length up to the first NUL.

Change: all texts of relay_codec.cc are written with their length. The written form is unchanged.

Ruled out: the reader, which takes the length. The existing property test drew texts that never hold a NUL.

Tests: RelayCodecPropertyTest draws any bytes.

--- a/libraries/relay/relay_codec.cc
+++ b/libraries/relay/relay_codec.cc
@@ -28,8 +28,14 @@
 using scheduler::WorkerTime;
 using wire::ToString;
 
+// Returns a whole text. Cap'n Proto converts a std::string itself, but only up
+// to its first NUL.
+capnp::Text::Reader ToText(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
 void WriteTask(const jobs::TaskId& task, wire::RelayedTask::Builder builder) {
-  builder.setJob(task.step.job.value());
+  builder.setJob(ToText(task.step.job.value()));
   builder.setOccurrence(task.step.occurrence);
   builder.setStep(task.step.step);
   builder.setIndex(task.index);
@@ -57,8 +63,7 @@
   void Write(wire::RelayedCalls::Builder builder) const {
     auto list = builder.initTexts(this->texts.size());
     for (unsigned position = 0; position < this->texts.size(); ++position) {
-      const std::string_view text = this->texts[position];
-      list.set(position, capnp::Text::Reader(text.data(), text.size()));
+      list.set(position, ToText(this->texts[position]));
     }
   }
 
@@ -97,8 +102,8 @@
     start.setRun(order.run.value());
     start.setText(this->texts.Find(order.text));
     start.setLeaseEnd(order.lease_end.value());
-    start.setCheckpoint(order.checkpoint);
-    start.setTicket(order.ticket);
+    start.setCheckpoint(ToText(order.checkpoint));
+    start.setTicket(ToText(order.ticket));
   }
 
   void operator()(const StopOrder& order) {
@@ -117,15 +122,15 @@
   }
 
   void operator()(const ForgetCall& call) {
-    this->builder.setWorker(call.worker.value());
+    this->builder.setWorker(ToText(call.worker.value()));
     this->builder.setForget();
   }
 
  private:
   template <typename Order>
   void WriteTarget(const Order& order) {
-    this->builder.setWorker(order.worker.value());
-    this->builder.setAddress(order.address);
+    this->builder.setWorker(ToText(order.worker.value()));
+    this->builder.setAddress(ToText(order.address));
   }
 };
 
@@ -205,7 +210,7 @@
     const RunningReport& run = report.running[position];
     WriteTask(run.task, running[position].initTask());
     running[position].setRun(run.run.value());
-    running[position].setCheckpoint(run.checkpoint);
+    running[position].setCheckpoint(ToText(run.checkpoint));
     running[position].setPercent(run.percent);
     running[position].setLoad(run.load);
   }
@@ -216,7 +221,7 @@
     WriteTask(end.task, ended[position].initTask());
     ended[position].setRun(end.run.value());
     ended[position].setCause(static_cast<std::uint16_t>(end.cause));
-    ended[position].setCheckpoint(end.checkpoint);
+    ended[position].setCheckpoint(ToText(end.checkpoint));
   }
 }
 
--- a/tests/libraries/relay/relay_codec_test.cc
+++ b/tests/libraries/relay/relay_codec_test.cc
@@ -11,6 +11,8 @@
 #include <variant>
 #include <vector>
 
+#include "tests/libraries/codec/arbitrary_record.h"
+
 namespace sumac::relay {
 namespace {
 
@@ -100,6 +102,42 @@
   EXPECT_EQ(answer.report, nullptr);
 }
 
+// Guards against a start of another task, or from another checkpoint, than the
+// leader ordered: a text may hold any bytes.
+RC_GTEST_PROP(RelayCodecPropertyTest,
+              AStartWithAnyTextsIsReadBackUnchanged,
+              ()) {
+  const scheduler::StartOrder wanted{
+      .worker = WorkerId("w" + DrawAny<std::string>()),
+      .address = DrawAny<std::string>(),
+      .epoch = kEpoch,
+      .task = DrawAny<jobs::TaskId>(),
+      .run = DrawAny<RunNumber>(),
+      .text = DrawAny<std::string>(),
+      .lease_end = DrawAny<scheduler::WorkerTime>(),
+      .checkpoint = DrawAny<std::string>(),
+      .ticket = DrawAny<std::string>()};
+  std::vector<RelayCall> calls;
+  calls.push_back({.id = DrawAny<std::uint64_t>(),
+                   .expires = DrawAny<RelayTime>(),
+                   .body = wanted});
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::RelayedCalls>();
+  WriteCalls(calls, root);
+  const auto batch = root.asReader();
+  const auto read = ReadCall(batch.getCalls()[0], ReadTexts(batch), kEpoch);
+  RC_ASSERT(read.ok());
+  RC_ASSERT(read->id == calls[0].id && read->expires == calls[0].expires);
+  const auto& start = std::get<scheduler::StartOrder>(read->body);
+  RC_ASSERT(start.worker == wanted.worker);
+  RC_ASSERT(start.address == wanted.address);
+  RC_ASSERT(start.task == wanted.task && start.run == wanted.run);
+  RC_ASSERT(start.text == wanted.text);
+  RC_ASSERT(start.lease_end == wanted.lease_end);
+  RC_ASSERT(start.checkpoint == wanted.checkpoint);
+  RC_ASSERT(start.ticket == wanted.ticket);
+}
+
 scheduler::RenewReport AnyReport() {
   scheduler::RenewReport report{
       .clock = scheduler::WorkerTime(*rc::gen::arbitrary<std::int32_t>()),
@@ -109,7 +147,7 @@
     report.running.push_back(
         {.task = TaskOf(index),
          .run = RunNumber(*rc::gen::arbitrary<std::uint64_t>()),
-         .checkpoint = *rc::gen::string<std::string>(),
+         .checkpoint = DrawAny<std::string>(),
          .percent = *rc::gen::inRange<std::uint32_t>(0, 101),
          .load = *rc::gen::arbitrary<std::int64_t>()});
   }
@@ -120,7 +158,7 @@
          .task = TaskOf(index),
          .run = RunNumber(index),
          .cause = static_cast<scheduler::EndCause>(*rc::gen::inRange(0, 6)),
-         .checkpoint = *rc::gen::string<std::string>()});
+         .checkpoint = DrawAny<std::string>()});
   }
   return report;
 }
