--- a/tests/platform/request_handlers_test.cc
+++ b/tests/platform/request_handlers_test.cc
@@ -38,7 +38,7 @@
                          const std::string& deadline = "3000") {
     CallerRequestHandler handler(this->Leader(), this->metrics);
     http::ServerRequest request{.method = method,
-                                .path = "/clips/5c0e7a21d94b36f8",
+                                .path = this->path,
                                 .host = "desk.example:80",
                                 .body = body};
     request.headers["Sumacstack-Deadline-Ms"] = deadline;
@@ -81,6 +81,7 @@
   http::Metrics metrics;
   jobs::JobsState state;
   fleet::Answer answer;
+  std::string path = "/clips/5c0e7a21d94b36f8";
   // The value of the authorization header; empty for none.
   std::string authorization;
   std::optional<jobs::Request> asked;
@@ -175,6 +176,16 @@
   }
 }
 
+// Guards against a committed job that stops the leader's planning, since no
+// order about it can be written.
+TEST_F(RequestHandlersTest, AJobWhoseIdNoMessageCanHoldIsRefused) {
+  this->path = "/clips/\xff";
+  EXPECT_EQ(this->Call(kj::HttpMethod::POST, kJob).status, 400U);
+  EXPECT_FALSE(this->asked.has_value());
+  this->path = "/clips/caf\xc3\xa9";
+  EXPECT_EQ(this->Call(kj::HttpMethod::POST, kJob).status, 200U);
+}
+
 TEST_F(RequestHandlersTest, TheCallersDeadlineBoundsTheSearch) {
   this->Call(kj::HttpMethod::GET, "", "500");
   EXPECT_LT(this->limit, Milliseconds(500));
--- a/tests/platform/wire_codec_test.cc
+++ b/tests/platform/wire_codec_test.cc
@@ -229,6 +229,16 @@
   }
 }
 
+// Guards against a worker that stops the leader's planning, since no question
+// about it can be written.
+TEST(WireCodecTest, AWorkerNameThatNoMessageCanHoldIsRefused) {
+  constexpr std::string_view kBody =
+      R"({"service":"previews","address":"10.0.0.1:80","state":"ready"})";
+  EXPECT_TRUE(ReadAnnouncement(WorkerName("i-\xc3\xa9"), kBody).ok());
+  EXPECT_EQ(CodeOf(ReadAnnouncement(WorkerName("i-\xff"), kBody).status()),
+            ResultCode::kBadRequest);
+}
+
 // Guards against an announcement that is committed as one of a worker with less
 // than no capacity, which no replica can apply.
 TEST(WireCodecTest, ACapacityBeyondTheRangeOfNumbersIsRefused) {
