Tests: Check that each enumerator of what is stored has a name

An enumerator without a name is written as "?", which no reader takes. None is without one at present; DrawAny refuses to compile for an enum where one is.

--- a/tests/libraries/codec/arbitrary_record.h
+++ b/tests/libraries/codec/arbitrary_record.h
@@ -4,6 +4,7 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <concepts>
@@ -146,6 +147,36 @@
   }
 }
 
+// True if the value is one of the enumerators of its type, which compilers name
+// in a function's text; they write any other value as a conversion.
+template <auto value>
+consteval bool IsEnumerator() {
+  return std::string_view(__PRETTY_FUNCTION__).find("= (") ==
+         std::string_view::npos;
+}
+
+template <NamedEnum Enum>
+consteval bool HasName(Enum value) {
+  return std::any_of(EnumNames<Enum>::kNames.begin(),
+                     EnumNames<Enum>::kNames.end(),
+                     [value](const auto& row) { return row.value == value; });
+}
+
+template <NamedEnum Enum, int... values>
+consteval bool NamesEachOf(std::integer_sequence<int, values...> /*all*/) {
+  return ((!IsEnumerator<static_cast<Enum>(values)>() ||
+           HasName(static_cast<Enum>(values))) &&
+          ...);
+}
+
+// True if each enumerator has a name. One without would be written as "?",
+// which no reader takes.
+template <NamedEnum Enum>
+consteval bool NamesAll() {
+  constexpr int kMaxValue = 64;
+  return NamesEachOf<Enum>(std::make_integer_sequence<int, kMaxValue>());
+}
+
 template <typename Variant, std::size_t... places>
 Variant DrawAlternative(std::index_sequence<places...> /*all*/) {
   const auto chosen = *rc::gen::inRange<std::size_t>(0, sizeof...(places));
@@ -172,6 +203,7 @@
   } else if constexpr (internal::kIsTimePoint<T>) {
     return T(DrawAny<typename T::duration>());
   } else if constexpr (NamedEnum<T>) {
+    static_assert(internal::NamesAll<T>());
     return (*rc::gen::elementOf(EnumNames<T>::kNames)).value;
   } else if constexpr (internal::kIsVector<T> || internal::kIsSet<T>) {
     using Item = typename T::value_type;
