Codec: Refuse a variant whose type is no text, instead of throwing

Cause: json.value() throws if the value has another type than its default.

Change: the type is taken only from a string; the error names what was found.

Reach: a log entry, a request or a command of a peer whose bytes are damaged. The other conversions of json_reader.h check the type first.

--- a/libraries/codec/json_reader.h
+++ b/libraries/codec/json_reader.h
@@ -230,10 +230,14 @@
                  std::variant<Alternatives...>& value,
                  const std::string& path,
                  ReadContext& context) {
-  const std::string type = json.is_object() ? json.value("type", "") : "";
+  const auto found = json.find("type");
+  const bool has_text = found != json.end() && found->is_string();
+  const std::string type = has_text              ? found->get<std::string>()
+                           : found != json.end() ? Excerpt(*found)
+                                                 : "";
   bool is_known = false;
   const auto try_alternative = [&]<typename Alternative>() {
-    if (is_known || type != Alternative::kTypeName) {
+    if (is_known || !has_text || type != Alternative::kTypeName) {
       return;
     }
     is_known = true;
--- a/tests/libraries/codec/json_test.cc
+++ b/tests/libraries/codec/json_test.cc
@@ -111,6 +111,20 @@
   RC_ASSERT(*read == outer);
 }
 
+// Guards against a damaged log entry or message that ends its reader with an
+// exception.
+TEST(CodecTest, ATypeThatIsNoTextIsRefused) {
+  for (const nlohmann::json& type :
+       {nlohmann::json(5), nlohmann::json(nullptr), nlohmann::json::array()}) {
+    const nlohmann::json json = {{"type", type}, {"text", "x"}};
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    const auto read = FromCbor<std::variant<Inner, Other>>(bytes, "bytes");
+    EXPECT_EQ(read.status().message(),
+              "bytes: /type: found " + type.dump() + ", allowed: a known type");
+  }
+}
+
 // Guards against a large number that is read as another one, such as an amount
 // of resources that is read as a negative one.
 TEST(CodecTest, ANumberThatItsTypeCannotHoldIsRefused) {
