--- a/libraries/codec/json_reader.h
+++ b/libraries/codec/json_reader.h
@@ -2,6 +2,10 @@
 #ifndef LIBRARIES_CODEC_JSON_READER_H_
 #define LIBRARIES_CODEC_JSON_READER_H_
 
+#include <algorithm>
+#include <concepts>
+#include <cstdint>
+#include <limits>
 #include <set>
 #include <string>
 #include <string_view>
@@ -38,6 +42,8 @@
   UnknownKeys unknown_keys = UnknownKeys::kIgnore;
   ReaderCodes codes;
   absl::Status status;
+  // Whether numbers must be within the limits of their fields.
+  bool has_limits = true;
 
   // Records an error, unless one is recorded already: its place, the value
   // found and the values allowed.
@@ -49,6 +55,10 @@
   void FailUnknownKey(std::string_view path);
 };
 
+// The range of all numbers.
+inline constexpr Limits kNoLimits{-std::numeric_limits<double>::infinity(),
+                                  std::numeric_limits<double>::infinity()};
+
 // Returns the JSON text of a value, shortened for error messages.
 std::string Excerpt(const nlohmann::json& value);
 
@@ -120,13 +130,21 @@
   reader.CheckUnknownKeys();
 }
 
+// Returns true if a T can hold a whole number.
+template <std::integral T>
+bool HoldsNumber(const nlohmann::json& json) {
+  return json.is_number_unsigned() ? std::in_range<T>(json.get<std::uint64_t>())
+                                   : std::in_range<T>(json.get<std::int64_t>());
+}
+
 template <typename T>
 void ReadNumber(const nlohmann::json& json,
                 T& value,
                 const std::string& path,
-                Limits limits,
+                Limits limits_of_field,
                 ReadContext& context) {
   constexpr bool kIsInteger = std::integral<T>;
+  const Limits limits = context.has_limits ? limits_of_field : kNoLimits;
   const bool has_type =
       kIsInteger ? json.is_number_integer() : json.is_number();
   const bool is_negative = json.is_number() && json.get<double>() < 0;
@@ -136,6 +154,16 @@
     context.Fail(path, Excerpt(json), LimitsText(limits, kIsInteger));
     return;
   }
+  if constexpr (kIsInteger) {
+    if (!HoldsNumber<T>(json)) {
+      constexpr std::numeric_limits<T> kType;
+      context.Fail(path, Excerpt(json),
+                   LimitsText({std::max<double>(limits.lowest, kType.min()),
+                               std::min<double>(limits.highest, kType.max())},
+                              kIsInteger));
+      return;
+    }
+  }
   value = json.get<T>();
 }
 
@@ -202,10 +230,14 @@
                  std::variant<Alternatives...>& value,
                  const std::string& path,
                  ReadContext& context) {
-  const std::string type = json.is_object() ? json.value("type", "") : "";
+  const auto found = json.find("type");
+  const bool has_text = found != json.end() && found->is_string();
+  const std::string type = has_text              ? found->get<std::string>()
+                           : found != json.end() ? Excerpt(*found)
+                                                 : "";
   bool is_known = false;
   const auto try_alternative = [&]<typename Alternative>() {
-    if (is_known || type != Alternative::kTypeName) {
+    if (is_known || !has_text || type != Alternative::kTypeName) {
       return;
     }
     is_known = true;
@@ -272,8 +304,9 @@
 
 }  // namespace internal
 
-// Reads a T from parsed JSON. The error message names `source`, the path of the
-// key, the value found and the values allowed.
+// Reads a T from parsed JSON that people or other programs wrote. The error
+// message names `source`, the path of the key, the value found and the values
+// allowed.
 template <typename T>
 absl::StatusOr<T> FromJson(const nlohmann::json& json,
                            std::string_view source,
@@ -289,6 +322,21 @@
   return value;
 }
 
+// Reads a T from JSON that a process of this system wrote. Limits don't apply,
+// since the writer applies none, and unknown keys are ignored.
+template <typename T>
+absl::StatusOr<T> FromOwnJson(const nlohmann::json& json,
+                              std::string_view source) {
+  T value{};
+  internal::ReadContext context{.source = std::string(source),
+                                .has_limits = false};
+  internal::ReadValue(json, value, "", Limits{}, context);
+  if (!context.status.ok()) {
+    return context.status;
+  }
+  return value;
+}
+
 // Parses JSON text. An error has the code `code`, and its message names
 // `source` and the position.
 absl::StatusOr<nlohmann::json> ParseJson(std::string_view text,
