Wire: Count the elements of a list that take no space

Change: the walk opens each object through the reader, which charges an element without size as a word.

--- a/libraries/wire/bounded_message.cc
+++ b/libraries/wire/bounded_message.cc
@@ -16,10 +16,45 @@
   return options;
 }
 
+// Reads each object below a pointer once, so that all of them count against the
+// limit of the source, the elements of zero size in a list too. The depth is
+// limited by the source.
+void Walk(capnp::AnyPointer::Reader pointer);
+
+void WalkAll(capnp::List<capnp::AnyPointer>::Reader pointers) {
+  for (const auto pointer : pointers) {
+    Walk(pointer);
+  }
+}
+
+void WalkList(capnp::AnyList::Reader list) {
+  if (list.getElementSize() == capnp::ElementSize::POINTER) {
+    WalkAll(list.as<capnp::List<capnp::AnyPointer>>());
+  } else if (list.getElementSize() == capnp::ElementSize::INLINE_COMPOSITE) {
+    for (const auto element : list.as<capnp::List<capnp::AnyStruct>>()) {
+      WalkAll(element.getPointerSection());
+    }
+  }
+}
+
+void Walk(capnp::AnyPointer::Reader pointer) {
+  switch (pointer.getPointerType()) {
+    case capnp::PointerType::STRUCT:
+      WalkAll(pointer.getAs<capnp::AnyStruct>().getPointerSection());
+      break;
+    case capnp::PointerType::LIST:
+      WalkList(pointer.getAs<capnp::AnyList>());
+      break;
+    case capnp::PointerType::NULL_:
+    case capnp::PointerType::CAPABILITY:
+      break;
+  }
+}
+
 }  // namespace
 
 BoundedMessage::BoundedMessage(capnp::MessageReader& source) {
-  source.getRoot<capnp::AnyPointer>().targetSize();
+  Walk(source.getRoot<capnp::AnyPointer>());
   for (unsigned id = 0;; ++id) {
     const kj::ArrayPtr<const capnp::word> segment = source.getSegment(id);
     if (segment == nullptr) {
--- a/tests/libraries/wire/bounded_message_test.cc
+++ b/tests/libraries/wire/bounded_message_test.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/wire/bounded_message.h"
 
+#include <capnp/any.h>
 #include <gtest/gtest.h>
 
 #include <cstdint>
@@ -79,6 +80,25 @@
                kj::Exception);
 }
 
+// Guards against a short message whose list claims millions of elements, which
+// take no space.
+TEST(BoundedMessageTest, AListOfElementsWithoutSizeIsCounted) {
+  constexpr std::uint64_t kElements = 20'000'000;
+  // A root with one pointer, to a list of structs without fields.
+  const std::uint64_t message[] = {
+      std::uint64_t{3} << 32U,       // one segment of three words
+      std::uint64_t{1} << 48U,       // the root: no data, one pointer
+      1U | std::uint64_t{7} << 32U,  // a composite list of no words
+      kElements << 2U,               // its tag: the number of elements
+  };
+  const std::string_view bytes(reinterpret_cast<const char*>(message),
+                               sizeof(message));
+  const auto read = [](capnp::AnyStruct::Reader root) {
+    return root.getPointerSection().size();
+  };
+  EXPECT_THROW(ReadFlatMessage<capnp::AnyStruct>(bytes, read), kj::Exception);
+}
+
 TEST(BoundedMessageTest, AMessageThatEndsWithinAWordIsRefused) {
   const auto words = MakeMessage();
   const std::string_view bytes = BytesOf(words);
