Sumacd: Give up damaged data only, and only to a group that has committed it

From the same review, all by reading: - data of another version, or a state that this program can't load, was given up as if it was damaged, so that a rollout or rollback would do it on one controller after another. It is kept now; the process waits. - a leader answered a request to join before it had committed it, which is no evidence of a majority. It answers OK once the members are committed. - data that was restored while the process waited was set aside. The folder is opened once more before. - power lost after the identity was renamed, at the first start of a group, would have made the replica again under its old name with an empty disk.

--- a/libraries/storage/data_folder.h
+++ b/libraries/storage/data_folder.h
@@ -101,6 +101,18 @@
     return SetAsideNumberedFiles(disk, path, names);
   }
 
+  // Returns true if the folder holds data of an earlier replica, also data that
+  // was set aside.
+  static bool HoldsRemains(DiskType& disk, const std::string& path) {
+    const auto names = disk.List(path);
+    return names.ok() && std::any_of(names->begin(), names->end(),
+                                     [](const std::string& name) {
+                                       return ParseSegmentName(name) ||
+                                              ParseSnapshotName(name) ||
+                                              name.ends_with(kUnreadableSuffix);
+                                     });
+  }
+
   // Returns true if the folder was created by Format.
   static bool HasIdentity(DiskType& disk, const std::string& path) {
     return disk.Read(StrCat(path, "/", kIdentityFile)).ok();
@@ -122,6 +134,8 @@
     const std::vector<std::string> names = TRY(disk.List(path));
     const std::vector<UnreadableSnapshot> unreadable =
         TRY(folder.LoadSnapshot(names));
+    // If the segments don't fit a snapshot that can't be read, the snapshot's
+    // error is the cause.
     const absl::Status loaded = folder.LoadSegments(names, repair);
     TRY(folder.CheckLogMakesUpFor(unreadable));
     TRY(loaded);
@@ -224,11 +238,15 @@
     auto file = TRY(disk.OpenForAppend(temporary));
     TRY(file.Append(bytes));
     TRY(file.Sync());
-    const absl::Status readable = check(TRY(disk.Read(temporary)), target);
-    if (!readable.ok()) {
+    const absl::StatusOr<std::string> read = disk.Read(temporary);
+    const absl::Status readable =
+        read.ok() ? check(*read, target) : read.status();
+    if (IsUnreadable(readable) ||
+        CodeOf(readable) == ResultCode::kStorageFailed) {
       return MakeError(ResultCode::kStorageUnreadable,
                        FromAbsl(readable.message()));
     }
+    TRY(readable);
     return disk.Rename(temporary, target);
   }
 
--- a/services/sumacd/join_requester.cc
+++ b/services/sumacd/join_requester.cc
@@ -46,12 +46,15 @@
         return fleet::Answer{.code = ResultCode::kUnreachable,
                              .message = exception.getDescription().cStr()};
       })
-      .then([this, node](const fleet::Answer& answer) -> kj::Promise<void> {
+      .then([this, node,
+             controller](const fleet::Answer& answer) -> kj::Promise<void> {
         if (answer.is_ok()) {
           return kj::READY_NOW;
         }
         if (answer.code == ResultCode::kNotLeader) {
           this->leader_hint = ProcessName(answer.message);
+        } else if (answer.code == ResultCode::kWrongState) {
+          this->leader_hint = controller;
         }
         return this->timer.afterDelay(ToKj(kJoinInterval)).then([this, node] {
           return this->Join(node);
--- a/services/sumacd/join_requester.h
+++ b/services/sumacd/join_requester.h
@@ -17,7 +17,7 @@
 namespace sumac::daemon {
 
 // Asks controllers in turn to take a replica into the group until the leader
-// has accepted it: evidence that the group has a majority without this process.
+// has committed that: evidence of a majority without this process.
 class JoinRequester {
  public:
   // Asks one controller, which may name the leader as the message of
@@ -33,7 +33,7 @@
                 KnownControllers known_controllers,
                 AskToJoin ask);
 
-  // Returns once the leader has accepted `node`.
+  // Returns once the members with `node` are committed.
   kj::Promise<void> Join(replication::NodeId node);
 
  private:
--- a/services/sumacd/node_daemon.cc
+++ b/services/sumacd/node_daemon.cc
@@ -85,8 +85,12 @@
   const std::vector<ProcessName> seeds = settings.SeedProcesses();
   const bool is_seed =
       std::find(seeds.begin(), seeds.end(), settings.process()) != seeds.end();
+  storage::PosixDisk disk;
+  using Folder = storage::DataFolder<storage::PosixDisk>;
+  const bool has_started_before =
+      Folder::HoldsRemains(disk, settings.data_folder);
   storage::Identity identity;
-  if (settings.is_first_start && is_seed) {
+  if (settings.is_first_start && is_seed && !has_started_before) {
     identity.node = NodeOf(settings.process(), kFirstIncarnation);
     for (const ProcessName& seed : seeds) {
       identity.first_voters.insert(NodeOf(seed, kFirstIncarnation));
@@ -102,9 +106,7 @@
   LogEvent(LogLevel::kWarning, "starts-with-empty-disk",
            {{"node", identity.node.value()},
             {"is_first_voter", !identity.first_voters.empty()}});
-  storage::PosixDisk disk;
-  return storage::DataFolder<storage::PosixDisk>::Format(
-      disk, settings.data_folder, identity);
+  return Folder::Format(disk, settings.data_folder, identity);
 }
 
 // Runs one process: owns its parts, its listeners and its loops.
--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -188,12 +188,16 @@
   if (!this->MayAct()) {
     return MakeError(ResultCode::kNotLeader, this->KnownLeader().value());
   }
+  const absl::Status not_committed =
+      MakeError(ResultCode::kWrongState, "the members are not committed yet");
   if (this->replica_core->membership().is_member(node)) {
-    return absl::OkStatus();
+    return this->replica_core->is_membership_committed() ? absl::OkStatus()
+                                                         : not_committed;
   }
   LogEvent(LogLevel::kWarning, "controller-joins", {{"node", node.value()}});
-  return this->ProposeMembers(
-      replication::WithLearner(this->replica_core->membership(), node));
+  TRY(this->ProposeMembers(
+      replication::WithLearner(this->replica_core->membership(), node)));
+  return not_committed;
 }
 
 absl::Status ReplicaHost::ChangeMember(const std::string& action,
--- a/services/sumacd/replica_host.h
+++ b/services/sumacd/replica_host.h
@@ -107,7 +107,8 @@
   std::optional<SteadyTime> MayActUntil() const;
 
   // Adds a replica to the group as a learner. Returns kNotLeader, or
-  // kWrongState while another membership change is in progress.
+  // kWrongState until the members with it are committed; the call is to be
+  // repeated then.
   absl::Status Join(const replication::NodeId& node);
 
   // Carries out the action "add", "remove" or "replace" for a member.
--- a/services/sumacd/unreadable_data.cc
+++ b/services/sumacd/unreadable_data.cc
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "libraries/base/error.h"
 #include "libraries/base/text.h"
 #include "libraries/base/time.h"
 #include "libraries/base/try.h"
@@ -39,11 +40,15 @@
   // The wall clock is later than any earlier start of this process.
   const auto incarnation = SystemClock().Now().time_since_epoch().count();
   const replication::NodeId node(StrCat(this->self.value(), ".", incarnation));
+  const bool is_damaged = CodeOf(error) == ResultCode::kStorageDamaged;
   LogEvent(LogLevel::kError, "data-unreadable",
            {{"data_folder", this->folder},
             {"error", error.ToString()},
-            {"asks_to_join_as", node.value()}});
+            {"asks_to_join_as", is_damaged ? node.value() : ""}});
   FlushLog();
+  if (!is_damaged) {
+    return kj::NEVER_DONE;
+  }
   return this->requester.Join(node).then(
       [this, node] { return this->Format(node); });
 }
@@ -60,7 +65,21 @@
   return rpc::CallForAnswer(*channel, kCallTimeout, request);
 }
 
+// Returns true if the data can be read after all: an operator may have restored
+// it meanwhile.
+bool UnreadableData::IsReadableAgain() {
+  storage::PosixDisk disk;
+  return storage::DataFolder<storage::PosixDisk>::Open(
+             disk, this->folder, storage::StorageSettings(), false)
+      .ok();
+}
+
 absl::Status UnreadableData::Format(const replication::NodeId& node) {
+  if (this->IsReadableAgain()) {
+    LogEvent(LogLevel::kWarning, "data-readable-again",
+             {{"data_folder", this->folder}});
+    return absl::OkStatus();
+  }
   LogEvent(LogLevel::kWarning, "data-set-aside",
            {{"data_folder", this->folder}, {"node", node.value()}});
   storage::PosixDisk disk;
--- a/services/sumacd/unreadable_data.h
+++ b/services/sumacd/unreadable_data.h
@@ -15,11 +15,15 @@
 
 namespace sumac::daemon {
 
-// Replaces the data of a controller that can't be read, as if its disk was
-// lost: the process asks to join the group as another replica, and once the
-// leader has accepted it, sets the data aside and formats the folder anew.
-// Until then nothing is changed: if no majority is left without this process, a
-// program that can read the data has to find it.
+// Replaces the damaged data of a controller, as if its disk was lost: the
+// process asks to join the group as another replica, and once that is
+// committed, sets the data aside and formats the folder anew. Until then
+// nothing is changed: if no majority is left without this process, a program
+// that can read the data has to find it.
+//
+// Data that is whole, and of another version than this program, is never
+// replaced: one controller after another would give up what their own program
+// can read.
 class UnreadableData {
  public:
   // `folder` is the data folder of the process `self`.
@@ -29,13 +33,15 @@
                  std::string folder);
 
   // Logs `error`, which is why the data can't be read, and replaces the data.
-  // Waits for as long as no leader accepts this process.
+  // Waits for as long as no leader accepts this process, and for ever if the
+  // data isn't damaged.
   kj::Promise<absl::Status> Replace(const absl::Status& error);
 
  private:
   kj::Promise<fleet::Answer> AskToJoin(const ProcessName& controller,
                                        const replication::NodeId& node);
   absl::Status Format(const replication::NodeId& node);
+  bool IsReadableAgain();
 
   Peers& peers;
   ProcessName self;
--- a/tests/libraries/storage/data_folder_test.cc
+++ b/tests/libraries/storage/data_folder_test.cc
@@ -400,7 +400,12 @@
         Folder::Format(this->disk, kFolder, Identity{.node = NodeId("c1.2")})
             .ok();
     this->disk.Crash();
-    if (!Folder::HasIdentity(this->disk, kFolder)) {
+    const bool has_identity = Folder::HasIdentity(this->disk, kFolder);
+    // Without this sign, the first start of a group would make the replica with
+    // the old name again, which has forgotten its votes.
+    EXPECT_TRUE(has_identity || Folder::HoldsRemains(this->disk, kFolder))
+        << operations;
+    if (!has_identity) {
       ASSERT_TRUE(
           Folder::Format(this->disk, kFolder, Identity{.node = NodeId("c1.2")})
               .ok());
--- a/tests/services/sumacd/join_requester_test.cc
+++ b/tests/services/sumacd/join_requester_test.cc
@@ -56,6 +56,16 @@
             (std::vector<ProcessName>{ProcessName("c2"), ProcessName("c9")}));
 }
 
+// Guards against data that is given up for a leader that can't commit.
+TEST(JoinRequesterTest, TheLeaderIsAskedUntilTheMembersAreCommitted) {
+  EXPECT_EQ(RunJoin({{.code = ResultCode::kWrongState},
+                     {.code = ResultCode::kWrongState},
+                     fleet::Answer::Success("accepted")},
+                    {ProcessName("c2"), ProcessName("c3")}),
+            (std::vector<ProcessName>{ProcessName("c2"), ProcessName("c2"),
+                                      ProcessName("c2")}));
+}
+
 // Guards against a request to itself: this process has no replica that could
 // answer.
 TEST(JoinRequesterTest, ThisProcessIsNotAsked) {
