Replication, Sumacd: Take the first manifest although a machine never came

It waited for all machines without an end, though a machine that is down is itself one of the losses.

Change: GrowthWatch. The leader waits for 2f+1 voters, or until nobody has joined for three seconds since the last change of members; then the m machines that are missing count as lost, and the group must bear the f-m others (CountBorneLosses). It goes on waiting while m is above f. A new term counts anew, and a pause of the leader itself is no time to join.

Ruled out: to take it at once with a majority (all machines may run, and two disks be lost in the next second: the property fails with that rule); to count the learners that answer as voters soon to be (they may stay behind for a reason of their own).

Not borne: two disks lost while the fifth machine has still not come, three machines at once (docs/QUESTIONS.md).

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -155,6 +155,7 @@
       create_relay_calls(std::move(create_relay_calls)),
       instance_calls(std::move(instance_calls)),
       jobs_state(std::move(decoder)),
+      growth_watch(settings.tolerated_losses),
       tasks(*this) {}
 
 kj::Promise<void> JobController::Run() {
@@ -206,6 +207,7 @@
   if (!this->host->MayAct()) {
     return;
   }
+  this->growth_watch.Record(term, this->host->replica().membership(), now);
   if (this->term_watch.is_idle()) {
     this->BeginLeadership();
   }
@@ -539,15 +541,11 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::Commit& request) {
-  const bool is_group_small = this->host->replica().membership().voters.size() <
-                              this->settings.wanted_voters();
   const bool is_first_declaration =
       std::holds_alternative<jobs::Declare>(request.command) &&
       this->jobs_state.declaration().version() == 0;
-  if (is_group_small && is_first_declaration) {
-    // NOTE: Until the group has grown to its full size, it can't tolerate as
-    // many failures as declared. Nothing else is accepted before the first
-    // declaration.
+  if (is_first_declaration && !this->growth_watch.IsGrown()) {
+    // NOTE: Nothing else is accepted before the first declaration.
     return fleet::Answer{.code = ResultCode::kNothingDeclared,
                          .message = "the group of controllers still grows"};
   }
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -25,6 +25,7 @@
 #include "libraries/maintenance/instance_calls.h"
 #include "libraries/relay/relay_service.h"
 #include "libraries/relay/relayed_calls.h"
+#include "libraries/replication/growth_watch.h"
 #include "libraries/scheduler/loop_pacer.h"
 #include "libraries/scheduler/scheduler.h"
 #include "libraries/scheduler/worker_calls.h"
@@ -194,6 +195,7 @@
   SnapshotWriter snapshot_writer;
 
   TermWatch term_watch;
+  replication::GrowthWatch growth_watch;
   // The scheduler, from the commit of this leadership's epoch until the
   // leadership ends.
   std::optional<scheduler::Scheduler> scheduler;
