Replication: End a hand-over by its time, also while the host makes no ticks

Callers saw: a leader whose full disk has room again refuses a command with "leadership is being handed over" although its hand-over was over, for up to one tick (20 ms).

Trace: the leader's write fails and it hands over, for one election timeout; the disks of the others are full, too, so nobody catches up. Its tick ends a hand-over, but a host with a full disk makes no tick once that time is over.

Change: Propose, ProposeMembership, HandOver and what finishes a hand-over ask for its time themselves. Besides the refusal, a late answer of the successor carried a hand-over out that was over, and one asked for anew in that moment was dropped.

--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -86,16 +86,14 @@
     this->ResetElectionTimer(now);
     return;
   }
+  this->GiveUpLateHandOver(now);
   if (this->hand_over_to && now >= this->hand_over_deadline) {
     // NOTE: Once TimeoutNow is sent, its receiver may at any later moment of
     // this term start an election that ignores the lease, so leadership of this
     // term can't be resumed.
-    if (this->has_sent_timeout_now) {
-      this->BecomeFollower(this->hard_state.term, std::nullopt);
-      this->ResetElectionTimer(now);
-      return;
-    }
-    this->hand_over_to.reset();
+    this->BecomeFollower(this->hard_state.term, std::nullopt);
+    this->ResetElectionTimer(now);
+    return;
   }
   if (std::exchange(this->needs_commit_broadcast, false)) {
     this->SendCommitIndex(now);
@@ -159,6 +157,7 @@
   if (this->current_role != Role::kLeader) {
     return MakeError(ResultCode::kNotLeader, "this controller does not lead");
   }
+  this->GiveUpLateHandOver(now);
   if (this->hand_over_to) {
     return MakeError(ResultCode::kNoLeader, "leadership is being handed over");
   }
@@ -170,6 +169,7 @@
 absl::StatusOr<LogIndex> Replica::ProposeMembership(
     const Membership& membership,
     SteadyTime now) {
+  this->GiveUpLateHandOver(now);
   if (this->current_role != Role::kLeader || this->hand_over_to) {
     return MakeError(ResultCode::kNotLeader, "this controller does not lead");
   }
@@ -193,6 +193,7 @@
   if (this->current_role != Role::kLeader) {
     return MakeError(ResultCode::kNotLeader, "this controller does not lead");
   }
+  this->GiveUpLateHandOver(now);
   if (this->hand_over_to) {
     // Its deadline and a TimeoutNow that is on its way still count.
     return absl::OkStatus();
@@ -812,7 +813,16 @@
   }
 }
 
-void Replica::MaybeFinishHandOver(SteadyTime /*now*/) {
+// Gives up a hand-over whose time is over, unless TimeoutNow is sent. Ticks
+// alone don't suffice: a host whose disk is full makes none.
+void Replica::GiveUpLateHandOver(SteadyTime now) {
+  if (!this->has_sent_timeout_now && now >= this->hand_over_deadline) {
+    this->hand_over_to.reset();
+  }
+}
+
+void Replica::MaybeFinishHandOver(SteadyTime now) {
+  this->GiveUpLateHandOver(now);
   if (!this->hand_over_to || this->has_sent_timeout_now) {
     return;
   }
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -192,6 +192,7 @@
   void SendSnapshotHeartbeat(const NodeId& node,
                              MemberProgress& progress,
                              SteadyTime now);
+  void GiveUpLateHandOver(SteadyTime now);
   void MaybeFinishHandOver(SteadyTime now);
   void TickLeader(SteadyTime now);
   void Send(const NodeId& to, decltype(Message::body) body);
--- a/tests/libraries/replication/replica_test.cc
+++ b/tests/libraries/replication/replica_test.cc
@@ -110,6 +110,50 @@
   EXPECT_EQ(cluster.CheckInvariants(), "");
 }
 
+// A leader that hands over, and whose host makes no ticks until the time of the
+// hand-over is over. The others lack its last entry.
+class LateHandOverTest : public testing::Test {
+ protected:
+  LateHandOverTest() {
+    this->cluster.PassTime(Milliseconds(300));
+    EXPECT_TRUE(this->cluster.Propose(this->leader, "a").ok());
+    EXPECT_TRUE(this->Leader().HandOver(this->cluster.now).ok());
+    this->cluster.Pump(this->leader);
+    this->cluster.now += this->cluster.settings.hand_over_timeout;
+  }
+
+  Replica& Leader() { return *this->cluster.nodes[this->leader].replica; }
+
+  Cluster cluster{3};
+  std::size_t leader = this->cluster.ElectLeader().value();
+};
+
+TEST_F(LateHandOverTest, ItRefusesNothing) {
+  ASSERT_TRUE(this->Leader().HoldsLease(this->cluster.now));
+  EXPECT_TRUE(this->cluster.Propose(this->leader, "b").ok());
+  Membership more = this->Leader().membership();
+  this->cluster.Settle();
+  more.learners.insert(NodeId("n9.1"));
+  EXPECT_TRUE(this->Leader().ProposeMembership(more, this->cluster.now).ok());
+}
+
+TEST_F(LateHandOverTest, ItIsNotCarriedOut) {
+  const Term term = this->Leader().term();
+  this->cluster.Settle();
+  EXPECT_TRUE(this->Leader().HoldsLease(this->cluster.now));
+  this->cluster.PassTime(Milliseconds(400));
+  EXPECT_EQ(this->Leader().role(), Role::kLeader);
+  EXPECT_EQ(this->Leader().term(), term);
+}
+
+TEST_F(LateHandOverTest, TheNextOneBeginsAnew) {
+  ASSERT_TRUE(this->Leader().HandOver(this->cluster.now).ok());
+  EXPECT_EQ(CodeOf(this->cluster.Propose(this->leader, "b").status()),
+            ResultCode::kNoLeader);
+  this->cluster.PassTime(Milliseconds(100));
+  EXPECT_NE(this->Leader().role(), Role::kLeader);
+}
+
 TEST(ReplicaTest, AHandOverWhoseMessageIsLateNeverLeavesTwoLeases) {
   Cluster cluster(3);
   const auto leader = cluster.ElectLeader();
