Replication: Send nothing again without an answer that tells a loss

The connection is TCP, which was still carrying the first copy, so that each lost packet (200 ms) put several copies in front of all that followed. A chunk of 256 KB or a message of 512 KB also can't get through such a link within the second after which the connection is ended, and was begun again.

Change: the answers to heartbeats tell what was lost. A heartbeat follows the position sent so far, so the member refuses it if something before it is missing, and only then the search begins again, once for all refusals of messages that were sent before. An answer to a later message frees the places of those in flight before it. Messages have 64 KB of entries at most.

Safety is not touched: what is acknowledged, counted and committed is as before.

Tests: WhatIsHeldUpOnALinkIsSentOnce fails on the code before (nothing applied after 20 s with 1.7 s one way), WhatIsLostOnALinkIsSentAgain guards the new way. AMemberThatRestartsDuringASnapshotGetsItAgain expected a transfer to be under way after 900 ms, which now takes less; it crashes the member at the first chunk instead.

--- a/libraries/replication/leadership.h
+++ b/libraries/replication/leadership.h
@@ -17,6 +17,10 @@
   // until then it sends one message at a time.
   bool is_matched = false;
   std::size_t messages_in_flight = 0;
+  // The time at which the last message with entries was sent.
+  SteadyTime entries_sent_at{};
+  // The time since which the leader searches for the last matching position.
+  SteadyTime search_began_at{};
   // The time at which the last answered message was sent. The leader's lease
   // counts from this time.
   SteadyTime acknowledged_sent_at{};
@@ -28,7 +32,9 @@
   std::optional<std::uint64_t> snapshot_offset;
   // The position of the snapshot that is being sent.
   LogIndex snapshot_index;
-  // The time at which the chunk that begins at snapshot_offset was sent.
+  // The first byte of the snapshot that was not sent yet.
+  std::uint64_t snapshot_sent_until = 0;
+  // The time at which the last chunk was sent.
   SteadyTime chunk_sent_at{};
 };
 
--- a/libraries/replication/replica.cc
+++ b/libraries/replication/replica.cc
@@ -577,14 +577,12 @@
                      SteadyTime now) {
   const bool is_stalled =
       now - progress.last_answer_at > this->settings.election_timeout;
-  if (is_heartbeat && is_stalled) {
-    // All messages in flight are considered lost; the search for the matching
-    // position starts again.
+  if (is_stalled && !progress.snapshot_offset &&
+      progress.next_index <= this->log.snapshot().index) {
+    // No snapshot is sent to a member that does not answer.
     progress.is_matched = false;
     progress.messages_in_flight = 0;
-    progress.next_index = std::max(progress.match_index.Next(),
-                                   this->log.snapshot().index.Next());
-    progress.snapshot_offset.reset();
+    progress.next_index = this->log.snapshot().index.Next();
   }
   if (progress.next_index <= this->log.snapshot().index ||
       progress.snapshot_offset) {
@@ -623,6 +621,7 @@
   }
   if (!request.entries.empty()) {
     ++progress.messages_in_flight;
+    progress.entries_sent_at = now;
     if (progress.is_matched) {
       progress.next_index = request.entries.back().index.Next();
     }
@@ -635,12 +634,15 @@
     return false;
   }
   const auto& members = this->leading->members();
-  return std::any_of(members.begin(), members.end(), [](const auto& member) {
-    return member.second.snapshot_offset.has_value();
+  return std::any_of(members.begin(), members.end(), [&](const auto& member) {
+    const bool is_answering = this->latest_now - member.second.last_answer_at <=
+                              2 * this->settings.election_timeout;
+    return member.second.snapshot_offset.has_value() && is_answering;
   });
 }
 
-// Sends the next chunk of the newest snapshot.
+// Begins to send the newest snapshot, or continues at the first byte that the
+// member does not have.
 void Replica::SendSnapshot(const NodeId& node,
                            MemberProgress& progress,
                            SteadyTime now) {
@@ -651,31 +653,49 @@
   }
   const std::uint64_t offset = progress.snapshot_offset.value_or(0);
   progress.snapshot_offset = offset;
-  progress.chunk_sent_at = now;
-  SnapshotChunk chunk{.meta = meta, .offset = offset, .sent_at = now};
-  if (offset < this->snapshot_state.size()) {
+  progress.snapshot_sent_until = offset;
+  this->SendSnapshotChunk(node, progress, now);
+  this->SendSnapshotChunks(node, progress, now);
+}
+
+void Replica::SendSnapshotChunk(const NodeId& node,
+                                MemberProgress& progress,
+                                SteadyTime now) {
+  SnapshotChunk chunk{.meta = this->log.snapshot(),
+                      .offset = progress.snapshot_sent_until,
+                      .sent_at = now};
+  if (chunk.offset < this->snapshot_state.size()) {
     chunk.data = this->snapshot_state.substr(
-        offset, this->settings.snapshot_chunk_bytes);
+        chunk.offset, this->settings.snapshot_chunk_bytes);
   }
-  chunk.is_last = offset + chunk.data.size() >= this->snapshot_state.size();
+  progress.snapshot_sent_until += chunk.data.size();
+  progress.chunk_sent_at = now;
+  chunk.is_last = progress.snapshot_sent_until >= this->snapshot_state.size();
   this->Send(node, std::move(chunk));
 }
 
-// Sends the next chunk again if it is considered lost, else an empty chunk. A
-// chunk that is only slow is not sent again: each answer to a chunk triggers
-// the next one, so sending one chunk twice would double all that follow it.
+// Sends as many further chunks as may be in flight.
+void Replica::SendSnapshotChunks(const NodeId& node,
+                                 MemberProgress& progress,
+                                 SteadyTime now) {
+  const std::uint64_t window = this->settings.max_messages_in_flight *
+                               this->settings.snapshot_chunk_bytes;
+  while (progress.snapshot_sent_until < this->snapshot_state.size() &&
+         progress.snapshot_sent_until - *progress.snapshot_offset < window) {
+    this->SendSnapshotChunk(node, progress, now);
+  }
+}
+
+// Sends an empty chunk: it shows that the leader is alive, and the answer tells
+// whether chunks were lost. None is sent again without such an answer, since
+// copies would delay all that follows on a slow link.
 void Replica::SendSnapshotHeartbeat(const NodeId& node,
                                     MemberProgress& progress,
                                     SteadyTime now) {
-  const bool is_superseded =
-      progress.snapshot_index != this->log.snapshot().index;
-  const bool is_lost =
-      now - progress.chunk_sent_at > this->settings.election_timeout;
-  if (is_superseded || is_lost) {
+  if (progress.snapshot_index != this->log.snapshot().index) {
     this->SendSnapshot(node, progress, now);
     return;
   }
-  // An empty chunk only shows that the leader is alive.
   this->Send(node, SnapshotChunk{.meta = this->log.snapshot(),
                                  .offset = *progress.snapshot_offset,
                                  .sent_at = now});
@@ -693,7 +713,15 @@
   progress->acknowledged_sent_at =
       std::max(progress->acknowledged_sent_at, answer.sent_at);
   progress->supports_joint_quorums = answer.supports_joint_quorums;
-  if (progress->messages_in_flight > 0) {
+  const bool is_late_refusal =
+      !answer.is_accepted && answer.sent_at < progress->search_began_at;
+  if (is_late_refusal) {
+    return;
+  }
+  if (answer.sent_at > progress->entries_sent_at) {
+    // Messages arrive in order, so all earlier ones were answered or lost.
+    progress->messages_in_flight = 0;
+  } else if (progress->messages_in_flight > 0) {
     --progress->messages_in_flight;
   }
   if (answer.is_accepted) {
@@ -709,6 +737,7 @@
   } else if (answer.match_index > LogIndex(0)) {
     progress->is_matched = false;
     progress->messages_in_flight = 0;
+    progress->search_began_at = now;
     progress->next_index =
         std::max(std::min(answer.match_index, this->log.last_index().Next()),
                  progress->match_index.Next());
@@ -791,17 +820,19 @@
     this->SendTo(from, *progress, false, now);
     return;
   }
-  const bool is_chunk_accepted =
-      answer.next_offset > *progress->snapshot_offset;
-  // A smaller offset means that the member lost the chunks it had, but only in
-  // the answer to the last chunk sent; other answers may be late.
-  const bool has_restarted_transfer =
-      answer.next_offset < *progress->snapshot_offset &&
-      answer.sent_at >= progress->chunk_sent_at;
-  if (answer.index == progress->snapshot_index &&
-      (is_chunk_accepted || has_restarted_transfer)) {
+  if (answer.index != progress->snapshot_index) {
+    return;
+  }
+  const bool is_superseded = answer.index != this->log.snapshot().index;
+  if (is_superseded || answer.sent_at > progress->chunk_sent_at) {
+    // Messages arrive in order, so what the member does not have was lost.
     progress->snapshot_offset = answer.next_offset;
     this->SendSnapshot(from, *progress, now);
+  } else if (answer.next_offset > *progress->snapshot_offset) {
+    progress->snapshot_offset = answer.next_offset;
+    progress->snapshot_sent_until =
+        std::max(progress->snapshot_sent_until, answer.next_offset);
+    this->SendSnapshotChunks(from, *progress, now);
   }
 }
 
--- a/libraries/replication/replica.h
+++ b/libraries/replication/replica.h
@@ -94,7 +94,8 @@
   // True once a leader has committed an entry of its own term, so that its log
   // contains all committed entries.
   bool is_ready_to_lead() const;
-  // True while this leader is sending a snapshot to at least one member.
+  // True while this leader is sending a snapshot to at least one member that
+  // answers.
   bool is_sending_snapshot() const;
 
   // The position of the entry with which the present leadership of this replica
@@ -189,6 +190,12 @@
   void SendSnapshot(const NodeId& node,
                     MemberProgress& progress,
                     SteadyTime now);
+  void SendSnapshotChunk(const NodeId& node,
+                         MemberProgress& progress,
+                         SteadyTime now);
+  void SendSnapshotChunks(const NodeId& node,
+                          MemberProgress& progress,
+                          SteadyTime now);
   void SendSnapshotHeartbeat(const NodeId& node,
                              MemberProgress& progress,
                              SteadyTime now);
--- a/libraries/replication/types.h
+++ b/libraries/replication/types.h
@@ -167,7 +167,8 @@
 // Answers a SnapshotChunk.
 struct SnapshotAnswer {
   LogIndex index;
-  // The offset of the chunk that the member needs next.
+  // The offset of the chunk that the member needs next. Chunks that arrive out
+  // of order are dropped.
   std::uint64_t next_offset = 0;
   bool is_installed = false;
   SteadyTime sent_at;
@@ -222,10 +223,13 @@
   // How long a hand-over may take before the leader resumes.
   Milliseconds hand_over_timeout{300};
   std::size_t max_entries_per_message = 256;
-  std::size_t max_bytes_per_message = 512U << 10;
-  // The maximum number of messages with entries in flight to one member.
+  // NOTE: A message has to get through within the time after which a connection
+  // without answers is ended, also where lost packets slow it down.
+  std::size_t max_bytes_per_message = 64U << 10;
+  // The maximum number of messages with entries, and of chunks of a snapshot,
+  // in flight to one member.
   std::size_t max_messages_in_flight = 8;
-  std::size_t snapshot_chunk_bytes = 256U << 10;
+  std::size_t snapshot_chunk_bytes = 32U << 10;
 };
 
 // The actions that the host has to carry out, in this order: install the
--- a/tests/libraries/replication/replica_test.cc
+++ b/tests/libraries/replication/replica_test.cc
@@ -240,11 +240,14 @@
   std::size_t leader = 0;
   std::size_t laggard = 0;
   std::size_t snapshot_bytes_sent = 0;
+  std::size_t entries_sent = 0;
 
  private:
   void DeliverSlow(const Message& message) {
     if (const auto* chunk = std::get_if<SnapshotChunk>(&message.body)) {
       this->snapshot_bytes_sent += chunk->data.size();
+    } else if (const auto* append = std::get_if<AppendRequest>(&message.body)) {
+      this->entries_sent += append->entries.size();
     }
     std::deque<Message> others = std::exchange(this->cluster.network, {});
     this->cluster.network.push_back(message);
@@ -271,6 +274,52 @@
   EXPECT_EQ(transfer.cluster.CheckInvariants(), "");
 }
 
+// Guards against copies of all that is on its way, one at each heartbeat, while
+// lost packets hold up the answers: they are in the way of everything that
+// follows, and a new member does not catch up.
+TEST(ReplicaTest, WhatIsHeldUpOnALinkIsSentOnce) {
+  constexpr Milliseconds kHeldUp{1'700};
+  SnapshotTransfer transfer;
+  transfer.PassTime(Milliseconds(20'000), kHeldUp);
+  EXPECT_GE(transfer.AppliedByLaggard(), 300U);
+  const std::size_t size =
+      transfer.cluster.nodes[transfer.laggard].snapshot.state.size();
+  EXPECT_LE(transfer.snapshot_bytes_sent, size + size / 4);
+  const std::size_t before = transfer.entries_sent;
+  constexpr std::size_t kMore = 100;
+  for (std::size_t number = 0; number < kMore; ++number) {
+    ASSERT_TRUE(transfer.cluster.Propose(transfer.leader, "command").ok());
+    transfer.PassTime(Milliseconds(10), kHeldUp);
+  }
+  transfer.PassTime(Milliseconds(20'000), kHeldUp);
+  EXPECT_GE(transfer.AppliedByLaggard(), 300U + kMore);
+  EXPECT_LE(transfer.entries_sent - before, kMore + kMore / 4);
+  EXPECT_EQ(transfer.cluster.CheckInvariants(), "");
+}
+
+// Guards against entries that are never sent again because the leader waits for
+// answers to messages that were lost.
+TEST(ReplicaTest, WhatIsLostOnALinkIsSentAgain) {
+  Cluster cluster(3);
+  const auto leader = cluster.ElectLeader();
+  ASSERT_TRUE(leader);
+  const std::size_t other = (*leader + 1) % 3;
+  cluster.PassTime(Milliseconds(500));
+  constexpr int kCommands = 40;
+  for (int round = 1; round <= 3; ++round) {
+    cluster.SetCut(other, true);
+    for (int number = 0; number < kCommands; ++number) {
+      ASSERT_TRUE(cluster.Propose(*leader, "command").ok());
+      cluster.PassTime(Milliseconds(10));
+    }
+    cluster.SetCut(other, false);
+    cluster.PassTime(Milliseconds(600));
+    EXPECT_EQ(cluster.nodes[other].applied.size(),
+              static_cast<std::size_t>(round * kCommands));
+  }
+  EXPECT_EQ(cluster.CheckInvariants(), "");
+}
+
 TEST(ReplicaTest, ASupersededSnapshotIsSentAgain) {
   SnapshotTransfer transfer;
   transfer.PassTime(Milliseconds(900), Milliseconds(60));
@@ -283,7 +332,10 @@
 
 TEST(ReplicaTest, AMemberThatRestartsDuringASnapshotGetsItAgain) {
   SnapshotTransfer transfer;
-  transfer.PassTime(Milliseconds(900), Milliseconds(60));
+  for (int step = 0; step < 100 && transfer.snapshot_bytes_sent == 0; ++step) {
+    transfer.PassTime(Milliseconds(10), Milliseconds(60));
+  }
+  ASSERT_GT(transfer.snapshot_bytes_sent, 0U);
   ASSERT_LT(transfer.AppliedByLaggard(), 300U);
   transfer.cluster.Crash(transfer.laggard);
   transfer.cluster.Restart(transfer.laggard);
