Replication: Pass on the vote of a lost disk before the state

Cause: a new replica took the vote of the old one of its process only once it held what was committed at the last check. How long that takes depends on the size of the state and on the links; the limits on losses depend on neither. It protects nothing in this case: the new replica is proof that the old disk is gone, so that the vote can't be cast while it waits. With it the group can bear one more loss.

Change: a learner whose process has a silent voter is exchanged for it as soon as it has answered the leader. What is committed stays on a majority, and the joint quorums need none but those that answer already. A spare of another name still has to catch up, since the voter that it replaces may only be away, with its disk. So has any learner where a voter's program does not know joint quorums, as a vote changes hands in two steps there.

Ruled out: counting a member as caught up although it was silent for more than a second. It brings little, as the state is what is waited for.

NoStepBearsFewerLosses draws members that answer and are behind, too.

--- a/libraries/replication/membership_keeper.cc
+++ b/libraries/replication/membership_keeper.cc
@@ -52,6 +52,8 @@
   health.is_caught_up =
       !health.is_silent && this->catch_up_tracker.HasCaughtUp(
                                replica.term(), found->second.match_index);
+  health.is_answering =
+      !health.is_silent && found->second.acknowledged_sent_at != SteadyTime{};
   health.supports_joint_quorums = found->second.supports_joint_quorums;
   health.member_since = replica.MemberSince(member);
   health.data_centre = this->data_centre_of(member);
--- a/libraries/replication/membership_plan.cc
+++ b/libraries/replication/membership_plan.cc
@@ -212,10 +212,13 @@
   const bool has_room = this->wanted_voters == 0 ||
                         this->members.voters.size() < this->wanted_voters;
   for (const NodeId& learner : this->OrderLearners()) {
-    if (!this->HealthOf(learner).is_caught_up) {
+    const NodeId* old = this->FindVoterOfSameProcess(learner);
+    const MemberHealth health = this->HealthOf(learner);
+    const bool can_enter_behind = old != nullptr && health.is_answering &&
+                                  this->CanExchange(*old, learner);
+    if (!health.is_caught_up && !can_enter_behind) {
       continue;
     }
-    const NodeId* old = this->FindVoterOfSameProcess(learner);
     if (old == nullptr && has_room) {
       return this->WithPromoted(learner);
     }
--- a/libraries/replication/membership_plan.h
+++ b/libraries/replication/membership_plan.h
@@ -15,6 +15,8 @@
 struct MemberHealth {
   // True if it answers and has caught up with the committed entries.
   bool is_caught_up = false;
+  // True if it has answered this leader and is not silent.
+  bool is_answering = false;
   // True if it has not answered for so long that a new replica of its process
   // may replace it.
   bool is_silent = false;
@@ -52,8 +54,9 @@
 
 // Returns the next step, if any, towards a group whose voters are all alive. A
 // process that returned with a new disk becomes a voter again in three steps:
-// its new replica is a learner first; once it has caught up and the old replica
-// is silent, the old one is removed; then the new one is promoted to voter.
+// its new replica is a learner first; once it answers and the old replica is
+// silent, it is exchanged for the old one. It need not have caught up: the disk
+// of the old replica is gone, so that the vote counts for nobody meanwhile.
 // With `wanted_voters` above 0 the group also maintains its own size: other
 // learners that have caught up are promoted until there are that many voters,
 // they replace voters that are suspected, and lost learners are removed. With
--- a/tests/libraries/replication/membership_plan_test.cc
+++ b/tests/libraries/replication/membership_plan_test.cc
@@ -40,6 +40,44 @@
                                {{kNew, {}}, {kOld, {.is_silent = true}}}));
 }
 
+// Guards against a vote that nobody has for as long as the state takes to be
+// sent: the disk of the old replica is gone, whether the new one has caught up
+// or not.
+TEST(MembershipPlanTest, TheVoteOfALostDiskDoesNotWaitForTheState) {
+  std::map<NodeId, MemberHealth> health = {
+      {NodeId("c1.1"), {.supports_joint_quorums = true}},
+      {NodeId("c2.1"), {.supports_joint_quorums = true}},
+      {kOld, {.is_silent = true}},
+      {kNew, {.is_answering = true, .supports_joint_quorums = true}}};
+  const auto joint = PlanNextMembers(MakeMembers(), health);
+  ASSERT_TRUE(joint);
+  EXPECT_TRUE(joint->voters.contains(kNew));
+  EXPECT_TRUE(joint->outgoing_voters.contains(kOld));
+  const auto ended = PlanNextMembers(*joint, health);
+  ASSERT_TRUE(ended);
+  EXPECT_TRUE(ended->voters.contains(kNew));
+  EXPECT_FALSE(ended->is_member(kOld));
+  // Without joint quorums a step would lower the number of voters.
+  health[NodeId("c1.1")].supports_joint_quorums = false;
+  EXPECT_FALSE(PlanNextMembers(MakeMembers(), health));
+}
+
+// Guards against a vote that is taken from a voter whose disk is there for one
+// that has not caught up.
+TEST(MembershipPlanTest, AVoterThatIsAwayWaitsForASpareThatHasCaughtUp) {
+  const Membership members{{NodeId("c1.1"), NodeId("c2.1"), NodeId("c3.1")},
+                           {NodeId("c4.1")}};
+  std::map<NodeId, MemberHealth> health = {
+      {NodeId("c1.1"), {.supports_joint_quorums = true}},
+      {NodeId("c2.1"), {.supports_joint_quorums = true}},
+      {NodeId("c3.1"), {.is_silent = true, .is_suspected = true}},
+      {NodeId("c4.1"), {.is_answering = true, .supports_joint_quorums = true}}};
+  constexpr std::size_t kWanted = 3;
+  EXPECT_FALSE(PlanNextMembers(members, health, kWanted));
+  health[NodeId("c4.1")].is_caught_up = true;
+  EXPECT_TRUE(PlanNextMembers(members, health, kWanted));
+}
+
 TEST(MembershipPlanTest, AVoterThatAnswersIsNotReplacedByANamesake) {
   EXPECT_FALSE(PlanNextMembers(MakeMembers(),
                                {{kNew, {.is_caught_up = true}}, {kOld, {}}}));
--- a/tests/libraries/replication/voter_exchange_test.cc
+++ b/tests/libraries/replication/voter_exchange_test.cc
@@ -287,6 +287,7 @@
               .supports_joint_quorums = true};
     default:
       return {.is_caught_up = *rc::gen::inRange(0, 4) > 0,
+              .is_answering = true,
               .supports_joint_quorums = true};
   }
 }
