Controllers: Ask all others at once to join the group

Cause: a new replica asked one controller each 500 ms in turn: of three seeds one was itself, one was gone, and the third was behind a link that lost the request, so that 3.5 s passed while the leader answered everybody else. A leader that had another change of members under way (0.2 to 0.4 s) was asked again after 500 ms.

Change: as long as it knows no leader it asks all controllers that it knows at once, never itself; a leader that refuses because of another change is asked again after 100 ms. Which controllers these are is a function of its own (`ControllersToAsk`), tested by ANewMemberAsksAllOthersToJoin. The order in which they are asked was in GroupMaintenance, which needs connections and has no test; the new test can't be run on the code before, which had no such function.

--- a/libraries/replication/membership_keeper.cc
+++ b/libraries/replication/membership_keeper.cc
@@ -24,6 +24,17 @@
 
 }  // namespace
 
+std::set<ProcessName> ControllersToAsk(const ProcessName& self,
+                                       const std::vector<ProcessName>& known,
+                                       const Membership& members) {
+  std::set<ProcessName> asked(known.begin(), known.end());
+  for (const NodeId& voter : members.AllVoters()) {
+    asked.insert(ProcessOf(voter));
+  }
+  asked.erase(self);
+  return asked;
+}
+
 MembershipKeeper::MembershipKeeper(std::size_t wanted_voters,
                                    std::size_t tolerated_data_centres,
                                    DataCentreOf data_centre_of)
--- a/libraries/replication/membership_keeper.h
+++ b/libraries/replication/membership_keeper.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <vector>
 
 #include "libraries/base/names.h"
 #include "libraries/replication/catch_up_tracker.h"
@@ -15,6 +17,13 @@
 
 namespace sumac::replication {
 
+// Returns the controllers that the process `self` asks to join the group: all
+// that it knows, `known` and the voters, but itself. Any of them may be gone or
+// know no leader, and a request to it costs its whole time limit.
+std::set<ProcessName> ControllersToAsk(const ProcessName& self,
+                                       const std::vector<ProcessName>& known,
+                                       const Membership& members);
+
 // Decides for a leading replica which members the group should have next, from
 // how long each member has been silent and how much of the log it holds. Pure.
 class MembershipKeeper {
--- a/services/sumacd/group_maintenance.cc
+++ b/services/sumacd/group_maintenance.cc
@@ -6,7 +6,6 @@
 #include "libraries/base/result_code.h"
 #include "libraries/fleet/answer.h"
 #include "libraries/log/json_log.h"
-#include "libraries/replication/membership_plan.h"
 #include "libraries/rpc/call.h"
 #include "libraries/wire/generated/peer.capnp.h"
 #include "libraries/wire/replication_codec.h"
@@ -14,10 +13,11 @@
 namespace sumac::daemon {
 namespace {
 
-using replication::ProcessOf;
-
 constexpr Milliseconds kCallTimeout{1'000};
 constexpr Milliseconds kJoinInterval{500};
+// The time after which a leader that had another change of members under way is
+// asked again: most changes take less.
+constexpr Milliseconds kBusyLeaderInterval{100};
 
 }  // namespace
 
@@ -73,7 +73,8 @@
 }
 
 // A replica that belongs to no group, or may have been removed from it while it
-// was partitioned, requests to join from one controller after the other.
+// was partitioned, asks the leader to join, or all controllers if it does not
+// know the leader.
 void GroupMaintenance::RequestToJoin(const replication::Replica& replica,
                                      SteadyTime now,
                                      kj::TaskSet& tasks) {
@@ -82,42 +83,45 @@
     return;
   }
   this->last_join_request_at = now;
-  const ProcessName asked = this->NextJoinController(replica.membership());
+  const ProcessName leader = std::exchange(this->join_hint, ProcessName());
+  if (!leader.value().empty() && leader != this->process) {
+    this->AskToJoin(leader, replica.self(), tasks);
+    return;
+  }
+  for (const ProcessName& asked : replication::ControllersToAsk(
+           this->process, this->peers.controllers(), replica.membership())) {
+    this->AskToJoin(asked, replica.self(), tasks);
+  }
+}
+
+void GroupMaintenance::AskToJoin(const ProcessName& asked,
+                                 const replication::NodeId& node,
+                                 kj::TaskSet& tasks) {
   rpc::Channel* channel = this->peers.Find(asked);
-  if (asked == this->process || channel == nullptr) {
+  if (channel == nullptr) {
     return;
   }
   auto request = channel->Get<wire::Peer>().joinRequest();
-  request.setNode(replica.self().value());
+  request.setNode(node.value());
   tasks.add(rpc::CallForAnswer(*channel, kCallTimeout, request)
                 .then(
-                    [this](const fleet::Answer& answer) {
-                      const bool is_hint =
-                          answer.code == ResultCode::kNotLeader;
-                      this->join_hint =
-                          ProcessName(is_hint ? answer.message : "");
-                      if (is_hint && !answer.message.empty()) {
-                        // Sends the next request, to the leader, at the
-                        // next tick.
-                        this->last_join_request_at = SteadyTime{};
-                      }
+                    [this, asked](const fleet::Answer& answer) {
+                      this->HandleJoinAnswer(asked, answer);
                     },
                     [](kj::Exception&& /*exception*/) {}));
 }
 
-// Returns the controller to send the next join request to: the leader if the
-// last response named it, else the known controllers in rotation.
-ProcessName GroupMaintenance::NextJoinController(
-    const replication::Membership& members) {
-  ProcessName hint = std::exchange(this->join_hint, ProcessName());
-  if (!hint.value().empty()) {
-    return hint;
-  }
-  std::vector<ProcessName> controllers = this->peers.controllers();
-  for (const replication::NodeId& voter : members.AllVoters()) {
-    controllers.push_back(ProcessOf(voter));
+void GroupMaintenance::HandleJoinAnswer(const ProcessName& asked,
+                                        const fleet::Answer& answer) {
+  if (answer.code == ResultCode::kNotLeader && !answer.message.empty()) {
+    this->join_hint = ProcessName(answer.message);
+    // Sends the next request, to the leader, at the next tick.
+    this->last_join_request_at = SteadyTime{};
+  } else if (answer.code == ResultCode::kWrongState) {
+    // Another change of members is not committed yet.
+    this->join_hint = asked;
+    this->last_join_request_at -= kJoinInterval - kBusyLeaderInterval;
   }
-  return controllers[this->next_join_controller++ % controllers.size()];
 }
 
 // Asks the other controllers where they run.
--- a/services/sumacd/group_maintenance.h
+++ b/services/sumacd/group_maintenance.h
@@ -11,6 +11,7 @@
 
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
+#include "libraries/fleet/answer.h"
 #include "libraries/replication/membership_keeper.h"
 #include "libraries/replication/membership_watch.h"
 #include "libraries/replication/replica.h"
@@ -68,7 +69,10 @@
   void RequestToJoin(const replication::Replica& replica,
                      SteadyTime now,
                      kj::TaskSet& tasks);
-  ProcessName NextJoinController(const replication::Membership& members);
+  void AskToJoin(const ProcessName& asked,
+                 const replication::NodeId& node,
+                 kj::TaskSet& tasks);
+  void HandleJoinAnswer(const ProcessName& asked, const fleet::Answer& answer);
   void LearnDataCentres(const replication::Membership& members,
                         SteadyTime now,
                         kj::TaskSet& tasks);
@@ -80,9 +84,8 @@
   replication::MembershipKeeper keeper;
   replication::MembershipWatch watch;
   SteadyTime last_join_request_at{};
-  std::size_t next_join_controller = 0;
-  // The leader that the last response to a join request named; empty if it
-  // named none.
+  // The leader that a response to the last join requests named, or that could
+  // not accept one at that moment; empty if there was none.
   ProcessName join_hint;
 };
 
--- a/tests/libraries/replication/membership_keeper_test.cc
+++ b/tests/libraries/replication/membership_keeper_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,22 @@
   EXPECT_EQ(history.CheckWhole(), "") << history.text();
 }
 
+// Guards against a new member that joins late because it asks itself, or one
+// controller after the other while some are gone.
+TEST(MembershipKeeperTest, ANewMemberAsksAllOthersToJoin) {
+  const ProcessName self("c1");
+  const std::vector<ProcessName> known = {self, ProcessName("c2"),
+                                          ProcessName("c3")};
+  EXPECT_EQ(ControllersToAsk(self, known, {}),
+            (std::set<ProcessName>{ProcessName("c2"), ProcessName("c3")}));
+  const Membership members{.voters = {NodeId("c3.1"), NodeId("c4.1")},
+                           .learners = {NodeId("c6.1")},
+                           .outgoing_voters = {NodeId("c3.1"), NodeId("c5.1")}};
+  EXPECT_EQ(ControllersToAsk(self, known, members),
+            (std::set<ProcessName>{ProcessName("c2"), ProcessName("c3"),
+                                   ProcessName("c4"), ProcessName("c5")}));
+}
+
 // Draws what happens to the machines.
 class Drawer {
  public:
