--- a/libraries/replication/membership_keeper.cc
+++ b/libraries/replication/membership_keeper.cc
@@ -24,6 +24,17 @@
 
 }  // namespace
 
+std::set<ProcessName> ControllersToAsk(const ProcessName& self,
+                                       const std::vector<ProcessName>& known,
+                                       const Membership& members) {
+  std::set<ProcessName> asked(known.begin(), known.end());
+  for (const NodeId& voter : members.AllVoters()) {
+    asked.insert(ProcessOf(voter));
+  }
+  asked.erase(self);
+  return asked;
+}
+
 MembershipKeeper::MembershipKeeper(std::size_t wanted_voters,
                                    std::size_t tolerated_data_centres,
                                    DataCentreOf data_centre_of)
@@ -52,6 +63,8 @@
   health.is_caught_up =
       !health.is_silent && this->catch_up_tracker.HasCaughtUp(
                                replica.term(), found->second.match_index);
+  health.is_answering =
+      !health.is_silent && found->second.acknowledged_sent_at != SteadyTime{};
   health.supports_joint_quorums = found->second.supports_joint_quorums;
   health.member_since = replica.MemberSince(member);
   health.data_centre = this->data_centre_of(member);
