--- a/services/sumacd/group_maintenance.cc
+++ b/services/sumacd/group_maintenance.cc
@@ -118,7 +118,7 @@
     // Sends the next request, to the leader, at the next tick.
     this->last_join_request_at = SteadyTime{};
   } else if (answer.code == ResultCode::kWrongState) {
-    // Another change of members is not committed yet.
+    // This change of members, or another one, is not committed yet.
     this->join_hint = asked;
     this->last_join_request_at -= kJoinInterval - kBusyLeaderInterval;
   }
