Sumacd: End with a last line in the log when the disk fails

Both ends of a controller whose disk fails used std::_Exit behind a buffered line, which was lost if the reader was slow at that moment. They use EndProcess, whose tests cover it (last_line_test). Not run apart from them.

--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -2,7 +2,6 @@
 #include "services/sumacd/replica_host.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <iterator>
 #include <memory>
 #include <utility>
@@ -425,9 +424,7 @@
     // NOTE: After a failed write or sync the contents of the disk are unknown.
     // Anything that this process acknowledged from now on might be lost, so it
     // exits.
-    LogEvent(LogLevel::kError, "storage-failed",
-             {{"error", std::string(status.message())}});
-    std::_Exit(EXIT_FAILURE);
+    EndProcess("storage-failed", {{"error", std::string(status.message())}});
   }
   if (std::exchange(this->has_full_disk, false)) {
     LogEvent(LogLevel::kInfo, "disk-has-room-again", nlohmann::json::object());
@@ -642,7 +639,7 @@
   } else if (CodeOf(status) == ResultCode::kStorageUnreadable) {
     this->RecordUnreadableSnapshot(index, status);
   } else if (!IsTemporaryShortage(status)) {
-    std::_Exit(EXIT_FAILURE);
+    EndProcess("storage-failed", {{"error", std::string(status.message())}});
   }
   // Without this snapshot the log goes on, and the next one is tried later.
 }
