--- a/services/sumacd/join_requester.cc
+++ b/services/sumacd/join_requester.cc
@@ -25,7 +25,7 @@
       ask(std::move(ask)) {}
 
 ProcessName JoinRequester::NextController() {
-  const ProcessName hint = std::exchange(this->leader_hint, ProcessName());
+  ProcessName hint = std::exchange(this->leader_hint, ProcessName());
   if (!hint.value().empty() && hint != this->self) {
     return hint;
   }
@@ -35,7 +35,7 @@
                              : controllers[this->next++ % controllers.size()];
 }
 
-kj::Promise<void> JoinRequester::Join(replication::NodeId node) {
+kj::Promise<void> JoinRequester::Join(const replication::NodeId& node) {
   const ProcessName controller = this->NextController();
   kj::Promise<fleet::Answer> asked =
       controller.value().empty() ? kj::Promise<fleet::Answer>(fleet::Answer{
--- a/services/sumacd/join_requester.h
+++ b/services/sumacd/join_requester.h
@@ -34,7 +34,7 @@
                 AskToJoin ask);
 
   // Returns once the members with `node` are committed.
-  kj::Promise<void> Join(replication::NodeId node);
+  kj::Promise<void> Join(const replication::NodeId& node);
 
  private:
   // Returns the controller to ask next; empty if no other one is known.
--- a/tests/services/sumacd/join_requester_test.cc
+++ b/tests/services/sumacd/join_requester_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <kj/async-io.h>
+#include <kj/debug.h>
 
 #include <deque>
 #include <utility>
@@ -19,7 +20,7 @@
 // Runs a request whose attempts get `answers` in order. Returns the controllers
 // that were asked.
 std::vector<ProcessName> RunJoin(std::deque<fleet::Answer> answers,
-                                 std::vector<ProcessName> known) {
+                                 const std::vector<ProcessName>& known) {
   kj::AsyncIoContext io = kj::setupAsyncIo();
   std::vector<ProcessName> asked;
   JoinRequester requester(
