--- a/services/sumacd/unreadable_data.cc
+++ b/services/sumacd/unreadable_data.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "services/sumacd/unreadable_data.h"
 
+#include <string>
 #include <utility>
 
 #include "libraries/base/error.h"
@@ -43,7 +44,8 @@
   const bool is_damaged = CodeOf(error) == ResultCode::kStorageDamaged;
   LogEvent(LogLevel::kError, "data-unreadable",
            {{"data_folder", this->folder},
-            {"error", error.ToString()},
+            {"code", static_cast<int>(CodeOf(error))},
+            {"error", std::string(error.message())},
             {"asks_to_join_as", is_damaged ? node.value() : ""}});
   FlushLog();
   if (!is_damaged) {
