--- a/services/sumacd/replica_host.cc
+++ b/services/sumacd/replica_host.cc
@@ -187,7 +187,7 @@
   if (!this->MayAct()) {
     return MakeError(ResultCode::kNotLeader, this->KnownLeader().value());
   }
-  const absl::Status not_committed =
+  absl::Status not_committed =
       MakeError(ResultCode::kWrongState, "the members are not committed yet");
   if (this->replica_core->membership().is_member(node)) {
     return this->replica_core->is_membership_committed() ? absl::OkStatus()
