Sumacd: Log what a declaration changes and who is told of it

The logs could not tell the parts apart: a declaration that came into force, one that was refused or sent again, and a read of it left no line.

The leader alone compares; the others write one short line.

No behaviour changes.

--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -14,6 +14,7 @@
 #include "libraries/codec/cbor_writer.h"
 #include "libraries/log/json_log.h"
 #include "services/sumacd/data_centre_queries.h"
+#include "services/sumacd/declaration_log.h"
 #include "services/sumacd/job_address.h"
 #include "services/sumacd/job_queries.h"
 #include "services/sumacd/order_gate.h"
@@ -63,7 +64,10 @@
   ReplicaCallbacks callbacks;
   callbacks.load_snapshot = [self](const std::string& state) {
     self->has_applied = true;
-    return self->jobs_state.Load(state);
+    const std::uint64_t version = self->jobs_state.declaration().version();
+    absl::Status loaded = self->jobs_state.Load(state);
+    LogLoadedDeclaration(version, self->jobs_state);
+    return loaded;
   };
   callbacks.check_snapshot = [self](const std::string& state) {
     return self->jobs_state.CheckLoadable(state);
@@ -322,6 +326,10 @@
   }
   const std::vector<JobId> affected_jobs = this->ActiveJobsOf(stamped->command);
   const auto* change = std::get_if<jobs::ChangeDataCentre>(&stamped->command);
+  const auto* declare = std::get_if<jobs::Declare>(&stamped->command);
+  if (declare != nullptr) {
+    return this->ApplyDeclaration(*stamped, *declare);
+  }
   fleet::Answer answer = this->jobs_state.Apply(*stamped);
   if (change != nullptr) {
     LogDataCentreChange(this->jobs_state, *change, answer);
@@ -330,6 +338,24 @@
   return answer;
 }
 
+fleet::Answer JobController::ApplyDeclaration(
+    const jobs::StampedCommand& stamped,
+    const jobs::Declare& declare) {
+  // Only the leader compares: that takes some milliseconds for a thousand
+  // queues.
+  std::optional<jobs::JobsDeclaration> before;
+  const std::uint64_t version = this->jobs_state.declaration().version();
+  if (this->is_leading()) {
+    before = this->jobs_state.declaration();
+  }
+  fleet::Answer answer = this->jobs_state.Apply(stamped);
+  LogAppliedDeclaration(version, declare, this->jobs_state, answer);
+  if (before && this->jobs_state.declaration().version() != version) {
+    LogDeclarationChanges(*before, this->jobs_state.declaration());
+  }
+  return answer;
+}
+
 // Remembers the workers that a command affects for the next planning pass. A
 // new scheduler reads all workers itself.
 void JobController::RecordAffectedWorkers(const jobs::Command& command) {
@@ -512,8 +538,13 @@
     return this->RefuseAddress(address.status());
   }
   if (address->job.value().empty()) {
-    return fleet::Answer{.document = {{"pending", this->scheduler->CountPending(
-                                                      address->queue->name)}}};
+    const std::size_t pending =
+        this->scheduler->CountPending(address->queue->name);
+    LogEvent(LogLevel::kInfo, "queue-counted",
+             {{"queue", address->queue->name.value()},
+              {"pending", pending},
+              {"declaration", this->jobs_state.declaration().version()}});
+    return fleet::Answer{.document = {{"pending", pending}}};
   }
   const jobs::Job* job = this->jobs_state.FindJob(address->job);
   if (job == nullptr) {
--- a/services/sumacd/job_controller.h
+++ b/services/sumacd/job_controller.h
@@ -126,6 +126,9 @@
   void EndLeadership();
   // Applies a committed command to the jobs state.
   fleet::Answer Apply(const std::string& payload);
+  // Applies a committed declaration and logs what it changed.
+  fleet::Answer ApplyDeclaration(const jobs::StampedCommand& stamped,
+                                 const jobs::Declare& declare);
   void RecordAffectedWorkers(const jobs::Command& command);
   std::vector<JobId> ActiveJobsOf(const jobs::Command& command) const;
   void LogFinishedJobs(const std::vector<JobId>& affected_jobs);
