Sumacd: Believe no refusal by declaration after an attempt without an answer

What callers saw: a 404, 401 or 403 for a job that runs. An entry's first attempt was accepted and its answer lost with the leader; the next leader had another declaration in force and refused the second attempt by it, and the entry passed that on as the outcome of the whole request.

Cause: SubmissionOutcome knew that 429 and 503 hold for the attempt that they answer only, but took a refusal by declaration as final. The class: one request that two declarations decide on.

Change: unknown queue, no credentials, unknown key, foreign job and above quota are refusals like the others: after an attempt without an answer they are tried again until the time is over, and the outcome is then unknown (504). Without such an attempt they are answered at once, as before. A question changes nothing, so its refusal is always passed on at once.

--- a/services/sumacd/jobs_link.cc
+++ b/services/sumacd/jobs_link.cc
@@ -21,6 +21,13 @@
          std::holds_alternative<jobs::CancelAt>(request);
 }
 
+// True for requests that change the state if they are carried out.
+bool HasEffect(const jobs::Request& request) {
+  return std::holds_alternative<jobs::SubmitAt>(request) ||
+         std::holds_alternative<jobs::CancelAt>(request) ||
+         std::holds_alternative<jobs::Commit>(request);
+}
+
 }  // namespace
 
 JobsLink::JobsLink(ProcessName self,
@@ -40,9 +47,10 @@
   if (this->local != nullptr && this->local->is_leading()) {
     return this->local->Ask(request);
   }
-  const SearchLimits limits =
-      IsOfCaller(request) ? LimitsFor(limit)
-                          : SearchLimits{.not_run = limit, .total = limit};
+  SearchLimits limits = IsOfCaller(request)
+                            ? LimitsFor(limit)
+                            : SearchLimits{.not_run = limit, .total = limit};
+  limits.has_effect = HasEffect(request);
   // The request is encoded once for all attempts.
   auto bytes = std::make_shared<std::string>(ToCbor(request));
   auto shared_request = std::make_shared<jobs::Request>(std::move(request));
--- a/services/sumacd/submission_outcome.cc
+++ b/services/sumacd/submission_outcome.cc
@@ -22,6 +22,15 @@
          (info.http_status == kTooMany || info.http_status == kUnavailable);
 }
 
+// True if the answer refuses the request by the declaration in force. An
+// earlier attempt may have been taken by the one before.
+bool IsRefusedByDeclaration(ResultCode code) {
+  return code == ResultCode::kUnknownQueue ||
+         code == ResultCode::kNoCredentials ||
+         code == ResultCode::kUnknownKey || code == ResultCode::kForeignJob ||
+         code == ResultCode::kAboveQuota;
+}
+
 }  // namespace
 
 AttemptResult ResultOf(const fleet::Answer& answer) {
@@ -35,8 +44,9 @@
     case ResultCode::kTimeout:
       return AttemptResult::kNoAnswer;
     default:
-      return IsRefusal(answer) ? AttemptResult::kRefused
-                               : AttemptResult::kAnswered;
+      return IsRefusal(answer) || IsRefusedByDeclaration(answer.code)
+                 ? AttemptResult::kRefused
+                 : AttemptResult::kAnswered;
   }
 }
 
@@ -75,8 +85,9 @@
     // attempt without an answer may still be in a connection, or in the log of
     // a controller that led then, and the request may yet run.
     case AttemptResult::kRefused:
-      return this->has_unanswered_attempt ? Next::kTryAgain
-                                          : Next::kReturnAnswer;
+      return this->has_unanswered_attempt && this->limits.has_effect
+                 ? Next::kTryAgain
+                 : Next::kReturnAnswer;
     case AttemptResult::kAnswered:
       return Next::kReturnAnswer;
   }
--- a/services/sumacd/submission_outcome.h
+++ b/services/sumacd/submission_outcome.h
@@ -23,7 +23,7 @@
   // The request was written, and no answer tells whether it was taken.
   kNoAnswer,
   // The leader answered that it did not take the request, which may succeed
-  // later.
+  // later or by another declaration.
   kRefused,
   // The leader gave any other answer.
   kAnswered,
@@ -42,6 +42,8 @@
   // The time for a request that may have run. Until its outcome is known the
   // caller can do nothing, and the next leader can still tell it.
   Milliseconds total{0};
+  // False for a question, which changes nothing however often it is asked.
+  bool has_effect = true;
 };
 
 // Returns the limits for a request whose caller waits this long. A request that
--- a/tests/services/sumacd/submission_outcome_test.cc
+++ b/tests/services/sumacd/submission_outcome_test.cc
@@ -213,11 +213,35 @@
   EXPECT_EQ(result_of(ResultCode::kOverloaded), kRefused);
   EXPECT_EQ(result_of(ResultCode::kCallerLimit), kRefused);
   EXPECT_EQ(result_of(ResultCode::kNothingDeclared), kRefused);
+  // A later attempt may find another declaration than an earlier one did.
+  EXPECT_EQ(result_of(ResultCode::kUnknownQueue), kRefused);
+  EXPECT_EQ(result_of(ResultCode::kNoCredentials), kRefused);
+  EXPECT_EQ(result_of(ResultCode::kUnknownKey), kRefused);
+  EXPECT_EQ(result_of(ResultCode::kForeignJob), kRefused);
+  EXPECT_EQ(result_of(ResultCode::kAboveQuota), kRefused);
   EXPECT_EQ(result_of(ResultCode::kOk), kAnswered);
   EXPECT_EQ(result_of(ResultCode::kBadRequest), kAnswered);
   EXPECT_EQ(result_of(ResultCode::kUnknownJob), kAnswered);
 }
 
+// A caller was told that no queue takes its job, although an attempt before the
+// queue was removed had been accepted.
+TEST(SubmissionOutcomeTest, ARefusalByDeclarationSaysNothingOfEarlierAttempts) {
+  SubmissionOutcome outcome = After({kNoAnswer});
+  const AttemptResult refused = ResultOf({.code = ResultCode::kUnknownQueue});
+  EXPECT_EQ(outcome.Record(Asked(1), refused), Next::kTryAgain);
+  EXPECT_EQ(outcome.FinalCode(), ResultCode::kTimeout);
+  EXPECT_EQ(After({}).Record(Asked(0), refused), Next::kReturnAnswer);
+}
+
+TEST(SubmissionOutcomeTest, ARefusedQuestionIsAnsweredAtOnce) {
+  SearchLimits limits = kLimits;
+  limits.has_effect = false;
+  SubmissionOutcome outcome(limits, kControllers, kStart);
+  outcome.Record(Asked(0), kNoAnswer);
+  EXPECT_EQ(outcome.Record(Asked(1), kRefused), Next::kReturnAnswer);
+}
+
 // A job that is submitted to controllers whose connections and leadership get
 // lost. It is accepted once its entry is committed.
 class LossyControllers {
