Jobs: Let one declaration decide on the whole of a request

What callers saw: a leader resolved the address and the key of a submission or a cancel by the declaration in force as it read the request, and the command named the queue and the customer that came out. It was applied behind whatever had been committed meanwhile. Where that was a declaration, two decided on one request: a queue renamed at its address gave a 404 that neither declaration gives; a key that had just been taken away still opened a job, after the operator had its confirmation.

Change: the command holds the caller's address, and ResolveJobAddress, now in libraries/jobs, is asked again where it is applied; its answer is the whole decision. A command without an address (operators, older logs) is decided by its names as before.

--- a/libraries/jobs/apply_cancels.cc
+++ b/libraries/jobs/apply_cancels.cc
@@ -24,6 +24,9 @@
 }  // namespace
 
 fleet::Answer JobsState::ApplyCommand(const CancelJob& command, WallTime at) {
+  if (command.address) {
+    return this->ApplyAt(*command.address, command, at);
+  }
   const auto found = this->own_record.jobs.find(command.job);
   const bool is_known = found != this->own_record.jobs.end();
   if (is_known && found->second.is_active()) {
--- a/libraries/jobs/caller_access.h
+++ b/libraries/jobs/caller_access.h
@@ -5,26 +5,12 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "libraries/base/names.h"
-#include "libraries/codec/describe.h"
+#include "libraries/jobs/caller_address.h"
 #include "libraries/jobs/declaration.h"
 #include "libraries/jobs/job.h"
 
 namespace sumac::jobs {
 
-// What a caller sent to identify itself.
-struct Credentials {
-  // Whether the caller sent anything.
-  bool is_present = false;
-  // The digest of the caller's key; empty if what it sent holds no key.
-  KeyDigest key;
-
-  template <typename Self, typename Visitor>
-  static void Describe(Self& self, Visitor& visitor) {
-    visitor.Field("is_present", self.is_present);
-    visitor.Field("key", self.key);
-  }
-};
-
 // Decides, by one declaration, on behalf of which customer a call to a queue is
 // made. Returns an empty name if the queue is public or no customers are
 // declared, and kNoCredentials or kUnknownKey if the call must be refused.
--- a/libraries/jobs/commands.h
+++ b/libraries/jobs/commands.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -13,6 +14,7 @@
 #include "libraries/base/names.h"
 #include "libraries/base/time.h"
 #include "libraries/codec/describe.h"
+#include "libraries/jobs/caller_address.h"
 #include "libraries/jobs/data_centre_use.h"
 #include "libraries/jobs/job_spec.h"
 #include "libraries/jobs/task_crashes.h"
@@ -95,6 +97,9 @@
   // The customer that the job belongs to; empty for none.
   CustomerName customer;
   bool is_beyond_share = false;
+  // The address of a caller's request. If present, the declaration in force
+  // where the command is applied decides on the queue and the customer.
+  std::optional<CallerAddress> address;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
@@ -104,6 +109,7 @@
     visitor.Field("waited_ms", self.waited);
     visitor.Field("customer", self.customer);
     visitor.Field("is_beyond_share", self.is_beyond_share);
+    visitor.Field("address", self.address);
   }
 };
 
@@ -116,12 +122,15 @@
   // operator is told that an unknown job was not cancelled.
   QueueName queue;
   CustomerName customer;
+  // As in SubmitJob.
+  std::optional<CallerAddress> address;
 
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("job", self.job);
     visitor.Field("queue", self.queue);
     visitor.Field("customer", self.customer);
+    visitor.Field("address", self.address);
   }
 };
 
--- a/libraries/jobs/job_address.cc
+++ b/libraries/jobs/job_address.cc
@@ -1,35 +1,36 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "services/sumacd/job_address.h"
+#include "libraries/jobs/job_address.h"
 
 #include "libraries/base/error.h"
 #include "libraries/base/text.h"
 #include "libraries/base/try.h"
+#include "libraries/jobs/caller_access.h"
+#include "libraries/jobs/jobs_state.h"
 
-namespace sumac::daemon {
+namespace sumac::jobs {
 
-absl::StatusOr<JobAddress> ResolveJobAddress(
-    const jobs::JobsState& state,
-    const std::string& host,
-    const std::string& path,
-    const jobs::Credentials& credentials) {
-  const jobs::JobsDeclaration& declaration = state.declaration();
+absl::StatusOr<JobAddress> ResolveJobAddress(const JobsState& state,
+                                             const CallerAddress& address) {
+  const JobsDeclaration& declaration = state.declaration();
   if (declaration.version() == 0) {
     return MakeError(ResultCode::kNothingDeclared,
                      "no declaration is in force yet");
   }
-  const jobs::QueueDeclaration* queue = declaration.FindByAddress(host, path);
+  const QueueDeclaration* queue =
+      declaration.FindByAddress(address.host, address.path);
   if (queue == nullptr) {
     return MakeError(ResultCode::kUnknownQueue,
-                     StrCat("no queue at ", host, path, " in version ",
-                            declaration.version()));
+                     StrCat("no queue at ", address.host, address.path,
+                            " in version ", declaration.version()));
   }
-  JobAddress address{queue, JobId(path.substr(queue->path_prefix.size()))};
-  address.customer =
-      TRY(jobs::AuthenticateCaller(declaration, *queue, credentials));
-  if (const jobs::Job* job = state.FindJob(address.job)) {
-    TRY(jobs::AuthorizeJobAccess(*queue, address.customer, *job));
+  JobAddress resolved{queue,
+                      JobId(address.path.substr(queue->path_prefix.size()))};
+  resolved.customer =
+      TRY(AuthenticateCaller(declaration, *queue, address.credentials));
+  if (const Job* job = state.FindJob(resolved.job)) {
+    TRY(AuthorizeJobAccess(*queue, resolved.customer, *job));
   }
-  return address;
+  return resolved;
 }
 
-}  // namespace sumac::daemon
+}  // namespace sumac::jobs
--- a/libraries/jobs/jobs_state.cc
+++ b/libraries/jobs/jobs_state.cc
@@ -286,6 +286,9 @@
 }
 
 fleet::Answer JobsState::ApplyCommand(const SubmitJob& command, WallTime at) {
+  if (command.address) {
+    return this->ApplyAt(*command.address, command, at);
+  }
   if (this->own_record.jobs.contains(command.job)) {
     return fleet::Answer::Success("accepted before");
   }
--- a/libraries/jobs/jobs_state.h
+++ b/libraries/jobs/jobs_state.h
@@ -19,6 +19,7 @@
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/declaration.h"
 #include "libraries/jobs/job.h"
+#include "libraries/jobs/job_address.h"
 #include "libraries/jobs/job_tombstones.h"
 #include "libraries/jobs/wave.h"
 #include "libraries/jobs/worker.h"
@@ -182,6 +183,12 @@
   fleet::Answer ApplyCommand(const RecordMoves& command, WallTime at);
   fleet::Answer ApplyCommand(const ChangeDataCentre& command, WallTime at);
 
+  // Applies the command of a caller as the declaration in force decides on its
+  // address; returns the refusal if that does not allow it.
+  template <typename CallerCommand>
+  fleet::Answer ApplyAt(const CallerAddress& address,
+                        const CallerCommand& command,
+                        WallTime at);
   void ApplyRunEnd(const RunEnd& end, WallTime at);
   void ApplyCrash(const WorkerId& worker, const CrashedRun& run, WallTime at);
   void ApplyGangEnd(Job& job,
@@ -213,6 +220,26 @@
   std::set<std::pair<WallTime, JobId>> finished;
 };
 
+template <typename CallerCommand>
+fleet::Answer JobsState::ApplyAt(const CallerAddress& address,
+                                 const CallerCommand& command,
+                                 WallTime at) {
+  const absl::StatusOr<JobAddress> resolved = ResolveJobAddress(*this, address);
+  if (!resolved.ok()) {
+    return fleet::Answer::FromStatus(resolved.status());
+  }
+  if (resolved->job.value().empty()) {
+    return fleet::Answer{.code = ResultCode::kBadRequest,
+                         .message = "the path holds no job id"};
+  }
+  CallerCommand decided = command;
+  decided.job = resolved->job;
+  decided.queue = resolved->queue->name;
+  decided.customer = resolved->customer;
+  decided.address.reset();
+  return this->ApplyCommand(decided, at);
+}
+
 }  // namespace sumac::jobs
 
 #endif  // LIBRARIES_JOBS_JOBS_STATE_H_
--- a/libraries/jobs/requests.h
+++ b/libraries/jobs/requests.h
@@ -7,7 +7,7 @@
 #include <variant>
 
 #include "libraries/base/names.h"
-#include "libraries/jobs/caller_access.h"
+#include "libraries/jobs/caller_address.h"
 #include "libraries/jobs/commands.h"
 #include "libraries/jobs/job_spec.h"
 
@@ -27,6 +27,10 @@
   Credentials credentials;
   JobSpec spec;
 
+  CallerAddress address() const {
+    return {this->host, this->path, this->credentials};
+  }
+
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("host", self.host);
@@ -44,6 +48,10 @@
   std::string path;
   Credentials credentials;
 
+  CallerAddress address() const {
+    return {this->host, this->path, this->credentials};
+  }
+
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("host", self.host);
@@ -59,6 +67,10 @@
   std::string path;
   Credentials credentials;
 
+  CallerAddress address() const {
+    return {this->host, this->path, this->credentials};
+  }
+
   template <typename Self, typename Visitor>
   static void Describe(Self& self, Visitor& visitor) {
     visitor.Required("host", self.host);
--- a/services/sumacd/job_controller.cc
+++ b/services/sumacd/job_controller.cc
@@ -12,10 +12,10 @@
 #include "libraries/base/try.h"
 #include "libraries/codec/cbor_reader.h"
 #include "libraries/codec/cbor_writer.h"
+#include "libraries/jobs/job_address.h"
 #include "libraries/log/json_log.h"
 #include "services/sumacd/data_centre_queries.h"
 #include "services/sumacd/declaration_log.h"
-#include "services/sumacd/job_address.h"
 #include "services/sumacd/job_queries.h"
 #include "services/sumacd/order_gate.h"
 
@@ -474,8 +474,7 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::SubmitAt& request) {
-  const auto address = ResolveJobAddress(this->jobs_state, request.host,
-                                         request.path, request.credentials);
+  const auto address = ResolveJobAddress(this->jobs_state, request.address());
   if (!address.ok()) {
     return this->RefuseAddress(address.status());
   }
@@ -519,7 +518,8 @@
       ->Propose(jobs::SubmitJob{
           address->job, address->queue->name, request.spec,
           this->admission.WaitingTimeOf(address->job, now), address->customer,
-          this->admission.CountShare(submission, *this->scheduler, now)})
+          this->admission.CountShare(submission, *this->scheduler, now),
+          request.address()})
       .then([this, job = address->job,
              origin = address->origin()](fleet::Answer&& answer) {
         LogSubmission(job, origin, answer,
@@ -532,8 +532,7 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::ShowAt& request) {
-  const auto address = ResolveJobAddress(this->jobs_state, request.host,
-                                         request.path, request.credentials);
+  const auto address = ResolveJobAddress(this->jobs_state, request.address());
   if (!address.ok()) {
     return this->RefuseAddress(address.status());
   }
@@ -558,13 +557,12 @@
 }
 
 kj::Promise<fleet::Answer> JobController::Serve(const jobs::CancelAt& request) {
-  const auto address = ResolveJobAddress(this->jobs_state, request.host,
-                                         request.path, request.credentials);
+  const auto address = ResolveJobAddress(this->jobs_state, request.address());
   if (!address.ok()) {
     return this->RefuseAddress(address.status());
   }
-  jobs::CancelJob command{address->job, address->queue->name,
-                          address->customer};
+  jobs::CancelJob command{address->job, address->queue->name, address->customer,
+                          request.address()};
   const WallTime now = this->clock.Now();
   if (auto answer = this->jobs_state.AnswerIfCancelled(command, now)) {
     return *std::move(answer);
