Jobs: Take no path below a job's id for another id

What callers saw: one submission ran as two jobs. With queues at /clips/ and, in another version, at /clips/deep/, the path /clips/deep/a was the job "deep/a" of the first queue and the job "a" of the second one, so a submission that was sent again after a change of the declaration was accepted once under each id. A removed queue below another one also went on taking jobs, at the shorter prefix.

Cause: whatever followed the longest prefix was the id. The class is the one of: an identity that changes with the declaration.

--- a/libraries/jobs/job_address.cc
+++ b/libraries/jobs/job_address.cc
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "libraries/jobs/job_address.h"
 
+#include <string>
+
 #include "libraries/base/error.h"
 #include "libraries/base/text.h"
 #include "libraries/base/try.h"
@@ -25,6 +27,14 @@
   }
   JobAddress resolved{queue,
                       JobId(address.path.substr(queue->path_prefix.size()))};
+  // NOTE: A queue below this one, in an earlier or a later declaration, has
+  // this path too: its jobs would run twice, under two ids.
+  if (resolved.job.value().find('/') != std::string::npos) {
+    return MakeError(
+        ResultCode::kUnknownQueue,
+        StrCat("no queue takes a job at ", address.host, address.path,
+               " in version ", declaration.version()));
+  }
   resolved.customer =
       TRY(AuthenticateCaller(declaration, *queue, address.credentials));
   if (const Job* job = state.FindJob(resolved.job)) {
--- a/tests/libraries/jobs/declaration_history.h
+++ b/tests/libraries/jobs/declaration_history.h
@@ -34,6 +34,8 @@
   kTakesInvalid,
   // No controller answers a read after the group lost power.
   kSilentAtTheEnd,
+  // What follows a queue's prefix is a job's id, whatever it is.
+  kTakesAnyId,
 };
 
 // A group of controllers with the real replicas, jobs states and codecs, whose
@@ -90,6 +92,7 @@
   std::string Count(std::size_t node);
   std::string Round();
   std::string Finish(const Open& open, const fleet::Answer& answer);
+  std::string RecordAccepted(const CallerAddress& address, const JobId& job);
   std::string CheckCaller(const CallerAddress& address,
                           std::uint64_t confirmed,
                           ResultCode code) const;
@@ -115,6 +118,8 @@
   std::map<std::uint64_t, std::string> seen_content;
   std::uint64_t confirmed = 0;
   std::set<std::string> confirmed_documents;
+  // The job that was accepted at each path.
+  std::map<std::string, JobId> accepted;
   Counts seen;
 };
 
--- a/tests/libraries/jobs/job_address_test.cc
+++ b/tests/libraries/jobs/job_address_test.cc
@@ -121,6 +121,18 @@
   EXPECT_EQ(this->Do(submission).code, ResultCode::kForeignJob);
 }
 
+// A caller's job ran twice: first under an id with a slash, at a queue that had
+// the longest prefix of its path before a longer one was declared, and in the
+// other order at a queue that was no longer declared.
+TEST_F(JobAddressTest, APathBelowAnIdNamesNoJob) {
+  this->caller.path = "/clips/deep/a";
+  EXPECT_EQ(CodeOf(ResolveJobAddress(this->state, this->caller).status()),
+            ResultCode::kUnknownQueue);
+  this->caller.path = "/clips/deep/";
+  EXPECT_EQ(CodeOf(ResolveJobAddress(this->state, this->caller).status()),
+            ResultCode::kUnknownQueue);
+}
+
 // A log of an earlier version names the queue and the customer only.
 TEST_F(JobAddressTest, ACommandWithoutAnAddressIsDecidedByItsNames) {
   SubmitJob submission = this->ReadSubmission();
